Serve requests from caller to endpoint through one daemon

The path is thin: a key from a record is checked, stripped before the endpoint sees the request, and the answer streams back. The platform, the engines and the plain service are stand-ins of this repository.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks run by the Makefile."""
--- /dev/null
+++ b/src/clementinedyke/demo.py
@@ -0,0 +1,157 @@
+"""A daemon with stand-ins of its peers in one process."""
+
+import json
+import secrets
+import signal
+import sys
+from typing import Any
+
+import trio
+
+from clementinedyke.application import Application
+from clementinedyke.configuration import RECORDS_TABLE
+from clementinedyke.daemon import Daemon
+from clementinedyke.platform.tables import Write
+from clementinedyke.records import get_digest
+from clementinedyke.settings import Settings
+from clementinedyke.standins.engine import EngineStandin
+from clementinedyke.standins.platform import PlatformStandin
+from clementinedyke.standins.service import ServiceStandin
+
+_HOST = '127.0.0.1'
+_MODEL = 'demo-model'
+_CUSTOMER = 'demo-customer'
+_MODEL_SERVICE = 'demo-assistant'
+_PLAIN_SERVICE = 'demo-ledger'
+_ENGINES = 2
+#: Seconds between two tokens of a stand-in.
+_TOKEN_INTERVAL = 0.01
+
+
+class Demo:
+    """Stand-ins and a daemon that uses them, on loopback."""
+
+    def __init__(self, port: int = 0) -> None:
+        """Create the demo.
+
+        :param port: caller port, 0 for a free one.
+        """
+        self._port = port
+        self.api_key = secrets.token_urlsafe()
+        self.platform = PlatformStandin()
+        self.engines = [
+            EngineStandin(_MODEL, token_interval=_TOKEN_INTERVAL)
+            for _ in range(_ENGINES)
+        ]
+        self.service = ServiceStandin()
+        self.application: Application | None = None
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[dict[str, str]] = (
+            trio.TASK_STATUS_IGNORED
+        ),
+    ) -> None:
+        """Run until a stop is requested.
+
+        :param task_status: started with the ready line's fields.
+        """
+        async with trio.open_nursery() as nursery:
+            platform_port = await self._start_standins(nursery)
+            settings = Settings(
+                host=_HOST,
+                port=self._port,
+                platform=f'{_HOST}:{platform_port}',
+            )
+            daemon = Daemon(settings)
+            self.application = daemon.application
+            async with trio.open_nursery() as inner:
+                await inner.start(daemon.application.run)
+                task_status.started(self._describe(daemon))
+            nursery.cancel_scope.cancel()
+
+    async def _start_standins(self, nursery: trio.Nursery) -> int:
+        for index, engine in enumerate(self.engines):
+            port = await engine.start(nursery, _HOST, 0)
+            self._list_endpoint(f'engine-{index}', _MODEL_SERVICE, port)
+        port = await self.service.start(nursery, _HOST, 0)
+        self._list_endpoint('ledger-0', _PLAIN_SERVICE, port)
+        self.platform.tables.commit([], self._compile_records())
+        return await self.platform.start(nursery, _HOST, 0)
+
+    def _list_endpoint(self, name: str, service: str, port: int) -> None:
+        self.platform.endpoints.append(
+            {
+                'endpoint_id': name,
+                'service': service,
+                'availability_zone': 'zone-a',
+                'address': f'{_HOST}:{port}',
+            }
+        )
+
+    def _compile_records(self) -> list[Write]:
+        records: list[dict[str, Any]] = [
+            {
+                'kind': 'service',
+                'name': _MODEL_SERVICE,
+                'backend': 'model',
+                'models': [_MODEL],
+            },
+            {
+                'kind': 'service',
+                'name': _PLAIN_SERVICE,
+                'backend': 'plain',
+                'repeatable': False,
+            },
+            {
+                'kind': 'customer',
+                'name': _CUSTOMER,
+                'services': [_MODEL_SERVICE, _PLAIN_SERVICE],
+            },
+            {
+                'kind': 'key',
+                'name': 'demo-key',
+                'customer': _CUSTOMER,
+                'digest': get_digest(self.api_key),
+            },
+        ]
+        return [
+            Write(RECORDS_TABLE, f'{record["kind"]}/{record["name"]}', record)
+            for record in records
+        ]
+
+    def _describe(self, daemon: Daemon) -> dict[str, str]:
+        base = f'http://{_HOST}:{daemon.caller_port.bound_port}'
+        return {
+            'base_url': f'{base}/v1',
+            'api_key': self.api_key,
+            'model': _MODEL,
+            'service': _PLAIN_SERVICE,
+            'metrics_url': f'{base}/metrics',
+        }
+
+
+async def run_until_signal(application: Application) -> None:
+    """Request a stop when SIGTERM or SIGINT arrives.
+
+    :param application: application to stop.
+    """
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            application.request_stop()
+            return
+
+
+async def run_demo(port: int) -> None:
+    """Run the demo until SIGTERM and print its ready line.
+
+    :param port: caller port, 0 for a free one.
+    """
+    demo = Demo(port)
+    async with trio.open_nursery() as nursery:
+        ready = await nursery.start(demo.run)
+        sys.stdout.write(f'{json.dumps(ready)}\n')
+        sys.stdout.flush()
+        if demo.application is not None:
+            await run_until_signal(demo.application)
--- /dev/null
+++ b/src/clementinedyke/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Endpoints: model engines and plain services."""
--- /dev/null
+++ b/src/clementinedyke/http_client.py
@@ -0,0 +1,311 @@
+"""HTTP/1.1 client on trio and h11 with a pool of connections to one address."""
+
+import os
+import socket
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from ssl import SSLContext
+from types import TracebackType
+
+import h11
+import trio
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.exceptions import (
+    AnswerLostError,
+    PeerUnavailableError,
+    ProtocolError,
+)
+
+#: Header names and values as they stand on the wire.
+Headers = Sequence[tuple[bytes, bytes]]
+
+_READ_SIZE = 65536
+_MAX_IDLE_CONNECTIONS = 64
+_MILLISECONDS_PER_SECOND = 1000
+_CONNECT_TIMEOUT: Milliseconds = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """IP number and TCP port of a peer."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> 'Address':
+        """Return the address written as ``IP:PORT``.
+
+        :param text: for example ``127.0.0.1:8080``.
+        :raises ValueError: if the text has no port number.
+        """
+        host, _, port = text.rpartition(':')
+        if not host or not port.isdigit():
+            raise ValueError(f'address {text!r} is not of the form IP:PORT')
+        return cls(host=host, port=int(port))
+
+    def __str__(self) -> str:
+        """Return the address as ``IP:PORT``."""
+        return f'{self.host}:{self.port}'
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A request with its whole body."""
+
+    method: str
+    target: str
+    headers: Headers = ()
+    body: bytes = b''
+
+
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """A response with its whole body."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclass(slots=True)
+class _Connection:
+    stream: trio.abc.Stream
+    protocol: h11.Connection = field(
+        default_factory=lambda: h11.Connection(h11.CLIENT)
+    )
+    requests: int = 0
+
+    async def receive_event(self) -> h11.Event:
+        while True:
+            event = self.protocol.next_event()
+            if event is not h11.NEED_DATA:
+                return event  # type: ignore[return-value]
+            received = await self.stream.receive_some(_READ_SIZE)
+            self.protocol.receive_data(bytes(received))
+
+    async def send(self, request: HttpRequest, authority: str) -> None:
+        headers = [
+            (b'Host', authority.encode()),
+            (b'Content-Length', str(len(request.body)).encode()),
+            *request.headers,
+        ]
+        head = h11.Request(
+            method=request.method, target=request.target, headers=headers
+        )
+        parts = [self.protocol.send(head)]
+        if request.body:
+            parts.append(self.protocol.send(h11.Data(data=request.body)))
+        parts.append(self.protocol.send(h11.EndOfMessage()))
+        self.requests += 1
+        await self.stream.send_all(b''.join(part or b'' for part in parts))
+
+
+class ResponseStream:
+    """A response whose head has arrived and whose body is still read."""
+
+    def __init__(self, head: h11.Response, connection: _Connection) -> None:
+        """Create the stream; called by :class:`HttpClient` only."""
+        self._head = head
+        self._connection = connection
+
+    @property
+    def status(self) -> int:
+        """HTTP status code."""
+        return int(self._head.status_code)
+
+    @property
+    def headers(self) -> Headers:
+        """Header names in lower case and their values."""
+        return list(self._head.headers)
+
+    async def receive_chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body in parts as they arrive.
+
+        :raises AnswerLostError: if the connection breaks before the end.
+        """
+        while True:
+            event = await _receive_or_lose(self._connection)
+            if isinstance(event, h11.EndOfMessage):
+                return
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+
+    async def receive_body(self) -> bytes:
+        """Return the rest of the body.
+
+        :raises AnswerLostError: if the connection breaks before the end.
+        """
+        parts = [chunk async for chunk in self.receive_chunks()]
+        return b''.join(parts)
+
+
+class HttpClient:
+    """Client of one address; several requests may run at the same time."""
+
+    def __init__(
+        self, address: Address, ssl_context: SSLContext | None = None
+    ) -> None:
+        """Create a client; no connection is opened yet.
+
+        :param address: peer to connect to.
+        :param ssl_context: uses TLS when given.
+        """
+        self._address = address
+        self._ssl_context = ssl_context
+        self._idle: list[_Connection] = []
+
+    @property
+    def address(self) -> Address:
+        """Address of the peer."""
+        return self._address
+
+    async def __aenter__(self) -> 'HttpClient':
+        """Return the client itself."""
+        return self
+
+    async def __aexit__(
+        self,
+        exception_type: type[BaseException] | None,
+        exception: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Close all idle connections."""
+        await self.close()
+
+    async def close(self) -> None:
+        """Close all idle connections."""
+        while self._idle:
+            await trio.aclose_forcefully(self._idle.pop().stream)
+
+    @asynccontextmanager
+    async def open_response(
+        self, request: HttpRequest
+    ) -> AsyncIterator[ResponseStream]:
+        """Send a request and give its response as a stream.
+
+        The connection is kept for later requests if the body was read to its
+        end, and closed otherwise.
+
+        :param request: request with its whole body.
+        :raises PeerUnavailableError: if no connection could be opened, so that
+            nothing was sent.
+        :raises AnswerLostError: if the connection broke after sending began.
+        """
+        connection = await self._take_connection()
+        try:
+            yield await self._exchange(connection, request)
+        finally:
+            await self._put_back(connection)
+
+    async def request(
+        self, request: HttpRequest, timeout: Milliseconds
+    ) -> HttpResponse:
+        """Send a request and return the whole response.
+
+        :param request: request with its whole body.
+        :param timeout: longest time for the whole exchange, in milliseconds.
+        :raises PeerUnavailableError: if nothing was sent.
+        :raises AnswerLostError: if no whole response arrived in time.
+        """
+        with trio.move_on_after(timeout / _MILLISECONDS_PER_SECOND):
+            async with self.open_response(request) as response:
+                body = await response.receive_body()
+                return HttpResponse(response.status, response.headers, body)
+        raise AnswerLostError(
+            f'{request.method} {request.target} at {self._address}: '
+            f'no answer within {timeout} ms'
+        )
+
+    async def _exchange(
+        self, connection: _Connection, request: HttpRequest
+    ) -> ResponseStream:
+        try:
+            await connection.send(request, str(self._address))
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise AnswerLostError(f'{self._address}: {error}') from error
+        while True:
+            event = await _receive_or_lose(connection)
+            if isinstance(event, h11.Response):
+                return ResponseStream(event, connection)
+            if not isinstance(event, h11.InformationalResponse):
+                raise ProtocolError(f'{self._address}: no response head')
+
+    async def _take_connection(self) -> _Connection:
+        while self._idle:
+            connection = self._idle.pop()
+            if _is_usable(connection):
+                return connection
+            await trio.aclose_forcefully(connection.stream)
+        return _Connection(await self._connect())
+
+    async def _connect(self) -> trio.abc.Stream:
+        try:
+            with trio.fail_after(_CONNECT_TIMEOUT / _MILLISECONDS_PER_SECOND):
+                stream = await trio.open_tcp_stream(
+                    self._address.host, self._address.port
+                )
+        except (OSError, trio.TooSlowError) as error:
+            raise PeerUnavailableError(
+                f'{self._address} cannot be reached: {error}'
+            ) from error
+        if self._ssl_context is None:
+            return stream
+        return trio.SSLStream(
+            stream,
+            self._ssl_context,
+            server_hostname=self._address.host,
+            https_compatible=True,
+        )
+
+    async def _put_back(self, connection: _Connection) -> None:
+        protocol = connection.protocol
+        finished = (
+            protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
+        )
+        if finished and len(self._idle) < _MAX_IDLE_CONNECTIONS:
+            protocol.start_next_cycle()
+            self._idle.append(connection)
+            return
+        await trio.aclose_forcefully(connection.stream)
+
+
+async def _receive_or_lose(connection: _Connection) -> h11.Event:
+    try:
+        event = await connection.receive_event()
+    except (
+        trio.BrokenResourceError,
+        trio.ClosedResourceError,
+        h11.RemoteProtocolError,
+    ) as error:
+        raise AnswerLostError(f'connection lost: {error}') from error
+    if isinstance(event, h11.ConnectionClosed):
+        raise AnswerLostError('connection closed before the response ended')
+    return event
+
+
+def _is_usable(connection: _Connection) -> bool:
+    """Tell whether the peer has neither closed nor written unasked.
+
+    A pooled connection that the peer closed would turn the next request into
+    one with an unknown outcome although nothing ran.
+    """
+    stream = connection.stream
+    if not isinstance(stream, trio.SocketStream):
+        return True
+    try:
+        _receive_now(stream)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
+def _receive_now(stream: trio.SocketStream) -> bytes:
+    duplicate = socket.socket(fileno=os.dup(stream.socket.fileno()))
+    with duplicate:
+        duplicate.setblocking(False)
+        return duplicate.recv(1, socket.MSG_PEEK)
--- /dev/null
+++ b/src/clementinedyke/platform/tables.py
@@ -0,0 +1,183 @@
+"""Client of the platform's transactional table service."""
+
+import enum
+from collections.abc import Sequence
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+from result import Err, Ok, Result
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
+from clementinedyke.http_client import HttpClient, HttpRequest, HttpResponse
+
+_DEFAULT_TIMEOUT: Milliseconds = 2000
+_STATUS_OK = 200
+_STATUS_NOT_FOUND = 404
+_STATUS_CONFLICT = 409
+
+#: Version of a row that does not exist.
+ABSENT = 0
+
+
+class TableFailure(enum.Enum):
+    """Why a call to the table service gave no answer."""
+
+    #: Nothing was sent, or the service said that it did nothing.
+    NOT_DONE = 'not_done'
+    #: The call was sent and its answer was lost; it may have taken effect.
+    UNKNOWN = 'unknown'
+
+
+class Row(msgspec.Struct, frozen=True):
+    """A row with the revision that wrote it; value None marks a deletion."""
+
+    key: str
+    version: int
+    value: Any = None
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """Rows of one table as of a revision."""
+
+    revision: int
+    rows: list[Row]
+
+
+class Condition(msgspec.Struct, frozen=True):
+    """Demands that a row has a version; 0 demands that it is absent."""
+
+    table: str
+    key: str
+    version: int
+
+
+class Write(msgspec.Struct, frozen=True):
+    """New value of a row; value None deletes it."""
+
+    table: str
+    key: str
+    value: Any = None
+
+
+class Conflict(msgspec.Struct, frozen=True):
+    """Conditions that did not hold, with the versions in force."""
+
+    conflicts: list[Condition]
+
+
+class Commit(msgspec.Struct, frozen=True):
+    """Revision of a transaction that was applied."""
+
+    revision: int
+
+
+class _Transaction(msgspec.Struct):
+    conditions: list[Condition]
+    writes: list[Write]
+
+
+CommitResult = Result[Commit | Conflict, TableFailure]
+
+
+class TableClient:
+    """Calls the table service over a pooled HTTP client."""
+
+    def __init__(
+        self, client: HttpClient, timeout: Milliseconds = _DEFAULT_TIMEOUT
+    ) -> None:
+        """Create a client.
+
+        :param client: HTTP client of the platform's address.
+        :param timeout: longest wait for an answer in milliseconds.
+        """
+        self._client = client
+        self._timeout = timeout
+
+    async def commit(
+        self, conditions: Sequence[Condition], writes: Sequence[Write]
+    ) -> CommitResult:
+        """Apply all writes if all conditions hold, else none.
+
+        :param conditions: row versions that must be in force.
+        :param writes: new row values.
+        """
+        body = msgspec.json.encode(
+            _Transaction(conditions=list(conditions), writes=list(writes))
+        )
+        answer = await self._call('POST', '/v1/tables/commit', body)
+        if answer.is_err():
+            return Err(answer.unwrap_err())
+        response = answer.unwrap()
+        if response.status == _STATUS_OK:
+            return Ok(msgspec.json.decode(response.body, type=Commit))
+        if response.status == _STATUS_CONFLICT:
+            return Ok(msgspec.json.decode(response.body, type=Conflict))
+        return Err(TableFailure.NOT_DONE)
+
+    async def get_row(
+        self, table: str, key: str
+    ) -> Result[Row | None, TableFailure]:
+        """Return a row, or None if it does not exist.
+
+        :param table: table name.
+        :param key: row key.
+        """
+        target = f'/v1/tables/{table}/rows/{quote(key, safe="")}'
+        answer = await self._call('GET', target)
+        if answer.is_err():
+            return Err(answer.unwrap_err())
+        response = answer.unwrap()
+        if response.status == _STATUS_NOT_FOUND:
+            return Ok(None)
+        if response.status != _STATUS_OK:
+            return Err(TableFailure.NOT_DONE)
+        return Ok(msgspec.json.decode(response.body, type=Row))
+
+    async def list_rows(
+        self, table: str, prefix: str = ''
+    ) -> Result[Snapshot, TableFailure]:
+        """Return the rows of a table whose key begins with a prefix.
+
+        :param table: table name.
+        :param prefix: beginning of the keys.
+        """
+        query = quote(prefix, safe='')
+        return await self._read_snapshot(
+            f'/v1/tables/{table}/rows?prefix={query}'
+        )
+
+    async def get_changes(
+        self, table: str, since: int
+    ) -> Result[Snapshot, TableFailure]:
+        """Return the rows of a table written after a revision.
+
+        :param table: table name.
+        :param since: last revision that the caller has.
+        """
+        return await self._read_snapshot(
+            f'/v1/tables/{table}/changes?since={since}'
+        )
+
+    async def _read_snapshot(
+        self, target: str
+    ) -> Result[Snapshot, TableFailure]:
+        answer = await self._call('GET', target)
+        if answer.is_err():
+            return Err(answer.unwrap_err())
+        response = answer.unwrap()
+        if response.status != _STATUS_OK:
+            return Err(TableFailure.NOT_DONE)
+        return Ok(msgspec.json.decode(response.body, type=Snapshot))
+
+    async def _call(
+        self, method: str, target: str, body: bytes = b''
+    ) -> Result[HttpResponse, TableFailure]:
+        request = HttpRequest(method=method, target=target, body=body)
+        try:
+            return Ok(await self._client.request(request, self._timeout))
+        except PeerUnavailableError:
+            return Err(TableFailure.NOT_DONE)
+        except AnswerLostError:
+            return Err(TableFailure.UNKNOWN)
--- /dev/null
+++ b/src/clementinedyke/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of outside systems for tests and ``make run``."""
--- /dev/null
+++ b/src/clementinedyke/standins/platform.py
@@ -0,0 +1,144 @@
+"""Stand-in of the platform: tables, objects, reports, orders and lists."""
+
+import re
+from collections.abc import Mapping
+from functools import partial
+from typing import Any
+from urllib.parse import parse_qs, unquote
+
+import msgspec
+import trio
+
+from clementinedyke.http_server import (
+    HttpServer,
+    ResponseWriter,
+    ServerRequest,
+)
+from clementinedyke.platform.tables import Condition, Conflict, Write
+from clementinedyke.standins.tables import MemoryTables
+
+_TABLE_PATH = re.compile(r'/v1/tables/(\w+)/(rows|changes)(?:/(.+))?')
+_STORED_PATH = re.compile(r'/v1/(objects|usage/reports|endpoint-orders)/(.+)')
+_OK = 200
+_NOT_FOUND = 404
+_CONFLICT = 409
+_UNAVAILABLE = 503
+_MILLISECONDS_PER_SECOND = 1000
+
+
+class TransactionBody(msgspec.Struct):
+    """Body of a commit."""
+
+    conditions: list[Condition] = []
+    writes: list[Write] = []
+
+
+class Faults(msgspec.Struct):
+    """Faults that the stand-in shows until they are set again.
+
+    ``lose_answers`` counts commits that are applied without an answer;
+    ``delay`` is in milliseconds.
+    """
+
+    outage: bool = False
+    delay: int = 0
+    lose_answers: int = 0
+
+
+class PlatformStandin:
+    """Serves the platform's interfaces from memory."""
+
+    def __init__(self) -> None:
+        """Create an empty platform."""
+        self.tables = MemoryTables()
+        self.faults = Faults()
+        self.endpoints: list[dict[str, Any]] = []
+        self.hosts: list[dict[str, Any]] = []
+        self.stored: dict[str, bytes] = {}
+        #: Every endpoint order and usage report as it arrived.
+        self.received: list[tuple[str, str, Mapping[str, str]]] = []
+        self._server = HttpServer(self.respond)
+
+    async def start(self, nursery: trio.Nursery, host: str, port: int) -> int:
+        """Serve in a nursery and return the bound port.
+
+        :param nursery: nursery that runs the server.
+        :param host: IP number to bind.
+        :param port: TCP port, 0 for a free one.
+        """
+        serve = partial(self._server.serve, host, port)
+        return int(await nursery.start(serve))
+
+    async def respond(
+        self, request: ServerRequest, response: ResponseWriter
+    ) -> None:
+        """Answer one request.
+
+        :param request: request from a daemon or a test.
+        :param response: writer of the answer.
+        """
+        if request.path == '/faults':
+            self.faults = msgspec.json.decode(request.body, type=Faults)
+            await response.send_json(_OK, {})
+            return
+        if self.faults.outage:
+            await response.send_json(_UNAVAILABLE, {'error': 'outage'})
+            return
+        await trio.sleep(self.faults.delay / _MILLISECONDS_PER_SECOND)
+        status, content = self._execute(request)
+        if request.method != 'GET' and self.faults.lose_answers:
+            self.faults.lose_answers -= 1
+            raise trio.BrokenResourceError('answer lost by a fault')
+        body = content if isinstance(content, bytes) else _encode(content)
+        await response.send_whole(
+            status, [(b'Content-Type', b'application/json')], body
+        )
+
+    def _execute(self, request: ServerRequest) -> tuple[int, Any]:
+        if request.path == '/v1/tables/commit':
+            return self._commit(request.body)
+        if request.path == '/v1/endpoints':
+            return _OK, self.endpoints
+        if request.path == '/v1/hosts':
+            return _OK, self.hosts
+        stored = _STORED_PATH.fullmatch(request.path)
+        if stored:
+            return self._store(request, unquote(request.path))
+        table = _TABLE_PATH.fullmatch(request.path)
+        if table:
+            return self._read(request, *table.groups())
+        return _NOT_FOUND, {'error': 'no such path'}
+
+    def _commit(self, body: bytes) -> tuple[int, Any]:
+        transaction = msgspec.json.decode(body, type=TransactionBody)
+        outcome = self.tables.commit(transaction.conditions, transaction.writes)
+        status = _CONFLICT if isinstance(outcome, Conflict) else _OK
+        return status, outcome
+
+    def _read(
+        self, request: ServerRequest, table: str, kind: str, key: str | None
+    ) -> tuple[int, Any]:
+        query = parse_qs(request.query)
+        if kind == 'changes':
+            since = int(query['since'][0])
+            return _OK, self.tables.get_changes(table, since)
+        if key is None:
+            prefix = query.get('prefix', [''])[0]
+            return _OK, self.tables.list_rows(table, prefix)
+        row = self.tables.get_row(table, unquote(key))
+        return (_NOT_FOUND, {}) if row is None else (_OK, row)
+
+    def _store(self, request: ServerRequest, path: str) -> tuple[int, Any]:
+        if request.method == 'GET':
+            stored = self.stored.get(path)
+            return (_NOT_FOUND, {}) if stored is None else (_OK, stored)
+        self.stored[path] = request.body
+        headers = {
+            name.decode(): content.decode() for name, content in request.headers
+        }
+        self.received.append((path, request.body.decode('latin-1'), headers))
+        return _OK, {}
+
+
+def _encode(content: Any) -> bytes:
+    return msgspec.json.encode(content)
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,102 @@
+"""Tests of the whole path from caller to endpoint and back."""
+
+import json
+from typing import Any
+from urllib import error, request
+
+import openai
+import pytest
+
+
+def post(url: str, key: str, content: Any = None) -> tuple[int, Any]:
+    """Return the status and the JSON body of a POST."""
+    call = request.Request(
+        url,
+        data=json.dumps(content or {}).encode(),
+        headers={'Authorization': f'Bearer {key}'},
+    )
+    try:
+        with request.urlopen(call, timeout=10) as answer:
+            return answer.status, json.load(answer)
+    except error.HTTPError as refusal:
+        return refusal.code, json.load(refusal)
+
+
+@pytest.fixture(name='client')
+def create_client(demo: dict[str, str]) -> openai.OpenAI:
+    """Return an unmodified client of the chat protocol."""
+    return openai.OpenAI(
+        base_url=demo['base_url'], api_key=demo['api_key'], max_retries=0
+    )
+
+
+class TestChatPath:
+    """Guards against a break anywhere between caller and engine."""
+
+    def test_whole_answer(
+        self, client: openai.OpenAI, demo: dict[str, str]
+    ) -> None:
+        """A whole answer arrives with its usage."""
+        answer = client.chat.completions.create(
+            model=demo['model'],
+            messages=[{'role': 'user', 'content': 'hello'}],
+            max_tokens=3,
+        )
+        assert answer.choices[0].message.content == 'word0 word1 word2 '
+        assert answer.usage is not None
+        assert answer.usage.completion_tokens == 3
+
+    def test_streamed_answer(
+        self, client: openai.OpenAI, demo: dict[str, str]
+    ) -> None:
+        """Every chunk arrives, in order, up to the end."""
+        stream = client.chat.completions.create(
+            model=demo['model'],
+            messages=[{'role': 'user', 'content': 'hello'}],
+            max_tokens=5,
+            stream=True,
+        )
+        words = [
+            chunk.choices[0].delta.content or ''
+            for chunk in stream
+            if chunk.choices
+        ]
+        assert ''.join(words) == 'word0 word1 word2 word3 word4 '
+
+    def test_unknown_model(self, client: openai.OpenAI) -> None:
+        """An unknown model is 404, not a retry at a random engine."""
+        with pytest.raises(openai.NotFoundError):
+            client.chat.completions.create(
+                model='missing', messages=[{'role': 'user', 'content': 'x'}]
+            )
+
+    def test_unknown_key(self, demo: dict[str, str]) -> None:
+        """A key that no record names is refused."""
+        client = openai.OpenAI(
+            base_url=demo['base_url'], api_key='wrong', max_retries=0
+        )
+        with pytest.raises(openai.AuthenticationError):
+            client.models.list()
+
+    def test_wrong_body(self, demo: dict[str, str]) -> None:
+        """A body without messages is 400 with a numbered code."""
+        status, answer = post(
+            f'{demo["base_url"]}/chat/completions',
+            demo['api_key'],
+            {'model': demo['model']},
+        )
+        assert status == 400
+        assert answer['error']['code'] == 2004
+
+
+class TestServicePath:
+    """Guards against a break between caller and plain service."""
+
+    def test_post_runs_once(self, demo: dict[str, str]) -> None:
+        """Two requests run twice, one request once."""
+        url = demo['base_url'].removesuffix('/v1')
+        target = f'{url}/services/{demo["service"]}/slots'
+        first = post(target, demo['api_key'])
+        second = post(target, demo['api_key'])
+        assert first[0] == 201
+        assert second[1]['run'] == first[1]['run'] + 1
