Add settings, records of schema version 2 and the operator port

Settings are flags and environment variables compiled from one class. Records of versions 1 and 2 are upgraded in memory to data classes. Operators change records through a decision core whose transaction writes the record, its audit row and a guard row; a lost answer is resolved by reading the audit row back.

--- a/src/clementinedyke/cli.py
+++ b/src/clementinedyke/cli.py
@@ -1,48 +1,77 @@
 """Command line of clementinedyke."""
 
+import sys
+from importlib import metadata
+from pathlib import Path
 from typing import Annotated
 
 import cyclopts
 import trio
-from absl import logging
 
 from clementinedyke.daemon import Daemon
 from clementinedyke.demo import run_demo, run_until_signal
+from clementinedyke.exceptions import ClementinedykeError, SettingError
+from clementinedyke.logs import set_up_logging
+from clementinedyke.operators.commands import add_commands
+from clementinedyke.operators.failures import CommandError, ExitStatus
+from clementinedyke.operators.record_files import check_files
+from clementinedyke.setting_flags import accept_settings
+from clementinedyke.setting_loader import load_settings
 from clementinedyke.settings import Settings
 
 app = cyclopts.App(
     name='clementinedyke',
     help='Serving system for a limited fleet of model engines and services.',
+    version=metadata.version('clementinedyke'),
 )
+add_commands(app)
 
 
 @app.command
 def demo(
     *,
     port: Annotated[int, cyclopts.Parameter(env_var='PORT')] = 0,
+    operator_token: Annotated[
+        str, cyclopts.Parameter(env_var='CLEMENTINEDYKE_OPERATOR_TOKEN')
+    ] = '',
 ) -> None:
     """Run a daemon and stand-ins of its peers in one process.
 
     :param port: caller port, 0 for a free one.
+    :param operator_token: token of the operator port; without one it refuses
+        all but metrics and health.
     """
-    trio.run(run_demo, port)
+    settings = load_settings(
+        {'port': str(port), 'operator_token': operator_token}
+    )
+    set_up_logging(settings.log_level)
+    trio.run(run_demo, port, operator_token)
 
 
 @app.command
-def serve(
-    *,
-    host: str = '127.0.0.1',
-    port: int = 8080,
-    platform: str = '127.0.0.1:8090',
-) -> None:
-    """Run an entry daemon.
+@accept_settings
+def serve(settings: Settings) -> None:
+    """Run an entry daemon."""
+    set_up_logging(settings.log_level)
+    trio.run(_serve, settings)
 
-    :param host: IP number to bind.
-    :param port: caller port, 0 for a free one.
-    :param platform: address of the platform as IP:PORT.
+
+@app.command
+@accept_settings
+def check(settings: Settings, *, record: tuple[Path, ...] = ()) -> None:
+    """Validate settings and record files without starting anything.
+
+    :param record: JSON file with a record or a list of records; repeatable.
     """
-    settings = Settings(host=host, port=port, platform=platform)
-    trio.run(_serve, settings)
+    Daemon(settings)
+    count = check_files(record)
+    sys.stdout.write(f'settings and {count} records are valid\n')
+
+
+@app.command
+def version() -> None:
+    """Print the version."""
+    sys.stdout.write(f'{metadata.version("clementinedyke")}\n')
 
 
 async def _serve(settings: Settings) -> None:
@@ -53,7 +82,21 @@
 
 
 def main() -> None:
-    """Run the command line."""
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.INFO)
-    app()
+    """Run the command line and exit with its status."""
+    try:
+        app(print_error=False, exit_on_error=False)
+    except cyclopts.CycloptsError as error:
+        _fail(str(error), ExitStatus.USAGE)
+    except CommandError as error:
+        _fail(str(error), error.exit_status)
+    except ClementinedykeError as error:
+        is_setting = isinstance(error, SettingError)
+        _fail(
+            str(error), ExitStatus.USAGE if is_setting else ExitStatus.REFUSED
+        )
+
+
+def _fail(message: str, status: ExitStatus) -> None:
+    line = ' '.join(message.split())
+    sys.stderr.write(f'clementinedyke: {line}\n')
+    sys.exit(status)
--- a/src/clementinedyke/codes.py
+++ b/src/clementinedyke/codes.py
@@ -50,6 +50,7 @@
     NOT_READY = 3007
     CONNECTION_LIMIT = 3008
     STORE_UNAVAILABLE = 3009
+    STORE_UNREACHABLE = 3010
     ANSWER_LOST = 4000
     ENDPOINT_TIMEOUT = 4001
     CLAIM_PENDING = 4002
@@ -204,6 +205,11 @@
             _UNKNOWN,
             'The table service did not confirm the change.',
         ),
+        ResultCode.STORE_UNREACHABLE: CodeDetails(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _NOT_RUN,
+            'The table service cannot be used; nothing was changed.',
+        ),
         ResultCode.ANSWER_LOST: CodeDetails(
             HTTPStatus.BAD_GATEWAY,
             _UNKNOWN,
--- a/src/clementinedyke/configuration.py
+++ b/src/clementinedyke/configuration.py
@@ -67,7 +67,7 @@
         self._directory = Directory.compile(self._revision, self._parse_rows())
 
     def _parse_rows(self) -> list[object]:
-        records = []
+        records: list[object] = []
         for row in self._rows.values():
             if row.value is None:
                 continue
--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -10,9 +10,15 @@
 from clementinedyke.configuration import ConfigurationComponent
 from clementinedyke.endpoints.registry import EndpointRegistry
 from clementinedyke.http_client import Address, HttpClient
-from clementinedyke.http_server import HttpServer
+from clementinedyke.http_server import (
+    ConnectionLimits,
+    HttpServer,
+    RequestError,
+)
+from clementinedyke.operators import OperatorPort, OperatorReports
 from clementinedyke.platform.tables import TableClient
 from clementinedyke.settings import Settings
+from clementinedyke.tls import load_tls
 
 
 class CallerPort(Component):
@@ -25,7 +31,11 @@
         :param handler: handler of requests.
         """
         self._settings = settings
-        self._server = HttpServer(handler.respond)
+        self._server = HttpServer(
+            handler.respond,
+            limits=get_connection_limits(settings),
+            ssl_context=load_tls(settings.tls_certificate, settings.tls_key),
+        )
         self._bound = 0
 
     @property
@@ -43,6 +53,36 @@
         self._bound = await nursery.start(serve)
 
 
+class ConfigurationReport:
+    """Tells operators which configuration is in force."""
+
+    def __init__(self, configuration: ConfigurationComponent) -> None:
+        """Create the report.
+
+        :param configuration: source of the records in force.
+        """
+        self._configuration = configuration
+
+    def get_revision(self) -> int:
+        """Return the revision in force, 0 before the first one."""
+        try:
+            return self._configuration.get_directory().revision
+        except RequestError:
+            return 0
+
+    def get_status(self) -> dict[str, int]:
+        """Return the section of the status."""
+        return {'revision': self.get_revision()}
+
+    def has_configuration(self) -> bool:
+        """Whether a configuration is in force."""
+        try:
+            self._configuration.get_directory()
+        except RequestError:
+            return False
+        return True
+
+
 class Daemon:
     """The components of an entry daemon and the application that runs them."""
 
@@ -52,10 +92,42 @@
         :param settings: validated settings.
         """
         platform = HttpClient(Address.parse(settings.platform))
-        self.configuration = ConfigurationComponent(TableClient(platform))
+        tables = TableClient(platform)
+        self.reports = OperatorReports()
+        self.configuration = ConfigurationComponent(tables)
         self.endpoints = EndpointRegistry(platform)
         handler = CallerHandler(self.configuration, self.endpoints)
         self.caller_port = CallerPort(settings, handler)
+        self.operator_port = OperatorPort(settings, tables, self.reports)
+        self._register_reports()
         self.application = Application(
-            [self.configuration, self.endpoints, self.caller_port]
+            [
+                self.configuration,
+                self.endpoints,
+                self.caller_port,
+                self.operator_port,
+            ]
+        )
+
+    def _register_reports(self) -> None:
+        report = ConfigurationReport(self.configuration)
+        self.reports.add_readiness('configuration', report.has_configuration)
+        self.reports.add_status('configuration', report)
+        self.reports.metrics.add_gauge(
+            'configuration_revision',
+            'Revision of the records in force.',
+            report.get_revision,
         )
+
+
+def get_connection_limits(settings: Settings) -> ConnectionLimits:
+    """Return the limits of a caller's connection.
+
+    :param settings: settings of the daemon.
+    """
+    return ConnectionLimits(
+        max_header_bytes=settings.max_header_bytes,
+        max_body_bytes=settings.max_body_bytes,
+        idle_timeout=settings.idle_timeout,
+        receive_timeout=settings.receive_timeout,
+    )
--- a/src/clementinedyke/demo.py
+++ b/src/clementinedyke/demo.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import trio
+from pydantic import SecretStr
 
 from clementinedyke.application import Application
 from clementinedyke.configuration import RECORDS_TABLE
@@ -31,12 +32,15 @@
 class Demo:
     """Stand-ins and a daemon that uses them, on loopback."""
 
-    def __init__(self, port: int = 0) -> None:
+    def __init__(self, port: int = 0, operator_token: str = '') -> None:
         """Create the demo.
 
         :param port: caller port, 0 for a free one.
+        :param operator_token: token of the operator port; empty leaves only
+            metrics and health readable.
         """
         self._port = port
+        self._operator_token = operator_token
         self.api_key = secrets.token_urlsafe()
         self.platform = PlatformStandin()
         self.engines = [
@@ -62,6 +66,8 @@
             settings = Settings(
                 host=_HOST,
                 port=self._port,
+                operator_port=0,
+                operator_token=SecretStr(self._operator_token),
                 platform=f'{_HOST}:{platform_port}',
             )
             daemon = Daemon(settings)
@@ -123,12 +129,13 @@
 
     def _describe(self, daemon: Daemon) -> dict[str, str]:
         base = f'http://{_HOST}:{daemon.caller_port.bound_port}'
+        operators = f'http://{_HOST}:{daemon.operator_port.bound_port}'
         return {
             'base_url': f'{base}/v1',
             'api_key': self.api_key,
             'model': _MODEL,
             'service': _PLAIN_SERVICE,
-            'metrics_url': f'{base}/metrics',
+            'metrics_url': f'{operators}/metrics',
         }
 
 
@@ -143,12 +150,13 @@
             return
 
 
-async def run_demo(port: int) -> None:
+async def run_demo(port: int, operator_token: str = '') -> None:
     """Run the demo until SIGTERM and print its ready line.
 
     :param port: caller port, 0 for a free one.
+    :param operator_token: token of the operator port, or empty.
     """
-    demo = Demo(port)
+    demo = Demo(port, operator_token)
     async with trio.open_nursery() as nursery:
         ready = await nursery.start(demo.run)
         sys.stdout.write(f'{json.dumps(ready)}\n')
--- a/src/clementinedyke/directory.py
+++ b/src/clementinedyke/directory.py
@@ -2,9 +2,12 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from functools import singledispatchmethod
 
 from clementinedyke.records import (
+    CapacityRecord,
     CustomerRecord,
+    DeathRecord,
     KeyRecord,
     ServiceRecord,
 )
@@ -18,7 +21,10 @@
     services: dict[str, ServiceRecord] = field(default_factory=dict)
     models: dict[str, ServiceRecord] = field(default_factory=dict)
     customers: dict[str, CustomerRecord] = field(default_factory=dict)
+    #: Keys by the digest of their secret.
     keys: dict[str, KeyRecord] = field(default_factory=dict)
+    capacities: dict[str, CapacityRecord] = field(default_factory=dict)
+    deaths: dict[str, DeathRecord] = field(default_factory=dict)
 
     @classmethod
     def compile(cls, revision: int, records: Iterable[object]) -> 'Directory':
@@ -39,11 +45,27 @@
         """
         return self.keys.get(digest)
 
+    @singledispatchmethod
     def _add(self, record: object) -> None:
-        if isinstance(record, ServiceRecord):
-            self.services[record.name] = record
-            self.models.update(dict.fromkeys(record.models, record))
-        elif isinstance(record, CustomerRecord):
-            self.customers[record.name] = record
-        elif isinstance(record, KeyRecord):
-            self.keys[record.digest] = record
+        """Ignore a record of a kind that has no index."""
+
+    @_add.register
+    def _add_service(self, record: ServiceRecord) -> None:
+        self.services[record.name] = record
+        self.models.update(dict.fromkeys(record.models, record))
+
+    @_add.register
+    def _add_customer(self, record: CustomerRecord) -> None:
+        self.customers[record.name] = record
+
+    @_add.register
+    def _add_key(self, record: KeyRecord) -> None:
+        self.keys[record.digest] = record
+
+    @_add.register
+    def _add_capacity(self, record: CapacityRecord) -> None:
+        self.capacities[record.name] = record
+
+    @_add.register
+    def _add_death(self, record: DeathRecord) -> None:
+        self.deaths[record.name] = record
--- /dev/null
+++ b/src/clementinedyke/operators/__init__.py
@@ -0,0 +1,18 @@
+"""Operators: records, audit, status, explanations, metrics and health."""
+
+from clementinedyke.operators.component import OperatorPort
+from clementinedyke.operators.outcomes import (
+    Attempt,
+    RequestOutcome,
+    WeighedEndpoint,
+)
+from clementinedyke.operators.providers import OperatorReports, StatusProvider
+
+__all__ = (
+    'Attempt',
+    'OperatorPort',
+    'OperatorReports',
+    'RequestOutcome',
+    'StatusProvider',
+    'WeighedEndpoint',
+)
--- /dev/null
+++ b/src/clementinedyke/operators/change.py
@@ -0,0 +1,139 @@
+"""Decision core of one change of a record by an operator.
+
+Every change is one transaction that writes the record, its audit row and a
+guard row. All changes compare and set the guard, so the checks against other
+records hold when the transaction is applied. The audit row carries the
+writer's nonce in its key, which tells after a lost answer whether the
+transaction was applied.
+"""
+
+from functools import singledispatchmethod
+
+from clementinedyke.operators.change_actions import (
+    Action,
+    Applied,
+    NotDone,
+    OutcomeUnknown,
+    ReadAudit,
+    ReadRows,
+    Refused,
+    SendCommit,
+    VersionConflict,
+)
+from clementinedyke.operators.change_events import (
+    AuditRead,
+    AuditReadFailed,
+    Change,
+    CommitFailed,
+    Committed,
+    Event,
+    ReadFailed,
+    RowsRead,
+    Started,
+)
+from clementinedyke.operators.transaction import (
+    NO_ROW,
+    check_content,
+    check_references,
+    compile_transaction,
+)
+from clementinedyke.platform.tables import ABSENT, Commit, TableFailure
+
+#: A change that loses this many races against changes of other records, or
+#: whose answer is lost as often, is given up.
+_MAX_ATTEMPTS = 8
+
+
+class ChangeCore:
+    """Carries one change through to an outcome."""
+
+    def __init__(self, change: Change) -> None:
+        """Create the core of a change.
+
+        :param change: what the operator asks for.
+        """
+        self._change = change
+        self._attempts = 0
+        #: An attempt got no answer and may still be applied.
+        self._is_uncertain = False
+        #: No earlier attempt can be applied any more.
+        self._is_settled = False
+        self._transaction = SendCommit((), ())
+
+    @singledispatchmethod
+    def handle(self, event: Event) -> Action:
+        """Return what to do next; an outcome ends the change.
+
+        :param event: answer to the last action.
+        """
+        raise TypeError(f'event {event!r} is not known')
+
+    @handle.register
+    def _start(self, event: Started) -> Action:
+        if self._change.content is not None:
+            refusal = check_content(self._change)
+            if refusal is not None:
+                return refusal
+        return ReadRows()
+
+    @handle.register
+    def _prepare(self, event: RowsRead) -> Action:
+        change = self._change
+        row = event.rows.get(change.key, NO_ROW)
+        if row.version != change.expected_version:
+            return VersionConflict(row.version)
+        if change.content is None and row.version == ABSENT:
+            return Refused(f'record {change.key!r} does not exist')
+        refusal = check_references(change, event.rows)
+        if refusal is not None:
+            return refusal
+        self._transaction = compile_transaction(
+            change, row, event.guard_version
+        )
+        return self._send()
+
+    @handle.register
+    def _give_up_reading(self, event: ReadFailed) -> Action:
+        return NotDone()
+
+    @handle.register
+    def _finish(self, event: Committed) -> Action:
+        if isinstance(event.outcome, Commit):
+            return Applied(event.outcome.revision)
+        if self._is_uncertain:
+            # The guard has moved, so an earlier attempt is applied already or
+            # never will be; the audit row tells which.
+            self._is_settled = True
+            return ReadAudit(self._change.audit_key)
+        return ReadRows()
+
+    @handle.register
+    def _examine(self, event: CommitFailed) -> Action:
+        if event.failure is TableFailure.UNKNOWN:
+            self._is_uncertain = True
+        if self._is_uncertain:
+            return ReadAudit(self._change.audit_key)
+        return NotDone()
+
+    @handle.register
+    def _conclude(self, event: AuditRead) -> Action:
+        if event.row is not None:
+            return Applied(event.row.version)
+        if self._is_settled:
+            self._is_uncertain = False
+            self._is_settled = False
+            return ReadRows()
+        # An attempt without an answer may still be on its way. Sending the
+        # same transaction again settles it: only one of the two can find the
+        # guard unchanged.
+        return self._send()
+
+    @handle.register
+    def _give_up(self, event: AuditReadFailed) -> Action:
+        return OutcomeUnknown()
+
+    def _send(self) -> Action:
+        if self._attempts == _MAX_ATTEMPTS:
+            return OutcomeUnknown() if self._is_uncertain else NotDone()
+        self._attempts += 1
+        return self._transaction
--- /dev/null
+++ b/src/clementinedyke/operators/component.py
@@ -0,0 +1,67 @@
+"""The operator port as a component of a daemon."""
+
+from functools import partial
+
+import trio
+
+from clementinedyke.components import Component
+from clementinedyke.http_server import HttpServer
+from clementinedyke.logs import log_event
+from clementinedyke.operators.providers import OperatorReports
+from clementinedyke.operators.record_service import RecordService
+from clementinedyke.operators.routes import OperatorHandler
+from clementinedyke.platform.tables import TableClient
+from clementinedyke.settings import Settings
+from clementinedyke.tls import load_tls
+
+
+class OperatorPort(Component):
+    """Serves operators; started last, so that it drains first.
+
+    Draining turns readiness false before any other component drains; the port
+    goes on serving until the application ends.
+    """
+
+    def __init__(
+        self, settings: Settings, tables: TableClient, reports: OperatorReports
+    ) -> None:
+        """Create the port.
+
+        :param settings: settings of the daemon.
+        :param tables: client of the table service.
+        :param reports: what other components registered.
+        """
+        self._settings = settings
+        self._reports = reports
+        handler = OperatorHandler(
+            RecordService(tables),
+            reports,
+            settings.operator_token.get_secret_value(),
+        )
+        tls = load_tls(
+            settings.operator_tls_certificate, settings.operator_tls_key
+        )
+        self._server = HttpServer(handler.respond, ssl_context=tls)
+        self._bound = 0
+
+    @property
+    def bound_port(self) -> int:
+        """TCP port that was bound, 0 before the start."""
+        return self._bound
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Bind the port.
+
+        :param nursery: nursery that runs the server.
+        """
+        settings = self._settings
+        serve = partial(
+            self._server.serve, settings.operator_host, settings.operator_port
+        )
+        self._bound = await nursery.start(serve)
+        log_event('operator_port_bound', port=self._bound)
+
+    async def drain(self) -> None:
+        """Turn readiness false; the port stays open."""
+        self._reports.start_draining()
+        log_event('readiness_changed', ready=False, reason='draining')
--- /dev/null
+++ b/src/clementinedyke/operators/routes.py
@@ -0,0 +1,210 @@
+"""Handles the requests of operators."""
+
+import hmac
+import json
+from collections.abc import Mapping
+from typing import Any
+from urllib.parse import parse_qs, unquote
+
+from clementinedyke.codes import ResultCode
+from clementinedyke.http_server import ResponseWriter, ServerRequest
+from clementinedyke.logs import log_event
+from clementinedyke.operators.answers import (
+    Answer,
+    accept,
+    compile_answer,
+    describe_audit,
+    describe_record,
+    refuse,
+)
+from clementinedyke.operators.providers import OperatorReports
+from clementinedyke.operators.record_service import RecordService
+
+_RECORDS_PATH = '/v1/records'
+_EXPLAIN_PREFIX = '/v1/explain/'
+_OK = 200
+_UNAVAILABLE = 503
+_METRICS_TYPE = (b'Content-Type', b'text/plain; version=0.0.4; charset=utf-8')
+_MAX_OPERATOR_NAME = 100
+
+
+class OperatorHandler:
+    """Answers requests on the operator port."""
+
+    def __init__(
+        self, records: RecordService, reports: OperatorReports, token: str
+    ) -> None:
+        """Create the handler.
+
+        :param records: reads and changes records.
+        :param reports: status, metrics and explanations of this daemon.
+        :param token: secret of the operators; empty refuses every request
+            that needs it.
+        """
+        self._records = records
+        self._reports = reports
+        self._token = token.encode()
+
+    async def respond(
+        self, request: ServerRequest, response: ResponseWriter
+    ) -> None:
+        """Answer one request.
+
+        :param request: request of an operator.
+        :param response: writer of the answer.
+        """
+        if request.path == '/metrics':
+            body = self._reports.metrics.render()
+            await response.send_whole(_OK, [_METRICS_TYPE], body)
+        elif request.path == '/healthz':
+            await response.send_json(_OK, {'healthy': True})
+        elif request.path == '/readyz':
+            await self._send_readiness(response)
+        else:
+            answer = await self._answer(request)
+            code = str(int(answer.code)).encode()
+            await response.send_json(
+                answer.status,
+                answer.content,
+                [(b'Clementinedyke-Result', code)],
+            )
+
+    async def _send_readiness(self, response: ResponseWriter) -> None:
+        obstacles = self._reports.get_obstacles()
+        status = _UNAVAILABLE if obstacles else _OK
+        content = {'ready': not obstacles, 'not_ready': obstacles}
+        await response.send_json(status, content)
+
+    async def _answer(self, request: ServerRequest) -> Answer:
+        if not self._is_authorized(request):
+            self._reports.metrics.count_operator_refusal()
+            return refuse(
+                ResultCode.KEY_UNKNOWN, 'operator token is missing or wrong'
+            )
+        path = unquote(request.path)
+        if path.startswith(f'{_RECORDS_PATH}/'):
+            key = path.removeprefix(f'{_RECORDS_PATH}/')
+            return await self._answer_record(request, key)
+        if request.method != 'GET':
+            return refuse(
+                ResultCode.METHOD_NOT_ALLOWED, f'{path!r} takes GET only'
+            )
+        return await self._read(request, path)
+
+    def _is_authorized(self, request: ServerRequest) -> bool:
+        header = request.get_header(b'authorization') or ''
+        scheme, _, given = header.partition(' ')
+        matches = hmac.compare_digest(
+            given.strip().encode('latin-1'), self._token
+        )
+        return matches and scheme.lower() == 'bearer' and bool(self._token)
+
+    async def _read(self, request: ServerRequest, path: str) -> Answer:
+        prefix = _get_query(request, 'prefix') or ''
+        if path == _RECORDS_PATH:
+            return await self._list_records(prefix)
+        if path == '/v1/audit':
+            return await self._list_audit(prefix)
+        if path == '/v1/status':
+            return accept(self._reports.compile_status())
+        if path.startswith(_EXPLAIN_PREFIX):
+            return self._explain(path.removeprefix(_EXPLAIN_PREFIX))
+        return refuse(ResultCode.ROUTE_UNKNOWN, f'no path {path!r}')
+
+    async def _list_records(self, prefix: str) -> Answer:
+        listed = await self._records.list(prefix)
+        if listed.is_err():
+            return _refuse_read()
+        snapshot = listed.unwrap()
+        rows = [describe_record(row) for row in snapshot.rows]
+        return accept({'revision': snapshot.revision, 'records': rows})
+
+    async def _list_audit(self, prefix: str) -> Answer:
+        listed = await self._records.list_audit(prefix)
+        if listed.is_err():
+            return _refuse_read()
+        rows = [describe_audit(row) for row in listed.unwrap().rows]
+        return accept({'audit': rows})
+
+    def _explain(self, request_id: str) -> Answer:
+        outcome = self._reports.outcomes.explain(request_id)
+        if outcome is None:
+            return refuse(
+                ResultCode.ROUTE_UNKNOWN,
+                f'request {request_id!r} is not among the last requests '
+                'of this daemon',
+            )
+        return accept(outcome)
+
+    async def _answer_record(self, request: ServerRequest, key: str) -> Answer:
+        if request.method == 'GET':
+            return await self._get_record(key)
+        if request.method not in {'PUT', 'DELETE'}:
+            return refuse(
+                ResultCode.METHOD_NOT_ALLOWED,
+                'a record takes GET, PUT and DELETE',
+            )
+        version = _get_query(request, 'expect_version') or ''
+        if not version.isdecimal():
+            return refuse(
+                ResultCode.BODY_INVALID,
+                f'query expect_version has value {version!r}: allowed is the '
+                'version in force, or 0 for a new record',
+            )
+        try:
+            content = _parse_content(request)
+        except ValueError:
+            return refuse(ResultCode.BODY_INVALID, 'body is not a JSON object')
+        return await self._change(request, key, content, int(version))
+
+    async def _get_record(self, key: str) -> Answer:
+        found = await self._records.get(key)
+        if found.is_err():
+            return _refuse_read()
+        row = found.unwrap()
+        if row is None:
+            return refuse(
+                ResultCode.ROUTE_UNKNOWN, f'record {key!r} does not exist'
+            )
+        return accept(describe_record(row))
+
+    async def _change(
+        self,
+        request: ServerRequest,
+        key: str,
+        content: Mapping[str, Any] | None,
+        version: int,
+    ) -> Answer:
+        name = request.get_header(b'clementinedyke-operator') or 'unnamed'
+        operator = name[:_MAX_OPERATOR_NAME]
+        outcome = await self._records.change(key, content, version, operator)
+        answer = compile_answer(outcome, key)
+        self._reports.metrics.count_record_change(answer.code)
+        log_event(
+            'record_change',
+            record=key,
+            action=request.method.lower(),
+            operator=operator,
+            code=answer.code.name,
+        )
+        return answer
+
+
+def _get_query(request: ServerRequest, name: str) -> str | None:
+    given = parse_qs(request.query).get(name)
+    return given[0] if given else None
+
+
+def _parse_content(request: ServerRequest) -> Mapping[str, Any] | None:
+    if request.method == 'DELETE':
+        return None
+    content = json.loads(request.body)
+    if not isinstance(content, dict):
+        raise ValueError('not an object')
+    return content
+
+
+def _refuse_read() -> Answer:
+    return refuse(
+        ResultCode.STORE_UNREACHABLE, 'the table service did not answer'
+    )
--- /dev/null
+++ b/src/clementinedyke/operators/transaction.py
@@ -0,0 +1,128 @@
+"""Checks and the transaction of a record change."""
+
+from collections.abc import Mapping
+from contextlib import suppress
+from typing import Any
+
+from clementinedyke.exceptions import RecordError
+from clementinedyke.operators.change_actions import Refused, SendCommit
+from clementinedyke.operators.change_events import Change
+from clementinedyke.operators.references import check_delete, check_put
+from clementinedyke.platform.tables import ABSENT, Condition, Row, Write
+from clementinedyke.records import Record, parse_record
+
+RECORDS_TABLE = 'records'
+AUDIT_TABLE = 'audit'
+GUARD_TABLE = 'record_guard'
+GUARD_KEY = 'head'
+NO_ROW = Row('', ABSENT)
+
+_AUDIT_SCHEMA_VERSION = 1
+_HIDDEN_FIELDS = frozenset(('digest',))
+
+
+def check_content(change: Change) -> Refused | None:
+    """Return a refusal if the record does not satisfy its schema.
+
+    :param change: change whose content is not None.
+    """
+    content = change.content or {}
+    try:
+        record = parse_record(content)
+    except RecordError as error:
+        return Refused(str(error))
+    key = f'{content["kind"]}/{record.name}'
+    if key != change.key:
+        return Refused(
+            f"field 'name' has value {record.name!r}: the record is put as "
+            f'{change.key!r}, so its kind and name must be the same'
+        )
+    return None
+
+
+def check_references(change: Change, rows: Mapping[str, Row]) -> Refused | None:
+    """Return a refusal if the change contradicts another record.
+
+    :param change: change whose content satisfies its schema.
+    :param rows: rows of all records by key.
+    """
+    others = _parse_valid(rows)
+    current = others.pop(change.key, None)
+    try:
+        _check_change(change, current, others)
+    except RecordError as error:
+        return Refused(str(error))
+    return None
+
+
+def _check_change(
+    change: Change, current: Record | None, others: Mapping[str, Record]
+) -> None:
+    if change.content is not None:
+        check_put(parse_record(change.content), others)
+    elif current is not None:
+        check_delete(current, others)
+
+
+def _parse_valid(rows: Mapping[str, Row]) -> dict[str, Record]:
+    records: dict[str, Record] = {}
+    for key, row in rows.items():
+        # A row that this version cannot read cannot be checked against.
+        with suppress(RecordError):
+            records[key] = parse_record(row.value)
+    return records
+
+
+def compile_transaction(
+    change: Change, row: Row, guard_version: int
+) -> SendCommit:
+    """Return the transaction that applies a change.
+
+    :param change: change that passed the checks.
+    :param row: row that the change replaces.
+    :param guard_version: version of the guard row before the records were read.
+    """
+    audit = _compile_audit(change, row)
+    return SendCommit(
+        conditions=(
+            Condition(GUARD_TABLE, GUARD_KEY, guard_version),
+            Condition(RECORDS_TABLE, change.key, change.expected_version),
+            Condition(AUDIT_TABLE, change.audit_key, ABSENT),
+        ),
+        writes=(
+            Write(GUARD_TABLE, GUARD_KEY, {'nonce': change.nonce}),
+            Write(RECORDS_TABLE, change.key, change.content),
+            Write(AUDIT_TABLE, change.audit_key, audit),
+        ),
+    )
+
+
+def _compile_audit(change: Change, row: Row) -> Mapping[str, Any]:
+    return {
+        'schema_version': _AUDIT_SCHEMA_VERSION,
+        'operator': change.operator,
+        'time': change.time,
+        'record': change.key,
+        'action': 'delete' if change.content is None else 'put',
+        'old_version': change.expected_version,
+        'changes': _compile_changes(row.value or {}, change.content or {}),
+    }
+
+
+def _compile_changes(
+    old: Mapping[str, Any], new: Mapping[str, Any]
+) -> Mapping[str, Any]:
+    return {
+        field: [
+            _get_shown(field, old.get(field)),
+            _get_shown(field, new.get(field)),
+        ]
+        for field in sorted({*old, *new})
+        if old.get(field) != new.get(field)
+    }
+
+
+def _get_shown(field: str, content: Any) -> Any:
+    if content is not None and field in _HIDDEN_FIELDS:
+        return '(hidden)'
+    return content
--- a/src/clementinedyke/records.py
+++ b/src/clementinedyke/records.py
@@ -1,82 +1,117 @@
-"""Validated records that operators write."""
+"""Records in force, as the daemon uses them, and their validation."""
 
 import hashlib
-from typing import Annotated, Any, Literal
+from collections.abc import Mapping
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import Any, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
+from pydantic import ValidationError
 
+from clementinedyke.clock import Milliseconds
 from clementinedyke.exceptions import RecordError
+from clementinedyke.record_documents import DOCUMENTS, Document
 
-_Name = Annotated[str, Field(pattern=r'^[a-z0-9][a-z0-9._-]{0,62}$')]
+#: Fields of a key that an error message may show; any other may hold a secret
+#: that an operator pasted by mistake.
+_SHOWN_KEY_FIELDS = frozenset(('name', 'customer', 'withdrawn'))
 
 
-class _Record(BaseModel):
-    model_config = ConfigDict(frozen=True, extra='forbid')
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceRecord:
+    """A model service or a plain service and how requests to it may run.
 
-    schema_version: Literal[1] = 1
-    name: _Name
-
-
-class ServiceRecord(_Record):
-    """A model service or a plain service and how requests to it may run."""
+    ``deadline`` is in milliseconds from arrival to the first byte; None means
+    that no limit is set by the record.
+    """
 
-    kind: Literal['service'] = 'service'
+    name: str
     backend: Literal['model', 'plain']
     models: tuple[str, ...] = ()
     open_to_all: bool = False
     repeatable: bool = True
     require_idempotency_key: bool = False
     fencing: Literal['checked', 'ignored'] = 'checked'
+    home_region: str | None = None
+    max_prompt_tokens: int | None = None
+    deadline: Milliseconds | None = None
+    max_queued_requests: int | None = None
+    max_queued_tokens: int | None = None
+    adapters: tuple[str, ...] = ()
 
 
-class CustomerRecord(_Record):
-    """A customer, its fair share and the services it may use."""
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CustomerRecord:
+    """A customer, its fair share, its limits and the services it may use."""
 
-    kind: Literal['customer'] = 'customer'
-    weight: Annotated[float, Field(gt=0)] = 1
-    services: tuple[_Name, ...] = ()
+    name: str
+    weight: float = 1
+    services: tuple[str, ...] = ()
+    tokens_per_second: int | None = None
+    max_connections: int | None = None
 
 
-class KeyRecord(_Record):
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KeyRecord:
     """An API key; only the SHA-256 digest of the secret is kept."""
 
-    kind: Literal['key'] = 'key'
-    customer: _Name
-    digest: Annotated[str, Field(pattern='^[0-9a-f]{64}$')]
+    name: str
+    customer: str
+    digest: str
     withdrawn: bool = False
 
 
-class CapacityRecord(_Record):
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CapacityRecord:
     """Bounds on the endpoints of a service in an availability zone."""
 
-    kind: Literal['capacity'] = 'capacity'
-    service: _Name
-    availability_zone: _Name
-    minimum: Annotated[int, Field(ge=0)] = 0
-    maximum: Annotated[int, Field(ge=0)] = 0
+    name: str
+    service: str
+    availability_zone: str
+    minimum: int = 0
+    maximum: int = 0
+    cheap_maximum: int = 0
+    price_classes: tuple[Literal['standard', 'cheap'], ...] = ('standard',)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DeathRecord:
+    """An operator's word that a run of a daemon has ended."""
+
+    name: str
+    host_id: str
+    incarnation: str
+    confirmed_by: str
 
 
-Record = Annotated[
-    ServiceRecord | CustomerRecord | KeyRecord | CapacityRecord,
-    Field(discriminator='kind'),
-]
-_ADAPTER: TypeAdapter[Any] = TypeAdapter(Record)
+Record = (
+    ServiceRecord | CustomerRecord | KeyRecord | CapacityRecord | DeathRecord
+)
 
+_CLASSES: MappingProxyType[str, type[Record]] = MappingProxyType(
+    {
+        'service': ServiceRecord,
+        'customer': CustomerRecord,
+        'key': KeyRecord,
+        'capacity': CapacityRecord,
+        'death': DeathRecord,
+    }
+)
 
-def parse_record(content: Any) -> Any:
-    """Return the validated record of a JSON object.
+
+def parse_record(content: Any) -> Record:
+    """Return the validated record of a JSON object, upgraded in memory.
 
     :param content: JSON object with ``kind`` and ``schema_version``.
     :raises RecordError: naming the field, its value and what is allowed.
     """
+    schema = _get_schema(content)
     try:
-        return _ADAPTER.validate_python(content)
+        document = schema.model_validate(content)
     except ValidationError as error:
-        first = error.errors(include_url=False)[0]
-        field = '.'.join(str(part) for part in first['loc'])
-        raise RecordError(
-            f'field {field!r} has value {first["input"]!r}: {first["msg"]}'
-        ) from error
+        raise _compile_error(content, error) from error
+    fields = document.model_dump(exclude={'kind', 'schema_version'})
+    return _CLASSES[document.kind](**fields)
 
 
 def get_digest(secret: str) -> str:
@@ -85,3 +120,43 @@
     :param secret: key as the caller sends it.
     """
     return hashlib.sha256(secret.encode()).hexdigest()
+
+
+def _get_schema(content: Any) -> type[Document]:
+    if not isinstance(content, Mapping):
+        raise RecordError('a record must be a JSON object')
+    kind = content.get('kind')
+    if not isinstance(kind, str) or kind not in DOCUMENTS:
+        raise RecordError(
+            f"field 'kind' has value {kind!r}: allowed are {_join(DOCUMENTS)}"
+        )
+    schemas = DOCUMENTS[kind]
+    version = content.get('schema_version', 1)
+    # True and 1.0 equal 1 in Python and would pass as version 1.
+    is_number = isinstance(version, int) and not isinstance(version, bool)
+    if not is_number or version not in schemas:
+        raise RecordError(
+            f"field 'schema_version' has value {version!r}: "
+            f'allowed for kind {kind!r} are {_join(schemas)}'
+        )
+    return schemas[version]
+
+
+def _join(allowed: Mapping[Any, object]) -> str:
+    return ', '.join(str(choice) for choice in allowed)
+
+
+def _compile_error(
+    content: Mapping[str, Any], error: ValidationError
+) -> RecordError:
+    first = error.errors(include_url=False)[0]
+    field = '.'.join(str(part) for part in first['loc'])
+    message = first['msg']
+    if not field:
+        return RecordError(message)
+    if first['type'] == 'missing':
+        return RecordError(f'field {field!r} is missing: {message}')
+    shown = repr(first['input'])
+    if content['kind'] == 'key' and field not in _SHOWN_KEY_FIELDS:
+        shown = '(hidden)'
+    return RecordError(f'field {field!r} has value {shown}: {message}')
--- /dev/null
+++ b/src/clementinedyke/setting_loader.py
@@ -0,0 +1,175 @@
+"""Reads settings and compiles their documentation."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import annotated_types
+from pydantic import ValidationError
+from pydantic.fields import FieldInfo
+
+from clementinedyke.exceptions import SettingError
+from clementinedyke.settings import MIN_TOKEN_LENGTH, Settings
+
+_ENVIRONMENT_PREFIX = 'CLEMENTINEDYKE_'
+
+
+@dataclass(frozen=True, slots=True)
+class SettingDetails:
+    """How a setting is given and what it may be; all texts for people."""
+
+    name: str
+    unit: str
+    default: str
+    allowed: str
+    description: str
+
+    @property
+    def flag(self) -> str:
+        """Flag of the command line."""
+        return _get_flag(self.name)
+
+    @property
+    def environment_name(self) -> str:
+        """Environment variable."""
+        return f'{_ENVIRONMENT_PREFIX}{self.name.upper()}'
+
+    @property
+    def help(self) -> str:
+        """Description with unit, default and allowed values."""
+        unit = f'unit: {self.unit}; ' if self.unit else ''
+        default = self.default or 'empty'
+        return (
+            f'{self.description} ({unit}default: {default}; '
+            f'allowed: {self.allowed})'
+        )
+
+
+def list_settings() -> list[SettingDetails]:
+    """Return the details of all settings in the order of their fields."""
+    return [
+        _describe(name, field) for name, field in Settings.model_fields.items()
+    ]
+
+
+def compile_settings_page() -> str:
+    """Return the Markdown text of ``docs/settings.md``."""
+    lines = [
+        '# Settings',
+        '',
+        'Each setting of `clementinedyke serve` is a flag and an environment',
+        'variable; the flag wins. A wrong setting stops the start with exit',
+        'status 2. This page is compiled from the fields of `Settings`; a test',
+        'keeps it equal.',
+        '',
+        '| flag | environment variable | unit | default | allowed | meaning |',
+        '| --- | --- | --- | --- | --- | --- |',
+    ]
+    for details in list_settings():
+        cells = (
+            f'`{details.flag}`',
+            f'`{details.environment_name}`',
+            details.unit,
+            f'`{details.default}`' if details.default else '',
+            details.allowed,
+            details.description,
+        )
+        lines.append(f'| {" | ".join(cells)} |')
+    return '\n'.join([*lines, ''])
+
+
+def load_settings(given: Mapping[str, str | None]) -> Settings:
+    """Return the settings from flags and environment variables.
+
+    :param given: texts by setting name; None leaves the default.
+    :raises SettingError: naming the setting, its value and what is allowed.
+    """
+    texts = {name: text for name, text in given.items() if text is not None}
+    if texts.get('operator_token_file'):
+        texts['operator_token'] = _read_token(texts)
+    try:
+        settings = Settings.model_validate(texts)
+    except ValidationError as error:
+        first = error.errors(include_url=False)[0]
+        raise _refuse(str(first['loc'][0]), first['input']) from error
+    _check_together(settings)
+    return settings
+
+
+def _describe(name: str, field: FieldInfo) -> SettingDetails:
+    extra: Any = field.json_schema_extra
+    return SettingDetails(
+        name=name,
+        unit=extra['unit'],
+        default=str(field.default),
+        allowed=extra['allowed'] or _compile_range(field),
+        description=str(field.description),
+    )
+
+
+def _compile_range(field: FieldInfo) -> str:
+    least: Any = None
+    greatest: Any = None
+    for bound in field.metadata:
+        if isinstance(bound, annotated_types.Ge):
+            least = bound.ge
+        if isinstance(bound, annotated_types.Le):
+            greatest = bound.le
+    return f'{least} to {greatest}'
+
+
+def _refuse(name: str, refused: object) -> SettingError:
+    for details in list_settings():
+        if details.name == name:
+            shown = _get_shown(name, refused)
+            unit = f' {details.unit}' if details.unit else ''
+            return SettingError(
+                f'setting {details.flag} ({details.environment_name}) '
+                f'has value {shown}; allowed: {details.allowed}{unit}'
+            )
+    return SettingError(f'setting {name!r} does not exist')
+
+
+def _get_shown(name: str, refused: object) -> str:
+    if name == 'operator_token':
+        return '(hidden)'
+    return repr(refused)
+
+
+def _read_token(texts: Mapping[str, str]) -> str:
+    path = texts['operator_token_file']
+    if texts.get('operator_token'):
+        raise SettingError(
+            f'setting --operator-token-file has value {path!r}; allowed: '
+            'empty while --operator-token is set'
+        )
+    try:
+        return Path(path).read_text(encoding='utf-8').strip()
+    except (OSError, UnicodeDecodeError) as error:
+        raise _refuse('operator_token_file', path) from error
+
+
+def _check_together(settings: Settings) -> None:
+    token = settings.operator_token.get_secret_value()
+    if token and len(token) < MIN_TOKEN_LENGTH:
+        raise _refuse('operator_token', token)
+    _check_pair(settings, 'tls_certificate', 'tls_key')
+    _check_pair(settings, 'operator_tls_certificate', 'operator_tls_key')
+
+
+def _get_flag(name: str) -> str:
+    return f'--{name.replace("_", "-")}'
+
+
+def _check_pair(settings: Settings, certificate: str, key: str) -> None:
+    chosen = getattr(settings, certificate), getattr(settings, key)
+    if any(chosen) and not all(chosen):
+        missing, given = (key, certificate) if chosen[0] else (certificate, key)
+        raise SettingError(
+            f'setting {_get_flag(missing)} is empty; allowed: path of a PEM '
+            f'file, since {_get_flag(given)} is set'
+        )
+    for name, path in zip((certificate, key), chosen, strict=True):
+        if path and not Path(path).is_file():
+            raise _refuse(name, path)
