--- a/src/clementinedyke/logs.py
+++ b/src/clementinedyke/logs.py
@@ -4,7 +4,7 @@
 import logging as standard_logging
 from typing import Any
 
-from absl import logging
+from absl import flags, logging
 
 #: Characters that make a value ambiguous in a line of key=value pairs.
 _QUOTED_CHARACTERS = frozenset((' ', '"', '=', '\\', '\n', '\r', '\t'))
@@ -28,11 +28,12 @@
 
     :param level: ``debug``, ``info``, ``warning`` or ``error``.
     """
+    # Without this, absl warns that its own flags were not parsed.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     handler = logging.get_absl_handler()
     handler.setFormatter(KeyValueFormatter())
     logging.set_verbosity(level)
-    logging.set_stderrthreshold('debug')
 
 
 def log_event(event: str, /, **pairs: Any) -> None:
--- a/src/clementinedyke/operators/commands.py
+++ b/src/clementinedyke/operators/commands.py
@@ -2,7 +2,7 @@
 
 import secrets
 from datetime import UTC, datetime
-from typing import Any
+from typing import Annotated, Any
 from urllib.parse import quote
 
 import cyclopts
@@ -38,7 +38,8 @@
 
 @record_app.command(name='put')
 def put_records(
-    file: str,
+    file: Annotated[str, cyclopts.Parameter(allow_leading_hyphen=True)],
+    /,
     *,
     expect_version: int | None = None,
     json: bool = False,
--- a/src/clementinedyke/operators/routes.py
+++ b/src/clementinedyke/operators/routes.py
@@ -26,6 +26,8 @@
 _UNAVAILABLE = 503
 _METRICS_TYPE = (b'Content-Type', b'text/plain; version=0.0.4; charset=utf-8')
 _MAX_OPERATOR_NAME = 100
+#: A refused change changes no state and is only counted.
+_LOGGED_CODES = frozenset((ResultCode.OK, ResultCode.STORE_UNAVAILABLE))
 
 
 class OperatorHandler:
@@ -180,13 +182,14 @@
         outcome = await self._records.change(key, content, version, operator)
         answer = compile_answer(outcome, key)
         self._reports.metrics.count_record_change(answer.code)
-        log_event(
-            'record_change',
-            record=key,
-            action=request.method.lower(),
-            operator=operator,
-            code=answer.code.name,
-        )
+        if answer.code in _LOGGED_CODES:
+            log_event(
+                'record_change',
+                record=key,
+                action=request.method.lower(),
+                operator=operator,
+                code=answer.code.name,
+            )
         return answer
 
 
--- a/src/clementinedyke/setting_flags.py
+++ b/src/clementinedyke/setting_flags.py
@@ -32,7 +32,7 @@
         command(load_settings(texts), **given)
 
     # Without __wrapped__, the command line takes the signature from here.
-    del wrapper.__wrapped__  # type: ignore[attr-defined]
+    del wrapper.__wrapped__
     wrapper.__signature__ = signature  # type: ignore[attr-defined]
     wrapper.__annotations__ = {
         name: parameter.annotation
--- /dev/null
+++ b/tests/test_record_changes.py
@@ -0,0 +1,195 @@
+"""Tests of record changes by several operators with faults of the store."""
+
+from typing import Any
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from clementinedyke.operators.change import ChangeCore
+from clementinedyke.operators.change_actions import (
+    Action,
+    Applied,
+    OutcomeUnknown,
+    ReadAudit,
+    ReadRows,
+    SendCommit,
+)
+from clementinedyke.operators.change_events import (
+    AuditRead,
+    AuditReadFailed,
+    Change,
+    CommitFailed,
+    Committed,
+    Event,
+    ReadFailed,
+    RowsRead,
+    Started,
+)
+from clementinedyke.operators.transaction import (
+    AUDIT_TABLE,
+    GUARD_KEY,
+    GUARD_TABLE,
+    NO_ROW,
+    RECORDS_TABLE,
+)
+from clementinedyke.platform.tables import Row, TableFailure
+from clementinedyke.standins.tables import MemoryTables
+
+_CUSTOMERS = ('a', 'b')
+_FAULTS = ('none', 'none', 'none', 'lost', 'late', 'not_done')
+
+
+def compile_content(kind: str, name: str, weight: int) -> dict[str, Any]:
+    """Return a customer or a key of the customer with the same name."""
+    if kind == 'customer':
+        return {'kind': kind, 'name': name, 'weight': weight}
+    digest = f'{ord(name):02x}' * 32
+    return {'kind': kind, 'name': name, 'customer': name, 'digest': digest}
+
+
+class ChangeMachine(RuleBasedStateMachine):
+    """Operators whose steps interleave, over tables that lose answers."""
+
+    def __init__(self) -> None:
+        """Create empty tables and no operators."""
+        super().__init__()
+        self.tables = MemoryTables()
+        self.changes: list[Change] = []
+        self.running: list[tuple[Change, ChangeCore, Action]] = []
+        self.late: list[SendCommit] = []
+        self.outcomes: dict[str, Action] = {}
+
+    @rule(
+        kind=st.sampled_from(('customer', 'key')),
+        name=st.sampled_from(_CUSTOMERS),
+        weight=st.integers(1, 3),
+        is_delete=st.booleans(),
+        is_stale=st.integers(0, 4).map(lambda drawn: drawn == 0),
+    )
+    def begin(
+        self,
+        kind: str,
+        name: str,
+        weight: int,
+        is_delete: bool,
+        is_stale: bool,
+    ) -> None:
+        """An operator asks for a change with the version that it has seen."""
+        key = f'{kind}/{name}'
+        row = self.tables.get_row(RECORDS_TABLE, key) or NO_ROW
+        content = None if is_delete else compile_content(kind, name, weight)
+        change = Change(
+            key=key,
+            content=content,
+            expected_version=row.version + is_stale,
+            operator='tester',
+            time=f'{len(self.changes):06}',
+            nonce=f'nonce{len(self.changes)}',
+        )
+        self.changes.append(change)
+        core = ChangeCore(change)
+        self.running.append((change, core, core.handle(Started())))
+
+    @precondition(lambda machine: machine.running)
+    @rule(picked=st.integers(0, 9), fault=st.sampled_from(_FAULTS))
+    def step(self, picked: int, fault: str) -> None:
+        """One operator's next call to the store is made."""
+        change, core, action = self.running.pop(picked % len(self.running))
+        if isinstance(action, ReadRows | SendCommit | ReadAudit):
+            action = core.handle(self.execute(action, fault))
+            self.running.append((change, core, action))
+        else:
+            self.outcomes[change.audit_key] = action
+
+    @precondition(lambda machine: machine.late)
+    @rule(picked=st.integers(0, 9))
+    def deliver(self, picked: int) -> None:
+        """A transaction that was long on its way reaches the store."""
+        sent = self.late.pop(picked % len(self.late))
+        self.tables.commit(sent.conditions, sent.writes)
+
+    @invariant()
+    def check_history(self) -> None:
+        """Each change builds on the one before: no update is lost."""
+        versions: dict[str, int] = {}
+        last = 0
+        for row in self.list_audit():
+            key = row.value['record']
+            assert last < row.version
+            assert row.value['old_version'] == versions.get(key, 0)
+            is_delete = row.value['action'] == 'delete'
+            versions[key] = 0 if is_delete else row.version
+            last = row.version
+        stored = self.tables.list_rows(RECORDS_TABLE).rows
+        assert {row.key: row.version for row in stored} == {
+            key: version for key, version in versions.items() if version
+        }
+
+    @invariant()
+    def check_references(self) -> None:
+        """No interleaving leaves a key without its customer."""
+        stored = {row.key for row in self.tables.list_rows(RECORDS_TABLE).rows}
+        for name in _CUSTOMERS:
+            assert f'key/{name}' not in stored or f'customer/{name}' in stored
+
+    def teardown(self) -> None:
+        """What an operator was told holds after all late transactions."""
+        while self.running:
+            self.step(0, 'none')
+        while self.late:
+            self.deliver(0)
+        self.check_history()
+        applied = {row.key: row.version for row in self.list_audit()}
+        for key, outcome in self.outcomes.items():
+            if isinstance(outcome, Applied):
+                assert applied.pop(key) == outcome.version
+            elif isinstance(outcome, OutcomeUnknown):
+                applied.pop(key, None)
+            else:
+                assert key not in applied
+        assert not applied
+
+    def list_audit(self) -> list[Row]:
+        """Return audit rows in the order in which they were written."""
+        rows = self.tables.list_rows(AUDIT_TABLE).rows
+        return sorted(rows, key=lambda row: row.version)
+
+    def execute(
+        self, action: ReadRows | SendCommit | ReadAudit, fault: str
+    ) -> Event:
+        """Return the answer of the store, or its failure."""
+        if isinstance(action, SendCommit):
+            return self.commit(action, fault)
+        if isinstance(action, ReadAudit):
+            if fault != 'none':
+                return AuditReadFailed()
+            return AuditRead(self.tables.get_row(AUDIT_TABLE, action.key))
+        if fault != 'none':
+            return ReadFailed()
+        guard = self.tables.get_row(GUARD_TABLE, GUARD_KEY) or NO_ROW
+        rows = self.tables.list_rows(RECORDS_TABLE).rows
+        return RowsRead(guard.version, {row.key: row for row in rows})
+
+    def commit(self, action: SendCommit, fault: str) -> Event:
+        """Apply a transaction now, later or never."""
+        if fault == 'not_done':
+            return CommitFailed(TableFailure.NOT_DONE)
+        if fault == 'late':
+            self.late.append(action)
+            return CommitFailed(TableFailure.UNKNOWN)
+        outcome = self.tables.commit(action.conditions, action.writes)
+        if fault == 'lost':
+            return CommitFailed(TableFailure.UNKNOWN)
+        return Committed(outcome)
+
+
+TestRecordChanges = ChangeMachine.TestCase
+TestRecordChanges.settings = settings(
+    max_examples=150, stateful_step_count=40, deadline=None
+)
