Refuse malformed changes and ports in use with one line

A version of 5000 digits or deeply nested JSON raised an error that nothing caught, which would have ended the daemon. A port in use ended the start with a traceback. Both are refusals now.

--- a/src/clementinedyke/cli.py
+++ b/src/clementinedyke/cli.py
@@ -1,9 +1,10 @@
 """Command line of clementinedyke."""
 
 import sys
+from collections.abc import Awaitable, Callable
 from importlib import metadata
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 import cyclopts
 import trio
@@ -45,7 +46,7 @@
         {'port': str(port), 'operator_token': operator_token}
     )
     set_up_logging(settings.log_level)
-    trio.run(run_demo, port, operator_token)
+    _run(run_demo, port, operator_token)
 
 
 @app.command
@@ -53,7 +54,7 @@
 def serve(settings: Settings) -> None:
     """Run an entry daemon."""
     set_up_logging(settings.log_level)
-    trio.run(_serve, settings)
+    _run(_serve, settings)
 
 
 @app.command
@@ -74,6 +75,19 @@
     sys.stdout.write(f'{metadata.version("clementinedyke")}\n')
 
 
+def _run(main_task: Callable[..., Awaitable[None]], *given: Any) -> None:
+    try:
+        trio.run(main_task, *given)
+    except BaseExceptionGroup as group:
+        # Nurseries wrap the error of a task in one group each.
+        refused: BaseException | None = group.subgroup(SettingError)
+        if refused is None:
+            raise
+        while isinstance(refused, BaseExceptionGroup):
+            refused = refused.exceptions[0]
+        raise SettingError(str(refused)) from group
+
+
 async def _serve(settings: Settings) -> None:
     daemon = Daemon(settings)
     async with trio.open_nursery() as nursery:
--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -17,6 +17,7 @@
 )
 from clementinedyke.operators import OperatorPort, OperatorReports
 from clementinedyke.platform.tables import TableClient
+from clementinedyke.ports import explain_bind_failure
 from clementinedyke.settings import Settings
 from clementinedyke.tls import load_tls
 
@@ -50,7 +51,8 @@
         """
         settings = self._settings
         serve = partial(self._server.serve, settings.host, settings.port)
-        self._bound = await nursery.start(serve)
+        with explain_bind_failure('port', settings.port):
+            self._bound = await nursery.start(serve)
 
 
 class ConfigurationReport:
--- a/src/clementinedyke/operators/component.py
+++ b/src/clementinedyke/operators/component.py
@@ -11,6 +11,7 @@
 from clementinedyke.operators.record_service import RecordService
 from clementinedyke.operators.routes import OperatorHandler
 from clementinedyke.platform.tables import TableClient
+from clementinedyke.ports import explain_bind_failure
 from clementinedyke.settings import Settings
 from clementinedyke.tls import load_tls
 
@@ -58,7 +59,8 @@
         serve = partial(
             self._server.serve, settings.operator_host, settings.operator_port
         )
-        self._bound = await nursery.start(serve)
+        with explain_bind_failure('operator_port', settings.operator_port):
+            self._bound = await nursery.start(serve)
         log_event('operator_port_bound', port=self._bound)
 
     async def drain(self) -> None:
--- a/src/clementinedyke/operators/record_files.py
+++ b/src/clementinedyke/operators/record_files.py
@@ -19,7 +19,7 @@
     """
     try:
         content = json.loads(_read_text(path))
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise RecordError(f'file {path!r} is not readable JSON') from error
     records = content if isinstance(content, list) else [content]
     if not all(isinstance(record, dict) for record in records):
--- a/src/clementinedyke/operators/routes.py
+++ b/src/clementinedyke/operators/routes.py
@@ -2,6 +2,7 @@
 
 import hmac
 import json
+import re
 from collections.abc import Mapping
 from typing import Any
 from urllib.parse import parse_qs, unquote
@@ -25,6 +26,8 @@
 _OK = 200
 _UNAVAILABLE = 503
 _METRICS_TYPE = (b'Content-Type', b'text/plain; version=0.0.4; charset=utf-8')
+#: Fits into 64 bits, which the table service can compare.
+_VERSION = re.compile('[0-9]{1,18}')
 _MAX_OPERATOR_NAME = 100
 #: A refused change changes no state and is only counted.
 _LOGGED_CODES = frozenset((ResultCode.OK, ResultCode.STORE_UNAVAILABLE))
@@ -147,7 +150,7 @@
                 'a record takes GET, PUT and DELETE',
             )
         version = _get_query(request, 'expect_version') or ''
-        if not version.isdecimal():
+        if not _VERSION.fullmatch(version):
             return refuse(
                 ResultCode.BODY_INVALID,
                 f'query expect_version has value {version!r}: allowed is the '
@@ -155,7 +158,8 @@
             )
         try:
             content = _parse_content(request)
-        except ValueError:
+        except (ValueError, RecursionError):
+            # Deeply nested JSON exhausts the stack of the parser.
             return refuse(ResultCode.BODY_INVALID, 'body is not a JSON object')
         return await self._change(request, key, content, int(version))
 
--- /dev/null
+++ b/src/clementinedyke/ports.py
@@ -0,0 +1,24 @@
+"""Failures to bind a port that a setting names."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from clementinedyke.exceptions import SettingError
+
+
+@contextmanager
+def explain_bind_failure(setting: str, port: int) -> Iterator[None]:
+    """Turn a failure to bind into an error that names the setting.
+
+    :param setting: name of the setting.
+    :param port: its value.
+    :raises SettingError: if the port cannot be bound.
+    """
+    try:
+        yield
+    except OSError as error:
+        flag = setting.replace('_', '-')
+        raise SettingError(
+            f'setting --{flag} has value {port!r}; allowed: a port that this '
+            f'process can bind ({error.strerror})'
+        ) from error
--- a/tests/test_operator_port.py
+++ b/tests/test_operator_port.py
@@ -3,6 +3,7 @@
 import json
 import os
 import signal
+import ssl
 import subprocess
 import sys
 from collections.abc import Iterator
@@ -11,6 +12,13 @@
 from urllib import error, request
 
 import pytest
+import trio
+import trustme
+
+from clementinedyke.http_client import Address, HttpClient, HttpRequest
+from clementinedyke.operators import OperatorPort, OperatorReports
+from clementinedyke.platform.tables import TableClient
+from clementinedyke.settings import Settings
 
 _TOKEN = 'operator-token-of-tests'
 
@@ -113,6 +121,75 @@
             request.urlopen(call, timeout=10)
 
 
+class TestPort:
+    """Guards against a port that fails in a way nobody understands."""
+
+    @pytest.mark.parametrize(
+        ('query', 'body'),
+        [
+            ('', b'{}'),
+            ('expect_version=-1', b'{}'),
+            (f'expect_version={"9" * 5000}', b'{}'),
+            ('expect_version=0', b'[]'),
+            ('expect_version=0', b'[' * 100000),
+        ],
+    )
+    def test_wrong_put(self, cluster: Cluster, query: str, body: bytes) -> None:
+        """A malformed change is refused and the daemon goes on."""
+        call = request.Request(
+            f'{cluster.base}/v1/records/customer/x?{query}',
+            data=body,
+            headers={'Authorization': f'Bearer {_TOKEN}'},
+            method='PUT',
+        )
+        with pytest.raises(error.HTTPError, match='400'):
+            request.urlopen(call, timeout=10)
+        assert cluster.get('/readyz')[0] == 200
+
+    def test_port_in_use(self, cluster: Cluster) -> None:
+        """A second daemon on the port stops with one line and status 2."""
+        port = cluster.base.rpartition(':')[2]
+        done = subprocess.run(
+            [sys.executable, '-m', 'clementinedyke', 'serve', '--port', '0']
+            + ['--operator-port', port, '--log-level', 'error'],
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
+        assert done.returncode == 2
+        assert done.stderr.count('\n') == 1
+        assert f'--operator-port has value {port}' in done.stderr
+
+    def test_tls(self, tmp_path: Path) -> None:
+        """Commands reach a port that serves TLS."""
+        authority = trustme.CA()
+        issued = authority.issue_cert('127.0.0.1')
+        authority.cert_pem.write_to_path(tmp_path / 'ca')
+        issued.private_key_pem.write_to_path(tmp_path / 'key')
+        issued.cert_chain_pems[0].write_to_path(tmp_path / 'certificate')
+        settings = Settings(
+            operator_port=0,
+            operator_tls_certificate=str(tmp_path / 'certificate'),
+            operator_tls_key=str(tmp_path / 'key'),
+        )
+        status = trio.run(get_status, settings, str(tmp_path / 'ca'))
+        assert status == 200
+
+
+async def get_status(settings: Settings, authority: str) -> int:
+    """Return the status of ``/healthz`` over TLS."""
+    platform = TableClient(HttpClient(Address('127.0.0.1', 1)))
+    port = OperatorPort(settings, platform, OperatorReports())
+    context = ssl.create_default_context(cafile=authority)
+    async with trio.open_nursery() as nursery:
+        await port.start(nursery)
+        address = Address('127.0.0.1', port.bound_port)
+        async with HttpClient(address, context) as client:
+            answer = await client.request(HttpRequest('GET', '/healthz'), 5000)
+        nursery.cancel_scope.cancel()
+    return answer.status
+
+
 class TestCommands:
     """Guards against commands whose exit status hides what happened."""
 
