--- /dev/null
+++ b/src/clementinedyke/quarantine.py
@@ -0,0 +1,311 @@
+"""Recognises requests that crash the endpoints that run them.
+
+Each loss of an endpoint is evidence against the fingerprints in flight on it.
+The evidence of all daemons is merged, so a caller that repeats its request
+through another daemon meets the same verdict.
+"""
+
+import enum
+from collections import defaultdict
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+
+from clementinedyke.clock import Milliseconds
+
+#: Losses of endpoints after which a fingerprint may be convicted.
+_LOSSES_TO_CONVICT = 2
+
+
+class Verdict(enum.Enum):
+    """What may be done with a request."""
+
+    #: Run it anywhere.
+    CLEAR = 'clear'
+    #: Run it on an endpoint that runs no other suspect.
+    SUSPECT = 'suspect'
+    #: Refuse it for now: the loss of an endpoint is still being examined.
+    HELD = 'held'
+    #: Refuse it.
+    CONVICTED = 'convicted'
+
+
+@dataclass(frozen=True, slots=True)
+class RequestStarted:
+    """A request was dispatched to an endpoint."""
+
+    request_id: str
+    fingerprint: str
+    endpoint_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class RequestEnded:
+    """A request ended; ``is_whole`` if its whole answer arrived."""
+
+    request_id: str
+    is_whole: bool
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointLost:
+    """Connections of an endpoint broke while requests ran there."""
+
+    endpoint_id: str
+    boot_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointSeen:
+    """An endpoint answered under a boot id."""
+
+    endpoint_id: str
+    boot_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """A fingerprint was in flight when an endpoint was lost.
+
+    ``is_crash`` tells whether the endpoint came back under another boot id.
+    """
+
+    endpoint_id: str
+    boot_id: str
+    fingerprint: str
+    is_crash: bool
+
+
+@dataclass(frozen=True, slots=True)
+class EvidenceReceived:
+    """Another daemon shared its evidence."""
+
+    evidence: tuple[Evidence, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ShareEvidence:
+    """Share evidence with the other daemons and store it."""
+
+    evidence: tuple[Evidence, ...]
+
+
+QuarantineEvent = (
+    RequestStarted
+    | RequestEnded
+    | EndpointLost
+    | EndpointSeen
+    | EvidenceReceived
+)
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineSettings:
+    """Bounds of the quarantine.
+
+    ``settle_time``: wait for the evidence of other daemons about a loss.
+    ``retention``: time after which evidence is forgotten.
+    """
+
+    settle_time: Milliseconds = 1500
+    retention: Milliseconds = 3600000
+    max_losses: int = 1000
+
+
+@dataclass(slots=True)
+class _Loss:
+    seen_at: Milliseconds
+    is_crash: bool = False
+    fingerprints: set[str] = field(default_factory=set)
+
+
+_LossKey = tuple[str, str]
+
+
+class QuarantineCore:
+    """Verdicts of one daemon over request fingerprints."""
+
+    def __init__(self, settings: QuarantineSettings) -> None:
+        """Create the core.
+
+        :param settings: bounds.
+        """
+        self._settings = settings
+        self._running: dict[str, RequestStarted] = {}
+        self._losses: dict[_LossKey, _Loss] = {}
+        self._acquitted: dict[str, set[_LossKey]] = defaultdict(set)
+
+    def get_verdict(self, fingerprint: str, now: Milliseconds) -> Verdict:
+        """Return what may be done with a request.
+
+        :param fingerprint: digest of customer, service and body.
+        :param now: current time in milliseconds.
+        """
+        self._forget_old(now)
+        losses = self._get_losses(fingerprint)
+        if not losses:
+            return Verdict.CLEAR
+        if self._is_blamed(fingerprint, losses):
+            is_proven = all(loss.is_crash for loss in losses)
+            return Verdict.CONVICTED if is_proven else Verdict.HELD
+        newest = max(loss.seen_at for loss in losses)
+        is_settled = newest + self._settings.settle_time <= now
+        if len(losses) == 1 or is_settled:
+            return Verdict.SUSPECT
+        return Verdict.HELD
+
+    def may_share(self, endpoint_id: str, fingerprint: str) -> bool:
+        """Tell whether a suspect may run on an endpoint.
+
+        :param endpoint_id: endpoint that would run it.
+        :param fingerprint: fingerprint of the suspect.
+        """
+        return not any(
+            started.endpoint_id == endpoint_id
+            and started.fingerprint != fingerprint
+            and self._get_losses(started.fingerprint)
+            for started in self._running.values()
+        )
+
+    def handle(
+        self, event: QuarantineEvent, now: Milliseconds
+    ) -> list[ShareEvidence]:
+        """Return the evidence to share after an event.
+
+        :param event: what happened.
+        :param now: current time in milliseconds.
+        """
+        evidence = self._apply(event, now)
+        return [ShareEvidence(tuple(evidence))] if evidence else []
+
+    @singledispatchmethod
+    def _apply(
+        self, event: QuarantineEvent, now: Milliseconds
+    ) -> list[Evidence]:
+        raise TypeError(f'unknown event {event!r}')
+
+    @_apply.register
+    def _start(
+        self, event: RequestStarted, now: Milliseconds
+    ) -> list[Evidence]:
+        self._running[event.request_id] = event
+        return []
+
+    @_apply.register
+    def _end(self, event: RequestEnded, now: Milliseconds) -> list[Evidence]:
+        started = self._running.pop(event.request_id, None)
+        if started is not None and event.is_whole:
+            losses = self._get_loss_keys(started.fingerprint)
+            self._acquitted[started.fingerprint].update(losses)
+        return []
+
+    @_apply.register
+    def _lose(self, event: EndpointLost, now: Milliseconds) -> list[Evidence]:
+        aboard = {
+            started.fingerprint
+            for started in self._running.values()
+            if started.endpoint_id == event.endpoint_id
+        }
+        evidence = [
+            Evidence(
+                event.endpoint_id,
+                event.boot_id,
+                fingerprint,
+                is_crash=False,
+            )
+            for fingerprint in sorted(aboard)
+        ]
+        return self._merge(evidence, now)
+
+    @_apply.register
+    def _see(self, event: EndpointSeen, now: Milliseconds) -> list[Evidence]:
+        shared: list[Evidence] = []
+        for key, loss in list(self._losses.items()):
+            if key[0] != event.endpoint_id or loss.is_crash:
+                continue
+            if key[1] == event.boot_id:
+                # The endpoint went on running: its connections were cut.
+                self._losses.pop(key)
+            else:
+                loss.is_crash = True
+                shared += _compile_evidence(key, loss)
+        return shared
+
+    @_apply.register
+    def _receive(
+        self, event: EvidenceReceived, now: Milliseconds
+    ) -> list[Evidence]:
+        self._merge(event.evidence, now)
+        return []
+
+    def _merge(
+        self,
+        evidence: list[Evidence] | tuple[Evidence, ...],
+        now: Milliseconds,
+    ) -> list[Evidence]:
+        """Add evidence and return what was new."""
+        fresh = [item for item in evidence if self._add(item, now)]
+        while len(self._losses) > self._settings.max_losses:
+            self._losses.pop(next(iter(self._losses)))
+        return fresh
+
+    def _add(self, item: Evidence, now: Milliseconds) -> bool:
+        key = (item.endpoint_id, item.boot_id)
+        loss = self._losses.setdefault(key, _Loss(now))
+        is_new = item.fingerprint not in loss.fingerprints
+        is_new = is_new or (item.is_crash and not loss.is_crash)
+        loss.is_crash = loss.is_crash or item.is_crash
+        loss.fingerprints.add(item.fingerprint)
+        return is_new
+
+    def _is_blamed(self, fingerprint: str, losses: list[_Loss]) -> bool:
+        """Tell whether a loss has no other repeated suspect aboard.
+
+        Two fingerprints that were lost together twice cannot be told apart;
+        both stay suspects and run on different endpoints from then on.
+        """
+        if len(losses) < _LOSSES_TO_CONVICT:
+            return False
+        return any(
+            self._list_repeated(loss) == {fingerprint} for loss in losses
+        )
+
+    def _list_repeated(self, loss: _Loss) -> set[str]:
+        return {
+            other
+            for other in loss.fingerprints
+            if len(self._get_losses(other)) >= _LOSSES_TO_CONVICT
+        }
+
+    def _get_losses(self, fingerprint: str) -> list[_Loss]:
+        acquitted = self._acquitted.get(fingerprint, set())
+        return [
+            loss
+            for key, loss in self._losses.items()
+            if fingerprint in loss.fingerprints and key not in acquitted
+        ]
+
+    def _get_loss_keys(self, fingerprint: str) -> list[_LossKey]:
+        return [
+            key
+            for key, loss in self._losses.items()
+            if fingerprint in loss.fingerprints
+        ]
+
+    def _forget_old(self, now: Milliseconds) -> None:
+        oldest = now - self._settings.retention
+        for key, loss in list(self._losses.items()):
+            if loss.seen_at <= oldest:
+                self._losses.pop(key)
+
+
+def _compile_evidence(key: _LossKey, loss: _Loss) -> list[Evidence]:
+    endpoint_id, boot_id = key
+    return [
+        Evidence(
+            endpoint_id,
+            boot_id,
+            fingerprint,
+            is_crash=loss.is_crash,
+        )
+        for fingerprint in sorted(loss.fingerprints)
+    ]
