--- /dev/null
+++ b/src/clementinedyke/admission.py
@@ -0,0 +1,191 @@
+"""Decides when a request is dispatched and which one is refused."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from functools import singledispatchmethod
+
+from clementinedyke.admission_events import (
+    AdmissionAction,
+    AdmissionTicked,
+    CallerLeft,
+    CustomersChanged,
+    PromptProcessed,
+    RemoteConsumed,
+    RequestArrived,
+    RequestEnded,
+    RoomReported,
+    StartRequest,
+)
+from clementinedyke.clock import Milliseconds
+from clementinedyke.fair_queue import QueuedRequest
+from clementinedyke.service_admission import AdmissionLimits, ServiceAdmission
+
+#: Priorities in the engine: a short request does not wait for long prompts.
+_LONG_PRIORITY = 0
+_SHORT_PRIORITY = 1
+
+
+@dataclass(slots=True)
+class _Started:
+    service: ServiceAdmission
+    request: QueuedRequest
+    has_prompt: bool = True
+
+
+class AdmissionCore:
+    """Decision core that queues, starts and refuses requests."""
+
+    def __init__(self, limits: AdmissionLimits) -> None:
+        """Create a core without services.
+
+        :param limits: limits of admission.
+        """
+        self._limits = limits
+        self._weights: Mapping[str, float] = {}
+        self._services: dict[str, ServiceAdmission] = {}
+        self._queued: dict[str, ServiceAdmission] = {}
+        self._started: dict[str, _Started] = {}
+
+    @property
+    def started_count(self) -> int:
+        """Number of requests that were started and did not end."""
+        return len(self._started)
+
+    @property
+    def queued_count(self) -> int:
+        """Number of queued requests."""
+        return len(self._queued)
+
+    def take_consumed(self) -> list[RemoteConsumed]:
+        """Return what to tell the other daemons since the last call."""
+        messages = [
+            RemoteConsumed(name, service.take_consumed())
+            for name, service in self._services.items()
+        ]
+        return [message for message in messages if message.consumed]
+
+    @singledispatchmethod
+    def handle(self, event: object, now: Milliseconds) -> list[AdmissionAction]:
+        """Take an event and return the requests to start and to refuse.
+
+        :param event: event of :mod:`clementinedyke.admission_events`.
+        :param now: current time.
+        :raises TypeError: if the event is of another type.
+        """
+        raise TypeError(f'{event!r} is not an event of the admission core')
+
+    @handle.register
+    def _handle_customers(
+        self, event: CustomersChanged, now: Milliseconds
+    ) -> list[AdmissionAction]:
+        self._weights = {item.customer: item.weight for item in event.weights}
+        for service in self._services.values():
+            service.queue.set_weights(self._weights)
+        return []
+
+    @handle.register
+    def _handle_arrival(
+        self, event: RequestArrived, now: Milliseconds
+    ) -> list[AdmissionAction]:
+        service = self._get_service(event.service)
+        request = QueuedRequest(
+            start_by=event.start_by,
+            request_id=event.request_id,
+            customer=event.customer,
+            cost=event.cost,
+            prompt_tokens=event.prompt_tokens,
+        )
+        refusal = service.check(request, now)
+        if refusal is not None:
+            return [refusal]
+        service.queue.push(request)
+        self._queued[event.request_id] = service
+        return self._advance(service, now)
+
+    @handle.register
+    def _handle_prompt(
+        self, event: PromptProcessed, now: Milliseconds
+    ) -> list[AdmissionAction]:
+        started = self._started.get(event.request_id)
+        if started is None or not started.has_prompt:
+            return []
+        started.has_prompt = False
+        started.service.end_prompt(started.request)
+        return self._advance(started.service, now)
+
+    @handle.register
+    def _handle_end(
+        self, event: RequestEnded, now: Milliseconds
+    ) -> list[AdmissionAction]:
+        started = self._started.pop(event.request_id, None)
+        if started is None:
+            return []
+        service = started.service
+        request = started.request
+        if started.has_prompt:
+            service.end_prompt(request)
+        service.end_stream()
+        if event.cost is not None:
+            service.queue.adjust(request.customer, event.cost - request.cost)
+            service.count_tokens(request.customer, event.cost - request.cost)
+        return self._advance(service, now)
+
+    @handle.register
+    def _handle_caller(
+        self, event: CallerLeft, now: Milliseconds
+    ) -> list[AdmissionAction]:
+        service = self._queued.pop(event.request_id, None)
+        if service is None:
+            return self.handle(RequestEnded(event.request_id), now)
+        service.queue.remove(event.request_id)
+        return self._advance(service, now)
+
+    @handle.register
+    def _handle_room(
+        self, event: RoomReported, now: Milliseconds
+    ) -> list[AdmissionAction]:
+        service = self._get_service(event.service)
+        service.set_room(event.streams, event.prompt_tokens)
+        return self._advance(service, now)
+
+    @handle.register
+    def _handle_remote(
+        self, event: RemoteConsumed, now: Milliseconds
+    ) -> list[AdmissionAction]:
+        queue = self._get_service(event.service).queue
+        for item in event.consumed:
+            queue.consume(item.customer, item.tokens)
+        return []
+
+    @handle.register
+    def _handle_tick(
+        self, event: AdmissionTicked, now: Milliseconds
+    ) -> list[AdmissionAction]:
+        actions: list[AdmissionAction] = []
+        for service in self._services.values():
+            actions.extend(self._advance(service, now))
+        return actions
+
+    def _advance(
+        self, service: ServiceAdmission, now: Milliseconds
+    ) -> list[AdmissionAction]:
+        actions = service.expire(now)
+        for refusal in actions:
+            self._queued.pop(refusal.request_id)
+        while True:
+            request = service.start_next(now)
+            if request is None:
+                return actions
+            self._queued.pop(request.request_id)
+            self._started[request.request_id] = _Started(service, request)
+            is_short = request.prompt_tokens <= self._limits.short_prompt
+            priority = _SHORT_PRIORITY if is_short else _LONG_PRIORITY
+            actions.append(StartRequest(request.request_id, priority))
+
+    def _get_service(self, name: str) -> ServiceAdmission:
+        service = self._services.get(name)
+        if service is None:
+            service = ServiceAdmission(self._limits)
+            service.queue.set_weights(self._weights)
+            self._services[name] = service
+        return service
--- /dev/null
+++ b/src/clementinedyke/route_types.py
@@ -0,0 +1,130 @@
+"""Requests and choices of the router."""
+
+import enum
+from dataclasses import dataclass
+from typing import TypeAlias
+
+from clementinedyke.clock import Milliseconds
+
+
+class Role(enum.Enum):
+    """Part of the work that an engine is set up for."""
+
+    MIXED = 'mixed'
+    PREFILL = 'prefill'
+    DECODE = 'decode'
+
+
+@dataclass(frozen=True, slots=True)
+class RoutedEndpoint:
+    """An endpoint as the router sees it.
+
+    ``models`` is empty when the endpoint takes any model of its service.
+    ``prefill_rate`` is in tokens/s. ``max_streams`` is the number of requests
+    that it runs within the token interval, ``max_prompt_tokens`` the prompt
+    backlog that it works off within the first-token time.
+    """
+
+    endpoint_id: str
+    service: str
+    availability_zone: str
+    cheap: bool = False
+    leaving: bool = False
+    role: Role = Role.MIXED
+    models: frozenset[str] = frozenset()
+    prefill_rate: float = 8000
+    max_streams: int = 32
+    max_prompt_tokens: int = 8000
+
+
+@dataclass(frozen=True, slots=True)
+class RouteRequest:
+    """What the router needs to know of a request.
+
+    ``excluded`` names endpoints that already failed the request.
+    """
+
+    request_id: str
+    service: str
+    model: str = ''
+    prompt_tokens: int = 0
+    block_hashes: tuple[int, ...] = ()
+    repeatable: bool = True
+    excluded: frozenset[str] = frozenset()
+
+
+class CandidateState(enum.Enum):
+    """Why a candidate was or was not considered."""
+
+    CONSIDERED = 'considered'
+    LEAVING = 'leaving'
+    EXCLUDED = 'excluded'
+    EJECTED = 'ejected'
+    PROBING = 'probing'
+    CHEAP = 'cheap'
+    MODEL = 'model'
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """An endpoint with its estimated costs in milliseconds.
+
+    ``splits`` is set for an engine that does mainly prefill or decode.
+    """
+
+    endpoint_id: str
+    state: CandidateState
+    prefill_cost: float = 0
+    decode_cost: float = 0
+    cached_blocks: int = 0
+    splits: bool = False
+
+
+class ChoiceReason(enum.Enum):
+    """Why the router chose as it did."""
+
+    LOWEST_COST = 'lowest_cost'
+    ONLY_CANDIDATE = 'only_candidate'
+    PROBE = 'probe'
+    ALL_EJECTED = 'all_ejected'
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """The endpoint that runs a request.
+
+    ``decode_endpoint_id`` is set when another endpoint generates the output.
+    """
+
+    endpoint_id: str
+    decode_endpoint_id: str | None
+    reason: ChoiceReason
+    expected_first_token: Milliseconds
+    uncached_tokens: int
+    candidates: tuple[Candidate, ...]
+
+
+class NoChoiceReason(enum.Enum):
+    """Why no endpoint can run a request."""
+
+    SERVICE_UNKNOWN = 'service_unknown'
+    NONE_USABLE = 'none_usable'
+
+
+@dataclass(frozen=True, slots=True)
+class NoChoice:
+    """No endpoint can run the request."""
+
+    reason: NoChoiceReason
+    candidates: tuple[Candidate, ...] = ()
+
+
+RouteResult: TypeAlias = Choice | NoChoice
+
+
+@dataclass(frozen=True, slots=True)
+class Room:
+    """Work that the endpoints of a service can take now."""
+
+    streams: float
+    prompt_tokens: float
--- /dev/null
+++ b/src/clementinedyke/router.py
@@ -0,0 +1,202 @@
+"""Chooses the endpoint of each request."""
+
+import random
+from functools import singledispatchmethod
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.endpoint_table import EndpointTable
+from clementinedyke.in_flight import InFlightTable
+from clementinedyke.prefix_index import CacheView
+from clementinedyke.route_events import (
+    CacheChanged,
+    EndpointRestarted,
+    EndpointsChanged,
+    FirstTokenReceived,
+    LoadReported,
+    RequestCancelled,
+    RequestFailed,
+    RequestFinished,
+    RequestStarted,
+)
+from clementinedyke.route_types import (
+    NoChoice,
+    NoChoiceReason,
+    Role,
+    Room,
+    RouteRequest,
+    RouteResult,
+)
+from clementinedyke.selection import RouterSettings, Selector
+
+
+class RouterCore:
+    """Decision core that chooses endpoints and keeps what it knows of them."""
+
+    def __init__(
+        self, settings: RouterSettings, generator: random.Random
+    ) -> None:
+        """Create a router without endpoints.
+
+        :param settings: settings of the router.
+        :param generator: seeded source of random choices.
+        """
+        self._table = EndpointTable(settings.health)
+        self._selector = Selector(settings, generator)
+        self._cache = CacheView(settings.max_blocks)
+        self._in_flight = InFlightTable()
+
+    @property
+    def in_flight_count(self) -> int:
+        """Number of requests that were started and did not end."""
+        return len(self._in_flight)
+
+    def get_own_streams(self, endpoint_id: str) -> int:
+        """Return the number of own requests at an endpoint.
+
+        :param endpoint_id: endpoint that may be unknown.
+        """
+        state = self._table.get_owner(endpoint_id)
+        return state.loads[endpoint_id].own_streams if state else 0
+
+    def get_room(self, service: str, now: Milliseconds) -> Room:
+        """Return the work that a service can take now, for all daemons.
+
+        :param service: name of the service.
+        :param now: current time.
+        """
+        streams = float(0)
+        prompt_tokens = float(0)
+        state = self._table.get_service(service)
+        for endpoint in state.endpoints.values() if state else ():
+            if state is None or endpoint.leaving:
+                continue
+            load = state.loads[endpoint.endpoint_id].get_load(now)
+            if endpoint.role is not Role.PREFILL:
+                streams += max(0, endpoint.max_streams - load.streams)
+            if endpoint.role is not Role.DECODE:
+                room = endpoint.max_prompt_tokens - load.prompt_tokens
+                prompt_tokens += max(0, room)
+        return Room(streams, prompt_tokens)
+
+    def select_endpoint(
+        self, request: RouteRequest, now: Milliseconds
+    ) -> RouteResult:
+        """Return the choice for a request, or why there is none.
+
+        This changes nothing; the caller reports a dispatch with
+        :class:`RequestStarted`.
+
+        :param request: request to route.
+        :param now: current time.
+        """
+        state = self._table.get_service(request.service)
+        if state is None:
+            return NoChoice(NoChoiceReason.SERVICE_UNKNOWN)
+        hits = self._cache.index.get_hits(request.block_hashes)
+        candidates = self._selector.score(state, request, hits, now)
+        return self._selector.select(request, candidates)
+
+    @singledispatchmethod
+    def handle(self, event: object, now: Milliseconds) -> list[object]:
+        """Take an event; the router never asks for an action.
+
+        :param event: event of :mod:`clementinedyke.route_events`.
+        :param now: current time.
+        :raises TypeError: if the event is of another type.
+        """
+        raise TypeError(f'{event!r} is not an event of the router')
+
+    @handle.register
+    def _handle_endpoints(
+        self, event: EndpointsChanged, now: Milliseconds
+    ) -> list[object]:
+        for endpoint_id in self._table.replace(event.endpoints):
+            self._cache.forget(endpoint_id)
+        return []
+
+    @handle.register
+    def _handle_load(
+        self, event: LoadReported, now: Milliseconds
+    ) -> list[object]:
+        state = self._table.get_owner(event.endpoint_id)
+        if state is not None:
+            estimate = state.loads[event.endpoint_id]
+            estimate.apply_report(event.report, now - event.lag)
+        return []
+
+    @handle.register
+    def _handle_cache(
+        self, event: CacheChanged, now: Milliseconds
+    ) -> list[object]:
+        if self._table.get_owner(event.endpoint_id) is not None:
+            self._cache.apply(
+                event.endpoint_id, event.sequence, event.added, event.removed
+            )
+        return []
+
+    @handle.register
+    def _handle_restart(
+        self, event: EndpointRestarted, now: Milliseconds
+    ) -> list[object]:
+        self._cache.forget(event.endpoint_id)
+        return []
+
+    @handle.register
+    def _handle_started(
+        self, event: RequestStarted, now: Milliseconds
+    ) -> list[object]:
+        request = event.request
+        endpoint_id = event.choice.endpoint_id
+        state = self._table.get_service(request.service)
+        loads = {} if state is None else state.loads
+        self._in_flight.start(request, event.choice, loads, now)
+        if state is not None and endpoint_id in state.endpoints:
+            state.health.record_probe(endpoint_id, request.request_id)
+            # The engine will hold these blocks; its own events come later.
+            self._cache.index.add(endpoint_id, request.block_hashes)
+        return []
+
+    @handle.register
+    def _handle_first_token(
+        self, event: FirstTokenReceived, now: Milliseconds
+    ) -> list[object]:
+        entry = self._in_flight.end_prefill(event.request_id, now)
+        state = self._table.get_service(entry.service) if entry else None
+        if entry is not None and state is not None:
+            choice = entry.choice
+            ratio = (now - entry.started) / choice.expected_first_token
+            state.health.record_first_token(choice.endpoint_id, ratio, now)
+        return []
+
+    @handle.register
+    def _handle_finished(
+        self, event: RequestFinished, now: Milliseconds
+    ) -> list[object]:
+        entry = self._in_flight.end(event.request_id, now)
+        state = self._table.get_service(entry.service) if entry else None
+        if entry is not None and state is not None:
+            for endpoint_id in entry.endpoint_ids:
+                state.health.record_success(endpoint_id, event.request_id)
+        return []
+
+    @handle.register
+    def _handle_failed(
+        self, event: RequestFailed, now: Milliseconds
+    ) -> list[object]:
+        entry = self._in_flight.end(event.request_id, now)
+        state = self._table.get_service(entry.service) if entry else None
+        if entry is not None and state is not None:
+            failed = event.endpoint_id
+            state.health.record_failure(failed, event.request_id, now)
+            state.health.release_probe(entry.endpoint_ids, event.request_id)
+        return []
+
+    @handle.register
+    def _handle_cancelled(
+        self, event: RequestCancelled, now: Milliseconds
+    ) -> list[object]:
+        entry = self._in_flight.end(event.request_id, now)
+        state = self._table.get_service(entry.service) if entry else None
+        if entry is not None and state is not None:
+            state.health.release_probe(entry.endpoint_ids, event.request_id)
+        return []
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,229 @@
+"""Tests of the admission core."""
+
+from collections import Counter
+
+from hypothesis import settings, strategies
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from clementinedyke import admission_events as events
+from clementinedyke.admission import AdmissionCore
+from clementinedyke.codes import ResultCode
+from clementinedyke.fair_queue import FairQueue, QueuedRequest
+from clementinedyke.service_admission import AdmissionLimits
+
+_CUSTOMERS = ('a', 'b', 'c')
+_WEIGHTS = {'a': 1, 'b': 2, 'c': 4}
+_MAX_COST = 1000
+
+
+def build_arrival(
+    number: int, customer: str, **fields
+) -> events.RequestArrived:
+    """Return an arrival with a far deadline unless given."""
+    defaults = {'cost': 100, 'prompt_tokens': 50, 'start_by': 10**9}
+    return events.RequestArrived(
+        f'r{number}', 'chat', customer, **{**defaults, **fields}
+    )
+
+
+class FairQueueMachine(RuleBasedStateMachine):
+    """Compares the service of customers that stay backlogged."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.queue = FairQueue(max_lead=10_000)
+        self.queue.set_weights(_WEIGHTS)
+        self.count = 0
+        self.served = Counter()
+        self.times = dict.fromkeys(_CUSTOMERS, float(0))
+        for customer in _CUSTOMERS:
+            self.push(customer, _MAX_COST)
+
+    @rule(
+        customer=strategies.sampled_from(_CUSTOMERS),
+        cost=strategies.integers(1, _MAX_COST),
+    )
+    def push(self, customer: str, cost: int) -> None:
+        """Queue a request."""
+        self.count += 1
+        self.queue.push(
+            QueuedRequest(self.count, f'r{self.count}', customer, cost, 0)
+        )
+
+    @rule()
+    def serve(self) -> None:
+        """Serve one request and keep its customer backlogged."""
+        request = self.queue.pop()
+        self.served[request.customer] += request.cost
+        self.push(request.customer, request.cost)
+
+    @invariant()
+    def shares_hold(self) -> None:
+        """Backlogged customers differ by at most one request of each."""
+        for first in _CUSTOMERS:
+            for second in _CUSTOMERS:
+                bound = (
+                    _MAX_COST / _WEIGHTS[first] + _MAX_COST / _WEIGHTS[second]
+                )
+                ahead = self.served[first] / _WEIGHTS[first]
+                behind = self.served[second] / _WEIGHTS[second]
+                assert ahead - behind <= bound
+
+    @invariant()
+    def times_rise(self) -> None:
+        """A virtual time never goes back."""
+        for customer in _CUSTOMERS:
+            current = self.queue.get_virtual_time(customer)
+            assert current >= self.times[customer]
+            self.times[customer] = current
+
+
+#: Guards against a customer with queued work that gets less than its share.
+TestFairQueueMachine = FairQueueMachine.TestCase
+TestFairQueueMachine.settings = settings(
+    max_examples=60, stateful_step_count=50, deadline=None
+)
+
+
+class AdmissionMachine(RuleBasedStateMachine):
+    """Random arrivals, ends, departures and room."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        limits = AdmissionLimits(max_queued_requests=4, max_total_requests=9)
+        self.core = AdmissionCore(limits)
+        self.now = 0
+        self.count = 0
+        self.waiting: dict[str, int] = {}
+        self.started: set[str] = set()
+
+    def apply(self, actions: list[events.AdmissionAction]) -> None:
+        """Check that each request is started or refused once, in time."""
+        for action in actions:
+            start_by = self.waiting.pop(action.request_id)
+            if isinstance(action, events.StartRequest):
+                assert self.now <= start_by
+                self.started.add(action.request_id)
+            else:
+                assert action.retry_after > 0
+
+    @rule(
+        customer=strategies.sampled_from(_CUSTOMERS),
+        cost=strategies.integers(1, _MAX_COST),
+        patience=strategies.integers(0, 3000),
+    )
+    def arrive(self, customer: str, cost: int, patience: int) -> None:
+        """Let a request arrive."""
+        self.count += 1
+        start_by = self.now + patience
+        self.waiting[f'r{self.count}'] = start_by
+        event = build_arrival(
+            self.count,
+            customer,
+            cost=cost,
+            prompt_tokens=cost // 2,
+            start_by=start_by,
+        )
+        self.apply(self.core.handle(event, self.now))
+
+    @rule(
+        streams=strategies.integers(0, 4), tokens=strategies.integers(0, 4000)
+    )
+    def report_room(self, streams: int, tokens: int) -> None:
+        """Report room at the endpoints."""
+        event = events.RoomReported('chat', streams, tokens)
+        self.apply(self.core.handle(event, self.now))
+
+    @rule(step=strategies.integers(1, 1000))
+    def wait(self, step: int) -> None:
+        """Let time pass; no request outlives its deadline in the queue."""
+        self.now += step
+        self.apply(self.core.handle(events.AdmissionTicked(), self.now))
+        assert all(limit >= self.now for limit in self.waiting.values())
+
+    @precondition(lambda machine: machine.started)
+    @rule(outcome=strategies.integers(0, 2))
+    def progress(self, outcome: int) -> None:
+        """Advance a started request."""
+        request_id = min(self.started)
+        if outcome == 0:
+            event = events.PromptProcessed(request_id)
+        else:
+            self.started.remove(request_id)
+            event = (
+                events.RequestEnded(request_id, 30),
+                events.CallerLeft(request_id),
+            )[outcome - 1]
+        self.apply(self.core.handle(event, self.now))
+
+    @precondition(lambda machine: machine.waiting)
+    @rule()
+    def leave(self) -> None:
+        """A cancelled caller leaves the queue and is never answered."""
+        request_id = min(self.waiting)
+        self.waiting.pop(request_id)
+        self.apply(self.core.handle(events.CallerLeft(request_id), self.now))
+
+    @invariant()
+    def counts_match(self) -> None:
+        """Requests neither vanish nor stay."""
+        assert self.core.queued_count == len(self.waiting)
+        assert self.core.started_count == len(self.started)
+
+
+#: Guards against a refusal after a start, a late start and a lost request.
+TestAdmissionMachine = AdmissionMachine.TestCase
+TestAdmissionMachine.settings = settings(
+    max_examples=60, stateful_step_count=50, deadline=None
+)
+
+
+class TestAdmissionDecisions:
+    """Guards against unfair starts and refusals that come late."""
+
+    def build_full_core(self) -> AdmissionCore:
+        """Return a core without room that has started 1,000 tokens."""
+        core = AdmissionCore(AdmissionLimits())
+        core.handle(build_arrival(0, 'z', cost=1000), 0)
+        core.handle(events.RoomReported('chat', 0, 0), 0)
+        return core
+
+    def test_remote_work_counts(self) -> None:
+        """A customer that floods other daemons must wait behind others."""
+        core = self.build_full_core()
+        consumed = (events.CustomerTokens('a', 5000),)
+        core.handle(events.RemoteConsumed('chat', consumed), 0)
+        core.handle(build_arrival(1, 'a'), 0)
+        core.handle(build_arrival(2, 'b'), 0)
+        actions = core.handle(events.RoomReported('chat', 1, 1), 0)
+        assert [action.request_id for action in actions] == ['r2']
+
+    def test_short_passes_long(self) -> None:
+        """A look-up must not wait for the reviews of its own customer."""
+        core = self.build_full_core()
+        core.handle(build_arrival(1, 'a', prompt_tokens=9000, start_by=9000), 0)
+        core.handle(build_arrival(2, 'a', start_by=400), 0)
+        actions = core.handle(events.RoomReported('chat', 1, 1), 0)
+        assert actions == [events.StartRequest('r2', 1)]
+
+    def test_hopeless_request_is_refused_at_once(self) -> None:
+        """A caller must not wait for an answer that is bound to be late."""
+        core = self.build_full_core()
+        core.handle(build_arrival(1, 'a', cost=8000), 0)
+        late = build_arrival(2, 'a', start_by=500)
+        core.handle(build_arrival(3, 'a', cost=8000, start_by=400), 0)
+        refusal = core.handle(late, 0)[0]
+        assert refusal.code is ResultCode.DEADLINE_UNREACHABLE
+        assert refusal.retry_after > 10_000
+
+    def test_consumption_is_told_once(self) -> None:
+        """Counting work twice would punish a customer for nothing."""
+        core = self.build_full_core()
+        message = core.take_consumed()[0]
+        assert message.consumed == (events.CustomerTokens('z', 1000),)
+        assert not core.take_consumed()
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,242 @@
+"""Tests of the router core."""
+
+import random
+from collections import Counter
+
+from hypothesis import settings, strategies
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from clementinedyke import route_events as events
+from clementinedyke.load import LoadReport
+from clementinedyke.prefix_index import PrefixIndex, compute_block_hashes
+from clementinedyke.route_types import (
+    CandidateState,
+    Choice,
+    ChoiceReason,
+    NoChoice,
+    Role,
+    RoutedEndpoint,
+    RouteRequest,
+)
+from clementinedyke.router import RouterCore
+from clementinedyke.selection import RouterSettings
+
+_IDS = tuple(f'e{number}' for number in range(6))
+
+
+def build_endpoint(number: int, **fields) -> RoutedEndpoint:
+    """Return an endpoint of the service ``chat``."""
+    zone = f'zone-{number % 2}'
+    return RoutedEndpoint(f'e{number}', 'chat', zone, **fields)
+
+
+def build_router(*endpoints: RoutedEndpoint, seed: int = 1) -> RouterCore:
+    """Return a router in zone-0 that knows the endpoints."""
+    core = RouterCore(
+        RouterSettings(availability_zone='zone-0'), random.Random(seed)
+    )
+    core.handle(events.EndpointsChanged(endpoints), 0)
+    return core
+
+
+class RouterMachine(RuleBasedStateMachine):
+    """Random events with a model of what is in flight."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0
+        self.listed = {
+            number: build_endpoint(number, cheap=number > 3)
+            for number in range(6)
+        }
+        self.core = build_router(*self.listed.values())
+        self.running: dict[str, Choice] = {}
+        self.count = 0
+
+    @rule(number=strategies.integers(0, 5), leaving=strategies.booleans())
+    def change(self, number: int, leaving: bool) -> None:
+        """Change, remove or add an endpoint."""
+        if leaving and number in self.listed and number % 2:
+            self.listed.pop(number)
+        else:
+            self.listed[number] = build_endpoint(
+                number, cheap=number > 3, leaving=leaving
+            )
+        changed = events.EndpointsChanged(tuple(self.listed.values()))
+        self.core.handle(changed, self.now)
+
+    @rule(step=strategies.integers(1, 4000))
+    def wait(self, step: int) -> None:
+        """Let time pass."""
+        self.now += step
+
+    @rule(
+        number=strategies.integers(0, 5),
+        streams=strategies.integers(0, 40),
+        lag=strategies.integers(0, 2000),
+    )
+    def report(self, number: int, streams: int, lag: int) -> None:
+        """Report load with a lag."""
+        load = LoadReport(streams, streams * 100)
+        self.core.handle(events.LoadReported(f'e{number}', load, lag), self.now)
+
+    @rule(repeatable=strategies.booleans(), size=strategies.integers(0, 3))
+    def start(self, repeatable: bool, size: int) -> None:
+        """Route and dispatch a request."""
+        self.count += 1
+        request = RouteRequest(
+            f'r{self.count}',
+            'chat',
+            prompt_tokens=size * 1000 + 500,
+            block_hashes=tuple(range(size)),
+            repeatable=repeatable,
+        )
+        choice = self.core.select_endpoint(request, self.now)
+        if isinstance(choice, NoChoice):
+            assert not any(
+                item.state
+                in {CandidateState.CONSIDERED, CandidateState.EJECTED}
+                for item in choice.candidates
+            )
+            return
+        endpoint = self.listed[int(choice.endpoint_id[1:])]
+        assert not endpoint.leaving
+        assert repeatable or not endpoint.cheap
+        states = {item.endpoint_id: item.state for item in choice.candidates}
+        if CandidateState.CONSIDERED in states.values():
+            assert states[choice.endpoint_id] is not CandidateState.EJECTED
+        self.core.handle(events.RequestStarted(request, choice), self.now)
+        self.running[request.request_id] = choice
+
+    @precondition(lambda machine: machine.running)
+    @rule(outcome=strategies.integers(0, 3))
+    def progress(self, outcome: int) -> None:
+        """Advance the oldest request."""
+        request_id, choice = next(iter(self.running.items()))
+        if outcome == 0:
+            event = events.FirstTokenReceived(request_id)
+        else:
+            self.running.pop(request_id)
+            event = (
+                events.RequestFinished(request_id),
+                events.RequestFailed(request_id, choice.endpoint_id),
+                events.RequestCancelled(request_id),
+            )[outcome - 1]
+        self.core.handle(event, self.now)
+
+    @invariant()
+    def counts_match(self) -> None:
+        """In-flight counts neither leak nor go below zero."""
+        assert self.core.in_flight_count == len(self.running)
+        counts = Counter(item.endpoint_id for item in self.running.values())
+        for endpoint_id in _IDS:
+            own = self.core.get_own_streams(endpoint_id)
+            assert 0 <= own <= counts[endpoint_id]
+
+    def teardown(self) -> None:
+        """After the last request has ended nothing is counted."""
+        for request_id in self.running:
+            self.core.handle(events.RequestCancelled(request_id), self.now)
+        assert not self.core.in_flight_count
+        assert not any(map(self.core.get_own_streams, _IDS))
+
+
+#: Guards against work on leaving, ejected or cheap endpoints and lost counts.
+TestRouterMachine = RouterMachine.TestCase
+TestRouterMachine.settings = settings(
+    max_examples=60, stateful_step_count=40, deadline=None
+)
+
+
+class TestSelection:
+    """Guards against choices that ignore what is known of endpoints."""
+
+    def test_prefers_cached_prefix(self) -> None:
+        """A long prompt must not be processed again on another engine."""
+        core = build_router(*map(build_endpoint, range(4)))
+        core.handle(events.CacheChanged('e3', 1, added=(7, 8)), 0)
+        request = RouteRequest('r', 'chat', '', 2500, (7, 8))
+        choice = core.select_endpoint(request, 0)
+        assert choice.endpoint_id == 'e3'
+        assert choice.uncached_tokens == 500
+
+    def test_gap_invalidates_cache(self) -> None:
+        """A lost event may have evicted the blocks that are believed cached."""
+        core = build_router(build_endpoint(0))
+        core.handle(events.CacheChanged('e0', 1, added=(7, 8)), 0)
+        core.handle(events.CacheChanged('e0', 3, added=(9,)), 0)
+        request = RouteRequest('r', 'chat', '', 2500, (7, 8))
+        assert core.select_endpoint(request, 0).uncached_tokens == 2500
+
+    def test_split_roles_name_both(self) -> None:
+        """A split service must not decode on its prefill engine."""
+        core = build_router(
+            build_endpoint(0, role=Role.PREFILL),
+            build_endpoint(1, role=Role.DECODE),
+        )
+        choice = core.select_endpoint(RouteRequest('r', 'chat', '', 2000), 0)
+        assert (choice.endpoint_id, choice.decode_endpoint_id) == ('e0', 'e1')
+
+    def test_one_report_does_not_herd(self) -> None:
+        """Daemons that read one report must not all pick its best engine."""
+        choices = Counter()
+        for seed in range(40):
+            core = build_router(*map(build_endpoint, range(4)), seed=seed)
+            for number in range(4):
+                load = LoadReport(number, 0)
+                core.handle(events.LoadReported(f'e{number}', load), 0)
+            request = RouteRequest('r', 'chat', '', 500)
+            choices[core.select_endpoint(request, 0).endpoint_id] += 1
+        assert max(choices.values()) < 30
+
+    def test_slow_endpoint_is_ejected_and_probed(self) -> None:
+        """An engine that answers late gets one probe, then work again."""
+        core = build_router(*map(build_endpoint, range(4)))
+        for number in range(60):
+            request = RouteRequest(f'r{number}', 'chat', '', 800)
+            choice = core.select_endpoint(request, 0)
+            core.handle(events.RequestStarted(request, choice), 0)
+            late = 5000 if choice.endpoint_id == 'e1' else 100
+            core.handle(events.FirstTokenReceived(f'r{number}'), late)
+            core.handle(events.RequestFinished(f'r{number}'), late)
+        request = RouteRequest('late', 'chat', '', 800)
+        choice = core.select_endpoint(request, 5001)
+        assert choice.endpoint_id != 'e1'
+        probe = core.select_endpoint(request, 10_001)
+        assert (probe.endpoint_id, probe.reason) == ('e1', ChoiceReason.PROBE)
+        core.handle(events.RequestStarted(request, probe), 10_001)
+        other = RouteRequest('other', 'chat', '', 800)
+        assert core.select_endpoint(other, 10_001).endpoint_id != 'e1'
+
+
+class TestPrefixIndex:
+    """Guards against unbounded memory and wrong hits."""
+
+    def test_memory_is_bounded(self) -> None:
+        """The least recently used block goes first."""
+        index = PrefixIndex(3)
+        index.add('e0', (1, 2, 3, 4))
+        assert len(index) == 3
+        assert not index.get_hits((1,))
+
+    def test_bits_are_reused_without_old_blocks(self) -> None:
+        """A new endpoint must not inherit the blocks of one that left."""
+        index = PrefixIndex(10)
+        index.add('e0', (1, 2))
+        index.add('e1', (1,))
+        index.forget('e0')
+        index.add('e2', (9,))
+        assert index.get_hits((1, 2)) == {'e1': 1}
+
+    def test_hash_covers_prefix(self) -> None:
+        """Equal blocks after different prefixes are different."""
+        same = b'x' * 4000
+        first = compute_block_hashes(b'a' * 4000 + same)
+        second = compute_block_hashes(b'b' * 4000 + same)
+        assert first[1] != second[1]
+        assert compute_block_hashes(same, b'm') != compute_block_hashes(same)
