--- /dev/null
+++ b/src/clementinedyke/roles.py
@@ -0,0 +1,208 @@
+"""Plans roles, models, adapters and versions of a service's engines."""
+
+from collections import Counter
+from functools import singledispatchmethod
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.role_capacity import ForecastTable
+from clementinedyke.role_moves import Move, MoveEvaluator
+from clementinedyke.role_types import (
+    ChangeEnded,
+    ChangeRole,
+    DemandReported,
+    EnginesReported,
+    EngineState,
+    LoadAdapter,
+    LoadModel,
+    ModelDemand,
+    PlannedEngine,
+    PlannerSettings,
+    PlannerTicked,
+    RoleOrder,
+)
+from clementinedyke.route_types import Role
+
+
+class RolePlanner:
+    """Decision core of the lease holder of a service.
+
+    It weighs single moves of one engine. A move is ordered when the share of
+    the demand that it adds over the horizon exceeds the share that is lost
+    while the engine is out of service, by the hysteresis.
+    """
+
+    def __init__(self, settings: PlannerSettings) -> None:
+        """Create a planner that knows no engine.
+
+        :param settings: settings of the planner.
+        """
+        self._settings = settings
+        self._engines: dict[str, PlannedEngine] = {}
+        self._forecasts = ForecastTable(
+            settings.demand_window, settings.trend_time
+        )
+        self._changing: dict[str, Milliseconds] = {}
+        self._changed: dict[str, Milliseconds] = {}
+        self._store_free_at: Milliseconds = 0
+
+    @property
+    def changing_count(self) -> int:
+        """Number of engines with an order whose outcome is not known."""
+        return len(self._changing)
+
+    @property
+    def max_changing(self) -> int:
+        """Number of engines that may change at once."""
+        share = self._settings.max_changing_share
+        return max(1, int(len(self._engines) * share))
+
+    @singledispatchmethod
+    def handle(self, event: object, now: Milliseconds) -> list[RoleOrder]:
+        """Take an event and return the orders to send.
+
+        :param event: event of :mod:`clementinedyke.role_types`.
+        :param now: current time.
+        :raises TypeError: if the event is of another type.
+        """
+        raise TypeError(f'{event!r} is not an event of the role planner')
+
+    @handle.register
+    def _handle_engines(
+        self, event: EnginesReported, now: Milliseconds
+    ) -> list[RoleOrder]:
+        self._engines = {engine.engine_id: engine for engine in event.engines}
+        for engine_id in self._changing.keys() - self._engines.keys():
+            self._changing.pop(engine_id)
+        for engine_id in self._changed.keys() - self._engines.keys():
+            self._changed.pop(engine_id)
+        return []
+
+    @handle.register
+    def _handle_demand(
+        self, event: DemandReported, now: Milliseconds
+    ) -> list[RoleOrder]:
+        self._forecasts.apply(event.demands, now)
+        return []
+
+    @handle.register
+    def _handle_end(
+        self, event: ChangeEnded, now: Milliseconds
+    ) -> list[RoleOrder]:
+        self._changing.pop(event.engine_id, None)
+        return []
+
+    @handle.register
+    def _handle_tick(
+        self, event: PlannerTicked, now: Milliseconds
+    ) -> list[RoleOrder]:
+        self._drop_lost_changes(now)
+        if len(self._changing) >= self.max_changing:
+            return []
+        demands = self._forecasts.get_demands()
+        order = self._plan_move(demands, now)
+        if order is None and now >= self._store_free_at:
+            order = self._plan_version(demands) or self._plan_adapter(demands)
+        if order is None:
+            return []
+        self._record(order, now)
+        return [order]
+
+    def _drop_lost_changes(self, now: Milliseconds) -> None:
+        # An engine that crashes while it changes may never report an outcome.
+        limit = now - self._settings.change_timeout
+        for engine_id, since in list(self._changing.items()):
+            if since < limit:
+                self._changing.pop(engine_id)
+
+    def _plan_move(
+        self, demands: dict[str, ModelDemand], now: Milliseconds
+    ) -> RoleOrder | None:
+        evaluator = MoveEvaluator(
+            self._settings, self._engines.values(), demands
+        )
+        moves: list[Move] = []
+        for engine in self._get_idlest(now):
+            models = list(demands)
+            if now < self._store_free_at:
+                models = [engine.model] if engine.model in demands else []
+            moves.extend(evaluator.list_moves(engine, models))
+        best = max(moves, key=_get_rank, default=None)
+        if best is None or best.net_gain <= self._settings.min_net_gain:
+            return None
+        target = best.engine
+        if best.model == target.model:
+            return ChangeRole(target.engine_id, best.role)
+        version = demands[best.model].version
+        return LoadModel(target.engine_id, best.model, version, best.role)
+
+    def _get_idlest(self, now: Milliseconds) -> list[PlannedEngine]:
+        """Return the idlest movable engine of each model and role."""
+        never = now - self._settings.dwell
+        idlest: dict[tuple[str, Role], PlannedEngine] = {}
+        for engine in self._get_ready():
+            if self._changed.get(engine.engine_id, never) > never:
+                continue
+            group = (engine.model, engine.role)
+            if engine.streams < idlest.get(group, engine).streams:
+                idlest[group] = engine
+            idlest.setdefault(group, engine)
+        return list(idlest.values())
+
+    def _plan_version(
+        self, demands: dict[str, ModelDemand]
+    ) -> RoleOrder | None:
+        evaluator = MoveEvaluator(
+            self._settings, self._engines.values(), demands
+        )
+        # A new version waits for a time when the engine can be spared.
+        enough = evaluator.served * self._settings.utilisation
+        for engine in self._get_ready():
+            demand = demands.get(engine.model)
+            if demand is None or engine.version == demand.version:
+                continue
+            if evaluator.get_served_without(engine) >= enough:
+                return LoadModel(
+                    engine.engine_id, engine.model, demand.version, engine.role
+                )
+        return None
+
+    def _plan_adapter(
+        self, demands: dict[str, ModelDemand]
+    ) -> RoleOrder | None:
+        ready = self._get_ready()
+        for model, demand in demands.items():
+            engines = [item for item in ready if item.model == model]
+            copies = Counter(
+                adapter for item in engines for adapter in item.adapters
+            )
+            for adapter in sorted(demand.adapters):
+                missing = [
+                    item for item in engines if adapter not in item.adapters
+                ]
+                if missing and copies[adapter] < self._settings.adapter_copies:
+                    target = min(missing, key=_get_adapter_count)
+                    return LoadAdapter(target.engine_id, adapter)
+        return None
+
+    def _get_ready(self) -> list[PlannedEngine]:
+        return [
+            engine
+            for engine in self._engines.values()
+            if engine.state is EngineState.READY
+            and engine.engine_id not in self._changing
+        ]
+
+    def _record(self, order: RoleOrder, now: Milliseconds) -> None:
+        self._changing[order.engine_id] = now
+        if isinstance(order, ChangeRole | LoadModel):
+            self._changed[order.engine_id] = now
+        if isinstance(order, LoadModel | LoadAdapter):
+            self._store_free_at = now + self._settings.load_time
+
+
+def _get_rank(move: Move) -> tuple[float, str]:
+    return move.rank
+
+
+def _get_adapter_count(engine: PlannedEngine) -> int:
+    return len(engine.adapters)
--- /dev/null
+++ b/tests/test_roles.py
@@ -0,0 +1,181 @@
+"""Tests of the role planner."""
+
+from itertools import repeat
+
+from hypothesis import settings, strategies
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from clementinedyke import role_types as types
+from clementinedyke.roles import RolePlanner
+from clementinedyke.route_types import Role
+
+_MODEL = 'm'
+
+
+def build_engines(*roles: Role, **fields) -> types.EnginesReported:
+    """Return a report of ready engines with the roles."""
+    return types.EnginesReported(
+        tuple(
+            types.PlannedEngine(f'e{number}', _MODEL, 1, role, **fields)
+            for number, role in enumerate(roles)
+        )
+    )
+
+
+def build_demand(
+    prompt: float, output: float, **fields
+) -> types.DemandReported:
+    """Return demand in tokens/s for the one model."""
+    demand = types.ModelDemand(_MODEL, prompt, output, **fields)
+    return types.DemandReported((demand,))
+
+
+def plan(
+    engines: types.EnginesReported, *demands: types.DemandReported
+) -> list[types.RoleOrder]:
+    """Return the orders of a new planner after steady demand."""
+    planner = RolePlanner(types.PlannerSettings())
+    planner.handle(engines, 0)
+    for second, demand in enumerate(demands):
+        planner.handle(demand, second * 1000)
+    return planner.handle(types.PlannerTicked(), len(demands) * 1000)
+
+
+class PlannerMachine(RuleBasedStateMachine):
+    """Random demand, reports, crashes and lost outcomes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.settings = types.PlannerSettings(max_changing_share=0.25)
+        self.planner = RolePlanner(self.settings)
+        self.now = 0
+        self.roles = [*repeat(Role.PREFILL, 5), *repeat(Role.DECODE, 4)]
+        self.down: set[int] = set()
+        self.open: dict[str, int] = {}
+        self.ordered: dict[str, int] = {}
+        self.report()
+
+    def report(self) -> None:
+        """Report the engines as they are."""
+        engines = tuple(
+            types.PlannedEngine(
+                f'e{number}',
+                _MODEL,
+                1,
+                role,
+                types.EngineState.DOWN
+                if number in self.down
+                else types.EngineState.READY,
+            )
+            for number, role in enumerate(self.roles)
+        )
+        self.planner.handle(types.EnginesReported(engines), self.now)
+
+    @rule(
+        prompt=strategies.integers(0, 80_000),
+        output=strategies.integers(0, 20_000),
+    )
+    def demand(self, prompt: int, output: int) -> None:
+        """Report demand and plan."""
+        self.now += 1000
+        self.planner.handle(build_demand(prompt, output), self.now)
+        limit = self.now - self.settings.change_timeout
+        self.open = {
+            name: since for name, since in self.open.items() if since >= limit
+        }
+        for order in self.planner.handle(types.PlannerTicked(), self.now):
+            assert order.engine_id not in self.open
+            assert int(order.engine_id[1:]) not in self.down
+            former = self.ordered.get(order.engine_id, -self.settings.dwell)
+            assert self.now - former >= self.settings.dwell
+            self.open[order.engine_id] = self.now
+            self.ordered[order.engine_id] = self.now
+
+    @rule(crashed=strategies.booleans(), known=strategies.booleans())
+    def end(self, crashed: bool, known: bool) -> None:
+        """End the oldest change well, by a crash, or without news."""
+        if not (self.open and known):
+            return
+        engine_id = min(self.open)
+        self.open.pop(engine_id)
+        number = int(engine_id[1:])
+        if crashed:
+            self.down.add(number)
+        else:
+            switched = {Role.PREFILL: Role.DECODE, Role.DECODE: Role.PREFILL}
+            self.roles[number] = switched[self.roles[number]]
+        self.planner.handle(types.ChangeEnded(engine_id), self.now)
+        self.report()
+
+    @rule()
+    def recover(self) -> None:
+        """Let crashed engines come back."""
+        self.down.clear()
+        self.report()
+
+    @rule(step=strategies.integers(1, 70_000))
+    def wait(self, step: int) -> None:
+        """Let time pass."""
+        self.now += step
+
+    @invariant()
+    def changes_are_bounded(self) -> None:
+        """At most a quarter of nine engines changes at once."""
+        assert self.planner.changing_count <= 2
+
+
+#: Guards against too many engines out of service and orders beside open ones.
+TestPlannerMachine = PlannerMachine.TestCase
+TestPlannerMachine.settings = settings(
+    max_examples=50, stateful_step_count=50, deadline=None
+)
+
+
+class TestRolePlanner:
+    """Guards against changes that cost more than they bring."""
+
+    def test_moves_engine_to_scarce_role(self) -> None:
+        """Prompts that pile up must get another engine."""
+        engines = build_engines(Role.PREFILL, *repeat(Role.DECODE, 4))
+        orders = plan(engines, *repeat(build_demand(14_000, 1500), 5))
+        assert orders == [types.ChangeRole('e1', Role.PREFILL)]
+
+    def test_enough_capacity_changes_nothing(self) -> None:
+        """An engine must not change for a gain that nobody notices."""
+        engines = build_engines(Role.PREFILL, *repeat(Role.DECODE, 4))
+        assert not plan(engines, *repeat(build_demand(6000, 200), 5))
+
+    def test_loss_outweighs_small_gain(self) -> None:
+        """The work lost during a change counts against it."""
+        engines = build_engines(Role.PREFILL, Role.PREFILL, Role.DECODE)
+        assert not plan(engines, *repeat(build_demand(15_000, 1750), 5))
+
+    def test_trend_moves_early(self) -> None:
+        """A rising demand is met before it overloads the role."""
+        engines = build_engines(Role.PREFILL, *repeat(Role.DECODE, 4))
+        rising = [build_demand(500 * step, 1500) for step in range(14)]
+        assert plan(engines, *rising)
+        assert not plan(engines, *repeat(rising[-1], 14))
+
+    def test_versions_roll_one_at_a_time(self) -> None:
+        """A new version must not empty the service."""
+        engines = build_engines(*repeat(Role.MIXED, 3))
+        orders = plan(engines, build_demand(100, 10, version=2))
+        assert orders == [types.LoadModel('e0', _MODEL, 2, Role.MIXED)]
+
+    def test_adapter_is_loaded_where_fewest_are(self) -> None:
+        """A wanted adapter must be somewhere, without a full engine first."""
+        engines = build_engines(Role.MIXED, Role.MIXED)
+        demand = build_demand(100, 10, adapters=frozenset('x'))
+        assert plan(engines, demand) == [types.LoadAdapter('e0', 'x')]
+
+    def test_weight_store_is_not_overrun(self) -> None:
+        """A second load waits until the store has served the first."""
+        planner = RolePlanner(types.PlannerSettings())
+        planner.handle(build_engines(*repeat(Role.MIXED, 3)), 0)
+        planner.handle(build_demand(100, 10, version=2), 0)
+        tick = types.PlannerTicked()
+        assert planner.handle(tick, 0)
+        planner.handle(types.ChangeEnded('e0'), 1000)
+        assert not planner.handle(tick, 1000)
+        assert planner.handle(tick, 30_000)
