Split the caller path into pipeline steps and bound connections

The handler mixed key check, routing and relay, and a caller that left or read slowly kept its request running. The server now has limits for headers, idle time, bodies, writes and connections, watches the caller while a request runs, and resets a connection whose answer is not whole. Dispatch tells the three stages of a failed try apart, so that only repeatable requests are tried again and none after its first answer byte.

--- a/src/clementinedyke/callers/__init__.py
+++ b/src/clementinedyke/callers/__init__.py
@@ -1,5 +1,28 @@
 """Callers: the chat protocol, plain services and refusals."""
 
+from clementinedyke.callers.context import (
+    RequestContext,
+    Route,
+    SelectedEndpoint,
+)
 from clementinedyke.callers.handler import CallerHandler
+from clementinedyke.callers.outcome import RequestOutcome, TokenUsage
+from clementinedyke.callers.steps import (
+    Admission,
+    DispatchLimits,
+    EndpointSelector,
+    HandlerOptions,
+)
 
-__all__ = ('CallerHandler',)
+__all__ = (
+    'Admission',
+    'CallerHandler',
+    'DispatchLimits',
+    'EndpointSelector',
+    'HandlerOptions',
+    'RequestContext',
+    'RequestOutcome',
+    'Route',
+    'SelectedEndpoint',
+    'TokenUsage',
+)
--- /dev/null
+++ b/src/clementinedyke/callers/context.py
@@ -0,0 +1,47 @@
+"""The state of one request on its way through the pipeline."""
+
+from dataclasses import dataclass
+
+from clementinedyke.callers.outcome import RequestOutcome
+from clementinedyke.http_client import HttpClient
+from clementinedyke.http_server import ResponseWriter, ServerRequest
+from clementinedyke.records import ServiceRecord
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Where a request goes and on whose behalf."""
+
+    service: ServiceRecord
+    customer: str | None
+    target: str
+
+    @property
+    def is_model(self) -> bool:
+        """Whether the endpoint is a model engine."""
+        return self.service.backend == 'model'
+
+
+@dataclass(frozen=True, slots=True)
+class RequestContext:
+    """A request that was authenticated, routed and validated."""
+
+    request: ServerRequest
+    response: ResponseWriter
+    route: Route
+    outcome: RequestOutcome
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether running the request twice does no harm."""
+        if not self.route.service.repeatable:
+            return False
+        return self.request.get_header(b'idempotency-key') is None
+
+
+@dataclass(frozen=True, slots=True)
+class SelectedEndpoint:
+    """An endpoint chosen for one try."""
+
+    name: str
+    client: HttpClient
--- /dev/null
+++ b/src/clementinedyke/callers/dispatch.py
@@ -0,0 +1,172 @@
+"""Sends a request to an endpoint, and to another where that is allowed."""
+
+import trio
+
+from clementinedyke.callers.context import RequestContext, SelectedEndpoint
+from clementinedyke.callers.outcome import Attempt
+from clementinedyke.callers.relay import AnswerRelay
+from clementinedyke.callers.steps import EndpointSelector, HandlerOptions
+from clementinedyke.callers.validation import strip_headers
+from clementinedyke.clock import Milliseconds
+from clementinedyke.codes import ResultCode
+from clementinedyke.exceptions import (
+    AnswerLostError,
+    PeerUnavailableError,
+    ProtocolError,
+)
+from clementinedyke.http_client import HttpRequest
+from clementinedyke.http_server import RequestError
+
+_MILLISECONDS_PER_SECOND = 1000
+
+
+class Dispatcher:
+    """Tries endpoints until one answers or the rules forbid another try.
+
+    A try fails in one of three stages: before anything was sent, before the
+    first answer byte was passed on, and after it. A request that may not be
+    repeated is tried again only in the first stage, and no request in the
+    last.
+    """
+
+    def __init__(
+        self, selector: EndpointSelector, options: HandlerOptions
+    ) -> None:
+        """Create the dispatcher.
+
+        :param selector: chooses the endpoint of each try.
+        :param options: limits, clock and retry budget.
+        """
+        self._selector = selector
+        self._options = options
+
+    async def run(self, context: RequestContext) -> None:
+        """Have a request answered.
+
+        :param context: request that may start.
+        :raises RequestError: if no endpoint answered.
+        """
+        timeout = self._options.limits.request_timeout
+        scope = _create_scope(timeout)
+        with scope:
+            await self._try_endpoints(context)
+        if scope.cancelled_caught:
+            raise RequestError(
+                ResultCode.ENDPOINT_TIMEOUT,
+                f'the answer was not whole within {timeout} ms',
+            )
+
+    async def _try_endpoints(self, context: RequestContext) -> None:
+        failure: RequestError | None = None
+        excluded: frozenset[str] = frozenset()
+        for _ in range(self._options.limits.max_tries):
+            endpoint = self._selector.select(context, excluded)
+            if endpoint is None:
+                break
+            latest = await self._attempt(context, endpoint)
+            if latest is None:
+                return
+            failure = _select_failure(failure, latest)
+            if not self._may_try_again(context, latest):
+                break
+            excluded |= {endpoint.name}
+        raise failure or RequestError(
+            ResultCode.NO_ENDPOINT,
+            f'service {context.route.service.name!r} has no endpoint',
+        )
+
+    def _may_try_again(
+        self, context: RequestContext, failure: RequestError
+    ) -> bool:
+        if context.response.is_started:
+            return False
+        is_unsent = failure.code is ResultCode.NO_ENDPOINT
+        if not is_unsent and not context.is_repeatable:
+            return False
+        return self._options.allow_retry(context)
+
+    async def _attempt(
+        self, context: RequestContext, endpoint: SelectedEndpoint
+    ) -> RequestError | None:
+        code: ResultCode | None = None
+        try:
+            await self._exchange(context, endpoint)
+        except RequestError as failure:
+            code = failure.code
+            return failure
+        else:
+            code = ResultCode.OK
+            return None
+        finally:
+            context.outcome.attempts.append(Attempt(endpoint.name, code))
+
+    async def _exchange(
+        self, context: RequestContext, endpoint: SelectedEndpoint
+    ) -> None:
+        timeout = self._options.limits.first_byte_timeout
+        scope = _create_scope(timeout)
+        with scope:
+            try:
+                await self._relay(context, endpoint, scope)
+            except PeerUnavailableError as error:
+                raise RequestError(
+                    ResultCode.NO_ENDPOINT, str(error)
+                ) from error
+            except (AnswerLostError, ProtocolError) as error:
+                raise RequestError(
+                    ResultCode.ANSWER_LOST, str(error)
+                ) from error
+        if scope.cancelled_caught:
+            raise RequestError(
+                ResultCode.ENDPOINT_TIMEOUT,
+                f'{endpoint.name}: no answer within {timeout} ms',
+            )
+
+    async def _relay(
+        self,
+        context: RequestContext,
+        endpoint: SelectedEndpoint,
+        scope: trio.CancelScope,
+    ) -> None:
+        def note_first_byte() -> None:  # noqa: WPS430
+            scope.deadline = float('inf')
+            context.outcome.first_byte_at = self._options.clock.get_now()
+
+        request = _compile_request(context)
+        async with endpoint.client.open_response(request) as answer:
+            relay = AnswerRelay(
+                context,
+                answer,
+                note_first_byte,
+                self._options.limits.max_held_bytes,
+            )
+            await relay.run()
+
+
+def _compile_request(context: RequestContext) -> HttpRequest:
+    request = context.request
+    request_id = context.outcome.request_id.encode()
+    headers = list(strip_headers(request.headers))
+    if context.route.is_model:
+        # A compressed answer would hide its token usage.
+        headers = [pair for pair in headers if pair[0] != b'accept-encoding']
+    return HttpRequest(
+        method=request.method,
+        target=context.route.target,
+        headers=[*headers, (b'Clementinedyke-Request-Id', request_id)],
+        body=request.body,
+    )
+
+
+def _select_failure(
+    earlier: RequestError | None, latest: RequestError
+) -> RequestError:
+    """Return the failure to tell: one that ran somewhere is never "not run"."""
+    if earlier is None or earlier.code is ResultCode.NO_ENDPOINT:
+        return latest
+    return earlier
+
+
+def _create_scope(timeout: Milliseconds) -> trio.CancelScope:
+    seconds = timeout / _MILLISECONDS_PER_SECOND
+    return trio.CancelScope(deadline=trio.current_time() + seconds)
--- /dev/null
+++ b/src/clementinedyke/callers/outcome.py
@@ -0,0 +1,77 @@
+"""What is known about a request when it has ended."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.codes import ResultCode
+from clementinedyke.http_server import create_request_id
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """One try at an endpoint; the code is None if the caller left."""
+
+    endpoint: str
+    code: ResultCode | None
+
+
+@dataclass(slots=True)
+class RequestOutcome:
+    """Record of one request, filled while it runs.
+
+    Instants are on the daemon's own clock. The code is None while the request
+    runs, and stays None if the caller left before the end.
+    """
+
+    received_at: Milliseconds
+    request_id: str = field(default_factory=create_request_id)
+    customer: str | None = None
+    service: str | None = None
+    code: ResultCode | None = None
+    status: int | None = None
+    attempts: list[Attempt] = field(default_factory=list)
+    first_byte_at: Milliseconds | None = None
+    ended_at: Milliseconds | None = None
+    chunks: int = 0
+    body_bytes: int = 0
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+
+    @property
+    def endpoint(self) -> str | None:
+        """Endpoint of the last try."""
+        return self.attempts[-1].endpoint if self.attempts else None
+
+    @property
+    def tries(self) -> int:
+        """Number of endpoints that were tried."""
+        return len(self.attempts)
+
+
+@dataclass(frozen=True, slots=True)
+class TokenUsage:
+    """Tokens of one request, for usage accounting."""
+
+    customer: str
+    service: str
+    prompt_tokens: int
+    completion_tokens: int
+
+
+OutcomeObserver = Callable[[RequestOutcome], None]
+UsageObserver = Callable[[TokenUsage], None]
+
+
+def ignore_outcome(outcome: RequestOutcome) -> None:
+    """Do nothing; the observer of a handler without metrics.
+
+    :param outcome: record of an ended request.
+    """
+
+
+def ignore_usage(usage: TokenUsage) -> None:
+    """Do nothing; the observer of a handler without accounting.
+
+    :param usage: tokens of an ended request.
+    """
--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -5,7 +5,7 @@
 import trio
 
 from clementinedyke.application import Application
-from clementinedyke.callers import CallerHandler
+from clementinedyke.callers import CallerHandler, DispatchLimits
 from clementinedyke.components import Component
 from clementinedyke.configuration import ConfigurationComponent
 from clementinedyke.endpoints.registry import EndpointRegistry
@@ -14,6 +14,8 @@
 from clementinedyke.platform.tables import TableClient
 from clementinedyke.settings import Settings
 
+_DRAIN_SECONDS = DispatchLimits().request_timeout / 1000
+
 
 class CallerPort(Component):
     """Serves callers on the daemon's caller port."""
@@ -42,6 +44,11 @@
         serve = partial(self._server.serve, settings.host, settings.port)
         self._bound = await nursery.start(serve)
 
+    async def drain(self) -> None:
+        """Finish the running requests, within the time one may take."""
+        with trio.move_on_after(_DRAIN_SECONDS):
+            await self._server.drain()
+
 
 class Daemon:
     """The components of an entry daemon and the application that runs them."""
--- a/src/clementinedyke/http_client.py
+++ b/src/clementinedyke/http_client.py
@@ -25,6 +25,11 @@
 _MAX_IDLE_CONNECTIONS = 64
 _MILLISECONDS_PER_SECOND = 1000
 _CONNECT_TIMEOUT: Milliseconds = 1000
+_LOST = (
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+    h11.RemoteProtocolError,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,15 +81,25 @@
     protocol: h11.Connection = field(
         default_factory=lambda: h11.Connection(h11.CLIENT)
     )
-    requests: int = 0
+    is_ended: bool = False
 
     async def receive_event(self) -> h11.Event:
         while True:
             event = self.protocol.next_event()
             if event is not h11.NEED_DATA:
                 return event  # type: ignore[return-value]
-            received = await self.stream.receive_some(_READ_SIZE)
-            self.protocol.receive_data(bytes(received))
+            await self._fill()
+
+    async def receive_data(self) -> list[bytes]:
+        """Return all body chunks received so far, at least one.
+
+        An empty list is the end of the body.
+        """
+        parts = [] if self.is_ended else self._take_data()
+        while not parts and not self.is_ended:
+            await self._fill()
+            parts = self._take_data()
+        return parts
 
     async def send(self, request: HttpRequest, authority: str) -> None:
         headers = [
@@ -99,9 +114,25 @@
         if request.body:
             parts.append(self.protocol.send(h11.Data(data=request.body)))
         parts.append(self.protocol.send(h11.EndOfMessage()))
-        self.requests += 1
+        self.is_ended = False
         await self.stream.send_all(b''.join(part or b'' for part in parts))
 
+    def _take_data(self) -> list[bytes]:
+        parts: list[bytes] = []
+        while True:
+            event = self.protocol.next_event()
+            if isinstance(event, h11.Data):
+                parts.append(event.data)
+                continue
+            self.is_ended = isinstance(event, h11.EndOfMessage)
+            if isinstance(event, h11.ConnectionClosed) and not parts:
+                raise trio.BrokenResourceError('closed in a response')
+            return parts
+
+    async def _fill(self) -> None:
+        received = await self.stream.receive_some(_READ_SIZE)
+        self.protocol.receive_data(bytes(received))
+
 
 class ResponseStream:
     """A response whose head has arrived and whose body is still read."""
@@ -110,6 +141,8 @@
         """Create the stream; called by :class:`HttpClient` only."""
         self._head = head
         self._connection = connection
+        #: Number of body chunks received so far, as the peer sent them.
+        self.chunk_count = 0
 
     @property
     def status(self) -> int:
@@ -121,17 +154,31 @@
         """Header names in lower case and their values."""
         return list(self._head.headers)
 
+    async def receive_available(self) -> bytes:
+        """Return all body bytes that have arrived; empty at the end.
+
+        Waits for at least one byte. Chunks that are already received come as
+        one value, so that a relay writes them at once.
+
+        :raises AnswerLostError: if the connection breaks before the end.
+        """
+        try:
+            parts = await self._connection.receive_data()
+        except _LOST as error:
+            raise AnswerLostError(f'connection lost: {error}') from error
+        self.chunk_count += len(parts)
+        return b''.join(parts)
+
     async def receive_chunks(self) -> AsyncIterator[bytes]:
         """Yield the body in parts as they arrive.
 
         :raises AnswerLostError: if the connection breaks before the end.
         """
         while True:
-            event = await _receive_or_lose(self._connection)
-            if isinstance(event, h11.EndOfMessage):
+            received = await self.receive_available()
+            if not received:
                 return
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
+            yield received
 
     async def receive_body(self) -> bytes:
         """Return the rest of the body.
@@ -244,26 +291,39 @@
     async def _connect(self) -> trio.abc.Stream:
         try:
             with trio.fail_after(_CONNECT_TIMEOUT / _MILLISECONDS_PER_SECOND):
-                stream = await trio.open_tcp_stream(
-                    self._address.host, self._address.port
-                )
-        except (OSError, trio.TooSlowError) as error:
+                return await self._open_stream()
+        except (OSError, trio.TooSlowError, trio.BrokenResourceError) as error:
             raise PeerUnavailableError(
                 f'{self._address} cannot be reached: {error}'
             ) from error
+
+    async def _open_stream(self) -> trio.abc.Stream:
+        transport = await trio.open_tcp_stream(
+            self._address.host, self._address.port
+        )
         if self._ssl_context is None:
-            return stream
-        return trio.SSLStream(
-            stream,
+            return transport
+        stream = trio.SSLStream(
+            transport,
             self._ssl_context,
             server_hostname=self._address.host,
             https_compatible=True,
         )
+        # The handshake belongs to connecting: if it fails, nothing was sent.
+        try:
+            await stream.do_handshake()
+        except BaseException:
+            await trio.aclose_forcefully(transport)
+            raise
+        return stream
 
     async def _put_back(self, connection: _Connection) -> None:
         protocol = connection.protocol
+        # Bytes after the response would be taken as the next response.
         finished = (
-            protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
+            protocol.our_state is h11.DONE
+            and protocol.their_state is h11.DONE
+            and not protocol.trailing_data[0]
         )
         if finished and len(self._idle) < _MAX_IDLE_CONNECTIONS:
             protocol.start_next_cycle()
@@ -275,11 +335,7 @@
 async def _receive_or_lose(connection: _Connection) -> h11.Event:
     try:
         event = await connection.receive_event()
-    except (
-        trio.BrokenResourceError,
-        trio.ClosedResourceError,
-        h11.RemoteProtocolError,
-    ) as error:
+    except _LOST as error:
         raise AnswerLostError(f'connection lost: {error}') from error
     if isinstance(event, h11.ConnectionClosed):
         raise AnswerLostError('connection closed before the response ended')
@@ -293,6 +349,8 @@
     one with an unknown outcome although nothing ran.
     """
     stream = connection.stream
+    if isinstance(stream, trio.SSLStream):
+        stream = stream.transport_stream
     if not isinstance(stream, trio.SocketStream):
         return True
     try:
--- /dev/null
+++ b/src/clementinedyke/http_connection.py
@@ -0,0 +1,257 @@
+"""One connection of the HTTP server: reads, answers and watches a caller."""
+
+import socket
+import struct
+from collections.abc import Callable
+
+import h11
+import trio
+from absl import logging
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.codes import ResultCode
+from clementinedyke.http_message import (
+    ConnectionLimits,
+    RequestError,
+    RequestHandler,
+    ResponseWriter,
+    ServerRequest,
+    write_error,
+)
+from clementinedyke.http_reader import RequestReader
+
+_READ_SIZE = 65536
+_MILLISECONDS_PER_SECOND = 1000
+#: Longest time that a refused caller's remaining bytes are read.
+_LINGER_SECONDS = 1
+_CLOSE_POLL_SECONDS = 0.25
+#: States CLOSE and CLOSE_WAIT of the kernel's struct tcp_info.
+_CLOSED_STATES = frozenset((7, 8))
+_BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError)
+
+
+class ServerConnection:
+    """Serves the requests of one connection in their order."""
+
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        limits: ConnectionLimits,
+        is_draining: Callable[[], bool],
+    ) -> None:
+        """Create the connection.
+
+        :param stream: accepted connection, with TLS if the server has it.
+        :param limits: limits of the server.
+        :param is_draining: whether the server finishes its last requests.
+        """
+        self._stream = stream
+        self._limits = limits
+        self._is_draining = is_draining
+        self._protocol = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
+        )
+        self._reader = RequestReader(self._protocol, stream, limits, self._send)
+        self._scope = trio.CancelScope()
+        self._sending_since: float | None = None
+        self._is_refused = False
+        self._has_left = False
+
+    @property
+    def customer(self) -> str | None:
+        """Customer of the last request, as noted by the handler."""
+        return self._reader.customer
+
+    async def run(self, handler: RequestHandler) -> None:
+        """Serve requests until the connection ends.
+
+        :param handler: coroutine that answers a request.
+        """
+        with self._scope:
+            try:
+                await self._serve(handler)
+            except _BROKEN:
+                logging.debug('event=connection_lost')
+            finally:
+                await self._close()
+
+    async def refuse(self, error: RequestError) -> None:
+        """Answer the connection with one refusal and close it.
+
+        :param error: why the connection is not served.
+        """
+        with trio.move_on_after(_LINGER_SECONDS):
+            try:
+                await self._refuse(error)
+            except _BROKEN:
+                logging.debug('event=connection_lost')
+        await self._close()
+
+    def close_if_idle(self) -> None:
+        """Close the connection if it waits for the next request."""
+        self._reader.stop_waiting()
+
+    def close_if_stuck(self, now: float) -> None:
+        """Close the connection if a write takes too long.
+
+        :param now: trio time in seconds.
+        """
+        started = self._sending_since
+        if started is None:
+            return
+        if now - started > _seconds(self._limits.write_timeout):
+            self._scope.cancel()
+
+    async def _serve(self, handler: RequestHandler) -> None:
+        is_next = True
+        while is_next:
+            try:
+                request = await self._reader.receive_request()
+            except RequestError as error:
+                await self._refuse(error)
+                return
+            if request is None:
+                return
+            await self._respond(handler, request)
+            is_next = self._prepare_next()
+
+    async def _respond(
+        self, handler: RequestHandler, request: ServerRequest
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_caller, nursery.cancel_scope)
+            await self._run_handler(handler, request)
+            nursery.cancel_scope.cancel()
+
+    async def _run_handler(
+        self, handler: RequestHandler, request: ServerRequest
+    ) -> None:
+        response = self._create_writer()
+        try:
+            await handler(request, response)
+        except _BROKEN:
+            logging.debug('event=connection_lost')
+        except RequestError as error:
+            if not response.is_started:
+                await self._refuse(error)
+        except Exception:
+            logging.exception('event=handler_failed path=%s', request.path)
+            if not response.is_started:
+                failure = RequestError(
+                    ResultCode.INTERNAL_ERROR, 'the request failed'
+                )
+                await self._refuse(failure)
+
+    async def _watch_caller(self, scope: trio.CancelScope) -> None:
+        """Cancel the handler when the caller closes the connection.
+
+        Reads ahead, so that a close behind a pipelined request is seen. Once
+        the buffer is full, reading stops and the socket's state is polled.
+        """
+        buffered = len(self._protocol.trailing_data[0])
+        while buffered < self._limits.max_pipelined_bytes:
+            received = await _receive_or_close(self._stream)
+            if not received:
+                self._has_left = True
+                scope.cancel()
+                return
+            self._protocol.receive_data(received)
+            buffered += len(received)
+        while not _is_closed_by_peer(self._stream):
+            await trio.sleep(_CLOSE_POLL_SECONDS)
+        self._has_left = True
+        scope.cancel()
+
+    def _prepare_next(self) -> bool:
+        if self._has_left or self._is_refused or self._is_draining():
+            return False
+        if self._protocol.our_state is not h11.DONE:
+            return False
+        if self._protocol.their_state is not h11.DONE:
+            return False
+        self._protocol.start_next_cycle()
+        return True
+
+    async def _refuse(self, error: RequestError) -> None:
+        self._is_refused = True
+        if self._protocol.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
+            await write_error(self._create_writer(), error)
+
+    def _create_writer(self) -> ResponseWriter:
+        return ResponseWriter(
+            self._protocol,
+            self._send,
+            lambda: self._is_refused or self._is_draining(),
+        )
+
+    async def _send(self, payload: bytes) -> None:
+        self._sending_since = trio.current_time()
+        await self._stream.send_all(payload)
+        self._sending_since = None
+
+    async def _close(self) -> None:
+        """Close so that the caller can tell a whole answer from a broken one.
+
+        A response without its end is reset: a caller that reads until the
+        connection closes would otherwise take it as whole.
+        """
+        transport = _get_transport(self._stream)
+        is_broken = self._protocol.our_state in {h11.SEND_BODY, h11.ERROR}
+        try:
+            if is_broken or self._sending_since is not None:
+                _set_reset_on_close(transport)
+            elif not self._has_left:
+                await _linger(transport, self._limits.max_body_bytes)
+        finally:
+            await trio.aclose_forcefully(self._stream)
+
+
+async def _linger(transport: trio.SocketStream, max_bytes: int) -> None:
+    """Read what the caller still sends before the socket is closed.
+
+    Closing with unread bytes makes the kernel reset the connection, and the
+    caller might lose the response that it has not read yet.
+    """
+    remaining = max_bytes
+    with trio.move_on_after(_LINGER_SECONDS):
+        try:
+            await transport.send_eof()
+        except _BROKEN:
+            return
+        while remaining > 0:
+            received = await _receive_or_close(transport)
+            remaining -= len(received) or remaining
+
+
+async def _receive_or_close(stream: trio.abc.Stream) -> bytes:
+    try:
+        return bytes(await stream.receive_some(_READ_SIZE))
+    except _BROKEN:
+        return b''
+
+
+def _get_transport(stream: trio.abc.Stream) -> trio.SocketStream:
+    if isinstance(stream, trio.SSLStream):
+        return _get_transport(stream.transport_stream)
+    if isinstance(stream, trio.SocketStream):
+        return stream
+    raise TypeError(f'{type(stream).__name__} is not a TCP connection')
+
+
+def _set_reset_on_close(transport: trio.SocketStream) -> None:
+    try:
+        transport.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+    except trio.ClosedResourceError:
+        return
+
+
+def _is_closed_by_peer(stream: trio.abc.Stream) -> bool:
+    transport = _get_transport(stream)
+    state = transport.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    return bytes(state)[0] in _CLOSED_STATES
+
+
+def _seconds(duration: Milliseconds) -> float:
+    return duration / _MILLISECONDS_PER_SECOND
--- /dev/null
+++ b/src/clementinedyke/http_reader.py
@@ -0,0 +1,190 @@
+"""Reads the requests of one connection of the HTTP server."""
+
+import re
+from collections.abc import Awaitable, Callable
+
+import h11
+import trio
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.codes import ResultCode, get_details
+from clementinedyke.http_message import (
+    ConnectionInfo,
+    ConnectionLimits,
+    RequestError,
+    ServerRequest,
+)
+
+_READ_SIZE = 65536
+_MILLISECONDS_PER_SECOND = 1000
+_BARE_LINE_FEED = re.compile(rb'(?<!\r)\n')
+_HEAD_END = b'\r\n\r\n'
+
+
+class RequestReader:
+    """Receives requests within the limits of the server."""
+
+    def __init__(
+        self,
+        protocol: h11.Connection,
+        stream: trio.abc.Stream,
+        limits: ConnectionLimits,
+        send: Callable[[bytes], Awaitable[None]],
+    ) -> None:
+        """Create the reader.
+
+        :param protocol: state of the connection.
+        :param stream: connection to read from.
+        :param limits: limits of the server.
+        :param send: writes bytes to the caller.
+        """
+        self._protocol = protocol
+        self._stream = stream
+        self._limits = limits
+        self._send = send
+        self._info = ConnectionInfo()
+        self._idle_scope: trio.CancelScope | None = None
+
+    @property
+    def customer(self) -> str | None:
+        """Customer of the last request, as noted by the handler."""
+        return self._info.customer
+
+    def stop_waiting(self) -> None:
+        """Receive no further request if none has begun."""
+        if self._idle_scope is not None:
+            self._idle_scope.cancel()
+
+    async def receive_request(self) -> ServerRequest | None:
+        """Return the next request, or None if the caller sends no more.
+
+        :raises RequestError: if the request is refused; the connection cannot
+            be read any further.
+        """
+        head = await self._receive_head()
+        if head is None:
+            return None
+        _check_framing(head, self._limits.max_body_bytes)
+        with trio.move_on_after(_seconds(self._limits.receive_timeout)):
+            body = await self._receive_body()
+            path, _, query = head.target.decode('latin-1').partition('?')
+            return ServerRequest(
+                method=head.method.decode('ascii'),
+                path=path,
+                query=query,
+                headers=list(head.headers),
+                body=body,
+                connection=self._info,
+            )
+        raise RequestError(
+            ResultCode.REQUEST_TIMEOUT,
+            f'body not received within {self._limits.receive_timeout} ms',
+        )
+
+    async def _receive_head(self) -> h11.Request | None:
+        if not self._protocol.trailing_data[0]:
+            if not await self._wait_for_request():
+                return None
+        with trio.move_on_after(_seconds(self._limits.header_timeout)):
+            event = await self._receive_event(is_head=True)
+            return event if isinstance(event, h11.Request) else None
+        raise RequestError(
+            ResultCode.REQUEST_TIMEOUT,
+            f'headers not received within {self._limits.header_timeout} ms',
+        )
+
+    async def _wait_for_request(self) -> bool:
+        """Wait for the first byte of a request."""
+        timeout = _seconds(self._limits.idle_timeout)
+        scope = trio.CancelScope(deadline=trio.current_time() + timeout)
+        self._idle_scope = scope
+        with scope:
+            await self._fill()
+        self._idle_scope = None
+        return not scope.cancelled_caught
+
+    async def _receive_body(self) -> bytes:
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = await self._receive_event()
+            if isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+                size += len(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return b''.join(parts)
+            else:
+                raise trio.BrokenResourceError('connection closed in a body')
+            if size > self._limits.max_body_bytes:
+                raise _compile_size_error(self._limits.max_body_bytes)
+
+    async def _receive_event(self, *, is_head: bool = False) -> h11.Event:
+        while True:
+            if is_head:
+                _check_lines(self._protocol.trailing_data[0])
+            try:
+                event = self._protocol.next_event()
+            except h11.RemoteProtocolError as error:
+                raise _translate(error) from error
+            if event is not h11.NEED_DATA:
+                return event  # type: ignore[return-value]
+            await self._answer_expectation()
+            await self._fill()
+
+    async def _fill(self) -> None:
+        received = await self._stream.receive_some(_READ_SIZE)
+        self._protocol.receive_data(bytes(received))
+
+    async def _answer_expectation(self) -> None:
+        if self._protocol.they_are_waiting_for_100_continue:
+            payload = self._protocol.send(
+                h11.InformationalResponse(status_code=100, headers=[])
+            )
+            await self._send(payload or b'')
+
+
+def _check_lines(received: bytes) -> None:
+    """Refuse header lines that end in a bare line feed.
+
+    A balancer that reads such a line differently could see another request.
+    """
+    head, _, _ = received.partition(_HEAD_END)
+    if _BARE_LINE_FEED.search(head):
+        raise RequestError(
+            ResultCode.REQUEST_MALFORMED, 'a header line ends without CR LF'
+        )
+
+
+def _check_framing(head: h11.Request, max_body_bytes: int) -> None:
+    """Refuse ambiguous body lengths and bodies that are too large."""
+    framing = dict(head.headers)
+    length = framing.get(b'content-length')
+    is_chunked = b'transfer-encoding' in framing
+    if is_chunked and length is not None:
+        raise RequestError(
+            ResultCode.REQUEST_MALFORMED,
+            'both Transfer-Encoding and Content-Length are given',
+        )
+    if is_chunked and head.http_version < b'1.1':
+        raise RequestError(
+            ResultCode.REQUEST_MALFORMED, 'HTTP/1.0 has no Transfer-Encoding'
+        )
+    if length is not None and int(length) > max_body_bytes:
+        raise _compile_size_error(max_body_bytes)
+
+
+def _compile_size_error(max_body_bytes: int) -> RequestError:
+    return RequestError(
+        ResultCode.BODY_TOO_LARGE, f'body is over {max_body_bytes} bytes'
+    )
+
+
+def _translate(error: h11.RemoteProtocolError) -> RequestError:
+    status = error.error_status_hint
+    if status == get_details(ResultCode.HEADERS_TOO_LARGE).status:
+        return RequestError(ResultCode.HEADERS_TOO_LARGE, str(error))
+    return RequestError(ResultCode.REQUEST_MALFORMED, str(error))
+
+
+def _seconds(duration: Milliseconds) -> float:
+    return duration / _MILLISECONDS_PER_SECOND
--- a/src/clementinedyke/http_server.py
+++ b/src/clementinedyke/http_server.py
@@ -1,169 +1,46 @@
 """HTTP/1.1 server on trio and h11."""
 
-import json
-from collections.abc import Awaitable, Callable, Mapping
-from dataclasses import dataclass
+from functools import partial
 from ssl import SSLContext
-from typing import Any, Protocol
 
-import h11
 import trio
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.codes import ResultCode, get_details
-from clementinedyke.http_client import Headers
+from clementinedyke.codes import ResultCode
+from clementinedyke.http_connection import ServerConnection
+from clementinedyke.http_message import (
+    ConnectionInfo,
+    ConnectionLimits,
+    RequestError,
+    RequestHandler,
+    ResponseWriter,
+    ServerRequest,
+    compile_error_body,
+    compile_result_headers,
+    create_request_id,
+    write_error,
+)
+
+__all__ = (
+    'ConnectionInfo',
+    'ConnectionLimits',
+    'HttpServer',
+    'RequestError',
+    'RequestHandler',
+    'ResponseWriter',
+    'ServerRequest',
+    'compile_error_body',
+    'compile_result_headers',
+    'create_request_id',
+    'write_error',
+)
 
-_READ_SIZE = 65536
 _MILLISECONDS_PER_SECOND = 1000
-_JSON_TYPE = (b'Content-Type', b'application/json')
-
-
-@dataclass(frozen=True, slots=True)
-class ConnectionLimits:
-    """Limits of one connection; sizes in bytes, times in milliseconds."""
-
-    max_header_bytes: int = 32768
-    max_body_bytes: int = 8388608
-    idle_timeout: Milliseconds = 75000
-    receive_timeout: Milliseconds = 15000
-
-
-class RequestError(Exception):
-    """A request that cannot be read; carries its result code."""
-
-    def __init__(self, code: ResultCode, message: str) -> None:
-        """Create the error.
-
-        :param code: numbered result code.
-        :param message: text for the caller.
-        """
-        super().__init__(message)
-        self.code = code
-
-
-@dataclass(frozen=True, slots=True)
-class ServerRequest:
-    """A received request with its whole body."""
-
-    method: str
-    path: str
-    query: str
-    headers: Headers
-    body: bytes
-
-    def get_header(self, name: bytes) -> str | None:
-        """Return the first value of a header, or None.
-
-        :param name: header name in lower case.
-        """
-        for key, content in self.headers:
-            if key == name:
-                return content.decode('latin-1')
-        return None
-
-
-class ResponseWriter:
-    """Writes one response; headers first, then body chunks."""
-
-    def __init__(
-        self, protocol: h11.Connection, stream: trio.abc.Stream
-    ) -> None:
-        """Create the writer; called by :class:`HttpServer` only."""
-        self._protocol = protocol
-        self._stream = stream
-
-    @property
-    def is_started(self) -> bool:
-        """Whether a response head was written."""
-        return self._protocol.our_state is not h11.SEND_RESPONSE
-
-    async def send_head(self, status: int, headers: Headers) -> None:
-        """Write the status line and headers.
-
-        :param status: HTTP status code.
-        :param headers: header names and values.
-        """
-        await self._send(
-            h11.Response(status_code=status, headers=list(headers))
-        )
-
-    async def send_chunk(self, body: bytes) -> None:
-        """Write a part of the body.
-
-        :param body: bytes as they go to the caller.
-        """
-        await self._send(h11.Data(data=body))
-
-    async def end(self) -> None:
-        """Finish the response."""
-        await self._send(h11.EndOfMessage())
-
-    async def send_whole(
-        self, status: int, headers: Headers, body: bytes
-    ) -> None:
-        """Write a response with its whole body.
-
-        :param status: HTTP status code.
-        :param headers: headers without Content-Length.
-        :param body: whole body.
-        """
-        length = (b'Content-Length', str(len(body)).encode())
-        await self.send_head(status, [*headers, length])
-        if body:
-            await self.send_chunk(body)
-        await self.end()
-
-    async def send_json(
-        self, status: int, content: Any, headers: Headers = ()
-    ) -> None:
-        """Write a JSON response.
-
-        :param status: HTTP status code.
-        :param content: JSON-serialisable object.
-        :param headers: additional headers.
-        """
-        body = json.dumps(content).encode()
-        await self.send_whole(status, [_JSON_TYPE, *headers], body)
-
-    async def _send(self, event: h11.Event) -> None:
-        payload = self._protocol.send(event)
-        if payload:
-            await self._stream.send_all(payload)
-
-
-RequestHandler = Callable[[ServerRequest, ResponseWriter], Awaitable[None]]
-
-
-class ErrorWriter(Protocol):
-    """Writes the refusal of a request that could not be read."""
-
-    async def __call__(
-        self, response: ResponseWriter, error: RequestError
-    ) -> None:
-        """Write a whole response for the error."""
-
-
-def compile_error_body(code: ResultCode, message: str) -> Mapping[str, Any]:
-    """Return the JSON object of a refusal.
-
-    :param code: numbered result code.
-    :param message: text for the caller.
-    """
-    execution = get_details(code).execution.value
-    return {'error': {'message': message, 'type': execution, 'code': int(code)}}
-
-
-async def write_error(response: ResponseWriter, error: RequestError) -> None:
-    """Write the refusal of a request.
-
-    :param response: writer whose head was not sent yet.
-    :param error: what is wrong with the request.
-    """
-    await response.send_json(
-        get_details(error.code).status,
-        compile_error_body(error.code, str(error)),
-        [(b'Clementinedyke-Result', str(int(error.code)).encode())],
-    )
+#: The check for stuck writes runs so often within one write timeout.
+_CHECKS_PER_TIMEOUT = 4
+#: Refusals in progress; connections beyond are closed without an answer.
+_MAX_REFUSALS = 64
+_REFUSED_RETRY_AFTER: Milliseconds = 1000
 
 
 class HttpServer:
@@ -178,12 +55,31 @@
         """Create a server.
 
         :param handler: coroutine that answers a request.
-        :param limits: limits of a connection.
+        :param limits: limits of the connections.
         :param ssl_context: serves TLS when given.
         """
         self._handler = handler
         self._limits = limits or ConnectionLimits()
         self._ssl_context = ssl_context
+        self._connections: set[ServerConnection] = set()
+        self._refusals = 0
+        self._is_draining = False
+        self._accept_scopes: list[trio.CancelScope] = []
+        self._became_empty = trio.Event()
+
+    @property
+    def connection_count(self) -> int:
+        """Number of connections that are served."""
+        return len(self._connections)
+
+    def count_connections(self, customer: str) -> int:
+        """Return the number of connections that a customer holds.
+
+        :param customer: name that the handler noted on the connections.
+        """
+        return sum(
+            connection.customer == customer for connection in self._connections
+        )
 
     async def serve(
         self,
@@ -192,7 +88,7 @@
         *,
         task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Accept connections until cancelled.
+        """Accept connections until cancelled or drained.
 
         :param host: IP number to bind.
         :param port: TCP port, 0 for a free one.
@@ -201,136 +97,88 @@
         listeners = await trio.open_tcp_listeners(port, host=host)
         bound = int(listeners[0].socket.getsockname()[1])
         task_status.started(bound)
-        await trio.serve_listeners(self.serve_stream, listeners)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._check_writes)
+            accept = partial(
+                trio.serve_listeners,
+                self.serve_stream,
+                listeners,
+                handler_nursery=nursery,
+            )
+            with trio.CancelScope() as scope:
+                self._accept_scopes.append(scope)
+                await accept()
+            await self._became_empty.wait()
+            nursery.cancel_scope.cancel()
 
     async def serve_stream(self, transport: trio.SocketStream) -> None:
         """Serve one connection until it ends.
 
         :param transport: accepted connection.
         """
-        stream: trio.abc.Stream = transport
-        if self._ssl_context is not None:
-            stream = trio.SSLStream(
-                transport,
-                self._ssl_context,
-                server_side=True,
-                https_compatible=True,
-            )
-        connection = _ServerConnection(stream, self._limits)
+        connection = ServerConnection(
+            self._wrap(transport), self._limits, lambda: self._is_draining
+        )
+        if len(self._connections) >= self._limits.max_connections:
+            await self._refuse(connection, transport)
+            return
+        self._connections.add(connection)
         try:
             await connection.run(self._handler)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return
         finally:
-            await trio.aclose_forcefully(stream)
+            self._connections.discard(connection)
+            self._note_if_empty()
 
+    async def drain(self) -> None:
+        """Stop accepting, finish running requests and close connections.
 
-class _ServerConnection:
-    def __init__(
-        self, stream: trio.abc.Stream, limits: ConnectionLimits
-    ) -> None:
-        self._stream = stream
-        self._limits = limits
-        self._protocol = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
+        Idle connections are closed at once; each running response says
+        ``Connection: close``. Returns when no connection is left; the caller
+        bounds the time.
+        """
+        self._is_draining = True
+        for scope in self._accept_scopes:
+            scope.cancel()
+        for connection in tuple(self._connections):
+            connection.close_if_idle()
+        self._note_if_empty()
+        await self._became_empty.wait()
+
+    def _wrap(self, transport: trio.SocketStream) -> trio.abc.Stream:
+        if self._ssl_context is None:
+            return transport
+        return trio.SSLStream(
+            transport,
+            self._ssl_context,
+            server_side=True,
+            https_compatible=True,
         )
 
-    async def run(self, handler: RequestHandler) -> None:
-        while True:
-            try:
-                request = await self._receive_request()
-            except RequestError as error:
-                await self._refuse(error)
-                return
-            if request is None:
-                return
-            response = ResponseWriter(self._protocol, self._stream)
-            await handler(request, response)
-            if not self._prepare_next():
-                return
-
-    def _prepare_next(self) -> bool:
-        if self._protocol.our_state is not h11.DONE:
-            return False
-        if self._protocol.their_state is not h11.DONE:
-            return False
-        self._protocol.start_next_cycle()
-        return True
-
-    async def _refuse(self, error: RequestError) -> None:
-        if self._protocol.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
-            writer = ResponseWriter(self._protocol, self._stream)
-            await write_error(writer, error)
-
-    async def _receive_request(self) -> ServerRequest | None:
-        head = await self._receive_head()
-        if head is None:
-            return None
-        with trio.move_on_after(_seconds(self._limits.receive_timeout)):
-            body = await self._receive_body()
-            path, _, query = head.target.decode('latin-1').partition('?')
-            return ServerRequest(
-                method=head.method.decode('ascii'),
-                path=path,
-                query=query,
-                headers=list(head.headers),
-                body=body,
-            )
-        raise RequestError(
-            ResultCode.REQUEST_TIMEOUT,
-            f'body not received within {self._limits.receive_timeout} ms',
+    async def _refuse(
+        self, connection: ServerConnection, transport: trio.SocketStream
+    ) -> None:
+        if self._refusals >= _MAX_REFUSALS:
+            await trio.aclose_forcefully(transport)
+            return
+        self._refusals += 1
+        error = RequestError(
+            ResultCode.CONNECTION_LIMIT,
+            f'more than {self._limits.max_connections} connections',
+            retry_after=_REFUSED_RETRY_AFTER,
         )
+        try:
+            await connection.refuse(error)
+        finally:
+            self._refusals -= 1
 
-    async def _receive_head(self) -> h11.Request | None:
-        with trio.move_on_after(_seconds(self._limits.idle_timeout)):
-            event = await self._receive_event()
-            return event if isinstance(event, h11.Request) else None
-        return None
+    def _note_if_empty(self) -> None:
+        if self._is_draining and not self._connections:
+            self._became_empty.set()
 
-    async def _receive_body(self) -> bytes:
-        parts: list[bytes] = []
-        size = 0
+    async def _check_writes(self) -> None:
+        interval = self._limits.write_timeout / _CHECKS_PER_TIMEOUT
         while True:
-            event = await self._receive_event()
-            if isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-                size += len(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return b''.join(parts)
-            else:
-                raise trio.BrokenResourceError('connection closed in a body')
-            if size > self._limits.max_body_bytes:
-                raise RequestError(
-                    ResultCode.BODY_TOO_LARGE,
-                    f'body is over {self._limits.max_body_bytes} bytes',
-                )
-
-    async def _receive_event(self) -> h11.Event:
-        while True:
-            try:
-                event = self._protocol.next_event()
-            except h11.RemoteProtocolError as error:
-                raise _translate(error) from error
-            if event is not h11.NEED_DATA:
-                return event  # type: ignore[return-value]
-            await self._answer_expectation()
-            received = await self._stream.receive_some(_READ_SIZE)
-            self._protocol.receive_data(bytes(received))
-
-    async def _answer_expectation(self) -> None:
-        if self._protocol.they_are_waiting_for_100_continue:
-            payload = self._protocol.send(
-                h11.InformationalResponse(status_code=100, headers=[])
-            )
-            await self._stream.send_all(payload or b'')
-
-
-def _translate(error: h11.RemoteProtocolError) -> RequestError:
-    status = error.error_status_hint
-    if status == get_details(ResultCode.HEADERS_TOO_LARGE).status:
-        return RequestError(ResultCode.HEADERS_TOO_LARGE, str(error))
-    return RequestError(ResultCode.REQUEST_MALFORMED, str(error))
-
-
-def _seconds(duration: Milliseconds) -> float:
-    return duration / _MILLISECONDS_PER_SECOND
+            await trio.sleep(interval / _MILLISECONDS_PER_SECOND)
+            now = trio.current_time()
+            for connection in tuple(self._connections):
+                connection.close_if_stuck(now)
