--- a/src/clementinedyke/http_reader.py
+++ b/src/clementinedyke/http_reader.py
@@ -121,7 +121,10 @@
     async def _receive_event(self, *, is_head: bool = False) -> h11.Event:
         while True:
             if is_head:
-                _check_lines(self._protocol.trailing_data[0])
+                _check_lines(
+                    self._protocol.trailing_data[0],
+                    self._limits.max_header_bytes,
+                )
             try:
                 event = self._protocol.next_event()
             except h11.RemoteProtocolError as error:
@@ -143,16 +146,22 @@
             await self._send(payload or b'')
 
 
-def _check_lines(received: bytes) -> None:
-    """Refuse header lines that end in a bare line feed.
+def _check_lines(received: bytes, max_header_bytes: int) -> None:
+    """Refuse long headers and lines that end in a bare line feed.
 
     A balancer that reads such a line differently could see another request.
+    h11 itself applies its limit only to headers that are not yet complete.
     """
     head, _, _ = received.partition(_HEAD_END)
     if _BARE_LINE_FEED.search(head):
         raise RequestError(
             ResultCode.REQUEST_MALFORMED, 'a header line ends without CR LF'
         )
+    if len(head) > max_header_bytes:
+        raise RequestError(
+            ResultCode.HEADERS_TOO_LARGE,
+            f'headers are over {max_header_bytes} bytes',
+        )
 
 
 def _check_framing(head: h11.Request, max_body_bytes: int) -> None:
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,214 @@
+"""Tests of the HTTP server against slow, broken and hostile callers."""
+
+import json
+import ssl
+
+import pytest
+import trio
+import trustme
+
+from clementinedyke.http_client import Address, HttpClient, HttpRequest
+from clementinedyke.http_server import (
+    ConnectionLimits,
+    ResponseWriter,
+    ServerRequest,
+)
+from http_tools import GET, HOST, echo_path, read_until_closed, serve
+
+_POST = b'POST / HTTP/1.1\r\nHost: x\r\n'
+_CHUNKED = b'Transfer-Encoding: chunked\r\n'
+
+
+def get_code(answer: bytes) -> int:
+    """Return the numbered result code of a refusal."""
+    return json.loads(answer.rpartition(b'\r\n\r\n')[2])['error']['code']
+
+
+class TestRequests:
+    """Guards against requests answered wrongly or out of order."""
+
+    async def _check_pipelined(self) -> None:
+        async with serve(echo_path) as served:
+            last = GET.replace(b'Host', b'Connection: close\r\nHost')
+            body = _POST + b'Content-Length: 3\r\n\r\nabc'
+            answer = await served.send(GET % b'a' + body + last % b'c')
+        assert answer.count(b'HTTP/1.1 200') == 3
+        places = [answer.index(part) for part in (b'/a 0;', b'/ 3;', b'/c 0;')]
+        assert places == sorted(places)
+
+    def test_pipelined(self) -> None:
+        """Three requests in one write get three answers in order."""
+        trio.run(self._check_pipelined)
+
+    async def _check_tls(self) -> None:
+        authority = trustme.CA()
+        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        authority.issue_cert(HOST).configure_cert(context)
+        trusted = ssl.create_default_context()
+        authority.configure_trust(trusted)
+        async with serve(echo_path, ssl_context=context) as served:
+            address = Address(HOST, served.port)
+            async with HttpClient(address, trusted) as client:
+                for _ in range(2):
+                    answer = await client.request(
+                        HttpRequest('GET', '/a'), 9000
+                    )
+                    assert answer.body == b'/a 0;'
+            assert not (await served.send(GET % b'plain')).startswith(b'HTTP')
+
+    def test_tls(self) -> None:
+        """TLS serves kept connections, and no plain ones."""
+        trio.run(self._check_tls)
+
+
+class TestRefusals:
+    """Guards against hostile requests that hang, run or split in two."""
+
+    async def _check(self, payload: bytes, code: int) -> None:
+        limits = ConnectionLimits(
+            max_header_bytes=4096,
+            max_body_bytes=1000,
+            header_timeout=300,
+            receive_timeout=300,
+        )
+        runs: list[str] = []
+
+        async def note(request: ServerRequest, writer: ResponseWriter) -> None:
+            runs.append(request.path)
+            await echo_path(request, writer)
+
+        async with serve(note, limits) as served:
+            answer = await served.send(payload)
+            assert get_code(answer) == code
+            assert b'connection: close' in answer.lower()
+            assert b'Clementinedyke-Request-Id' in answer
+            assert b'Clementinedyke-Result: %d' % code in answer
+            assert not runs
+            await served.wait_until_empty()
+
+    @pytest.mark.parametrize(
+        ('payload', 'code'),
+        [
+            (b'nonsense\r\n\r\n', 2012),
+            (b'GET / HTTP/1.1\r\n\r\n', 2012),
+            (b'GET / HTTP/1.1\nHost: x\n\n', 2012),
+            (_POST + b'Content-Length: 1\r\nContent-Length: 2\r\n\r\nab', 2012),
+            (_POST + b'Content-Length: -1\r\n\r\n', 2012),
+            (_POST + b'Content-Length: %b\r\n\r\n' % (b'9' * 4000), 2012),
+            (
+                _POST + b'Content-Length: 4\r\n' + _CHUNKED + b'\r\n0\r\n\r\n',
+                2012,
+            ),
+            (_POST + b'Transfer-Encoding: gzip, chunked\r\n\r\n', 2012),
+            (_POST + b'Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n', 2012),
+            (_POST.replace(b'1.1', b'1.0') + _CHUNKED + b'\r\n0\r\n\r\n', 2012),
+            (_POST + _CHUNKED + b'\r\nzz\r\n', 2012),
+            (_POST + b'Content-Length: 2000\r\n\r\n', 2005),
+            (_POST + _CHUNKED + b'\r\n7d0\r\n' + b'a' * 2000, 2005),
+            (_POST + b'A: %b\r\n\r\n' % (b'a' * 9000), 2006),
+            (_POST + b'A: begun', 2007),
+            (_POST + b'Content-Length: 9\r\n\r\nbegun', 2007),
+        ],
+    )
+    def test_refused(self, payload: bytes, code: int) -> None:
+        """Each is answered with its code, closed and never run."""
+        trio.run(self._check, payload, code)
+
+    async def _check_limit(self) -> None:
+        limits = ConnectionLimits(max_connections=1)
+        async with serve(echo_path, limits) as served:
+            async with await served.connect() as first:
+                await first.send_all(GET % b'a')
+                await first.receive_some(9000)
+                answer = await served.send(b'')
+                assert get_code(answer) == 3008
+                assert b'Retry-After: 1' in answer
+
+    def test_connection_limit(self) -> None:
+        """A connection over the limit is refused, not left waiting."""
+        trio.run(self._check_limit)
+
+    async def _check_failure(self) -> None:
+        async def fail(request: ServerRequest, writer: ResponseWriter) -> None:
+            if request.path == '/late':
+                await writer.send_head(200, [], b'part')
+            raise ValueError('failure of a handler')
+
+        async with serve(fail) as served:
+            assert get_code(await served.send(GET % b'early')) == 4003
+            late = await served.send(GET % b'late')
+            assert not late.endswith(b'0\r\n\r\n')
+
+    def test_handler_failure(self) -> None:
+        """A fault in a handler is a 500, or an answer that is cut off."""
+        trio.run(self._check_failure)
+
+
+class TestCallerLeaves:
+    """Guards against work that goes on for callers that have left."""
+
+    async def _check(self, pipelined: bytes, body: bytes = b'') -> None:
+        ended = trio.Event()
+        started = trio.Event()
+
+        async def wait(request: ServerRequest, writer: ResponseWriter) -> None:
+            started.set()
+            try:
+                while True:
+                    await trio.sleep(0 if body else 1000)
+                    if not writer.is_started:
+                        await writer.send_head(200, [], body)
+                    await writer.send_chunk(body)
+            finally:
+                ended.set()
+
+        limits = ConnectionLimits(max_pipelined_bytes=100, write_timeout=400)
+        async with serve(wait, limits) as served:
+            stream = await served.connect()
+            await stream.send_all(GET % b'a' + pipelined)
+            await started.wait()
+            if not body:
+                await stream.aclose()
+            with trio.fail_after(10):
+                await ended.wait()
+            await stream.aclose()
+
+    @pytest.mark.parametrize('pipelined', [b'', GET, GET * 10])
+    def test_cancelled(self, pipelined: bytes) -> None:
+        """The handler is cancelled, whatever is buffered behind it."""
+        trio.run(self._check, pipelined)
+
+    def test_slow_reader(self) -> None:
+        """A caller that does not read its answer is disconnected."""
+        trio.run(self._check, b'', b'a' * 65536)
+
+
+class TestDrain:
+    """Guards against a planned stop that cuts a request."""
+
+    async def _check(self) -> None:
+        running = trio.Event()
+        go_on = trio.Event()
+
+        async def wait(request: ServerRequest, writer: ResponseWriter) -> None:
+            running.set()
+            await go_on.wait()
+            await echo_path(request, writer)
+
+        async with serve(wait) as served:
+            idle = await served.connect()
+            busy = await served.connect()
+            await busy.send_all(GET % b'a')
+            await running.wait()
+            served.nursery.start_soon(served.server.drain)
+            assert await read_until_closed(idle) == b''
+            with pytest.raises(OSError):
+                await served.connect()
+            go_on.set()
+            answer = await read_until_closed(busy)
+            assert b'connection: close' in answer.lower()
+            assert answer.endswith(b'/a 0;')
+
+    def test_drain(self) -> None:
+        """The running request ends whole; idle and new ones are closed."""
+        trio.run(self._check)
