--- a/src/clementinedyke/cli.py
+++ b/src/clementinedyke/cli.py
@@ -9,11 +9,13 @@
 from clementinedyke.daemon import Daemon
 from clementinedyke.demo import run_demo, run_until_signal
 from clementinedyke.settings import Settings
+from clementinedyke.standins import command as standin_command
 
 app = cyclopts.App(
     name='clementinedyke',
     help='Serving system for a limited fleet of model engines and services.',
 )
+app.command(standin_command.app)
 
 
 @app.command
--- /dev/null
+++ b/src/clementinedyke/standins/command.py
@@ -0,0 +1,131 @@
+"""Commands that run each stand-in as a process of its own."""
+
+import json
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import cyclopts
+import msgspec
+import trio
+
+from clementinedyke.http_client import Address
+from clementinedyke.standins.engine import EngineFaults, EngineStandin
+from clementinedyke.standins.platform import PlatformStandin, TransactionBody
+from clementinedyke.standins.relay import RelayStandin
+from clementinedyke.standins.service import ServiceStandin
+
+app = cyclopts.App(
+    name='standin', help='Run a stand-in of an outside system on loopback.'
+)
+
+_HOST = '127.0.0.1'
+_Start = Callable[[trio.Nursery], Awaitable[dict[str, Any]]]
+
+
+@app.command
+def engine(
+    *,
+    port: int = 0,
+    model: str = 'demo-model',
+    checks_fence: bool = True,
+    token_interval: float = 0,
+    crash_marker: str = '',
+    crash_downtime: float = 1,
+    max_streams: int = 100000,
+) -> None:
+    """Run a model engine.
+
+    :param port: TCP port, 0 for a free one.
+    :param model: model name in answers.
+    :param checks_fence: whether orders with an old fence are refused.
+    :param token_interval: seconds between two tokens of a stream.
+    :param crash_marker: a request body with this text crashes the engine.
+    :param crash_downtime: seconds for which a crashed engine is down.
+    :param max_streams: requests that run at the same time.
+    """
+    faults = EngineFaults(crash_marker.encode(), crash_downtime, max_streams)
+    standin = EngineStandin(
+        model,
+        checks_fence=checks_fence,
+        token_interval=token_interval,
+        faults=faults,
+    )
+
+    async def start(nursery: trio.Nursery) -> dict[str, Any]:  # noqa: WPS430
+        return {'port': await standin.start(nursery, _HOST, port)}
+
+    trio.run(_run, start)
+
+
+@app.command
+def service(*, port: int = 0, delay: float = 0) -> None:
+    """Run a plain service that counts its runs.
+
+    :param port: TCP port, 0 for a free one.
+    :param delay: seconds between a run and its answer.
+    """
+    standin = ServiceStandin(delay)
+
+    async def start(nursery: trio.Nursery) -> dict[str, Any]:  # noqa: WPS430
+        return {'port': await standin.start(nursery, _HOST, port)}
+
+    trio.run(_run, start)
+
+
+@app.command
+def platform(*, port: int = 0, state: str = '') -> None:
+    """Run a platform.
+
+    :param port: TCP port, 0 for a free one.
+    :param state: file with a JSON object that has ``endpoints``, ``hosts``
+        and ``writes`` (of a first commit).
+    """
+    standin = PlatformStandin()
+    if state:
+        _load_state(standin, state)
+
+    async def start(nursery: trio.Nursery) -> dict[str, Any]:  # noqa: WPS430
+        return {'port': await standin.start(nursery, _HOST, port)}
+
+    trio.run(_run, start)
+
+
+@app.command
+def relay(*, target: str, port: int = 0) -> None:
+    """Run a TCP relay that can cut, delay or hold traffic.
+
+    :param target: address of the target as IP:PORT.
+    :param port: TCP port, 0 for a free one.
+    """
+    address = Address.parse(target)
+    standin = RelayStandin(address.host, address.port)
+
+    async def start(nursery: trio.Nursery) -> dict[str, Any]:  # noqa: WPS430
+        bound, control = await standin.start(nursery, _HOST, port)
+        return {'port': bound, 'control_port': control}
+
+    trio.run(_run, start)
+
+
+def _load_state(standin: PlatformStandin, path: str) -> None:
+    with open(path, 'rb') as state_file:
+        state = json.load(state_file)
+    standin.endpoints.extend(state.get('endpoints', []))
+    standin.hosts.extend(state.get('hosts', []))
+    writes = {'writes': state.get('writes', [])}
+    first = msgspec.convert(writes, TransactionBody)
+    standin.tables.commit(first.conditions, first.writes)
+
+
+async def _run(start: _Start) -> None:
+    """Run until a signal; print one JSON line when ready."""
+    stops = (signal.SIGTERM, signal.SIGINT)
+    with trio.open_signal_receiver(*stops) as signals:
+        async with trio.open_nursery() as nursery:
+            ready = await start(nursery)
+            sys.stdout.write(f'{json.dumps(ready)}\n')
+            sys.stdout.flush()
+            await anext(signals)
+            nursery.cancel_scope.cancel()
--- a/src/clementinedyke/standins/engine.py
+++ b/src/clementinedyke/standins/engine.py
@@ -1,9 +1,13 @@
-"""Stand-in of a model engine with streaming and orders."""
+"""Stand-in of a model engine with streaming, orders and crashes."""
 
 import json
+import secrets
+from collections import deque
 from collections.abc import Mapping
+from dataclasses import dataclass
 from functools import partial
 from typing import Any
+from urllib.parse import parse_qs
 
 import trio
 
@@ -12,12 +16,30 @@
     ResponseWriter,
     ServerRequest,
 )
+from clementinedyke.standins.events import encode_event, encode_words
 
 _OK = 200
 _CONFLICT = 409
 _NOT_FOUND = 404
+_UNAVAILABLE = 503
 _EVENT_STREAM = [(b'Content-Type', b'text/event-stream')]
 _DEFAULT_TOKENS = 8
+_EVENT_HISTORY = 256
+_REQUEST_ID = 'clementinedyke-request-id'
+
+
+@dataclass(frozen=True, slots=True)
+class EngineFaults:
+    """How the engine fails; times in seconds.
+
+    A request whose body contains ``crash_marker`` aborts all connections, and
+    the engine takes none for ``crash_downtime``. ``max_streams`` bounds the
+    requests that run; more get 503.
+    """
+
+    crash_marker: bytes = b''
+    crash_downtime: float = 0.2
+    max_streams: int = 100000
 
 
 class EngineStandin:
@@ -29,22 +51,31 @@
         *,
         checks_fence: bool = True,
         token_interval: float = 0,
+        faults: EngineFaults | None = None,
     ) -> None:
         """Create an engine.
 
         :param model: model name in answers.
         :param checks_fence: whether orders with an old fence are refused.
         :param token_interval: seconds between two tokens of a stream.
+        :param faults: limits and crashes.
         """
         self._model = model
         self._checks_fence = checks_fence
         self._token_interval = token_interval
-        self._server = HttpServer(self.respond)
+        self._faults = faults or EngineFaults()
+        self._life = trio.CancelScope()
+        self._streams: dict[str, trio.CancelScope] = {}
+        self._cache_events: deque[dict[str, Any]] = deque(maxlen=_EVENT_HISTORY)
+        self._last_event = 0
+        self.boot_id = secrets.token_hex(8)
         self.fence = 0
         self.role = 'mixed'
         self.running = 0
+        self.received = 0
+        self.finished = 0
         self.orders: list[dict[str, Any]] = []
-        self.received_headers: list[Mapping[str, str]] = []
+        self.received_headers: deque[Mapping[str, str]] = deque(maxlen=1000)
 
     async def start(self, nursery: trio.Nursery, host: str, port: int) -> int:
         """Serve in a nursery and return the bound port.
@@ -53,8 +84,7 @@
         :param host: IP number to bind.
         :param port: TCP port, 0 for a free one.
         """
-        serve = partial(self._server.serve, host, port)
-        return int(await nursery.start(serve))
+        return int(await nursery.start(self._serve_lives, host, port))
 
     async def respond(
         self, request: ServerRequest, response: ResponseWriter
@@ -65,33 +95,126 @@
         :param response: writer of the answer.
         """
         if request.path == '/v1/chat/completions':
-            self.received_headers.append(
-                {
-                    name.decode(): content.decode()
-                    for name, content in request.headers
-                }
-            )
-            self.running += 1
-            try:
-                await self._complete(json.loads(request.body), response)
-            finally:
-                self.running -= 1
-        elif request.path == '/state':
-            await response.send_json(_OK, self._get_state())
+            await self._run(request, response)
         elif request.path == '/orders':
             await self._take_order(json.loads(request.body), response)
+        elif request.path.startswith('/streams/'):
+            await self._cancel(request.path.split('/')[2], response)
+        else:
+            await self._report(request, response)
+
+    async def _report(
+        self, request: ServerRequest, response: ResponseWriter
+    ) -> None:
+        if request.path == '/state':
+            await response.send_json(_OK, self._get_state())
+        elif request.path == '/events':
+            await response.send_json(_OK, self._list_events(request.query))
         else:
             await response.send_json(_NOT_FOUND, {})
 
+    async def _serve_lives(
+        self,
+        host: str,
+        port: int,
+        *,
+        task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until a crash, stay down, and serve again as a new boot."""
+        bound = port
+        while True:
+            self._life = trio.CancelScope()
+            with self._life:
+                async with trio.open_nursery() as nursery:
+                    server = HttpServer(self.respond)
+                    bound = await nursery.start(
+                        partial(server.serve, host, bound)
+                    )
+                    task_status.started(bound)
+                    task_status = trio.TASK_STATUS_IGNORED
+            await trio.sleep(self._faults.crash_downtime)
+            self.boot_id = secrets.token_hex(8)
+
+    async def _run(
+        self, request: ServerRequest, response: ResponseWriter
+    ) -> None:
+        headers = {
+            name.decode(): content.decode('latin-1')
+            for name, content in request.headers
+        }
+        self.received_headers.append(headers)
+        marker = self._faults.crash_marker
+        if marker and marker in request.body:
+            self._life.cancel()
+            await trio.sleep_forever()
+        if self.running >= self._faults.max_streams:
+            await response.send_json(
+                _UNAVAILABLE, {'error': 'too many streams'}
+            )
+            return
+        stream_id = headers.get(_REQUEST_ID) or secrets.token_hex(8)
+        await self._run_stream(stream_id, json.loads(request.body), response)
+
+    async def _run_stream(
+        self, stream_id: str, body: dict[str, Any], response: ResponseWriter
+    ) -> None:
+        self.running += 1
+        self.received += 1
+        scope = trio.CancelScope()
+        self._streams[stream_id] = scope
+        try:
+            with scope:
+                await self._complete(body, response)
+                self.finished += 1
+        finally:
+            self._note_end(stream_id)
+        if scope.cancelled_caught:
+            raise trio.BrokenResourceError('stream was cancelled')
+
+    def _note_end(self, stream_id: str) -> None:
+        self.running -= 1
+        self._streams.pop(stream_id, None)
+
+    async def _cancel(self, stream_id: str, response: ResponseWriter) -> None:
+        scope = self._streams.get(stream_id)
+        if scope is None:
+            await response.send_json(_NOT_FOUND, {})
+            return
+        scope.cancel()
+        await response.send_json(_OK, {})
+
     def _get_state(self) -> dict[str, Any]:
         last = self.orders[-1]['order_id'] if self.orders else None
         return {
+            'boot_id': self.boot_id,
             'role': self.role,
+            'load': self.running / self._faults.max_streams,
             'running': self.running,
+            'finished': self.finished,
+            'cancelled': self.received - self.finished - self.running,
             'last_order': last,
             'fence': self.fence,
         }
 
+    def _list_events(self, query: str) -> dict[str, Any]:
+        since = int(parse_qs(query).get('since', ['0'])[0])
+        events = [
+            event for event in self._cache_events if event['number'] > since
+        ]
+        return {
+            'boot_id': self.boot_id,
+            'last': self._last_event,
+            'events': events,
+        }
+
+    def _add_cache_event(self, messages: list[Any]) -> None:
+        """Note that the prefix of a prompt is now in the cache."""
+        self._last_event += 1
+        prefix = json.dumps(messages[:1])
+        self._cache_events.append(
+            {'number': self._last_event, 'kind': 'stored', 'prefix': prefix}
+        )
+
     async def _take_order(
         self, order: dict[str, Any], response: ResponseWriter
     ) -> None:
@@ -108,58 +231,53 @@
         self, body: dict[str, Any], response: ResponseWriter
     ) -> None:
         count = int(body.get('max_tokens') or _DEFAULT_TOKENS)
-        words = [f'word{index} ' for index in range(count)]
+        messages = body.get('messages') or []
+        prompt = len(json.dumps(messages)) // 4
         usage = {
-            'prompt_tokens': len(json.dumps(body.get('messages'))) // 4,
+            'prompt_tokens': prompt,
             'completion_tokens': count,
-            'total_tokens': count,
+            'total_tokens': prompt + count,
         }
+        self._add_cache_event(messages)
         if body.get('stream'):
-            await self._stream(words, usage, body, response)
+            await self._stream(count, usage, body, response)
             return
-        await trio.sleep(self._token_interval * count)
-        message = {'role': 'assistant', 'content': ''.join(words)}
+        await trio.sleep(_get_interval(self._token_interval, body) * count)
+        words = ''.join(f'word{index} ' for index in range(count))
+        message = {'role': 'assistant', 'content': words}
         choice = {'index': 0, 'message': message, 'finish_reason': 'stop'}
-        answer = self._compile_answer('chat.completion', [choice])
-        await response.send_json(_OK, {**answer, 'usage': usage})
+        answer = {
+            'id': 'chatcmpl-standin',
+            'object': 'chat.completion',
+            'created': 0,
+            'model': self._model,
+            'choices': [choice],
+            'usage': usage,
+        }
+        await response.send_json(_OK, answer)
 
     async def _stream(
         self,
-        words: list[str],
+        count: int,
         usage: dict[str, int],
         body: dict[str, Any],
         response: ResponseWriter,
     ) -> None:
+        interval = _get_interval(self._token_interval, body)
         await response.send_head(_OK, _EVENT_STREAM)
-        for word in words:
-            await trio.sleep(self._token_interval)
-            choice = {'index': 0, 'delta': {'content': word}}
-            await self._send_event(response, [choice])
-        final = {'index': 0, 'delta': {}, 'finish_reason': 'stop'}
-        await self._send_event(response, [final])
+        for event in encode_words(self._model, count):
+            await trio.sleep(interval)
+            await response.send_chunk(event)
         if (body.get('stream_options') or {}).get('include_usage'):
-            await self._send_event(response, [], usage)
+            await response.send_chunk(encode_event(self._model, [], usage))
         await response.send_chunk(b'data: [DONE]\n\n')
         await response.end()
 
-    async def _send_event(
-        self,
-        response: ResponseWriter,
-        choices: list[dict[str, Any]],
-        usage: dict[str, int] | None = None,
-    ) -> None:
-        answer = self._compile_answer('chat.completion.chunk', choices)
-        if usage:
-            answer['usage'] = usage
-        await response.send_chunk(f'data: {json.dumps(answer)}\n\n'.encode())
-
-    def _compile_answer(
-        self, kind: str, choices: list[dict[str, Any]]
-    ) -> dict[str, Any]:
-        return {
-            'id': 'chatcmpl-standin',
-            'object': kind,
-            'created': 0,
-            'model': self._model,
-            'choices': choices,
-        }
+
+def _get_interval(interval: float, body: dict[str, Any]) -> float:
+    """Return seconds between tokens; work of high priority runs faster.
+
+    As in usual engines, a lower number is a higher priority.
+    """
+    is_urgent = int(body.get('priority') or 0) < 0
+    return interval / 2 if is_urgent else interval
--- a/src/clementinedyke/standins/service.py
+++ b/src/clementinedyke/standins/service.py
@@ -18,8 +18,12 @@
 class ServiceStandin:
     """Answers POST on any path with the number of its runs."""
 
-    def __init__(self) -> None:
-        """Create a service that has run nothing."""
+    def __init__(self, delay: float = 0) -> None:
+        """Create a service that has run nothing.
+
+        :param delay: seconds between a run and its answer.
+        """
+        self._delay = delay
         self.runs = 0
         self.received_headers: list[Mapping[str, str]] = []
         self._server = HttpServer(self.respond)
@@ -52,4 +56,6 @@
             }
         )
         self.runs += 1
-        await response.send_json(_CREATED, {'run': self.runs})
+        run = self.runs
+        await trio.sleep(self._delay)
+        await response.send_json(_CREATED, {'run': run})
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -15,8 +15,8 @@
 )
 from http_tools import GET, HOST, echo_path, read_until_closed, serve
 
-_POST = b'POST / HTTP/1.1\r\nHost: x\r\n'
-_CHUNKED = b'Transfer-Encoding: chunked\r\n'
+_POST = b'POST / HTTP/1.1\r\nHost: x\r\n%b\r\n\r\n%b'
+_CHUNKED = b'Transfer-Encoding: chunked'
 
 
 def get_code(answer: bytes) -> int:
@@ -24,14 +24,62 @@
     return json.loads(answer.rpartition(b'\r\n\r\n')[2])['error']['code']
 
 
+async def refuse_to_run(
+    request: ServerRequest, response: ResponseWriter
+) -> None:
+    """Fail the test: the request should have been refused."""
+    raise AssertionError('a hostile request ran')
+
+
+async def fail(request: ServerRequest, response: ResponseWriter) -> None:
+    """Fail before the response, or in it."""
+    if request.path == '/late':
+        await response.send_head(200, [], b'part')
+    raise ValueError('failure of a handler')
+
+
+class Waiter:
+    """A handler that tells when it starts and ends, and waits between."""
+
+    def __init__(self) -> None:
+        """Create the events."""
+        self.started = trio.Event()
+        self.go_on = trio.Event()
+        self.ended = trio.Event()
+
+    async def respond(
+        self, request: ServerRequest, response: ResponseWriter
+    ) -> None:
+        """Answer once allowed."""
+        self.started.set()
+        try:
+            await self.go_on.wait()
+        finally:
+            self.ended.set()
+        await echo_path(request, response)
+
+    async def flood(
+        self, request: ServerRequest, response: ResponseWriter
+    ) -> None:
+        """Write until the connection breaks."""
+        self.started.set()
+        try:
+            await response.send_head(200, [])
+            while True:
+                await response.send_chunk(b'a' * 65536)
+        finally:
+            self.ended.set()
+
+
 class TestRequests:
     """Guards against requests answered wrongly or out of order."""
 
     async def _check_pipelined(self) -> None:
         async with serve(echo_path) as served:
             last = GET.replace(b'Host', b'Connection: close\r\nHost')
-            body = _POST + b'Content-Length: 3\r\n\r\nabc'
-            answer = await served.send(GET % b'a' + body + last % b'c')
+            body = _POST % (b'Content-Length: 3', b'abc')
+            requests = (GET % b'a', body, last % b'c')
+            answer = await served.send(b''.join(requests))
         assert answer.count(b'HTTP/1.1 200') == 3
         places = [answer.index(part) for part in (b'/a 0;', b'/ 3;', b'/c 0;')]
         assert places == sorted(places)
@@ -71,19 +119,12 @@
             header_timeout=300,
             receive_timeout=300,
         )
-        runs: list[str] = []
-
-        async def note(request: ServerRequest, writer: ResponseWriter) -> None:
-            runs.append(request.path)
-            await echo_path(request, writer)
-
-        async with serve(note, limits) as served:
+        async with serve(refuse_to_run, limits) as served:
             answer = await served.send(payload)
             assert get_code(answer) == code
             assert b'connection: close' in answer.lower()
             assert b'Clementinedyke-Request-Id' in answer
             assert b'Clementinedyke-Result: %d' % code in answer
-            assert not runs
             await served.wait_until_empty()
 
     @pytest.mark.parametrize(
@@ -92,22 +133,25 @@
             (b'nonsense\r\n\r\n', 2012),
             (b'GET / HTTP/1.1\r\n\r\n', 2012),
             (b'GET / HTTP/1.1\nHost: x\n\n', 2012),
-            (_POST + b'Content-Length: 1\r\nContent-Length: 2\r\n\r\nab', 2012),
-            (_POST + b'Content-Length: -1\r\n\r\n', 2012),
-            (_POST + b'Content-Length: %b\r\n\r\n' % (b'9' * 4000), 2012),
+            (_POST % (b'Content-Length: 1\r\nContent-Length: 2', b'ab'), 2012),
+            (_POST % (b'Content-Length: -1', b''), 2012),
+            (_POST % (b'Content-Length: %b' % (b'9' * 4000), b''), 2012),
+            (
+                _POST % (b'Content-Length: 4\r\n%b' % _CHUNKED, b'0\r\n\r\n'),
+                2012,
+            ),
+            (_POST % (b'Transfer-Encoding: gzip, chunked', b''), 2012),
+            (_POST % (b'Transfer-Encoding : chunked', b'0\r\n\r\n'), 2012),
             (
-                _POST + b'Content-Length: 4\r\n' + _CHUNKED + b'\r\n0\r\n\r\n',
+                _POST.replace(b'1.1', b'1.0') % (_CHUNKED, b'0\r\n\r\n'),
                 2012,
             ),
-            (_POST + b'Transfer-Encoding: gzip, chunked\r\n\r\n', 2012),
-            (_POST + b'Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n', 2012),
-            (_POST.replace(b'1.1', b'1.0') + _CHUNKED + b'\r\n0\r\n\r\n', 2012),
-            (_POST + _CHUNKED + b'\r\nzz\r\n', 2012),
-            (_POST + b'Content-Length: 2000\r\n\r\n', 2005),
-            (_POST + _CHUNKED + b'\r\n7d0\r\n' + b'a' * 2000, 2005),
-            (_POST + b'A: %b\r\n\r\n' % (b'a' * 9000), 2006),
-            (_POST + b'A: begun', 2007),
-            (_POST + b'Content-Length: 9\r\n\r\nbegun', 2007),
+            (_POST % (_CHUNKED, b'zz\r\n'), 2012),
+            (_POST % (b'Content-Length: 2000', b''), 2005),
+            (_POST % (_CHUNKED, b'7d0\r\n%b' % (b'a' * 2000)), 2005),
+            (_POST % (b'A: %b' % (b'a' * 9000), b''), 2006),
+            (b'GET / HTTP/1.1\r\nA: begun', 2007),
+            (_POST % (b'Content-Length: 9', b'begun'), 2007),
         ],
     )
     def test_refused(self, payload: bytes, code: int) -> None:
@@ -129,11 +173,6 @@
         trio.run(self._check_limit)
 
     async def _check_failure(self) -> None:
-        async def fail(request: ServerRequest, writer: ResponseWriter) -> None:
-            if request.path == '/late':
-                await writer.send_head(200, [], b'part')
-            raise ValueError('failure of a handler')
-
         async with serve(fail) as served:
             assert get_code(await served.send(GET % b'early')) == 4003
             late = await served.send(GET % b'late')
@@ -147,64 +186,51 @@
 class TestCallerLeaves:
     """Guards against work that goes on for callers that have left."""
 
-    async def _check(self, pipelined: bytes, body: bytes = b'') -> None:
-        ended = trio.Event()
-        started = trio.Event()
-
-        async def wait(request: ServerRequest, writer: ResponseWriter) -> None:
-            started.set()
-            try:
-                while True:
-                    await trio.sleep(0 if body else 1000)
-                    if not writer.is_started:
-                        await writer.send_head(200, [], body)
-                    await writer.send_chunk(body)
-            finally:
-                ended.set()
-
-        limits = ConnectionLimits(max_pipelined_bytes=100, write_timeout=400)
-        async with serve(wait, limits) as served:
+    async def _check(self, pipelined: bytes) -> None:
+        waiter = Waiter()
+        limits = ConnectionLimits(max_pipelined_bytes=100)
+        async with serve(waiter.respond, limits) as served:
             stream = await served.connect()
-            await stream.send_all(GET % b'a' + pipelined)
-            await started.wait()
-            if not body:
-                await stream.aclose()
-            with trio.fail_after(10):
-                await ended.wait()
+            await stream.send_all(b''.join((GET % b'a', pipelined)))
+            await waiter.started.wait()
             await stream.aclose()
+            with trio.fail_after(10):
+                await waiter.ended.wait()
 
     @pytest.mark.parametrize('pipelined', [b'', GET, GET * 10])
     def test_cancelled(self, pipelined: bytes) -> None:
         """The handler is cancelled, whatever is buffered behind it."""
         trio.run(self._check, pipelined)
 
+    async def _check_slow_reader(self) -> None:
+        waiter = Waiter()
+        limits = ConnectionLimits(write_timeout=400)
+        async with serve(waiter.flood, limits) as served:
+            async with await served.connect() as stream:
+                await stream.send_all(GET % b'a')
+                with trio.fail_after(10):
+                    await waiter.ended.wait()
+
     def test_slow_reader(self) -> None:
         """A caller that does not read its answer is disconnected."""
-        trio.run(self._check, b'', b'a' * 65536)
+        trio.run(self._check_slow_reader)
 
 
 class TestDrain:
     """Guards against a planned stop that cuts a request."""
 
     async def _check(self) -> None:
-        running = trio.Event()
-        go_on = trio.Event()
-
-        async def wait(request: ServerRequest, writer: ResponseWriter) -> None:
-            running.set()
-            await go_on.wait()
-            await echo_path(request, writer)
-
-        async with serve(wait) as served:
+        waiter = Waiter()
+        async with serve(waiter.respond) as served:
             idle = await served.connect()
             busy = await served.connect()
             await busy.send_all(GET % b'a')
-            await running.wait()
+            await waiter.started.wait()
             served.nursery.start_soon(served.server.drain)
             assert await read_until_closed(idle) == b''
             with pytest.raises(OSError):
                 await served.connect()
-            go_on.set()
+            waiter.go_on.set()
             answer = await read_until_closed(busy)
             assert b'connection: close' in answer.lower()
             assert answer.endswith(b'/a 0;')
