--- a/tests/caller_tools.py
+++ b/tests/caller_tools.py
@@ -62,12 +62,18 @@
         left = [item for item in self._endpoints if item.name not in excluded]
         return left[0] if left else None
 
+    async def close_idle(self) -> None:
+        """Close the pooled connections to the endpoints."""
+        for endpoint in self._endpoints:
+            await endpoint.client.close()
+
 
 class CallerSide:
     """A served caller port and what its observers saw."""
 
-    def __init__(self) -> None:
+    def __init__(self, selector: OrderedSelector) -> None:
         """Create empty lists."""
+        self.selector = selector
         self.outcomes: list[RequestOutcome] = []
         self.usage: list[TokenUsage] = []
         self.port = 0
@@ -107,10 +113,10 @@
     ports: Sequence[int], options: HandlerOptions | None = None
 ) -> AsyncIterator[CallerSide]:
     """Run a caller port for the time of a test."""
-    side = CallerSide()
+    side = CallerSide(OrderedSelector(ports))
     chosen = replace(
         options or HandlerOptions(),
-        selector=OrderedSelector(ports),
+        selector=side.selector,
         observe_outcome=side.outcomes.append,
         observe_usage=side.usage.append,
     )
