--- a/src/clementinedyke/cli.py
+++ b/src/clementinedyke/cli.py
@@ -19,6 +19,7 @@
 from clementinedyke.setting_flags import accept_settings
 from clementinedyke.setting_loader import load_settings
 from clementinedyke.settings import Settings
+from clementinedyke.standins import command as standin_command
 
 app = cyclopts.App(
     name='clementinedyke',
@@ -26,6 +27,7 @@
     version=metadata.version('clementinedyke'),
 )
 add_commands(app)
+app.command(standin_command.app)
 
 
 @app.command
--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -5,7 +5,7 @@
 import trio
 
 from clementinedyke.application import Application
-from clementinedyke.callers import CallerHandler
+from clementinedyke.callers import CallerHandler, DispatchLimits
 from clementinedyke.components import Component
 from clementinedyke.configuration import ConfigurationComponent
 from clementinedyke.endpoints.registry import EndpointRegistry
@@ -21,6 +21,8 @@
 from clementinedyke.settings import Settings
 from clementinedyke.tls import load_tls
 
+_DRAIN_SECONDS = DispatchLimits().request_timeout / 1000
+
 
 class CallerPort(Component):
     """Serves callers on the daemon's caller port."""
@@ -54,6 +56,11 @@
         with explain_bind_failure('port', settings.port):
             self._bound = await nursery.start(serve)
 
+    async def drain(self) -> None:
+        """Finish the running requests, within the time one may take."""
+        with trio.move_on_after(_DRAIN_SECONDS):
+            await self._server.drain()
+
 
 class ConfigurationReport:
     """Tells operators which configuration is in force."""
