Report caller requests to operators and apply the limits of settings

Ended requests are counted and kept for explain. First-byte and request timeouts, the drain and the number of connections follow the settings.

--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -5,7 +5,12 @@
 import trio
 
 from clementinedyke.application import Application
-from clementinedyke.callers import CallerHandler, DispatchLimits
+from clementinedyke.callers import (
+    CallerHandler,
+    DispatchLimits,
+    HandlerOptions,
+    RequestOutcome,
+)
 from clementinedyke.components import Component
 from clementinedyke.configuration import ConfigurationComponent
 from clementinedyke.endpoints.registry import EndpointRegistry
@@ -16,12 +21,13 @@
     RequestError,
 )
 from clementinedyke.operators import OperatorPort, OperatorReports
+from clementinedyke.operators.caller_outcomes import describe_outcome
 from clementinedyke.platform.tables import TableClient
 from clementinedyke.ports import explain_bind_failure
 from clementinedyke.settings import Settings
 from clementinedyke.tls import load_tls
 
-_DRAIN_SECONDS = DispatchLimits().request_timeout / 1000
+_MILLISECONDS_PER_SECOND = 1000
 
 
 class CallerPort(Component):
@@ -58,7 +64,8 @@
 
     async def drain(self) -> None:
         """Finish the running requests, within the time one may take."""
-        with trio.move_on_after(_DRAIN_SECONDS):
+        timeout = self._settings.request_timeout / _MILLISECONDS_PER_SECOND
+        with trio.move_on_after(timeout):
             await self._server.drain()
 
 
@@ -105,7 +112,14 @@
         self.reports = OperatorReports()
         self.configuration = ConfigurationComponent(tables)
         self.endpoints = EndpointRegistry(platform)
-        handler = CallerHandler(self.configuration, self.endpoints)
+        handler = CallerHandler(
+            self.configuration,
+            self.endpoints,
+            HandlerOptions(
+                limits=get_dispatch_limits(settings),
+                observe_outcome=self._observe_outcome,
+            ),
+        )
         self.caller_port = CallerPort(settings, handler)
         self.operator_port = OperatorPort(settings, tables, self.reports)
         self._register_reports()
@@ -118,6 +132,9 @@
             ]
         )
 
+    def _observe_outcome(self, ended: RequestOutcome) -> None:
+        self.reports.record_outcome(describe_outcome(ended))
+
     def _register_reports(self) -> None:
         report = ConfigurationReport(self.configuration)
         self.reports.add_readiness('configuration', report.has_configuration)
@@ -130,13 +147,25 @@
 
 
 def get_connection_limits(settings: Settings) -> ConnectionLimits:
-    """Return the limits of a caller's connection.
+    """Return the limits of the caller port.
 
     :param settings: settings of the daemon.
     """
     return ConnectionLimits(
         max_header_bytes=settings.max_header_bytes,
         max_body_bytes=settings.max_body_bytes,
+        max_connections=settings.max_connections,
         idle_timeout=settings.idle_timeout,
         receive_timeout=settings.receive_timeout,
     )
+
+
+def get_dispatch_limits(settings: Settings) -> DispatchLimits:
+    """Return the limits of one request of a caller.
+
+    :param settings: settings of the daemon.
+    """
+    return DispatchLimits(
+        first_byte_timeout=settings.first_byte_timeout,
+        request_timeout=settings.request_timeout,
+    )
--- a/src/clementinedyke/operators/metrics.py
+++ b/src/clementinedyke/operators/metrics.py
@@ -11,7 +11,7 @@
 )
 
 from clementinedyke.codes import ResultCode
-from clementinedyke.operators.outcomes import RequestOutcome
+from clementinedyke.operators.outcomes import RequestOutcome, get_code_name
 
 _MILLISECONDS_PER_SECOND = 1000
 #: Seconds; 0.42 is the target for 95 in 100 first tokens.
@@ -80,9 +80,11 @@
         :param outcome: outcome of the request.
         """
         service = outcome.service
-        self._requests.labels(service, outcome.result_code.name).inc()
+        self._requests.labels(service, get_code_name(outcome.result_code)).inc()
         for attempt in outcome.attempts:
-            self._attempts.labels(service, attempt.result_code.name).inc()
+            self._attempts.labels(
+                service, get_code_name(attempt.result_code)
+            ).inc()
         if outcome.queue_time is not None:
             self._queue_time.labels(service).observe(
                 outcome.queue_time / _MILLISECONDS_PER_SECOND
--- a/src/clementinedyke/operators/outcomes.py
+++ b/src/clementinedyke/operators/outcomes.py
@@ -20,20 +20,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """One try of a request at an endpoint."""
+    """One try at an endpoint; the code is None if the caller left."""
 
     endpoint_id: str
-    result_code: ResultCode
-    duration: Milliseconds
+    result_code: ResultCode | None
+    duration: Milliseconds | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RequestOutcome:
-    """How a request was routed and ended; holds no key and no content."""
+    """How a request was routed and ended; holds no key and no content.
+
+    The result code is None if the caller left before the end. ``service`` is
+    the name of a service record, or empty: it becomes a metrics label, which
+    must not be chosen by callers.
+    """
 
     request_id: str
     service: str
-    result_code: ResultCode
+    result_code: ResultCode | None
     customer: str | None = None
     weighed: tuple[WeighedEndpoint, ...] = ()
     chosen: str | None = None
@@ -44,6 +49,14 @@
     token_intervals: tuple[Milliseconds, ...] = ()
 
 
+def get_code_name(code: ResultCode | None) -> str:
+    """Return the name of a result code for people and metrics labels.
+
+    :param code: result code, or None if the caller left before the end.
+    """
+    return 'CALLER_LEFT' if code is None else code.name
+
+
 class OutcomeRing:
     """The outcomes of the last requests by request id."""
 
@@ -75,5 +88,5 @@
         described = asdict(outcome)
         # Intervals are for the histogram and would fill the answer.
         described.pop('token_intervals')
-        described['result_name'] = outcome.result_code.name
+        described['result_name'] = get_code_name(outcome.result_code)
         return described
--- a/src/clementinedyke/settings.py
+++ b/src/clementinedyke/settings.py
@@ -100,7 +100,7 @@
         600000, 1000, 3600000, 'time that a request may take; bounds a drain'
     )
     first_byte_timeout: int = create_duration(
-        120000,
+        60000,
         100,
         3600000,
         'time to the first byte of an answer, within request_timeout',
--- a/tests/test_operator_port.py
+++ b/tests/test_operator_port.py
@@ -83,6 +83,24 @@
         except error.HTTPError as refusal:
             return refusal.code
 
+    def chat(self) -> Any:
+        """Return the answer of a streamed chat, read to its end."""
+        body = {
+            'model': self.ready['model'],
+            'messages': [{'role': 'user', 'content': 'hello'}],
+            'max_tokens': 3,
+            'stream': True,
+            'stream_options': {'include_usage': True},
+        }
+        call = request.Request(
+            f'{self.ready["base_url"]}/chat/completions',
+            data=json.dumps(body).encode(),
+            headers={'Authorization': f'Bearer {self.ready["api_key"]}'},
+        )
+        with request.urlopen(call, timeout=10) as answer:
+            answer.read()
+        return answer
+
 
 @pytest.fixture(name='cluster', scope='module')
 def start_cluster(
@@ -218,6 +236,23 @@
         assert cluster.run('status', '--nonsense')[0] == 2
         assert cluster.run('status', '--address', '127.0.0.1:1')[0] == 5
 
+    def test_explains_request(self, cluster: Cluster) -> None:
+        """A request is counted and explained under the id in its answer."""
+        answer = cluster.chat()
+        request_id = answer.headers['Clementinedyke-Request-Id']
+        status, output = cluster.run('explain', request_id)
+        explained = json.loads(output)
+        assert status == 0
+        assert explained['service'] == 'demo-assistant'
+        assert explained['customer'] == 'demo-customer'
+        assert explained['result_name'] == 'OK'
+        assert len(explained['attempts']) == 1
+        requests = 'clementinedyke_requests_total{code="OK"'
+        first = 'first_token_seconds_count{service="demo-assistant"} 1.0'
+        metrics = cluster.get('/metrics')[1]
+        assert f'{requests},service="demo-assistant"}} 1.0' in metrics
+        assert first in metrics
+
     def test_no_secret_is_shown(self, cluster: Cluster) -> None:
         """A key's secret is printed once and found nowhere after it."""
         status, output = cluster.run('key', 'create', 'demo-customer')
