Route, admit, retry and claim requests through the decision cores

The daemon's caller path now runs the router, the admission core, the retry budget, the quarantine and the claims. Engines are given the priority that admission decided; a caller cannot choose its own.

Cause of a change in the quarantine: the state machine found a bystander convicted from partial evidence, since blame was looked at before the settle time. A fingerprint with two losses is now held until the settle time has passed, then judged.

--- /dev/null
+++ b/src/clementinedyke/admission_component.py
@@ -0,0 +1,187 @@
+"""Queues the requests of callers with the admission core."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import trio
+
+from clementinedyke import admission_events
+from clementinedyke.admission import AdmissionCore
+from clementinedyke.callers.context import RequestContext
+from clementinedyke.clock import Clock, Milliseconds
+from clementinedyke.components import Component
+from clementinedyke.directory import Directory
+from clementinedyke.http_message import RequestError
+from clementinedyke.router import RouterCore
+from clementinedyke.service_admission import AdmissionLimits
+
+#: Time to the start of a request whose service record sets no deadline.
+_DEFAULT_DEADLINE: Milliseconds = 10000
+_TICK_INTERVAL: Milliseconds = 50
+_MILLISECONDS_PER_SECOND = 1000
+#: Work of an output token in prompt tokens: decoding is so much slower.
+_OUTPUT_COST = 4
+
+
+@dataclass(slots=True)
+class _Waiter:
+    decided: trio.Event = field(default_factory=trio.Event)
+    refusal: admission_events.RefuseRequest | None = None
+    priority: int = 0
+
+
+class AdmissionComponent(Component):
+    """Owns the admission core of a daemon."""
+
+    def __init__(
+        self,
+        router: RouterCore,
+        clock: Clock,
+        get_directory: Callable[[], Directory],
+        count_daemons: Callable[[], int],
+    ) -> None:
+        """Create the component.
+
+        :param router: tells how much work the endpoints can take.
+        :param clock: clock of this process.
+        :param get_directory: returns the records in force.
+        :param count_daemons: returns the number of live daemons.
+        """
+        self._router = router
+        self._clock = clock
+        self._get_directory = get_directory
+        self._count_daemons = count_daemons
+        self._core = AdmissionCore(AdmissionLimits())
+        self._waiters: dict[str, _Waiter] = {}
+        self._services: set[str] = set()
+        self._revision = -1
+
+    @property
+    def core(self) -> AdmissionCore:
+        """Core that decides on starts and refusals."""
+        return self._core
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start the timer of the core.
+
+        :param nursery: nursery that runs the timer.
+        """
+        nursery.start_soon(self._tick_forever)
+
+    def receive_consumed(
+        self, consumed: admission_events.RemoteConsumed
+    ) -> None:
+        """Take the consumption of customers at another daemon.
+
+        :param consumed: tokens since the last message.
+        """
+        self._feed(consumed)
+
+    @asynccontextmanager
+    async def admit(self, context: RequestContext) -> AsyncIterator[None]:
+        """Wait for the turn of a request and hold its place.
+
+        :param context: request that wants to start.
+        :raises RequestError: if the request is refused as not run.
+        """
+        request_id = context.outcome.request_id
+        waiter = _Waiter()
+        self._waiters[request_id] = waiter
+        try:
+            await self._wait(context, waiter)
+            yield
+        finally:
+            self._waiters.pop(request_id, None)
+            self._feed_end(context)
+
+    async def _wait(self, context: RequestContext, waiter: _Waiter) -> None:
+        self._report_room(context.route.service.name)
+        self._feed(self._compile_arrival(context))
+        await waiter.decided.wait()
+        refusal = waiter.refusal
+        if refusal is not None:
+            raise RequestError(
+                refusal.code,
+                f'service {context.route.service.name!r} is overloaded',
+                refusal.retry_after,
+            )
+        now = self._clock.get_now()
+        context.outcome.queue_time = now - context.outcome.received_at
+        context.outcome.priority = waiter.priority
+
+    def note_first_byte(self, context: RequestContext) -> None:
+        """Tell the core that a prompt was processed.
+
+        :param context: request whose answer began.
+        """
+        event = admission_events.PromptProcessed(context.outcome.request_id)
+        self._feed(event)
+
+    def _compile_arrival(
+        self, context: RequestContext
+    ) -> admission_events.RequestArrived:
+        work = context.work
+        service = context.route.service
+        deadline = service.deadline or _DEFAULT_DEADLINE
+        return admission_events.RequestArrived(
+            request_id=context.outcome.request_id,
+            service=service.name,
+            customer=context.route.customer or '',
+            cost=work.prompt_tokens + work.output_tokens * _OUTPUT_COST,
+            prompt_tokens=work.prompt_tokens,
+            start_by=self._clock.get_now() + deadline,
+        )
+
+    def _feed_end(self, context: RequestContext) -> None:
+        outcome = context.outcome
+        tokens = outcome.prompt_tokens
+        cost = tokens + outcome.completion_tokens * _OUTPUT_COST
+        ended = admission_events.RequestEnded(outcome.request_id, cost or None)
+        self._feed(admission_events.CallerLeft(outcome.request_id))
+        self._feed(ended)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await trio.sleep(_TICK_INTERVAL / _MILLISECONDS_PER_SECOND)
+            self._update_weights()
+            for service in self._services:
+                self._report_room(service)
+            self._feed(admission_events.AdmissionTicked())
+
+    def _report_room(self, service: str) -> None:
+        self._services.add(service)
+        room = self._router.get_room(service, self._clock.get_now())
+        # Daemons do not know who else has work; twice an equal part lets one
+        # with more work use what the others leave.
+        share = min(1, 2 / max(1, self._count_daemons()))
+        self._feed(
+            admission_events.RoomReported(
+                service, room.streams * share, room.prompt_tokens * share
+            )
+        )
+
+    def _update_weights(self) -> None:
+        try:
+            directory = self._get_directory()
+        except RequestError:
+            return
+        if directory.revision == self._revision:
+            return
+        self._revision = directory.revision
+        weights = tuple(
+            admission_events.CustomerWeight(name, record.weight)
+            for name, record in directory.customers.items()
+        )
+        self._feed(admission_events.CustomersChanged(weights))
+
+    def _feed(self, event: object) -> None:
+        for action in self._core.handle(event, self._clock.get_now()):
+            waiter = self._waiters.get(action.request_id)
+            if waiter is None:
+                continue
+            if isinstance(action, admission_events.RefuseRequest):
+                waiter.refusal = action
+            else:
+                waiter.priority = action.priority
+            waiter.decided.set()
--- a/src/clementinedyke/callers/context.py
+++ b/src/clementinedyke/callers/context.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from clementinedyke.callers.outcome import RequestOutcome
+from clementinedyke.callers.work import Work
 from clementinedyke.http_client import HttpClient
 from clementinedyke.http_server import ResponseWriter, ServerRequest
 from clementinedyke.records import ServiceRecord
@@ -15,6 +16,7 @@
     service: ServiceRecord
     customer: str | None
     target: str
+    work: Work = Work()
 
     @property
     def is_model(self) -> bool:
@@ -31,12 +33,22 @@
     route: Route
     outcome: RequestOutcome
 
+    @property
+    def work(self) -> Work:
+        """Estimated work of the request."""
+        return self.route.work
+
+    @property
+    def idempotency_key(self) -> str | None:
+        """Key under which the request may run once."""
+        return self.request.get_header(b'idempotency-key')
+
     @property
     def is_repeatable(self) -> bool:
         """Whether running the request twice does no harm."""
         if not self.route.service.repeatable:
             return False
-        return self.request.get_header(b'idempotency-key') is None
+        return self.idempotency_key is None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/callers/dispatch.py
+++ b/src/clementinedyke/callers/dispatch.py
@@ -16,8 +16,10 @@
 )
 from clementinedyke.http_client import HttpRequest
 from clementinedyke.http_server import RequestError
+from clementinedyke.quarantine import Verdict
 
 _MILLISECONDS_PER_SECOND = 1000
+_REFUSED_VERDICTS = frozenset((Verdict.HELD, Verdict.CONVICTED))
 
 
 class Dispatcher:
@@ -67,23 +69,32 @@
             if latest is None:
                 return
             failure = _select_failure(failure, latest)
-            if not self._may_try_again(context, latest):
+            wait = self._plan_retry(context, latest)
+            if wait is None:
                 break
+            await trio.sleep(wait / _MILLISECONDS_PER_SECOND)
             excluded |= {endpoint.name}
         raise failure or RequestError(
             ResultCode.NO_ENDPOINT,
             f'service {context.route.service.name!r} has no endpoint',
         )
 
-    def _may_try_again(
+    def _plan_retry(
         self, context: RequestContext, failure: RequestError
-    ) -> bool:
+    ) -> Milliseconds | None:
+        """Return the wait before the next try, None if there is none."""
         if context.response.is_started:
-            return False
+            return None
         is_unsent = failure.code is ResultCode.NO_ENDPOINT
         if not is_unsent and not context.is_repeatable:
-            return False
-        return self._options.allow_retry(context)
+            return None
+        verdict = self._options.get_verdict(context.work.fingerprint)
+        if verdict in _REFUSED_VERDICTS:
+            return None
+        limit = context.route.service.deadline
+        limit = limit or self._options.limits.first_byte_timeout
+        deadline = context.outcome.received_at + limit
+        return self._options.retries.plan_retry(context, failure.code, deadline)
 
     async def _attempt(
         self, context: RequestContext, endpoint: SelectedEndpoint
@@ -96,9 +107,11 @@
             return failure
         else:
             code = ResultCode.OK
+            self._options.retries.note_success(context)
             return None
         finally:
             context.outcome.attempts.append(Attempt(endpoint.name, code))
+            self._selector.note_end(context, endpoint.name, code)
 
     async def _exchange(
         self, context: RequestContext, endpoint: SelectedEndpoint
@@ -131,6 +144,8 @@
         def note_first_byte() -> None:  # noqa: WPS430
             scope.deadline = float('inf')
             context.outcome.first_byte_at = self._options.clock.get_now()
+            self._selector.note_first_byte(context)
+            self._options.admission.note_first_byte(context)
 
         request = _compile_request(context)
         async with endpoint.client.open_response(request) as answer:
@@ -154,10 +169,23 @@
         method=request.method,
         target=context.route.target,
         headers=[*headers, (b'Clementinedyke-Request-Id', request_id)],
-        body=request.body,
+        body=_compile_body(context),
     )
 
 
+def _compile_body(context: RequestContext) -> bytes:
+    """Return the body with the priority that admission gave the request.
+
+    Engines run a lower number first. The member is appended, since the last
+    one of a name counts: a caller cannot choose its own priority.
+    """
+    body = context.request.body
+    if not context.route.is_model:
+        return body
+    priority = -context.outcome.priority
+    return body.rstrip().removesuffix(b'}') + b',"priority":%d}' % priority
+
+
 def _select_failure(
     earlier: RequestError | None, latest: RequestError
 ) -> RequestError:
--- a/src/clementinedyke/callers/handler.py
+++ b/src/clementinedyke/callers/handler.py
@@ -3,6 +3,7 @@
 import trio
 
 from clementinedyke.callers.authentication import get_customer
+from clementinedyke.callers.claiming import ClaimedDispatch
 from clementinedyke.callers.context import RequestContext
 from clementinedyke.callers.dispatch import Dispatcher
 from clementinedyke.callers.outcome import RequestOutcome, TokenUsage
@@ -11,6 +12,7 @@
     list_models,
     select_route,
 )
+from clementinedyke.callers.rules import check_service_rules, check_verdict
 from clementinedyke.callers.steps import HandlerOptions, RotationSelector
 from clementinedyke.codes import ResultCode
 from clementinedyke.configuration import ConfigurationComponent
@@ -24,6 +26,7 @@
 )
 
 _OK = 200
+_RETRY_AFTER = 2000
 
 
 class CallerHandler:
@@ -50,6 +53,11 @@
         self._options = options or HandlerOptions()
         selector = self._options.selector or RotationSelector(endpoints)
         self._dispatcher = Dispatcher(selector, self._options)
+        self._claimed: ClaimedDispatch | None = None
+        if self._options.claims is not None:
+            self._claimed = ClaimedDispatch(
+                self._options.claims, self._dispatcher.run
+            )
 
     async def respond(
         self, request: ServerRequest, response: ResponseWriter
@@ -74,7 +82,7 @@
             outcome.code = ResultCode.INTERNAL_ERROR
             raise
         else:
-            outcome.code = ResultCode.OK
+            outcome.code = outcome.code or ResultCode.OK
         finally:
             self._observe(outcome)
 
@@ -95,8 +103,32 @@
         outcome.customer = route.customer
         outcome.service = route.service.name
         context = RequestContext(request, response, route, outcome)
+        self._check(context)
         async with self._options.admission.admit(context):
+            await self._dispatch(context)
+
+    def _check(self, context: RequestContext) -> None:
+        """Refuse what may not run now, before it waits for its turn."""
+        is_keyed = context.route.customer is not None
+        if is_keyed and not self._configuration.is_key_state_fresh():
+            raise RequestError(
+                ResultCode.KEY_STATE_STALE,
+                'the state of API keys has not been confirmed lately',
+                _RETRY_AFTER,
+            )
+        check_service_rules(context, self._options.region)
+        check_verdict(self._options.get_verdict(context.work.fingerprint))
+
+    async def _dispatch(self, context: RequestContext) -> None:
+        key = context.idempotency_key
+        if key is None:
             await self._dispatcher.run(context)
+        elif self._claimed is None:
+            raise RequestError(
+                ResultCode.CLAIM_UNAVAILABLE, 'claims are not available'
+            )
+        else:
+            await self._claimed.run(context, key)
 
     def _observe(self, outcome: RequestOutcome) -> None:
         outcome.ended_at = self._options.clock.get_now()
--- a/src/clementinedyke/callers/outcome.py
+++ b/src/clementinedyke/callers/outcome.py
@@ -5,7 +5,8 @@
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.codes import ResultCode
-from clementinedyke.http_server import create_request_id
+from clementinedyke.http_message import create_request_id
+from clementinedyke.route_types import RouteResult
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +38,16 @@
     body_bytes: int = 0
     prompt_tokens: int = 0
     completion_tokens: int = 0
+    queue_time: Milliseconds | None = None
+    priority: int = 0
+    routed: RouteResult | None = None
+
+    def weigh(self, routed: RouteResult) -> None:
+        """Keep the last decision of the router for ``explain``.
+
+        :param routed: choice with its candidates, or why there is none.
+        """
+        self.routed = routed
 
     @property
     def endpoint(self) -> str | None:
--- a/src/clementinedyke/callers/routing.py
+++ b/src/clementinedyke/callers/routing.py
@@ -6,6 +6,7 @@
 from clementinedyke.callers.authentication import check_customer, get_customer
 from clementinedyke.callers.context import Route
 from clementinedyke.callers.validation import parse_chat
+from clementinedyke.callers.work import estimate_chat, estimate_plain
 from clementinedyke.codes import ResultCode
 from clementinedyke.directory import Directory
 from clementinedyke.http_server import RequestError, ServerRequest
@@ -54,7 +55,8 @@
             ResultCode.ROUTE_UNKNOWN, f'model {body["model"]!r} does not exist'
         )
     check_customer(directory, service, customer)
-    return Route(service, customer, CHAT_PATH)
+    work = estimate_chat(customer, service.name, request.body, body)
+    return Route(service, customer, CHAT_PATH, work)
 
 
 def _select_service_route(
@@ -73,4 +75,5 @@
         customer = get_customer(directory, request)
         check_customer(directory, service, customer)
     query = f'?{request.query}' if request.query else ''
-    return Route(service, customer, f'/{path}{query}')
+    work = estimate_plain(customer or '', service.name, request.body)
+    return Route(service, customer, f'/{path}{query}', work)
--- a/src/clementinedyke/callers/steps.py
+++ b/src/clementinedyke/callers/steps.py
@@ -12,8 +12,11 @@
     ignore_outcome,
     ignore_usage,
 )
+from clementinedyke.claim_component import ClaimComponent
 from clementinedyke.clock import Clock, Milliseconds, MonotonicClock
+from clementinedyke.codes import ResultCode
 from clementinedyke.endpoints.registry import EndpointRegistry
+from clementinedyke.quarantine import Verdict
 
 #: Calls of the registry's rotation until an endpoint not yet tried is found.
 _MAX_ROTATION = 64
@@ -31,6 +34,9 @@
         leaving returns what the request held.
         """
 
+    def note_first_byte(self, context: RequestContext) -> None:
+        """Learn that the prompt of a request was processed."""
+
 
 class EndpointSelector(Protocol):
     """Chooses the endpoint of a try."""
@@ -40,6 +46,29 @@
     ) -> SelectedEndpoint | None:
         """Return an endpoint that is not excluded, or None."""
 
+    def note_first_byte(self, context: RequestContext) -> None:
+        """Learn that the answer of the last try began."""
+
+    def note_end(
+        self, context: RequestContext, name: str, code: ResultCode | None
+    ) -> None:
+        """Learn how a try ended; the code is None if the caller left."""
+
+
+class RetryPolicy(Protocol):
+    """Decides on further tries."""
+
+    def plan_retry(
+        self,
+        context: RequestContext,
+        code: ResultCode,
+        deadline: Milliseconds,
+    ) -> Milliseconds | None:
+        """Return how long to wait before the next try, None to give up."""
+
+    def note_success(self, context: RequestContext) -> None:
+        """Learn that an answer was whole."""
+
 
 class OpenAdmission:
     """Starts every request at once."""
@@ -53,6 +82,12 @@
         """
         return nullcontext()
 
+    def note_first_byte(self, context: RequestContext) -> None:
+        """Ignore the beginning of an answer.
+
+        :param context: request whose answer began.
+        """
+
 
 class RotationSelector:
     """Takes the live endpoints of a service in turn."""
@@ -81,6 +116,22 @@
                 return SelectedEndpoint(name, client)
         return None
 
+    def note_first_byte(self, context: RequestContext) -> None:
+        """Ignore the beginning of an answer.
+
+        :param context: request whose answer began.
+        """
+
+    def note_end(
+        self, context: RequestContext, name: str, code: ResultCode | None
+    ) -> None:
+        """Ignore the end of a try.
+
+        :param context: request that was tried.
+        :param name: endpoint of the try.
+        :param code: result code, None if the caller left.
+        """
+
 
 @dataclass(frozen=True, slots=True)
 class DispatchLimits:
@@ -98,26 +149,54 @@
     max_held_bytes: int = 1048576
 
 
-def allow_retry(context: RequestContext) -> bool:
-    """Allow every retry; stands in for a retry budget.
+class UnlimitedRetries:
+    """Tries again at once; stands in for a retry budget."""
+
+    def plan_retry(
+        self,
+        context: RequestContext,
+        code: ResultCode,
+        deadline: Milliseconds,
+    ) -> Milliseconds | None:
+        """Return no wait.
+
+        :param context: request whose try failed.
+        :param code: how the try failed.
+        :param deadline: latest useful start of a try.
+        """
+        return 0
+
+    def note_success(self, context: RequestContext) -> None:
+        """Ignore a whole answer.
+
+        :param context: request that was answered.
+        """
+
+
+def find_no_suspicion(fingerprint: str) -> Verdict:
+    """Clear every request; stands in for a quarantine.
 
-    :param context: request that would be tried again.
+    :param fingerprint: digest of customer, service and body.
     """
-    return True
+    return Verdict.CLEAR
 
 
 @dataclass(frozen=True, slots=True)
 class HandlerOptions:
     """Parts of the pipeline that a daemon can replace.
 
-    ``allow_retry`` is asked before each further try, after the rules on
-    repeatable requests allow it.
+    ``retries`` is asked before each further try, after the rules on
+    repeatable requests allow it. Without ``claims``, a request with an
+    ``Idempotency-Key`` is refused as not run.
     """
 
     admission: Admission = field(default_factory=OpenAdmission)
     selector: EndpointSelector | None = None
     limits: DispatchLimits = DispatchLimits()
     clock: Clock = field(default_factory=MonotonicClock)
-    allow_retry: Callable[[RequestContext], bool] = allow_retry
+    retries: RetryPolicy = field(default_factory=UnlimitedRetries)
+    claims: ClaimComponent | None = None
+    get_verdict: Callable[[str], Verdict] = find_no_suspicion
+    region: str = ''
     observe_outcome: OutcomeObserver = ignore_outcome
     observe_usage: UsageObserver = ignore_usage
--- /dev/null
+++ b/src/clementinedyke/callers/work.py
@@ -0,0 +1,76 @@
+"""Estimate of the work that a request is for its endpoint."""
+
+import hashlib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from clementinedyke.prefix_index import compute_block_hashes
+
+#: A token is about four bytes of text.
+_BYTES_PER_TOKEN = 4
+_DEFAULT_OUTPUT_TOKENS = 256
+_MESSAGES_KEY = b'"messages"'
+#: Work of a call to a plain service, in tokens, for fair queueing.
+_PLAIN_TOKENS = 100
+_FINGERPRINT_BYTES = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """Estimated tokens of a request and what its prompt looks like.
+
+    ``block_hashes`` identify the prefix blocks of the prompt, and
+    ``fingerprint`` the customer, service and body.
+    """
+
+    fingerprint: str = ''
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    block_hashes: tuple[int, ...] = ()
+
+
+def estimate_plain(customer: str, service: str, body: bytes) -> Work:
+    """Return the work of a call to a plain service.
+
+    :param customer: customer of the call, empty on an open route.
+    :param service: name of the service.
+    :param body: body of the call.
+    """
+    fingerprint = compute_fingerprint(customer, service, body)
+    return Work(fingerprint, prompt_tokens=_PLAIN_TOKENS)
+
+
+def estimate_chat(
+    customer: str, service: str, body: bytes, content: Mapping[str, Any]
+) -> Work:
+    """Return the work of a chat request.
+
+    :param customer: customer of the request.
+    :param service: name of the service.
+    :param body: body as received.
+    :param content: the decoded body.
+    """
+    prompt = body[max(0, body.find(_MESSAGES_KEY)) :]
+    limit = content.get('max_tokens') or content.get('max_completion_tokens')
+    output = limit if isinstance(limit, int) else _DEFAULT_OUTPUT_TOKENS
+    salt = f'{customer}/{content["model"]}'.encode()
+    return Work(
+        fingerprint=compute_fingerprint(customer, service, body),
+        prompt_tokens=len(prompt) // _BYTES_PER_TOKEN,
+        output_tokens=max(0, output),
+        block_hashes=compute_block_hashes(prompt, salt),
+    )
+
+
+def compute_fingerprint(customer: str, service: str, body: bytes) -> str:
+    """Return the digest that recognises a repeated request.
+
+    :param customer: customer of the request.
+    :param service: name of the service.
+    :param body: body as received.
+    """
+    digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
+    digest.update(f'{customer}\0{service}\0'.encode())
+    digest.update(body)
+    return digest.hexdigest()
--- a/src/clementinedyke/claim_component.py
+++ b/src/clementinedyke/claim_component.py
@@ -27,9 +27,6 @@
 #: Longest wait for claims in progress when the daemon stops.
 _DRAIN_SECONDS = 30
 
-#: Sends the request once and tells how that ended.
-Dispatcher = Callable[[], Awaitable[msg.KeptAnswer | 'DispatchFailure']]
-
 
 @dataclass(frozen=True, slots=True)
 class DispatchFailure:
@@ -40,6 +37,10 @@
     message: str
 
 
+#: Sends the request once and tells how that ended.
+Dispatcher = Callable[[], Awaitable[msg.KeptAnswer | DispatchFailure]]
+
+
 @dataclass(frozen=True, slots=True)
 class ClaimOutcome:
     """End of a non-repeatable request: an answer or a refusal."""
--- a/src/clementinedyke/codes.py
+++ b/src/clementinedyke/codes.py
@@ -50,11 +50,13 @@
     NOT_READY = 3007
     CONNECTION_LIMIT = 3008
     STORE_UNAVAILABLE = 3009
+    REQUEST_HELD = 3010
     STORE_UNREACHABLE = 3010
     ANSWER_LOST = 4000
     ENDPOINT_TIMEOUT = 4001
     CLAIM_PENDING = 4002
     INTERNAL_ERROR = 4003
+    CALLER_LEFT = 4004
 
 
 @dataclass(frozen=True, slots=True)
@@ -210,6 +212,11 @@
             _NOT_RUN,
             'The table service cannot be used; nothing was changed.',
         ),
+        ResultCode.REQUEST_HELD: CodeDetails(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _NOT_RUN,
+            'The request may have crashed an endpoint that is being examined.',
+        ),
         ResultCode.ANSWER_LOST: CodeDetails(
             HTTPStatus.BAD_GATEWAY,
             _UNKNOWN,
@@ -230,6 +237,11 @@
             _UNKNOWN,
             'The daemon failed while it handled the request.',
         ),
+        ResultCode.CALLER_LEFT: CodeDetails(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _UNKNOWN,
+            'The caller left before the answer was whole.',
+        ),
     }
 )
 
--- a/src/clementinedyke/configuration.py
+++ b/src/clementinedyke/configuration.py
@@ -3,7 +3,7 @@
 import trio
 from absl import logging
 
-from clementinedyke.clock import Milliseconds
+from clementinedyke.clock import Milliseconds, MonotonicClock
 from clementinedyke.codes import ResultCode
 from clementinedyke.components import Component
 from clementinedyke.directory import Directory
@@ -15,6 +15,7 @@
 RECORDS_TABLE = 'records'
 _POLL_INTERVAL: Milliseconds = 1000
 _MILLISECONDS_PER_SECOND = 1000
+_KEY_MAX_AGE: Milliseconds = 8000
 
 
 class ConfigurationComponent(Component):
@@ -26,9 +27,17 @@
         :param tables: client of the table service.
         """
         self._tables = tables
+        self._clock = MonotonicClock()
         self._rows: dict[str, Row] = {}
         self._directory: Directory | None = None
         self._revision = 0
+        self._confirmed_at: Milliseconds | None = None
+
+    def is_key_state_fresh(self) -> bool:
+        """Return whether keyed requests may be accepted."""
+        if self._confirmed_at is None:
+            return False
+        return self._clock.get_now() - self._confirmed_at <= _KEY_MAX_AGE
 
     def get_directory(self) -> Directory:
         """Return the records in force.
@@ -55,9 +64,11 @@
             await self._poll()
 
     async def _poll(self) -> None:
+        asked_at = self._clock.get_now()
         changes = await self._tables.get_changes(RECORDS_TABLE, self._revision)
         if changes.is_err():
             return
+        self._confirmed_at = asked_at
         snapshot = changes.unwrap()
         if self._directory is not None and not snapshot.rows:
             return
--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -1,11 +1,22 @@
 """Builds the application of an entry daemon."""
 
+import os
+import random
 from functools import partial
 
 import trio
 
+from clementinedyke.admission_component import AdmissionComponent
 from clementinedyke.application import Application
-from clementinedyke.callers import CallerHandler, DispatchLimits
+from clementinedyke.callers import (
+    CallerHandler,
+    DispatchLimits,
+    HandlerOptions,
+    RequestOutcome,
+)
+from clementinedyke.claim import ClaimSettings
+from clementinedyke.claim_component import ClaimComponent
+from clementinedyke.clock import MonotonicClock
 from clementinedyke.components import Component
 from clementinedyke.configuration import ConfigurationComponent
 from clementinedyke.endpoints.registry import EndpointRegistry
@@ -16,7 +27,10 @@
     RequestError,
 )
 from clementinedyke.operators import OperatorPort, OperatorReports
+from clementinedyke.outcome_report import compile_report
 from clementinedyke.platform.tables import TableClient
+from clementinedyke.retry_planner import RetryPlanner
+from clementinedyke.routing_component import RoutingComponent
 from clementinedyke.settings import Settings
 from clementinedyke.tls import load_tls
 
@@ -101,9 +115,35 @@
         platform = HttpClient(Address.parse(settings.platform))
         tables = TableClient(platform)
         self.reports = OperatorReports()
+        clock = MonotonicClock()
+        generator = random.Random(f'{settings.host_id}/{os.getpid()}')
         self.configuration = ConfigurationComponent(tables)
         self.endpoints = EndpointRegistry(platform)
-        handler = CallerHandler(self.configuration, self.endpoints)
+        self.claims = ClaimComponent(tables, clock, ClaimSettings())
+        self.routing = RoutingComponent(
+            self.endpoints, clock, settings.availability_zone, generator
+        )
+        self.admission = AdmissionComponent(
+            self.routing.router,
+            clock,
+            self.configuration.get_directory,
+            self._count_daemons,
+        )
+        options = HandlerOptions(
+            admission=self.admission,
+            selector=self.routing,
+            limits=DispatchLimits(
+                first_byte_timeout=settings.first_byte_timeout,
+                request_timeout=settings.request_timeout,
+            ),
+            clock=clock,
+            retries=RetryPlanner(clock, generator),
+            claims=self.claims,
+            get_verdict=self.routing.get_verdict,
+            region=settings.region,
+            observe_outcome=self._report_outcome,
+        )
+        handler = CallerHandler(self.configuration, self.endpoints, options)
         self.caller_port = CallerPort(settings, handler)
         self.operator_port = OperatorPort(settings, tables, self.reports)
         self._register_reports()
@@ -111,11 +151,21 @@
             [
                 self.configuration,
                 self.endpoints,
+                self.routing,
+                self.admission,
+                self.claims,
                 self.caller_port,
                 self.operator_port,
             ]
         )
 
+    def _count_daemons(self) -> int:
+        return 1
+
+    def _report_outcome(self, outcome: RequestOutcome) -> None:
+        if outcome.service is not None:
+            self.reports.record_outcome(compile_report(outcome))
+
     def _register_reports(self) -> None:
         report = ConfigurationReport(self.configuration)
         self.reports.add_readiness('configuration', report.has_configuration)
--- a/src/clementinedyke/endpoints/registry.py
+++ b/src/clementinedyke/endpoints/registry.py
@@ -1,5 +1,6 @@
 """Endpoints that the platform lists, with a client for each."""
 
+from collections.abc import Callable
 from typing import Literal
 
 import msgspec
@@ -39,6 +40,12 @@
         self._endpoints: dict[str, Endpoint] = {}
         self._clients: dict[str, HttpClient] = {}
         self._turn = 0
+        #: Called with all endpoints when the list has changed.
+        self.observers: list[Callable[[tuple[Endpoint, ...]], None]] = []
+
+    def list_endpoints(self) -> tuple[Endpoint, ...]:
+        """Return all listed endpoints, live and leaving."""
+        return tuple(self._endpoints.values())
 
     def select_client(self, service: str) -> HttpClient | None:
         """Return the client of the next live endpoint of a service.
@@ -53,7 +60,7 @@
         if not live:
             return None
         self._turn += 1
-        return self._get_client(live[self._turn % len(live)])
+        return self.get_client(live[self._turn % len(live)])
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Read the list once and start polling.
@@ -63,7 +70,11 @@
         await self._poll()
         nursery.start_soon(self._poll_forever)
 
-    def _get_client(self, endpoint: Endpoint) -> HttpClient:
+    def get_client(self, endpoint: Endpoint) -> HttpClient:
+        """Return the client of an endpoint.
+
+        :param endpoint: listed endpoint.
+        """
         client = self._clients.get(endpoint.endpoint_id)
         if client is None:
             client = HttpClient(Address.parse(endpoint.address))
@@ -84,6 +95,8 @@
         if answer.status != _STATUS_OK:
             return
         listed = msgspec.json.decode(answer.body, type=list[Endpoint])
-        self._endpoints = {
-            endpoint.endpoint_id: endpoint for endpoint in listed
-        }
+        endpoints = {endpoint.endpoint_id: endpoint for endpoint in listed}
+        if endpoints != self._endpoints:
+            self._endpoints = endpoints
+            for observer in self.observers:
+                observer(self.list_endpoints())
--- a/src/clementinedyke/quarantine.py
+++ b/src/clementinedyke/quarantine.py
@@ -144,14 +144,16 @@
         losses = self._get_losses(fingerprint)
         if not losses:
             return Verdict.CLEAR
-        if self._is_blamed(fingerprint, losses):
-            is_proven = all(loss.is_crash for loss in losses)
-            return Verdict.CONVICTED if is_proven else Verdict.HELD
+        if len(losses) < _LOSSES_TO_CONVICT:
+            return Verdict.SUSPECT
         newest = max(loss.seen_at for loss in losses)
-        is_settled = newest + self._settings.settle_time <= now
-        if len(losses) == 1 or is_settled:
+        if newest + self._settings.settle_time > now:
+            # Another daemon may know who else was aboard.
+            return Verdict.HELD
+        if not self._is_blamed(losses, fingerprint):
             return Verdict.SUSPECT
-        return Verdict.HELD
+        is_proven = all(loss.is_crash for loss in losses)
+        return Verdict.CONVICTED if is_proven else Verdict.HELD
 
     def may_share(self, endpoint_id: str, fingerprint: str) -> bool:
         """Tell whether a suspect may run on an endpoint.
@@ -257,14 +259,12 @@
         loss.fingerprints.add(item.fingerprint)
         return is_new
 
-    def _is_blamed(self, fingerprint: str, losses: list[_Loss]) -> bool:
+    def _is_blamed(self, losses: list[_Loss], fingerprint: str) -> bool:
         """Tell whether a loss has no other repeated suspect aboard.
 
         Two fingerprints that were lost together twice cannot be told apart;
         both stay suspects and run on different endpoints from then on.
         """
-        if len(losses) < _LOSSES_TO_CONVICT:
-            return False
         return any(
             self._list_repeated(loss) == {fingerprint} for loss in losses
         )
--- /dev/null
+++ b/src/clementinedyke/routing_component.py
@@ -0,0 +1,288 @@
+"""Chooses endpoints for the caller path and watches their state."""
+
+import random
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+import trio
+
+from clementinedyke import quarantine, route_events
+from clementinedyke.callers.context import RequestContext, SelectedEndpoint
+from clementinedyke.clock import Clock, Milliseconds
+from clementinedyke.codes import ResultCode
+from clementinedyke.components import Component
+from clementinedyke.endpoints.registry import Endpoint, EndpointRegistry
+from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
+from clementinedyke.http_client import HttpRequest
+from clementinedyke.load import LoadReport
+from clementinedyke.route_types import (
+    NoChoice,
+    Role,
+    RoutedEndpoint,
+    RouteRequest,
+)
+from clementinedyke.router import RouterCore
+from clementinedyke.selection import RouterSettings
+
+_STATE_INTERVAL: Milliseconds = 1000
+_MAX_STATE_INTERVAL: Milliseconds = 1500
+_STATE_TIMEOUT: Milliseconds = 1500
+_MILLISECONDS_PER_SECOND = 1000
+_STATUS_OK = 200
+#: A request that was sent and lost is evidence of a crash; a refusal is not.
+_LOST = frozenset((ResultCode.ANSWER_LOST,))
+
+
+class _EngineState(msgspec.Struct):
+    boot_id: str
+    role: str = 'mixed'
+    running: int = 0
+    prompt_tokens: int = 0
+
+
+@dataclass(slots=True)
+class _Watched:
+    endpoint: Endpoint
+    boot_id: str = ''
+    role: Role = Role.MIXED
+
+
+class RoutingComponent(Component):
+    """Owns the router and the quarantine of a daemon."""
+
+    def __init__(
+        self,
+        registry: EndpointRegistry,
+        clock: Clock,
+        availability_zone: str,
+        generator: random.Random,
+    ) -> None:
+        """Create the component.
+
+        :param registry: endpoints that the platform lists.
+        :param clock: clock of this process.
+        :param availability_zone: zone of this daemon.
+        :param generator: seeded source of random choices.
+        """
+        self._registry = registry
+        self._clock = clock
+        self._generator = generator
+        self._router = RouterCore(
+            RouterSettings(availability_zone=availability_zone), generator
+        )
+        self._quarantine = quarantine.QuarantineCore(
+            quarantine.QuarantineSettings()
+        )
+        self._watched: dict[str, _Watched] = {}
+        self._choices: dict[str, route_events.RequestStarted] = {}
+        #: Called with evidence that other daemons should have.
+        self.evidence_observers: list[Any] = []
+
+    @property
+    def router(self) -> RouterCore:
+        """Router of this daemon."""
+        return self._router
+
+    def get_verdict(self, fingerprint: str) -> quarantine.Verdict:
+        """Return what may be done with a request.
+
+        :param fingerprint: digest of customer, service and body.
+        """
+        return self._quarantine.get_verdict(fingerprint, self._clock.get_now())
+
+    def receive_evidence(
+        self, evidence: tuple[quarantine.Evidence, ...]
+    ) -> None:
+        """Take the evidence of another daemon.
+
+        :param evidence: fingerprints aboard lost endpoints.
+        """
+        self._tell(quarantine.EvidenceReceived(evidence))
+
+    def select(
+        self, context: RequestContext, excluded: frozenset[str]
+    ) -> SelectedEndpoint | None:
+        """Return the endpoint of a try, or None.
+
+        :param context: request to be dispatched.
+        :param excluded: endpoints that were tried.
+        """
+        now = self._clock.get_now()
+        crowded = self._list_crowded(context.work.fingerprint)
+        request = compile_route_request(context, excluded | crowded)
+        choice = self._router.select_endpoint(request, now)
+        context.outcome.weigh(choice)
+        if isinstance(choice, NoChoice):
+            return None
+        watched = self._watched[choice.endpoint_id]
+        started = route_events.RequestStarted(request, choice)
+        self._choices[request.request_id] = started
+        self._router.handle(started, now)
+        self._tell(
+            quarantine.RequestStarted(
+                request.request_id,
+                context.work.fingerprint,
+                choice.endpoint_id,
+            )
+        )
+        client = self._registry.get_client(watched.endpoint)
+        return SelectedEndpoint(choice.endpoint_id, client)
+
+    def note_first_byte(self, context: RequestContext) -> None:
+        """Tell the router that a prompt was processed.
+
+        :param context: request whose answer began.
+        """
+        event = route_events.FirstTokenReceived(context.outcome.request_id)
+        self._router.handle(event, self._clock.get_now())
+
+    def note_end(
+        self, context: RequestContext, name: str, code: ResultCode | None
+    ) -> None:
+        """Tell the router and the quarantine how a try ended.
+
+        :param context: request that was tried.
+        :param name: endpoint of the try.
+        :param code: result code, None if the caller left.
+        """
+        request_id = context.outcome.request_id
+        self._choices.pop(request_id, None)
+        self._tell_router_end(request_id, name, code)
+        watched = self._watched.get(name)
+        if code in _LOST and watched and watched.endpoint.state == 'live':
+            self._tell(quarantine.EndpointLost(name, watched.boot_id))
+        is_whole = code is ResultCode.OK
+        self._tell(quarantine.RequestEnded(request_id, is_whole))
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Take the present endpoints and start watching their state.
+
+        :param nursery: nursery that runs the watch.
+        """
+        self._registry.observers.append(self._replace_endpoints)
+        self._replace_endpoints(self._registry.list_endpoints())
+        nursery.start_soon(self._watch_forever)
+
+    def _tell_router_end(
+        self, request_id: str, name: str, code: ResultCode | None
+    ) -> None:
+        event: object = route_events.RequestFailed(request_id, name)
+        if code is ResultCode.OK:
+            event = route_events.RequestFinished(request_id)
+        elif code is None:
+            event = route_events.RequestCancelled(request_id)
+        self._router.handle(event, self._clock.get_now())
+
+    def _tell(self, event: quarantine.QuarantineEvent) -> None:
+        shared = self._quarantine.handle(event, self._clock.get_now())
+        for action in shared:
+            for observer in self.evidence_observers:
+                observer(action.evidence)
+
+    def _list_crowded(self, fingerprint: str) -> frozenset[str]:
+        """Return the endpoints where a suspect may not run now."""
+        verdict = self.get_verdict(fingerprint)
+        if verdict is quarantine.Verdict.CLEAR:
+            return frozenset()
+        return frozenset(
+            endpoint_id
+            for endpoint_id in self._watched
+            if not self._quarantine.may_share(endpoint_id, fingerprint)
+        )
+
+    def _replace_endpoints(self, endpoints: tuple[Endpoint, ...]) -> None:
+        watched: dict[str, _Watched] = {}
+        for endpoint in endpoints:
+            known = self._watched.get(endpoint.endpoint_id)
+            entry = known or _Watched(endpoint)
+            entry.endpoint = endpoint
+            watched[endpoint.endpoint_id] = entry
+        self._watched = watched
+        self._update_router()
+
+    def _update_router(self) -> None:
+        routed = tuple(map(_compile_routed, self._watched.values()))
+        event = route_events.EndpointsChanged(routed)
+        self._router.handle(event, self._clock.get_now())
+
+    async def _watch_forever(self) -> None:
+        while True:
+            async with trio.open_nursery() as nursery:
+                for watched in self._watched.values():
+                    nursery.start_soon(self._read_state, watched)
+            wait = self._generator.uniform(_STATE_INTERVAL, _MAX_STATE_INTERVAL)
+            await trio.sleep(wait / _MILLISECONDS_PER_SECOND)
+
+    async def _read_state(self, watched: _Watched) -> None:
+        asked_at = self._clock.get_now()
+        client = self._registry.get_client(watched.endpoint)
+        try:
+            answer = await client.request(
+                HttpRequest('GET', '/state'), _STATE_TIMEOUT
+            )
+        except (PeerUnavailableError, AnswerLostError):
+            return
+        if answer.status != _STATUS_OK:
+            return
+        try:
+            state = msgspec.json.decode(answer.body, type=_EngineState)
+        except msgspec.MsgspecError:
+            return
+        self._apply_state(watched, state, asked_at)
+
+    def _apply_state(
+        self, watched: _Watched, state: _EngineState, asked_at: Milliseconds
+    ) -> None:
+        now = self._clock.get_now()
+        endpoint_id = watched.endpoint.endpoint_id
+        role = _get_role(state.role)
+        if watched.boot_id not in {'', state.boot_id}:
+            restarted = route_events.EndpointRestarted(endpoint_id)
+            self._router.handle(restarted, now)
+        watched.boot_id = state.boot_id
+        self._tell(quarantine.EndpointSeen(endpoint_id, state.boot_id))
+        if role is not watched.role:
+            watched.role = role
+            self._update_router()
+        report = LoadReport(state.running, state.prompt_tokens)
+        loaded = route_events.LoadReported(endpoint_id, report, now - asked_at)
+        self._router.handle(loaded, now)
+
+
+def compile_route_request(
+    context: RequestContext, excluded: frozenset[str]
+) -> RouteRequest:
+    """Return what the router needs to know of a request.
+
+    :param context: request of a caller.
+    :param excluded: endpoints that may not be chosen.
+    """
+    work = context.work
+    return RouteRequest(
+        request_id=context.outcome.request_id,
+        service=context.route.service.name,
+        prompt_tokens=work.prompt_tokens,
+        block_hashes=work.block_hashes,
+        repeatable=context.is_repeatable,
+        excluded=excluded,
+    )
+
+
+def _compile_routed(watched: _Watched) -> RoutedEndpoint:
+    endpoint = watched.endpoint
+    return RoutedEndpoint(
+        endpoint_id=endpoint.endpoint_id,
+        service=endpoint.service,
+        availability_zone=endpoint.availability_zone,
+        cheap=endpoint.price_class == 'cheap',
+        leaving=endpoint.state == 'leaving',
+        role=watched.role,
+    )
+
+
+def _get_role(name: str) -> Role:
+    try:
+        return Role(name)
+    except ValueError:
+        return Role.MIXED
--- a/tests/caller_tools.py
+++ b/tests/caller_tools.py
@@ -16,6 +16,7 @@
     SelectedEndpoint,
     TokenUsage,
 )
+from clementinedyke.codes import ResultCode
 from clementinedyke.directory import Directory
 from clementinedyke.http_client import Address, HttpClient, HttpResponse
 from clementinedyke.http_client import HttpRequest as Request
@@ -40,6 +41,10 @@
 class FixedConfiguration:
     """Holds records that do not change."""
 
+    def is_key_state_fresh(self) -> bool:
+        """Tell that keyed requests may be accepted."""
+        return True
+
     def get_directory(self) -> Directory:
         """Return the records."""
         return Directory.compile(1, _RECORDS)
@@ -62,6 +67,14 @@
         left = [item for item in self._endpoints if item.name not in excluded]
         return left[0] if left else None
 
+    def note_first_byte(self, context: RequestContext) -> None:
+        """Ignore the beginning of an answer."""
+
+    def note_end(
+        self, context: RequestContext, name: str, code: ResultCode | None
+    ) -> None:
+        """Ignore the end of a try."""
+
     async def close_idle(self) -> None:
         """Close the pooled connections to the endpoints."""
         for endpoint in self._endpoints:
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -8,12 +8,17 @@
 import pytest
 
 
-def post(url: str, key: str, content: Any = None) -> tuple[int, Any]:
+def post(
+    url: str, key: str, content: Any = None, idempotency_key: str = ''
+) -> tuple[int, Any]:
     """Return the status and the JSON body of a POST."""
+    headers = {'Authorization': f'Bearer {key}'}
+    if idempotency_key:
+        headers['Idempotency-Key'] = idempotency_key
     call = request.Request(
         url,
         data=json.dumps(content or {}).encode(),
-        headers={'Authorization': f'Bearer {key}'},
+        headers=headers,
     )
     try:
         with request.urlopen(call, timeout=10) as answer:
@@ -100,3 +105,25 @@
         second = post(target, demo['api_key'])
         assert first[0] == 201
         assert second[1]['run'] == first[1]['run'] + 1
+
+    def test_repeat_gets_the_kept_answer(self, demo: dict[str, str]) -> None:
+        """A booking that is sent again must not run again."""
+        url = demo['base_url'].removesuffix('/v1')
+        target = f'{url}/services/{demo["service"]}/slots'
+        first = post(target, demo['api_key'], {'slot': 1}, 'booking-1')
+        repeat = post(target, demo['api_key'], {'slot': 1}, 'booking-1')
+        assert first[0] == 201
+        assert repeat == first
+
+    def test_key_of_another_body_is_refused(self, demo: dict[str, str]) -> None:
+        """The answer of another booking must not be given."""
+        url = demo['base_url'].removesuffix('/v1')
+        target = f'{url}/services/{demo["service"]}/slots'
+        post(target, demo['api_key'], {'slot': 1}, 'booking-2')
+        status, answer = post(target, demo['api_key'], {'slot': 2}, 'booking-2')
+        assert status == 422
+        assert answer['error'] == {
+            'message': 'The Idempotency-Key belongs to another request.',
+            'type': 'not_run',
+            'code': 2010,
+        }
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -185,6 +185,8 @@
             fleet.send(daemon, daemon, f'other-{daemon}')
             fleet.run_engines()
             fleet.deliver()
+        assert fleet.send(2, 3, _KILLER) is Verdict.HELD
+        fleet.now += 2000
         assert fleet.send(2, 3, _KILLER) is Verdict.CONVICTED
         assert fleet.crashes == 2
 
