--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -1,9 +1,12 @@
 """Builds the application of an entry daemon."""
 
+import os
+import random
 from functools import partial
 
 import trio
 
+from clementinedyke.admission_component import AdmissionComponent
 from clementinedyke.application import Application
 from clementinedyke.callers import (
     CallerHandler,
@@ -11,6 +14,9 @@
     HandlerOptions,
     RequestOutcome,
 )
+from clementinedyke.claim import ClaimSettings
+from clementinedyke.claim_component import ClaimComponent
+from clementinedyke.clock import MonotonicClock
 from clementinedyke.components import Component
 from clementinedyke.configuration import ConfigurationComponent
 from clementinedyke.endpoints.registry import EndpointRegistry
@@ -21,9 +27,11 @@
     RequestError,
 )
 from clementinedyke.operators import OperatorPort, OperatorReports
-from clementinedyke.operators.caller_outcomes import describe_outcome
+from clementinedyke.outcome_report import compile_report
 from clementinedyke.platform.tables import TableClient
 from clementinedyke.ports import explain_bind_failure
+from clementinedyke.retry_planner import RetryPlanner
+from clementinedyke.routing_component import RoutingComponent
 from clementinedyke.settings import Settings
 from clementinedyke.tls import load_tls
 
@@ -110,16 +118,35 @@
         platform = HttpClient(Address.parse(settings.platform))
         tables = TableClient(platform)
         self.reports = OperatorReports()
+        clock = MonotonicClock()
+        generator = random.Random(f'{settings.host_id}/{os.getpid()}')
         self.configuration = ConfigurationComponent(tables)
         self.endpoints = EndpointRegistry(platform)
-        handler = CallerHandler(
-            self.configuration,
-            self.endpoints,
-            HandlerOptions(
-                limits=get_dispatch_limits(settings),
-                observe_outcome=self._observe_outcome,
+        self.claims = ClaimComponent(tables, clock, ClaimSettings())
+        self.routing = RoutingComponent(
+            self.endpoints, clock, settings.availability_zone, generator
+        )
+        self.admission = AdmissionComponent(
+            self.routing.router,
+            clock,
+            self.configuration.get_directory,
+            self._count_daemons,
+        )
+        options = HandlerOptions(
+            admission=self.admission,
+            selector=self.routing,
+            limits=DispatchLimits(
+                first_byte_timeout=settings.first_byte_timeout,
+                request_timeout=settings.request_timeout,
             ),
+            clock=clock,
+            retries=RetryPlanner(clock, generator),
+            claims=self.claims,
+            get_verdict=self.routing.get_verdict,
+            region=settings.region,
+            observe_outcome=self._report_outcome,
         )
+        handler = CallerHandler(self.configuration, self.endpoints, options)
         self.caller_port = CallerPort(settings, handler)
         self.operator_port = OperatorPort(settings, tables, self.reports)
         self._register_reports()
@@ -127,13 +154,20 @@
             [
                 self.configuration,
                 self.endpoints,
+                self.routing,
+                self.admission,
+                self.claims,
                 self.caller_port,
                 self.operator_port,
             ]
         )
 
-    def _observe_outcome(self, ended: RequestOutcome) -> None:
-        self.reports.record_outcome(describe_outcome(ended))
+    def _count_daemons(self) -> int:
+        return 1
+
+    def _report_outcome(self, outcome: RequestOutcome) -> None:
+        if outcome.service is not None:
+            self.reports.record_outcome(compile_report(outcome))
 
     def _register_reports(self) -> None:
         report = ConfigurationReport(self.configuration)
@@ -158,14 +192,3 @@
         idle_timeout=settings.idle_timeout,
         receive_timeout=settings.receive_timeout,
     )
-
-
-def get_dispatch_limits(settings: Settings) -> DispatchLimits:
-    """Return the limits of one request of a caller.
-
-    :param settings: settings of the daemon.
-    """
-    return DispatchLimits(
-        first_byte_timeout=settings.first_byte_timeout,
-        request_timeout=settings.request_timeout,
-    )
