--- a/src/clementinedyke/callers/handler.py
+++ b/src/clementinedyke/callers/handler.py
@@ -15,7 +15,7 @@
 from clementinedyke.callers.rules import check_service_rules, check_verdict
 from clementinedyke.callers.steps import HandlerOptions, RotationSelector
 from clementinedyke.codes import ResultCode
-from clementinedyke.configuration import ConfigurationComponent
+from clementinedyke.configuration_component import ConfigurationComponent
 from clementinedyke.endpoints.registry import EndpointRegistry
 from clementinedyke.http_server import (
     RequestError,
--- a/tests/test_operator_port.py
+++ b/tests/test_operator_port.py
@@ -3,6 +3,7 @@
 import json
 import os
 import signal
+import ssl
 import subprocess
 import sys
 from collections.abc import Iterator
@@ -11,6 +12,13 @@
 from urllib import error, request
 
 import pytest
+import trio
+import trustme
+
+from clementinedyke.http_client import Address, HttpClient, HttpRequest
+from clementinedyke.operators import OperatorPort, OperatorReports
+from clementinedyke.platform.tables import TableClient
+from clementinedyke.settings import Settings
 
 _TOKEN = 'operator-token-of-tests'
 
@@ -75,6 +83,24 @@
         except error.HTTPError as refusal:
             return refusal.code
 
+    def chat(self) -> Any:
+        """Return the answer of a streamed chat, read to its end."""
+        body = {
+            'model': self.ready['model'],
+            'messages': [{'role': 'user', 'content': 'hello'}],
+            'max_tokens': 3,
+            'stream': True,
+            'stream_options': {'include_usage': True},
+        }
+        call = request.Request(
+            f'{self.ready["base_url"]}/chat/completions',
+            data=json.dumps(body).encode(),
+            headers={'Authorization': f'Bearer {self.ready["api_key"]}'},
+        )
+        with request.urlopen(call, timeout=10) as answer:
+            answer.read()
+        return answer
+
 
 @pytest.fixture(name='cluster', scope='module')
 def start_cluster(
@@ -113,6 +139,75 @@
             request.urlopen(call, timeout=10)
 
 
+class TestPort:
+    """Guards against a port that fails in a way nobody understands."""
+
+    @pytest.mark.parametrize(
+        ('query', 'body'),
+        [
+            ('', b'{}'),
+            ('expect_version=-1', b'{}'),
+            (f'expect_version={"9" * 5000}', b'{}'),
+            ('expect_version=0', b'[]'),
+            ('expect_version=0', b'[' * 100000),
+        ],
+    )
+    def test_wrong_put(self, cluster: Cluster, query: str, body: bytes) -> None:
+        """A malformed change is refused and the daemon goes on."""
+        call = request.Request(
+            f'{cluster.base}/v1/records/customer/x?{query}',
+            data=body,
+            headers={'Authorization': f'Bearer {_TOKEN}'},
+            method='PUT',
+        )
+        with pytest.raises(error.HTTPError, match='400'):
+            request.urlopen(call, timeout=10)
+        assert cluster.get('/readyz')[0] == 200
+
+    def test_port_in_use(self, cluster: Cluster) -> None:
+        """A second daemon on the port stops with one line and status 2."""
+        port = cluster.base.rpartition(':')[2]
+        done = subprocess.run(
+            [sys.executable, '-m', 'clementinedyke', 'serve', '--port', '0']
+            + ['--operator-port', port, '--log-level', 'error'],
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
+        assert done.returncode == 2
+        assert done.stderr.count('\n') == 1
+        assert f'--operator-port has value {port}' in done.stderr
+
+    def test_tls(self, tmp_path: Path) -> None:
+        """Commands reach a port that serves TLS."""
+        authority = trustme.CA()
+        issued = authority.issue_cert('127.0.0.1')
+        authority.cert_pem.write_to_path(tmp_path / 'ca')
+        issued.private_key_pem.write_to_path(tmp_path / 'key')
+        issued.cert_chain_pems[0].write_to_path(tmp_path / 'certificate')
+        settings = Settings(
+            operator_port=0,
+            operator_tls_certificate=str(tmp_path / 'certificate'),
+            operator_tls_key=str(tmp_path / 'key'),
+        )
+        status = trio.run(get_status, settings, str(tmp_path / 'ca'))
+        assert status == 200
+
+
+async def get_status(settings: Settings, authority: str) -> int:
+    """Return the status of ``/healthz`` over TLS."""
+    platform = TableClient(HttpClient(Address('127.0.0.1', 1)))
+    port = OperatorPort(settings, platform, OperatorReports())
+    context = ssl.create_default_context(cafile=authority)
+    async with trio.open_nursery() as nursery:
+        await port.start(nursery)
+        address = Address('127.0.0.1', port.bound_port)
+        async with HttpClient(address, context) as client:
+            answer = await client.request(HttpRequest('GET', '/healthz'), 5000)
+        nursery.cancel_scope.cancel()
+    return answer.status
+
+
 class TestCommands:
     """Guards against commands whose exit status hides what happened."""
 
@@ -141,6 +236,23 @@
         assert cluster.run('status', '--nonsense')[0] == 2
         assert cluster.run('status', '--address', '127.0.0.1:1')[0] == 5
 
+    def test_explains_request(self, cluster: Cluster) -> None:
+        """A request is counted and explained under the id in its answer."""
+        answer = cluster.chat()
+        request_id = answer.headers['Clementinedyke-Request-Id']
+        status, output = cluster.run('explain', request_id)
+        explained = json.loads(output)
+        assert status == 0
+        assert explained['service'] == 'demo-assistant'
+        assert explained['customer'] == 'demo-customer'
+        assert explained['result_name'] == 'OK'
+        assert len(explained['attempts']) == 1
+        requests = 'clementinedyke_requests_total{code="OK"'
+        first = 'first_token_seconds_count{service="demo-assistant"} 1.0'
+        metrics = cluster.get('/metrics')[1]
+        assert f'{requests},service="demo-assistant"}} 1.0' in metrics
+        assert first in metrics
+
     def test_no_secret_is_shown(self, cluster: Cluster) -> None:
         """A key's secret is printed once and found nowhere after it."""
         status, output = cluster.run('key', 'create', 'demo-customer')
