--- a/src/clementinedyke/codes.py
+++ b/src/clementinedyke/codes.py
@@ -56,7 +56,6 @@
     ENDPOINT_TIMEOUT = 4001
     CLAIM_PENDING = 4002
     INTERNAL_ERROR = 4003
-    CALLER_LEFT = 4004
 
 
 @dataclass(frozen=True, slots=True)
@@ -237,11 +236,6 @@
             _UNKNOWN,
             'The daemon failed while it handled the request.',
         ),
-        ResultCode.CALLER_LEFT: CodeDetails(
-            HTTPStatus.SERVICE_UNAVAILABLE,
-            _UNKNOWN,
-            'The caller left before the answer was whole.',
-        ),
     }
 )
 
