--- a/tests/test_operator_port.py
+++ b/tests/test_operator_port.py
@@ -288,6 +288,9 @@
             )[1]
         )
         pages.append(cluster.errors.read_text())
+        request_id = cluster.chat().headers['Clementinedyke-Request-Id']
+        pages.append(cluster.get(f'/v1/explain/{request_id}', _TOKEN)[1])
+        assert 'demo-customer' in pages[-1]
         assert name in pages[1]
         for page in pages:
             assert secret not in page
