Add decision cores of membership and configuration

Cause: daemons did not know each other and each polled the records table. Not yet wired into the daemon; no test runs against the cores yet.

--- a/src/clementinedyke/callers/handler.py
+++ b/src/clementinedyke/callers/handler.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from clementinedyke.codes import ResultCode
-from clementinedyke.configuration import ConfigurationComponent
+from clementinedyke.configuration_component import ConfigurationComponent
 from clementinedyke.directory import Directory
 from clementinedyke.endpoints.registry import EndpointRegistry
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
--- a/src/clementinedyke/configuration.py
+++ b/src/clementinedyke/configuration.py
@@ -1,80 +1,164 @@
-"""Keeps the records in force up to date with the table service."""
+"""Decision core of the configuration: revisions, confirmations and feeding."""
 
-import trio
-from absl import logging
+import random
+from collections.abc import Iterable, Iterator
+from functools import singledispatchmethod
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.codes import ResultCode
-from clementinedyke.components import Component
-from clementinedyke.directory import Directory
-from clementinedyke.exceptions import RecordError
-from clementinedyke.http_server import RequestError
-from clementinedyke.platform.tables import Row, TableClient
-from clementinedyke.records import parse_record
+from clementinedyke.configuration_events import (
+    AdvertReceived,
+    ConfigurationOptions,
+    MembersSeen,
+    Poll,
+    PollAnswered,
+    PollFailed,
+)
+from clementinedyke.configuration_feed import (
+    ConfigurationAction,
+    ConfigurationFeed,
+)
+from clementinedyke.control_messages import Member
+from clementinedyke.membership_events import Received, Tick
+from clementinedyke.record_rows import RecordRows
+from clementinedyke.watchers import PollSchedule, select_watchers
 
-RECORDS_TABLE = 'records'
-_POLL_INTERVAL: Milliseconds = 1000
-_MILLISECONDS_PER_SECOND = 1000
 
+class ConfigurationCore:
+    """Keeps the records in force and knows how old its knowledge is."""
 
-class ConfigurationComponent(Component):
-    """Polls the records table and publishes a directory."""
+    def __init__(
+        self,
+        own: Member,
+        random_source: random.Random,
+        options: ConfigurationOptions,
+    ) -> None:
+        """Create a core without any records.
 
-    def __init__(self, tables: TableClient) -> None:
-        """Create the component.
+        :param own: record of this daemon.
+        :param random_source: seeded source of jitter.
+        :param options: intervals.
+        """
+        self.feed = ConfigurationFeed(own, options)
+        #: Whether this daemon polls for its availability zone.
+        self.is_watcher = True
+        self._own = own
+        self._options = options
+        self._schedule = PollSchedule(random_source, options)
+        self._first_tick: Milliseconds | None = None
+        self._knows_peer = False
+
+    def handle(
+        self, event: object, now: Milliseconds
+    ) -> list[ConfigurationAction]:
+        """Return the actions that an event calls for.
 
-        :param tables: client of the table service.
+        :param event: one of the classes of ``configuration_events``, a tick
+            or a received message.
+        :param now: current instant on this process's clock.
         """
-        self._tables = tables
-        self._rows: dict[str, Row] = {}
-        self._directory: Directory | None = None
-        self._revision = 0
+        return list(self._handle(event, now))
 
-    def get_directory(self) -> Directory:
-        """Return the records in force.
+    def is_key_state_fresh(self, now: Milliseconds) -> bool:
+        """Return whether keyed requests may be accepted.
 
-        :raises RequestError: if no configuration was read yet.
+        :param now: current instant.
         """
-        if self._directory is None:
-            raise RequestError(
-                ResultCode.NOT_READY, 'no configuration was read yet'
-            )
-        return self._directory
+        age = self.feed.get_age(now)
+        if age is None or self.feed.records.version < self.feed.highest_seen:
+            return False
+        return age <= self._options.key_max_age or not self._options.check_age
 
-    async def start(self, nursery: trio.Nursery) -> None:
-        """Start polling.
+    def is_ready(self, now: Milliseconds) -> bool:
+        """Return whether the records are as new as those of any peer.
 
-        :param nursery: nursery that runs the poll.
+        :param now: current instant.
         """
-        await self._poll()
-        nursery.start_soon(self._poll_forever)
+        began = self._first_tick
+        is_alone = began is not None and now - began >= self._options.solitude
+        return (self._knows_peer or is_alone) and self.is_key_state_fresh(now)
+
+    @singledispatchmethod
+    def _handle(
+        self, event: object, now: Milliseconds
+    ) -> Iterable[ConfigurationAction]:
+        raise TypeError(f'unknown event {event!r}')
+
+    @_handle.register
+    def _tick(
+        self, event: Tick, now: Milliseconds
+    ) -> Iterator[ConfigurationAction]:
+        if self._first_tick is None:
+            self._first_tick = now
+        if self.feed.requests.expire(self._options, now):
+            self._schedule.record_failure()
+        age = self.feed.get_age(now)
+        is_silent = age is None or age >= self._options.silence
+        is_due = self._schedule.is_due(
+            now,
+            is_watcher=self.is_watcher,
+            is_silent=is_silent and self._options.own_poll,
+        )
+        if is_due and not self.feed.requests.polls:
+            self.feed.requests.number += 1
+            self.feed.requests.polls[self.feed.requests.number] = now
+            yield Poll(self.feed.requests.number, self.feed.records.version)
 
-    async def _poll_forever(self) -> None:
-        while True:
-            await trio.sleep(_POLL_INTERVAL / _MILLISECONDS_PER_SECOND)
-            await self._poll()
+    @_handle.register
+    def _see_members(
+        self, event: MembersSeen, now: Milliseconds
+    ) -> Iterable[ConfigurationAction]:
+        self.feed.members = event
+        watchers = select_watchers(
+            event.living, self._own.availability_zone, self._options.watchers
+        )
+        self.is_watcher = self._own.daemon_id in watchers
+        return ()
 
-    async def _poll(self) -> None:
-        changes = await self._tables.get_changes(RECORDS_TABLE, self._revision)
-        if changes.is_err():
+    @_handle.register
+    def _fail(
+        self, event: PollFailed, now: Milliseconds
+    ) -> Iterable[ConfigurationAction]:
+        if self.feed.requests.polls.pop(event.number, None) is not None:
+            self._schedule.record_failure()
+        return ()
+
+    @_handle.register
+    def _apply_poll(
+        self, event: PollAnswered, now: Milliseconds
+    ) -> Iterator[ConfigurationAction]:
+        began = self.feed.requests.polls.pop(event.number, None)
+        if began is None:
             return
-        snapshot = changes.unwrap()
-        if self._directory is not None and not snapshot.rows:
+        self._schedule.record_success()
+        is_old = event.revision < self.feed.confirmation.revision
+        if is_old and self._options.check_revision:
+            # The store came back with older data: no confirmation.
             return
-        for row in snapshot.rows:
-            self._rows[row.key] = row
-        self._revision = max(self._revision, snapshot.revision)
-        self._directory = Directory.compile(self._revision, self._parse_rows())
-
-    def _parse_rows(self) -> list[object]:
-        records = []
-        for row in self._rows.values():
-            if row.value is None:
-                continue
-            try:
-                records.append(parse_record(row.value))
-            except RecordError as error:
-                logging.error(
-                    'event=record_ignored key=%s reason="%s"', row.key, error
-                )
-        return records
+        rows = list(event.rows)
+        if event.is_whole:
+            rows.extend(self.feed.records.list_missing(rows, event.revision))
+        upto = max((row.version for row in rows), default=0)
+        if not self._options.check_revision:
+            self.feed.records = RecordRows()
+        rises = self.feed.records.apply(rows, upto)
+        self.feed.confirmation.renew(event.revision, began)
+        if rises:
+            yield from self.feed.announce()
+
+    @_handle.register
+    def _hear(
+        self, event: AdvertReceived, now: Milliseconds
+    ) -> Iterator[ConfigurationAction]:
+        advert = event.advert
+        self._knows_peer = True
+        self.feed.highest_seen = max(self.feed.highest_seen, advert.version)
+        if advert.version > self.feed.records.version:
+            yield from self.feed.fetch(event.address, now)
+        elif event.asked_at is not None:
+            self.feed.adopt(advert, event.asked_at)
+
+    @_handle.register
+    def _receive(
+        self, event: Received, now: Milliseconds
+    ) -> Iterable[ConfigurationAction]:
+        return self.feed.answer(event.message, event.address, now)
--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -7,7 +7,7 @@
 from clementinedyke.application import Application
 from clementinedyke.callers import CallerHandler
 from clementinedyke.components import Component
-from clementinedyke.configuration import ConfigurationComponent
+from clementinedyke.configuration_component import ConfigurationComponent
 from clementinedyke.endpoints.registry import EndpointRegistry
 from clementinedyke.http_client import Address, HttpClient
 from clementinedyke.http_server import HttpServer
--- a/src/clementinedyke/demo.py
+++ b/src/clementinedyke/demo.py
@@ -9,7 +9,7 @@
 import trio
 
 from clementinedyke.application import Application
-from clementinedyke.configuration import RECORDS_TABLE
+from clementinedyke.configuration_component import RECORDS_TABLE
 from clementinedyke.daemon import Daemon
 from clementinedyke.platform.tables import Write
 from clementinedyke.records import get_digest
--- /dev/null
+++ b/src/clementinedyke/member_table.py
@@ -0,0 +1,136 @@
+"""Members known to a daemon, their ring order and digests."""
+
+import hashlib
+import zlib
+from collections.abc import Iterable
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.control_messages import Member
+
+#: Digests in a sync: 32 * 5 bytes fit one packet, 10 members per bucket at 330.
+BUCKETS = 32
+_POSITION_BYTES = 8
+
+
+def get_position(daemon_id: str) -> bytes:
+    """Return the place of a daemon on the ring.
+
+    :param daemon_id: identity of the daemon. Hashing separates daemons of one
+        rack, which often have consecutive names.
+    """
+    return hashlib.blake2b(
+        daemon_id.encode(), digest_size=_POSITION_BYTES
+    ).digest()
+
+
+class MemberTable:
+    """Newest record of each member."""
+
+    def __init__(self) -> None:
+        """Create an empty table."""
+        self._members: dict[str, Member] = {}
+        self._positions: dict[str, bytes] = {}
+        self._ended: dict[str, Milliseconds] = {}
+        self._ring: list[Member] | None = None
+
+    def get_member(self, daemon_id: str) -> Member | None:
+        """Return the record of a daemon, living or not.
+
+        :param daemon_id: identity of the daemon.
+        """
+        return self._members.get(daemon_id)
+
+    def list_members(self) -> list[Member]:
+        """Return all records, also of dead members and of those that left."""
+        return list(self._members.values())
+
+    def list_ring(self) -> list[Member]:
+        """Return the living members in ring order."""
+        if self._ring is None:
+            living = [
+                member for member in self._members.values() if member.is_living
+            ]
+            living.sort(key=self._get_position)
+            self._ring = living
+        return self._ring
+
+    def list_neighbours(self, daemon_id: str) -> list[Member]:
+        """Return the living members at ring distances 1, 2, 4 and so on.
+
+        :param daemon_id: daemon at distance 0.
+        """
+        ring = self.list_ring()
+        known = self._members.get(daemon_id)
+        if known is None or not known.is_living:
+            return ring
+        place = ring.index(known)
+        distances = [1 << power for power in range(len(ring).bit_length())]
+        return [
+            ring[(place + distance) % len(ring)]
+            for distance in distances
+            if distance < len(ring)
+        ]
+
+    def merge(self, member: Member, now: Milliseconds) -> bool:
+        """Take over a record if it is news.
+
+        The end of an unknown member is no news: it may have been forgotten.
+
+        :param member: record received or made here.
+        :param now: current instant.
+        """
+        known = self._members.get(member.daemon_id)
+        if known is None and not member.is_living:
+            return False
+        if known is not None and known.rank >= member.rank:
+            return False
+        self._members[member.daemon_id] = member
+        self._positions[member.daemon_id] = get_position(member.daemon_id)
+        self._ended.pop(member.daemon_id, None)
+        if not member.is_living:
+            self._ended[member.daemon_id] = now
+        self._ring = None
+        return True
+
+    def forget_ended(self, before: Milliseconds) -> list[Member]:
+        """Remove and return the members that ended before an instant.
+
+        :param before: instant on this process's clock.
+        """
+        old = [
+            self._members[daemon_id]
+            for daemon_id, ended in self._ended.items()
+            if ended < before
+        ]
+        for member in old:
+            self._ended.pop(member.daemon_id)
+            self._positions.pop(member.daemon_id)
+            self._members.pop(member.daemon_id)
+        return old
+
+    def compute_digests(self) -> tuple[int, ...]:
+        """Return a digest of the living members of each bucket."""
+        digests = [0 for _ in range(BUCKETS)]
+        for member in self.list_ring():
+            entry = f'{member.daemon_id} {member.incarnation}'
+            digests[_get_bucket(member)] ^= zlib.crc32(entry.encode())
+        return tuple(digests)
+
+    def list_buckets(self, buckets: Iterable[int]) -> tuple[Member, ...]:
+        """Return all records in some buckets.
+
+        :param buckets: bucket numbers.
+        """
+        wanted = set(buckets)
+        return tuple(
+            member
+            for member in self._members.values()
+            if _get_bucket(member) in wanted
+        )
+
+    def _get_position(self, member: Member) -> bytes:
+        return self._positions[member.daemon_id]
+
+
+def _get_bucket(member: Member) -> int:
+    return get_position(member.daemon_id)[0] % BUCKETS
--- /dev/null
+++ b/src/clementinedyke/payloads.py
@@ -0,0 +1,95 @@
+"""Small versioned values that daemons publish to all others."""
+
+from collections.abc import Iterator
+
+from clementinedyke.control_messages import Member, Payload
+from clementinedyke.membership_events import (
+    Action,
+    MembershipOptions,
+    PayloadChanged,
+)
+from clementinedyke.rumors import RumorQueue
+
+
+class PayloadStore:
+    """Newest value of each topic and daemon."""
+
+    def __init__(self, own: Member, options: MembershipOptions) -> None:
+        """Create an empty store.
+
+        :param own: record of this daemon.
+        :param options: bounds in bytes and the number of sends.
+        """
+        self._own = own
+        self._options = options
+        self._payloads: dict[tuple[str, str], Payload] = {}
+        self._values: RumorQueue[Payload] = RumorQueue()
+
+    def get_payload(self, topic: str, daemon_id: str) -> Payload | None:
+        """Return the newest value of a daemon, None without one.
+
+        :param topic: name of the topic.
+        :param daemon_id: daemon that published it.
+        """
+        return self._payloads.get((topic, daemon_id))
+
+    def list_topic(self, topic: str) -> list[Payload]:
+        """Return the newest value of each daemon for a topic.
+
+        :param topic: name of the topic.
+        """
+        return [
+            payload
+            for payload in self._payloads.values()
+            if payload.topic == topic
+        ]
+
+    def take_news(self) -> tuple[Payload, ...]:
+        """Return the values for one message."""
+        return self._values.take(
+            self._options.payload_bytes, self._options.payload_sends
+        )
+
+    def publish(self, topic: str, content: bytes) -> None:
+        """Set this daemon's value of a topic.
+
+        :param topic: name of the topic.
+        :param content: encoded value.
+        :raises ValueError: if the value is longer than the limit.
+        """
+        if len(content) > self._options.payload_limit:
+            raise ValueError(f'value of {topic!r} has {len(content)} bytes')
+        key = (topic, self.own.daemon_id)
+        known = self._payloads.get(key)
+        version = self.own.run if known is None else known.version + 1
+        payload = Payload(topic, self.own.daemon_id, version, content)
+        self._payloads[key] = payload
+        self._values.add(key, payload)
+
+    def merge(self, payload: Payload) -> Iterator[Action]:
+        """Take over a value and pass it on if it is newer.
+
+        :param payload: value that another daemon passed on.
+        """
+        key = (payload.topic, payload.daemon_id)
+        known = self._payloads.get(key)
+        if known is not None and known.version >= payload.version:
+            return
+        self._payloads[key] = payload
+        if payload.daemon_id != self._own.daemon_id:
+            self._values.add(key, payload)
+            yield PayloadChanged(payload)
+        elif known is not None:
+            # A value of an earlier run: the present one must be newer.
+            self.publish(payload.topic, known.content)
+
+    def forget(self, daemon_id: str) -> None:
+        """Drop the values of a daemon.
+
+        :param daemon_id: daemon that ended long ago.
+        """
+        self._payloads = {
+            key: payload
+            for key, payload in self._payloads.items()
+            if payload.daemon_id != daemon_id
+        }
--- /dev/null
+++ b/src/clementinedyke/platform_lists.py
@@ -0,0 +1,219 @@
+"""Decision core of the platform's lists of endpoints and hosts."""
+
+import zlib
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from enum import IntEnum
+from functools import singledispatchmethod
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.configuration_events import (
+    AdvertReceived,
+    ConfigurationOptions,
+    ListAnswered,
+    ListChanged,
+    ReadList,
+)
+from clementinedyke.configuration_messages import (
+    FetchList,
+    ListAdvert,
+    ListContent,
+)
+from clementinedyke.membership_events import Received, Send
+
+ListAction = Send | ReadList | ListChanged
+
+
+class PlatformList(IntEnum):
+    """Places of the lists in an advert."""
+
+    ENDPOINTS = 0
+    HOSTS = 1
+
+
+@dataclass(slots=True)
+class _ListState:
+    """A list and the bounds on when the platform had this content."""
+
+    content: bytes
+    digest: int
+    earliest: Milliseconds
+    latest: Milliseconds
+
+    def describe(self, now: Milliseconds) -> ListAdvert:
+        return ListAdvert(self.digest, now - self.earliest, now - self.latest)
+
+
+class PlatformListCore:
+    """Newest known content of each list.
+
+    The lists have no revision. Content is replaced only by content that was
+    certainly read later, so a slow peer cannot bring an endpoint back that has
+    left.
+    """
+
+    def __init__(self, options: ConfigurationOptions) -> None:
+        """Create a core without any list.
+
+        :param options: intervals.
+        """
+        self._options = options
+        self._states: dict[int, _ListState] = {}
+        self._fetches: dict[int, tuple[int, Milliseconds]] = {}
+        self._sequence = 0
+        self._next_poll: Milliseconds = 0
+
+    def get_content(self, place: PlatformList) -> bytes | None:
+        """Return the content of a list, None if it was never read.
+
+        :param place: list to return.
+        """
+        state = self._states.get(place)
+        return None if state is None else state.content
+
+    def get_age(
+        self, place: PlatformList, now: Milliseconds
+    ) -> Milliseconds | None:
+        """Return the age in milliseconds of a list, None if never read.
+
+        :param place: list that is asked about.
+        :param now: current instant.
+        """
+        state = self._states.get(place)
+        return None if state is None else now - state.earliest
+
+    def list_adverts(self, now: Milliseconds) -> tuple[ListAdvert | None, ...]:
+        """Return what peers are told about the lists.
+
+        :param now: current instant.
+        """
+        states = [self._states.get(place) for place in PlatformList]
+        return tuple(
+            None if state is None else state.describe(now) for state in states
+        )
+
+    def poll(
+        self, now: Milliseconds, *, is_watcher: bool
+    ) -> Iterator[ListAction]:
+        """Return the reads that are due.
+
+        :param now: current instant.
+        :param is_watcher: whether this daemon polls for its zone.
+        """
+        if now < self._next_poll:
+            return
+        self._next_poll = now + self._options.poll_interval
+        for place in PlatformList:
+            age = self.get_age(place, now)
+            is_silent = age is None or age >= self._options.silence
+            if is_watcher or is_silent:
+                yield ReadList(place)
+
+    def handle(self, event: object, now: Milliseconds) -> list[ListAction]:
+        """Return the actions that an event calls for.
+
+        :param event: a list that was read, an advert or a message.
+        :param now: current instant.
+        """
+        if isinstance(event, Received):
+            return list(self._answer(event.message, event.address, now))
+        return list(self._handle(event, now))
+
+    @singledispatchmethod
+    def _handle(self, event: object, now: Milliseconds) -> Iterable[ListAction]:
+        raise TypeError(f'unknown event {event!r}')
+
+    @_handle.register
+    def _apply_answer(
+        self, event: ListAnswered, now: Milliseconds
+    ) -> Iterable[ListAction]:
+        state = _ListState(
+            event.content, zlib.crc32(event.content), event.asked_at, now
+        )
+        return self._take(event.place, state)
+
+    @_handle.register
+    def _hear(
+        self, event: AdvertReceived, now: Milliseconds
+    ) -> Iterator[ListAction]:
+        if event.asked_at is None:
+            return
+        for place, advert in enumerate(event.advert.lists[: len(PlatformList)]):
+            if advert is not None and self._is_newer(place, advert, event, now):
+                yield from self._fetch(event.address, place, now)
+
+    @singledispatchmethod
+    def _answer(
+        self, message: object, address: str, now: Milliseconds
+    ) -> Iterable[ListAction]:
+        return ()
+
+    @_answer.register
+    def _answer_fetch(
+        self, message: FetchList, address: str, now: Milliseconds
+    ) -> Iterator[ListAction]:
+        state = self._states.get(message.place)
+        if state is not None:
+            yield Send(
+                address,
+                ListContent(
+                    message.sequence,
+                    message.place,
+                    state.content,
+                    state.describe(now),
+                ),
+            )
+
+    @_answer.register
+    def _answer_content(
+        self, message: ListContent, address: str, now: Milliseconds
+    ) -> Iterator[ListAction]:
+        place, asked_at = self._fetches.pop(message.sequence, (None, 0))
+        if place is not None and place == message.place:
+            state = _ListState(
+                message.content,
+                zlib.crc32(message.content),
+                asked_at - message.advert.oldest,
+                now - message.advert.newest,
+            )
+            yield from self._take(place, state)
+
+    def _is_newer(
+        self,
+        place: int,
+        advert: ListAdvert,
+        event: AdvertReceived,
+        now: Milliseconds,
+    ) -> bool:
+        state = self._states.get(place)
+        if state is None:
+            return event.asked_at is not None
+        earliest = (event.asked_at or 0) - advert.oldest
+        if state.digest != advert.digest:
+            return earliest > state.latest
+        state.earliest = max(state.earliest, earliest)
+        state.latest = max(state.latest, now - advert.newest)
+        return False
+
+    def _take(self, place: int, state: _ListState) -> Iterator[ListAction]:
+        known = self._states.get(place)
+        if known is not None and state.earliest <= known.latest:
+            return
+        self._states[place] = state
+        if known is None or known.digest != state.digest:
+            yield ListChanged(place, state.content)
+
+    def _fetch(
+        self, address: str, place: int, now: Milliseconds
+    ) -> Iterator[ListAction]:
+        timeout = self._options.fetch_timeout
+        self._fetches = {
+            sequence: fetch
+            for sequence, fetch in self._fetches.items()
+            if now - fetch[1] < timeout
+        }
+        if any(fetch[0] == place for fetch in self._fetches.values()):
+            return
+        self._sequence += 1
+        self._fetches[self._sequence] = (place, now)
+        yield Send(address, FetchList(self._sequence, place))
--- /dev/null
+++ b/src/clementinedyke/watchers.py
@@ -0,0 +1,107 @@
+"""Choice of the daemons that poll the platform, and when polls are due."""
+
+import hashlib
+import random
+from collections.abc import Iterable
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.configuration_events import ConfigurationOptions
+from clementinedyke.control_messages import Member
+
+_WEIGHT_BYTES = 8
+#: Jitter keeps the watchers from polling in step.
+_SHORTEST = 0.9
+_LONGEST = 1.1
+_SHORTEST_BACKOFF = 0.5
+_LONGEST_BACKOFF = 1.5
+_MAXIMUM_DOUBLINGS = 8
+
+
+def select_watchers(
+    members: Iterable[Member], availability_zone: str, count: int
+) -> list[str]:
+    """Return the daemons that poll for an availability zone.
+
+    Rendezvous hashing: every daemon with the same members finds the same
+    answer, and the loss of a member moves no other choice.
+
+    :param members: living members.
+    :param availability_zone: zone to choose for.
+    :param count: number of watchers.
+    """
+    local = [
+        member.daemon_id
+        for member in members
+        if member.availability_zone == availability_zone
+    ]
+    return sorted(local, key=_get_weight, reverse=True)[:count]
+
+
+def _get_weight(daemon_id: str) -> bytes:
+    return hashlib.blake2b(
+        f'watcher {daemon_id}'.encode(), digest_size=_WEIGHT_BYTES
+    ).digest()
+
+
+class PollSchedule:
+    """Decides when this daemon polls, with jitter and backoff."""
+
+    def __init__(
+        self, random_source: random.Random, options: ConfigurationOptions
+    ) -> None:
+        """Create a schedule whose first poll is due at once.
+
+        :param random_source: seeded source of jitter.
+        :param options: intervals.
+        """
+        self._random = random_source
+        self._options = options
+        self._next: Milliseconds = 0
+        self._failures = 0
+        self._waits = False
+
+    def is_due(
+        self, now: Milliseconds, *, is_watcher: bool, is_silent: bool
+    ) -> bool:
+        """Return whether to poll now.
+
+        :param now: current instant.
+        :param is_watcher: whether this daemon polls for its zone.
+        :param is_silent: whether no confirmation arrived for too long.
+        """
+        if not is_watcher and not is_silent:
+            self._waits = False
+            self._failures = 0
+            return False
+        if not is_watcher and not self._waits and self._next > 0:
+            # All daemons become silent together when the store stops.
+            self._waits = True
+            self._next = now + self._random.randrange(
+                self._options.poll_interval
+            )
+        if now < self._next:
+            return False
+        self._set_next(now, is_watcher)
+        return True
+
+    def record_failure(self) -> None:
+        """Lengthen the wait before the next poll."""
+        self._failures += 1
+
+    def record_success(self) -> None:
+        """Return to the shortest wait."""
+        self._failures = 0
+
+    def _set_next(self, now: Milliseconds, is_watcher: bool) -> None:
+        interval = self._options.poll_interval
+        if is_watcher:
+            factor = self._random.uniform(_SHORTEST, _LONGEST)
+            self._next = now + int(interval * factor)
+            return
+        mean = min(
+            interval << min(self._failures + 1, _MAXIMUM_DOUBLINGS),
+            self._options.backoff_limit,
+        )
+        self._next = now + int(
+            mean * self._random.uniform(_SHORTEST_BACKOFF, _LONGEST_BACKOFF)
+        )
