--- a/src/clementinedyke/payloads.py
+++ b/src/clementinedyke/payloads.py
@@ -59,10 +59,10 @@
         """
         if len(content) > self._options.payload_limit:
             raise ValueError(f'value of {topic!r} has {len(content)} bytes')
-        key = (topic, self.own.daemon_id)
+        key = (topic, self._own.daemon_id)
         known = self._payloads.get(key)
-        version = self.own.run if known is None else known.version + 1
-        payload = Payload(topic, self.own.daemon_id, version, content)
+        version = self._own.run if known is None else known.version + 1
+        payload = Payload(topic, self._own.daemon_id, version, content)
         self._payloads[key] = payload
         self._values.add(key, payload)
 
--- /dev/null
+++ b/tests/cluster_fake.py
@@ -0,0 +1,238 @@
+"""A small message fake: control nodes connected on virtual time."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.configuration_events import (
+    ConfigurationOptions,
+    ListAnswered,
+    Poll,
+    PollAnswered,
+    PollFailed,
+    ReadList,
+)
+from clementinedyke.configuration_messages import ConfigurationRow
+from clementinedyke.control_messages import Member, Message
+from clementinedyke.gossip import ControlNode
+from clementinedyke.membership_events import (
+    Leave,
+    MembershipOptions,
+    Received,
+    Send,
+    Tick,
+)
+
+DECODER = msgspec.msgpack.Decoder(Message)
+TICK: Milliseconds = 200
+
+
+class FakeTable:
+    """Records table with outages and answers from an older state."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, ConfigurationRow] = {}
+        self.revision = 0
+        self.version = 0
+        self.is_down = False
+        #: Revisions by which answers are behind, as after a bad fail-over.
+        self.lag = 0
+        self.reads = 0
+        self.lists = [b'[]', b'[]']
+
+    def write(self, key: str, value: Any) -> int:
+        """Write a row and return its version."""
+        self.revision += 1
+        self.version = self.revision
+        self.rows[key] = ConfigurationRow(key, self.revision, value)
+        return self.revision
+
+    def read(self, poll: Poll) -> PollAnswered | PollFailed:
+        """Answer a poll."""
+        self.reads += 1
+        if self.is_down:
+            return PollFailed(poll.number)
+        self.revision += 1  # other tables are written all the time
+        shown = self.revision - self.lag
+        rows = [
+            row
+            for row in self.rows.values()
+            if poll.since < row.version <= shown
+        ]
+        return PollAnswered(poll.number, shown, rows)
+
+
+@dataclass
+class FakeDaemon:
+    """A node with its own clock, and whether it runs."""
+
+    node: ControlNode
+    member: Member
+    offset: Milliseconds
+    is_frozen: bool = False
+    held: list[tuple[str, bytes]] = field(default_factory=list)
+    sent: list[int] = field(default_factory=lambda: [0, 0])
+
+
+class FakeNetwork:
+    """Delivers messages with loss, delay, duplication and cuts by zone."""
+
+    def __init__(
+        self,
+        seed: int,
+        membership: MembershipOptions | None = None,
+        configuration: ConfigurationOptions | None = None,
+    ) -> None:
+        self.now: Milliseconds = 0
+        self.table = FakeTable()
+        self.daemons: dict[str, FakeDaemon] = {}
+        self.loss = 0.0
+        self.duplication = 0.0
+        self.delay = (1, 3)
+        self.cut_zones: set[str] = set()
+        self.storeless_zones: set[str] = set()
+        self.on_step: Callable[[], None] = lambda: None
+        self.membership = membership or MembershipOptions()
+        self.configuration = configuration or ConfigurationOptions()
+        self._random = random.Random(seed)
+        self._queue: list[tuple[Milliseconds, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._encoder = msgspec.msgpack.Encoder()
+
+    def start(self, number: int, zone: str, host: str = '') -> str:
+        """Start or restart a daemon and return its identity."""
+        name = f'10.0.{number // 250}.{number % 250}:7000'
+        seeds = [f'10.0.0.{seed}:7000' for seed in range(3)]
+        run = 1_700_000_000_000 + self.now
+        member = Member(name, host or f'host-{number}', 'r', zone, name, run, run)
+        node = ControlNode(
+            member,
+            seeds,
+            random.Random(self._random.random()),
+            self.membership,
+            self.configuration,
+        )
+        offset = self._random.randrange(10_000_000)
+        daemon = FakeDaemon(node, member, offset)
+        self.daemons[name] = daemon
+        first = self.now + self._random.randrange(TICK)
+        self._schedule(first, lambda: self._tick(name, daemon))
+        return name
+
+    def kill(self, name: str) -> None:
+        """Stop a daemon without a word."""
+        self.daemons.pop(name)
+
+    def leave(self, name: str) -> None:
+        """Stop a daemon that announces it."""
+        self.feed(name, Leave())
+        self.kill(name)
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen daemon go on; it reads what had arrived."""
+        daemon = self.daemons[name]
+        daemon.is_frozen = False
+        for sender, data in daemon.held:
+            self._deliver(sender, name, data)
+        daemon.held.clear()
+
+    def run(self, duration: Milliseconds) -> None:
+        """Advance the virtual time."""
+        end = self.now + duration
+        while self._queue and self._queue[0][0] <= end:
+            self.now, _, step = heapq.heappop(self._queue)
+            step()
+        self.now = end
+        self.on_step()
+
+    def is_fresh(self, name: str) -> bool:
+        """Return whether a daemon accepts keyed requests."""
+        daemon = self.daemons[name]
+        return daemon.node.configuration.is_key_state_fresh(
+            self.now + daemon.offset
+        )
+
+    def feed(self, name: str, event: object) -> None:
+        """Give an event to a daemon and carry out its actions."""
+        daemon = self.daemons[name]
+        for action in daemon.node.handle(event, self.now + daemon.offset):
+            if isinstance(action, Send):
+                self._send(daemon, action)
+            elif isinstance(action, Poll | ReadList):
+                self._read(name, daemon, action)
+
+    def _schedule(self, when: Milliseconds, step: Callable[[], None]) -> None:
+        heapq.heappush(self._queue, (when, next(self._order), step))
+
+    def _tick(self, name: str, daemon: FakeDaemon) -> None:
+        if self.daemons.get(name) is not daemon:
+            return
+        if not daemon.is_frozen:
+            self.feed(name, Tick())
+        self._schedule(self.now + TICK, lambda: self._tick(name, daemon))
+
+    def _send(self, sender: FakeDaemon, send: Send) -> None:
+        data = self._encoder.encode(send.message)
+        sender.sent[0] += 1
+        sender.sent[1] += len(data)
+        copies = 1 + (self._random.random() < self.duplication)
+        for _ in range(copies):
+            if self._random.random() >= self.loss:
+                source, target = sender.member.address, send.address
+                self._schedule(
+                    self.now + self._random.randint(*self.delay),
+                    lambda: self._deliver(source, target, data),
+                )
+
+    def _deliver(self, sender: str, target: str, data: bytes) -> None:
+        daemon = self.daemons.get(target)
+        if daemon is None or self._is_cut(sender, target):
+            return
+        if daemon.is_frozen:
+            daemon.held.append((sender, data))
+        else:
+            self.feed(target, Received(sender, DECODER.decode(data)))
+
+    def _is_cut(self, sender: str, target: str) -> bool:
+        source = self.daemons.get(sender)
+        if source is None:
+            return False
+        zones = {
+            source.member.availability_zone,
+            self.daemons[target].member.availability_zone,
+        }
+        return len(zones) == 2 and bool(zones & self.cut_zones)
+
+    def _read(
+        self, name: str, daemon: FakeDaemon, read: Poll | ReadList
+    ) -> None:
+        began = self.now + daemon.offset
+        zone = daemon.member.availability_zone
+        arrives = self.now + self._random.randint(*self.delay)
+
+        def arrive() -> None:
+            if zone in self.storeless_zones:
+                return
+            answer: object
+            if isinstance(read, Poll):
+                answer = self.table.read(read)
+            elif self.table.is_down:
+                return
+            else:
+                self.table.reads += 1
+                content = self.table.lists[read.place]
+                answer = ListAnswered(read.place, content, began)
+            returns = self.now + self._random.randint(*self.delay)
+            self._schedule(returns, lambda: finish(answer))
+
+        def finish(answer: object) -> None:
+            if self.daemons.get(name) is daemon and not daemon.is_frozen:
+                self.feed(name, answer)
+
+        self._schedule(arrives, arrive)
