--- /dev/null
+++ b/src/clementinedyke/daemons/__init__.py
@@ -0,0 +1,6 @@
+"""Control protocol between daemons."""
+
+from clementinedyke.daemons.component import ControlComponent
+from clementinedyke.daemons.options import ControlOptions
+
+__all__ = ['ControlComponent', 'ControlOptions']
--- /dev/null
+++ b/src/clementinedyke/daemons/component.py
@@ -0,0 +1,194 @@
+"""Component that runs the control cores of a daemon."""
+
+import random
+import socket
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+import trio
+import trio_asyncio
+from absl import logging
+
+from clementinedyke.clock import Clock, Milliseconds, MonotonicClock
+from clementinedyke.components import Component
+from clementinedyke.configuration_events import (
+    ListAnswered,
+    ListChanged,
+    Poll,
+    ReadList,
+    RecordsChanged,
+)
+from clementinedyke.control_messages import Member, Message
+from clementinedyke.daemons.links import LinkPool
+from clementinedyke.daemons.options import ControlOptions
+from clementinedyke.daemons.platform_reader import PlatformReader
+from clementinedyke.daemons.seed_rows import SeedRows
+from clementinedyke.daemons.server import (
+    ControlServer,
+    bind_daemon_port,
+    ignore_loop_error,
+)
+from clementinedyke.gossip import ControlNode
+from clementinedyke.membership_events import (
+    Leave,
+    MemberChanged,
+    PayloadChanged,
+    Publish,
+    Received,
+    Send,
+    Tick,
+)
+
+_MILLISECONDS_PER_SECOND = 1000
+#: Time for the announcement of leaving to go out.
+_LEAVE_DELAY: Milliseconds = 200
+
+Change = RecordsChanged | MemberChanged | PayloadChanged | ListChanged
+Observer = Callable[[Change], None]
+
+
+class ControlComponent(Component):
+    """Owns the daemon port, the links and the control cores."""
+
+    def __init__(
+        self,
+        describe: Callable[[str], Member],
+        reader: PlatformReader,
+        options: ControlOptions,
+        clock: Clock | None = None,
+    ) -> None:
+        """Create the component; nothing is opened yet.
+
+        :param describe: returns the member record for the bound address.
+        :param reader: reads of the platform.
+        :param options: address, secrets and bounds.
+        :param clock: clock of the process.
+        """
+        #: Set once the port is bound: no earlier process listens there.
+        self.bound = trio.Event()
+        self.node: ControlNode | None = None
+        self.observers: list[Observer] = []
+        self._describe = describe
+        self._reader = reader
+        self._options = options
+        self._clock = clock or MonotonicClock()
+        self._server = ControlServer(options, self._clock, self._receive)
+        self._pool: LinkPool | None = None
+        self._nursery: trio.Nursery | None = None
+
+    @property
+    def connections(self) -> int:
+        """Number of connections that peers opened."""
+        return self._server.connections
+
+    def publish(self, topic: str, content: bytes) -> None:
+        """Publish a small value to all daemons.
+
+        :param topic: name of the topic.
+        :param content: encoded value.
+        """
+        self._feed(Publish(topic, content))
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Bind the daemon port and start the cores.
+
+        :param nursery: nursery that runs the tasks.
+        :raises OSError: if another process listens on the address.
+        """
+        options = self._options
+        listener = bind_daemon_port(options.host, options.port)
+        self.bound.set()
+        bound_host, bound_port = listener.getsockname()
+        address = f'{bound_host}:{bound_port}'
+        logging.info('event=daemon_port_bound address=%s', address)
+        seeds = (*options.seeds, *await self._reader.list_seeds())
+        self.node = ControlNode(
+            self._describe(address),
+            seeds,
+            random.Random(address),
+            options.membership,
+            options.configuration,
+        )
+        self._nursery = nursery
+        await nursery.start(self._run, address, listener)
+        rows = SeedRows(self._reader, self.node, random.Random(address))
+        nursery.start_soon(rows.run)
+
+    async def drain(self) -> None:
+        """Announce that this daemon leaves."""
+        self._feed(Leave())
+        if self.node is not None:
+            await self._reader.remove(self.node.membership.view.own)
+        await trio.sleep(_LEAVE_DELAY / _MILLISECONDS_PER_SECOND)
+
+    async def _run(
+        self,
+        address: str,
+        listener: socket.socket,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        async with trio_asyncio.open_loop() as loop:
+            loop.set_exception_handler(ignore_loop_error)
+            pool = LinkPool(address, self._options, self._clock, self._receive)
+            await trio_asyncio.aio_as_trio(self._server.start)(listener)
+            self._pool = pool
+            task_status.started()
+            try:
+                await self._tick_forever()
+            finally:
+                with trio.CancelScope(shield=True):
+                    await trio_asyncio.aio_as_trio(self._close)()
+
+    async def _close(self) -> None:
+        if self._pool is not None:
+            await self._pool.close()
+        await self._server.close()
+
+    async def _tick_forever(self) -> None:
+        interval = self._options.membership.tick / _MILLISECONDS_PER_SECOND
+        while True:
+            self._feed(Tick())
+            await trio.sleep(interval)
+
+    def _receive(self, address: str, message: Message) -> None:
+        self._feed(Received(address, message))
+
+    def _feed(self, event: object) -> None:
+        if self.node is None:
+            return
+        for action in self.node.handle(event, self._clock.get_now()):
+            self._execute(action)
+
+    def _execute(self, action: Any) -> None:
+        if isinstance(action, Send):
+            self._send(action)
+        elif isinstance(action, Poll):
+            self._start(partial(self._poll, action))
+        elif isinstance(action, ReadList):
+            self._start(partial(self._read_list, action))
+        else:
+            for observer in self.observers:
+                observer(action)
+
+    def _start(self, read: Callable[[], Any]) -> None:
+        if self._nursery is not None:
+            self._nursery.start_soon(read)
+
+    def _send(self, send: Send) -> None:
+        pool = self._pool
+        if pool is None:
+            return
+        is_open = pool.has_link(send.address)
+        if is_open or not self._server.send(send.address, send.message):
+            pool.send(send.address, send.message)
+
+    async def _poll(self, poll: Poll) -> None:
+        self._feed(await self._reader.poll(poll))
+
+    async def _read_list(self, read: ReadList) -> None:
+        asked_at = self._clock.get_now()
+        content = await self._reader.read_list(read.place)
+        if content is not None:
+            self._feed(ListAnswered(read.place, content, asked_at))
--- /dev/null
+++ b/src/clementinedyke/daemons/platform_reader.py
@@ -0,0 +1,90 @@
+"""Reads of the platform that the control cores ask for."""
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.configuration_component import RECORDS_TABLE
+from clementinedyke.configuration_events import (
+    Poll,
+    PollAnswered,
+    PollFailed,
+)
+from clementinedyke.configuration_messages import ConfigurationRow
+from clementinedyke.control_messages import Member
+from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
+from clementinedyke.http_client import HttpClient, HttpRequest
+from clementinedyke.platform.tables import ABSENT, Condition, TableClient, Write
+
+MEMBERS_TABLE = 'members'
+_LIST_PATHS = ('/v1/endpoints', '/v1/hosts')
+_TIMEOUT: Milliseconds = 1500
+_STATUS_OK = 200
+
+
+class PlatformReader:
+    """Reads records, lists and seeds."""
+
+    def __init__(self, platform: HttpClient) -> None:
+        """Create a reader.
+
+        :param platform: HTTP client of the platform.
+        """
+        self._platform = platform
+        self._tables = TableClient(platform, _TIMEOUT)
+
+    async def poll(self, poll: Poll) -> PollAnswered | PollFailed:
+        """Return the records written after a version.
+
+        :param poll: what the core asks for.
+        """
+        changes = await self._tables.get_changes(RECORDS_TABLE, poll.since)
+        if changes.is_err():
+            return PollFailed(poll.number)
+        snapshot = changes.unwrap()
+        rows = [
+            ConfigurationRow(row.key, row.version, row.value)
+            for row in snapshot.rows
+        ]
+        return PollAnswered(poll.number, snapshot.revision, rows)
+
+    async def read_list(self, place: int) -> bytes | None:
+        """Return the JSON content of a platform list, None on failure.
+
+        :param place: place of the list in an advert.
+        """
+        request = HttpRequest('GET', _LIST_PATHS[place])
+        try:
+            answer = await self._platform.request(request, _TIMEOUT)
+        except (PeerUnavailableError, AnswerLostError):
+            return None
+        return answer.body if answer.status == _STATUS_OK else None
+
+    async def list_seeds(self) -> tuple[str, ...]:
+        """Return the addresses of table ``members``, none on failure."""
+        listed = await self._tables.list_rows(MEMBERS_TABLE)
+        if listed.is_err():
+            return ()
+        rows = listed.unwrap().rows
+        return tuple(str(row.value['address']) for row in rows)
+
+    async def register(self, member: Member) -> bool:
+        """Write the row of a daemon; return whether it is known to be done.
+
+        :param member: record of this daemon.
+        """
+        row = {'address': member.address, 'run': member.run}
+        write = Write(MEMBERS_TABLE, member.daemon_id, row)
+        done = await self._tables.commit([], [write])
+        return done.is_ok()
+
+    async def remove(self, member: Member) -> bool:
+        """Delete the row of an ended daemon if it is still of that run.
+
+        :param member: last record of the daemon.
+        """
+        listed = await self._tables.get_row(MEMBERS_TABLE, member.daemon_id)
+        row = None if listed.is_err() else listed.unwrap()
+        if row is None or row.value['run'] != member.run:
+            return False
+        condition = Condition(MEMBERS_TABLE, member.daemon_id, row.version)
+        write = Write(MEMBERS_TABLE, member.daemon_id)
+        done = await self._tables.commit([condition], [write])
+        return done.is_ok() and condition.version != ABSENT
--- a/src/clementinedyke/membership.py
+++ b/src/clementinedyke/membership.py
@@ -128,7 +128,8 @@
             if member.state is MemberState.DEAD
         ]
         lost.extend(seed for seed in self.seeds if seed not in living)
-        choices = lost if lost and self._random.getrandbits(1) else living
+        takes_lost = lonely or self._random.getrandbits(1)
+        choices = lost if lost and takes_lost else living
         others = [address for address in choices if address != own.address]
         if others:
             digests = self.view.table.compute_digests()
