Send links from trio tasks, refuse an open port off loopback

Cause: links opened outside of the asyncio loop found no loop, and an empty secret was sent as a header that grpclib refuses. Ruled out: the TLS context, which works with the header left out.

--- a/src/clementinedyke/daemons/component.py
+++ b/src/clementinedyke/daemons/component.py
@@ -142,8 +142,9 @@
                     await trio_asyncio.aio_as_trio(self._close)()
 
     async def _close(self) -> None:
-        if self._pool is not None:
-            await self._pool.close()
+        pool, self._pool = self._pool, None
+        if pool is not None:
+            await pool.close()
         await self._server.close()
 
     async def _tick_forever(self) -> None:
--- a/src/clementinedyke/daemons/links.py
+++ b/src/clementinedyke/daemons/links.py
@@ -33,7 +33,6 @@
     StreamTerminatedError,
     ProtocolError,
     AssertionError,
-    ValueError,
     asyncio.TimeoutError,
 )
 
@@ -125,7 +124,7 @@
         clock: Clock,
         receive: Receiver,
     ) -> None:
-        """Create an empty pool.
+        """Create an empty pool in the running asyncio loop.
 
         :param own_address: daemon address that peers answer to.
         :param options: bounds and secrets.
@@ -135,12 +134,14 @@
         self._options = options
         self._clock = clock
         self._receive = receive
+        # Messages are also sent from trio tasks, which have no current loop.
+        self._loop = asyncio.get_event_loop()
         self._codec = ControlCodec()
         self._context = options.create_client_context()
-        self._metadata = {
-            ADDRESS_HEADER: own_address,
-            SECRET_HEADER: options.secret,
-        }
+        self._metadata = {ADDRESS_HEADER: own_address}
+        if options.secret:
+            # grpclib refuses to send an empty header.
+            self._metadata[SECRET_HEADER] = options.secret
         self._links: OrderedDict[str, Link] = OrderedDict()
 
     def __len__(self) -> int:
@@ -185,9 +186,7 @@
             oldest.close()
         link = Link()
         self._links[address] = link
-        link.task = asyncio.get_event_loop().create_task(
-            self._run(address, link)
-        )
+        link.task = self._loop.create_task(self._run(address, link))
         return link
 
     async def _run(self, address: str, link: Link) -> None:
@@ -201,7 +200,10 @@
                 self._links.pop(address)
 
     async def _exchange(self, address: str, link: Link) -> None:
-        target = Address.parse(address)
+        try:
+            target = Address.parse(address)
+        except ValueError as error:
+            raise ProtocolError(str(error)) from error
         channel = Channel(
             target.host,
             target.port,
--- a/src/clementinedyke/daemons/options.py
+++ b/src/clementinedyke/daemons/options.py
@@ -2,9 +2,11 @@
 
 import ssl
 from dataclasses import dataclass
+from ipaddress import ip_address
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.configuration_events import ConfigurationOptions
+from clementinedyke.exceptions import SettingError
 from clementinedyke.membership_events import MembershipOptions
 
 
@@ -35,6 +37,14 @@
     membership: MembershipOptions = MembershipOptions()
     configuration: ConfigurationOptions = ConfigurationOptions()
 
+    def __post_init__(self) -> None:
+        """Refuse a port that strangers could speak on."""
+        is_open = not self.secret and not self.certificate
+        if is_open and not ip_address(self.host).is_loopback:
+            raise SettingError(
+                f'daemon port on {self.host} needs a secret or certificates'
+            )
+
     def create_server_context(self) -> ssl.SSLContext | None:
         """Return the TLS context of the port, None without certificates."""
         return self._create_context(ssl.PROTOCOL_TLS_SERVER)
--- a/src/clementinedyke/daemons/seed_rows.py
+++ b/src/clementinedyke/daemons/seed_rows.py
@@ -46,9 +46,10 @@
 
     async def clean(self) -> None:
         """Remove rows of members that were dead at the last pass already."""
+        table = self._node.membership.view.table
         ended = {
             member.daemon_id: member
-            for member in self._node.membership.view.table.list_members()
+            for member in table.list_members()
             if not member.is_living
         }
         for daemon_id in self._ended & set(ended):
--- a/tests/cluster_fake.py
+++ b/tests/cluster_fake.py
@@ -110,7 +110,9 @@
         name = f'10.0.{number // 250}.{number % 250}:7000'
         seeds = [f'10.0.0.{seed}:7000' for seed in range(3)]
         run = 1_700_000_000_000 + self.now
-        member = Member(name, host or f'host-{number}', 'r', zone, name, run, run)
+        member = Member(
+            name, host or f'host-{number}', 'r', zone, name, run, run
+        )
         node = ControlNode(
             member,
             seeds,
