--- a/src/clementinedyke/configuration.py
+++ b/src/clementinedyke/configuration.py
@@ -130,7 +130,10 @@
         if began is None:
             return
         self._schedule.record_success()
-        is_old = event.revision < self.feed.confirmation.revision
+        known = max(
+            self.feed.confirmation.revision, self.feed.highest_confirmed
+        )
+        is_old = event.revision < known
         if is_old and self._options.check_revision:
             # The store came back with older data: no confirmation.
             return
@@ -151,7 +154,7 @@
     ) -> Iterator[ConfigurationAction]:
         advert = event.advert
         self._knows_peer = True
-        self.feed.highest_seen = max(self.feed.highest_seen, advert.version)
+        self.feed.note_peer(advert)
         if advert.version > self.feed.records.version:
             yield from self.feed.fetch(event.address, now)
         elif event.asked_at is not None:
--- a/src/clementinedyke/configuration_feed.py
+++ b/src/clementinedyke/configuration_feed.py
@@ -38,8 +38,18 @@
         self.members = MembersSeen((own,), ())
         #: Highest version that any peer told.
         self.highest_seen = 0
+        #: Highest revision of the store that any peer told.
+        self.highest_confirmed = 0
         self._options = options
 
+    def note_peer(self, advert: Advert) -> None:
+        """Remember how far the store is known to have come.
+
+        :param advert: state of a peer.
+        """
+        self.highest_seen = max(self.highest_seen, advert.version)
+        self.highest_confirmed = max(self.highest_confirmed, advert.confirmed)
+
     def get_advert(self, now: Milliseconds) -> Advert:
         """Return what peers are told.
 
--- a/src/clementinedyke/daemons/component.py
+++ b/src/clementinedyke/daemons/component.py
@@ -142,7 +142,8 @@
                     await trio_asyncio.aio_as_trio(self._close)()
 
     async def _close(self) -> None:
-        pool, self._pool = self._pool, None
+        pool = self._pool
+        self._pool = None
         if pool is not None:
             await pool.close()
         await self._server.close()
--- a/tests/cluster_fake.py
+++ b/tests/cluster_fake.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -41,8 +42,8 @@
         self.revision = 0
         self.version = 0
         self.is_down = False
-        #: Revisions by which answers are behind, as after a bad fail-over.
-        self.lag = 0
+        #: Revision at which answers stand still, as after a bad fail-over.
+        self.stuck_at: int | None = None
         self.reads = 0
         self.lists = [b'[]', b'[]']
 
@@ -59,7 +60,7 @@
         if self.is_down:
             return PollFailed(poll.number)
         self.revision += 1  # other tables are written all the time
-        shown = self.revision - self.lag
+        shown = self.revision if self.stuck_at is None else self.stuck_at
         rows = [
             row
             for row in self.rows.values()
@@ -92,8 +93,8 @@
         self.now: Milliseconds = 0
         self.table = FakeTable()
         self.daemons: dict[str, FakeDaemon] = {}
-        self.loss = 0.0
-        self.duplication = 0.0
+        self.loss: float = 0
+        self.duplication: float = 0
         self.delay = (1, 3)
         self.cut_zones: set[str] = set()
         self.storeless_zones: set[str] = set()
@@ -148,7 +149,8 @@
         """Advance the virtual time."""
         end = self.now + duration
         while self._queue and self._queue[0][0] <= end:
-            self.now, _, step = heapq.heappop(self._queue)
+            when, _, step = heapq.heappop(self._queue)
+            self.now = when
             step()
         self.now = end
         self.on_step()
@@ -183,14 +185,13 @@
         data = self._encoder.encode(send.message)
         sender.sent[0] += 1
         sender.sent[1] += len(data)
+        source = sender.member.address
         copies = 1 + (self._random.random() < self.duplication)
         for _ in range(copies):
             if self._random.random() >= self.loss:
-                source, target = sender.member.address, send.address
-                self._schedule(
-                    self.now + self._random.randint(*self.delay),
-                    lambda: self._deliver(source, target, data),
-                )
+                arrival = self.now + self._random.randint(*self.delay)
+                step = partial(self._deliver, source, send.address, data)
+                self._schedule(arrival, step)
 
     def _deliver(self, sender: str, target: str, data: bytes) -> None:
         daemon = self.daemons.get(target)
@@ -215,26 +216,32 @@
         self, name: str, daemon: FakeDaemon, read: Poll | ReadList
     ) -> None:
         began = self.now + daemon.offset
+        arrival = self.now + self._random.randint(*self.delay)
+        step = partial(self._arrive, name, daemon, read, began)
+        self._schedule(arrival, step)
+
+    def _arrive(
+        self,
+        name: str,
+        daemon: FakeDaemon,
+        read: Poll | ReadList,
+        began: Milliseconds,
+    ) -> None:
         zone = daemon.member.availability_zone
-        arrives = self.now + self._random.randint(*self.delay)
-
-        def arrive() -> None:
-            if zone in self.storeless_zones:
-                return
-            answer: object
-            if isinstance(read, Poll):
-                answer = self.table.read(read)
-            elif self.table.is_down:
-                return
-            else:
-                self.table.reads += 1
-                content = self.table.lists[read.place]
-                answer = ListAnswered(read.place, content, began)
-            returns = self.now + self._random.randint(*self.delay)
-            self._schedule(returns, lambda: finish(answer))
-
-        def finish(answer: object) -> None:
-            if self.daemons.get(name) is daemon and not daemon.is_frozen:
-                self.feed(name, answer)
-
-        self._schedule(arrives, arrive)
+        if zone in self.storeless_zones:
+            return
+        answer: object
+        if isinstance(read, Poll):
+            answer = self.table.read(read)
+        elif self.table.is_down:
+            return
+        else:
+            self.table.reads += 1
+            content = self.table.lists[read.place]
+            answer = ListAnswered(read.place, content, began)
+        returns = self.now + self._random.randint(*self.delay)
+        self._schedule(returns, partial(self._finish, name, daemon, answer))
+
+    def _finish(self, name: str, daemon: FakeDaemon, answer: object) -> None:
+        if self.daemons.get(name) is daemon and not daemon.is_frozen:
+            self.feed(name, answer)
--- /dev/null
+++ b/tests/test_cluster.py
@@ -0,0 +1,270 @@
+"""State machines of membership and configuration over a message fake."""
+
+import os
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.configuration_events import ConfigurationOptions
+from clementinedyke.membership_events import MembershipOptions
+from cluster_fake import FakeNetwork
+
+ZONES = ('za', 'zb', 'zc')
+DAEMONS = 9
+STEP: Milliseconds = 500
+SETTLED: Milliseconds = 40000
+LOSS_SEEN: Milliseconds = 6000
+IN_FORCE: Milliseconds = 13000
+KEY_BOUND: Milliseconds = 8000
+#: While the store answers from an older state, a daemon that has not heard
+#: of the newer one may confirm once more.
+KEY_BOUND_STUCK: Milliseconds = 13000
+#: Long run: CLUSTER_EXAMPLES=300 pytest tests/test_cluster.py
+EXAMPLES = int(os.environ.get('CLUSTER_EXAMPLES', '20'))
+
+zones = st.sampled_from(ZONES)
+numbers = st.integers(0, DAEMONS - 1)
+
+
+class ClusterMachine(RuleBasedStateMachine):
+    """Daemons under loss, cuts, kills, freezes and store faults."""
+
+    membership = MembershipOptions()
+    configuration = ConfigurationOptions()
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.net = FakeNetwork(1, self.membership, self.configuration)
+        self.versions: dict[int, int] = {}
+        self.withdrawn: dict[str, Milliseconds] = {}
+        self.bound = KEY_BOUND
+        self.keys = 0
+        for number in range(DAEMONS):
+            self.net.start(number, ZONES[number % len(ZONES)])
+        self.add_key()
+        self.advance(SETTLED)
+
+    @rule(duration=st.integers(200, 9000))
+    def advance(self, duration: Milliseconds) -> None:
+        """Run and check what must hold at every moment."""
+        for _ in range(0, duration, STEP):
+            self.net.run(STEP)
+            self.check_always()
+
+    @rule(number=numbers)
+    def kill(self, number: int) -> None:
+        """Kill a daemon, or restart it if it was killed."""
+        name = f'10.0.0.{number}:7000'
+        if name in self.net.daemons:
+            self.net.kill(name)
+        elif self.net.table.stuck_at is None:
+            self.net.start(number, ZONES[number % len(ZONES)])
+
+    @rule(number=numbers)
+    def freeze(self, number: int) -> None:
+        """Freeze a daemon, or let it go on."""
+        name = f'10.0.0.{number}:7000'
+        daemon = self.net.daemons.get(name)
+        if daemon is not None and daemon.is_frozen:
+            self.net.thaw(name)
+        elif daemon is not None:
+            daemon.is_frozen = True
+
+    @rule(zone=zones)
+    def cut(self, zone: str) -> None:
+        """Cut a zone off from the others, or reconnect it."""
+        if self.net.table.stuck_at is None:
+            self.net.cut_zones ^= {zone}
+
+    @rule(zone=zones)
+    def cut_store(self, zone: str) -> None:
+        """Cut a zone off from the store, or reconnect it."""
+        self.net.storeless_zones ^= {zone}
+
+    @rule()
+    def toggle_outage(self) -> None:
+        """Stop the store or start it."""
+        self.net.table.is_down = not self.net.table.is_down
+
+    @rule(back=st.integers(1, 30))
+    @precondition(lambda self: not self.net.cut_zones)
+    def go_back(self, back: int) -> None:
+        """Let the store answer from an older state for a while."""
+        table = self.net.table
+        table.stuck_at = max(0, table.revision - back)
+        self.bound = KEY_BOUND_STUCK
+        self.advance(5000)
+        table.stuck_at = None
+
+    @rule(loss=st.sampled_from([0, 0.02, 0.2]), slow=st.booleans())
+    def disturb(self, loss: float, slow: bool) -> None:
+        """Lose, duplicate, delay and reorder messages."""
+        self.net.loss = loss
+        self.net.duplication = loss
+        self.net.delay = (1, 700) if slow else (1, 3)
+
+    @rule()
+    def add_key(self) -> None:
+        """Write a key."""
+        self.keys += 1
+        self.net.table.write(f'key{self.keys}', 'live')
+
+    @rule(removes=st.booleans())
+    def withdraw(self, removes: bool) -> None:
+        """Withdraw the newest key, by a new value or by deletion."""
+        name = f'key{self.keys}'
+        if name not in self.withdrawn:
+            self.net.table.write(name, None if removes else 'withdrawn')
+            self.withdrawn[name] = self.net.now
+
+    @rule(fault=st.sampled_from(['none', 'zone', 'watchers', 'store']))
+    def withdraw_during(self, fault: str) -> None:
+        """Withdraw a key that is in force while a fault hides it."""
+        self.recover()
+        self.add_key()
+        self.advance(KEY_BOUND)
+        if fault == 'zone':
+            self.net.cut_zones = {ZONES[0]}
+            self.net.storeless_zones = {ZONES[0]}
+        elif fault == 'watchers':
+            self.freeze_watchers()
+        elif fault == 'store':
+            self.net.table.is_down = True
+        self.withdraw(removes=False)
+        self.advance(KEY_BOUND + 2 * STEP)
+        self.recover()
+
+    @rule(number=numbers, zone=zones)
+    def settle(self, number: int, zone: str) -> None:
+        """End all faults; views agree, and a loss and a write are seen.
+
+        One zone has no store: it must be fed by the others.
+        """
+        self.recover()
+        self.advance(SETTLED)
+        self.check_views()
+        self.net.storeless_zones = {zone}
+        name = f'10.0.0.{number}:7000'
+        self.add_key()
+        if len(self.net.daemons) > 3 and name in self.net.daemons:
+            self.net.kill(name)
+            self.advance(LOSS_SEEN)
+            self.check_views()
+        self.advance(IN_FORCE - LOSS_SEEN)
+        self.check_in_force()
+
+    def freeze_watchers(self) -> None:
+        """Freeze all daemons that poll, but not every daemon."""
+        daemons = list(self.net.daemons.values())
+        for daemon in daemons[1:]:
+            daemon.is_frozen = daemon.node.configuration.is_watcher
+
+    def recover(self) -> None:
+        """End all faults."""
+        net = self.net
+        net.cut_zones.clear()
+        net.storeless_zones = set()
+        net.table.is_down = False
+        self.disturb(loss=0, slow=False)
+        for name in list(net.daemons):
+            net.thaw(name)
+
+    def check_always(self) -> None:
+        """No revision goes back; no withdrawn key is accepted for long."""
+        for name, daemon in self.net.daemons.items():
+            if daemon.is_frozen:
+                continue
+            core = daemon.node.configuration
+            records = core.feed.records
+            known = self.versions.get(id(core), 0)
+            assert records.version >= known, 'revision went back'
+            self.versions[id(core)] = records.version
+            if core.is_ready(self.net.now + daemon.offset):
+                self.check_keys(name, records.rows)
+
+    def check_keys(self, name: str, rows: dict) -> None:
+        """A daemon accepts no key for long after its withdrawal."""
+        for key, since in self.withdrawn.items():
+            row = rows.get(key)
+            is_live = row is not None and row.value == 'live'
+            age = self.net.now - since
+            assert not is_live or age <= self.bound, f'{key} works on {name}'
+
+    def check_views(self) -> None:
+        """Every daemon knows just the running ones as living."""
+        running = set(self.net.daemons)
+        for name, daemon in self.net.daemons.items():
+            ring = daemon.node.membership.view.table.list_ring()
+            seen = {member.daemon_id for member in ring}
+            assert seen == running, f'view of {name}'
+
+    def check_in_force(self) -> None:
+        """Every daemon has the newest records and accepts keys."""
+        for name, daemon in self.net.daemons.items():
+            records = daemon.node.configuration.feed.records
+            assert records.version == self.net.table.version, 'not in force'
+            assert self.net.is_fresh(name), f'key state of {name} is stale'
+
+
+def run_machine(
+    examples: int,
+    membership: MembershipOptions | None = None,
+    configuration: ConfigurationOptions | None = None,
+) -> None:
+    """Run the machine with the given options."""
+
+    class Machine(ClusterMachine):
+        """Machine of one run."""
+
+    Machine.membership = membership or MembershipOptions()
+    Machine.configuration = configuration or ConfigurationOptions()
+    run_state_machine_as_test(
+        Machine,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=20,
+            phases=[Phase.generate],
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+class TestGuarantees:
+    """Guards against reverted records, stale keys and diverging views."""
+
+    def test_machine(self) -> None:
+        """All guarantees hold under all faults."""
+        run_machine(EXAMPLES)
+
+
+class TestMachineFindsFaults:
+    """Guards against a machine that passes without the mechanism."""
+
+    @pytest.mark.parametrize(
+        ('switch', 'seen'),
+        [
+            ({'check_revision': False}, 'revision went back'),
+            ({'check_age': False}, 'works on'),
+            ({'relay': False}, 'not in force|is stale|works on'),
+        ],
+    )
+    def test_configuration(self, switch: dict[str, bool], seen: str) -> None:
+        """Without the mechanism the machine finds the violation."""
+        with pytest.raises(AssertionError, match=seen):
+            run_machine(60, configuration=ConfigurationOptions(**switch))
+
+    @pytest.mark.parametrize(
+        'switch', [{'refute': False}, {'sync': False}, {'probe_timeout': 10**9}]
+    )
+    def test_membership(self, switch: dict[str, int]) -> None:
+        """Without the mechanism views stay apart."""
+        with pytest.raises(AssertionError, match='view of'):
+            run_machine(60, membership=MembershipOptions(**switch))
--- a/tests/test_daemon_port.py
+++ b/tests/test_daemon_port.py
@@ -1,7 +1,6 @@
 """Tests of the daemon port and its links over loopback."""
 
 import random
-import socket
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from pathlib import Path
@@ -237,5 +236,5 @@
             await stream.send_all(data)
             with trio.move_on_after(0.05):
                 await stream.receive_some(4096)
-        except (trio.BrokenResourceError, socket.error):
+        except (OSError, trio.BrokenResourceError):
             return
