--- a/src/clementinedyke/configuration.py
+++ b/src/clementinedyke/configuration.py
@@ -19,7 +19,6 @@
 )
 from clementinedyke.control_messages import Member
 from clementinedyke.membership_events import Received, Tick
-from clementinedyke.record_rows import RecordRows
 from clementinedyke.watchers import PollSchedule, select_watchers
 
 
@@ -141,8 +140,6 @@
         if event.is_whole:
             rows.extend(self.feed.records.list_missing(rows, event.revision))
         upto = max((row.version for row in rows), default=0)
-        if not self._options.check_revision:
-            self.feed.records = RecordRows()
         rises = self.feed.records.apply(rows, upto)
         self.feed.confirmation.renew(event.revision, began)
         if rises:
--- a/src/clementinedyke/membership_events.py
+++ b/src/clementinedyke/membership_events.py
@@ -18,6 +18,8 @@
     #: Longer than any loss of contact between availability zones so far.
     forget_after: Milliseconds = 3_600_000
     ring_probes: int = 2
+    #: Probes of farther members each second, which spread confirmations.
+    far_probes: int = 2
     helpers: int = 3
     news_bytes: int = 700
     payload_bytes: int = 150
--- a/src/clementinedyke/prober.py
+++ b/src/clementinedyke/prober.py
@@ -102,7 +102,7 @@
             yield Send(helper.address, request)
 
     def probe_neighbours(self, now: Milliseconds) -> Iterator[Action]:
-        """Probe the next members of the ring and one farther away.
+        """Probe the next members of the ring and some farther away.
 
         :param now: current instant.
         """
@@ -111,7 +111,7 @@
         for neighbour in neighbours[:fixed]:
             yield self.ping(neighbour, now)
         far = neighbours[fixed:]
-        if far:
+        for _ in far[: self._options.far_probes]:
             self._turn += 1
             yield self.ping(far[self._turn % len(far)], now)
 
--- a/tests/cluster_fake.py
+++ b/tests/cluster_fake.py
@@ -80,6 +80,21 @@
     held: list[tuple[str, bytes]] = field(default_factory=list)
     sent: list[int] = field(default_factory=lambda: [0, 0])
 
+    def list_ring(self) -> list[Member]:
+        """Return the members that the daemon holds for living."""
+        view = self.node.membership.view
+        return view.table.list_ring()
+
+    def get_version(self) -> int:
+        """Return the version of the records in force."""
+        configuration = self.node.configuration
+        return configuration.feed.records.version
+
+    def get_age(self, now: Milliseconds) -> Milliseconds:
+        """Return the age of the store's confirmation."""
+        feed = self.node.configuration.feed
+        return feed.get_age(now + self.offset) or 0
+
 
 class FakeNetwork:
     """Delivers messages with loss, delay, duplication and cuts by zone."""
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -1,6 +1,7 @@
 """State machines of membership and configuration over a message fake."""
 
 import os
+from collections.abc import Iterable
 
 import pytest
 from hypothesis import HealthCheck, Phase, settings
@@ -14,7 +15,9 @@
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.configuration_events import ConfigurationOptions
+from clementinedyke.configuration_messages import ConfigurationRow
 from clementinedyke.membership_events import MembershipOptions
+from clementinedyke.record_rows import RecordRows
 from cluster_fake import FakeNetwork
 
 ZONES = ('za', 'zb', 'zc')
@@ -95,7 +98,7 @@
         self.net.table.is_down = not self.net.table.is_down
 
     @rule(back=st.integers(1, 30))
-    @precondition(lambda self: not self.net.cut_zones)
+    @precondition(lambda machine: not machine.net.cut_zones)
     def go_back(self, back: int) -> None:
         """Let the store answer from an older state for a while."""
         table = self.net.table
@@ -125,7 +128,18 @@
             self.net.table.write(name, None if removes else 'withdrawn')
             self.withdrawn[name] = self.net.now
 
-    @rule(fault=st.sampled_from(['none', 'zone', 'watchers', 'store']))
+    @rule(gap=st.integers(50, 600))
+    def write_twice(self, gap: Milliseconds) -> None:
+        """Write a key and withdraw it while answers are on the way."""
+        self.disturb(loss=0, slow=True)
+        for _ in range(4):
+            self.add_key()
+            self.net.run(gap)
+            self.withdraw(removes=False)
+            self.net.run(gap)
+            self.check_always()
+
+    @rule(fault=st.sampled_from(['none', 'zone', 'watchers', 'store', 'stuck']))
     def withdraw_during(self, fault: str) -> None:
         """Withdraw a key that is in force while a fault hides it."""
         self.recover()
@@ -138,8 +152,11 @@
             self.freeze_watchers()
         elif fault == 'store':
             self.net.table.is_down = True
+        elif fault == 'stuck':
+            self.bound = KEY_BOUND_STUCK
+            self.net.table.stuck_at = self.net.table.revision - 1
         self.withdraw(removes=False)
-        self.advance(KEY_BOUND + 2 * STEP)
+        self.advance(self.bound + 2 * STEP)
         self.recover()
 
     @rule(number=numbers, zone=zones)
@@ -173,6 +190,7 @@
         net.cut_zones.clear()
         net.storeless_zones = set()
         net.table.is_down = False
+        net.table.stuck_at = None
         self.disturb(loss=0, slow=False)
         for name in list(net.daemons):
             net.thaw(name)
@@ -202,7 +220,7 @@
         """Every daemon knows just the running ones as living."""
         running = set(self.net.daemons)
         for name, daemon in self.net.daemons.items():
-            ring = daemon.node.membership.view.table.list_ring()
+            ring = daemon.list_ring()
             seen = {member.daemon_id for member in ring}
             assert seen == running, f'view of {name}'
 
@@ -221,13 +239,13 @@
 ) -> None:
     """Run the machine with the given options."""
 
-    class Machine(ClusterMachine):
-        """Machine of one run."""
-
-    Machine.membership = membership or MembershipOptions()
-    Machine.configuration = configuration or ConfigurationOptions()
+    switched = {
+        'membership': membership or MembershipOptions(),
+        'configuration': configuration or ConfigurationOptions(),
+    }
+    machine = type('Machine', (ClusterMachine,), switched)
     run_state_machine_as_test(
-        Machine,
+        machine,
         settings=settings(
             max_examples=examples,
             stateful_step_count=20,
@@ -237,6 +255,17 @@
     )
 
 
+def apply_always(
+    records: RecordRows, rows: Iterable[ConfigurationRow], upto: int
+) -> bool:
+    """Take over rows whether they are newer or not."""
+    newest = list(rows)
+    records.rows.update({row.key: row for row in newest})
+    if newest:
+        records.version = upto
+    return bool(newest)
+
+
 class TestGuarantees:
     """Guards against reverted records, stale keys and diverging views."""
 
@@ -251,7 +280,7 @@
     @pytest.mark.parametrize(
         ('switch', 'seen'),
         [
-            ({'check_revision': False}, 'revision went back'),
+            ({'check_revision': False}, 'works on'),
             ({'check_age': False}, 'works on'),
             ({'relay': False}, 'not in force|is stale|works on'),
         ],
@@ -261,10 +290,19 @@
         with pytest.raises(AssertionError, match=seen):
             run_machine(60, configuration=ConfigurationOptions(**switch))
 
+    def test_older_rows(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Rows that replace newer ones are seen as a step back."""
+        monkeypatch.setattr(RecordRows, 'apply', apply_always)
+        with pytest.raises(AssertionError, match='revision went back'):
+            run_machine(60)
+
     @pytest.mark.parametrize(
         'switch', [{'refute': False}, {'sync': False}, {'probe_timeout': 10**9}]
     )
     def test_membership(self, switch: dict[str, int]) -> None:
-        """Without the mechanism views stay apart."""
-        with pytest.raises(AssertionError, match='view of'):
+        """Without the mechanism views stay apart.
+
+        A daemon that stays apart also cannot hear that its store is behind.
+        """
+        with pytest.raises(AssertionError, match='view of|works on'):
             run_machine(60, membership=MembershipOptions(**switch))
--- a/tests/test_daemon_port.py
+++ b/tests/test_daemon_port.py
@@ -1,9 +1,11 @@
 """Tests of the daemon port and its links over loopback."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
+from functools import partial
 from pathlib import Path
+from tempfile import TemporaryDirectory
 
 import pytest
 import trio
@@ -14,10 +16,14 @@
 from clementinedyke.daemons.platform_reader import PlatformReader
 from clementinedyke.daemons.server import bind_daemon_port
 from clementinedyke.http_client import Address, HttpClient
+from clementinedyke.member_view import MemberView
 from clementinedyke.platform.tables import Write
 from clementinedyke.standins.platform import PlatformStandin
 
 RUN = 1_700_000_000_000
+PREFACE = b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n'
+
+Check = Callable[['Cluster', trio.Nursery], Awaitable[None]]
 
 
 class Cluster:
@@ -45,9 +51,7 @@
         """Start one daemon in a scope of its own."""
         reader = PlatformReader(HttpClient(Address('127.0.0.1', self.port)))
 
-        def describe(address: str) -> Member:
-            return Member(address, zone, 'r', zone, address, RUN, RUN)
-
+        describe = partial(describe_member, zone)
         component = ControlComponent(describe, reader, options or self.options)
         self.scopes.append(await nursery.start(self._run, component))
         self.components.append(component)
@@ -63,28 +67,25 @@
             await component.start(nursery)
             task_status.started(nursery.cancel_scope)
 
+    def list_views(self) -> list[MemberView]:
+        """Return the view of each daemon."""
+        nodes = [component.node for component in self.components]
+        return [node.membership.view for node in nodes if node is not None]
+
     def get_states(self, daemon_id: str) -> list[MemberState | None]:
         """Return the state of a daemon in every other daemon's view."""
         members = [
-            component.node.membership.view.table.get_member(daemon_id)
-            for component in self.components
-            if component.node is not None
+            view.table.get_member(daemon_id) for view in self.list_views()
         ]
         return [member and member.state for member in members]
 
     def get_id(self, place: int) -> str:
         """Return the identity of a daemon."""
-        node = self.components[place].node
-        assert node is not None
-        return node.membership.view.own.daemon_id
+        return self.list_views()[place].own.daemon_id
 
     def count_living(self) -> list[int]:
         """Return the number of living members in each view."""
-        return [
-            len(component.node.membership.view.table.list_ring())
-            for component in self.components
-            if component.node is not None
-        ]
+        return [len(view.table.list_ring()) for view in self.list_views()]
 
 
 async def wait_until(condition: Callable[[], bool]) -> None:
@@ -94,21 +95,86 @@
             await trio.sleep(0.02)
 
 
+def describe_member(zone: str, address: str) -> Member:
+    """Return the record of a daemon at an address."""
+    return Member(address, zone, 'r', zone, address, RUN, RUN)
+
+
 def run_cluster(
-    check: Callable[[Cluster, trio.Nursery], object],
-    options: ControlOptions | None = None,
-    count: int = 3,
+    check: Check, options: ControlOptions | None = None, count: int = 3
 ) -> None:
     """Run a check against started daemons, then stop them."""
+    cluster = Cluster(options or ControlOptions(secret='s3cret'))
+    trio.run(run_started, cluster, check, count)
+
+
+async def run_started(cluster: Cluster, check: Check, count: int) -> None:
+    """Start daemons, check and stop them."""
+    async with trio.open_nursery() as nursery:
+        await cluster.start(nursery, count)
+        await check(cluster, nursery)
+        nursery.cancel_scope.cancel()
+
+
+async def check_loss(cluster: Cluster, nursery: trio.Nursery) -> None:
+    """Every change reaches all."""
+    await wait_until(lambda: cluster.count_living() == [3, 3, 3])
+    tables = cluster.platform.tables
+    for withdrawn in (False, True):
+        tables.commit([], [Write('records', 'k', {'w': withdrawn})])
+    await wait_until(
+        lambda: get_values(cluster) == [{'w': True} for _ in range(3)]
+    )
+    lost = cluster.get_id(2)
+    cluster.scopes[2].cancel()
+    await wait_until(
+        lambda: (
+            cluster.get_states(lost)[:2] == [MemberState.DEAD, MemberState.DEAD]
+        )
+    )
 
-    async def run() -> None:
-        cluster = Cluster(options or ControlOptions(secret='s3cret'))
-        async with trio.open_nursery() as nursery:
-            await cluster.start(nursery, count)
-            await check(cluster, nursery)  # type: ignore[misc]
-            nursery.cancel_scope.cancel()
 
-    trio.run(run)
+async def check_leave(cluster: Cluster, nursery: trio.Nursery) -> None:
+    """All know the leave."""
+    await wait_until(lambda: cluster.count_living() == [3, 3, 3])
+    await cluster.components[0].drain()
+    left = cluster.get_id(0)
+    await wait_until(
+        lambda: cluster.get_states(left) == [MemberState.LEFT for _ in range(3)]
+    )
+    assert cluster.platform.tables.get_row('members', left) is None
+
+
+async def check_tls(cluster: Cluster, nursery: trio.Nursery) -> None:
+    """A stranger stays alone."""
+    await wait_until(lambda: cluster.count_living() == [2, 2])
+    with TemporaryDirectory() as directory:
+        stranger = create_tls_options(Path(directory) / 'stranger')
+        await cluster.add(nursery, 'zone-9', stranger)
+    await trio.sleep(1.5)
+    assert cluster.count_living() == [2, 2, 1]
+
+
+async def check_secret(cluster: Cluster, nursery: trio.Nursery) -> None:
+    """Both stay alone."""
+    options = ControlOptions(secret='wrong')
+    await cluster.add(nursery, 'zone-9', options)
+    await trio.sleep(1.5)
+    assert cluster.count_living() == [1, 1]
+
+
+async def check_hostile(cluster: Cluster, nursery: trio.Nursery) -> None:
+    """The daemon goes on."""
+    source = random.Random(7)
+    port = int(cluster.get_id(0).rpartition(':')[2])
+    base = cluster.components[0].connections
+    for turn in range(60):
+        noise = source.randbytes(source.randrange(400))
+        frame = bytes([0, 0, source.randrange(60), turn % 12])
+        start = (b'', PREFACE, b''.join([PREFACE, frame]))[turn % 3]
+        await send_bytes(port, b''.join([start, noise]))
+    await wait_until(lambda: cluster.components[0].connections <= base + 2)
+    await wait_until(lambda: cluster.count_living() == [2, 2])
 
 
 class TestCluster:
@@ -117,55 +183,25 @@
     def test_loss_and_withdrawn_key(self) -> None:
         """A killed daemon is seen, and a withdrawn key reaches all."""
 
-        async def check(cluster: Cluster, nursery: trio.Nursery) -> None:
-            await wait_until(lambda: cluster.count_living() == [3, 3, 3])
-            tables = cluster.platform.tables
-            for withdrawn in (False, True):
-                tables.commit([], [Write('records', 'k', {'w': withdrawn})])
-            await wait_until(lambda: get_values(cluster) == [{'w': True}] * 3)
-            lost = cluster.get_id(2)
-            cluster.scopes[2].cancel()
-            await wait_until(
-                lambda: cluster.get_states(lost)[:2] == [MemberState.DEAD] * 2
-            )
-
-        run_cluster(check)
+        run_cluster(check_loss)
 
     def test_announced_leave(self) -> None:
         """A planned stop needs no failure detection and removes its row."""
 
-        async def check(cluster: Cluster, nursery: trio.Nursery) -> None:
-            await wait_until(lambda: cluster.count_living() == [3, 3, 3])
-            await cluster.components[0].drain()
-            left = cluster.get_id(0)
-            await wait_until(
-                lambda: cluster.get_states(left) == [MemberState.LEFT] * 3
-            )
-            assert cluster.platform.tables.get_row('members', left) is None
-
-        run_cluster(check)
+        run_cluster(check_leave)
 
     def test_mutual_tls(self, tmp_path: Path) -> None:
         """Daemons with certificates meet; one of another authority does not."""
-        known = create_tls_options(tmp_path / 'a')
-        stranger = create_tls_options(tmp_path / 'b')
-
-        async def check(cluster: Cluster, nursery: trio.Nursery) -> None:
-            await wait_until(lambda: cluster.count_living() == [2, 2])
-            await cluster.add(nursery, 'zone-9', stranger)
-            await trio.sleep(1.5)
-            assert cluster.count_living() == [2, 2, 1]
+        known = create_tls_options(tmp_path / 'known')
 
-        run_cluster(check, known, 2)
+        run_cluster(check_tls, known, 2)
 
 
 def get_values(cluster: Cluster) -> list[object]:
     """Return the value of row ``k`` on every daemon."""
-    rows = [
-        component.node.configuration.feed.records.rows.get('k')
-        for component in cluster.components
-        if component.node is not None
-    ]
+    nodes = [component.node for component in cluster.components]
+    cores = [node.configuration for node in nodes if node is not None]
+    rows = [core.feed.records.rows.get('k') for core in cores]
     return [row and row.value for row in rows]
 
 
@@ -198,33 +234,12 @@
     def test_wrong_secret(self) -> None:
         """A daemon without the secret is not heard."""
 
-        async def check(cluster: Cluster, nursery: trio.Nursery) -> None:
-            options = ControlOptions(secret='wrong')
-            await cluster.add(nursery, 'zone-9', options)
-            await trio.sleep(1.5)
-            assert cluster.count_living() == [1, 1]
-
-        run_cluster(check, count=1)
+        run_cluster(check_secret, count=1)
 
     def test_hostile_bytes(self) -> None:
         """Malformed frames neither end the daemon nor keep connections."""
-        source = random.Random(7)
-        preface = b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n'
-
-        async def check(cluster: Cluster, nursery: trio.Nursery) -> None:
-            port = int(cluster.get_id(0).rpartition(':')[2])
-            base = cluster.components[0].connections
-            for turn in range(60):
-                noise = source.randbytes(source.randrange(400))
-                frame = b'\0\0' + bytes([source.randrange(60), turn % 12])
-                start = (b'', preface, preface + frame)[turn % 3]
-                await send_bytes(port, start + noise)
-            await wait_until(
-                lambda: cluster.components[0].connections <= base + 2
-            )
-            await wait_until(lambda: cluster.count_living() == [2, 2])
-
-        run_cluster(check, count=2)
+
+        run_cluster(check_hostile, count=2)
 
 
 async def send_bytes(port: int, data: bytes) -> None:
