Probe members that a sync calls dead, repair values by sync

Cause: after a cut of a minute one of 60 daemons still held a member of the other zones for living, since it never probed it, and one value of 60 had not reached one daemon after 30 s (tests/test_cluster_parts.py, both failing before). Conclusion: a claim from a sync is checked by a probe; values have digests too.

--- a/src/clementinedyke/control_messages.py
+++ b/src/clementinedyke/control_messages.py
@@ -106,16 +106,19 @@
 
     digests: tuple[int, ...]
     sender: Member
+    payload_digests: tuple[int, ...] = ()
 
 
 class SyncMembers(ControlMessage, frozen=True):
-    """Members of the buckets that differ.
+    """Members and values of the buckets that differ.
 
-    ``buckets`` asks the receiver for its members of the same buckets.
+    ``buckets`` and ``payload_buckets`` ask the receiver for its own.
     """
 
     members: tuple[Member, ...]
     buckets: tuple[int, ...] = ()
+    payloads: tuple[Payload, ...] = ()
+    payload_buckets: tuple[int, ...] = ()
 
 
 Message = (
--- a/src/clementinedyke/member_table.py
+++ b/src/clementinedyke/member_table.py
@@ -2,7 +2,7 @@
 
 import hashlib
 import zlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.control_messages import Member
@@ -110,11 +110,10 @@
 
     def compute_digests(self) -> tuple[int, ...]:
         """Return a digest of the living members of each bucket."""
-        digests = [0 for _ in range(BUCKETS)]
-        for member in self.list_ring():
-            entry = f'{member.daemon_id} {member.incarnation}'
-            digests[_get_bucket(member)] ^= zlib.crc32(entry.encode())
-        return tuple(digests)
+        return compute_digests(
+            (member.daemon_id, member.incarnation)
+            for member in self.list_ring()
+        )
 
     def list_buckets(self, buckets: Iterable[int]) -> tuple[Member, ...]:
         """Return all records in some buckets.
@@ -125,12 +124,42 @@
         return tuple(
             member
             for member in self._members.values()
-            if _get_bucket(member) in wanted
+            if get_bucket(member.daemon_id) in wanted
         )
 
     def _get_position(self, member: Member) -> bytes:
         return self._positions[member.daemon_id]
 
 
-def _get_bucket(member: Member) -> int:
-    return get_position(member.daemon_id)[0] % BUCKETS
+def get_bucket(daemon_id: str) -> int:
+    """Return the bucket of a daemon.
+
+    :param daemon_id: identity of the daemon.
+    """
+    return get_position(daemon_id)[0] % BUCKETS
+
+
+def compute_digests(entries: Iterable[tuple[str, int]]) -> tuple[int, ...]:
+    """Return a digest per bucket that does not depend on the order.
+
+    :param entries: identities of daemons with a number of what is known.
+    """
+    digests = [0 for _ in range(BUCKETS)]
+    for daemon_id, number in entries:
+        entry = f'{daemon_id} {number}'.encode()
+        digests[get_bucket(daemon_id)] ^= zlib.crc32(entry)
+    return tuple(digests)
+
+
+def find_differing(
+    own: Sequence[int], others: Sequence[int]
+) -> tuple[int, ...]:
+    """Return the buckets whose digests differ.
+
+    :param own: digests of this daemon.
+    :param others: digests of a peer.
+    """
+    pairs = zip(own, others, strict=False)
+    return tuple(
+        bucket for bucket, pair in enumerate(pairs) if pair[0] != pair[1]
+    )
--- a/src/clementinedyke/member_view.py
+++ b/src/clementinedyke/member_view.py
@@ -83,8 +83,8 @@
 
         After a partition each side holds the other for dead. Merging that
         claim would remove every member from both sides for a moment. The
-        member is told instead: it refutes if it lives, and if not then the
-        probes find out.
+        member is told instead, and refutes if it lives; ``list_doubtful``
+        names it for a probe.
 
         :param members: records of another daemon.
         :param now: current instant.
@@ -96,6 +96,18 @@
             else:
                 yield from self.merge(member, now)
 
+    def list_doubtful(self, members: tuple[Member, ...]) -> list[Member]:
+        """Return living members that another daemon holds for dead.
+
+        :param members: records of another daemon.
+        """
+        doubtful = []
+        for member in members:
+            known = self.table.get_member(member.daemon_id)
+            if known is not None and self._is_false_end(known, member):
+                doubtful.append(known)
+        return doubtful[: self._options.sync_probes]
+
     def merge(self, member: Member, now: Milliseconds) -> Iterator[Action]:
         """Take over a record and pass it on if it is news.
 
--- a/src/clementinedyke/membership.py
+++ b/src/clementinedyke/membership.py
@@ -132,8 +132,12 @@
         choices = lost if lost and takes_lost else living
         others = [address for address in choices if address != own.address]
         if others:
-            digests = self.view.table.compute_digests()
-            yield Send(self._random.choice(others), Sync(digests, own))
+            sync = Sync(
+                self.view.table.compute_digests(),
+                own,
+                self.view.payloads.compute_digests(),
+            )
+            yield Send(self._random.choice(others), sync)
 
     def _spread(self) -> Iterator[Action]:
         neighbours = self.view.list_neighbours()
--- a/src/clementinedyke/membership_answers.py
+++ b/src/clementinedyke/membership_answers.py
@@ -7,11 +7,13 @@
 from clementinedyke.control_messages import (
     Ack,
     Gossip,
+    News,
     Ping,
     PingRequest,
     Sync,
     SyncMembers,
 )
+from clementinedyke.member_table import find_differing
 from clementinedyke.member_view import MemberView
 from clementinedyke.membership_events import Action, Send
 from clementinedyke.prober import Prober
@@ -77,19 +79,32 @@
     ) -> Iterator[Action]:
         yield from self._view.merge(message.sender, now)
         table = self._view.table
-        pairs = zip(table.compute_digests(), message.digests, strict=False)
-        differing = tuple(
-            bucket for bucket, pair in enumerate(pairs) if pair[0] != pair[1]
+        payloads = self._view.payloads
+        buckets = find_differing(table.compute_digests(), message.digests)
+        payload_buckets = find_differing(
+            payloads.compute_digests(), message.payload_digests
         )
-        if differing:
-            members = table.list_buckets(differing)
-            yield Send(address, SyncMembers(members, differing))
+        if buckets or payload_buckets:
+            reply = SyncMembers(
+                table.list_buckets(buckets),
+                buckets,
+                payloads.list_buckets(payload_buckets),
+                payload_buckets,
+            )
+            yield Send(address, reply)
 
     @answer.register
     def _answer_members(
         self, message: SyncMembers, address: str, now: Milliseconds
     ) -> Iterator[Action]:
         yield from self._view.compare(message.members, now)
-        if message.buckets:
-            members = self._view.table.list_buckets(message.buckets)
-            yield Send(address, SyncMembers(members))
+        for member in self._view.list_doubtful(message.members):
+            yield self._prober.ping(member, now)
+        yield from self._view.learn(News((), message.payloads), now)
+        if message.buckets or message.payload_buckets:
+            payloads = self._view.payloads
+            reply = SyncMembers(
+                self._view.table.list_buckets(message.buckets),
+                payloads=payloads.list_buckets(message.payload_buckets),
+            )
+            yield Send(address, reply)
--- a/src/clementinedyke/membership_events.py
+++ b/src/clementinedyke/membership_events.py
@@ -24,6 +24,10 @@
     news_bytes: int = 700
     payload_bytes: int = 150
     payload_sends: int = 4
+    #: Values in the answer to a sync, which repairs what gossip missed.
+    sync_payloads: int = 40
+    #: Members that a sync may have probed at once.
+    sync_probes: int = 32
     #: Bound on what one daemon may publish under one topic.
     payload_limit: int = 120
     indirect: bool = True
--- a/src/clementinedyke/payloads.py
+++ b/src/clementinedyke/payloads.py
@@ -1,8 +1,10 @@
 """Small versioned values that daemons publish to all others."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
+from itertools import islice
 
 from clementinedyke.control_messages import Member, Payload
+from clementinedyke.member_table import compute_digests, get_bucket
 from clementinedyke.membership_events import (
     Action,
     MembershipOptions,
@@ -66,6 +68,27 @@
         self._payloads[key] = payload
         self._values.add(key, payload)
 
+    def compute_digests(self) -> tuple[int, ...]:
+        """Return a digest of the versions of each bucket of daemons."""
+        return compute_digests(
+            (payload.daemon_id, payload.version)
+            for payload in self._payloads.values()
+        )
+
+    def list_buckets(self, buckets: Iterable[int]) -> tuple[Payload, ...]:
+        """Return values of some buckets, up to the bound on a sync.
+
+        :param buckets: bucket numbers.
+        """
+        wanted = set(buckets)
+        count = self._options.sync_payloads
+        found = (
+            payload
+            for payload in self._payloads.values()
+            if get_bucket(payload.daemon_id) in wanted
+        )
+        return tuple(islice(found, count))
+
     def merge(self, payload: Payload) -> Iterator[Action]:
         """Take over a value and pass it on if it is newer.
 
--- a/tests/cluster_fake.py
+++ b/tests/cluster_fake.py
@@ -157,7 +157,7 @@
         daemon = self.daemons[name]
         daemon.is_frozen = False
         for sender, data in daemon.held:
-            self._deliver(sender, name, data)
+            self.deliver(sender, name, data)
         daemon.held.clear()
 
     def run(self, duration: Milliseconds) -> None:
@@ -205,10 +205,11 @@
         for _ in range(copies):
             if self._random.random() >= self.loss:
                 arrival = self.now + self._random.randint(*self.delay)
-                step = partial(self._deliver, source, send.address, data)
+                step = partial(self.deliver, source, send.address, data)
                 self._schedule(arrival, step)
 
-    def _deliver(self, sender: str, target: str, data: bytes) -> None:
+    def deliver(self, sender: str, target: str, data: bytes) -> None:
+        """Give an encoded message to a daemon that can be reached."""
         daemon = self.daemons.get(target)
         if daemon is None or self._is_cut(sender, target):
             return
