--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -2,6 +2,9 @@
 
 import os
 import random
+from functools import partial
+
+import trio
 
 from clementinedyke.admission_component import AdmissionComponent
 from clementinedyke.application import Application
@@ -11,7 +14,13 @@
 from clementinedyke.claim_component import ClaimComponent
 from clementinedyke.clock import MonotonicClock
 from clementinedyke.configuration_component import ConfigurationComponent
-from clementinedyke.configuration_report import ConfigurationReport
+from clementinedyke.control_options import (
+    compile_control_options,
+    describe_member,
+)
+from clementinedyke.control_report import ConfigurationReport, MemberReport
+from clementinedyke.daemons import ControlComponent
+from clementinedyke.daemons.platform_reader import PlatformReader
 from clementinedyke.endpoints.registry import EndpointRegistry
 from clementinedyke.http_client import Address, HttpClient
 from clementinedyke.operators import OperatorPort, OperatorReports
@@ -21,6 +30,8 @@
 from clementinedyke.routing_component import RoutingComponent
 from clementinedyke.settings import Settings
 
+_READY_POLL_SECONDS = 0.02
+
 
 class Daemon:
     """The components of an entry daemon and the application that runs them."""
@@ -36,8 +47,16 @@
         platform = HttpClient(Address.parse(settings.platform))
         tables = TableClient(platform)
         self.reports = OperatorReports()
-        self.configuration = ConfigurationComponent(tables)
-        self.endpoints = EndpointRegistry(platform)
+        self.endpoints = EndpointRegistry()
+        self.control = ControlComponent(
+            partial(describe_member, settings),
+            PlatformReader(platform),
+            compile_control_options(settings),
+            self._clock,
+        )
+        self.configuration = ConfigurationComponent(
+            self.control, self.endpoints, self._clock
+        )
         self.claims = ClaimComponent(tables, self._clock, ClaimSettings())
         self.routing = RoutingComponent(
             self.endpoints,
@@ -56,6 +75,7 @@
         self._register_reports()
         self.application = Application(
             [
+                self.control,
                 self.configuration,
                 self.endpoints,
                 self.routing,
@@ -66,6 +86,11 @@
             ]
         )
 
+    async def wait_until_ready(self) -> None:
+        """Wait until the daemon has its configuration and endpoints."""
+        while not self.reports.is_ready() or not self.routing.has_state():
+            await trio.sleep(_READY_POLL_SECONDS)
+
     def _create_handler(self) -> CallerHandler:
         options = HandlerOptions(
             admission=self.admission,
@@ -81,7 +106,10 @@
         return CallerHandler(self.configuration, self.endpoints, options)
 
     def _count_daemons(self) -> int:
-        return 1
+        node = self.control.node
+        return (
+            1 if node is None else len(node.membership.view.table.list_ring())
+        )
 
     def _observe_outcome(self, ended: RequestOutcome) -> None:
         self.reports.record_outcome(describe_outcome(ended))
@@ -89,6 +117,7 @@
     def _register_reports(self) -> None:
         report = ConfigurationReport(self.configuration)
         self.reports.add_readiness('configuration', report.has_configuration)
+        self.reports.add_status('members', MemberReport(self.control))
         self.reports.add_status('configuration', report)
         self.reports.metrics.add_gauge(
             'configuration_revision',
--- /dev/null
+++ b/src/clementinedyke/membership_answers.py
@@ -0,0 +1,110 @@
+"""Answers of the membership to messages of peers."""
+
+from collections.abc import Iterable, Iterator
+from functools import singledispatchmethod
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.control_messages import (
+    Ack,
+    Gossip,
+    News,
+    Ping,
+    PingRequest,
+    Sync,
+    SyncMembers,
+)
+from clementinedyke.member_table import find_differing
+from clementinedyke.member_view import MemberView
+from clementinedyke.membership_events import Action, Send
+from clementinedyke.prober import Prober
+
+
+class MembershipAnswers:
+    """Merges what peers tell and answers them."""
+
+    def __init__(self, view: MemberView, prober: Prober) -> None:
+        """Create the answers of one daemon.
+
+        :param view: members known to this daemon.
+        :param prober: open probes of this daemon.
+        """
+        self._view = view
+        self._prober = prober
+
+    @singledispatchmethod
+    def answer(
+        self, message: object, address: str, now: Milliseconds
+    ) -> Iterable[Action]:
+        """Return the actions that a message calls for.
+
+        :param message: message of a peer; other types have no effect.
+        :param address: daemon address of the peer.
+        :param now: current instant.
+        """
+        return ()
+
+    @answer.register
+    def _answer_ping(
+        self, message: Ping, address: str, now: Milliseconds
+    ) -> Iterator[Action]:
+        yield from self._view.learn(message.news, now)
+        yield Send(address, Ack(message.sequence, self._view.take_news()))
+
+    @answer.register
+    def _answer_ack(
+        self, message: Ack, address: str, now: Milliseconds
+    ) -> Iterator[Action]:
+        origin = self._prober.resolve(message.sequence)
+        yield from self._view.learn(message.news, now)
+        if origin is not None:
+            yield Send(origin[0], Ack(origin[1]))
+
+    @answer.register
+    def _answer_request(
+        self, message: PingRequest, address: str, now: Milliseconds
+    ) -> Iterator[Action]:
+        target = self._view.table.get_member(message.target)
+        if target is not None:
+            yield self._prober.ping(target, now, (address, message.sequence))
+
+    @answer.register
+    def _answer_gossip(
+        self, message: Gossip, address: str, now: Milliseconds
+    ) -> Iterable[Action]:
+        return self._view.learn(message.news, now)
+
+    @answer.register
+    def _answer_sync(
+        self, message: Sync, address: str, now: Milliseconds
+    ) -> Iterator[Action]:
+        yield from self._view.merge(message.sender, now)
+        table = self._view.table
+        payloads = self._view.payloads
+        buckets = find_differing(table.compute_digests(), message.digests)
+        payload_buckets = find_differing(
+            payloads.compute_digests(), message.payload_digests
+        )
+        if buckets or payload_buckets:
+            reply = SyncMembers(
+                table.list_buckets(buckets),
+                buckets,
+                payloads.list_buckets(payload_buckets),
+                payload_buckets,
+            )
+            yield Send(address, reply)
+
+    @answer.register
+    def _answer_members(
+        self, message: SyncMembers, address: str, now: Milliseconds
+    ) -> Iterator[Action]:
+        yield from self._view.compare(message.members, now)
+        for member in self._view.list_doubtful(message.members):
+            yield self._prober.ping(member, now)
+        yield from self._view.learn(News((), message.payloads), now)
+        if message.buckets or message.payload_buckets:
+            payloads = self._view.payloads
+            reply = SyncMembers(
+                self._view.table.list_buckets(message.buckets),
+                payloads=payloads.list_buckets(message.payload_buckets),
+            )
+            yield Send(address, reply)
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -1,5 +1,6 @@
 """Fuzz test of the caller port."""
 
+import gc
 import logging
 
 import pytest
@@ -55,6 +56,7 @@
     """Check that the bytes leave no task or socket behind."""
     await side.selector.close_idle()
     await trio.sleep(0.2)  # The connections of the first request end.
+    gc.collect()  # Sockets that earlier tests left to the collector.
     idle = get_counts()
     await Fuzzer(seed).run(side.port, total)
     await side.selector.close_idle()
