--- a/src/clementinedyke/demo.py
+++ b/src/clementinedyke/demo.py
@@ -10,8 +10,8 @@
 from pydantic import SecretStr
 
 from clementinedyke.application import Application
-from clementinedyke.configuration_component import RECORDS_TABLE
 from clementinedyke.daemon import Daemon
+from clementinedyke.daemons.platform_reader import RECORDS_TABLE
 from clementinedyke.platform.tables import Write
 from clementinedyke.records import get_digest
 from clementinedyke.settings import Settings
@@ -67,6 +67,7 @@
                 host=_HOST,
                 port=self._port,
                 operator_port=0,
+                daemon_port=0,
                 operator_token=SecretStr(self._operator_token),
                 platform=f'{_HOST}:{platform_port}',
             )
@@ -74,6 +75,7 @@
             self.application = daemon.application
             async with trio.open_nursery() as inner:
                 await inner.start(daemon.application.run)
+                await daemon.wait_until_ready()
                 task_status.started(self._describe(daemon))
             nursery.cancel_scope.cancel()
 
--- a/src/clementinedyke/settings.py
+++ b/src/clementinedyke/settings.py
@@ -63,6 +63,19 @@
         'certificate chain of the operator port'
     )
     operator_tls_key: str = create_path('private key of the operator port')
+    daemon_secret: SecretStr = create_setting(
+        SecretStr(''),
+        'secret that all daemons share on the daemon port; without one or '
+        'certificates it must be on loopback',
+        allowed='text or empty',
+    )
+    daemon_certificate: str = create_path(
+        'certificate chain of the daemon port, both as server and client'
+    )
+    daemon_key: str = create_path('private key of the daemon port')
+    daemon_authority: str = create_path(
+        'certificates of the authority that signs those of all daemons'
+    )
     operator_token: SecretStr = create_setting(
         SecretStr(''),
         'token of the operator port; without one it refuses all but /metrics, '
