--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -25,6 +25,7 @@
 from clementinedyke.http_client import Address, HttpClient
 from clementinedyke.operators import OperatorPort, OperatorReports
 from clementinedyke.operators.caller_outcomes import describe_outcome
+from clementinedyke.operators.endpoint_status import EndpointStatus
 from clementinedyke.platform.tables import TableClient
 from clementinedyke.retry_planner import RetryPlanner
 from clementinedyke.routing_component import RoutingComponent
@@ -124,3 +125,10 @@
             'Revision of the records in force.',
             report.get_revision,
         )
+        endpoints = EndpointStatus(self.endpoints.list_endpoints)
+        self.reports.add_status('endpoints', endpoints)
+        self.reports.metrics.add_gauge(
+            'live_endpoints',
+            'Endpoints that take new work.',
+            endpoints.get_live_count,
+        )
