Add lease, outbox and usage cores and their clients

Decision cores without I/O for leases with fencing, orders that are recorded before they are sent, and usage parts and windows; clients of objects, usage reports, endpoint orders, host list and engine orders.

--- /dev/null
+++ b/src/clementinedyke/endpoints/orders.py
@@ -0,0 +1,89 @@
+"""Client of an engine's order interface."""
+
+import msgspec
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
+from clementinedyke.http_client import Address, HttpRequest
+from clementinedyke.order_connection import exchange_once
+from clementinedyke.order_target import TargetState
+from clementinedyke.outbox_messages import OrderAnswer, OrderRow
+
+_TIMEOUT: Milliseconds = 2000
+_STATUS_OK = 200
+_STATUS_CONFLICT = 409
+_STATUS_SERVER_ERROR = 500
+
+
+class _OrderBody(msgspec.Struct):
+    order_id: str
+    fence: int
+    kind: str
+    argument: str
+
+
+class _StateBody(msgspec.Struct):
+    last_order: str | None = None
+    changing: bool = False
+
+
+class EngineOrderClient:
+    """Orders one engine; meets :class:`clementinedyke.order_target`."""
+
+    def __init__(
+        self, address: Address, timeout: Milliseconds = _TIMEOUT
+    ) -> None:
+        """Create a client; no connection is kept.
+
+        :param address: address of the engine.
+        :param timeout: longest wait for an answer in milliseconds.
+        """
+        self._address = address
+        self._timeout = timeout
+
+    async def send_order(self, row: OrderRow, fence: int) -> OrderAnswer:
+        """Send a recorded order once.
+
+        :param row: order as recorded.
+        :param fence: fence of the present holder.
+        """
+        body = _OrderBody(row.order_id, fence, row.kind.value, row.argument)
+        request = HttpRequest(
+            method='POST', target='/orders', body=msgspec.json.encode(body)
+        )
+        try:
+            response = await exchange_once(
+                self._address, request, self._timeout
+            )
+        except PeerUnavailableError:
+            return OrderAnswer.NOT_SENT
+        except AnswerLostError:
+            return OrderAnswer.LOST
+        return _get_answer(response.status)
+
+    async def get_state(self, order_id: str) -> TargetState | None:
+        """Return the state of the engine, None if it did not answer.
+
+        :param order_id: unused; an engine tells its last order.
+        """
+        request = HttpRequest(method='GET', target='/state')
+        try:
+            response = await exchange_once(
+                self._address, request, self._timeout
+            )
+        except (PeerUnavailableError, AnswerLostError):
+            return None
+        if response.status != _STATUS_OK:
+            return None
+        state = msgspec.json.decode(response.body, type=_StateBody)
+        return TargetState(state.last_order, state.changing)
+
+
+def _get_answer(status: int) -> OrderAnswer:
+    if status == _STATUS_OK:
+        return OrderAnswer.ACCEPTED
+    if status == _STATUS_CONFLICT:
+        return OrderAnswer.STALE
+    if status >= _STATUS_SERVER_ERROR:
+        return OrderAnswer.LOST
+    return OrderAnswer.REFUSED
--- /dev/null
+++ b/src/clementinedyke/lease_view.py
@@ -0,0 +1,266 @@
+"""What a process knows about the row of a lease."""
+
+from dataclasses import dataclass
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.lease_messages import (
+    FormerHolder,
+    Identity,
+    LeaseRow,
+    LeaseTiming,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class _Attempt:
+    """A write that may take effect as long as the row has its version."""
+
+    row: LeaseRow
+    version: int
+    sent_at: Milliseconds
+
+
+class LeaseView:
+    """The row as last seen, its expiry, and writes without an answer."""
+
+    def __init__(self, identity: Identity, timing: LeaseTiming) -> None:
+        """Create a view that has seen nothing.
+
+        :param identity: this run of the process.
+        :param timing: durations of the lease.
+        """
+        self._identity = identity
+        self._timing = timing
+        self._row: LeaseRow | None = None
+        self._version = 0
+        self._was_read = False
+        self._seen_at: Milliseconds = 0
+        self._attempts: dict[str, _Attempt] = {}
+        self._held_until: Milliseconds | None = None
+        self._held_since: Milliseconds | None = None
+        self._fence_version = 0
+
+    @property
+    def identity(self) -> Identity:
+        """This run of the process."""
+        return self._identity
+
+    @property
+    def row(self) -> LeaseRow | None:
+        """Row as last seen."""
+        return self._row
+
+    @property
+    def version(self) -> int:
+        """Version of the row, 0 if it is absent."""
+        return self._version
+
+    @property
+    def was_read(self) -> bool:
+        """Whether the row was read at all."""
+        return self._was_read
+
+    @property
+    def fence(self) -> int:
+        """Fence of the row."""
+        return self._row.fence if self._row else 0
+
+    @property
+    def fence_version(self) -> int:
+        """Version of the fence row of the own tenure, 0 if unknown."""
+        return self._fence_version
+
+    @property
+    def unreleased(self) -> tuple[FormerHolder, ...]:
+        """Former holders in the row."""
+        return self._row.unreleased if self._row else ()
+
+    @property
+    def held_since(self) -> Milliseconds | None:
+        """When this process saw that it holds the lease."""
+        return self._held_since
+
+    @property
+    def held_until(self) -> Milliseconds:
+        """Expiry of the own lease on the own clock, 0 if not held."""
+        return self._held_until or 0
+
+    @property
+    def renew_at(self) -> Milliseconds:
+        """When the own lease is due for a renewal."""
+        attempt = self._attempts.get(self._row.nonce) if self._row else None
+        return attempt.sent_at + self._timing.renew_interval if attempt else 0
+
+    @property
+    def free_at(self) -> Milliseconds:
+        """When another process's lease has expired on the own clock."""
+        if self._row is None or self._row.holder is None:
+            return self._seen_at
+        duration = self._row.duration * self._timing.drift_factor
+        return self._seen_at + int(duration)
+
+    @property
+    def is_mine(self) -> bool:
+        """Whether the row names this run of the process as holder."""
+        return self._row is not None and self._row.holder == self._identity
+
+    @property
+    def has_own_entry(self) -> bool:
+        """Whether this process stands among the former holders."""
+        return self.drop_own() != self.unreleased
+
+    @property
+    def is_involved(self) -> bool:
+        """Whether the row names this process or may come to name it."""
+        return self.is_mine or self.has_own_entry or bool(self._attempts)
+
+    def is_held(self, now: Milliseconds) -> bool:
+        """Tell whether the own lease has not expired.
+
+        :param now: current instant.
+        """
+        return self._held_until is not None and now < self._held_until
+
+    def is_free(self, now: Milliseconds) -> bool:
+        """Tell whether the lease may be taken over.
+
+        :param now: current instant.
+        """
+        if self._row is None or self._row.holder is None:
+            return True
+        return now >= self.free_at
+
+    def is_settled(self, now: Milliseconds) -> bool:
+        """Tell whether no write of this process can take effect any more.
+
+        :param now: current instant.
+        """
+        applied = self._row.nonce if self._row else ''
+        return all(
+            now >= attempt.sent_at + self._timing.duration
+            for nonce, attempt in self._attempts.items()
+            if nonce != applied
+        )
+
+    def needs_fence(self, now: Milliseconds) -> bool:
+        """Tell whether the lease is held and its fence version is unknown.
+
+        :param now: current instant.
+        """
+        return self.is_held(now) and not self._fence_version
+
+    def get_written(self, nonce: str) -> LeaseRow | None:
+        """Return the row that an attempt of this process wrote.
+
+        :param nonce: nonce of the write.
+        """
+        attempt = self._attempts.get(nonce)
+        return attempt.row if attempt else None
+
+    def get_unproved(self) -> list[Identity]:
+        """Return other processes whose end would have to be proved."""
+        unproved = [
+            entry.identity for entry in self.unreleased if not entry.proved
+        ]
+        if self._row and self._row.holder and not self.is_mine:
+            unproved.append(self._row.holder)
+        return unproved
+
+    def drop_own(self) -> tuple[FormerHolder, ...]:
+        """Return the former holders without this process."""
+        return tuple(
+            entry
+            for entry in self.unreleased
+            if entry.identity != self._identity
+        )
+
+    def compile_unreleased(self) -> tuple[FormerHolder, ...]:
+        """Return the former holders as of a take-over by this process."""
+        entries = self.drop_own()
+        if self._row is None or self._row.holder is None or self.is_mine:
+            return entries
+        return (*entries, FormerHolder(self._row.holder, self._row.fence))
+
+    def note_attempt(self, row: LeaseRow, now: Milliseconds) -> None:
+        """Remember a write before it is sent.
+
+        :param row: row with the nonce of the write.
+        :param now: current instant.
+        """
+        self._attempts[row.nonce] = _Attempt(row, self._version, now)
+
+    def note_fence(self, fence: int, version: int) -> None:
+        """Take the fence row.
+
+        :param fence: fence in the row.
+        :param version: version of the row.
+        """
+        if self.is_mine and fence == self.fence:
+            self._fence_version = version
+
+    def note_row(
+        self, row: LeaseRow | None, version: int, now: Milliseconds
+    ) -> None:
+        """Take the row, read or written; older versions are ignored.
+
+        :param row: row, None if absent.
+        :param version: version of the row.
+        :param now: current instant.
+        """
+        if version < self._version:
+            return
+        if not self._was_read or _get_renewal(row) != _get_renewal(self._row):
+            self._seen_at = now
+        if row is None or row.fence != self.fence:
+            self._fence_version = 0
+        self._was_read = True
+        self._row = row
+        self._version = version
+        self._drop_attempts()
+        if self.is_mine:
+            self._hold(now)
+        elif self._held_until is not None:
+            # Taken over early: a clock ran faster than the drift factor allows.
+            self._held_until = now
+
+    def lapse(self, now: Milliseconds) -> bool:
+        """End the own tenure if it has expired; tell whether it has.
+
+        :param now: current instant.
+        """
+        if self._held_until is None or now < self._held_until:
+            return False
+        self._held_until = None
+        self._held_since = None
+        return True
+
+    def _drop_attempts(self) -> None:
+        """Drop writes that can no longer take effect.
+
+        A write demands the version that it was based on, so that a row with a
+        higher version refuses it.
+        """
+        nonce = self._row.nonce if self._row else ''
+        self._attempts = {
+            key: attempt
+            for key, attempt in self._attempts.items()
+            if key == nonce or attempt.version >= self._version
+        }
+
+    def _hold(self, now: Milliseconds) -> None:
+        attempt = self._attempts.get(self._row.nonce) if self._row else None
+        if attempt is None:
+            return
+        held_until = attempt.sent_at + attempt.row.duration
+        if now >= held_until:
+            return
+        self._held_until = held_until
+        if self._held_since is None:
+            self._held_since = now
+
+
+def _get_renewal(row: LeaseRow | None) -> tuple[object, ...] | None:
+    """Return what changes with each renewal, and with nothing else."""
+    if row is None:
+        return None
+    return row.holder, row.fence, row.count
--- /dev/null
+++ b/src/clementinedyke/order_connection.py
@@ -0,0 +1,101 @@
+"""One HTTP exchange on a connection of its own that leaves nothing behind.
+
+Orders and usage reports go to targets that may ignore the fence. When such an
+exchange ends without an answer, its bytes must not arrive much later.
+"""
+
+import socket
+
+import h11
+import trio
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
+from clementinedyke.http_client import Address, HttpRequest, HttpResponse
+
+#: The kernel drops data that was not acknowledged for this long.
+USER_TIMEOUT: Milliseconds = 5000
+
+_CONNECT_TIMEOUT: Milliseconds = 1000
+_MILLISECONDS_PER_SECOND = 1000
+_READ_SIZE = 65536
+#: On, with a linger time of 0: close drops the send buffer and resets.
+_LINGER_ABORT = b'\1\0\0\0\0\0\0\0'
+
+
+async def exchange_once(
+    address: Address, request: HttpRequest, timeout: Milliseconds
+) -> HttpResponse:
+    """Send a request on a new connection and return the whole response.
+
+    :param address: peer to connect to.
+    :param request: request with its whole body.
+    :param timeout: longest wait for the answer in milliseconds.
+    :raises PeerUnavailableError: if nothing was sent.
+    :raises AnswerLostError: if the request may arrive or may have arrived.
+    """
+    stream = await _connect(address)
+    try:
+        with trio.fail_after(timeout / _MILLISECONDS_PER_SECOND):
+            return await _exchange(stream, address, request)
+    except (trio.TooSlowError, trio.BrokenResourceError) as error:
+        raise AnswerLostError(f'{address}: {error!r}') from error
+    except h11.RemoteProtocolError as malformed:
+        raise AnswerLostError(f'{address}: {malformed}') from malformed
+    finally:
+        await trio.aclose_forcefully(stream)
+
+
+async def _connect(address: Address) -> trio.SocketStream:
+    try:
+        with trio.fail_after(_CONNECT_TIMEOUT / _MILLISECONDS_PER_SECOND):
+            stream = await trio.open_tcp_stream(address.host, address.port)
+    except (OSError, trio.TooSlowError) as error:
+        raise PeerUnavailableError(
+            f'{address} cannot be reached: {error}'
+        ) from error
+    stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT)
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ABORT)
+    return stream
+
+
+async def _exchange(
+    stream: trio.SocketStream, address: Address, request: HttpRequest
+) -> HttpResponse:
+    protocol = h11.Connection(h11.CLIENT)
+    headers = [
+        (b'Host', str(address).encode()),
+        (b'Content-Length', str(len(request.body)).encode()),
+        (b'Connection', b'close'),
+        *request.headers,
+    ]
+    head = h11.Request(
+        method=request.method, target=request.target, headers=headers
+    )
+    parts = [
+        protocol.send(head),
+        protocol.send(h11.Data(data=request.body)),
+        protocol.send(h11.EndOfMessage()),
+    ]
+    await stream.send_all(b''.join(part or b'' for part in parts))
+    return await _receive(stream, protocol)
+
+
+async def _receive(
+    stream: trio.SocketStream, protocol: h11.Connection
+) -> HttpResponse:
+    status = 0
+    body = b''
+    while True:
+        event = protocol.next_event()
+        if event is h11.NEED_DATA:
+            received = await stream.receive_some(_READ_SIZE)
+            protocol.receive_data(bytes(received))
+        elif isinstance(event, h11.Response):
+            status = int(event.status_code)
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            return HttpResponse(status, (), body)
+        elif isinstance(event, h11.ConnectionClosed):
+            raise AnswerLostError('connection closed before the answer')
--- /dev/null
+++ b/src/clementinedyke/platform/endpoint_orders.py
@@ -0,0 +1,78 @@
+"""Client of the endpoint interface, which ignores the fence."""
+
+import msgspec
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.http_client import Address, HttpRequest
+from clementinedyke.order_target import TargetState
+from clementinedyke.outbox_messages import OrderAnswer, OrderRow
+from clementinedyke.platform.calls import (
+    DEFAULT_TIMEOUT,
+    STATUS_NOT_FOUND,
+    STATUS_OK,
+    call_once,
+)
+from clementinedyke.platform.tables import TableFailure
+
+_STATUS_SERVER_ERROR = 500
+
+
+class _OrderBody(msgspec.Struct):
+    kind: str
+    argument: str
+    fence: int
+
+
+class EndpointOrderClient:
+    """Orders and returns endpoints; one connection per call."""
+
+    def __init__(
+        self, address: Address, timeout: Milliseconds = DEFAULT_TIMEOUT
+    ) -> None:
+        """Create a client.
+
+        :param address: the platform's address.
+        :param timeout: longest wait for an answer in milliseconds.
+        """
+        self._address = address
+        self._timeout = timeout
+
+    async def send_order(self, row: OrderRow, fence: int) -> OrderAnswer:
+        """Send a recorded order once.
+
+        :param row: order as recorded.
+        :param fence: fence of the present holder, for the platform's log.
+        """
+        body = _OrderBody(row.kind.value, row.argument, fence)
+        request = HttpRequest(
+            'PUT', _get_path(row.order_id), body=msgspec.json.encode(body)
+        )
+        answer = await call_once(self._address, request, self._timeout)
+        if answer.is_err():
+            if answer.unwrap_err() is TableFailure.UNKNOWN:
+                return OrderAnswer.LOST
+            return OrderAnswer.NOT_SENT
+        status = answer.unwrap().status
+        if status == STATUS_OK:
+            return OrderAnswer.ACCEPTED
+        if status >= _STATUS_SERVER_ERROR:
+            return OrderAnswer.LOST
+        return OrderAnswer.REFUSED
+
+    async def get_state(self, order_id: str) -> TargetState | None:
+        """Tell whether the platform has an order, None without an answer.
+
+        :param order_id: order whose outcome is looked for.
+        """
+        request = HttpRequest('GET', _get_path(order_id))
+        answer = await call_once(self._address, request, self._timeout)
+        if answer.is_err():
+            return None
+        status = answer.unwrap().status
+        if status == STATUS_OK:
+            return TargetState(order_id)
+        return TargetState(None) if status == STATUS_NOT_FOUND else None
+
+
+def _get_path(order_id: str) -> str:
+    return f'/v1/endpoint-orders/{order_id}'
--- /dev/null
+++ b/src/clementinedyke/platform/hosts.py
@@ -0,0 +1,46 @@
+"""Client of the platform's list of live and leaving hosts."""
+
+import msgspec
+from result import Err, Ok, Result
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.http_client import HttpClient, HttpRequest
+from clementinedyke.platform.calls import (
+    DEFAULT_TIMEOUT,
+    STATUS_OK,
+    call_pooled,
+)
+from clementinedyke.platform.tables import TableFailure
+
+
+class Host(msgspec.Struct, frozen=True):
+    """A host as the platform lists it."""
+
+    host: str
+
+
+class HostListClient:
+    """Reads the host list, which lags behind both starts and ends."""
+
+    def __init__(
+        self, client: HttpClient, timeout: Milliseconds = DEFAULT_TIMEOUT
+    ) -> None:
+        """Create a client.
+
+        :param client: HTTP client of the platform's address.
+        :param timeout: longest wait for an answer in milliseconds.
+        """
+        self._client = client
+        self._timeout = timeout
+
+    async def list_hosts(self) -> Result[frozenset[str], TableFailure]:
+        """Return the names of the listed hosts."""
+        request = HttpRequest('GET', '/v1/hosts')
+        answer = await call_pooled(self._client, request, self._timeout)
+        if answer.is_err():
+            return Err(answer.unwrap_err())
+        response = answer.unwrap()
+        if response.status != STATUS_OK:
+            return Err(TableFailure.NOT_DONE)
+        hosts = msgspec.json.decode(response.body, type=list[Host])
+        return Ok(frozenset(host.host for host in hosts))
--- /dev/null
+++ b/src/clementinedyke/platform/usage_reports.py
@@ -0,0 +1,63 @@
+"""Client of the platform's usage interface, which ignores the fence."""
+
+import msgspec
+from result import Err, Ok, Result
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.http_client import Address, HttpRequest
+from clementinedyke.platform.calls import (
+    DEFAULT_TIMEOUT,
+    STATUS_NOT_FOUND,
+    STATUS_OK,
+    call_once,
+)
+from clementinedyke.platform.tables import TableFailure
+
+
+class UsageReportClient:
+    """Sends reports and asks for them; one connection per call."""
+
+    def __init__(
+        self, address: Address, timeout: Milliseconds = DEFAULT_TIMEOUT
+    ) -> None:
+        """Create a client.
+
+        :param address: the platform's address.
+        :param timeout: longest wait for an answer in milliseconds.
+        """
+        self._address = address
+        self._timeout = timeout
+
+    async def send_report(
+        self, window: int, figures: dict[str, int]
+    ) -> Result[None, TableFailure]:
+        """Send the report of a window.
+
+        :param window: number of the window, the identity of the report.
+        :param figures: amounts by what they count.
+        """
+        request = HttpRequest(
+            'PUT',
+            f'/v1/usage/reports/{window}',
+            body=msgspec.json.encode(figures),
+        )
+        answer = await call_once(self._address, request, self._timeout)
+        if answer.is_err():
+            return Err(answer.unwrap_err())
+        if answer.unwrap().status != STATUS_OK:
+            return Err(TableFailure.NOT_DONE)
+        return Ok(None)
+
+    async def has_report(self, window: int) -> Result[bool, TableFailure]:
+        """Tell whether the usage interface has the report of a window.
+
+        :param window: number of the window.
+        """
+        request = HttpRequest('GET', f'/v1/usage/reports/{window}')
+        answer = await call_once(self._address, request, self._timeout)
+        if answer.is_err():
+            return Err(answer.unwrap_err())
+        status = answer.unwrap().status
+        if status not in {STATUS_OK, STATUS_NOT_FOUND}:
+            return Err(TableFailure.NOT_DONE)
+        return Ok(status == STATUS_OK)
