--- /dev/null
+++ b/tests/authority_world.py
@@ -0,0 +1,591 @@
+"""Processes, clocks, store and targets in virtual time, with faults.
+
+Each process runs the cores and executes their actions one at a time, so that
+it can be frozen between any two of them and go on much later.
+"""
+
+import random
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Any
+
+from clementinedyke import lease_messages as lm
+from clementinedyke import outbox_messages as om
+from clementinedyke import usage_messages as um
+from clementinedyke.closing import CloserCore
+from clementinedyke.handover import HandoverCore
+from clementinedyke.lease import LeaseCore
+from clementinedyke.outbox import OutboxCore
+from clementinedyke.platform.tables import Condition, Conflict, Write
+from clementinedyke.standins.tables import MemoryTables
+from clementinedyke.usage import PartCore
+
+SCOPE = 'service/chat'
+USER_TIMEOUT = 5000
+STEP = 500
+FENCING = {
+    'checked': lm.Fencing.CHECKED,
+    'ignored': lm.Fencing.IGNORED,
+    'interface': lm.Fencing.IGNORED,
+}
+
+
+@dataclass
+class Mechanisms:
+    """Protections that a test takes away one at a time."""
+
+    fence_check: bool = True
+    unreleased: bool = True
+    seen_hosts: bool = True
+    quiet_wait: bool = True
+    close_before_release: bool = True
+    fence_condition: bool = True
+    recorded_first: bool = True
+    wait_for_outcome: bool = True
+    window_condition: bool = True
+    recorded_figures: bool = True
+    carried_rest: bool = True
+    drift_factor: bool = True
+    kept_fence: bool = True
+
+
+class TrustingHandover(HandoverCore):
+    """Takes the absence of a host that it has never seen as a proof."""
+
+    def note_hosts(
+        self, hosts: frozenset[str], asked_at: int, held_since: int | None
+    ) -> None:
+        """Treat every former holder's host as seen before."""
+        self._known_hosts |= {'a', 'b', 'c'}
+        super().note_hosts(hosts, asked_at, held_since)
+
+
+class HastyOutbox(OutboxCore):
+    """Records the next order while the outcome of the last is unknown."""
+
+    def _advance(self, name: str, target: Any, now: int) -> Any:
+        target.quiet_until = 0
+        if target.wanted:
+            return self._record_next(name, target, now)
+        return super()._advance(name, target, now)
+
+
+@dataclass
+class Copy:
+    """An order or report on its way; dropped at ``dies_at``."""
+
+    sender: 'Process'
+    target: str
+    fence: int
+    content: Any
+    dies_at: int | None = None
+
+
+@dataclass
+class Target:
+    """An engine or an interface, with what it received and obeyed."""
+
+    name: str
+    fencing: lm.Fencing
+    fence: int = 0
+    last: om.OrderRow | None = None
+    obeyed: list[tuple[int, om.OrderRow]] = field(default_factory=list)
+
+
+class Process:
+    """One run of a daemon on a host whose clock has its own rate."""
+
+    def __init__(self, world: 'World', host: str, run: int, rate: float):
+        """Start the run with empty cores."""
+        self.world = world
+        self.host = host
+        self.rate = rate
+        self.is_frozen = False
+        self.is_dead = False
+        self.is_cut = False
+        self.is_stopping = False
+        self.queue: deque[tuple[Any, Any]] = deque()
+        self.inbox: deque[tuple[Any, Any]] = deque()
+        self.closing_at: int | None = None
+        self.tenure = 0
+        self.identity = lm.Identity(host, f'{host}:1', f'{host}-{run}')
+        self.cores = world.compile_cores(self)
+        self.lease, self.outbox, self.part, self.closer = self.cores
+
+    @property
+    def now(self) -> int:
+        """Time on the process's own clock."""
+        return int(self.world.now * self.rate)
+
+    def handle(self, core: Any, event: Any) -> None:
+        """Queue the actions that a core answers an event with."""
+        for action in core.handle(event, self.now):
+            self.queue.append((core, action))
+
+    def tick(self) -> None:
+        """Let every core see the time."""
+        self.handle(self.lease, lm.LeaseTick())
+        if self.closing_at is not None and self.world.now >= self.closing_at:
+            self.closing_at = None
+            self.handle(self.lease, lm.OrdersClosed())
+        allowed = frozenset(
+            fencing
+            for fencing in lm.Fencing
+            if self.lease.may_order(fencing, self.now)
+        )
+        tenure = self.lease.fence_version if allowed else 0
+        if tenure != self.tenure and self.closing_at is None:
+            begun = om.TenureBegun(self.lease.fence, tenure)
+            self.handle(self.outbox, begun if tenure else om.TenureEnded())
+            self.tenure = tenure
+        if self.closing_at is None:
+            self.handle(self.outbox, om.OutboxTick(allowed))
+        self.handle(self.part, um.UsageTick())
+        may_report = lm.Fencing.IGNORED in allowed
+        self.handle(self.closer, um.CloserTick(tenure, may_report))
+
+    def execute_next(self) -> None:
+        """Carry out the oldest queued action."""
+        core, action = self.queue.popleft()
+        if isinstance(action, lm.CloseOrders):
+            self._close_orders()
+            return
+        for event in self.world.execute(self, action):
+            self.inbox.append((core, event))
+
+    def run(self) -> None:
+        """Carry out what is queued, then take answers, then see the time."""
+        for _ in range(len(self.queue)):
+            if self.queue:
+                self.execute_next()
+        while self.inbox:
+            self.handle(*self.inbox.popleft())
+        self.tick()
+
+    def _close_orders(self) -> None:
+        self.handle(self.outbox, om.TenureEnded())
+        self.tenure = 0
+        self.queue = deque(
+            item for item in self.queue if item[0] is not self.outbox
+        )
+        self.inbox = deque(
+            item for item in self.inbox if item[0] is not self.outbox
+        )
+        copies = [copy for copy in self.world.copies if copy.sender is self]
+        self.world.lose(copies)
+        wait = USER_TIMEOUT if copies else 0
+        if not self.world.mechanisms.close_before_release:
+            wait = 0
+        self.closing_at = self.world.now + wait
+
+
+class World:
+    """The whole system; ``step`` moves virtual time forward."""
+
+    def __init__(self, seed: int, mechanisms: Mechanisms, host_lag: int = 0):
+        """Create three hosts with one process each."""
+        self.random = random.Random(seed)
+        self.mechanisms = mechanisms
+        self.tables = MemoryTables()
+        self.now = 0
+        self.is_outage = False
+        self.lose_answers = 0
+        self.host_lag = host_lag
+        self.commits: list[tuple[str, ...]] = []
+        self.copies: list[Copy] = []
+        self.delayed: list[tuple[Process, Any]] = []
+        self.reports: dict[int, list[dict[str, int]]] = {}
+        self.report_fences: list[int] = []
+        self.ended = 0
+        self.host_log: list[tuple[int, frozenset[str]]] = []
+        self.targets = {
+            name: Target(name, fencing) for name, fencing in FENCING.items()
+        }
+        self.runs = 0
+        self.all_runs: list[Process] = []
+        self.processes: dict[str, Process] = {}
+        for host, rate in (('a', 0.96), ('b', 1.0), ('c', 1.04)):
+            self.start(host, rate)
+
+    def compile_cores(self, process: Process) -> tuple[Any, ...]:
+        """Return the cores of a process, weakened as the test asks."""
+        with_checks = self.mechanisms
+        wait = 5500 if with_checks.quiet_wait else 0
+        judge = HandoverCore if with_checks.seen_hosts else TrustingHandover
+        lease = LeaseCore(
+            process.identity,
+            random.Random(self.random.random()),
+            lm.LeaseTiming(
+                drift_factor=1.1 if with_checks.drift_factor else 0.9
+            ),
+            handover=judge(process.identity, wait),
+        )
+        outbox_type = (
+            OutboxCore if with_checks.wait_for_outcome else HastyOutbox
+        )
+        closer = CloserCore(20000)
+        return lease, outbox_type(SCOPE), PartCore(), closer
+
+    # Faults.
+
+    def start(self, host: str, rate: float) -> None:
+        """Start a new run on a host."""
+        self.runs += 1
+        process = Process(self, host, self.runs, rate)
+        self.processes[host] = process
+        self.all_runs.append(process)
+        self._note_hosts()
+
+    def kill(self, host: str) -> None:
+        """End a process; its bytes on the way die within the user timeout."""
+        process = self.processes.pop(host)
+        process.is_dead = True
+        self.lose([copy for copy in self.copies if copy.sender is process])
+        self._note_hosts()
+
+    def lose(self, copies: list[Copy]) -> None:
+        """Cut connections; the bytes may arrive for some time yet."""
+        for copy in copies:
+            if copy.dies_at is None:
+                copy.dies_at = self.now + USER_TIMEOUT - 1
+
+    def _note_hosts(self) -> None:
+        self.host_log.append((self.now, frozenset(self.processes)))
+
+    # Time.
+
+    def step(self) -> None:
+        """Advance by one step and run every process that can run."""
+        self.now += STEP
+        self.copies = [
+            copy
+            for copy in self.copies
+            if copy.dies_at is None or self.now < copy.dies_at
+        ]
+        for process in list(self.processes.values()):
+            if not process.is_frozen:
+                process.run()
+            if process.lease.is_given_back:
+                self.kill(process.host)
+                self.start(process.host, process.rate)
+
+    def run(self, duration: int, deliver: bool = True) -> None:
+        """Advance by a duration; copies arrive at once unless held up."""
+        for _ in range(duration // STEP):
+            self.step()
+            while deliver and self.copies:
+                self.deliver(0)
+
+    def deliver(self, index: int) -> None:
+        """Let one copy arrive."""
+        copy = self.copies.pop(index)
+        sender = copy.sender
+        if copy.target == 'usage':
+            self._take_report(copy)
+            return
+        answer = self._take_order(copy)
+        if copy.dies_at is None and not sender.is_dead:
+            self._answer(copy, answer)
+
+    def cut_copy(self, index: int) -> None:
+        """Break the connection of a copy, which may still arrive."""
+        copy = self.copies[index]
+        if copy.dies_at is None and copy.target != 'usage':
+            self.lose([copy])
+            self._answer(copy, om.OrderAnswer.LOST)
+
+    def _answer(self, copy: Copy, answer: om.OrderAnswer) -> None:
+        order_id = copy.content.order_id
+        event = om.OrderAnswered(copy.target, order_id, answer)
+        copy.sender.inbox.append((copy.sender.outbox, event))
+
+    def crash_target(self, name: str) -> None:
+        """Restart an engine, which forgets its last order."""
+        target = self.targets[name]
+        target.last = None
+        if not self.mechanisms.kept_fence:
+            target.fence = 0
+
+    # Targets.
+
+    def _take_order(self, copy: Copy) -> om.OrderAnswer:
+        target = self.targets[copy.target]
+        checks = target.fencing is lm.Fencing.CHECKED
+        if checks and self.mechanisms.fence_check:
+            if copy.fence < target.fence:
+                return om.OrderAnswer.STALE
+            target.fence = copy.fence
+        target.obeyed.append((copy.fence, copy.content))
+        target.last = copy.content
+        return om.OrderAnswer.ACCEPTED
+
+    def _take_report(self, copy: Copy) -> None:
+        window, figures = copy.content
+        self.reports.setdefault(window, []).append(figures)
+        self.report_fences.append(copy.fence)
+
+    # Actions.
+
+    def execute(self, process: Process, action: Any) -> list[Any]:
+        """Carry out one action and return the events that it ends in."""
+        return getattr(self, f'_do_{type(action).__name__}')(process, action)
+
+    def _is_unreachable(self, process: Process) -> bool:
+        return self.is_outage or process.is_cut
+
+    def _commit(
+        self,
+        process: Process,
+        conditions: list[Condition],
+        writes: list[Write],
+        late: Any = None,
+    ) -> int:
+        """Return the revision, 0 if not applied or if the answer was lost."""
+        if self._is_unreachable(process):
+            return 0
+        if self.lose_answers and late is None:
+            self.lose_answers -= 1
+            if self.random.random() < 0.5:
+                self.delayed.append((process, (conditions, writes)))
+            else:
+                self.tables.commit(conditions, writes)
+            return 0
+        outcome = self.tables.commit(conditions, writes)
+        if isinstance(outcome, Conflict):
+            return 0
+        self.commits.append(tuple(write.table for write in writes))
+        return outcome.revision
+
+    def apply_delayed(self) -> None:
+        """Let the store apply the calls whose answers were lost."""
+        for _, (conditions, writes) in self.delayed:
+            self.tables.commit(conditions, writes)
+        self.delayed.clear()
+
+    def _get(self, table: str, key: str) -> tuple[Any, int]:
+        row = self.tables.get_row(table, key)
+        return (row.value, row.version) if row else (None, 0)
+
+    def _do_ReadLease(self, process: Process, _: Any) -> list[Any]:
+        if self._is_unreachable(process):
+            return [lm.LeaseCallFailed()]
+        return [lm.LeaseRead(*self._get('leases', SCOPE))]
+
+    def _do_ReadFence(self, process: Process, _: Any) -> list[Any]:
+        if self._is_unreachable(process):
+            return [lm.LeaseCallFailed()]
+        return [lm.FenceRead(*self._get('fences', SCOPE))]
+
+    def _do_WriteLease(self, process: Process, action: Any) -> list[Any]:
+        row = action.row
+        if not self.mechanisms.unreleased:
+            row = lm.msgspec.structs.replace(row, unreleased=())
+        conditions = [Condition('leases', SCOPE, action.version)]
+        writes = [Write('leases', SCOPE, row)]
+        if action.raises_fence:
+            writes.append(Write('fences', SCOPE, row.fence))
+        revision = self._commit(process, conditions, writes)
+        if revision:
+            return [lm.LeaseWritten(row.nonce, revision)]
+        return [lm.LeaseCallFailed()]
+
+    def _do_ReadHosts(self, process: Process, _: Any) -> list[Any]:
+        if self._is_unreachable(process):
+            return []
+        shown = [
+            hosts
+            for since, hosts in self.host_log
+            if since <= self.now - self.host_lag
+        ]
+        hosts = shown[-1] if shown else frozenset()
+        return [lm.HostsRead(hosts, process.now)]
+
+    def _fence_condition(self, version: int) -> list[Condition]:
+        if not self.mechanisms.fence_condition:
+            return []
+        return [Condition('fences', SCOPE, version)]
+
+    def _do_ReadOrders(self, process: Process, _: Any) -> list[Any]:
+        if self._is_unreachable(process):
+            return [om.OrdersRead(None)]
+        rows = self.tables.list_rows('orders').rows
+        return [
+            om.OrdersRead(
+                tuple(
+                    om.StoredOrder(row.key, row.value, row.version)
+                    for row in rows
+                )
+            )
+        ]
+
+    def _do_RecordOrder(self, process: Process, action: Any) -> list[Any]:
+        if not self.mechanisms.recorded_first:
+            return [om.OrderRecorded(action.target, action.row, self.now)]
+        version = action.version
+        if not self.mechanisms.fence_condition:
+            version = self._get('orders', action.target)[1]
+        revision = self._commit(
+            process,
+            [
+                Condition('orders', action.target, version),
+                *self._fence_condition(action.fence_version),
+            ],
+            [Write('orders', action.target, action.row)],
+        )
+        if revision:
+            return [om.OrderRecorded(action.target, action.row, revision)]
+        return [om.RecordFailed(action.target)]
+
+    def _do_AskState(self, process: Process, action: Any) -> list[Any]:
+        target = self.targets[action.target]
+        if process.is_cut:
+            return [om.StateFailed(action.target)]
+        last = target.last.order_id if target.last else None
+        return [om.StateRead(action.target, last)]
+
+    def _do_SendOrder(self, process: Process, action: Any) -> list[Any]:
+        if process.is_cut:
+            answer = om.OrderAnswer.NOT_SENT
+            return [
+                om.OrderAnswered(action.target, action.row.order_id, answer)
+            ]
+        copy = Copy(process, action.target, action.fence, action.row)
+        self.copies.append(copy)
+        return []
+
+    def _do_WritePart(self, process: Process, action: Any) -> list[Any]:
+        key = f'{action.window}/{process.identity.incarnation}'
+        conditions = [Condition('usage_parts', key, action.version)]
+        if self.mechanisms.window_condition:
+            window = str(action.window)
+            conditions.append(Condition('usage_windows', window, 0))
+        revision = self._commit(
+            process, conditions, [Write('usage_parts', key, action.row)]
+        )
+        if revision:
+            return [um.PartWritten(action.window, action.row, revision)]
+        return [um.PartFailed()]
+
+    def _do_ReadPart(self, process: Process, action: Any) -> list[Any]:
+        if self._is_unreachable(process):
+            return [um.PartFailed()]
+        key = f'{action.window}/{process.identity.incarnation}'
+        opened, _ = self._get('usage_windows', 'open')
+        row, version = self._get('usage_parts', key)
+        if not self.mechanisms.carried_rest:
+            row = None
+        window = opened.window if opened else 0
+        return [um.PartRead(action.window, window, row, version)]
+
+    def _do_ReadWindow(self, process: Process, _: Any) -> list[Any]:
+        if self._is_unreachable(process):
+            return [um.CloserCallFailed()]
+        opened, open_version = self._get('usage_windows', 'open')
+        window = opened.window if opened else 1
+        row, version = self._get('usage_windows', str(window - 1))
+        return [um.WindowRead(window, open_version, row, version)]
+
+    def _do_WriteWindow(self, process: Process, action: Any) -> list[Any]:
+        key = str(action.window)
+        conditions = [
+            Condition('usage_windows', key, action.version),
+            *self._fence_condition(action.fence_version),
+        ]
+        writes = [Write('usage_windows', key, action.row)]
+        if action.row.state == 'closing':
+            opened = um.OpenWindowRow(action.window + 1)
+            writes.append(Write('usage_windows', 'open', opened))
+            conditions.append(
+                Condition('usage_windows', 'open', action.open_version)
+            )
+        revision = self._commit(process, conditions, writes)
+        if revision:
+            return [um.WindowWritten(action.window, action.row, revision)]
+        return [um.CloserCallFailed()]
+
+    def _do_ReadParts(self, process: Process, action: Any) -> list[Any]:
+        if self._is_unreachable(process):
+            return [um.CloserCallFailed()]
+        return [um.PartsRead(action.window, self.list_parts(action.window))]
+
+    def list_parts(self, window: int) -> tuple[um.PartRow, ...]:
+        """Return the parts written to a window."""
+        rows = self.tables.list_rows('usage_parts', f'{window}/').rows
+        return tuple(row.value for row in rows)
+
+    def _do_AskReport(self, process: Process, action: Any) -> list[Any]:
+        if self._is_unreachable(process):
+            return [um.CloserCallFailed()]
+        is_present = action.window in self.reports
+        return [um.ReportRead(action.window, is_present)]
+
+    def _do_SendReport(self, process: Process, action: Any) -> list[Any]:
+        if self._is_unreachable(process):
+            return [um.CloserCallFailed()]
+        figures = action.figures
+        if not self.mechanisms.recorded_figures:
+            parts = [part.figures for part in self.list_parts(action.window)]
+            figures = um.sum_figures(parts)
+        content = (action.window, figures)
+        fence = process.lease.fence
+        self._take_report(Copy(process, 'usage', fence, content))
+        if self.lose_answers:
+            self.lose_answers -= 1
+            return [um.CloserCallFailed()]
+        return [um.ReportRead(action.window, is_present=True)]
+
+    # Invariants.
+
+    def check(self) -> None:
+        """Assert what must hold at every moment."""
+        holders = [
+            process.host
+            for process in self.processes.values()
+            if process.lease.is_held(process.now)
+        ]
+        assert len(holders) <= 1, 'two holders at the same time'
+        for target in self.targets.values():
+            fences = [fence for fence, _ in target.obeyed]
+            numbers = [row.sequence for _, row in target.obeyed]
+            assert fences == sorted(fences), 'an order of a former holder'
+            assert numbers == sorted(numbers), 'conflicting orders'
+            contents = {row.order_id: row for _, row in target.obeyed}
+            assert all(
+                contents[row.order_id].argument == row.argument
+                for _, row in target.obeyed
+            ), 'one identity for two orders'
+        assert self.report_fences == sorted(self.report_fences), 'two reporters'
+        for sent in self.reports.values():
+            assert all(figures == sent[0] for figures in sent), 'two figures'
+        assert self.count_written() <= self.ended, 'work counted twice'
+
+    def count_written(self) -> int:
+        """Return the figures in all parts."""
+        rows = self.tables.list_rows('usage_parts').rows
+        return sum(row.value.figures.get('tokens', 0) for row in rows)
+
+    def heal(self) -> None:
+        """End every fault."""
+        self.is_outage = False
+        self.lose_answers = 0
+        self.apply_delayed()
+        for host in ('a', 'b', 'c'):
+            if host not in self.processes:
+                self.start(host, 1.0)
+        for process in self.processes.values():
+            process.is_frozen = False
+            process.is_cut = False
+
+    def check_end(self) -> None:
+        """Assert what must hold some time after the last fault."""
+        self.check()
+        opened = self._get('usage_windows', 'open')[0]
+        for window in range(1, opened.window - 1):
+            parts = [part.figures for part in self.list_parts(window)]
+            assert self.reports.get(window), 'window not reported'
+            total = um.sum_figures(parts)
+            assert self.reports[window][0] == total, 'sum differs from parts'
+        for name, target in self.targets.items():
+            row = self._get('orders', name)[0]
+            assert row is None or row.outcome == 'done', 'order left open'
+            assert row is None or target.obeyed, 'order never sent'
--- /dev/null
+++ b/tests/test_authority.py
@@ -0,0 +1,210 @@
+"""State machine of leases, orders and usage under faults.
+
+``AUTHORITY_EXAMPLES=2000 AUTHORITY_SEED=7 .venv/bin/pytest -s
+tests/test_authority.py -k test_guarantees`` runs longer and prints the seed.
+"""
+
+import os
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, Phase, seed, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from clementinedyke import outbox_messages as om
+from clementinedyke.lease_messages import StopRequested
+from clementinedyke.usage_messages import WorkDone
+from authority_world import FENCING, STEP, Mechanisms, World
+
+EXAMPLES = int(os.environ.get('AUTHORITY_EXAMPLES', '40'))
+SEED = int(os.environ.get('AUTHORITY_SEED', '1'))
+HOSTS = st.sampled_from(['a', 'b', 'c'])
+TARGETS = st.sampled_from(sorted(FENCING))
+#: Several actions, a renewal, a lapse, and a hand-over with its wait.
+DURATIONS = st.sampled_from([500, 1000, 3000, 12000])
+
+
+class AuthorityMachine(RuleBasedStateMachine):
+    """Interleaves faults with the work of three processes."""
+
+    mechanisms = Mechanisms()
+
+    @initialize(number=st.integers(0, 99), lag=st.sampled_from([0, 60000]))
+    def begin(self, number: int, lag: int) -> None:
+        """Start three processes and let one take the lease."""
+        self.world = World(number, replace(self.mechanisms), lag)
+        self.world.run(2000)
+
+    @rule(duration=DURATIONS, deliver=st.booleans())
+    def advance(self, duration: int, deliver: bool) -> None:
+        """Let time pass, with orders arriving at once or held up."""
+        self.world.run(duration, deliver)
+
+    @rule(index=st.integers(0, 3), arrives=st.booleans())
+    def move_copy(self, index: int, arrives: bool) -> None:
+        """Let an order arrive out of order, or break its connection."""
+        if index < len(self.world.copies):
+            move = self.world.deliver if arrives else self.world.cut_copy
+            move(index)
+
+    @rule(name=TARGETS, number=st.integers(0, 9), steps=st.integers(1, 4))
+    def want(self, name: str, number: int, steps: int) -> None:
+        """Make every planner wish for a change; stop at some step of it."""
+        wish = om.OrderWanted(
+            name, FENCING[name], om.OrderKind.ROLE, f'role-{number}'
+        )
+        for process in self.world.processes.values():
+            if not process.is_frozen:
+                process.handle(process.outbox, wish)
+        self.world.run(steps * STEP, deliver=False)
+
+    @rule(host=HOSTS, amount=st.integers(1, 9))
+    def work(self, host: str, amount: int) -> None:
+        """End work on a daemon."""
+        process = self.world.processes.get(host)
+        if process and not process.is_frozen:
+            process.handle(process.part, WorkDone({'tokens': amount}))
+            self.world.ended += amount
+
+    @rule(is_kept=st.booleans())
+    def freeze_holder(self, is_kept: bool) -> None:
+        """Stop the holder past its lease, with its actions still queued."""
+        for process in self.world.processes.values():
+            if process.lease.is_held(process.now):
+                process.is_frozen = True
+        self.world.run(14000, deliver=not is_kept)
+
+    @rule(steps=st.integers(0, 2))
+    def thaw(self, steps: int) -> None:
+        """Let frozen processes go on; their orders are still on the way."""
+        for process in self.world.processes.values():
+            process.is_frozen = False
+        self.world.run(steps * STEP, deliver=False)
+
+    @rule(host=HOSTS, rate=st.sampled_from([0.96, 1.04]), at_once=st.booleans())
+    def kill(self, host: str, rate: float, at_once: bool) -> None:
+        """End a process and start another one on its host."""
+        self.world.kill(host)
+        if not at_once:
+            self.world.run(14000, deliver=False)
+        self.world.start(host, rate)
+
+    @rule(host=HOSTS)
+    def stop(self, host: str) -> None:
+        """Stop a process gracefully."""
+        process = self.world.processes.get(host)
+        if process and not process.is_frozen:
+            process.handle(process.lease, StopRequested())
+
+    @rule(host=HOSTS, duration=DURATIONS)
+    def cut(self, host: str, duration: int) -> None:
+        """Cut a process off from everything for a while."""
+        self.world.processes[host].is_cut = True
+        self.world.run(duration)
+        if host in self.world.processes:
+            self.world.processes[host].is_cut = False
+
+    @rule(duration=DURATIONS)
+    def break_store(self, duration: int) -> None:
+        """Let the platform be down for a while."""
+        self.world.is_outage = True
+        self.world.run(duration)
+        self.world.is_outage = False
+
+    @rule(count=st.integers(1, 4))
+    def lose_answers(self, count: int) -> None:
+        """Lose the answers to the next commits, which may apply later."""
+        self.world.lose_answers += count
+
+    @precondition(lambda self: self.world.delayed)
+    @rule()
+    def apply_delayed(self) -> None:
+        """Let the store apply commits whose answers were lost."""
+        self.world.apply_delayed()
+
+    @rule(name=TARGETS)
+    def crash_target(self, name: str) -> None:
+        """Restart an engine."""
+        self.world.crash_target(name)
+
+    @invariant()
+    def check(self) -> None:
+        """Check the guarantees after each rule."""
+        if hasattr(self, 'world'):
+            self.world.check()
+
+    def teardown(self) -> None:
+        """End the faults and check what must come about in the end."""
+        if hasattr(self, 'world'):
+            self.world.heal()
+            self.world.run(90000)
+            self.world.check_end()
+
+
+def run_machine(mechanisms: Mechanisms, examples: int, number: int) -> None:
+    """Run the state machine with some mechanisms taken away."""
+
+    @seed(number)
+    class Machine(AuthorityMachine):
+        """The machine with this test's mechanisms."""
+
+    Machine.mechanisms = mechanisms
+    run_state_machine_as_test(
+        Machine,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=20,
+            derandomize=False,
+            database=None,
+            deadline=None,
+            print_blob=False,
+            phases=[Phase.generate],
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+class TestGuarantees:
+    """Guards against any interleaving of faults that breaks a guarantee."""
+
+    def test_guarantees(self) -> None:
+        """Every invariant holds with all mechanisms in place."""
+        print(f'AUTHORITY_SEED={SEED} AUTHORITY_EXAMPLES={EXAMPLES}')
+        run_machine(Mechanisms(), EXAMPLES, SEED)
+
+
+class TestMechanisms:
+    """Guards against invariants that could not fail."""
+
+    @pytest.mark.parametrize(
+        ('removed', 'violation'),
+        [
+            ('fence_check', 'former holder'),
+            ('kept_fence', 'former holder'),
+            ('unreleased', 'former holder'),
+            ('seen_hosts', 'former holder'),
+            ('quiet_wait', 'former holder'),
+            ('close_before_release', 'former holder|conflicting'),
+            ('fence_condition', 'order|left open'),
+            ('recorded_first', 'conflicting|one identity|order'),
+            ('wait_for_outcome', 'conflicting'),
+            ('drift_factor', 'two holders'),
+            ('window_condition', 'sum differs'),
+            ('window_condition recorded_figures', 'two figures'),
+            ('carried_rest', 'counted twice'),
+        ],
+    )
+    def test_removal_is_found(self, removed: str, violation: str) -> None:
+        """The same machine finds the fault without the mechanism."""
+        without: dict[str, Any] = dict.fromkeys(removed.split(), False)
+        with pytest.raises(AssertionError, match=violation):
+            run_machine(Mechanisms(**without), 100, SEED)
