--- a/src/clementinedyke/closing.py
+++ b/src/clementinedyke/closing.py
@@ -3,7 +3,7 @@
 from functools import singledispatchmethod
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.usage_messages import (
+from clementinedyke.closing_messages import (
     AskReport,
     CloserAction,
     CloserCallFailed,
@@ -15,11 +15,10 @@
     ReportRead,
     SendReport,
     WindowRead,
-    WindowRow,
     WindowWritten,
     WriteWindow,
-    sum_figures,
 )
+from clementinedyke.usage_messages import WindowRow, sum_figures
 
 WINDOW_LENGTH: Milliseconds = 60000
 _CALL_TIMEOUT: Milliseconds = 5000
--- a/src/clementinedyke/endpoints/orders.py
+++ b/src/clementinedyke/endpoints/orders.py
@@ -7,7 +7,7 @@
 from clementinedyke.http_client import Address, HttpRequest
 from clementinedyke.order_connection import exchange_once
 from clementinedyke.order_target import TargetState
-from clementinedyke.outbox_messages import OrderAnswer, OrderRow
+from clementinedyke.order_types import OrderAnswer, OrderRow
 
 _TIMEOUT: Milliseconds = 2000
 _STATUS_OK = 200
--- a/src/clementinedyke/handover.py
+++ b/src/clementinedyke/handover.py
@@ -1,7 +1,7 @@
 """Proof that former holders of a lease have ended."""
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.lease_messages import FormerHolder, Identity
+from clementinedyke.lease_types import FormerHolder, Identity
 
 
 class HandoverCore:
@@ -93,16 +93,17 @@
         :param unreleased: former holders in the row.
         :param now: current instant of the lease holder.
         """
-        for entry in unreleased:
-            if self._is_proved(entry):
-                self._proved_at.setdefault(entry, now)
+        for former in unreleased:
+            if self._is_proved(former):
+                self._proved_at.setdefault(former, now)
         return tuple(
-            entry
-            for entry in unreleased
-            if entry not in self._proved_at
-            or now < self._proved_at[entry] + self._wait
+            entry for entry in unreleased if not self._is_quiet(entry, now)
         )
 
+    def _is_quiet(self, entry: FormerHolder, now: Milliseconds) -> bool:
+        proved_at = self._proved_at.get(entry)
+        return proved_at is not None and now >= proved_at + self._wait
+
     def _is_proved(self, entry: FormerHolder) -> bool:
         return (
             entry.proved
--- a/src/clementinedyke/lease_component.py
+++ b/src/clementinedyke/lease_component.py
@@ -16,14 +16,11 @@
     DeathConfirmed,
     FenceRead,
     HostsRead,
-    Identity,
     LeaseAction,
     LeaseCallFailed,
     LeaseEvent,
     LeaseRead,
-    LeaseRow,
     LeaseTick,
-    LeaseTiming,
     LeaseWritten,
     OrdersClosed,
     ReadFence,
@@ -32,6 +29,7 @@
     StopRequested,
     WriteLease,
 )
+from clementinedyke.lease_types import Identity, LeaseRow, LeaseTiming
 from clementinedyke.platform.hosts import HostListClient
 from clementinedyke.platform.tables import (
     ABSENT,
--- /dev/null
+++ b/src/clementinedyke/lease_decision.py
@@ -0,0 +1,191 @@
+"""Choice of the next call to the platform for one lease."""
+
+import random
+
+import msgspec
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.handover import HandoverCore
+from clementinedyke.lease_messages import (
+    CloseOrders,
+    LeaseAction,
+    ReadFence,
+    ReadHosts,
+    ReadLease,
+    WriteLease,
+)
+from clementinedyke.lease_types import (
+    FormerHolder,
+    Identity,
+    LeaseRow,
+    LeaseTiming,
+)
+from clementinedyke.lease_view import LeaseView
+
+_NONCE_BITS = 64
+
+
+class LeaseDecision:
+    """What to read and write, given what is known about the row."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        nonces: random.Random,
+        timing: LeaseTiming | None = None,
+        handover: HandoverCore | None = None,
+    ) -> None:
+        """Create a core that holds nothing.
+
+        :param identity: this run of the process, with its bound address.
+        :param nonces: seeded source of nonces.
+        :param timing: durations; defaults as on the design page.
+        :param handover: core that judges former holders.
+        """
+        self._timing = timing or LeaseTiming()
+        self._nonces = nonces
+        self._view = LeaseView(identity, self._timing)
+        self._handover = handover or HandoverCore(
+            identity, self._timing.bounded_quiet_wait
+        )
+        self._call_until: Milliseconds = 0
+        self._next_read: Milliseconds = 0
+        self._next_hosts: Milliseconds = 0
+        self._is_candidate = False
+        self._is_stopping = False
+        self._is_given_back = False
+        #: From gaining the lease until every order connection is closed.
+        self._has_open_orders = False
+
+    @property
+    def fence(self) -> int:
+        """Fence of the row as last seen."""
+        return self._view.fence
+
+    @property
+    def fence_version(self) -> int:
+        """Version of the fence row that this tenure wrote, 0 if unknown."""
+        return self._view.fence_version
+
+    def is_held(self, now: Milliseconds) -> bool:
+        """Tell whether this process holds the lease on its own clock.
+
+        :param now: current instant.
+        """
+        return self._view.is_held(now)
+
+    def _close_orders(self) -> list[LeaseAction]:
+        return [CloseOrders()] if self._has_open_orders else []
+
+    def _decide_hosts(self, now: Milliseconds) -> list[LeaseAction]:
+        if now < self._next_hosts:
+            return []
+        self._next_hosts = now + self._timing.host_interval
+        return [ReadHosts()]
+
+    def _decide_call(self, now: Milliseconds) -> list[LeaseAction]:
+        if self.is_held(now) and not self.fence_version:
+            self._call_until = now + self._timing.call_timeout
+            return [ReadFence()]
+        if now >= self._next_read and self._has_interest(now):
+            self._call_until = now + self._timing.call_timeout
+            self._next_read = self._call_until
+            return [ReadLease()]
+        return self._decide_own(now) if self._view.is_mine else []
+
+    def _has_interest(self, now: Milliseconds) -> bool:
+        if self.is_held(now) or self._is_candidate or self._is_stopping:
+            return True
+        if self._has_open_orders or not self._view.was_read:
+            return True
+        return self._view.is_involved or any(
+            self._handover.is_replaced(identity)
+            for identity in self._view.get_unproved()
+        )
+
+    def _decide_write(self, now: Milliseconds) -> list[LeaseAction]:
+        if self._view.is_mine:
+            return self._decide_own(now)
+        if self._has_open_orders:
+            return []
+        if self._view.has_own_entry:
+            return self._rewrite(self._view.drop_own(), now)
+        if self._is_stopping:
+            self._is_given_back = self._view.is_settled(now)
+            return []
+        if self._is_candidate and self._view.is_free(now):
+            return self._acquire(now)
+        return self._mark_replaced(now)
+
+    def _decide_own(self, now: Milliseconds) -> list[LeaseAction]:
+        row = self._view.row
+        if row is None:
+            return []
+        if self._has_open_orders and (
+            self._is_stopping or not self.is_held(now)
+        ):
+            return []
+        if self._is_stopping:
+            return self._write(msgspec.structs.replace(row, holder=None), now)
+        left = self._handover.select_unreleased(row.unreleased, now)
+        if left == row.unreleased and now < self._view.renew_at:
+            return []
+        return self._write(
+            msgspec.structs.replace(row, count=row.count + 1, unreleased=left),
+            now,
+        )
+
+    def _acquire(self, now: Milliseconds) -> list[LeaseAction]:
+        successor = LeaseRow(
+            holder=self._view.identity,
+            fence=self.fence + 1,
+            count=0,
+            duration=self._timing.duration,
+            nonce='',
+            unreleased=self._handover.mark_replaced(
+                self._view.compile_unreleased()
+            ),
+        )
+        return self._write(successor, now, raises_fence=True)
+
+    def _mark_replaced(self, now: Milliseconds) -> list[LeaseAction]:
+        marked = self._handover.mark_replaced(self._view.unreleased)
+        return (
+            []
+            if marked == self._view.unreleased
+            else self._rewrite(marked, now)
+        )
+
+    def _rewrite(
+        self, unreleased: tuple[FormerHolder, ...], now: Milliseconds
+    ) -> list[LeaseAction]:
+        """Change the list of another process's row and nothing else."""
+        row = self._view.row
+        if row is None:
+            return []
+        self._call_until = now + self._timing.call_timeout
+        changed = msgspec.structs.replace(row, unreleased=unreleased)
+        self._next_read = self._call_until
+        return [WriteLease(changed, self._view.version, raises_fence=False)]
+
+    def _write(
+        self, row: LeaseRow, now: Milliseconds, *, raises_fence: bool = False
+    ) -> list[LeaseAction]:
+        nonce = f'{self._nonces.getrandbits(_NONCE_BITS):016x}'
+        written = msgspec.structs.replace(row, nonce=nonce)
+        self._view.note_attempt(written, now)
+        self._call_until = now + self._timing.call_timeout
+        self._next_read = self._call_until
+        return [WriteLease(written, self._view.version, raises_fence)]
+
+    def _note_row(
+        self, row: LeaseRow | None, version: int, now: Milliseconds
+    ) -> None:
+        self._view.note_row(row, version, now)
+        if self.is_held(now):
+            self._next_read = self._view.held_until
+            if not self._has_open_orders:
+                self._has_open_orders = True
+                self._handover.forget_readings()
+        elif not self._view.is_mine:
+            self._next_read = min(self._next_read, self._view.free_at)
--- a/src/clementinedyke/lease_view.py
+++ b/src/clementinedyke/lease_view.py
@@ -1,10 +1,10 @@
-"""What a process knows about the row of a lease."""
+"""Tenure of a lease and the writes that may still take effect."""
 
 from dataclasses import dataclass
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.lease_messages import (
-    FormerHolder,
+from clementinedyke.lease_row_view import RowView
+from clementinedyke.lease_types import (
     Identity,
     LeaseRow,
     LeaseTiming,
@@ -20,8 +20,8 @@
     sent_at: Milliseconds
 
 
-class LeaseView:
-    """The row as last seen, its expiry, and writes without an answer."""
+class LeaseView(RowView):
+    """The row, the own tenure, and writes without an answer."""
 
     def __init__(self, identity: Identity, timing: LeaseTiming) -> None:
         """Create a view that has seen nothing.
@@ -29,52 +29,17 @@
         :param identity: this run of the process.
         :param timing: durations of the lease.
         """
-        self._identity = identity
-        self._timing = timing
-        self._row: LeaseRow | None = None
-        self._version = 0
-        self._was_read = False
-        self._seen_at: Milliseconds = 0
+        super().__init__(identity, timing)
         self._attempts: dict[str, _Attempt] = {}
         self._held_until: Milliseconds | None = None
         self._held_since: Milliseconds | None = None
         self._fence_version = 0
 
-    @property
-    def identity(self) -> Identity:
-        """This run of the process."""
-        return self._identity
-
-    @property
-    def row(self) -> LeaseRow | None:
-        """Row as last seen."""
-        return self._row
-
-    @property
-    def version(self) -> int:
-        """Version of the row, 0 if it is absent."""
-        return self._version
-
-    @property
-    def was_read(self) -> bool:
-        """Whether the row was read at all."""
-        return self._was_read
-
-    @property
-    def fence(self) -> int:
-        """Fence of the row."""
-        return self._row.fence if self._row else 0
-
     @property
     def fence_version(self) -> int:
         """Version of the fence row of the own tenure, 0 if unknown."""
         return self._fence_version
 
-    @property
-    def unreleased(self) -> tuple[FormerHolder, ...]:
-        """Former holders in the row."""
-        return self._row.unreleased if self._row else ()
-
     @property
     def held_since(self) -> Milliseconds | None:
         """When this process saw that it holds the lease."""
@@ -91,24 +56,6 @@
         attempt = self._attempts.get(self._row.nonce) if self._row else None
         return attempt.sent_at + self._timing.renew_interval if attempt else 0
 
-    @property
-    def free_at(self) -> Milliseconds:
-        """When another process's lease has expired on the own clock."""
-        if self._row is None or self._row.holder is None:
-            return self._seen_at
-        duration = self._row.duration * self._timing.drift_factor
-        return self._seen_at + int(duration)
-
-    @property
-    def is_mine(self) -> bool:
-        """Whether the row names this run of the process as holder."""
-        return self._row is not None and self._row.holder == self._identity
-
-    @property
-    def has_own_entry(self) -> bool:
-        """Whether this process stands among the former holders."""
-        return self.drop_own() != self.unreleased
-
     @property
     def is_involved(self) -> bool:
         """Whether the row names this process or may come to name it."""
@@ -121,15 +68,6 @@
         """
         return self._held_until is not None and now < self._held_until
 
-    def is_free(self, now: Milliseconds) -> bool:
-        """Tell whether the lease may be taken over.
-
-        :param now: current instant.
-        """
-        if self._row is None or self._row.holder is None:
-            return True
-        return now >= self.free_at
-
     def is_settled(self, now: Milliseconds) -> bool:
         """Tell whether no write of this process can take effect any more.
 
@@ -142,13 +80,6 @@
             if nonce != applied
         )
 
-    def needs_fence(self, now: Milliseconds) -> bool:
-        """Tell whether the lease is held and its fence version is unknown.
-
-        :param now: current instant.
-        """
-        return self.is_held(now) and not self._fence_version
-
     def get_written(self, nonce: str) -> LeaseRow | None:
         """Return the row that an attempt of this process wrote.
 
@@ -157,30 +88,6 @@
         attempt = self._attempts.get(nonce)
         return attempt.row if attempt else None
 
-    def get_unproved(self) -> list[Identity]:
-        """Return other processes whose end would have to be proved."""
-        unproved = [
-            entry.identity for entry in self.unreleased if not entry.proved
-        ]
-        if self._row and self._row.holder and not self.is_mine:
-            unproved.append(self._row.holder)
-        return unproved
-
-    def drop_own(self) -> tuple[FormerHolder, ...]:
-        """Return the former holders without this process."""
-        return tuple(
-            entry
-            for entry in self.unreleased
-            if entry.identity != self._identity
-        )
-
-    def compile_unreleased(self) -> tuple[FormerHolder, ...]:
-        """Return the former holders as of a take-over by this process."""
-        entries = self.drop_own()
-        if self._row is None or self._row.holder is None or self.is_mine:
-            return entries
-        return (*entries, FormerHolder(self._row.holder, self._row.fence))
-
     def note_attempt(self, row: LeaseRow, now: Milliseconds) -> None:
         """Remember a write before it is sent.
 
--- /dev/null
+++ b/src/clementinedyke/order_book.py
@@ -0,0 +1,149 @@
+"""Targets of one scope, each with its last order and open wishes."""
+
+from dataclasses import dataclass, field
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.lease_types import Fencing
+from clementinedyke.order_types import OrderKind, OrderRow
+from clementinedyke.outbox_messages import (
+    AskState,
+    OutboxAction,
+    ReadOrders,
+    RecordOrder,
+    SendOrder,
+)
+
+RETRY_INTERVAL: Milliseconds = 500
+_DEFAULT_QUIET_WAIT: Milliseconds = 5500
+#: Kinds whose newest argument replaces any earlier wish.
+_REPLACING_KINDS = frozenset((OrderKind.ROLE, OrderKind.VERSION))
+
+
+@dataclass(slots=True)
+class TargetEntry:
+    """What the holder knows about one target.
+
+    ``is_busy`` from a call's action to its event. ``is_asked`` once the target
+    said that the open order is not its last one. No new order is recorded
+    before ``quiet_until``, since a lost sending may arrive until then.
+    """
+
+    fencing: Fencing
+    row: OrderRow | None = None
+    version: int = 0
+    wanted: dict[str, tuple[OrderKind, str]] = field(default_factory=dict)
+    is_busy: bool = False
+    is_asked: bool = False
+    retry_at: Milliseconds = 0
+    quiet_until: Milliseconds = 0
+
+    @property
+    def open_row(self) -> OrderRow | None:
+        """The order whose outcome is not known, if any."""
+        row = self.row
+        return row if row and row.outcome == 'open' else None
+
+
+class OrderBook:
+    """Decides the next step of the order of each target."""
+
+    def __init__(
+        self, scope: str, quiet_wait: Milliseconds = _DEFAULT_QUIET_WAIT
+    ) -> None:
+        """Create a core without authority.
+
+        :param scope: scope of the lease; begins each order's identity.
+        :param quiet_wait: longest time in milliseconds for which an order may
+            still arrive after its connection was lost.
+        """
+        self._scope = scope
+        self._quiet_wait = quiet_wait
+        self._fence = 0
+        self._fence_version = 0
+        self._is_loaded = False
+        self._is_loading = False
+        self._targets: dict[str, TargetEntry] = {}
+
+    @property
+    def has_open_orders(self) -> bool:
+        """Whether the outcome of any order is unknown."""
+        return any(target.open_row for target in self._targets.values())
+
+    def get_row(self, target: str) -> OrderRow | None:
+        """Return the last order of a target, None if there is none.
+
+        :param target: name of the target.
+        """
+        known = self._targets.get(target)
+        return known.row if known else None
+
+    def _load(self) -> list[OutboxAction]:
+        if self._is_loading:
+            return []
+        self._is_loading = True
+        return [ReadOrders()]
+
+    def _load_row(self, name: str, row: OrderRow, version: int) -> None:
+        target = self._targets.setdefault(name, TargetEntry(row.fencing))
+        if version > target.version:
+            keep_row(target, row, version)
+            target.is_asked = False
+        if target.open_row:
+            target.fencing = row.fencing
+
+    def _advance(
+        self, name: str, target: TargetEntry, now: Milliseconds
+    ) -> list[OutboxAction]:
+        if now < target.retry_at:
+            return []
+        row = target.open_row
+        if row is None:
+            return self._record_next(name, target, now)
+        target.is_busy = True
+        if target.is_asked:
+            return [SendOrder(name, row, self._fence)]
+        return [AskState(name, row.order_id)]
+
+    def _record_next(
+        self, name: str, target: TargetEntry, now: Milliseconds
+    ) -> list[OutboxAction]:
+        if now < target.quiet_until:
+            return []
+        if not target.wanted:
+            return []
+        kind, argument = next(iter(target.wanted.values()))
+        sequence = target.row.sequence + 1 if target.row else 1
+        row = OrderRow(
+            order_id=f'{self._scope}/{name}/{sequence}',
+            sequence=sequence,
+            kind=kind,
+            argument=argument,
+            fencing=target.fencing,
+            fence=self._fence,
+        )
+        return self._record(name, target, row)
+
+    def _record(
+        self, name: str, target: TargetEntry, row: OrderRow
+    ) -> list[OutboxAction]:
+        target.is_busy = True
+        return [RecordOrder(name, row, target.version, self._fence_version)]
+
+
+def keep_row(target: TargetEntry, row: OrderRow, version: int) -> None:
+    """Take a row as it is stored; the wish that it carries is met."""
+    target.row = row
+    target.version = version
+    subject = get_subject(row.kind, row.argument)
+    if target.wanted.get(subject) == (row.kind, row.argument):
+        target.wanted.pop(subject)
+
+
+def get_subject(kind: OrderKind, argument: str) -> str:
+    """Return what an order changes; a later wish for it replaces one."""
+    if kind in _REPLACING_KINDS:
+        return kind.value
+    action, _, family = kind.value.partition('_')
+    if family == 'endpoint':
+        return f'{action} {argument}'
+    return f'{family} {argument}'
--- a/src/clementinedyke/order_connection.py
+++ b/src/clementinedyke/order_connection.py
@@ -85,17 +85,25 @@
     stream: trio.SocketStream, protocol: h11.Connection
 ) -> HttpResponse:
     status = 0
-    body = b''
+    parts: list[bytes] = []
     while True:
-        event = protocol.next_event()
-        if event is h11.NEED_DATA:
-            received = await stream.receive_some(_READ_SIZE)
-            protocol.receive_data(bytes(received))
-        elif isinstance(event, h11.Response):
+        event = await _receive_event(stream, protocol)
+        if isinstance(event, h11.EndOfMessage):
+            return HttpResponse(status, (), b''.join(parts))
+        if isinstance(event, h11.Response):
             status = int(event.status_code)
         elif isinstance(event, h11.Data):
-            body += bytes(event.data)
-        elif isinstance(event, h11.EndOfMessage):
-            return HttpResponse(status, (), body)
-        elif isinstance(event, h11.ConnectionClosed):
-            raise AnswerLostError('connection closed before the answer')
+            parts.append(bytes(event.data))
+
+
+async def _receive_event(
+    stream: trio.SocketStream, protocol: h11.Connection
+) -> h11.Event:
+    event = protocol.next_event()
+    while event is h11.NEED_DATA:
+        received = await stream.receive_some(_READ_SIZE)
+        protocol.receive_data(bytes(received))
+        event = protocol.next_event()
+    if isinstance(event, h11.ConnectionClosed):
+        raise AnswerLostError('connection closed before the answer')
+    return event  # type: ignore[return-value]
--- /dev/null
+++ b/src/clementinedyke/order_types.py
@@ -0,0 +1,51 @@
+"""Row of an order, its kinds and what becomes of it."""
+
+import enum
+from typing import Literal
+
+import msgspec
+
+from clementinedyke.lease_types import Fencing
+
+
+class OrderKind(enum.Enum):
+    """What an order asks of its target."""
+
+    ROLE = 'role'
+    VERSION = 'version'
+    LOAD_MODEL = 'load_model'
+    UNLOAD_MODEL = 'unload_model'
+    LOAD_ADAPTER = 'load_adapter'
+    UNLOAD_ADAPTER = 'unload_adapter'
+    ORDER_ENDPOINT = 'order_endpoint'
+    RETURN_ENDPOINT = 'return_endpoint'
+
+
+class OrderAnswer(enum.Enum):
+    """What became of one sending of an order."""
+
+    #: The target took the order; the change may still be in progress.
+    ACCEPTED = 'accepted'
+    #: The target has seen a higher fence.
+    STALE = 'stale'
+    #: The target will never carry out the order.
+    REFUSED = 'refused'
+    #: Nothing was sent.
+    NOT_SENT = 'not_sent'
+    #: The order may have arrived or may still arrive.
+    LOST = 'lost'
+
+
+class OrderRow(msgspec.Struct, frozen=True):
+    """Value of a row of table ``orders``: the last order of one target.
+
+    ``fence`` is that of the holder that recorded the order.
+    """
+
+    order_id: str
+    sequence: int
+    kind: OrderKind
+    argument: str
+    fencing: Fencing
+    fence: int
+    outcome: Literal['open', 'done', 'refused'] = 'open'
--- a/src/clementinedyke/outbox.py
+++ b/src/clementinedyke/outbox.py
@@ -1,98 +1,41 @@
 """Decision core of orders that are recorded before they are sent."""
 
-from dataclasses import dataclass, field
 from functools import singledispatchmethod
 
 import msgspec
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.lease_messages import Fencing
+from clementinedyke.order_book import (
+    RETRY_INTERVAL,
+    OrderBook,
+    TargetEntry,
+    get_subject,
+    keep_row,
+)
+from clementinedyke.order_types import OrderAnswer, OrderKind
 from clementinedyke.outbox_messages import (
-    AskState,
-    OrderAnswer,
     OrderAnswered,
-    OrderKind,
     OrderRecorded,
-    OrderRow,
     OrdersRead,
     OrderWanted,
     OutboxAction,
     OutboxEvent,
     OutboxTick,
-    ReadOrders,
     RecordFailed,
-    RecordOrder,
-    SendOrder,
     StateFailed,
     StateRead,
     TenureBegun,
     TenureEnded,
 )
 
-_RETRY_INTERVAL: Milliseconds = 500
 _DEFAULT_QUIET_WAIT: Milliseconds = 5500
 #: Kinds whose newest argument replaces any earlier wish.
 _REPLACING_KINDS = frozenset((OrderKind.ROLE, OrderKind.VERSION))
 
 
-@dataclass(slots=True)
-class _Target:
-    """What the holder knows about one target.
-
-    ``is_busy`` from a call's action to its event. ``is_asked`` once the target
-    said that the open order is not its last one. No new order is recorded
-    before ``quiet_until``, since a lost sending may arrive until then.
-    """
-
-    fencing: Fencing
-    row: OrderRow | None = None
-    version: int = 0
-    wanted: dict[str, tuple[OrderKind, str]] = field(default_factory=dict)
-    is_busy: bool = False
-    is_asked: bool = False
-    retry_at: Milliseconds = 0
-    quiet_until: Milliseconds = 0
-
-    @property
-    def open_row(self) -> OrderRow | None:
-        """The order whose outcome is not known, if any."""
-        row = self.row
-        return row if row and row.outcome == 'open' else None
-
-
-class OutboxCore:
+class OutboxCore(OrderBook):
     """Carries out wishes as orders, one open order per target."""
 
-    def __init__(
-        self, scope: str, quiet_wait: Milliseconds = _DEFAULT_QUIET_WAIT
-    ) -> None:
-        """Create a core without authority.
-
-        :param scope: scope of the lease; begins each order's identity.
-        :param quiet_wait: longest time in milliseconds for which an order may
-            still arrive after its connection was lost.
-        """
-        self._scope = scope
-        self._quiet_wait = quiet_wait
-        self._fence = 0
-        self._fence_version = 0
-        self._is_loaded = False
-        self._is_loading = False
-        self._targets: dict[str, _Target] = {}
-
-    @property
-    def has_open_orders(self) -> bool:
-        """Whether the outcome of any order is unknown."""
-        return any(target.open_row for target in self._targets.values())
-
-    def get_row(self, target: str) -> OrderRow | None:
-        """Return the last order of a target, None if there is none.
-
-        :param target: name of the target.
-        """
-        known = self._targets.get(target)
-        return known.row if known else None
-
     @singledispatchmethod
     def handle(
         self, event: OutboxEvent, now: Milliseconds
@@ -140,10 +83,12 @@
     ) -> list[OutboxAction]:
         if not self._is_loaded:
             return []
-        target = self._targets.setdefault(event.target, _Target(event.fencing))
+        target = self._targets.setdefault(
+            event.target, TargetEntry(event.fencing)
+        )
         if not target.open_row:
             target.fencing = event.fencing
-        subject = _get_subject(event.kind, event.argument)
+        subject = get_subject(event.kind, event.argument)
         target.wanted[subject] = (event.kind, event.argument)
         return []
 
@@ -167,7 +112,7 @@
         if target is None:
             return []
         target.is_busy = False
-        _keep_row(target, event.row, event.version)
+        keep_row(target, event.row, event.version)
         # A new order was never sent, so that its target need not be asked.
         target.is_asked = True
         return []
@@ -195,7 +140,7 @@
             target.is_asked = True
             return []
         if event.is_changing or now < target.quiet_until:
-            target.retry_at = now + _RETRY_INTERVAL
+            target.retry_at = now + RETRY_INTERVAL
             return []
         return self._record(
             event.target, target, msgspec.structs.replace(row, outcome='done')
@@ -208,7 +153,7 @@
         target = self._targets.get(event.target)
         if target:
             target.is_busy = False
-            target.retry_at = now + _RETRY_INTERVAL
+            target.retry_at = now + RETRY_INTERVAL
         return []
 
     @handle.register
@@ -227,76 +172,5 @@
             refused = msgspec.structs.replace(row, outcome='refused')
             return self._record(event.target, target, refused)
         if event.answer is not OrderAnswer.ACCEPTED:
-            target.retry_at = now + _RETRY_INTERVAL
+            target.retry_at = now + RETRY_INTERVAL
         return []
-
-    def _load(self) -> list[OutboxAction]:
-        if self._is_loading:
-            return []
-        self._is_loading = True
-        return [ReadOrders()]
-
-    def _load_row(self, name: str, row: OrderRow, version: int) -> None:
-        target = self._targets.setdefault(name, _Target(row.fencing))
-        if version > target.version:
-            _keep_row(target, row, version)
-            target.is_asked = False
-        if target.open_row:
-            target.fencing = row.fencing
-
-    def _advance(
-        self, name: str, target: _Target, now: Milliseconds
-    ) -> list[OutboxAction]:
-        if now < target.retry_at:
-            return []
-        row = target.open_row
-        if row is None:
-            return self._record_next(name, target, now)
-        target.is_busy = True
-        if target.is_asked:
-            return [SendOrder(name, row, self._fence)]
-        return [AskState(name, row.order_id)]
-
-    def _record_next(
-        self, name: str, target: _Target, now: Milliseconds
-    ) -> list[OutboxAction]:
-        if now < target.quiet_until:
-            return []
-        if not target.wanted:
-            return []
-        kind, argument = next(iter(target.wanted.values()))
-        sequence = target.row.sequence + 1 if target.row else 1
-        row = OrderRow(
-            order_id=f'{self._scope}/{name}/{sequence}',
-            sequence=sequence,
-            kind=kind,
-            argument=argument,
-            fencing=target.fencing,
-            fence=self._fence,
-        )
-        return self._record(name, target, row)
-
-    def _record(
-        self, name: str, target: _Target, row: OrderRow
-    ) -> list[OutboxAction]:
-        target.is_busy = True
-        return [RecordOrder(name, row, target.version, self._fence_version)]
-
-
-def _keep_row(target: _Target, row: OrderRow, version: int) -> None:
-    """Take a row as it is stored; the wish that it carries is met."""
-    target.row = row
-    target.version = version
-    subject = _get_subject(row.kind, row.argument)
-    if target.wanted.get(subject) == (row.kind, row.argument):
-        target.wanted.pop(subject)
-
-
-def _get_subject(kind: OrderKind, argument: str) -> str:
-    """Return what an order changes; a later wish for it replaces one."""
-    if kind in _REPLACING_KINDS:
-        return kind.value
-    action, _, family = kind.value.partition('_')
-    if family == 'endpoint':
-        return f'{action} {argument}'
-    return f'{family} {argument}'
--- a/src/clementinedyke/outbox_component.py
+++ b/src/clementinedyke/outbox_component.py
@@ -9,17 +9,15 @@
 from clementinedyke.components import Component
 from clementinedyke.lease import LeaseCore
 from clementinedyke.lease_component import FENCES_TABLE, TICK_INTERVAL
-from clementinedyke.lease_messages import Fencing
+from clementinedyke.lease_types import Fencing
 from clementinedyke.order_connection import USER_TIMEOUT
 from clementinedyke.order_target import OrderTarget
+from clementinedyke.order_types import OrderAnswer, OrderKind, OrderRow
 from clementinedyke.outbox import OutboxCore
 from clementinedyke.outbox_messages import (
     AskState,
-    OrderAnswer,
     OrderAnswered,
-    OrderKind,
     OrderRecorded,
-    OrderRow,
     OrdersRead,
     OrderWanted,
     OutboxAction,
@@ -75,7 +73,7 @@
         self._core = OutboxCore(scope)
         self._tenure = 0
         self._is_closing = False
-        self._calls = trio.CancelScope()
+        self._nursery: trio.Nursery | None = None
         #: Orders being sent, and when the last lost one was lost.
         self._sending = 0
         self._lost_at: Milliseconds | None = None
@@ -111,7 +109,8 @@
         self._tenure = 0
         if self._sending:
             self._lost_at = self._clock.get_now()
-        self._calls.cancel()
+        if self._nursery:
+            self._nursery.cancel_scope.cancel()
         while self._sending or self._is_unsettled():
             await trio.sleep(TICK_INTERVAL / _MILLISECONDS_PER_SECOND)
         self._is_closing = False
@@ -124,9 +123,9 @@
 
     async def _run(self) -> None:
         while True:
-            with trio.CancelScope() as self._calls:
-                async with trio.open_nursery() as self._nursery:
-                    await self._tick_forever()
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                await self._tick_forever()
 
     async def _tick_forever(self) -> None:
         while True:
@@ -148,7 +147,10 @@
         self._handle(OutboxTick(allowed))
 
     def _handle(self, event: OutboxEvent) -> None:
-        for action in self._core.handle(event, self._clock.get_now()):
+        actions = self._core.handle(event, self._clock.get_now())
+        if self._nursery is None:
+            return
+        for action in actions:
             self._nursery.start_soon(self._execute, action)
 
     async def _execute(self, action: OutboxAction) -> None:
--- a/src/clementinedyke/platform/endpoint_orders.py
+++ b/src/clementinedyke/platform/endpoint_orders.py
@@ -5,7 +5,7 @@
 from clementinedyke.clock import Milliseconds
 from clementinedyke.http_client import Address, HttpRequest
 from clementinedyke.order_target import TargetState
-from clementinedyke.outbox_messages import OrderAnswer, OrderRow
+from clementinedyke.order_types import OrderAnswer, OrderRow
 from clementinedyke.platform.calls import (
     DEFAULT_TIMEOUT,
     STATUS_NOT_FOUND,
--- a/src/clementinedyke/usage_component.py
+++ b/src/clementinedyke/usage_component.py
@@ -5,10 +5,25 @@
 
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.closing import CloserCore
+from clementinedyke.closing_messages import (
+    AskReport,
+    CloserAction,
+    CloserCallFailed,
+    CloserEvent,
+    CloserTick,
+    PartsRead,
+    ReadParts,
+    ReadWindow,
+    ReportRead,
+    SendReport,
+    WindowRead,
+    WindowWritten,
+    WriteWindow,
+)
 from clementinedyke.components import Component
 from clementinedyke.lease import LeaseCore
 from clementinedyke.lease_component import FENCES_TABLE, TICK_INTERVAL
-from clementinedyke.lease_messages import Fencing
+from clementinedyke.lease_types import Fencing
 from clementinedyke.order_connection import USER_TIMEOUT
 from clementinedyke.platform.tables import (
     ABSENT,
@@ -21,11 +36,6 @@
 from clementinedyke.platform.usage_reports import UsageReportClient
 from clementinedyke.usage import PartCore
 from clementinedyke.usage_messages import (
-    AskReport,
-    CloserAction,
-    CloserCallFailed,
-    CloserEvent,
-    CloserTick,
     Figures,
     OpenWindowRow,
     PartAction,
@@ -33,20 +43,12 @@
     PartFailed,
     PartRead,
     PartRow,
-    PartsRead,
     PartWritten,
     ReadPart,
-    ReadParts,
-    ReadWindow,
-    ReportRead,
-    SendReport,
     UsageTick,
-    WindowRead,
     WindowRow,
-    WindowWritten,
     WorkDone,
     WritePart,
-    WriteWindow,
 )
 
 USAGE_SCOPE = 'usage'
--- a/tests/authority_world.py
+++ b/tests/authority_world.py
@@ -9,7 +9,10 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from clementinedyke import closing_messages as cm
 from clementinedyke import lease_messages as lm
+from clementinedyke import lease_types as lt
+from clementinedyke import order_types as ot
 from clementinedyke import outbox_messages as om
 from clementinedyke import usage_messages as um
 from clementinedyke.closing import CloserCore
@@ -24,9 +27,9 @@
 USER_TIMEOUT = 5000
 STEP = 500
 FENCING = {
-    'checked': lm.Fencing.CHECKED,
-    'ignored': lm.Fencing.IGNORED,
-    'interface': lm.Fencing.IGNORED,
+    'checked': lt.Fencing.CHECKED,
+    'ignored': lt.Fencing.IGNORED,
+    'interface': lt.Fencing.IGNORED,
 }
 
 
@@ -63,9 +66,9 @@
 class HastyLease(LeaseCore):
     """Orders targets that ignore the fence without regard to others."""
 
-    def may_order(self, fencing: lm.Fencing, now: int) -> bool:
+    def may_order(self, fencing: lt.Fencing, now: int) -> bool:
         """Treat every target like one that checks the fence."""
-        return super().may_order(lm.Fencing.CHECKED, now)
+        return super().may_order(lt.Fencing.CHECKED, now)
 
 
 class HastyOutbox(OutboxCore):
@@ -94,10 +97,10 @@
     """An engine or an interface, with what it received and obeyed."""
 
     name: str
-    fencing: lm.Fencing
+    fencing: lt.Fencing
     fence: int = 0
-    last: om.OrderRow | None = None
-    obeyed: list[tuple[int, om.OrderRow]] = field(default_factory=list)
+    last: ot.OrderRow | None = None
+    obeyed: list[tuple[int, ot.OrderRow]] = field(default_factory=list)
 
 
 class Process:
@@ -116,7 +119,7 @@
         self.inbox: deque[tuple[Any, Any]] = deque()
         self.closing_at: int | None = None
         self.tenure = 0
-        self.identity = lm.Identity(host, f'{host}:1', f'{host}-{run}')
+        self.identity = lt.Identity(host, f'{host}:1', f'{host}-{run}')
         self.cores = world.compile_cores(self)
         self.lease, self.outbox, self.part, self.closer = self.cores
 
@@ -138,7 +141,7 @@
             self.handle(self.lease, lm.OrdersClosed())
         allowed = frozenset(
             fencing
-            for fencing in lm.Fencing
+            for fencing in lt.Fencing
             if self.lease.may_order(fencing, self.now)
         )
         tenure = self.lease.fence_version if allowed else 0
@@ -149,8 +152,8 @@
         if self.closing_at is None:
             self.handle(self.outbox, om.OutboxTick(allowed))
         self.handle(self.part, um.UsageTick())
-        may_report = lm.Fencing.IGNORED in allowed
-        self.handle(self.closer, um.CloserTick(tenure, may_report))
+        may_report = lt.Fencing.IGNORED in allowed
+        self.handle(self.closer, cm.CloserTick(tenure, may_report))
 
     def execute_next(self) -> None:
         """Carry out the oldest queued action."""
@@ -224,7 +227,7 @@
         lease = lease_type(
             process.identity,
             random.Random(self.random.random()),
-            lm.LeaseTiming(
+            lt.LeaseTiming(
                 drift_factor=1.1 if with_checks.drift_factor else 0.7
             ),
             handover=judge(process.identity, wait),
@@ -238,7 +241,7 @@
     def want(self, name: str, number: int) -> None:
         """Make the planner of every running process wish for a change."""
         wish = om.OrderWanted(
-            name, FENCING[name], om.OrderKind.ROLE, f'role-{number}'
+            name, FENCING[name], ot.OrderKind.ROLE, f'role-{number}'
         )
         for process in self.processes.values():
             if not process.is_frozen:
@@ -342,9 +345,9 @@
         copy = self.copies[index]
         if copy.dies_at is None and copy.target != 'usage':
             self.lose([copy])
-            self._answer(copy, om.OrderAnswer.LOST)
+            self._answer(copy, ot.OrderAnswer.LOST)
 
-    def _answer(self, copy: Copy, answer: om.OrderAnswer) -> None:
+    def _answer(self, copy: Copy, answer: ot.OrderAnswer) -> None:
         order_id = copy.content.order_id
         event = om.OrderAnswered(copy.target, order_id, answer)
         copy.sender.inbox.append((copy.sender.outbox, event))
@@ -358,16 +361,16 @@
 
     # Targets.
 
-    def _take_order(self, copy: Copy) -> om.OrderAnswer:
+    def _take_order(self, copy: Copy) -> ot.OrderAnswer:
         target = self.targets[copy.target]
-        checks = target.fencing is lm.Fencing.CHECKED
+        checks = target.fencing is lt.Fencing.CHECKED
         if checks and self.mechanisms.fence_check:
             if copy.fence < target.fence:
-                return om.OrderAnswer.STALE
+                return ot.OrderAnswer.STALE
             target.fence = copy.fence
         target.obeyed.append((copy.fence, copy.content))
         target.last = copy.content
-        return om.OrderAnswer.ACCEPTED
+        return ot.OrderAnswer.ACCEPTED
 
     def _take_report(self, copy: Copy) -> None:
         window, figures = copy.content
@@ -493,7 +496,7 @@
 
     def _do_SendOrder(self, process: Process, action: Any) -> list[Any]:
         if process.is_cut:
-            answer = om.OrderAnswer.NOT_SENT
+            answer = ot.OrderAnswer.NOT_SENT
             return [
                 om.OrderAnswered(action.target, action.row.order_id, answer)
             ]
@@ -527,11 +530,11 @@
 
     def _do_ReadWindow(self, process: Process, _: Any) -> list[Any]:
         if self._is_unreachable(process):
-            return [um.CloserCallFailed()]
+            return [cm.CloserCallFailed()]
         opened, open_version = self._get('usage_windows', 'open')
         window = opened.window if opened else 1
         row, version = self._get('usage_windows', str(window - 1))
-        return [um.WindowRead(window, open_version, row, version)]
+        return [cm.WindowRead(window, open_version, row, version)]
 
     def _do_WriteWindow(self, process: Process, action: Any) -> list[Any]:
         key = str(action.window)
@@ -548,13 +551,13 @@
             )
         revision = self._commit(process, conditions, writes)
         if revision:
-            return [um.WindowWritten(action.window, action.row, revision)]
-        return [um.CloserCallFailed()]
+            return [cm.WindowWritten(action.window, action.row, revision)]
+        return [cm.CloserCallFailed()]
 
     def _do_ReadParts(self, process: Process, action: Any) -> list[Any]:
         if self._is_unreachable(process):
-            return [um.CloserCallFailed()]
-        return [um.PartsRead(action.window, self.list_parts(action.window))]
+            return [cm.CloserCallFailed()]
+        return [cm.PartsRead(action.window, self.list_parts(action.window))]
 
     def list_parts(self, window: int) -> tuple[um.PartRow, ...]:
         """Return the parts written to a window."""
@@ -563,13 +566,13 @@
 
     def _do_AskReport(self, process: Process, action: Any) -> list[Any]:
         if self._is_unreachable(process):
-            return [um.CloserCallFailed()]
+            return [cm.CloserCallFailed()]
         is_present = action.window in self.reports
-        return [um.ReportRead(action.window, is_present)]
+        return [cm.ReportRead(action.window, is_present)]
 
     def _do_SendReport(self, process: Process, action: Any) -> list[Any]:
         if self._is_unreachable(process):
-            return [um.CloserCallFailed()]
+            return [cm.CloserCallFailed()]
         figures = action.figures
         if not self.mechanisms.recorded_figures:
             parts = [part.figures for part in self.list_parts(action.window)]
@@ -579,8 +582,8 @@
         self._take_report(Copy(process, 'usage', fence, content))
         if self.lose_answers:
             self.lose_answers -= 1
-            return [um.CloserCallFailed()]
-        return [um.ReportRead(action.window, is_present=True)]
+            return [cm.CloserCallFailed()]
+        return [cm.ReportRead(action.window, is_present=True)]
 
     # Invariants.
 
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -26,8 +26,9 @@
     Mechanisms,
     World,
 )
+from clementinedyke.closing_messages import SendReport
 from clementinedyke.lease_messages import StopRequested
-from clementinedyke.usage_messages import SendReport, WorkDone
+from clementinedyke.usage_messages import WorkDone
 
 EXAMPLES = int(os.environ.get('AUTHORITY_EXAMPLES', '40'))
 SEED = int(os.environ.get('AUTHORITY_SEED', '1'))
