Keep a stopping holder's orders closed and test two processes

A holder that was told to stop marked its orders as open again when it read its own row, so that it never gave the lease back and waited for the lapse. Found while the hand-over wait was taken away in the state machine.

--- a/src/clementinedyke/lease_decision.py
+++ b/src/clementinedyke/lease_decision.py
@@ -184,7 +184,7 @@
         self._view.note_row(row, version, now)
         if self.is_held(now):
             self._next_read = self._view.held_until
-            if not self._has_open_orders:
+            if not self._has_open_orders and not self._is_stopping:
                 self._has_open_orders = True
                 self._handover.forget_readings()
         elif not self._view.is_mine:
--- a/src/clementinedyke/standins/engine.py
+++ b/src/clementinedyke/standins/engine.py
@@ -43,7 +43,10 @@
         self.fence = 0
         self.role = 'mixed'
         self.running = 0
+        self.boot_id = 1
+        #: Orders that were obeyed, and those refused for their fence.
         self.orders: list[dict[str, Any]] = []
+        self.refused_orders: list[dict[str, Any]] = []
         self.received_headers: list[Mapping[str, str]] = []
 
     async def start(self, nursery: trio.Nursery, host: str, port: int) -> int:
@@ -86,6 +89,7 @@
     def _get_state(self) -> dict[str, Any]:
         last = self.orders[-1]['order_id'] if self.orders else None
         return {
+            'boot_id': self.boot_id,
             'role': self.role,
             'running': self.running,
             'last_order': last,
@@ -96,6 +100,7 @@
         self, order: dict[str, Any], response: ResponseWriter
     ) -> None:
         if self._checks_fence and order['fence'] < self.fence:
+            self.refused_orders.append(order)
             await response.send_json(_CONFLICT, {'fence': self.fence})
             return
         self.fence = max(self.fence, order['fence'])
--- /dev/null
+++ b/tests/lease_holder.py
@@ -0,0 +1,100 @@
+"""Program of one lease holder; the process tests run two of them.
+
+Arguments: platform port, name of the host, and the ports of an engine that
+checks the fence and of one that ignores it.
+"""
+
+import random
+import signal
+import socket
+import sys
+
+import trio
+
+from clementinedyke.application import Application
+from clementinedyke.clock import MonotonicClock
+from clementinedyke.endpoints.orders import EngineOrderClient
+from clementinedyke.http_client import Address, HttpClient
+from clementinedyke.lease_component import LeaseComponent
+from clementinedyke.lease_types import Fencing, Identity, LeaseTiming
+from clementinedyke.order_types import OrderKind
+from clementinedyke.outbox_component import OutboxComponent
+from clementinedyke.platform.hosts import HostListClient
+from clementinedyke.platform.tables import TableClient
+
+SCOPE = 'service/chat'
+TIMING = LeaseTiming(duration=1500, renew_interval=400, host_interval=1000)
+LOCAL = '127.0.0.1'
+
+
+class Holder:
+    """Wishes for another role of both engines again and again."""
+
+    def __init__(self, platform: int, host: str, engines: list[int]) -> None:
+        """Build the components; the daemon address is bound first."""
+        self._socket = socket.create_server((LOCAL, 0))
+        port = self._socket.getsockname()[1]
+        identity = Identity(host, f'{LOCAL}:{port}', f'{host}-1')
+        client = HttpClient(Address(LOCAL, platform))
+        tables = TableClient(client)
+        clock = MonotonicClock()
+        self._host = host
+        self._targets = {
+            name: EngineOrderClient(Address(LOCAL, engine))
+            for name, engine in zip(('checked', 'ignored'), engines)
+        }
+        leases = LeaseComponent(
+            identity,
+            tables,
+            HostListClient(client),
+            clock,
+            random.Random(host),
+            lambda scope: True,
+            TIMING,
+        )
+        lease = leases.add_scope(SCOPE)
+        self._outbox = OutboxComponent(
+            SCOPE, lease, tables, self._targets.get, clock
+        )
+        leases.add_source(SCOPE, self._outbox)
+        self.application = Application([leases, self._outbox])
+
+    async def want_forever(self) -> None:
+        """Wish for a new role of each engine every 100 ms."""
+        number = 0
+        while True:
+            number += 1
+            role = f'{self._host}-{number}'
+            for fencing in Fencing:
+                self._outbox.want_order(
+                    fencing.value, fencing, OrderKind.ROLE, role
+                )
+            await trio.sleep(0.1)
+
+
+async def main() -> None:
+    """Run until SIGTERM, then give the lease back."""
+    platform, host, *engines = sys.argv[1:]
+    holder = Holder(int(platform), host, [int(port) for port in engines])
+    with trio.open_signal_receiver(signal.SIGTERM) as signals:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(holder.want_forever)
+            nursery.start_soon(holder.application.run)
+            async for _ in signals:
+                holder.application.request_stop()
+                break
+            await trio.sleep(0)
+            nursery.start_soon(_end, nursery, holder)
+
+
+async def _end(nursery: trio.Nursery, holder: Holder) -> None:
+    while any(
+        not core.is_given_back
+        for core in holder.application.components[0]._cores.values()
+    ):
+        await trio.sleep(0.1)
+    nursery.cancel_scope.cancel()
+
+
+if __name__ == '__main__':
+    trio.run(main)
--- /dev/null
+++ b/tests/test_authority_processes.py
@@ -0,0 +1,118 @@
+"""Two lease holders as processes, with real signals and sockets."""
+
+import signal
+import subprocess
+import sys
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from clementinedyke.standins.engine import EngineStandin
+from clementinedyke.standins.platform import PlatformStandin
+
+LOCAL = '127.0.0.1'
+PROGRAM = Path(__file__).with_name('lease_holder.py')
+#: Seconds; only a hang is a failure.
+LIMIT = 60
+
+
+@contextmanager
+def run_holder(*arguments: object) -> Iterator[subprocess.Popen[bytes]]:
+    """Run a holder process and end it by its id."""
+    command = [sys.executable, str(PROGRAM), *map(str, arguments)]
+    process = subprocess.Popen(command)
+    try:
+        yield process
+    finally:
+        process.kill()
+        process.wait()
+
+
+async def wait_for(condition: Callable[[], Any]) -> None:
+    """Wait until a state has come about."""
+    with trio.fail_after(LIMIT):
+        while not condition():
+            await trio.sleep(0.05)
+
+
+class Scene:
+    """A platform, two engines and what the engines received."""
+
+    def __init__(self) -> None:
+        """Create the stand-ins."""
+        self.platform = PlatformStandin()
+        self.platform.hosts = [{'host': 'a'}, {'host': 'b'}]
+        self.checked = EngineStandin('model', checks_fence=True)
+        self.ignored = EngineStandin('model', checks_fence=False)
+
+    async def start(self, nursery: trio.Nursery) -> list[int]:
+        """Serve and return the ports."""
+        parts = (self.platform, self.checked, self.ignored)
+        return [await part.start(nursery, LOCAL, 0) for part in parts]
+
+    def get_row(self) -> Any:
+        """Return the lease row."""
+        row = self.platform.tables.get_row('leases', 'service/chat')
+        return row.value if row else {'holder': None, 'unreleased': []}
+
+    def has_order(self, engine: EngineStandin, host: str) -> bool:
+        """Tell whether an engine obeyed an order of a host's planner."""
+        return any(
+            order['argument'].startswith(host) for order in engine.orders
+        )
+
+    def check_order(self) -> None:
+        """No order of a former holder follows one of its successor."""
+        for engine in (self.checked, self.ignored):
+            fences = [order['fence'] for order in engine.orders]
+            assert fences == sorted(fences)
+            numbers = [
+                int(order['order_id'].rpartition('/')[2])
+                for order in engine.orders
+            ]
+            assert numbers == sorted(numbers)
+
+
+class TestFrozenHolder:
+    """Guards against orders of a holder that was stopped past its lease."""
+
+    def test_freeze_and_thaw(self) -> None:
+        """The successor waits for the release at the engine without fence."""
+        trio.run(self._freeze_and_thaw)
+
+    async def _freeze_and_thaw(self) -> None:
+        scene = Scene()
+        async with trio.open_nursery() as nursery:
+            platform, *engines = await scene.start(nursery)
+            with run_holder(platform, 'a', *engines) as former:
+                await wait_for(lambda: scene.has_order(scene.ignored, 'a'))
+                with run_holder(platform, 'b', *engines):
+                    former.send_signal(signal.SIGSTOP)
+                    await wait_for(lambda: scene.has_order(scene.checked, 'b'))
+                    assert not scene.has_order(scene.ignored, 'b')
+                    assert scene.get_row()['unreleased']
+                    former.send_signal(signal.SIGCONT)
+                    await wait_for(lambda: scene.has_order(scene.ignored, 'b'))
+                    scene.check_order()
+            nursery.cancel_scope.cancel()
+
+    def test_graceful_stop(self) -> None:
+        """A holder that is told to stop leaves nothing to be proved."""
+        trio.run(self._stop)
+
+    async def _stop(self) -> None:
+        scene = Scene()
+        async with trio.open_nursery() as nursery:
+            platform, *engines = await scene.start(nursery)
+            with run_holder(platform, 'a', *engines) as former:
+                await wait_for(lambda: scene.has_order(scene.ignored, 'a'))
+                with run_holder(platform, 'b', *engines):
+                    former.send_signal(signal.SIGTERM)
+                    await wait_for(lambda: scene.has_order(scene.ignored, 'b'))
+                    assert not scene.get_row()['unreleased']
+                    await wait_for(lambda: former.poll() == 0)
+                    scene.check_order()
+            nursery.cancel_scope.cancel()
