--- a/src/clementinedyke/handover.py
+++ b/src/clementinedyke/handover.py
@@ -11,14 +11,19 @@
     in a kernel's send buffer are dropped by the TCP user timeout.
     """
 
-    def __init__(self, identity: Identity, wait: Milliseconds) -> None:
+    def __init__(
+        self, identity: Identity, wait: Milliseconds, host_lag: Milliseconds
+    ) -> None:
         """Create the core.
 
         :param identity: the process that runs the core.
         :param wait: further wait after a proof in milliseconds.
+        :param host_lag: longest time in milliseconds by which a reading of the
+            host list may be out of date.
         """
         self._identity = identity
         self._wait = wait
+        self._host_lag = host_lag
         self._known_hosts: set[str] = set()
         self._absent_hosts: set[str] = set()
         self._dead_incarnations: set[str] = set()
@@ -38,11 +43,12 @@
         :param hosts: names of live and leaving hosts.
         :param asked_at: instant before the reading was asked for.
         :param held_since: instant at which this process saw that it holds the
-            lease, None if it does not hold it. A reading from before that
-            instant may be older than the former holder's last order.
+            lease, None if it does not hold it. A reading that may show the
+            list as it was before that instant proves nothing: the host may
+            have been absent, come back and started the former holder.
         """
         self._absent_hosts -= hosts
-        if held_since is not None and asked_at >= held_since:
+        if held_since is not None and asked_at >= held_since + self._host_lag:
             self._absent_hosts |= self._known_hosts - hosts
         self._known_hosts |= hosts
 
--- a/src/clementinedyke/lease_decision.py
+++ b/src/clementinedyke/lease_decision.py
@@ -46,7 +46,9 @@
         self._nonces = nonces
         self._view = LeaseView(identity, self._timing)
         self._handover = handover or HandoverCore(
-            identity, self._timing.bounded_quiet_wait
+            identity,
+            self._timing.bounded_quiet_wait,
+            self._timing.bounded_host_lag,
         )
         self._call_until: Milliseconds = 0
         self._next_read: Milliseconds = 0
--- a/src/clementinedyke/lease_types.py
+++ b/src/clementinedyke/lease_types.py
@@ -21,6 +21,7 @@
 
     ``drift_factor`` bounds the ratio of the rates of two hosts' clocks.
     ``quiet_wait`` is the TCP user timeout of order connections.
+    ``host_lag`` bounds the age of a reading of the host list.
     ``call_timeout`` is longer than the timeout of the table client.
     """
 
@@ -30,12 +31,18 @@
     quiet_wait: Milliseconds = 5000
     call_timeout: Milliseconds = 2500
     host_interval: Milliseconds = 10000
+    host_lag: Milliseconds = 60000
 
     @property
     def bounded_quiet_wait(self) -> Milliseconds:
         """Quiet wait of a clock that may run fast."""
         return int(self.quiet_wait * self.drift_factor)
 
+    @property
+    def bounded_host_lag(self) -> Milliseconds:
+        """Lag of the host list on a clock that may run fast."""
+        return int(self.host_lag * self.drift_factor)
+
 
 class Identity(msgspec.Struct, frozen=True):
     """One run of a process; its daemon address is bound already."""
