--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -21,6 +21,7 @@
 from clementinedyke.daemons.links import LinkPool
 from clementinedyke.daemons.options import ControlOptions
 from clementinedyke.daemons.server import ControlServer, bind_daemon_port
+from clementinedyke.membership_events import Publish
 
 sys.path.insert(0, str(Path(__file__).parent.parent / 'tests'))
 
@@ -30,6 +31,8 @@
 SEED = 1
 ZONES = 5
 RACK = 30
+PAYLOAD_FLAG = '--payloads'
+PAYLOAD_SIZES = (50, 330)
 ROWS = 500
 COLUMNS = 13
 PINGS = 2000
@@ -263,6 +266,12 @@
             len(daemon.list_ring()) for daemon in self.net.daemons.values()
         )
 
+    def count_payloads(self) -> int:
+        """Return the number of known values summed over all daemons."""
+        return sum(
+            daemon.count_topic('usage') for daemon in self.net.daemons.values()
+        )
+
     def sum_sent(self) -> tuple[int, int]:
         """Return messages and bytes that the running daemons sent."""
         sent = [daemon.sent for daemon in self.net.daemons.values()]
@@ -274,9 +283,27 @@
     return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024
 
 
+def measure_payloads(size: int, wire: Wire) -> str:
+    """Return time and bytes until all know a value of 40 bytes of each."""
+    bench = Bench(size, wire)
+    net = bench.net
+    old_messages, old_size = bench.sum_sent()
+    for name in net.daemons:
+        net.feed(name, Publish('usage', bytes(40)))
+    took = bench.wait(lambda: bench.count_payloads() == size * size)
+    messages, sent = bench.sum_sent()
+    total = bench.add_wire(messages - old_messages, sent - old_size)
+    rate = total * 1000 / (took * size)
+    return f'{size} daemons: {took / 1000:.1f} s, {rate:.0f} B/s'
+
+
 def main() -> None:
     """Print a table with a row per size."""
     wire = trio.run(measure_wire)
+    if PAYLOAD_FLAG in sys.argv:
+        for size in PAYLOAD_SIZES:
+            print(measure_payloads(size, wire), flush=True)
+        return
     print(
         f'seed {SEED}; a message on a grpclib stream costs'
         f' {wire.frame_bytes:.0f} bytes of frames and'
--- a/src/clementinedyke/daemons/__init__.py
+++ b/src/clementinedyke/daemons/__init__.py
@@ -1,6 +1,7 @@
 """Control protocol between daemons."""
 
 from clementinedyke.daemons.component import ControlComponent
+from clementinedyke.daemons.directory_source import DirectorySource
 from clementinedyke.daemons.options import ControlOptions
 
-__all__ = ['ControlComponent', 'ControlOptions']
+__all__ = ['ControlComponent', 'ControlOptions', 'DirectorySource']
--- a/tests/cluster_fake.py
+++ b/tests/cluster_fake.py
@@ -90,6 +90,11 @@
         configuration = self.node.configuration
         return configuration.feed.records.version
 
+    def count_topic(self, topic: str) -> int:
+        """Return the number of values that the daemon knows."""
+        view = self.node.membership.view
+        return len(view.payloads.list_topic(topic))
+
     def get_age(self, now: Milliseconds) -> Milliseconds:
         """Return the age of the store's confirmation."""
         feed = self.node.configuration.feed
--- a/tests/test_daemon_port.py
+++ b/tests/test_daemon_port.py
@@ -11,8 +11,13 @@
 import trio
 import trustme
 
+from clementinedyke.clock import MonotonicClock
 from clementinedyke.control_messages import Member, MemberState
-from clementinedyke.daemons import ControlComponent, ControlOptions
+from clementinedyke.daemons import (
+    ControlComponent,
+    ControlOptions,
+    DirectorySource,
+)
 from clementinedyke.daemons.platform_reader import PlatformReader
 from clementinedyke.daemons.server import bind_daemon_port
 from clementinedyke.http_client import Address, HttpClient
@@ -21,6 +26,8 @@
 from clementinedyke.standins.platform import PlatformStandin
 
 RUN = 1_700_000_000_000
+DIGEST = 'a' * 64
+KEY = {'kind': 'key', 'name': 'k', 'customer': 'c', 'digest': DIGEST}
 PREFACE = b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n'
 
 Check = Callable[['Cluster', trio.Nursery], Awaitable[None]]
@@ -120,11 +127,15 @@
     """Every change reaches all."""
     await wait_until(lambda: cluster.count_living() == [3, 3, 3])
     tables = cluster.platform.tables
+    source = DirectorySource(cluster.components[2], MonotonicClock())
     for withdrawn in (False, True):
-        tables.commit([], [Write('records', 'k', {'w': withdrawn})])
-    await wait_until(
-        lambda: get_values(cluster) == [{'w': True} for _ in range(3)]
-    )
+        record = {**KEY, 'withdrawn': withdrawn}
+        tables.commit([], [Write('records', 'k', record)])
+    await wait_until(lambda: get_values(cluster) == [True for _ in range(3)])
+    key = source.get_directory().get_key(DIGEST)
+    assert key is not None and key.withdrawn
+    assert source.is_key_state_fresh()
+    await wait_until(source.is_ready)
     lost = cluster.get_id(2)
     cluster.scopes[2].cancel()
     await wait_until(
@@ -202,7 +213,7 @@
     nodes = [component.node for component in cluster.components]
     cores = [node.configuration for node in nodes if node is not None]
     rows = [core.feed.records.rows.get('k') for core in cores]
-    return [row and row.value for row in rows]
+    return [row and row.value['withdrawn'] for row in rows]
 
 
 def create_tls_options(directory: Path) -> ControlOptions:
