--- a/src/clementinedyke/configuration_component.py
+++ b/src/clementinedyke/configuration_component.py
@@ -1,12 +1,22 @@
+<<<<<<< HEAD
 """Keeps the records in force up to date with the table service."""
+=======
+"""Publishes the records in force from the control cores of a daemon."""
+>>>>>>> main
 
-import trio
 from absl import logging
 
+<<<<<<< HEAD
 from clementinedyke.clock import Milliseconds, MonotonicClock
+=======
+from clementinedyke.clock import Clock
+>>>>>>> main
 from clementinedyke.codes import ResultCode
 from clementinedyke.components import Component
+from clementinedyke.configuration_events import ListChanged, RecordsChanged
+from clementinedyke.daemons.component import Change, ControlComponent
 from clementinedyke.directory import Directory
+<<<<<<< HEAD
 from clementinedyke.exceptions import RecordError
 from clementinedyke.http_server import RequestError
 from clementinedyke.platform.tables import Row, TableClient
@@ -16,16 +26,31 @@
 _POLL_INTERVAL: Milliseconds = 1000
 _MILLISECONDS_PER_SECOND = 1000
 _KEY_MAX_AGE: Milliseconds = 8000
+=======
+from clementinedyke.endpoints.registry import EndpointRegistry
+from clementinedyke.exceptions import ProtocolError, RecordError
+from clementinedyke.http_message import RequestError
+from clementinedyke.platform_lists import PlatformList
+from clementinedyke.records import Record, parse_record
+>>>>>>> main
 
 
 class ConfigurationComponent(Component):
-    """Polls the records table and publishes a directory."""
+    """Turns changes of records and platform lists into their users' form."""
 
-    def __init__(self, tables: TableClient) -> None:
-        """Create the component.
+    def __init__(
+        self,
+        control: ControlComponent,
+        endpoints: EndpointRegistry,
+        clock: Clock,
+    ) -> None:
+        """Create the component and observe the control cores.
 
-        :param tables: client of the table service.
+        :param control: control cores of this daemon.
+        :param endpoints: takes the platform's list of endpoints.
+        :param clock: clock of this process.
         """
+<<<<<<< HEAD
         self._tables = tables
         self._clock = MonotonicClock()
         self._rows: dict[str, Row] = {}
@@ -38,18 +63,28 @@
         if self._confirmed_at is None:
             return False
         return self._clock.get_now() - self._confirmed_at <= _KEY_MAX_AGE
+=======
+        self._control = control
+        self._endpoints = endpoints
+        self._clock = clock
+        self._directory: Directory | None = None
+        self._was_ready = False
+        control.observers.append(self._observe)
+>>>>>>> main
 
     def get_directory(self) -> Directory:
         """Return the records in force.
 
-        :raises RequestError: if no configuration was read yet.
+        :raises RequestError: until the records were once as new as those of
+            any peer.
         """
-        if self._directory is None:
+        if self._directory is None or not self.is_ready():
             raise RequestError(
-                ResultCode.NOT_READY, 'no configuration was read yet'
+                ResultCode.NOT_READY, 'no configuration was confirmed yet'
             )
         return self._directory
 
+<<<<<<< HEAD
     async def start(self, nursery: trio.Nursery) -> None:
         """Start polling.
 
@@ -80,6 +115,44 @@
     def _parse_rows(self) -> list[object]:
         records: list[object] = []
         for row in self._rows.values():
+=======
+    def is_ready(self) -> bool:
+        """Return whether the records were once as new as those of any peer."""
+        node = self._control.node
+        if not self._was_ready and node is not None:
+            now = self._clock.get_now()
+            self._was_ready = node.configuration.is_ready(now)
+        return self._was_ready
+
+    def is_key_state_fresh(self) -> bool:
+        """Return whether keyed requests may be accepted."""
+        node = self._control.node
+        if node is None:
+            return False
+        return node.configuration.is_key_state_fresh(self._clock.get_now())
+
+    def _observe(self, change: Change) -> None:
+        if isinstance(change, RecordsChanged):
+            self._compile_directory(change.version)
+        elif isinstance(change, ListChanged):
+            self._update_endpoints(change)
+
+    def _update_endpoints(self, change: ListChanged) -> None:
+        if change.place != PlatformList.ENDPOINTS:
+            return
+        try:
+            self._endpoints.replace(change.content)
+        except ProtocolError as error:
+            logging.error('event=endpoint_list_ignored reason="%s"', error)
+
+    def _compile_directory(self, version: int) -> None:
+        node = self._control.node
+        if node is None:
+            return
+        records: list[Record] = []
+        feed = node.configuration.feed
+        for row in feed.records.rows.values():
+>>>>>>> main
             if row.value is None:
                 continue
             try:
@@ -88,4 +161,8 @@
                 logging.error(
                     'event=record_ignored key=%s reason="%s"', row.key, error
                 )
+<<<<<<< HEAD
         return records
+=======
+        self._directory = Directory.compile(version, records)
+>>>>>>> main
--- a/src/clementinedyke/daemons/platform_reader.py
+++ b/src/clementinedyke/daemons/platform_reader.py
@@ -1,7 +1,6 @@
 """Reads of the platform that the control cores ask for."""
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.configuration_component import RECORDS_TABLE
 from clementinedyke.configuration_events import (
     Poll,
     PollAnswered,
@@ -14,6 +13,7 @@
 from clementinedyke.platform.tables import ABSENT, Condition, TableClient, Write
 
 MEMBERS_TABLE = 'members'
+RECORDS_TABLE = 'records'
 _LIST_PATHS = ('/v1/endpoints', '/v1/hosts')
 _TIMEOUT: Milliseconds = 1500
 _STATUS_OK = 200
--- /dev/null
+++ b/src/clementinedyke/outbox.py
@@ -0,0 +1,176 @@
+"""Decision core of orders that are recorded before they are sent."""
+
+from functools import singledispatchmethod
+
+import msgspec
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.order_book import (
+    RETRY_INTERVAL,
+    OrderBook,
+    TargetEntry,
+    get_subject,
+    keep_row,
+)
+from clementinedyke.order_types import OrderAnswer, OrderKind
+from clementinedyke.outbox_messages import (
+    OrderAnswered,
+    OrderRecorded,
+    OrdersRead,
+    OrderWanted,
+    OutboxAction,
+    OutboxEvent,
+    OutboxTick,
+    RecordFailed,
+    StateFailed,
+    StateRead,
+    TenureBegun,
+    TenureEnded,
+)
+
+_DEFAULT_QUIET_WAIT: Milliseconds = 5500
+#: Kinds whose newest argument replaces any earlier wish.
+_REPLACING_KINDS = frozenset((OrderKind.ROLE, OrderKind.VERSION))
+
+
+class OutboxCore(OrderBook):
+    """Carries out wishes as orders, one open order per target."""
+
+    @singledispatchmethod
+    def handle(
+        self, event: OutboxEvent, now: Milliseconds
+    ) -> list[OutboxAction]:
+        """Take an event and return the actions that it calls for.
+
+        :param event: what has happened.
+        :param now: current instant.
+        """
+        raise NotImplementedError(type(event).__name__)
+
+    @handle.register
+    def _begin(
+        self, event: TenureBegun, now: Milliseconds
+    ) -> list[OutboxAction]:
+        self._end(TenureEnded(), now)
+        self._fence = event.fence
+        self._fence_version = event.fence_version
+        return []
+
+    @handle.register
+    def _end(self, event: TenureEnded, now: Milliseconds) -> list[OutboxAction]:
+        self._fence_version = 0
+        self._is_loaded = False
+        self._is_loading = False
+        self._targets.clear()
+        return []
+
+    @handle.register
+    def _tick(self, event: OutboxTick, now: Milliseconds) -> list[OutboxAction]:
+        if not self._fence_version:
+            return []
+        if not self._is_loaded:
+            return self._load()
+        return [
+            action
+            for name, target in self._targets.items()
+            if target.fencing in event.allowed and not target.is_busy
+            for action in self._advance(name, target, now)
+        ]
+
+    @handle.register
+    def _want(
+        self, event: OrderWanted, now: Milliseconds
+    ) -> list[OutboxAction]:
+        if not self._is_loaded:
+            return []
+        target = self._targets.setdefault(
+            event.target, TargetEntry(event.fencing)
+        )
+        if not target.open_row:
+            target.fencing = event.fencing
+        subject = get_subject(event.kind, event.argument)
+        target.wanted[subject] = (event.kind, event.argument)
+        return []
+
+    @handle.register
+    def _load_rows(
+        self, event: OrdersRead, now: Milliseconds
+    ) -> list[OutboxAction]:
+        self._is_loading = False
+        if event.orders is None or not self._fence_version:
+            return []
+        self._is_loaded = True
+        for stored in event.orders:
+            self._load_row(stored.target, stored.row, stored.version)
+        return []
+
+    @handle.register
+    def _note_recorded(
+        self, event: OrderRecorded, now: Milliseconds
+    ) -> list[OutboxAction]:
+        target = self._targets.get(event.target)
+        if target is None:
+            return []
+        target.is_busy = False
+        keep_row(target, event.row, event.version)
+        # A new order was never sent, so that its target need not be asked.
+        target.is_asked = True
+        return []
+
+    @handle.register
+    def _note_unrecorded(
+        self, event: RecordFailed, now: Milliseconds
+    ) -> list[OutboxAction]:
+        target = self._targets.get(event.target)
+        if target:
+            target.is_busy = False
+            self._is_loaded = False
+        return []
+
+    @handle.register
+    def _note_state(
+        self, event: StateRead, now: Milliseconds
+    ) -> list[OutboxAction]:
+        target = self._targets.get(event.target)
+        row = target.open_row if target else None
+        if target is None or row is None:
+            return []
+        target.is_busy = False
+        if event.last_order != row.order_id:
+            target.is_asked = True
+            return []
+        if event.is_changing or now < target.quiet_until:
+            target.retry_at = now + RETRY_INTERVAL
+            return []
+        return self._record(
+            event.target, target, msgspec.structs.replace(row, outcome='done')
+        )
+
+    @handle.register
+    def _note_silence(
+        self, event: StateFailed, now: Milliseconds
+    ) -> list[OutboxAction]:
+        target = self._targets.get(event.target)
+        if target:
+            target.is_busy = False
+            target.retry_at = now + RETRY_INTERVAL
+        return []
+
+    @handle.register
+    def _note_answer(
+        self, event: OrderAnswered, now: Milliseconds
+    ) -> list[OutboxAction]:
+        target = self._targets.get(event.target)
+        row = target.open_row if target else None
+        if target is None or row is None or row.order_id != event.order_id:
+            return []
+        target.is_busy = False
+        target.is_asked = False
+        if event.answer is OrderAnswer.LOST:
+            target.quiet_until = now + self._quiet_wait
+        if event.answer is OrderAnswer.REFUSED and now >= target.quiet_until:
+            refused = msgspec.structs.replace(row, outcome='refused')
+            return self._record(event.target, target, refused)
+        if event.answer is not OrderAnswer.ACCEPTED:
+            target.retry_at = now + RETRY_INTERVAL
+        return []
--- a/src/clementinedyke/routing_component.py
+++ b/src/clementinedyke/routing_component.py
@@ -84,6 +84,10 @@
         """Router of this daemon."""
         return self._router
 
+    def has_state(self) -> bool:
+        """Return whether endpoints are known."""
+        return bool(self._watched)
+
     def get_verdict(self, fingerprint: str) -> quarantine.Verdict:
         """Return what may be done with a request.
 
--- /dev/null
+++ b/tests/test_authority.py
@@ -0,0 +1,277 @@
+"""State machine of leases, orders and usage under faults.
+
+``AUTHORITY_EXAMPLES=1000 AUTHORITY_SEED=7 .venv/bin/pytest -s
+tests/test_authority.py -k test_guarantees`` runs longer and prints the seed.
+"""
+
+import os
+import sys
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, Phase, seed, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from authority_world import (
+    FENCING,
+    STEP,
+    Mechanisms,
+    World,
+)
+from clementinedyke.closing_messages import SendReport
+from clementinedyke.lease_messages import StopRequested
+from clementinedyke.usage_messages import WorkDone
+
+EXAMPLES = int(os.environ.get('AUTHORITY_EXAMPLES', '30'))
+SEED = int(os.environ.get('AUTHORITY_SEED', '1'))
+HOSTS = st.sampled_from(['a', 'b', 'c'])
+TARGETS = st.sampled_from(sorted(FENCING))
+#: Several actions, a renewal, a lapse, and a hand-over with its wait.
+DURATIONS = st.sampled_from([500, 1000, 3000, 12000])
+
+
+class AuthorityMachine(RuleBasedStateMachine):
+    """Interleaves faults with the work of three processes."""
+
+    mechanisms = Mechanisms()
+
+    @initialize(number=st.integers(0, 99), lag=st.sampled_from([0, 60000]))
+    def begin(self, number: int, lag: int) -> None:
+        """Start three processes and let one take the lease."""
+        self.world = World(number, replace(self.mechanisms), lag)
+        self.world.run(2000)
+
+    @rule(duration=DURATIONS, deliver=st.booleans())
+    def advance(self, duration: int, deliver: bool) -> None:
+        """Let time pass, with orders arriving at once or held up."""
+        self.world.run(duration, deliver)
+
+    @rule(index=st.integers(0, 3), arrives=st.booleans())
+    def move_copy(self, index: int, arrives: bool) -> None:
+        """Let an order arrive out of order, or break its connection."""
+        if index < len(self.world.copies):
+            move = self.world.deliver if arrives else self.world.cut_copy
+            move(index)
+
+    @rule(name=TARGETS, number=st.integers(0, 9), steps=st.integers(1, 4))
+    def want(self, name: str, number: int, steps: int) -> None:
+        """Make every planner wish for a change; stop at some step of it."""
+        self.world.want(name, number)
+        self.world.run(steps * STEP, deliver=False)
+
+    @rule(host=HOSTS, amount=st.integers(1, 9))
+    def work(self, host: str, amount: int) -> None:
+        """End work on a daemon."""
+        process = self.world.processes.get(host)
+        if process and not process.is_frozen:
+            process.handle(process.part, WorkDone({'tokens': amount}))
+            self.world.ended += amount
+
+    @rule(
+        name=st.sampled_from(['checked', 'ignored']),
+        steps=st.sampled_from([2, 2, 1, 3]),
+        tail=st.sampled_from(['crash', 'deliver', 'hold']),
+    )
+    def freeze_holder(self, name: str, steps: int, tail: str) -> None:
+        """Stop the holder at some step of an order, past its lease."""
+        self.world.want(name, self.world.now % 10)
+        self.world.run(steps * STEP, deliver=False)
+        for holder in self.world.get_holders():
+            holder.is_frozen = True
+        self.world.run(20000)
+        self.world.want(name, (self.world.now + 1) % 10)
+        self.world.run(3000)
+        for process in self.world.processes.values():
+            process.is_frozen = False
+        self.world.run(STEP, deliver=False)
+        self._finish(name, tail)
+
+    @rule()
+    def kill_thawed_holder(self) -> None:
+        """Kill a thawed holder whose order is on the way."""
+        self.freeze_holder(name='ignored', steps=2, tail='kill')
+
+    @rule(name=TARGETS, host=HOSTS)
+    def bounce_host(self, name: str, host: str) -> None:
+        """Freeze a holder whose host was off the host list before."""
+        self.world.bounce(host)
+        self.world.want(name, self.world.now % 10)
+        self.world.run(2 * STEP, deliver=False)
+        self.world.processes[host].is_frozen = True
+        self.world.run(60000)
+        self.world.want(name, (self.world.now + 1) % 10)
+        self.world.run(20000)
+        self.world.processes[host].is_frozen = False
+        self.world.run(STEP, deliver=False)
+        self.world.deliver_newest_first()
+
+    @rule(name=TARGETS)
+    def stop_holder(self, name: str) -> None:
+        """Stop the holder with an order on the way; restart the others."""
+        self.world.want(name, self.world.now % 10)
+        self.world.run(3 * STEP, deliver=False)
+        for process in list(self.world.processes.values()):
+            if process in self.world.get_holders():
+                process.handle(process.lease, StopRequested())
+        self.world.run(1500, deliver=False)
+        self.world.restart_all_but_holders()
+        self.world.run(2500, deliver=False)
+        self.world.deliver_newest_first()
+
+    def _finish(self, name: str, tail: str) -> None:
+        if tail == 'kill':
+            self.world.kill_senders()
+            self.world.run(4000, deliver=False)
+        if tail == 'crash':
+            self.world.crash_target(name)
+        if tail != 'hold':
+            self.world.deliver_newest_first()
+
+    @rule(host=HOSTS)
+    def freeze_reporter(self, host: str) -> None:
+        """Stop the holder just before it sends a report, past its lease."""
+        frozen = self.world.freeze_before(SendReport)
+        self.world.run(20000)
+        self.work(host, 5)
+        self.world.run(6000)
+        if frozen:
+            frozen.is_frozen = False
+        self.world.run(STEP)
+
+    @rule(name=TARGETS)
+    def change_mind(self, name: str) -> None:
+        """Wish for another change when the answer to an order is lost."""
+        self.world.want(name, 1)
+        self.world.run(3 * STEP, deliver=False)
+        self.world.cut_all()
+        self.world.want(name, 2)
+        self.world.run(4 * STEP, deliver=False)
+        self.world.deliver_newest_first()
+
+    @rule(host=HOSTS, rate=st.sampled_from([0.96, 1.04]), at_once=st.booleans())
+    def kill(self, host: str, rate: float, at_once: bool) -> None:
+        """End a process and start another one on its host."""
+        self.world.kill(host)
+        if not at_once:
+            self.world.run(14000, deliver=False)
+        self.world.start(host, rate)
+
+    @rule(host=HOSTS)
+    def stop(self, host: str) -> None:
+        """Stop a process gracefully."""
+        process = self.world.processes.get(host)
+        if process and not process.is_frozen:
+            process.handle(process.lease, StopRequested())
+
+    @rule(host=HOSTS, duration=DURATIONS)
+    def cut(self, host: str, duration: int) -> None:
+        """Cut a process off from everything for a while."""
+        self.world.processes[host].is_cut = True
+        self.world.run(duration)
+        for process in self.world.processes.values():
+            process.is_cut = False
+
+    @rule(duration=DURATIONS)
+    def break_store(self, duration: int) -> None:
+        """Let the platform be down for a while."""
+        self.world.is_outage = True
+        self.world.run(duration)
+        self.world.is_outage = False
+
+    @rule(count=st.integers(1, 4))
+    def lose_answers(self, count: int) -> None:
+        """Lose the answers to the next commits, which may apply later."""
+        self.world.lose_answers += count
+
+    @rule()
+    def apply_delayed(self) -> None:
+        """Let the store apply commits whose answers were lost."""
+        self.world.apply_delayed()
+
+    @rule(name=TARGETS)
+    def crash_target(self, name: str) -> None:
+        """Restart an engine."""
+        self.world.crash_target(name)
+
+    @invariant()
+    def check(self) -> None:
+        """Check the guarantees after each rule."""
+        if hasattr(self, 'world'):
+            self.world.check()
+
+    def teardown(self) -> None:
+        """End the faults and check what must come about in the end."""
+        if hasattr(self, 'world'):
+            self.world.heal()
+            self.world.run(90000)
+            self.world.check_end()
+
+
+def run_machine(mechanisms: Mechanisms, examples: int, number: int) -> None:
+    """Run the state machine with some mechanisms taken away."""
+
+    members = {'mechanisms': mechanisms}
+    machine = seed(number)(type('Machine', (AuthorityMachine,), members))
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=20,
+            derandomize=False,
+            database=None,
+            deadline=None,
+            print_blob=False,
+            phases=[Phase.generate],
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+class TestGuarantees:
+    """Guards against any interleaving of faults that breaks a guarantee."""
+
+    def test_guarantees(self) -> None:
+        """Every invariant holds with all mechanisms in place."""
+        sys.stdout.write(f'AUTHORITY_SEED={SEED} EXAMPLES={EXAMPLES}\n')
+        run_machine(Mechanisms(), EXAMPLES, SEED)
+
+
+class TestMechanisms:
+    """Guards against invariants that could not fail."""
+
+    @pytest.mark.parametrize(
+        ('removed', 'violation'),
+        [
+            ('fence_check', 'former holder'),
+            ('kept_fence', 'former holder'),
+            ('unreleased', 'former holder|two reporters'),
+            ('host_lag', 'former holder|two reporters'),
+            ('host_lag seen_hosts', 'former holder|two reporters'),
+            ('quiet_wait', 'former holder'),
+            ('close_before_release', 'former holder|conflicting'),
+            (
+                'fence_condition',
+                'conflicting|one identity|left open|never sent',
+            ),
+            ('recorded_first', 'conflicting|one identity|former holder'),
+            ('wait_for_outcome', 'conflicting'),
+            ('drift_factor', 'two holders'),
+            ('window_condition', 'sum differs'),
+            ('report_wait', 'two reporters'),
+            ('report_wait window_condition recorded_figures', 'two figures'),
+            ('carried_rest', 'counted twice'),
+        ],
+    )
+    def test_removal_is_found(self, removed: str, violation: str) -> None:
+        """The same machine finds the fault without the mechanism."""
+        without: dict[str, Any] = dict.fromkeys(removed.split(), False)
+        with pytest.raises(AssertionError, match=violation):
+            run_machine(Mechanisms(**without), 150, SEED)
