--- a/src/clementinedyke/configuration_component.py
+++ b/src/clementinedyke/configuration_component.py
@@ -1,38 +1,18 @@
-<<<<<<< HEAD
-"""Keeps the records in force up to date with the table service."""
-=======
 """Publishes the records in force from the control cores of a daemon."""
->>>>>>> main
 
 from absl import logging
 
-<<<<<<< HEAD
-from clementinedyke.clock import Milliseconds, MonotonicClock
-=======
 from clementinedyke.clock import Clock
->>>>>>> main
 from clementinedyke.codes import ResultCode
 from clementinedyke.components import Component
 from clementinedyke.configuration_events import ListChanged, RecordsChanged
 from clementinedyke.daemons.component import Change, ControlComponent
 from clementinedyke.directory import Directory
-<<<<<<< HEAD
-from clementinedyke.exceptions import RecordError
-from clementinedyke.http_server import RequestError
-from clementinedyke.platform.tables import Row, TableClient
-from clementinedyke.records import parse_record
-
-RECORDS_TABLE = 'records'
-_POLL_INTERVAL: Milliseconds = 1000
-_MILLISECONDS_PER_SECOND = 1000
-_KEY_MAX_AGE: Milliseconds = 8000
-=======
 from clementinedyke.endpoints.registry import EndpointRegistry
 from clementinedyke.exceptions import ProtocolError, RecordError
 from clementinedyke.http_message import RequestError
 from clementinedyke.platform_lists import PlatformList
 from clementinedyke.records import Record, parse_record
->>>>>>> main
 
 
 class ConfigurationComponent(Component):
@@ -50,27 +30,12 @@
         :param endpoints: takes the platform's list of endpoints.
         :param clock: clock of this process.
         """
-<<<<<<< HEAD
-        self._tables = tables
-        self._clock = MonotonicClock()
-        self._rows: dict[str, Row] = {}
-        self._directory: Directory | None = None
-        self._revision = 0
-        self._confirmed_at: Milliseconds | None = None
-
-    def is_key_state_fresh(self) -> bool:
-        """Return whether keyed requests may be accepted."""
-        if self._confirmed_at is None:
-            return False
-        return self._clock.get_now() - self._confirmed_at <= _KEY_MAX_AGE
-=======
         self._control = control
         self._endpoints = endpoints
         self._clock = clock
         self._directory: Directory | None = None
         self._was_ready = False
         control.observers.append(self._observe)
->>>>>>> main
 
     def get_directory(self) -> Directory:
         """Return the records in force.
@@ -84,38 +49,6 @@
             )
         return self._directory
 
-<<<<<<< HEAD
-    async def start(self, nursery: trio.Nursery) -> None:
-        """Start polling.
-
-        :param nursery: nursery that runs the poll.
-        """
-        await self._poll()
-        nursery.start_soon(self._poll_forever)
-
-    async def _poll_forever(self) -> None:
-        while True:
-            await trio.sleep(_POLL_INTERVAL / _MILLISECONDS_PER_SECOND)
-            await self._poll()
-
-    async def _poll(self) -> None:
-        asked_at = self._clock.get_now()
-        changes = await self._tables.get_changes(RECORDS_TABLE, self._revision)
-        if changes.is_err():
-            return
-        self._confirmed_at = asked_at
-        snapshot = changes.unwrap()
-        if self._directory is not None and not snapshot.rows:
-            return
-        for row in snapshot.rows:
-            self._rows[row.key] = row
-        self._revision = max(self._revision, snapshot.revision)
-        self._directory = Directory.compile(self._revision, self._parse_rows())
-
-    def _parse_rows(self) -> list[object]:
-        records: list[object] = []
-        for row in self._rows.values():
-=======
     def is_ready(self) -> bool:
         """Return whether the records were once as new as those of any peer."""
         node = self._control.node
@@ -152,7 +85,6 @@
         records: list[Record] = []
         feed = node.configuration.feed
         for row in feed.records.rows.values():
->>>>>>> main
             if row.value is None:
                 continue
             try:
@@ -161,8 +93,4 @@
                 logging.error(
                     'event=record_ignored key=%s reason="%s"', row.key, error
                 )
-<<<<<<< HEAD
-        return records
-=======
         self._directory = Directory.compile(version, records)
->>>>>>> main
