--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,12 @@
 
 import pytest
 from hypothesis import settings
+from hypothesis.internal.conjecture import providers
+
+# Hypothesis draws constants from all loaded modules of the project, so that
+# the examples of a test would change with any module and with the selection
+# of tests. A fixed seed must give the same verdict in every run.
+providers.is_local_module_file = lambda path: False
 
 settings.register_profile(
     'fixed', derandomize=True, deadline=None, database=None
