--- /dev/null
+++ b/bench/relay_worker.py
@@ -0,0 +1,124 @@
+"""Client of the relay benchmark; runs as a process of its own.
+
+Reads raw bytes and counts events without a parser, so that the client costs
+less than what it measures.
+"""
+
+import json
+import sys
+from dataclasses import dataclass
+from typing import Any
+
+import trio
+
+_HOST = '127.0.0.1'
+_READ_SIZE = 65536
+_EVENT_MARK = b'data: {'
+_STREAM_END = b'\r\n0\r\n\r\n'
+_HEAD_END = b'\r\n\r\n'
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """One worker's share of a load; times in seconds."""
+
+    port: int
+    key: str
+    streams: int
+    tokens: int
+    interval: float
+    warm_up: float
+    duration: float
+    is_streamed: bool
+
+    @property
+    def request(self) -> bytes:
+        """The request that every connection repeats."""
+        body = {
+            'model': 'bench',
+            'messages': [{'role': 'user', 'content': 'x' * 200}],
+            'max_tokens': self.tokens,
+            'stream': self.is_streamed,
+        }
+        encoded = json.dumps(body).encode()
+        return (
+            b'POST /v1/chat/completions HTTP/1.1\r\nHost: bench\r\n'
+            b'Authorization: Bearer %b\r\nContent-Length: %d\r\n\r\n%b'
+            % (self.key.encode(), len(encoded), encoded)
+        )
+
+
+class Worker:
+    """Keeps streams open and measures those of the window."""
+
+    def __init__(self, load: Load) -> None:
+        """Take the load."""
+        self._load = load
+        self._request = load.request
+        self._chunks = 0
+        self._answers = 0
+        self._first_bytes: list[float] = []
+
+    async def run(self) -> dict[str, Any]:
+        """Run the load and return the figures of the window."""
+        async with trio.open_nursery() as nursery:
+            pause = self._load.warm_up / self._load.streams / 2
+            for _ in range(self._load.streams):
+                nursery.start_soon(self._repeat)
+                await trio.sleep(pause)
+            await trio.sleep(self._load.warm_up / 2)
+            _tell({'event': 'begin'})
+            self._chunks = 0
+            self._answers = 0
+            self._first_bytes.clear()
+            started = trio.current_time()
+            await trio.sleep(self._load.duration)
+            elapsed = trio.current_time() - started
+            counts = (self._chunks, self._answers, self._first_bytes.copy())
+            _tell({'event': 'end'})
+            await trio.to_thread.run_sync(sys.stdin.readline)
+            nursery.cancel_scope.cancel()
+        return dict(
+            zip(('chunks', 'answers', 'first_bytes'), counts, strict=True),
+            elapsed=elapsed,
+        )
+
+    async def _repeat(self) -> None:
+        stream = await trio.open_tcp_stream(_HOST, self._load.port)
+        async with stream:
+            while True:
+                started = trio.current_time()
+                await stream.send_all(self._request)
+                await self._read_answer(stream, started)
+                self._answers += 1
+
+    async def _read_answer(
+        self, stream: trio.SocketStream, started: float
+    ) -> None:
+        is_first = True
+        tail = b''
+        while not tail.endswith(_STREAM_END):
+            received = bytes(await stream.receive_some(_READ_SIZE))
+            if not received:
+                raise RuntimeError('connection closed in an answer')
+            events = received.count(_EVENT_MARK)
+            if is_first and (events or not self._load.is_streamed):
+                is_first = False
+                self._first_bytes.append(trio.current_time() - started)
+            self._chunks += events
+            tail = tail[-len(_STREAM_END) :] + received
+            if not self._load.is_streamed and _is_whole(tail):
+                return
+
+
+def _is_whole(received: bytes) -> bool:
+    return received.endswith(b'}') and b'"usage"' in received
+
+
+def _tell(message: dict[str, Any]) -> None:
+    sys.stdout.write(f'{json.dumps(message)}\n')
+    sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    _tell(trio.run(Worker(Load(**json.loads(sys.argv[1]))).run))
