--- a/bench/build_binary.sh
+++ b/bench/build_binary.sh
@@ -10,7 +10,7 @@
 "$bin/pip" install -q --no-deps --no-build-isolation --target "$work/site" .
 rm -rf build
 mkdir -p dist
-"$bin/shiv" -q --site-packages "$work/site" --root /tmp/clementinedyke \
+"$bin/shiv" --site-packages "$work/site" --root /tmp/clementinedyke \
     --compressed -p '/usr/bin/env python3.11' \
     -e clementinedyke.cli:main -o dist/clementinedyke
 wc -c dist/clementinedyke
