--- a/bench/daemon_process.py
+++ b/bench/daemon_process.py
@@ -11,7 +11,9 @@
 
 
 async def _run(platform: str) -> None:
-    daemon = Daemon(Settings(port=0, platform=platform))
+    daemon = Daemon(
+        Settings(port=0, operator_port=0, daemon_port=0, platform=platform)
+    )
     async with trio.open_nursery() as nursery:
         await nursery.start(daemon.application.run)
         ready = {'port': daemon.caller_port.bound_port}
--- a/src/clementinedyke/callers/dispatch.py
+++ b/src/clementinedyke/callers/dispatch.py
@@ -7,6 +7,7 @@
 from clementinedyke.callers.relay import AnswerRelay
 from clementinedyke.callers.steps import EndpointSelector, HandlerOptions
 from clementinedyke.callers.validation import strip_headers
+from clementinedyke.clock import Milliseconds
 from clementinedyke.codes import ResultCode
 from clementinedyke.exceptions import (
     AnswerLostError,
@@ -15,8 +16,10 @@
 )
 from clementinedyke.http_client import HttpRequest
 from clementinedyke.http_server import RequestError
+from clementinedyke.quarantine import Verdict
 
 _MILLISECONDS_PER_SECOND = 1000
+_REFUSED_VERDICTS = frozenset((Verdict.HELD, Verdict.CONVICTED))
 
 
 class Dispatcher:
@@ -62,7 +65,7 @@
             if latest is None:
                 return
             failure = _select_failure(failure, latest)
-            if not self._may_try_again(context, latest, deadline):
+            if not await self._wait_for_retry(context, latest, deadline):
                 break
             excluded |= {endpoint.name}
         raise failure or RequestError(
@@ -70,17 +73,35 @@
             f'service {context.route.service.name!r} has no endpoint',
         )
 
-    def _may_try_again(
+    async def _wait_for_retry(
         self, context: RequestContext, failure: RequestError, deadline: float
     ) -> bool:
-        if trio.current_time() >= deadline:
+        """Return whether another try may run, after the wait before it."""
+        wait = self._plan_retry(context, failure)
+        if wait is None:
             return False
-        if context.response.is_started:
+        resume_at = trio.current_time() + wait / _MILLISECONDS_PER_SECOND
+        if resume_at >= deadline:
             return False
+        await trio.sleep_until(resume_at)
+        return True
+
+    def _plan_retry(
+        self, context: RequestContext, failure: RequestError
+    ) -> Milliseconds | None:
+        """Return the wait before the next try, None if there is none."""
+        if context.response.is_started:
+            return None
         is_unsent = failure.code is ResultCode.NO_ENDPOINT
         if not is_unsent and not context.is_repeatable:
-            return False
-        return self._options.allow_retry(context)
+            return None
+        verdict = self._options.get_verdict(context.work.fingerprint)
+        if verdict in _REFUSED_VERDICTS:
+            return None
+        limit = context.route.service.deadline
+        limit = limit or self._options.limits.first_byte_timeout
+        deadline = context.outcome.received_at + limit
+        return self._options.retries.plan_retry(context, failure.code, deadline)
 
     async def _attempt(
         self,
@@ -96,9 +117,11 @@
             return failure
         else:
             code = ResultCode.OK
+            self._options.retries.note_success(context)
             return None
         finally:
             context.outcome.attempts.append(Attempt(endpoint.name, code))
+            self._selector.note_end(context, endpoint.name, code)
 
     async def _exchange(
         self,
@@ -136,6 +159,8 @@
         def note_first_byte() -> None:  # noqa: WPS430
             scope.deadline = deadline
             context.outcome.first_byte_at = self._options.clock.get_now()
+            self._selector.note_first_byte(context)
+            self._options.admission.note_first_byte(context)
 
         request = _compile_request(context)
         async with endpoint.client.open_response(request) as answer:
@@ -159,10 +184,23 @@
         method=request.method,
         target=context.route.target,
         headers=[*headers, (b'Clementinedyke-Request-Id', request_id)],
-        body=request.body,
+        body=_compile_body(context),
     )
 
 
+def _compile_body(context: RequestContext) -> bytes:
+    """Return the body with the priority that admission gave the request.
+
+    Engines run a lower number first. The member is appended, since the last
+    one of a name counts: a caller cannot choose its own priority.
+    """
+    body = context.request.body
+    if not context.route.is_model:
+        return body
+    priority = -context.outcome.priority
+    return body.rstrip().removesuffix(b'}') + b',"priority":%d}' % priority
+
+
 def _select_failure(
     earlier: RequestError | None, latest: RequestError
 ) -> RequestError:
--- a/src/clementinedyke/codes.py
+++ b/src/clementinedyke/codes.py
@@ -50,6 +50,8 @@
     NOT_READY = 3007
     CONNECTION_LIMIT = 3008
     STORE_UNAVAILABLE = 3009
+    REQUEST_HELD = 3010
+    STORE_UNREACHABLE = 3010
     ANSWER_LOST = 4000
     ENDPOINT_TIMEOUT = 4001
     CLAIM_PENDING = 4002
@@ -204,6 +206,16 @@
             _UNKNOWN,
             'The table service did not confirm the change.',
         ),
+        ResultCode.STORE_UNREACHABLE: CodeDetails(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _NOT_RUN,
+            'The table service cannot be used; nothing was changed.',
+        ),
+        ResultCode.REQUEST_HELD: CodeDetails(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _NOT_RUN,
+            'The request may have crashed an endpoint that is being examined.',
+        ),
         ResultCode.ANSWER_LOST: CodeDetails(
             HTTPStatus.BAD_GATEWAY,
             _UNKNOWN,
