--- a/src/clementinedyke/configuration_report.py
+++ b/src/clementinedyke/control_report.py
@@ -1,6 +1,7 @@
-"""Tells operators about the configuration of a daemon."""
+"""Tells operators what a daemon knows of members and configuration."""
 
 from clementinedyke.configuration_component import ConfigurationComponent
+from clementinedyke.daemons import ControlComponent
 from clementinedyke.http_message import RequestError
 
 
@@ -27,8 +28,29 @@
 
     def has_configuration(self) -> bool:
         """Whether a configuration is in force."""
-        try:
-            self._configuration.get_directory()
-        except RequestError:
-            return False
-        return True
+        return self._configuration.is_ready()
+
+
+class MemberReport:
+    """Tells operators which daemons this one knows."""
+
+    def __init__(self, control: ControlComponent) -> None:
+        """Create the report.
+
+        :param control: control cores of this daemon.
+        """
+        self._control = control
+
+    def get_status(self) -> list[dict[str, str]]:
+        """Return the living members."""
+        node = self._control.node
+        if node is None:
+            return []
+        return [
+            {
+                'daemon': member.daemon_id,
+                'availability_zone': member.availability_zone,
+                'state': member.state.name.lower(),
+            }
+            for member in node.membership.view.table.list_ring()
+        ]
--- a/src/clementinedyke/endpoints/registry.py
+++ b/src/clementinedyke/endpoints/registry.py
@@ -4,17 +4,10 @@
 from typing import Literal
 
 import msgspec
-import trio
 
-from clementinedyke.clock import Milliseconds
 from clementinedyke.components import Component
-from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
-from clementinedyke.http_client import Address, HttpClient, HttpRequest
-
-_POLL_INTERVAL: Milliseconds = 1000
-_TIMEOUT: Milliseconds = 2000
-_MILLISECONDS_PER_SECOND = 1000
-_STATUS_OK = 200
+from clementinedyke.exceptions import ProtocolError
+from clementinedyke.http_client import Address, HttpClient
 
 
 class Endpoint(msgspec.Struct, frozen=True):
@@ -29,14 +22,10 @@
 
 
 class EndpointRegistry(Component):
-    """Polls the platform's list of endpoints and owns their clients."""
-
-    def __init__(self, platform: HttpClient) -> None:
-        """Create the registry.
+    """Holds the platform's list of endpoints and owns their clients."""
 
-        :param platform: HTTP client of the platform.
-        """
-        self._platform = platform
+    def __init__(self) -> None:
+        """Create a registry without endpoints."""
         self._endpoints: dict[str, Endpoint] = {}
         self._clients: dict[str, HttpClient] = {}
         self._turn = 0
@@ -62,41 +51,41 @@
         self._turn += 1
         return self.get_client(live[self._turn % len(live)])
 
-    async def start(self, nursery: trio.Nursery) -> None:
-        """Read the list once and start polling.
-
-        :param nursery: nursery that runs the poll.
-        """
-        await self._poll()
-        nursery.start_soon(self._poll_forever)
-
     def get_client(self, endpoint: Endpoint) -> HttpClient:
         """Return the client of an endpoint.
 
         :param endpoint: listed endpoint.
         """
-        client = self._clients.get(endpoint.endpoint_id)
+        client = self._clients.get(endpoint.address)
         if client is None:
             client = HttpClient(Address.parse(endpoint.address))
-            self._clients[endpoint.endpoint_id] = client
+            self._clients[endpoint.address] = client
         return client
 
-    async def _poll_forever(self) -> None:
-        while True:
-            await trio.sleep(_POLL_INTERVAL / _MILLISECONDS_PER_SECOND)
-            await self._poll()
+    def replace(self, content: bytes) -> None:
+        """Take a list of endpoints from the platform.
 
-    async def _poll(self) -> None:
-        request = HttpRequest('GET', '/v1/endpoints')
+        :param content: JSON list of endpoints.
+        :raises ProtocolError: if it is not such a list.
+        """
         try:
-            answer = await self._platform.request(request, _TIMEOUT)
-        except (PeerUnavailableError, AnswerLostError):
-            return
-        if answer.status != _STATUS_OK:
-            return
-        listed = msgspec.json.decode(answer.body, type=list[Endpoint])
+            listed = msgspec.json.decode(content, type=list[Endpoint])
+        except msgspec.MsgspecError as error:
+            raise ProtocolError(f'list of endpoints: {error}') from error
         endpoints = {endpoint.endpoint_id: endpoint for endpoint in listed}
-        if endpoints != self._endpoints:
-            self._endpoints = endpoints
-            for observer in self.observers:
-                observer(self.list_endpoints())
+        if endpoints == self._endpoints:
+            return
+        self._endpoints = endpoints
+        self._forget_clients()
+        for observer in self.observers:
+            observer(self.list_endpoints())
+
+    def _forget_clients(self) -> None:
+        """Drop the clients of endpoints that are gone.
+
+        Requests that still run keep their connection until they end.
+        """
+        listed = {endpoint.address for endpoint in self._endpoints.values()}
+        for address in list(self._clients):
+            if address not in listed:
+                self._clients.pop(address)
--- /dev/null
+++ b/src/clementinedyke/lease.py
@@ -0,0 +1,134 @@
+"""Decision core of a lease: time-limited authority over one scope."""
+
+from functools import singledispatchmethod
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.lease_decision import LeaseDecision
+from clementinedyke.lease_messages import (
+    DeathConfirmed,
+    FenceRead,
+    HostsRead,
+    LeaseAction,
+    LeaseCallFailed,
+    LeaseEvent,
+    LeaseRead,
+    LeaseTick,
+    LeaseWritten,
+    OrdersClosed,
+    StopRequested,
+)
+from clementinedyke.lease_types import Fencing, FormerHolder
+
+_NONCE_BITS = 64
+
+
+class LeaseCore(LeaseDecision):
+    """Seeks, holds, loses and gives back the lease of one scope."""
+
+    @property
+    def unreleased(self) -> tuple[FormerHolder, ...]:
+        """Former holders that may still have orders under way."""
+        return self._view.unreleased
+
+    @property
+    def is_given_back(self) -> bool:
+        """Whether a stop was requested and nothing is left to give back."""
+        return self._is_given_back
+
+    def may_order(self, fencing: Fencing, now: Milliseconds) -> bool:
+        """Tell whether targets of a kind may be ordered.
+
+        :param fencing: what the target does with the fence.
+        :param now: current instant.
+        """
+        if self._is_stopping or not self.fence_version or not self.is_held(now):
+            return False
+        return fencing is Fencing.CHECKED or not self.unreleased
+
+    @singledispatchmethod
+    def handle(self, event: LeaseEvent, now: Milliseconds) -> list[LeaseAction]:
+        """Take an event and return the actions that it calls for.
+
+        :param event: what has happened.
+        :param now: current instant.
+        """
+        raise NotImplementedError(type(event).__name__)
+
+    @handle.register
+    def _tick(self, event: LeaseTick, now: Milliseconds) -> list[LeaseAction]:
+        self._is_candidate = event.is_candidate
+        if self._view.lapse(now):
+            return self._close_orders()
+        if now < self._call_until or self._is_given_back:
+            return []
+        return [*self._decide_hosts(now), *self._decide_call(now)]
+
+    @handle.register
+    def _read(self, event: LeaseRead, now: Milliseconds) -> list[LeaseAction]:
+        self._call_until = now
+        self._next_read = now + self._timing.renew_interval
+        self._note_row(event.row, event.version, now)
+        return self._decide_write(now)
+
+    @handle.register
+    def _written(
+        self, event: LeaseWritten, now: Milliseconds
+    ) -> list[LeaseAction]:
+        self._call_until = now
+        row = self._view.get_written(event.nonce)
+        if row is None:
+            self._next_read = now
+            return []
+        self._note_row(row, event.revision, now)
+        if row.count == 0:
+            self._view.note_fence(row.fence, event.revision)
+        return []
+
+    @handle.register
+    def _fail(
+        self, event: LeaseCallFailed, now: Milliseconds
+    ) -> list[LeaseAction]:
+        self._call_until = now
+        self._next_read = now
+        return []
+
+    @handle.register
+    def _note_fence(
+        self, event: FenceRead, now: Milliseconds
+    ) -> list[LeaseAction]:
+        self._call_until = now
+        self._view.note_fence(event.fence, event.version)
+        return []
+
+    @handle.register
+    def _note_hosts(
+        self, event: HostsRead, now: Milliseconds
+    ) -> list[LeaseAction]:
+        self._handover.note_hosts(
+            event.hosts, event.asked_at, self._view.held_since
+        )
+        return []
+
+    @handle.register
+    def _note_death(
+        self, event: DeathConfirmed, now: Milliseconds
+    ) -> list[LeaseAction]:
+        self._handover.note_death(event.incarnation)
+        return []
+
+    @handle.register
+    def _note_closed(
+        self, event: OrdersClosed, now: Milliseconds
+    ) -> list[LeaseAction]:
+        if self._is_stopping or not self.is_held(now):
+            self._has_open_orders = False
+        self._next_read = now
+        return []
+
+    @handle.register
+    def _stop(
+        self, event: StopRequested, now: Milliseconds
+    ) -> list[LeaseAction]:
+        self._is_stopping = True
+        self._next_read = now
+        return self._close_orders()
--- a/src/clementinedyke/standins/engine.py
+++ b/src/clementinedyke/standins/engine.py
@@ -74,7 +74,9 @@
         self.running = 0
         self.received = 0
         self.finished = 0
+        #: Orders that were obeyed, and those refused for their fence.
         self.orders: list[dict[str, Any]] = []
+        self.refused_orders: list[dict[str, Any]] = []
         self.received_headers: deque[Mapping[str, str]] = deque(maxlen=1000)
 
     async def start(self, nursery: trio.Nursery, host: str, port: int) -> int:
@@ -219,6 +221,7 @@
         self, order: dict[str, Any], response: ResponseWriter
     ) -> None:
         if self._checks_fence and order['fence'] < self.fence:
+            self.refused_orders.append(order)
             await response.send_json(_CONFLICT, {'fence': self.fence})
             return
         self.fence = max(self.fence, order['fence'])
