--- a/src/clementinedyke/callers/dispatch.py
+++ b/src/clementinedyke/callers/dispatch.py
@@ -49,36 +49,43 @@
         :raises RequestError: if no endpoint answered.
         """
         timeout = self._options.limits.request_timeout
-        scope = _create_scope(timeout)
-        with scope:
-            await self._try_endpoints(context)
-        if scope.cancelled_caught:
-            raise RequestError(
-                ResultCode.ENDPOINT_TIMEOUT,
-                f'the answer was not whole within {timeout} ms',
-            )
+        deadline = trio.current_time() + timeout / _MILLISECONDS_PER_SECOND
+        await self._try_endpoints(context, deadline)
 
-    async def _try_endpoints(self, context: RequestContext) -> None:
+    async def _try_endpoints(
+        self, context: RequestContext, deadline: float
+    ) -> None:
         failure: RequestError | None = None
         excluded: frozenset[str] = frozenset()
         for _ in range(self._options.limits.max_tries):
             endpoint = self._selector.select(context, excluded)
             if endpoint is None:
                 break
-            latest = await self._attempt(context, endpoint)
+            latest = await self._attempt(context, endpoint, deadline)
             if latest is None:
                 return
             failure = _select_failure(failure, latest)
-            wait = self._plan_retry(context, latest)
-            if wait is None:
+            if not await self._wait_for_retry(context, latest, deadline):
                 break
-            await trio.sleep(wait / _MILLISECONDS_PER_SECOND)
             excluded |= {endpoint.name}
         raise failure or RequestError(
             ResultCode.NO_ENDPOINT,
             f'service {context.route.service.name!r} has no endpoint',
         )
 
+    async def _wait_for_retry(
+        self, context: RequestContext, failure: RequestError, deadline: float
+    ) -> bool:
+        """Return whether another try may run, after the wait before it."""
+        wait = self._plan_retry(context, failure)
+        if wait is None:
+            return False
+        resume_at = trio.current_time() + wait / _MILLISECONDS_PER_SECOND
+        if resume_at >= deadline:
+            return False
+        await trio.sleep_until(resume_at)
+        return True
+
     def _plan_retry(
         self, context: RequestContext, failure: RequestError
     ) -> Milliseconds | None:
@@ -97,11 +104,14 @@
         return self._options.retries.plan_retry(context, failure.code, deadline)
 
     async def _attempt(
-        self, context: RequestContext, endpoint: SelectedEndpoint
+        self,
+        context: RequestContext,
+        endpoint: SelectedEndpoint,
+        deadline: float,
     ) -> RequestError | None:
         code: ResultCode | None = None
         try:
-            await self._exchange(context, endpoint)
+            await self._exchange(context, endpoint, deadline)
         except RequestError as failure:
             code = failure.code
             return failure
@@ -114,13 +124,17 @@
             self._selector.note_end(context, endpoint.name, code)
 
     async def _exchange(
-        self, context: RequestContext, endpoint: SelectedEndpoint
+        self,
+        context: RequestContext,
+        endpoint: SelectedEndpoint,
+        deadline: float,
     ) -> None:
         timeout = self._options.limits.first_byte_timeout
-        scope = _create_scope(timeout)
+        first = trio.current_time() + timeout / _MILLISECONDS_PER_SECOND
+        scope = trio.CancelScope(deadline=min(first, deadline))
         with scope:
             try:
-                await self._relay(context, endpoint, scope)
+                await self._relay(context, endpoint, scope, deadline)
             except PeerUnavailableError as error:
                 raise RequestError(
                     ResultCode.NO_ENDPOINT, str(error)
@@ -132,7 +146,7 @@
         if scope.cancelled_caught:
             raise RequestError(
                 ResultCode.ENDPOINT_TIMEOUT,
-                f'{endpoint.name}: no answer within {timeout} ms',
+                f'{endpoint.name} did not answer in time',
             )
 
     async def _relay(
@@ -140,9 +154,10 @@
         context: RequestContext,
         endpoint: SelectedEndpoint,
         scope: trio.CancelScope,
+        deadline: float,
     ) -> None:
         def note_first_byte() -> None:  # noqa: WPS430
-            scope.deadline = float('inf')
+            scope.deadline = deadline
             context.outcome.first_byte_at = self._options.clock.get_now()
             self._selector.note_first_byte(context)
             self._options.admission.note_first_byte(context)
@@ -193,8 +208,3 @@
     if earlier is None or earlier.code is ResultCode.NO_ENDPOINT:
         return latest
     return earlier
-
-
-def _create_scope(timeout: Milliseconds) -> trio.CancelScope:
-    seconds = timeout / _MILLISECONDS_PER_SECOND
-    return trio.CancelScope(deadline=trio.current_time() + seconds)
