--- a/tests/test_operator_port.py
+++ b/tests/test_operator_port.py
@@ -236,6 +236,14 @@
         assert cluster.run('status', '--nonsense')[0] == 2
         assert cluster.run('status', '--address', '127.0.0.1:1')[0] == 5
 
+    def test_status_lists_endpoints(self, cluster: Cluster) -> None:
+        """All endpoints of the demo are shown with their state."""
+        status, output = cluster.run('status')
+        listed = json.loads(output)['endpoints']
+        assert status == 0
+        assert {endpoint['state'] for endpoint in listed} == {'live'}
+        assert len(listed) == 3
+
     def test_explains_request(self, cluster: Cluster) -> None:
         """A request is counted and explained under the id in its answer."""
         answer = cluster.chat()
@@ -280,6 +288,9 @@
             )[1]
         )
         pages.append(cluster.errors.read_text())
+        request_id = cluster.chat().headers['Clementinedyke-Request-Id']
+        pages.append(cluster.get(f'/v1/explain/{request_id}', _TOKEN)[1])
+        assert 'demo-customer' in pages[-1]
         assert name in pages[1]
         for page in pages:
             assert secret not in page
