--- a/src/clementinedyke/configuration_component.py
+++ b/src/clementinedyke/configuration_component.py
@@ -1,18 +1,18 @@
-"""Publishes the records in force from the control cores of a daemon."""
+"""Publishes the records and endpoints that the control cores hold."""
 
 from absl import logging
 
 from clementinedyke.clock import Clock
 from clementinedyke.codes import ResultCode
 from clementinedyke.components import Component
-from clementinedyke.configuration_events import ListChanged, RecordsChanged
-from clementinedyke.daemons.component import Change, ControlComponent
+from clementinedyke.configuration_events import ListChanged
+from clementinedyke.daemons import ControlComponent, DirectorySource
+from clementinedyke.daemons.component import Change
 from clementinedyke.directory import Directory
 from clementinedyke.endpoints.registry import EndpointRegistry
-from clementinedyke.exceptions import ProtocolError, RecordError
+from clementinedyke.exceptions import ProtocolError
 from clementinedyke.http_message import RequestError
 from clementinedyke.platform_lists import PlatformList
-from clementinedyke.records import Record, parse_record
 
 
 class ConfigurationComponent(Component):
@@ -30,10 +30,8 @@
         :param endpoints: takes the platform's list of endpoints.
         :param clock: clock of this process.
         """
-        self._control = control
+        self._source = DirectorySource(control, clock)
         self._endpoints = endpoints
-        self._clock = clock
-        self._directory: Directory | None = None
         self._was_ready = False
         control.observers.append(self._observe)
 
@@ -43,54 +41,31 @@
         :raises RequestError: until the records were once as new as those of
             any peer.
         """
-        if self._directory is None or not self.is_ready():
+        if not self.is_ready():
             raise RequestError(
                 ResultCode.NOT_READY, 'no configuration was confirmed yet'
             )
-        return self._directory
+        return self._source.get_directory()
 
     def is_ready(self) -> bool:
-        """Return whether the records were once as new as those of any peer."""
-        node = self._control.node
-        if not self._was_ready and node is not None:
-            now = self._clock.get_now()
-            self._was_ready = node.configuration.is_ready(now)
+        """Return whether the records were once as new as those of any peer.
+
+        A daemon that is cut off later stays ready: it serves open routes and
+        refuses keyed requests by itself when its key state is too old.
+        """
+        self._was_ready = self._was_ready or self._source.is_ready()
         return self._was_ready
 
     def is_key_state_fresh(self) -> bool:
         """Return whether keyed requests may be accepted."""
-        node = self._control.node
-        if node is None:
-            return False
-        return node.configuration.is_key_state_fresh(self._clock.get_now())
+        return self._source.is_key_state_fresh()
 
     def _observe(self, change: Change) -> None:
-        if isinstance(change, RecordsChanged):
-            self._compile_directory(change.version)
-        elif isinstance(change, ListChanged):
-            self._update_endpoints(change)
-
-    def _update_endpoints(self, change: ListChanged) -> None:
+        if not isinstance(change, ListChanged):
+            return
         if change.place != PlatformList.ENDPOINTS:
             return
         try:
             self._endpoints.replace(change.content)
         except ProtocolError as error:
             logging.error('event=endpoint_list_ignored reason="%s"', error)
-
-    def _compile_directory(self, version: int) -> None:
-        node = self._control.node
-        if node is None:
-            return
-        records: list[Record] = []
-        feed = node.configuration.feed
-        for row in feed.records.rows.values():
-            if row.value is None:
-                continue
-            try:
-                records.append(parse_record(row.value))
-            except RecordError as error:
-                logging.error(
-                    'event=record_ignored key=%s reason="%s"', row.key, error
-                )
-        self._directory = Directory.compile(version, records)
