Share work in flight between daemons and keep room for small customers

Under a flood, trials refused a third of the other customers' requests because the flooding customer held all streams. Customers far over their share may now fill only part of the endpoints, and the engine runs their work last while others wait.

--- /dev/null
+++ b/bench/fakes.py
@@ -0,0 +1,336 @@
+"""Small fakes of engines and plain services on virtual time.
+
+The constants describe a mid-size model on one accelerator and were fixed
+before the first run: a step takes 20 ms to read the weights, 0.12 ms per
+prompt token and 0.15 ms per running stream.
+"""
+
+import heapq
+import random
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import count, islice
+from typing import Any
+
+from clementinedyke.load import LoadReport
+from clementinedyke.route_types import Role
+
+STEP_BASE = 20
+STEP_PER_PROMPT_TOKEN = 0.12
+STEP_PER_STREAM = 0.15
+MAX_STREAMS = 64
+CACHE_BLOCKS = 160
+BLOCK_TOKENS = 1000
+TRANSFER_TOKENS_PER_MS = 100
+CHANGE_TIME = 4000
+#: Prompt tokens that an engine takes into one step, by role.
+CHUNKS = {Role.PREFILL: 2048, Role.MIXED: 256, Role.DECODE: 128}
+
+
+class Timeline:
+    """Virtual time: runs calls in order of their time."""
+
+    def __init__(self) -> None:
+        """Create a timeline at 0 ms."""
+        self.now = 0
+        self._calls: list[tuple[float, int, Callable[..., None], Any]] = []
+        self._numbers = count()
+
+    def call_at(self, at: float, call: Callable[..., None], *args: Any) -> None:
+        """Run a call at a time.
+
+        :param at: time in milliseconds.
+        :param call: called with the arguments.
+        :param args: arguments of the call.
+        """
+        heapq.heappush(self._calls, (at, next(self._numbers), call, args))
+
+    def run(self, until: float) -> None:
+        """Run all calls up to a time.
+
+        :param until: time in milliseconds.
+        """
+        while self._calls and self._calls[0][0] <= until:
+            self.now, _, call, args = heapq.heappop(self._calls)
+            call(*args)
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """A request at an engine, with what the daemon wants to hear."""
+
+    prompt_tokens: int
+    hashes: tuple[int, ...]
+    output_tokens: int
+    priority: int
+    decoder: 'FakeEngine'
+    on_first: Callable[[], None]
+    on_done: Callable[[], None]
+    on_fail: Callable[[str], None]
+    remaining: int = 0
+    cancelled: bool = False
+
+
+@dataclass(slots=True)
+class CacheNews:
+    """Cache changes since the last event."""
+
+    sequence: int = 0
+    added: list[int] = field(default_factory=list)
+    removed: list[int] = field(default_factory=list)
+
+
+class PrefixMemory:
+    """Least recently used blocks of prompts."""
+
+    def __init__(self) -> None:
+        """Create an empty memory."""
+        self._blocks: OrderedDict[int, None] = OrderedDict()
+        self.news = CacheNews()
+
+    def count_hits(self, hashes: tuple[int, ...]) -> int:
+        """Return the number of leading blocks that are held."""
+        hits = 0
+        for block in hashes:
+            if block not in self._blocks:
+                break
+            self._blocks.move_to_end(block)
+            hits += 1
+        return hits
+
+    def add(self, hashes: tuple[int, ...]) -> None:
+        """Hold blocks and evict the oldest ones."""
+        for block in hashes:
+            if block not in self._blocks:
+                self.news.added.append(block)
+            self._blocks[block] = None
+            self._blocks.move_to_end(block)
+        while len(self._blocks) > CACHE_BLOCKS:
+            self.news.removed.append(self._blocks.popitem(last=False)[0])
+
+    def take_news(self) -> CacheNews:
+        """Return the changes since the last call."""
+        news = self.news
+        self.news = CacheNews(news.sequence + 1)
+        return news
+
+
+class FakeEngine:
+    """Continuous batching: one step serves prompts and all streams."""
+
+    def __init__(self, timeline: Timeline, name: str, zone: int) -> None:
+        """Create an idle engine."""
+        self.timeline = timeline
+        self.name = name
+        self.zone = zone
+        self.cheap = False
+        self.role = Role.MIXED
+        self.target: Role | None = None
+        self.is_up = True
+        self.is_leaving = False
+        self.is_changing = False
+        self.memory = PrefixMemory()
+        self.changes = 0
+        self._reset()
+
+    @property
+    def takes_work(self) -> bool:
+        """Whether a daemon that knows all would send work."""
+        blocked = self.is_leaving or self.is_changing
+        return self.is_up and self.target is None and not blocked
+
+    @property
+    def backlog(self) -> int:
+        """Prompt tokens to be processed."""
+        return sum(job.remaining for _, _, job in self._prompts)
+
+    @property
+    def stream_count(self) -> int:
+        """Requests that run or wait for a place in the batch."""
+        own = sum(1 for _, _, job in self._prompts if job.decoder is self)
+        return len(self._streams) + len(self._waiting) + own
+
+    def get_report(self) -> LoadReport:
+        """Return the load now."""
+        return LoadReport(self.stream_count, self.backlog)
+
+    def submit(self, job: Job) -> None:
+        """Take a request; a daemon learns at once if there is no engine."""
+        if not self.is_up or self.is_changing:
+            job.on_fail(self.name)
+            return
+        hits = self.memory.count_hits(job.hashes)
+        job.remaining = max(1, job.prompt_tokens - hits * BLOCK_TOKENS)
+        heapq.heappush(self._prompts, (-job.priority, next(self._order), job))
+        self._wake()
+
+    def add_stream(self, job: Job) -> None:
+        """Take over the output of a request whose prompt is processed."""
+        if not self.is_up or self.is_changing:
+            job.on_fail(self.name)
+            return
+        self._queue_stream(job)
+        self._wake()
+
+    def change_role(self, role: Role) -> None:
+        """Drain, then change the role."""
+        self.target = role
+        self._try_change()
+
+    def crash(self) -> None:
+        """Fail all work and go down."""
+        jobs = [entry[2] for entry in self._prompts]
+        jobs.extend(entry[2] for entry in self._streams)
+        jobs.extend(entry[2] for entry in self._waiting)
+        self.is_up = False
+        self.is_changing = False
+        self.target = None
+        self.memory = PrefixMemory()
+        self._reset()
+        for job in jobs:
+            job.on_fail(self.name)
+
+    def _queue_stream(self, job: Job) -> None:
+        entry = (-job.priority, next(self._order), job)
+        heapq.heappush(self._waiting, entry)
+
+    def _reset(self) -> None:
+        self._prompts: list[tuple[int, int, Job]] = []
+        self._streams: list[tuple[int, int, Job]] = []
+        self._waiting: list[tuple[int, int, Job]] = []
+        self._order = count()
+        self._step = 0
+        self._is_stepping = False
+        self._epoch = object()
+
+    def _wake(self) -> None:
+        if self._is_stepping or not self.is_up:
+            return
+        while self._waiting and len(self._streams) < MAX_STREAMS:
+            job = heapq.heappop(self._waiting)[2]
+            end = self._step + job.output_tokens - 1
+            heapq.heappush(self._streams, (end, next(self._order), job))
+        if not (self._prompts or self._streams):
+            self._try_change()
+            return
+        self._is_stepping = True
+        chunk = min(self.backlog, CHUNKS[self.role])
+        duration = STEP_BASE + chunk * STEP_PER_PROMPT_TOKEN
+        duration += len(self._streams) * STEP_PER_STREAM
+        end_at = self.timeline.now + duration
+        self.timeline.call_at(end_at, self._end_step, chunk, self._epoch)
+
+    def _end_step(self, chunk: int, epoch: object) -> None:
+        if epoch is not self._epoch:
+            return
+        self._is_stepping = False
+        self._step += 1
+        while self._streams and self._streams[0][0] <= self._step:
+            heapq.heappop(self._streams)[2].on_done()
+        self._process_prompts(chunk)
+        self._wake()
+
+    def _process_prompts(self, chunk: int) -> None:
+        while chunk > 0 and self._prompts:
+            job = self._prompts[0][2]
+            done = min(chunk, job.remaining)
+            job.remaining -= done
+            chunk -= done
+            if job.remaining == 0:
+                heapq.heappop(self._prompts)
+                self.memory.add(job.hashes)
+                self._pass_on(job)
+
+    def _pass_on(self, job: Job) -> None:
+        job.on_first()
+        decoder = job.decoder
+        if decoder is self:
+            self._queue_stream(job)
+            return
+        delay = job.prompt_tokens / TRANSFER_TOKENS_PER_MS
+        self.timeline.call_at(
+            self.timeline.now + delay, decoder.add_stream, job
+        )
+
+    def _try_change(self) -> None:
+        busy = self._prompts or self._streams or self._waiting
+        if self.target is None or busy or self.is_changing:
+            return
+        self.is_changing = True
+        self.timeline.call_at(
+            self.timeline.now + CHANGE_TIME, self._end_change, self._epoch
+        )
+
+    def _end_change(self, epoch: object) -> None:
+        if epoch is self._epoch and self.target is not None:
+            self.role = self.target
+            self.target = None
+            self.is_changing = False
+            self.changes += 1
+
+
+class FakeService:
+    """A plain service with a few workers and exponential service times."""
+
+    workers = 2
+    mean_time = 250
+
+    def __init__(
+        self, timeline: Timeline, name: str, zone: int, seed: int
+    ) -> None:
+        """Create an idle service."""
+        self.timeline = timeline
+        self.name = name
+        self.zone = zone
+        self.cheap = False
+        self.role = Role.MIXED
+        self.is_up = True
+        self.is_leaving = False
+        self.changes = 0
+        self._random = random.Random(seed)
+        self._jobs: list[Job] = []
+
+    @property
+    def takes_work(self) -> bool:
+        """Whether a daemon that knows all would send work."""
+        return self.is_up and not self.is_leaving
+
+    @property
+    def stream_count(self) -> int:
+        """Requests that run or wait."""
+        return len(self._jobs)
+
+    def get_report(self) -> LoadReport:
+        """Return the load now."""
+        return LoadReport(len(self._jobs), 0)
+
+    def submit(self, job: Job) -> None:
+        """Take a request."""
+        if not self.is_up:
+            job.on_fail(self.name)
+            return
+        self._jobs.append(job)
+        if len(self._jobs) <= self.workers:
+            self._start(job)
+
+    def crash(self) -> None:
+        """Fail all work and go down."""
+        jobs = self._jobs
+        self._jobs = []
+        self.is_up = False
+        for job in jobs:
+            job.on_fail(self.name)
+
+    def _start(self, job: Job) -> None:
+        duration = self._random.expovariate(1 / self.mean_time)
+        self.timeline.call_at(self.timeline.now + duration, self._end, job)
+
+    def _end(self, job: Job) -> None:
+        if job not in self._jobs:
+            return
+        self._jobs.remove(job)
+        job.on_first()
+        job.on_done()
+        for following in islice(self._jobs, self.workers - 1, self.workers):
+            self._start(following)
--- /dev/null
+++ b/bench/policy_planners.py
@@ -0,0 +1,255 @@
+"""Planners of the lease holder, and what it hears with a lag."""
+
+import random
+from typing import Any
+
+from clementinedyke import capacity_types, role_types, route_events
+from clementinedyke.capacity import CapacityPlanner
+from clementinedyke.roles import RolePlanner
+from clementinedyke.route_types import Role
+
+SECOND = 1000
+DEMAND_LAG = 2000
+REPORT_LAG = 1000
+ORDER_LATENCY = 120_000
+MODEL = 'model'
+CRASH_SHARE = 0.3
+
+
+class Planners:
+    """Runs the role planner and, after a reclaim, the capacity planner."""
+
+    def __init__(self, world: Any) -> None:
+        """Create the planners of a world."""
+        from bench.policy_world import PROFILE
+
+        self._world = world
+        switches = world.run.switches
+        self._roles = RolePlanner(
+            role_types.PlannerSettings(
+                profile=PROFILE,
+                change_time=8000,
+                trend_time=10_000 if switches.trend else 0,
+            )
+        )
+        self._capacity = {
+            service: build_capacity_planner(world.run.size, service)
+            for service in ('chat', 'plain')
+        }
+        self._open: set[str] = set()
+        self._ordered: list[Any] = []
+        self._random = random.Random(world.run.seed)
+
+    @staticmethod
+    def get_first_fleet(size: Any) -> dict[str, list[tuple[int, bool]]]:
+        """Return zones and price classes that the capacity planner orders."""
+        fleet = {}
+        for service in ('chat', 'plain'):
+            planner = build_capacity_planner(size, service)
+            orders = planner.handle(capacity_types.CapacityTicked(), 0)
+            fleet[service] = [get_place(order) for order in orders]
+        return fleet
+
+    def schedule(self) -> None:
+        """Start planning once a second, capacity every ten seconds."""
+        world = self._world
+        run = world.run
+        end = run.scenario.duration
+        is_active = run.policy == 'core' and run.switches.roles
+        for at in range(SECOND, end, SECOND):
+            if is_active:
+                world.timeline.call_at(at, self._plan_roles)
+            world.timeline.call_at(at, self._pass_news)
+        if run.scenario.reclaim:
+            for at in range(10_000, end, 10_000):
+                world.timeline.call_at(at, self._plan_capacity)
+
+    def note_reclaim(self, zone: int) -> None:
+        """Cheap endpoints of the zone are unavailable after a reclaim."""
+        event = capacity_types.OrderUnavailable(
+            f'zone-{zone}', capacity_types.PriceClass.CHEAP
+        )
+        for planner in self._capacity.values():
+            planner.handle(event, round(self._world.timeline.now))
+
+    def _pass_news(self) -> None:
+        """Deliver cache events and consumption to the daemons."""
+        world = self._world
+        now = world.timeline.now
+        for engine in world.get_members('chat'):
+            news = engine.memory.take_news()
+            event = route_events.CacheChanged(
+                engine.name,
+                news.sequence,
+                tuple(news.added),
+                tuple(news.removed),
+            )
+            for daemon in world.daemons:
+                if self._random.random() > 0.01:
+                    world.timeline.call_at(
+                        now + 500, daemon.router.handle, event, round(now)
+                    )
+        if world.run.switches.remote:
+            for sender in world.daemons:
+                self._tell_consumed(sender)
+
+    def _tell_consumed(self, sender: Any) -> None:
+        world = self._world
+        now = world.timeline.now
+        for message in sender.admission.take_consumed(round(now)):
+            for daemon in world.daemons:
+                if daemon is not sender:
+                    world.timeline.call_at(
+                        now + 300, daemon.admission.handle, message, round(now)
+                    )
+
+    def _plan_roles(self) -> None:
+        world = self._world
+        timeline = world.timeline
+        prompt, output = world.demand
+        world.demand = [0, 0]
+        demand = role_types.ModelDemand(MODEL, prompt, output)
+        reported = role_types.DemandReported((demand,))
+        timeline.call_at(timeline.now + DEMAND_LAG, self._deliver, reported)
+        engines = role_types.EnginesReported(
+            tuple(
+                role_types.PlannedEngine(
+                    engine.name,
+                    MODEL,
+                    1,
+                    engine.target or engine.role,
+                    get_state(engine),
+                    engine.stream_count,
+                )
+                for engine in world.get_members('chat')
+                if engine.is_up or not engine.is_leaving
+            )
+        )
+        timeline.call_at(timeline.now + REPORT_LAG, self._deliver, engines)
+        for engine_id in list(self._open):
+            engine = world.endpoints[engine_id]
+            if engine.target is None:
+                self._open.remove(engine_id)
+                ended = role_types.ChangeEnded(engine_id)
+                timeline.call_at(timeline.now + SECOND, self._deliver, ended)
+        self._deliver(role_types.PlannerTicked())
+
+    def _deliver(self, event: object) -> None:
+        timeline = self._world.timeline
+        for order in self._roles.handle(event, round(timeline.now)):
+            engine = self._world.endpoints[order.engine_id]
+            if engine.is_up and not engine.is_leaving:
+                engine.change_role(order.role)
+                self._maybe_crash(engine)
+            self._open.add(order.engine_id)
+
+    def _maybe_crash(self, engine: Any) -> None:
+        scenario = self._world.run.scenario
+        if scenario.crashes and self._random.random() < CRASH_SHARE:
+            timeline = self._world.timeline
+            timeline.call_at(timeline.now + 2000, engine.crash)
+            timeline.call_at(timeline.now + 32_000, restart, engine)
+
+    def _plan_capacity(self) -> None:
+        for service, planner in self._capacity.items():
+            self._plan_service(service, planner)
+
+    def _plan_service(self, service: str, planner: CapacityPlanner) -> None:
+        world = self._world
+        now = round(world.timeline.now)
+        held = tuple(
+            capacity_types.HeldEndpoint(
+                item.name,
+                f'zone-{item.zone}',
+                get_price_class(cheap=item.cheap),
+                capacity_types.EndpointState.LIVE,
+                0,
+            )
+            for item in world.get_members(service)
+            if item.is_up and not item.is_leaving
+        )
+        coming = tuple(
+            entry for name, entry in self._ordered if name == service
+        )
+        planner.handle(capacity_types.EndpointsHeld(held + coming), now)
+        need = get_need(world.run.size, service)
+        planner.handle(need, now)
+        orders = planner.handle(capacity_types.CapacityTicked(), now)
+        for order in orders:
+            if isinstance(order, capacity_types.OrderEndpoint):
+                self._order(service, order)
+
+    def _order(self, service: str, order: capacity_types.OrderEndpoint) -> None:
+        timeline = self._world.timeline
+        entry = (
+            service,
+            capacity_types.HeldEndpoint(
+                f'order-{timeline.now}-{len(self._ordered)}',
+                order.availability_zone,
+                order.price_class,
+                capacity_types.EndpointState.ORDERED,
+                round(timeline.now),
+            ),
+        )
+        self._ordered.append(entry)
+        at = timeline.now + ORDER_LATENCY
+        timeline.call_at(at, self._arrive, service, order, entry)
+
+    def _arrive(
+        self,
+        service: str,
+        order: capacity_types.OrderEndpoint,
+        entry: tuple[str, capacity_types.HeldEndpoint],
+    ) -> None:
+        self._ordered.remove(entry)
+        zone, cheap = get_place(order)
+        self._world.add_endpoint(service, zone, cheap=cheap)
+
+
+def build_capacity_planner(size: Any, service: str) -> CapacityPlanner:
+    """Return a planner that knows the offers and the need."""
+    planner = CapacityPlanner(capacity_types.CapacitySettings())
+    offers = tuple(
+        capacity_types.ZoneOffer(f'zone-{zone}', 1, 0.4)
+        for zone in range(size.zones)
+    )
+    planner.handle(capacity_types.OffersChanged(offers), 0)
+    planner.handle(get_need(size, service), 0)
+    return planner
+
+
+def get_need(size: Any, service: str) -> capacity_types.NeedReported:
+    """Return the need of a service: its size; bookings need half of it."""
+    if service == 'chat':
+        return capacity_types.NeedReported(size.engines, 0)
+    return capacity_types.NeedReported(size.plain, (size.plain + 1) // 2)
+
+
+def get_place(order: Any) -> tuple[int, bool]:
+    """Return the zone number of an order and whether it is cheap."""
+    zone = int(order.availability_zone.removeprefix('zone-'))
+    return zone, order.price_class is capacity_types.PriceClass.CHEAP
+
+
+def get_price_class(*, cheap: bool) -> capacity_types.PriceClass:
+    """Return the price class of an endpoint."""
+    if cheap:
+        return capacity_types.PriceClass.CHEAP
+    return capacity_types.PriceClass.STANDARD
+
+
+def get_state(engine: Any) -> role_types.EngineState:
+    """Return the state of an engine as the planner sees it."""
+    if not engine.is_up or engine.is_leaving:
+        return role_types.EngineState.DOWN
+    if engine.target is not None:
+        return role_types.EngineState.CHANGING
+    return role_types.EngineState.READY
+
+
+def restart(engine: Any) -> None:
+    """Bring a crashed engine back with the role that it had."""
+    engine.is_up = True
+
+
+__all__ = ('MODEL', 'Planners', 'Role')
--- a/src/clementinedyke/admission.py
+++ b/src/clementinedyke/admission.py
@@ -20,9 +20,11 @@
 from clementinedyke.fair_queue import QueuedRequest
 from clementinedyke.service_admission import AdmissionLimits, ServiceAdmission
 
-#: Priorities in the engine: a short request does not wait for long prompts.
-_LONG_PRIORITY = 0
-_SHORT_PRIORITY = 1
+#: Engines run a request earlier the less time it has left. Each limit in
+#: milliseconds that the time left is below adds 1 to the priority. Requests of
+#: a customer over its share come last while others wait.
+_PRIORITY_LIMITS = (500, 1000, 2000)
+_LOWEST_PRIORITY = 0
 
 
 @dataclass(slots=True)
@@ -56,10 +58,13 @@
         """Number of queued requests."""
         return len(self._queued)
 
-    def take_consumed(self) -> list[RemoteConsumed]:
-        """Return what to tell the other daemons since the last call."""
+    def take_consumed(self, now: Milliseconds) -> list[RemoteConsumed]:
+        """Return what to tell the other daemons since the last call.
+
+        :param now: current time.
+        """
         messages = [
-            RemoteConsumed(name, service.take_consumed())
+            RemoteConsumed(name, service.take_consumed(now))
             for name, service in self._services.items()
         ]
         return [message for message in messages if message.consumed]
@@ -80,7 +85,7 @@
     ) -> list[AdmissionAction]:
         self._weights = {item.customer: item.weight for item in event.weights}
         for service in self._services.values():
-            service.queue.set_weights(self._weights)
+            service.set_weights(self._weights)
         return []
 
     @handle.register
@@ -110,7 +115,7 @@
         if started is None or not started.has_prompt:
             return []
         started.has_prompt = False
-        started.service.end_prompt(started.request)
+        started.service.running.end_prompt(started.request.prompt_tokens)
         return self._advance(started.service, now)
 
     @handle.register
@@ -123,8 +128,8 @@
         service = started.service
         request = started.request
         if started.has_prompt:
-            service.end_prompt(request)
-        service.end_stream()
+            service.running.end_prompt(request.prompt_tokens)
+        service.running.end_stream()
         if event.cost is not None:
             service.queue.adjust(request.customer, event.cost - request.cost)
             service.count_tokens(request.customer, event.cost - request.cost)
@@ -145,16 +150,16 @@
         self, event: RoomReported, now: Milliseconds
     ) -> list[AdmissionAction]:
         service = self._get_service(event.service)
-        service.set_room(event.streams, event.prompt_tokens)
+        service.running.set_room(event.room, event.excess_room)
         return self._advance(service, now)
 
     @handle.register
     def _handle_remote(
         self, event: RemoteConsumed, now: Milliseconds
     ) -> list[AdmissionAction]:
-        queue = self._get_service(event.service).queue
+        service = self._get_service(event.service)
         for item in event.consumed:
-            queue.consume(item.customer, item.tokens)
+            service.consume(item.customer, item.tokens, now)
         return []
 
     @handle.register
@@ -178,14 +183,20 @@
                 return actions
             self._queued.pop(request.request_id)
             self._started[request.request_id] = _Started(service, request)
-            is_short = request.prompt_tokens <= self._limits.short_prompt
-            priority = _SHORT_PRIORITY if is_short else _LONG_PRIORITY
+            priority = _get_priority(request.start_by - now)
+            if service.is_over_share(request.customer, now):
+                priority = _LOWEST_PRIORITY
             actions.append(StartRequest(request.request_id, priority))
 
     def _get_service(self, name: str) -> ServiceAdmission:
         service = self._services.get(name)
         if service is None:
             service = ServiceAdmission(self._limits)
-            service.queue.set_weights(self._weights)
+            service.set_weights(self._weights)
             self._services[name] = service
         return service
+
+
+def _get_priority(time_left: Milliseconds) -> int:
+    urgency = sum(1 for limit in _PRIORITY_LIMITS if time_left < limit)
+    return _LOWEST_PRIORITY + 1 + urgency
--- a/src/clementinedyke/admission_events.py
+++ b/src/clementinedyke/admission_events.py
@@ -5,6 +5,7 @@
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.codes import ResultCode
+from clementinedyke.route_types import Room
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,11 +63,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RoomReported:
-    """Work beyond its own in flight that this daemon may start now."""
+    """Work beyond its own in flight that this daemon may start now.
+
+    ``excess_room`` is what customers over their share may start. It is less
+    than ``room``, so that other customers find room at every daemon.
+    """
 
     service: str
-    streams: float
-    prompt_tokens: float
+    room: Room
+    excess_room: Room
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/endpoint_table.py
+++ b/src/clementinedyke/endpoint_table.py
@@ -2,15 +2,17 @@
 
 from collections.abc import Iterable
 
+from clementinedyke.clock import Milliseconds
 from clementinedyke.health import HealthLimits, HealthTable
-from clementinedyke.load import LoadEstimate
-from clementinedyke.route_types import RoutedEndpoint
+from clementinedyke.load import Load, LoadEstimate
+from clementinedyke.peer_work import EndpointWork, PeerWork
+from clementinedyke.route_types import Role, Room, RoutedEndpoint
 
 
 class ServiceState:
     """Endpoints of one service."""
 
-    __slots__ = ('endpoints', 'health', 'loads')
+    __slots__ = ('endpoints', 'health', 'loads', 'peers')
 
     def __init__(self, limits: HealthLimits) -> None:
         """Create a service without endpoints.
@@ -20,6 +22,7 @@
         self.endpoints: dict[str, RoutedEndpoint] = {}
         self.health = HealthTable(limits)
         self.loads: dict[str, LoadEstimate] = {}
+        self.peers = PeerWork()
 
     def add(self, endpoint: RoutedEndpoint) -> None:
         """Add an endpoint or take its new description.
@@ -41,6 +44,51 @@
         self.health.remove(endpoint_id)
         self.loads.pop(endpoint_id)
 
+    def get_load(self, endpoint_id: str, now: Milliseconds) -> Load:
+        """Return the estimated load of an endpoint.
+
+        :param endpoint_id: endpoint that was added.
+        :param now: current time.
+        """
+        estimate = self.loads[endpoint_id]
+        others = self.peers.get_load(endpoint_id, now)
+        if others is None:
+            return estimate.get_load(now)
+        return Load(
+            estimate.own_streams + others.streams,
+            estimate.own_prompt_tokens + others.prompt_tokens,
+        )
+
+    def get_room(self, now: Milliseconds, share: float) -> Room:
+        """Return the work that the endpoints can take beyond their load.
+
+        :param now: current time.
+        :param share: part of the endpoints' limits that may be used.
+        """
+        streams = float(0)
+        prompt_tokens = float(0)
+        for endpoint in self.endpoints.values():
+            if endpoint.leaving:
+                continue
+            load = self.get_load(endpoint.endpoint_id, now)
+            if endpoint.role is not Role.PREFILL:
+                room = share * endpoint.max_streams - load.streams
+                streams += max(0, room)
+            if endpoint.role is not Role.DECODE:
+                room = share * endpoint.max_prompt_tokens - load.prompt_tokens
+                prompt_tokens += max(0, room)
+        return Room(streams, prompt_tokens)
+
+    def get_own_work(self) -> tuple[EndpointWork, ...]:
+        """Return this daemon's work at the endpoints that have any."""
+        return tuple(
+            EndpointWork(
+                endpoint_id, estimate.own_streams, estimate.own_prompt_tokens
+            )
+            for endpoint_id, estimate in self.loads.items()
+            if estimate.own_streams or estimate.own_prompt_tokens
+        )
+
 
 class EndpointTable:
     """All endpoints that the platform lists."""
--- a/src/clementinedyke/fair_queue.py
+++ b/src/clementinedyke/fair_queue.py
@@ -1,7 +1,7 @@
 """Start-time fair queueing of requests over customers, in tokens."""
 
 import heapq
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from clementinedyke.clock import Milliseconds
@@ -100,9 +100,18 @@
         flow.queued += request.cost
         self._requests[request.request_id] = request
 
-    def pop(self) -> QueuedRequest | None:
-        """Remove and return the next request, None if there is none."""
-        waiting = [flow for flow in self._flows.values() if flow.heap]
+    def pop(
+        self, may_start: Callable[[str], bool] | None = None
+    ) -> QueuedRequest | None:
+        """Remove and return the next request, None if there is none.
+
+        :param may_start: tells which customers are considered.
+        """
+        waiting = [
+            flow
+            for customer, flow in self._flows.items()
+            if flow.heap and (may_start is None or may_start(customer))
+        ]
         if not waiting:
             return None
         flow = min(waiting, key=_get_flow_time)
--- /dev/null
+++ b/src/clementinedyke/rate_meter.py
@@ -0,0 +1,110 @@
+"""Rates of consumption, and who consumes more than its share."""
+
+import math
+from collections.abc import Mapping
+
+from clementinedyke.clock import Milliseconds
+
+_MILLISECONDS_PER_SECOND = 1000
+#: A customer is over its share above this multiple of the mean share. A few
+#: customers are larger than others in ordinary times; they stay below it.
+_EXCESS_FACTOR = 2.5
+
+
+class RateMeter:
+    """Exponentially weighted rate in tokens/s."""
+
+    def __init__(self, window: Milliseconds) -> None:
+        """Create a meter at 0 tokens/s.
+
+        :param window: time constant of the average.
+        """
+        self._window = window
+        self._tokens = float(0)
+        self._updated: Milliseconds = 0
+
+    def add(self, tokens: float, now: Milliseconds) -> None:
+        """Count tokens.
+
+        :param tokens: tokens that were consumed.
+        :param now: current time.
+        """
+        self._tokens = self._get_decayed(now) + tokens
+        self._updated = now
+
+    def get_rate(self, now: Milliseconds) -> float:
+        """Return the rate in tokens/s.
+
+        :param now: current time.
+        """
+        scale = _MILLISECONDS_PER_SECOND / self._window
+        return self._get_decayed(now) * scale
+
+    def _get_decayed(self, now: Milliseconds) -> float:
+        age = max(0, now - self._updated)
+        return self._tokens * math.exp(-age / self._window)
+
+
+class ShareMeter:
+    """Compares the consumption of each customer with the mean by weight."""
+
+    def __init__(self, window: Milliseconds) -> None:
+        """Create a meter without customers.
+
+        :param window: time constant of the averages.
+        """
+        self._window = window
+        self._total = RateMeter(window)
+        self._meters: dict[str, RateMeter] = {}
+        self._weights: Mapping[str, float] = {}
+
+    def set_weights(self, weights: Mapping[str, float]) -> None:
+        """Take the weights of customers; others have weight 1.
+
+        :param weights: positive weight per customer.
+        """
+        self._weights = weights
+
+    def add(self, customer: str, tokens: float, now: Milliseconds) -> None:
+        """Count tokens of a customer, here or at another daemon.
+
+        :param customer: any customer.
+        :param tokens: tokens that it consumed.
+        :param now: current time.
+        """
+        meter = self._meters.get(customer)
+        if meter is None:
+            meter = RateMeter(self._window)
+            self._meters[customer] = meter
+        meter.add(tokens, now)
+        self._total.add(tokens, now)
+
+    def is_over_share(self, customer: str, now: Milliseconds) -> bool:
+        """Return whether a customer consumes far more than its share.
+
+        :param customer: any customer.
+        :param now: current time.
+        """
+        meter = self._meters.get(customer)
+        if meter is None:
+            return False
+        weight = self._get_weight(customer)
+        active = sum(map(self._get_weight, self._meters))
+        mean = self._total.get_rate(now) / active
+        return meter.get_rate(now) / weight > _EXCESS_FACTOR * mean
+
+    def drop_idle(self, now: Milliseconds) -> None:
+        """Forget customers that have not consumed lately.
+
+        :param now: current time.
+        """
+        idle = [
+            customer
+            for customer, meter in self._meters.items()
+            if meter.get_rate(now) < 1
+        ]
+        for customer in idle:
+            self._meters.pop(customer)
+
+    def _get_weight(self, customer: str) -> float:
+        return self._weights.get(customer, 1)
--- a/src/clementinedyke/route_events.py
+++ b/src/clementinedyke/route_events.py
@@ -4,6 +4,7 @@
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.load import LoadReport
+from clementinedyke.peer_work import EndpointWork
 from clementinedyke.route_types import Choice, RoutedEndpoint, RouteRequest
 
 
@@ -23,6 +24,15 @@
     lag: Milliseconds = 0
 
 
+@dataclass(frozen=True, slots=True)
+class PeerReported:
+    """Work of another daemon in flight at the endpoints of a service."""
+
+    peer: str
+    service: str
+    work: tuple[EndpointWork, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class CacheChanged:
     """A cache event; sequence numbers of an endpoint rise by one."""
--- a/src/clementinedyke/router.py
+++ b/src/clementinedyke/router.py
@@ -6,6 +6,7 @@
 from clementinedyke.clock import Milliseconds
 from clementinedyke.endpoint_table import EndpointTable
 from clementinedyke.in_flight import InFlightTable
+from clementinedyke.peer_work import EndpointWork
 from clementinedyke.prefix_index import CacheView
 from clementinedyke.route_events import (
     CacheChanged,
@@ -13,6 +14,7 @@
     EndpointsChanged,
     FirstTokenReceived,
     LoadReported,
+    PeerReported,
     RequestCancelled,
     RequestFailed,
     RequestFinished,
@@ -21,7 +23,6 @@
 from clementinedyke.route_types import (
     NoChoice,
     NoChoiceReason,
-    Role,
     Room,
     RouteRequest,
     RouteResult,
@@ -50,33 +51,25 @@
         """Number of requests that were started and did not end."""
         return len(self._in_flight)
 
-    def get_own_streams(self, endpoint_id: str) -> int:
-        """Return the number of own requests at an endpoint.
+    def get_own_work(self, service: str) -> tuple[EndpointWork, ...]:
+        """Return the work in flight to tell the other daemons of.
 
-        :param endpoint_id: endpoint that may be unknown.
+        :param service: name of the service.
         """
-        state = self._table.get_owner(endpoint_id)
-        return state.loads[endpoint_id].own_streams if state else 0
+        state = self._table.get_service(service)
+        return () if state is None else state.get_own_work()
 
-    def get_room(self, service: str, now: Milliseconds) -> Room:
+    def get_room(
+        self, service: str, now: Milliseconds, share: float = 1
+    ) -> Room:
         """Return the work that a service can take now, for all daemons.
 
         :param service: name of the service.
         :param now: current time.
+        :param share: part of the endpoints' limits that may be used.
         """
-        streams = float(0)
-        prompt_tokens = float(0)
         state = self._table.get_service(service)
-        for endpoint in state.endpoints.values() if state else ():
-            if state is None or endpoint.leaving:
-                continue
-            load = state.loads[endpoint.endpoint_id].get_load(now)
-            if endpoint.role is not Role.PREFILL:
-                streams += max(0, endpoint.max_streams - load.streams)
-            if endpoint.role is not Role.DECODE:
-                room = endpoint.max_prompt_tokens - load.prompt_tokens
-                prompt_tokens += max(0, room)
-        return Room(streams, prompt_tokens)
+        return Room(0, 0) if state is None else state.get_room(now, share)
 
     def select_endpoint(
         self, request: RouteRequest, now: Milliseconds
@@ -124,6 +117,15 @@
             estimate.apply_report(event.report, now - event.lag)
         return []
 
+    @handle.register
+    def _handle_peer(
+        self, event: PeerReported, now: Milliseconds
+    ) -> list[object]:
+        state = self._table.get_service(event.service)
+        if state is not None:
+            state.peers.apply(event.peer, event.work, now)
+        return []
+
     @handle.register
     def _handle_cache(
         self, event: CacheChanged, now: Milliseconds
@@ -180,23 +182,15 @@
         return []
 
     @handle.register
-    def _handle_failed(
-        self, event: RequestFailed, now: Milliseconds
+    def _handle_broken(
+        self, event: RequestFailed | RequestCancelled, now: Milliseconds
     ) -> list[object]:
         entry = self._in_flight.end(event.request_id, now)
         state = self._table.get_service(entry.service) if entry else None
-        if entry is not None and state is not None:
+        if entry is None or state is None:
+            return []
+        if isinstance(event, RequestFailed):
             failed = event.endpoint_id
             state.health.record_failure(failed, event.request_id, now)
-            state.health.release_probe(entry.endpoint_ids, event.request_id)
-        return []
-
-    @handle.register
-    def _handle_cancelled(
-        self, event: RequestCancelled, now: Milliseconds
-    ) -> list[object]:
-        entry = self._in_flight.end(event.request_id, now)
-        state = self._table.get_service(entry.service) if entry else None
-        if entry is not None and state is not None:
-            state.health.release_probe(entry.endpoint_ids, event.request_id)
+        state.health.release_probe(entry.endpoint_ids, event.request_id)
         return []
--- a/src/clementinedyke/selection.py
+++ b/src/clementinedyke/selection.py
@@ -120,7 +120,7 @@
     ) -> Candidate:
         settings = self._settings
         endpoint_id = endpoint.endpoint_id
-        load = state.loads[endpoint_id].get_load(now)
+        load = state.get_load(endpoint_id, now)
         health = state.health.get_health(endpoint_id)
         common = health.failures * settings.failure_cost
         if endpoint.availability_zone != settings.availability_zone:
--- a/src/clementinedyke/service_admission.py
+++ b/src/clementinedyke/service_admission.py
@@ -1,7 +1,8 @@
 """Queue, room and refusals of one service."""
 
-import math
+from collections.abc import Mapping
 from dataclasses import dataclass
+from functools import partial
 
 from clementinedyke.admission_events import (
     AdmissionAction,
@@ -11,6 +12,8 @@
 from clementinedyke.clock import Milliseconds
 from clementinedyke.codes import ResultCode
 from clementinedyke.fair_queue import FairQueue, QueuedRequest
+from clementinedyke.rate_meter import RateMeter, ShareMeter
+from clementinedyke.running_work import RunningWork
 
 _MILLISECONDS_PER_SECOND = 1000
 
@@ -19,42 +22,22 @@
 class AdmissionLimits:
     """Limits of admission; sizes in tokens, times in milliseconds.
 
-    ``short_prompt`` is the longest prompt that counts as short. ``max_lead``
+    ``max_lead``
     is described in :class:`clementinedyke.fair_queue.FairQueue`.
-    ``rate_window`` is the time over which the start rate is averaged.
+    ``rate_window`` is the time over which the start rate is averaged,
+    ``share_window`` that over which the shares of customers are compared.
     """
 
     max_queued_requests: int = 64
     max_queued_tokens: int = 400_000
     max_total_requests: int = 512
-    short_prompt: int = 1500
     max_lead: float = 100_000
     rate_window: Milliseconds = 4000
+    share_window: Milliseconds = 10_000
     min_retry_after: Milliseconds = 1000
     max_retry_after: Milliseconds = 30_000
 
 
-class _RateMeter:
-    """Exponentially weighted rate in tokens/s."""
-
-    def __init__(self, window: Milliseconds) -> None:
-        self._window = window
-        self._tokens = float(0)
-        self._updated: Milliseconds = 0
-
-    def add(self, tokens: float, now: Milliseconds) -> None:
-        self._tokens = self._get_decayed(now) + tokens
-        self._updated = now
-
-    def get_rate(self, now: Milliseconds) -> float:
-        scale = _MILLISECONDS_PER_SECOND / self._window
-        return self._get_decayed(now) * scale
-
-    def _get_decayed(self, now: Milliseconds) -> float:
-        age = max(0, now - self._updated)
-        return self._tokens * math.exp(-age / self._window)
-
-
 class ServiceAdmission:
     """Queue and running work of one service at this daemon."""
 
@@ -64,22 +47,19 @@
         :param limits: limits of admission.
         """
         self._limits = limits
-        self._meter = _RateMeter(limits.rate_window)
-        self._max_streams = math.inf
-        self._max_prompt_tokens = math.inf
-        self._streams = 0
-        self._prompt_tokens = 0
+        self._meter = RateMeter(limits.rate_window)
+        self._shares = ShareMeter(limits.share_window)
         self._consumed: dict[str, float] = {}
         self.queue = FairQueue(limits.max_lead)
+        self.running = RunningWork()
 
-    def set_room(self, streams: float, prompt_tokens: float) -> None:
-        """Take the work that may start beyond the running work.
+    def set_weights(self, weights: Mapping[str, float]) -> None:
+        """Take the weights of customers; others have weight 1.
 
-        :param streams: requests.
-        :param prompt_tokens: tokens of prompts.
+        :param weights: positive weight per customer.
         """
-        self._max_streams = self._streams + streams
-        self._max_prompt_tokens = self._prompt_tokens + prompt_tokens
+        self.queue.set_weights(weights)
+        self._shares.set_weights(weights)
 
     def check(
         self, request: QueuedRequest, now: Milliseconds
@@ -124,30 +104,15 @@
 
         :param now: current time.
         """
-        if self._streams >= self._max_streams:
-            return None
-        if self._prompt_tokens >= self._max_prompt_tokens:
-            return None
-        request = self.queue.pop()
+        request = self.queue.pop(partial(self._may_start, now=now))
         if request is None:
             return None
-        self._streams += 1
-        self._prompt_tokens += request.prompt_tokens
+        self.running.start(request.prompt_tokens)
         self._meter.add(request.cost, now)
+        self._shares.add(request.customer, request.cost, now)
         self.count_tokens(request.customer, request.cost)
         return request
 
-    def end_prompt(self, request: QueuedRequest) -> None:
-        """Give back the prompt tokens of a started request.
-
-        :param request: request whose prompt is processed.
-        """
-        self._prompt_tokens -= request.prompt_tokens
-
-    def end_stream(self) -> None:
-        """Give back the stream of a started request."""
-        self._streams -= 1
-
     def count_tokens(self, customer: str, tokens: float) -> None:
         """Count tokens that other daemons have to be told of.
 
@@ -156,8 +121,31 @@
         """
         self._consumed[customer] = self._consumed.get(customer, 0) + tokens
 
-    def take_consumed(self) -> tuple[CustomerTokens, ...]:
-        """Return the consumption since the last call."""
+    def is_over_share(self, customer: str, now: Milliseconds) -> bool:
+        """Return whether work waits while a customer has had too much.
+
+        :param customer: customer of a request that starts.
+        :param now: current time.
+        """
+        if not len(self.queue):
+            return False
+        return self._shares.is_over_share(customer, now)
+
+    def consume(self, customer: str, tokens: float, now: Milliseconds) -> None:
+        """Count tokens that a customer consumed at another daemon.
+
+        :param customer: any customer.
+        :param tokens: tokens since the last message.
+        :param now: current time.
+        """
+        self.queue.consume(customer, tokens)
+        self._shares.add(customer, tokens, now)
+
+    def take_consumed(self, now: Milliseconds) -> tuple[CustomerTokens, ...]:
+        """Return the consumption since the last call.
+
+        :param now: current time.
+        """
         consumed = tuple(
             CustomerTokens(customer, tokens)
             for customer, tokens in self._consumed.items()
@@ -165,6 +153,7 @@
         )
         self._consumed.clear()
         self.queue.drop_idle()
+        self._shares.drop_idle(now)
         return consumed
 
     def _get_wait(
@@ -172,10 +161,20 @@
     ) -> Milliseconds:
         rate = self._meter.get_rate(now)
         ahead = self.queue.get_work_ahead(request)
+        if not self._may_start(request.customer, now):
+            # Room for the request itself has to become free as well.
+            ahead += request.cost
         if not ahead or not rate:
             return 0
         return round(ahead * _MILLISECONDS_PER_SECOND / rate)
 
+    def _may_start(self, customer: str, now: Milliseconds) -> bool:
+        if self.running.has_excess_room:
+            return True
+        if not self.running.has_room:
+            return False
+        return not self._shares.is_over_share(customer, now)
+
     def _refuse(
         self, request: QueuedRequest, code: ResultCode, wait: Milliseconds
     ) -> RefuseRequest:
