Keep routing cost and memory independent of the work in flight

A request in flight held all scored candidates, 3.9 KB with 25 endpoints, and each look at a load summed all changes since its report: 445 µs per request with 100 in flight, 1,008 µs with 2,000 and no new report. The candidates are dropped at the start, and sums of the changes are kept.

--- a/src/clementinedyke/in_flight.py
+++ b/src/clementinedyke/in_flight.py
@@ -1,6 +1,6 @@
 """Requests that this daemon has dispatched and that did not end."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.load import LoadEstimate
@@ -60,7 +60,8 @@
         decode_id = choice.decode_endpoint_id or choice.endpoint_id
         entry = InFlightRequest(
             service=request.service,
-            choice=choice,
+            # The candidates of a choice are for ``explain`` only.
+            choice=replace(choice, candidates=()),
             prefill_load=loads.get(choice.endpoint_id, LoadEstimate()),
             decode_load=loads.get(decode_id, LoadEstimate()),
             started=now,
--- a/src/clementinedyke/load.py
+++ b/src/clementinedyke/load.py
@@ -44,6 +44,8 @@
 
     __slots__ = (
         '_backlog',
+        '_changed_prompt_tokens',
+        '_changed_streams',
         '_changes',
         '_measured_at',
         '_report',
@@ -59,6 +61,8 @@
         self._measured_at: Milliseconds = 0
         self._backlog = float(0)
         self._changes: deque[_OwnChange] = deque()
+        self._changed_streams = 0
+        self._changed_prompt_tokens = 0
 
     def apply_report(
         self, report: LoadReport, measured_at: Milliseconds
@@ -78,7 +82,9 @@
         self._report = report
         self._measured_at = measured_at
         while self._changes and self._changes[0].at <= measured_at:
-            self._changes.popleft()
+            change = self._changes.popleft()
+            self._changed_streams -= change.streams
+            self._changed_prompt_tokens -= change.prompt_tokens
 
     def apply_own(
         self, streams: int, prompt_tokens: int, now: Milliseconds
@@ -93,8 +99,12 @@
         self.own_prompt_tokens += prompt_tokens
         if self._is_stale(now):
             self._changes.clear()
+            self._changed_streams = 0
+            self._changed_prompt_tokens = 0
             return
         self._changes.append(_OwnChange(now, streams, prompt_tokens))
+        self._changed_streams += streams
+        self._changed_prompt_tokens += prompt_tokens
 
     def get_load(self, now: Milliseconds) -> Load:
         """Return the estimated load, never below this daemon's own work.
@@ -104,11 +114,8 @@
         report = self._report
         if report is None or self._is_stale(now):
             return Load(self.own_streams, self.own_prompt_tokens)
-        streams = report.streams
-        prompt_tokens = self._backlog
-        for change in self._changes:
-            streams += change.streams
-            prompt_tokens += change.prompt_tokens
+        streams = report.streams + self._changed_streams
+        prompt_tokens = self._backlog + self._changed_prompt_tokens
         return Load(
             max(streams, self.own_streams),
             max(prompt_tokens, self.own_prompt_tokens),
