--- a/src/clementinedyke/admission_component.py
+++ b/src/clementinedyke/admission_component.py
@@ -10,6 +10,7 @@
 from clementinedyke.admission import AdmissionCore
 from clementinedyke.callers.context import RequestContext
 from clementinedyke.clock import Clock, Milliseconds
+from clementinedyke.codes import ResultCode
 from clementinedyke.components import Component
 from clementinedyke.directory import Directory
 from clementinedyke.http_message import RequestError
@@ -18,10 +19,13 @@
 
 #: Time to the start of a request whose service record sets no deadline.
 _DEFAULT_DEADLINE: Milliseconds = 10000
+_NO_ENDPOINT_RETRY_AFTER: Milliseconds = 5000
 _TICK_INTERVAL: Milliseconds = 50
 _MILLISECONDS_PER_SECOND = 1000
 #: Work of an output token in prompt tokens: decoding is so much slower.
 _OUTPUT_COST = 4
+#: Part of the endpoints' limits that customers over their share may use.
+_EXCESS_SHARE = 0.5
 
 
 @dataclass(slots=True)
@@ -96,14 +100,21 @@
             self._feed_end(context)
 
     async def _wait(self, context: RequestContext, waiter: _Waiter) -> None:
-        self._report_room(context.route.service.name)
+        service = context.route.service.name
+        if not self._router.has_endpoints(service):
+            raise RequestError(
+                ResultCode.NO_ENDPOINT,
+                f'service {service!r} has no endpoint',
+                _NO_ENDPOINT_RETRY_AFTER,
+            )
+        self._report_room(service)
         self._feed(self._compile_arrival(context))
         await waiter.decided.wait()
         refusal = waiter.refusal
         if refusal is not None:
             raise RequestError(
                 refusal.code,
-                f'service {context.route.service.name!r} is overloaded',
+                f'service {service!r} is overloaded',
                 refusal.retry_after,
             )
         now = self._clock.get_now()
@@ -151,13 +162,15 @@
 
     def _report_room(self, service: str) -> None:
         self._services.add(service)
-        room = self._router.get_room(service, self._clock.get_now())
+        now = self._clock.get_now()
+        room = self._router.get_room(service, now)
+        excess_room = self._router.get_room(service, now, _EXCESS_SHARE)
         # Daemons do not know who else has work; twice an equal part lets one
         # with more work use what the others leave.
         share = min(1, 2 / max(1, self._count_daemons()))
         self._feed(
             admission_events.RoomReported(
-                service, room.streams * share, room.prompt_tokens * share
+                service, room.scale(share), excess_room.scale(share)
             )
         )
 
--- a/src/clementinedyke/route_types.py
+++ b/src/clementinedyke/route_types.py
@@ -128,3 +128,10 @@
 
     streams: float
     prompt_tokens: float
+
+    def scale(self, share: float) -> 'Room':
+        """Return a part of the room.
+
+        :param share: part from 0 to 1.
+        """
+        return Room(self.streams * share, self.prompt_tokens * share)
--- a/src/clementinedyke/router.py
+++ b/src/clementinedyke/router.py
@@ -71,6 +71,16 @@
         state = self._table.get_service(service)
         return Room(0, 0) if state is None else state.get_room(now, share)
 
+    def has_endpoints(self, service: str) -> bool:
+        """Tell whether an endpoint that is not leaving is known.
+
+        :param service: name of the service.
+        """
+        state = self._table.get_service(service)
+        return state is not None and any(
+            not endpoint.leaving for endpoint in state.endpoints.values()
+        )
+
     def select_endpoint(
         self, request: RouteRequest, now: Milliseconds
     ) -> RouteResult:
