--- a/src/clementinedyke/__init__.py
+++ b/src/clementinedyke/__init__.py
@@ -1,14 +1,57 @@
-"""Serving system for a limited fleet of model engines and plain services."""
+"""Serving system for a limited fleet of model engines and plain services.
 
+The decision cores re-exported here can be embedded in other programs: each
+takes typed events and the time, and returns typed actions.
+"""
+
+from clementinedyke.admission import AdmissionCore
+from clementinedyke.application import Application
+from clementinedyke.capacity import CapacityPlanner
+from clementinedyke.claim import ClaimCore, ClaimSettings
+from clementinedyke.claim_messages import ClaimRequested
 from clementinedyke.clock import Clock, ManualClock, MonotonicClock
+from clementinedyke.closing import CloserCore
 from clementinedyke.codes import ExecutionState, ResultCode
+from clementinedyke.components import Component
+from clementinedyke.configuration import ConfigurationCore
 from clementinedyke.exceptions import ClementinedykeError
+from clementinedyke.lease import LeaseCore
+from clementinedyke.membership import Membership
+from clementinedyke.outbox import OutboxCore
+from clementinedyke.quarantine import QuarantineCore, QuarantineSettings
+from clementinedyke.retry import RetryCore, RetryLimits
+from clementinedyke.roles import RolePlanner
+from clementinedyke.router import RouterCore
+from clementinedyke.selection import RouterSettings
+from clementinedyke.service_admission import AdmissionLimits
+from clementinedyke.usage import PartCore
 
 __all__ = (
+    'AdmissionCore',
+    'AdmissionLimits',
+    'Application',
+    'CapacityPlanner',
+    'ClaimCore',
+    'ClaimRequested',
+    'ClaimSettings',
     'ClementinedykeError',
     'Clock',
+    'CloserCore',
+    'Component',
+    'ConfigurationCore',
     'ExecutionState',
+    'LeaseCore',
     'ManualClock',
+    'Membership',
     'MonotonicClock',
+    'OutboxCore',
+    'PartCore',
+    'QuarantineCore',
+    'QuarantineSettings',
     'ResultCode',
+    'RetryCore',
+    'RetryLimits',
+    'RolePlanner',
+    'RouterCore',
+    'RouterSettings',
 )
--- /dev/null
+++ b/tests/test_library.py
@@ -0,0 +1,85 @@
+"""Tests of what other programs embed."""
+
+import ast
+import inspect
+import sys
+
+import pytest
+
+import clementinedyke as library
+from clementinedyke.claim_messages import CommitBatch
+
+_SHELL = frozenset(('trio', 'trio_asyncio', 'time', 'os', 'socket', 'asyncio'))
+_CORES = (
+    'AdmissionCore',
+    'CapacityPlanner',
+    'ClaimCore',
+    'CloserCore',
+    'ConfigurationCore',
+    'LeaseCore',
+    'Membership',
+    'OutboxCore',
+    'PartCore',
+    'QuarantineCore',
+    'RetryCore',
+    'RolePlanner',
+    'RouterCore',
+)
+
+
+def list_from(node: ast.ImportFrom) -> set[str]:
+    """Return the modules of a ``from`` import."""
+    names = {alias.name for alias in node.names}
+    if node.module == 'clementinedyke':
+        return {f'clementinedyke.{name}' for name in names}
+    if node.module == 'clementinedyke.clock' and names == {'Milliseconds'}:
+        return set()  # The unit alone reads no clock.
+    return {str(node.module)}
+
+
+def list_imports(module: str) -> set[str]:
+    """Return the modules that a module of the package imports."""
+    tree = ast.parse(inspect.getsource(sys.modules[module]))
+    names: set[str] = set()
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Import):
+            names.update(alias.name for alias in node.names)
+        if isinstance(node, ast.ImportFrom) and node.module:
+            names.update(list_from(node))
+    return names
+
+
+def list_all_imports(module: str) -> set[str]:
+    """Return what a module imports, through the package, transitively."""
+    seen: set[str] = set()
+    waiting = [module]
+    while waiting:
+        name = waiting.pop()
+        for imported in list_imports(name) - seen:
+            seen.add(imported)
+            if imported.startswith('clementinedyke.'):
+                waiting.append(imported)
+    return seen
+
+
+class TestCores:
+    """Guards against I/O, clocks or threads inside of a decision core."""
+
+    @pytest.mark.parametrize('name', _CORES)
+    def test_imports_no_io(self, name: str) -> None:
+        """A core that reads a clock or a socket cannot be replayed."""
+        module = getattr(library, name).__module__
+        roots = {item.partition('.')[0] for item in list_all_imports(module)}
+        assert not roots & _SHELL
+
+
+class TestReadme:
+    """Guards against an example that no longer runs."""
+
+    def test_library_example(self) -> None:
+        """The first action on a claim is a commit."""
+        core = library.ClaimCore(library.ClaimSettings(), now=0)
+        event = library.ClaimRequested(
+            'request-1', key='booking-17', digest='d', nonce='n'
+        )
+        assert isinstance(core.handle(event, now=5)[0], CommitBatch)
