Keep large answers of claims in the object store

A batch holds up to 100 rows, so an answer body over 16 KiB is stored as an object before its row is written; a row whose answer cannot be stored is not written.

--- a/src/clementinedyke/claim_component.py
+++ b/src/clementinedyke/claim_component.py
@@ -1,27 +1,21 @@
 """Runs the claim core of a daemon against the table service."""
 
-import base64
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
 
-import msgspec
 import trio
 
 from clementinedyke import claim_messages as msg
 from clementinedyke.claim import ClaimCore, ClaimSettings
+from clementinedyke.claim_store import ClaimStore
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.codes import ResultCode
 from clementinedyke.components import Component
-from clementinedyke.platform.tables import (
-    Condition,
-    Conflict,
-    TableClient,
-    TableFailure,
-    Write,
-)
-
-CLAIMS_TABLE = 'claims'
+from clementinedyke.http_client import HttpClient
+from clementinedyke.platform.objects import ObjectClient
+from clementinedyke.platform.tables import TableClient
+
 _TICK_INTERVAL: Milliseconds = 50
 _MILLISECONDS_PER_SECOND = 1000
 #: Longest wait for claims in progress when the daemon stops.
@@ -50,19 +44,6 @@
     message: str = ''
 
 
-class _WireAnswer(msgspec.Struct):
-    status: int
-    headers: list[tuple[str, str]]
-    body: str
-
-
-class _WireRow(msgspec.Struct):
-    digest: str
-    nonce: str
-    state: str
-    answer: _WireAnswer | None = None
-
-
 @dataclass(slots=True, eq=False)
 class _Waiter:
     dispatch: Dispatcher
@@ -75,20 +56,30 @@
     """Owns the claim core and its calls to the table service."""
 
     def __init__(
-        self, tables: TableClient, clock: Clock, settings: ClaimSettings
+        self, store: ClaimStore, clock: Clock, settings: ClaimSettings
     ) -> None:
         """Create the component.
 
-        :param tables: client of the table service.
+        :param store: rows and answers on the platform.
         :param clock: clock of this process.
         :param settings: bounds of the core.
         """
-        self._tables = tables
+        self._store = store
         self._clock = clock
         self._core = ClaimCore(settings, clock.get_now())
         self._waiters: dict[str, _Waiter] = {}
         self._nursery: trio.Nursery | None = None
 
+    @classmethod
+    def connect(cls, platform: HttpClient, clock: Clock) -> 'ClaimComponent':
+        """Return a component that keeps its rows on a platform.
+
+        :param platform: HTTP client of the platform.
+        :param clock: clock of this process.
+        """
+        store = ClaimStore(TableClient(platform), ObjectClient(platform))
+        return cls(store, clock, ClaimSettings())
+
     @property
     def core(self) -> ClaimCore:
         """Core that decides on claims."""
@@ -168,38 +159,10 @@
             waiter.done.set()
 
     async def _commit(self, action: msg.CommitBatch) -> None:
-        outcome = await self._tables.commit(
-            [
-                Condition(CLAIMS_TABLE, item.key, item.version)
-                for item in action.writes
-            ],
-            [
-                Write(CLAIMS_TABLE, item.key, _encode(item.row))
-                for item in action.writes
-            ],
-        )
-        if outcome.is_err():
-            is_unknown = outcome.unwrap_err() is TableFailure.UNKNOWN
-            self._feed(msg.BatchFailed(action.batch_id, is_unknown))
-            return
-        done = outcome.unwrap()
-        if isinstance(done, Conflict):
-            keys = frozenset(found.key for found in done.conflicts)
-            self._feed(msg.BatchConflicted(action.batch_id, keys))
-        else:
-            self._feed(msg.BatchApplied(action.batch_id, done.revision))
+        self._feed(await self._store.commit(action))
 
     async def _read(self, action: msg.ReadRow) -> None:
-        outcome = await self._tables.get_row(CLAIMS_TABLE, action.key)
-        if outcome.is_err():
-            self._feed(msg.ReadFailed(action.key))
-            return
-        row = outcome.unwrap()
-        if row is None:
-            self._feed(msg.RowRead(action.key, 0, None))
-        else:
-            event = msg.RowRead(action.key, row.version, _decode(row.value))
-            self._feed(event)
+        self._feed(await self._store.read(action.key))
 
     async def _dispatch(self, action: msg.Dispatch) -> None:
         request_id = action.request_id
@@ -212,28 +175,3 @@
         self._end(request_id, ClaimOutcome(ended.code, message=ended.message))
         event_type = msg.EndpointLost if ended.is_sent else msg.NothingSent
         self._feed(event_type(request_id))
-
-
-def _encode(row: msg.ClaimRow) -> Any:
-    answer = None
-    if row.answer is not None:
-        answer = _WireAnswer(
-            row.answer.status,
-            list(row.answer.headers),
-            base64.b64encode(row.answer.body).decode(),
-        )
-    wire = _WireRow(row.digest, row.nonce, row.state.value, answer)
-    return msgspec.to_builtins(wire)
-
-
-def _decode(content: Any) -> msg.ClaimRow:
-    wire = msgspec.convert(content, _WireRow)
-    answer = None
-    if wire.answer is not None:
-        answer = msg.KeptAnswer(
-            wire.answer.status,
-            tuple(wire.answer.headers),
-            base64.b64decode(wire.answer.body),
-        )
-    state = msg.ClaimState(wire.state)
-    return msg.ClaimRow(wire.digest, wire.nonce, state, answer)
--- /dev/null
+++ b/src/clementinedyke/claim_store.py
@@ -0,0 +1,138 @@
+"""Claim rows in the table service, and large answers in the object store."""
+
+import base64
+from typing import Any
+
+import msgspec
+
+from clementinedyke import claim_messages as msg
+from clementinedyke.platform.objects import ObjectClient
+from clementinedyke.platform.tables import (
+    ABSENT,
+    Condition,
+    Conflict,
+    TableClient,
+    TableFailure,
+    Write,
+)
+
+CLAIMS_TABLE = 'claims'
+#: Longer bodies go to the object store: a batch holds up to 100 rows.
+MAX_ROW_BODY_BYTES = 16384
+
+
+class _WireAnswer(msgspec.Struct):
+    status: int
+    headers: list[tuple[str, str]]
+    body: str = ''
+    object_key: str = ''
+
+
+class _WireRow(msgspec.Struct):
+    digest: str
+    nonce: str
+    state: str
+    answer: _WireAnswer | None = None
+
+
+class ClaimStore:
+    """Performs the writes and reads that the claim core asks for."""
+
+    def __init__(self, tables: TableClient, object_store: ObjectClient) -> None:
+        """Create the store.
+
+        :param tables: client of the table service.
+        :param object_store: client of the object store.
+        """
+        self._tables = tables
+        self._object_store = object_store
+
+    async def commit(
+        self, batch: msg.CommitBatch
+    ) -> msg.BatchApplied | msg.BatchConflicted | msg.BatchFailed:
+        """Apply a batch; large answers are stored before their rows.
+
+        :param batch: rows with the versions that they replace.
+        """
+        if not await self._store_bodies(batch):
+            return msg.BatchFailed(batch.batch_id, is_unknown=False)
+        outcome = await self._tables.commit(
+            [
+                Condition(CLAIMS_TABLE, item.key, item.version)
+                for item in batch.writes
+            ],
+            [
+                Write(CLAIMS_TABLE, item.key, _encode(item.row))
+                for item in batch.writes
+            ],
+        )
+        if outcome.is_err():
+            is_unknown = outcome.unwrap_err() is TableFailure.UNKNOWN
+            return msg.BatchFailed(batch.batch_id, is_unknown)
+        done = outcome.unwrap()
+        if isinstance(done, Conflict):
+            keys = frozenset(found.key for found in done.conflicts)
+            return msg.BatchConflicted(batch.batch_id, keys)
+        return msg.BatchApplied(batch.batch_id, done.revision)
+
+    async def read(self, key: str) -> msg.RowRead | msg.ReadFailed:
+        """Read a row back, with its answer.
+
+        :param key: key of the claim.
+        """
+        outcome = await self._tables.get_row(CLAIMS_TABLE, key)
+        if outcome.is_err():
+            return msg.ReadFailed(key)
+        found = outcome.unwrap()
+        if found is None:
+            return msg.RowRead(key, ABSENT, None)
+        row = await self._decode(found.value)
+        if row is None:
+            return msg.ReadFailed(key)
+        return msg.RowRead(key, found.version, row)
+
+    async def _store_bodies(self, batch: msg.CommitBatch) -> bool:
+        for item in batch.writes:
+            answer = item.row.answer
+            if answer is None or len(answer.body) <= MAX_ROW_BODY_BYTES:
+                continue
+            key = _get_object_key(item.row)
+            stored = await self._object_store.put_object(key, answer.body)
+            if stored.is_err():
+                return False
+        return True
+
+    async def _decode(self, content: Any) -> msg.ClaimRow | None:
+        """Return a row, None if its answer cannot be read now."""
+        wire = msgspec.convert(content, _WireRow)
+        answer = None
+        if wire.answer is not None:
+            body = await self._read_body(wire.answer)
+            if body is None:
+                return None
+            headers = tuple(wire.answer.headers)
+            answer = msg.KeptAnswer(wire.answer.status, headers, body)
+        state = msg.ClaimState(wire.state)
+        return msg.ClaimRow(wire.digest, wire.nonce, state, answer)
+
+    async def _read_body(self, answer: _WireAnswer) -> bytes | None:
+        if not answer.object_key:
+            return base64.b64decode(answer.body)
+        stored = await self._object_store.get_object(answer.object_key)
+        return None if stored.is_err() else stored.unwrap()
+
+
+def _get_object_key(row: msg.ClaimRow) -> str:
+    return f'claims/{row.nonce}'
+
+
+def _encode(row: msg.ClaimRow) -> Any:
+    answer = None
+    if row.answer is not None:
+        answer = _WireAnswer(row.answer.status, list(row.answer.headers))
+        if len(row.answer.body) <= MAX_ROW_BODY_BYTES:
+            answer.body = base64.b64encode(row.answer.body).decode()
+        else:
+            answer.object_key = _get_object_key(row)
+    wire = _WireRow(row.digest, row.nonce, row.state.value, answer)
+    return msgspec.to_builtins(wire)
--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -10,7 +10,6 @@
 from clementinedyke.application import Application
 from clementinedyke.callers import CallerHandler, HandlerOptions, RequestOutcome
 from clementinedyke.callers.port import CallerPort, get_dispatch_limits
-from clementinedyke.claim import ClaimSettings
 from clementinedyke.claim_component import ClaimComponent
 from clementinedyke.clock import MonotonicClock
 from clementinedyke.configuration_component import ConfigurationComponent
@@ -58,7 +57,7 @@
         self.configuration = ConfigurationComponent(
             self.control, self.endpoints, self._clock
         )
-        self.claims = ClaimComponent(tables, self._clock, ClaimSettings())
+        self.claims = ClaimComponent.connect(platform, self._clock)
         self.routing = RoutingComponent(
             self.endpoints,
             self._clock,
--- /dev/null
+++ b/tests/test_claim_store.py
@@ -0,0 +1,81 @@
+"""Tests of claim rows and their answers on the platform."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from clementinedyke import claim_messages as msg
+from clementinedyke.claim_store import MAX_ROW_BODY_BYTES, ClaimStore
+from clementinedyke.http_client import Address, HttpClient
+from clementinedyke.platform.objects import ObjectClient
+from clementinedyke.platform.tables import TableClient
+from clementinedyke.standins.platform import PlatformStandin
+
+Check = Callable[[ClaimStore, PlatformStandin], Awaitable[None]]
+
+
+def compile_batch(body: bytes) -> msg.CommitBatch:
+    """Return a batch that keeps an answer."""
+    answer = msg.KeptAnswer(201, (('a', 'b'),), body)
+    row = msg.ClaimRow('digest', 'nonce', msg.ClaimState.ANSWERED, answer)
+    return msg.CommitBatch(1, (msg.RowWrite('key', 0, row),))
+
+
+async def run_with_store(check: Check) -> None:
+    """Run a check with a store on a platform stand-in."""
+    async with trio.open_nursery() as nursery:
+        platform = PlatformStandin()
+        port = await platform.start(nursery, '127.0.0.1', 0)
+        client = HttpClient(Address('127.0.0.1', port))
+        store = ClaimStore(TableClient(client), ObjectClient(client))
+        await check(store, platform)
+        nursery.cancel_scope.cancel()
+
+
+async def check_round_trip(
+    store: ClaimStore, platform: PlatformStandin
+) -> None:
+    """A large answer is read back whole and is not in the row."""
+    batch = compile_batch(b'x' * (MAX_ROW_BODY_BYTES + 1))
+    applied = await store.commit(batch)
+    assert applied == msg.BatchApplied(1, 1)
+    assert platform.stored
+    found = await store.read('key')
+    assert found == msg.RowRead('key', 1, batch.writes[0].row)
+
+
+async def check_outage(store: ClaimStore, platform: PlatformStandin) -> None:
+    """No row is written whose answer could not be stored."""
+    platform.faults.outage = True
+    batch = compile_batch(b'x' * (MAX_ROW_BODY_BYTES + 1))
+    failed = await store.commit(batch)
+    assert failed == msg.BatchFailed(1, is_unknown=False)
+    assert platform.tables.revision == 0
+
+
+async def check_lost_answer(
+    store: ClaimStore, platform: PlatformStandin
+) -> None:
+    """A commit that took effect is reported as unknown, then read back."""
+    platform.faults.lose_answers = 1
+    batch = compile_batch(b'small')
+    lost = await store.commit(batch)
+    assert lost == msg.BatchFailed(1, is_unknown=True)
+    found = await store.read('key')
+    assert found == msg.RowRead('key', 1, batch.writes[0].row)
+
+
+class TestClaimStore:
+    """Guards against kept answers that cannot be given again."""
+
+    def test_large_answer(self) -> None:
+        """An answer over the row limit goes to the object store."""
+        trio.run(run_with_store, check_round_trip)
+
+    def test_object_store_down(self) -> None:
+        """A row without its answer would be replayed empty."""
+        trio.run(run_with_store, check_outage)
+
+    def test_lost_answer(self) -> None:
+        """A lost answer must not be taken for a failure."""
+        trio.run(run_with_store, check_lost_answer)
