--- a/src/clementinedyke/claim_store.py
+++ b/src/clementinedyke/claim_store.py
@@ -6,13 +6,13 @@
 import msgspec
 
 from clementinedyke import claim_messages as msg
+from clementinedyke.platform.failures import TableFailure
 from clementinedyke.platform.objects import ObjectClient
 from clementinedyke.platform.tables import (
     ABSENT,
     Condition,
     Conflict,
     TableClient,
-    TableFailure,
     Write,
 )
 
--- a/src/clementinedyke/operators/change.py
+++ b/src/clementinedyke/operators/change.py
@@ -37,7 +37,8 @@
     check_references,
     compile_transaction,
 )
-from clementinedyke.platform.tables import ABSENT, Commit, TableFailure
+from clementinedyke.platform.failures import TableFailure
+from clementinedyke.platform.tables import ABSENT, Commit
 
 #: A change that loses this many races against changes of other records, or
 #: whose answer is lost as often, is given up.
--- a/src/clementinedyke/operators/change_events.py
+++ b/src/clementinedyke/operators/change_events.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from clementinedyke.platform.tables import Commit, Conflict, Row, TableFailure
+from clementinedyke.platform.failures import TableFailure
+from clementinedyke.platform.tables import Commit, Conflict, Row
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/operators/record_service.py
+++ b/src/clementinedyke/operators/record_service.py
@@ -32,11 +32,11 @@
     NO_ROW,
     RECORDS_TABLE,
 )
+from clementinedyke.platform.failures import TableFailure
 from clementinedyke.platform.tables import (
     Row,
     Snapshot,
     TableClient,
-    TableFailure,
 )
 
 
--- a/src/clementinedyke/platform/__init__.py
+++ b/src/clementinedyke/platform/__init__.py
@@ -1,12 +1,12 @@
 """The platform: tables, objects, usage, endpoint orders and the host list."""
 
+from clementinedyke.platform.failures import TableFailure
 from clementinedyke.platform.tables import (
     Commit,
     Conflict,
     Row,
     Snapshot,
     TableClient,
-    TableFailure,
     Write,
 )
 
--- a/src/clementinedyke/platform/endpoint_orders.py
+++ b/src/clementinedyke/platform/endpoint_orders.py
@@ -12,7 +12,7 @@
     STATUS_OK,
     call_once,
 )
-from clementinedyke.platform.tables import TableFailure
+from clementinedyke.platform.failures import TableFailure
 
 _STATUS_SERVER_ERROR = 500
 
--- a/src/clementinedyke/platform/objects.py
+++ b/src/clementinedyke/platform/objects.py
@@ -12,7 +12,7 @@
     STATUS_OK,
     call_pooled,
 )
-from clementinedyke.platform.tables import TableFailure
+from clementinedyke.platform.failures import TableFailure
 
 
 class ObjectClient:
--- a/src/clementinedyke/platform/tables.py
+++ b/src/clementinedyke/platform/tables.py
@@ -1,6 +1,5 @@
 """Client of the platform's transactional table service."""
 
-import enum
 from collections.abc import Sequence
 from typing import Any
 from urllib.parse import quote
@@ -9,27 +8,22 @@
 from result import Err, Ok, Result
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
-from clementinedyke.http_client import HttpClient, HttpRequest, HttpResponse
+from clementinedyke.http_client import HttpClient, HttpRequest
+from clementinedyke.platform.calls import (
+    DEFAULT_TIMEOUT,
+    STATUS_NOT_FOUND,
+    STATUS_OK,
+    CallResult,
+    call_pooled,
+)
+from clementinedyke.platform.failures import TableFailure
 
-_DEFAULT_TIMEOUT: Milliseconds = 2000
-_STATUS_OK = 200
-_STATUS_NOT_FOUND = 404
 _STATUS_CONFLICT = 409
 
 #: Version of a row that does not exist.
 ABSENT = 0
 
 
-class TableFailure(enum.Enum):
-    """Why a call to the table service gave no answer."""
-
-    #: Nothing was sent, or the service said that it did nothing.
-    NOT_DONE = 'not_done'
-    #: The call was sent and its answer was lost; it may have taken effect.
-    UNKNOWN = 'unknown'
-
-
 class Row(msgspec.Struct, frozen=True):
     """A row with the revision that wrote it; value None marks a deletion."""
 
@@ -85,7 +79,7 @@
     """Calls the table service over a pooled HTTP client."""
 
     def __init__(
-        self, client: HttpClient, timeout: Milliseconds = _DEFAULT_TIMEOUT
+        self, client: HttpClient, timeout: Milliseconds = DEFAULT_TIMEOUT
     ) -> None:
         """Create a client.
 
@@ -110,7 +104,7 @@
         if answer.is_err():
             return Err(answer.unwrap_err())
         response = answer.unwrap()
-        if response.status == _STATUS_OK:
+        if response.status == STATUS_OK:
             return Ok(msgspec.json.decode(response.body, type=Commit))
         if response.status == _STATUS_CONFLICT:
             return Ok(msgspec.json.decode(response.body, type=Conflict))
@@ -129,9 +123,9 @@
         if answer.is_err():
             return Err(answer.unwrap_err())
         response = answer.unwrap()
-        if response.status == _STATUS_NOT_FOUND:
+        if response.status == STATUS_NOT_FOUND:
             return Ok(None)
-        if response.status != _STATUS_OK:
+        if response.status != STATUS_OK:
             return Err(TableFailure.NOT_DONE)
         return Ok(msgspec.json.decode(response.body, type=Row))
 
@@ -167,17 +161,12 @@
         if answer.is_err():
             return Err(answer.unwrap_err())
         response = answer.unwrap()
-        if response.status != _STATUS_OK:
+        if response.status != STATUS_OK:
             return Err(TableFailure.NOT_DONE)
         return Ok(msgspec.json.decode(response.body, type=Snapshot))
 
     async def _call(
         self, method: str, target: str, body: bytes = b''
-    ) -> Result[HttpResponse, TableFailure]:
+    ) -> CallResult:
         request = HttpRequest(method=method, target=target, body=body)
-        try:
-            return Ok(await self._client.request(request, self._timeout))
-        except PeerUnavailableError:
-            return Err(TableFailure.NOT_DONE)
-        except AnswerLostError:
-            return Err(TableFailure.UNKNOWN)
+        return await call_pooled(self._client, request, self._timeout)
--- a/src/clementinedyke/platform/usage_reports.py
+++ b/src/clementinedyke/platform/usage_reports.py
@@ -11,7 +11,7 @@
     STATUS_OK,
     call_once,
 )
-from clementinedyke.platform.tables import TableFailure
+from clementinedyke.platform.failures import TableFailure
 
 
 class UsageReportClient:
