Tell when to come back in every 429 and 503

Cause: refusals without a computed wait, such as a missing endpoint or a daemon without configuration, had no Retry-After. They now say one second.

--- a/src/clementinedyke/http_message.py
+++ b/src/clementinedyke/http_message.py
@@ -1,9 +1,11 @@
 """Requests, responses and refusals of the HTTP server."""
 
 import json
+import math
 import uuid
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import Any
 
 import h11
@@ -13,6 +15,12 @@
 from clementinedyke.http_client import Headers
 
 _JSON_TYPE = (b'Content-Type', b'application/json')
+_MILLISECONDS_PER_SECOND = 1000
+#: Refusals with these statuses always tell when to come back.
+_RETRY_STATUSES = frozenset(
+    (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
+)
+_DEFAULT_RETRY_AFTER: Milliseconds = 1000
 _CLOSE = (b'Connection', b'close')
 
 
@@ -225,12 +233,16 @@
     headers = list(
         compile_result_headers(error.code, request_id or create_request_id())
     )
-    if error.retry_after is not None:
+    status = get_details(error.code).status
+    retry_after = error.retry_after
+    if retry_after is None and status in _RETRY_STATUSES:
+        retry_after = _DEFAULT_RETRY_AFTER
+    if retry_after is not None:
         # Retry-After is in whole seconds; rounded up so as not to be early.
-        seconds = -(-error.retry_after // 1000)  # noqa: WPS432
+        seconds = math.ceil(retry_after / _MILLISECONDS_PER_SECOND)
         headers.append((b'Retry-After', str(seconds).encode()))
     await response.send_json(
-        get_details(error.code).status,
+        status,
         compile_error_body(error.code, str(error)),
         headers,
     )
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -6,6 +6,12 @@
 
 import openai
 import pytest
+import trio
+
+from clementinedyke.callers.collector import AnswerCollector
+from clementinedyke.codes import ResultCode
+from clementinedyke.http_client import Headers
+from clementinedyke.http_message import RequestError, write_error
 
 
 def post(
@@ -127,3 +133,26 @@
             'type': 'not_run',
             'code': 2010,
         }
+
+
+class RefusalWriter(AnswerCollector):
+    """Keeps the status and headers of a refusal."""
+
+    async def send_json(
+        self, status: int, content: Any, headers: Headers = ()
+    ) -> None:
+        """Keep what is written."""
+        self.status = status
+        self.headers = dict(headers)
+
+
+class TestRefusals:
+    """Guards against refusals that do not say when to come back."""
+
+    def test_service_without_endpoints(self) -> None:
+        """A 503 carries Retry-After also where no wait was computed."""
+        writer = RefusalWriter()
+        error = RequestError(ResultCode.NO_ENDPOINT, 'no endpoint')
+        trio.run(write_error, writer, error)
+        assert writer.status == 503
+        assert writer.headers[b'Retry-After'] == b'1'
