Take the capacity of engines from their state

An engine may now report max_streams, max_prompt_tokens and prefill_rate in /state; a count below 1 is ignored and the rest of the state is still taken.

The load estimate summed all own changes since the last report for each engine and request; it now keeps running sums.

--- a/src/clementinedyke/load.py
+++ b/src/clementinedyke/load.py
@@ -46,6 +46,8 @@
         '_backlog',
         '_changes',
         '_measured_at',
+        '_recent_prompt_tokens',
+        '_recent_streams',
         '_report',
         'own_prompt_tokens',
         'own_streams',
@@ -59,6 +61,10 @@
         self._measured_at: Milliseconds = 0
         self._backlog = float(0)
         self._changes: deque[_OwnChange] = deque()
+        # Sums over the changes: several hundred lie between two reports, and
+        # each request asks for the load of each endpoint.
+        self._recent_streams = 0
+        self._recent_prompt_tokens = 0
 
     def apply_report(
         self, report: LoadReport, measured_at: Milliseconds
@@ -78,7 +84,7 @@
         self._report = report
         self._measured_at = measured_at
         while self._changes and self._changes[0].at <= measured_at:
-            self._changes.popleft()
+            self._drop_oldest()
 
     def apply_own(
         self, streams: int, prompt_tokens: int, now: Milliseconds
@@ -92,9 +98,11 @@
         self.own_streams += streams
         self.own_prompt_tokens += prompt_tokens
         if self._is_stale(now):
-            self._changes.clear()
+            self._clear_changes()
             return
         self._changes.append(_OwnChange(now, streams, prompt_tokens))
+        self._recent_streams += streams
+        self._recent_prompt_tokens += prompt_tokens
 
     def get_load(self, now: Milliseconds) -> Load:
         """Return the estimated load, never below this daemon's own work.
@@ -104,15 +112,22 @@
         report = self._report
         if report is None or self._is_stale(now):
             return Load(self.own_streams, self.own_prompt_tokens)
-        streams = report.streams
-        prompt_tokens = self._backlog
-        for change in self._changes:
-            streams += change.streams
-            prompt_tokens += change.prompt_tokens
+        streams = report.streams + self._recent_streams
+        prompt_tokens = self._backlog + self._recent_prompt_tokens
         return Load(
             max(streams, self.own_streams),
             max(prompt_tokens, self.own_prompt_tokens),
         )
 
+    def _drop_oldest(self) -> None:
+        change = self._changes.popleft()
+        self._recent_streams -= change.streams
+        self._recent_prompt_tokens -= change.prompt_tokens
+
+    def _clear_changes(self) -> None:
+        self._changes.clear()
+        self._recent_streams = 0
+        self._recent_prompt_tokens = 0
+
     def _is_stale(self, now: Milliseconds) -> bool:
         return self._report is None or now - self._measured_at > _STALE_AFTER
--- a/src/clementinedyke/routing_component.py
+++ b/src/clementinedyke/routing_component.py
@@ -1,8 +1,8 @@
 """Chooses endpoints for the caller path and watches their state."""
 
 import random
-from dataclasses import dataclass
-from typing import Any
+from dataclasses import dataclass, replace
+from typing import Annotated, Any
 
 import msgspec
 import trio
@@ -34,6 +34,18 @@
 _LOST = frozenset((ResultCode.ANSWER_LOST,))
 
 
+_Count = Annotated[int, msgspec.Meta(ge=1)]
+_Rate = Annotated[float, msgspec.Meta(gt=0)]
+
+
+class _EngineCapacity(msgspec.Struct, frozen=True):
+    """Capacity in ``/state``; None leaves the router's default."""
+
+    max_streams: _Count | None = None
+    max_prompt_tokens: _Count | None = None
+    prefill_rate: _Rate | None = None
+
+
 class _EngineState(msgspec.Struct):
     boot_id: str
     role: str = 'mixed'
@@ -46,6 +58,7 @@
     endpoint: Endpoint
     boot_id: str = ''
     role: Role = Role.MIXED
+    capacity: _EngineCapacity = _EngineCapacity()
 
 
 class RoutingComponent(Component):
@@ -234,6 +247,10 @@
         except msgspec.MsgspecError:
             return
         self._apply_state(watched, state, asked_at)
+        capacity = _parse_capacity(answer.body)
+        if capacity != watched.capacity:
+            watched.capacity = capacity
+            self._update_router()
 
     def _apply_state(
         self, watched: _Watched, state: _EngineState, asked_at: Milliseconds
@@ -275,7 +292,7 @@
 
 def _compile_routed(watched: _Watched) -> RoutedEndpoint:
     endpoint = watched.endpoint
-    return RoutedEndpoint(
+    routed = RoutedEndpoint(
         endpoint_id=endpoint.endpoint_id,
         service=endpoint.service,
         availability_zone=endpoint.availability_zone,
@@ -283,6 +300,19 @@
         leaving=endpoint.state == 'leaving',
         role=watched.role,
     )
+    reported = msgspec.structs.asdict(watched.capacity)
+    known = {
+        name: amount for name, amount in reported.items() if amount is not None
+    }
+    return replace(routed, **known)
+
+
+def _parse_capacity(body: bytes) -> _EngineCapacity:
+    """Return the reported capacity; a count below 1 is not taken."""
+    try:
+        return msgspec.json.decode(body, type=_EngineCapacity)
+    except msgspec.MsgspecError:
+        return _EngineCapacity()
 
 
 def _get_role(name: str) -> Role:
--- a/src/clementinedyke/standins/command.py
+++ b/src/clementinedyke/standins/command.py
@@ -11,7 +11,11 @@
 import trio
 
 from clementinedyke.http_client import Address
-from clementinedyke.standins.engine import EngineFaults, EngineStandin
+from clementinedyke.standins.engine import (
+    EngineCapacity,
+    EngineFaults,
+    EngineStandin,
+)
 from clementinedyke.standins.platform import PlatformStandin, TransactionBody
 from clementinedyke.standins.relay import RelayStandin
 from clementinedyke.standins.service import ServiceStandin
@@ -25,7 +29,7 @@
 
 
 @app.command
-def engine(
+def engine(  # noqa: WPS211 -- each argument is a flag
     *,
     port: int = 0,
     model: str = 'demo-model',
@@ -34,6 +38,7 @@
     crash_marker: str = '',
     crash_downtime: float = 1,
     max_streams: int = 100000,
+    capacity: EngineCapacity | None = None,
 ) -> None:
     """Run a model engine.
 
@@ -44,6 +49,7 @@
     :param crash_marker: a request body with this text crashes the engine.
     :param crash_downtime: seconds for which a crashed engine is down.
     :param max_streams: requests that run at the same time.
+    :param capacity: what the engine reports, and how it paces.
     """
     faults = EngineFaults(crash_marker.encode(), crash_downtime, max_streams)
     standin = EngineStandin(
@@ -51,6 +57,7 @@
         checks_fence=checks_fence,
         token_interval=token_interval,
         faults=faults,
+        capacity=capacity,
     )
 
     async def start(nursery: trio.Nursery) -> dict[str, Any]:  # noqa: WPS430
--- a/src/clementinedyke/standins/engine.py
+++ b/src/clementinedyke/standins/engine.py
@@ -42,6 +42,20 @@
     max_streams: int = 100000
 
 
+@dataclass(frozen=True, slots=True)
+class EngineCapacity:
+    """What ``/state`` tells of the engine's capacity; None is left out.
+
+    ``prefill_rate`` is in tokens/s. With ``honours_priority``, work of high
+    priority gets its tokens at twice the pace.
+    """
+
+    max_streams: int | None = None
+    max_prompt_tokens: int | None = None
+    prefill_rate: float | None = None
+    honours_priority: bool = True
+
+
 class EngineStandin:
     """Answers chat completions with numbered words."""
 
@@ -52,6 +66,7 @@
         checks_fence: bool = True,
         token_interval: float = 0,
         faults: EngineFaults | None = None,
+        capacity: EngineCapacity | None = None,
     ) -> None:
         """Create an engine.
 
@@ -59,11 +74,13 @@
         :param checks_fence: whether orders with an old fence are refused.
         :param token_interval: seconds between two tokens of a stream.
         :param faults: limits and crashes.
+        :param capacity: what the engine reports, and how it paces.
         """
         self._model = model
         self._checks_fence = checks_fence
         self._token_interval = token_interval
         self._faults = faults or EngineFaults()
+        self._capacity = capacity or EngineCapacity()
         self._life = trio.CancelScope()
         self._streams: dict[str, trio.CancelScope] = {}
         self._cache_events: deque[dict[str, Any]] = deque(maxlen=_EVENT_HISTORY)
@@ -196,6 +213,19 @@
             'cancelled': self.received - self.finished - self.running,
             'last_order': last,
             'fence': self.fence,
+            **self._get_capacity(),
+        }
+
+    def _get_capacity(self) -> dict[str, float]:
+        reported = {
+            'max_streams': self._capacity.max_streams,
+            'max_prompt_tokens': self._capacity.max_prompt_tokens,
+            'prefill_rate': self._capacity.prefill_rate,
+        }
+        return {
+            name: amount
+            for name, amount in reported.items()
+            if amount is not None
         }
 
     def _list_events(self, query: str) -> dict[str, Any]:
@@ -245,7 +275,7 @@
         if body.get('stream'):
             await self._stream(count, usage, body, response)
             return
-        await trio.sleep(_get_interval(self._token_interval, body) * count)
+        await trio.sleep(self._get_interval(body) * count)
         words = ''.join(f'word{index} ' for index in range(count))
         message = {'role': 'assistant', 'content': words}
         choice = {'index': 0, 'message': message, 'finish_reason': 'stop'}
@@ -266,7 +296,7 @@
         body: dict[str, Any],
         response: ResponseWriter,
     ) -> None:
-        interval = _get_interval(self._token_interval, body)
+        interval = self._get_interval(body)
         await response.send_head(_OK, _EVENT_STREAM)
         for event in encode_words(self._model, count):
             await trio.sleep(interval)
@@ -276,11 +306,12 @@
         await response.send_chunk(b'data: [DONE]\n\n')
         await response.end()
 
+    def _get_interval(self, body: dict[str, Any]) -> float:
+        """Return seconds between tokens; work of high priority runs faster.
 
-def _get_interval(interval: float, body: dict[str, Any]) -> float:
-    """Return seconds between tokens; work of high priority runs faster.
-
-    As in usual engines, a lower number is a higher priority.
-    """
-    is_urgent = int(body.get('priority') or 0) < 0
-    return interval / 2 if is_urgent else interval
+        As in usual engines, a lower number is a higher priority.
+        """
+        is_urgent = int(body.get('priority') or 0) < 0
+        if is_urgent and self._capacity.honours_priority:
+            return self._token_interval / 2
+        return self._token_interval
