Make the relay benchmark compare like with like

The engine stand-ins keep their pace whatever the priority, report room for all streams, and a refusal ends the run. Streams start spread over the length of an answer, which is shorter than the window. Each row is the median of three runs in turn with its spread; the first byte is compared run by run.

--- a/bench/daemon_process.py
+++ b/bench/daemon_process.py
@@ -1,14 +1,23 @@
 """Runs the real daemon and prints the caller port that it bound."""
 
+import cProfile
 import json
+import os
 import sys
 
 import trio
 
+from clementinedyke.clock import MonotonicClock
 from clementinedyke.daemon import Daemon
 from clementinedyke.demo import run_until_signal
 from clementinedyke.settings import Settings
 
+#: A path here makes the daemon write its profile there when it stops.
+_PROFILE = os.environ.get('BENCH_PROFILE')
+_POLL_SECONDS = 0.05
+#: Engines of the benchmark report far more; the default is 32 for each.
+_EXPECTED_STREAMS = 2000
+
 
 async def _run(platform: str) -> None:
     daemon = Daemon(
@@ -16,11 +25,30 @@
     )
     async with trio.open_nursery() as nursery:
         await nursery.start(daemon.application.run)
+        await _wait_for_capacity(daemon)
         ready = {'port': daemon.caller_port.bound_port}
         sys.stdout.write(f'{json.dumps(ready)}\n')
         sys.stdout.flush()
         await run_until_signal(daemon.application)
 
 
+async def _wait_for_capacity(daemon: Daemon) -> None:
+    """Wait until the engines have told their capacity."""
+    await daemon.wait_until_ready()
+    router = daemon.routing.router
+    clock = MonotonicClock()
+    while router.get_room('bench', clock.get_now()).streams < _EXPECTED_STREAMS:
+        await trio.sleep(_POLL_SECONDS)
+
+
+def _main() -> None:
+    if _PROFILE is None:
+        trio.run(_run, sys.argv[1])
+        return
+    profile = cProfile.Profile()
+    profile.runcall(trio.run, _run, sys.argv[1])
+    profile.dump_stats(_PROFILE)
+
+
 if __name__ == '__main__':
-    trio.run(_run, sys.argv[1])
+    _main()
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -8,10 +8,11 @@
 import argparse
 import itertools
 import json
-import statistics
+import os
 import subprocess
 import sys
 import tempfile
+import time
 from contextlib import ExitStack
 from dataclasses import asdict, dataclass, replace
 from pathlib import Path
@@ -19,18 +20,35 @@
 
 from bench.page import write_page
 from bench.process_figures import read_processor_time, read_resident
+from bench.relay_figures import (
+    Figures,
+    Rounds,
+    compile_figures,
+    format_direct,
+    format_full,
+    format_paced,
+)
 from bench.relay_state import HOST, KEY, compile_state
 from bench.relay_worker import Load
 
 _ENGINES = 4
 _WORKERS = 4
-_SIZES = (1, 100, 1000)
-#: Seconds between the tokens of a paced stream: 75 ms is the required pace.
-#: 1,000 streams together send the 2,500 tokens/s that one daemon of 330
-#: relays at the peak of the design page.
-_PACES = {1: 0.02, 100: 0.075, 1000: 0.4}
-_WARM_UP = 2.0
-_DURATION = 3.0
+_RUNS = 3
+#: Sizes of the paced rows, with seconds between the tokens of a stream: 75 ms
+#: is the required pace. 1,000 streams together send the 2,500 tokens/s that
+#: one daemon of 330 relays at the peak of the design page.
+_PACES = {100: 0.075, 1000: 0.4}
+#: Tokens of a paced answer, so that one is shorter than the window.
+_PACED_TOKENS = {100: 30, 1000: 8}
+#: Seconds of warm-up and window. The warm-up is as long as an answer, so that
+#: the streams start evenly spread over its length, not in a burst.
+_PACED_TIMES = {100: (2.25, 2.5), 1000: (3.2, 3.5)}
+#: Seconds of warm-up and window at full speed.
+_FULL_SIZES = (1, 100, 1000)
+_FULL_TIMES = (0.8, 1)
+#: Capacity that the engines report, so that admission refuses no stream.
+_STREAMS = '1000'
+_PROMPT_TOKENS = '1000000'
 _PAGE = Path('docs/bench-relay.md')
 _CLI = ('-m', 'clementinedyke')
 
@@ -47,18 +65,6 @@
     pid: int | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Figures:
-    """What one load measured; times in milliseconds."""
-
-    chunk_rate: float
-    answer_rate: float
-    median: float
-    percentile: float
-    processor: float
-    resident: float
-
-
 def start_process(stack: ExitStack, *arguments: str) -> tuple[int, int]:
     """Start a Python process; return its port and process number."""
     process = subprocess.Popen(
@@ -73,9 +79,14 @@
 def start_targets(stack: ExitStack, interval: float) -> list[Target]:
     """Start engines with a pace, and what relays to them."""
     command = (*_CLI, 'standin', 'engine', '--model', 'bench')
+    options = (
+        *('--token-interval', str(interval)),
+        *('--capacity.max-streams', _STREAMS),
+        *('--capacity.max-prompt-tokens', _PROMPT_TOKENS),
+        '--capacity.no-honours-priority',
+    )
     engines = [
-        start_process(stack, *command, '--token-interval', str(interval))[0]
-        for _ in range(_ENGINES)
+        start_process(stack, *command, *options)[0] for _ in range(_ENGINES)
     ]
     bare = start_process(stack, '-m', 'bench.bare_relay', *map(str, engines))
     daemon = _start_daemon(stack, engines)
@@ -98,15 +109,20 @@
     )
 
 
-def measure(target: Target, size: int, **shape: Any) -> Figures:
-    """Drive a target with client processes and collect their figures."""
+def measure(
+    target: Target, size: int, times: tuple[float, float], **shape: Any
+) -> Figures:
+    """Drive a target with client processes and collect their figures.
+
+    :raises RuntimeError: if a client fails, which it does on a refusal.
+    """
     workers = min(_WORKERS, size)
     load = Load(
         port=0,
         key=KEY,
         streams=size // workers,
-        warm_up=_WARM_UP,
-        duration=_DURATION,
+        warm_up=times[0],
+        duration=times[1],
         **shape,
     )
     ports = itertools.cycle(target.ports)
@@ -124,11 +140,14 @@
     results = _read_lines(clients)
     for ended in clients:
         ended.wait()
-    return _compile_figures(results, used, resident)
+    return compile_figures(results, used, resident)
 
 
 def _read_lines(clients: list[subprocess.Popen[str]]) -> list[Any]:
-    return [json.loads(client.stdout.readline()) for client in clients]
+    lines = [client.stdout.readline() for client in clients]
+    if not all(lines):
+        raise RuntimeError('a client failed; its error is above')
+    return [json.loads(line) for line in lines]
 
 
 def _start_worker(load: Load) -> subprocess.Popen[str]:
@@ -140,114 +159,85 @@
     )
 
 
-def _compile_figures(
-    results: list[dict[str, Any]], used: float, resident: float
-) -> Figures:
-    chunks = sum(result['chunks'] for result in results)
-    times = [
-        1000 * seconds
-        for result in results
-        for seconds in result['first_bytes']
+def run_rounds(
+    targets: list[Target], size: int, times: tuple[float, float], **shape: Any
+) -> list[Rounds]:
+    """Measure the targets in turn, several times."""
+    rounds = [
+        Rounds(target.name, read_resident(target.pid), []) for target in targets
     ]
-    ranks = statistics.quantiles(times, n=20) if len(times) > 1 else times * 19
-    return Figures(
-        chunk_rate=sum(
-            result['chunks'] / result['elapsed'] for result in results
-        ),
-        answer_rate=sum(
-            result['answers'] / result['elapsed'] for result in results
-        ),
-        median=statistics.median(times) if times else float('nan'),
-        percentile=ranks[-1] if ranks else float('nan'),
-        processor=1000 * used / chunks if chunks else 0,
-        resident=resident,
-    )
+    for _ in range(_RUNS):
+        for target, kept in zip(targets, rounds, strict=True):
+            kept.seen.append(measure(target, size, times, **shape))
+    return rounds
 
 
 def run_paced(size: int) -> list[str]:
     """Measure latency, processor time and memory at a fixed pace."""
     pace = _PACES[size]
     with ExitStack() as stack:
-        direct, *relays = start_targets(stack, pace)
-        idle = {target.name: read_resident(target.pid) for target in relays}
-        shape = {'tokens': 40, 'interval': pace, 'is_streamed': True}
-        base = measure(direct, size, **shape)
-        lines = [
-            f'| {size} | direct | {base.chunk_rate:.0f} '
-            f'| ({base.median:.2f}) | ({base.percentile:.2f}) | | | |'
-        ]
-        for target in relays:
-            seen = measure(target, size, **shape)
-            lines.append(
-                _format_paced(size, target.name, idle[target.name], base, seen)
-            )
-    return lines
-
-
-def _format_paced(
-    size: int, name: str, idle: float, base: Figures, seen: Figures
-) -> str:
-    per_stream = 1024 * (seen.resident - idle) / size
-    return (
-        f'| {size} | {name} | {seen.chunk_rate:.0f} '
-        f'| {seen.median - base.median:.2f} '
-        f'| {seen.percentile - base.percentile:.2f} '
-        f'| {seen.processor:.3f} | {seen.resident:.1f} '
-        f'| {per_stream:.1f} |'
-    )
+        direct, *relays = run_rounds(
+            start_targets(stack, pace),
+            size,
+            _PACED_TIMES[size],
+            tokens=_PACED_TOKENS[size],
+            interval=pace,
+            is_streamed=True,
+        )
+    return [
+        format_direct(size, direct),
+        *(format_paced(size, direct, relay) for relay in relays),
+    ]
 
 
 def run_saturated(size: int) -> list[str]:
     """Measure the most chunks and whole answers a second."""
     with ExitStack() as stack:
-        _, bare, daemon = start_targets(stack, 0)
-        yardstick = _measure_full(bare, size)
-        measured = _measure_full(daemon, size)
-    base = yardstick[0].chunk_rate
+        _, *relays = start_targets(stack, 0)
+        streams = run_rounds(
+            relays, size, _FULL_TIMES, tokens=500, interval=0, is_streamed=True
+        )
+        answers = run_rounds(
+            relays, size, _FULL_TIMES, tokens=1, interval=0, is_streamed=False
+        )
     return [
-        _format_full(size, bare.name, base, *yardstick),
-        _format_full(size, daemon.name, base, *measured),
+        format_full(size, streams[0], seen, whole)
+        for seen, whole in zip(streams, answers, strict=True)
     ]
 
 
-def _measure_full(target: Target, size: int) -> tuple[Figures, Figures]:
-    streams = measure(target, size, tokens=500, interval=0, is_streamed=True)
-    answers = measure(target, size, tokens=1, interval=0, is_streamed=False)
-    return streams, answers
-
-
-def _format_full(
-    size: int, name: str, base: float, streams: Figures, answers: Figures
-) -> str:
-    return (
-        f'| {size} | {name} | {streams.chunk_rate:.0f} '
-        f'| {streams.chunk_rate / base:.2f} '
-        f'| {streams.processor:.3f} | {streams.resident:.1f} '
-        f'| {answers.answer_rate:.0f} '
-        f'| {answers.median:.2f} | {answers.percentile:.2f} |'
-    )
+def _describe_load() -> str:
+    return ', '.join(f'{load:.1f}' for load in os.getloadavg())
 
 
 def main() -> None:
     """Run all loads, print the tables and write the page."""
     parser = argparse.ArgumentParser()
-    parser.add_argument('--sizes', type=int, nargs='+', default=list(_SIZES))
+    parser.add_argument('--paced', type=int, nargs='*', default=list(_PACES))
+    parser.add_argument('--full', type=int, nargs='*', default=_FULL_SIZES)
     parser.add_argument('--skip-page', action='store_true')
     chosen = parser.parse_args()
-    paced = [line for size in chosen.sizes for line in run_paced(size)]
-    full = [line for size in chosen.sizes for line in run_saturated(size)]
+    started = time.monotonic()
+    before = _describe_load()
+    paced = [line for size in chosen.paced for line in run_paced(size)]
+    full = [line for size in chosen.full for line in run_saturated(size)]
     tables = '\n'.join(
         (
-            '| streams | relay | chunks/s | added first byte, median ms '
-            '| added, 95th percentile ms | processor s per 1,000 chunks '
-            '| resident MB | KB per stream |',
-            '| --- | --- | --- | --- | --- | --- | --- | --- |',
+            f'Each figure is the median of {_RUNS} runs (least to greatest). '
+            f'Load of the machine over 1, 5 and 15 minutes: {before} before, '
+            f'{_describe_load()} after '
+            f'{time.monotonic() - started:.0f} s of benchmark.',
+            '',
+            '| streams | relay | open at the end | chunks/s '
+            '| first byte, median ms | first byte, 95th percentile ms '
+            '| processor s per 1,000 chunks | resident MB | KB per stream |',
+            f'|{" --- |" * 9}',
             *paced,
             '',
             '| streams | relay | chunks/s | ratio '
             '| processor s per 1,000 chunks | resident MB | whole answers/s '
-            '| median ms | 95th percentile ms |',
-            '| --- | --- | --- | --- | --- | --- | --- | --- | --- |',
+            '| whole answer, median ms |',
+            f'|{" --- |" * 8}',
             *full,
         )
     )
--- a/bench/relay_worker.py
+++ b/bench/relay_worker.py
@@ -15,7 +15,7 @@
 _READ_SIZE = 65536
 _EVENT_MARK = b'data: {'
 _STREAM_END = b'\r\n0\r\n\r\n'
-_HEAD_END = b'\r\n\r\n'
+_STATUS_LINE = b'HTTP/1.1 200 '
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,16 +57,16 @@
         self._request = load.request
         self._chunks = 0
         self._answers = 0
+        self._open = 0
         self._first_bytes: list[float] = []
 
     async def run(self) -> dict[str, Any]:
         """Run the load and return the figures of the window."""
         async with trio.open_nursery() as nursery:
-            pause = self._load.warm_up / self._load.streams / 2
+            pause = self._load.warm_up / self._load.streams
             for _ in range(self._load.streams):
                 nursery.start_soon(self._repeat)
                 await trio.sleep(pause)
-            await trio.sleep(self._load.warm_up / 2)
             _tell({'event': 'begin'})
             self._chunks = 0
             self._answers = 0
@@ -74,12 +74,21 @@
             started = trio.current_time()
             await trio.sleep(self._load.duration)
             elapsed = trio.current_time() - started
-            counts = (self._chunks, self._answers, self._first_bytes.copy())
+            counts = (
+                self._chunks,
+                self._answers,
+                self._first_bytes.copy(),
+                self._open,
+            )
             _tell({'event': 'end'})
             await trio.to_thread.run_sync(sys.stdin.readline)
             nursery.cancel_scope.cancel()
         return dict(
-            zip(('chunks', 'answers', 'first_bytes'), counts, strict=True),
+            zip(
+                ('chunks', 'answers', 'first_bytes', 'open'),
+                counts,
+                strict=True,
+            ),
             elapsed=elapsed,
         )
 
@@ -91,23 +100,31 @@
                 await stream.send_all(self._request)
                 await self._read_answer(stream, started)
                 self._answers += 1
+                self._open -= 1
 
     async def _read_answer(
         self, stream: trio.SocketStream, started: float
     ) -> None:
         is_first = True
-        tail = b''
+        tail = await self._receive(stream)
+        _check_status(tail)
+        self._open += 1
+        received = tail
         while True:
-            received = bytes(await stream.receive_some(_READ_SIZE))
-            if not received:
-                raise RuntimeError('connection closed in an answer')
             events = received.count(_EVENT_MARK)
             if is_first:
                 is_first = not self._note_first(started, events)
             self._chunks += events
-            tail = tail[-len(_STREAM_END) :] + received
             if self._is_whole(tail):
                 return
+            received = await self._receive(stream)
+            tail = tail[-len(_STREAM_END) :] + received
+
+    async def _receive(self, stream: trio.SocketStream) -> bytes:
+        received = bytes(await stream.receive_some(_READ_SIZE))
+        if not received:
+            raise RuntimeError('connection closed in an answer')
+        return received
 
     def _note_first(self, started: float, events: int) -> bool:
         """Note the first event of a stream, or the first byte of an answer."""
@@ -122,6 +139,12 @@
         return received.endswith(b'}') and b'"usage"' in received
 
 
+def _check_status(received: bytes) -> None:
+    """Fail the run on a refusal, which would make the load lighter."""
+    if not received.startswith(_STATUS_LINE):
+        raise RuntimeError(f'refused: {received[:200]!r}')
+
+
 def _tell(message: dict[str, Any]) -> None:
     sys.stdout.write(f'{json.dumps(message)}\n')
     sys.stdout.flush()
