Limit the connections and tokens per second of a customer

max_customer_connections and a lower max_connections of the customer record bound the connections of a customer at one daemon; tokens_per_second is divided by the number of living daemons. Both were accepted and never enforced. Refusals are CUSTOMER_LIMIT with Retry-After, and a connection over the limit is closed. The count looks at all connections, so it is taken once for each connection and not for each request.

--- a/src/clementinedyke/callers/__init__.py
+++ b/src/clementinedyke/callers/__init__.py
@@ -5,6 +5,7 @@
     Route,
     SelectedEndpoint,
 )
+from clementinedyke.callers.customer_limits import ConnectionLimit
 from clementinedyke.callers.handler import CallerHandler
 from clementinedyke.callers.outcome import RequestOutcome, TokenUsage
 from clementinedyke.callers.steps import (
@@ -17,6 +18,7 @@
 __all__ = (
     'Admission',
     'CallerHandler',
+    'ConnectionLimit',
     'DispatchLimits',
     'EndpointSelector',
     'HandlerOptions',
--- /dev/null
+++ b/src/clementinedyke/callers/customer_limits.py
@@ -0,0 +1,165 @@
+"""Limits of a customer at this daemon: connections and tokens/s."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from clementinedyke.callers.context import RequestContext
+from clementinedyke.clock import Clock, Milliseconds
+from clementinedyke.codes import ResultCode
+from clementinedyke.directory import Directory
+from clementinedyke.http_message import ConnectionInfo, RequestError
+from clementinedyke.token_rate import TokenRateCore
+
+_RETRY_AFTER: Milliseconds = 1000
+#: Retry-After at a rate of 0, which never allows a request.
+_BLOCKED_RETRY_AFTER: Milliseconds = 60000
+
+
+def count_none(customer: str) -> int:
+    """Return 0; the count of a handler without a port.
+
+    :param customer: any customer.
+    """
+    return 0
+
+
+class ConnectionLimit:
+    """Limits the open connections of each customer."""
+
+    def __init__(self, maximum: int | None = None) -> None:
+        """Create the limit.
+
+        :param maximum: connections of a customer, None for no limit; a lower
+            ``max_connections`` of its record wins.
+        """
+        self._maximum = maximum
+        #: Returns the number of connections that a customer holds.
+        self.count: Callable[[str], int] = count_none
+
+    def enter(
+        self, directory: Directory, connection: ConnectionInfo, customer: str
+    ) -> None:
+        """Count a connection for a customer.
+
+        A connection is checked when its customer is new, not for each
+        request, since the count looks at all connections.
+
+        :param directory: records in force.
+        :param connection: connection of a request.
+        :param customer: customer of the request.
+        :raises RequestError: if the customer has no connection left; the
+            connection is closed.
+        """
+        if connection.customer == customer:
+            return
+        maximum = self._get_maximum(directory, customer)
+        if maximum is not None and self.count(customer) >= maximum:
+            connection.must_close = True
+            raise RequestError(
+                ResultCode.CUSTOMER_LIMIT,
+                f'customer {customer!r} has {maximum} open connections',
+                _RETRY_AFTER,
+            )
+        connection.customer = customer
+
+    def _get_maximum(self, directory: Directory, customer: str) -> int | None:
+        record = directory.customers.get(customer)
+        own = None if record is None else record.max_connections
+        limits = [limit for limit in (self._maximum, own) if limit is not None]
+        return min(limits, default=None)
+
+
+def count_one() -> int:
+    """Return 1; the number of daemons if none is known."""
+    return 1
+
+
+class TokenRateLimit:
+    """Enforces ``tokens_per_second`` of customer records.
+
+    Each daemon grants its equal part, the rate over the number of living
+    daemons, so that all together never grant more than the record.
+    """
+
+    def __init__(
+        self, clock: Clock, count_daemons: Callable[[], int] = count_one
+    ) -> None:
+        """Create the limit.
+
+        :param clock: clock of this process.
+        :param count_daemons: returns the number of living daemons.
+        """
+        self._clock = clock
+        self._count_daemons = count_daemons
+        self._core = TokenRateCore()
+        self._revision = -1
+
+    @contextmanager
+    def hold(
+        self, directory: Directory, context: RequestContext
+    ) -> Iterator[None]:
+        """Charge a model request while it runs and settle it at the end.
+
+        :param directory: records in force.
+        :param context: request that wants to start.
+        :raises RequestError: if the customer has used its tokens.
+        """
+        rate = self._get_rate(directory, context)
+        if rate is None:
+            yield
+            return
+        customer = context.route.customer or ''
+        estimate = context.work.prompt_tokens + context.work.output_tokens
+        self._start(customer, rate, estimate)
+        try:
+            yield
+        finally:
+            self._core.settle(customer, estimate - _count_tokens(context))
+
+    def _get_rate(
+        self, directory: Directory, context: RequestContext
+    ) -> float | None:
+        record = directory.customers.get(context.route.customer or '')
+        if record is None or record.tokens_per_second is None:
+            return None
+        if not context.route.is_model:
+            return None
+        self._forget_customers(directory)
+        return record.tokens_per_second / max(1, self._count_daemons())
+
+    def _start(self, customer: str, rate: float, estimate: int) -> None:
+        wait: Milliseconds | None = _BLOCKED_RETRY_AFTER
+        if rate:
+            now = self._clock.get_now()
+            wait = self._core.start(customer, rate, estimate, now)
+        if wait is not None:
+            raise RequestError(
+                ResultCode.CUSTOMER_LIMIT,
+                f'customer {customer!r} has used its tokens per second',
+                wait,
+            )
+
+    def _forget_customers(self, directory: Directory) -> None:
+        if directory.revision == self._revision:
+            return
+        self._revision = directory.revision
+        self._core.keep(
+            frozenset(
+                name
+                for name, record in directory.customers.items()
+                if record.tokens_per_second
+            )
+        )
+
+
+def _count_tokens(context: RequestContext) -> int:
+    """Return the tokens of an ended request, 0 if it did not run.
+
+    Without the engine's usage, the prompt is counted as estimated.
+    """
+    outcome = context.outcome
+    codes = [attempt.code for attempt in outcome.attempts]
+    if all(code is ResultCode.NO_ENDPOINT for code in codes):
+        return 0
+    prompt = outcome.prompt_tokens or context.work.prompt_tokens
+    return prompt + outcome.completion_tokens
--- a/src/clementinedyke/callers/handler.py
+++ b/src/clementinedyke/callers/handler.py
@@ -5,6 +5,7 @@
 from clementinedyke.callers.authentication import get_customer
 from clementinedyke.callers.claiming import ClaimedDispatch
 from clementinedyke.callers.context import RequestContext
+from clementinedyke.callers.customer_limits import TokenRateLimit
 from clementinedyke.callers.dispatch import Dispatcher
 from clementinedyke.callers.outcome import RequestOutcome, TokenUsage
 from clementinedyke.callers.routing import (
@@ -53,6 +54,9 @@
         self._options = options or HandlerOptions()
         selector = self._options.selector or RotationSelector(endpoints)
         self._dispatcher = Dispatcher(selector, self._options)
+        self._token_rates = TokenRateLimit(
+            self._options.clock, self._options.count_daemons
+        )
         self._claimed: ClaimedDispatch | None = None
         if self._options.claims is not None:
             self._claimed = ClaimedDispatch(
@@ -94,18 +98,26 @@
     ) -> None:
         directory = self._configuration.get_directory()
         if request.path == MODELS_PATH:
-            outcome.customer = get_customer(directory, request)
+            customer = get_customer(directory, request)
+            outcome.customer = customer
+            self._options.connection_limit.enter(
+                directory, request.connection, customer
+            )
             headers = compile_result_headers(ResultCode.OK, outcome.request_id)
             await response.send_json(_OK, list_models(directory), headers)
             return
         route = select_route(directory, request)
-        request.connection.customer = route.customer
         outcome.customer = route.customer
         outcome.service = route.service.name
+        if route.customer is not None:
+            self._options.connection_limit.enter(
+                directory, request.connection, route.customer
+            )
         context = RequestContext(request, response, route, outcome)
         self._check(context)
-        async with self._options.admission.admit(context):
-            await self._dispatch(context)
+        with self._token_rates.hold(directory, context):
+            async with self._options.admission.admit(context):
+                await self._dispatch(context)
 
     def _check(self, context: RequestContext) -> None:
         """Refuse what may not run now, before it waits for its turn."""
--- a/src/clementinedyke/callers/port.py
+++ b/src/clementinedyke/callers/port.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from clementinedyke.callers.customer_limits import ConnectionLimit
 from clementinedyke.callers.handler import CallerHandler
 from clementinedyke.callers.steps import DispatchLimits
 from clementinedyke.components import Component
@@ -18,11 +19,18 @@
 class CallerPort(Component):
     """Serves callers on the daemon's caller port."""
 
-    def __init__(self, settings: Settings, handler: CallerHandler) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        handler: CallerHandler,
+        connection_limit: ConnectionLimit,
+    ) -> None:
         """Create the port.
 
         :param settings: settings of the daemon.
         :param handler: handler of requests.
+        :param connection_limit: limit of the handler, which learns the count
+            of connections from this port.
         """
         self._settings = settings
         self._server = HttpServer(
@@ -30,6 +38,7 @@
             limits=get_connection_limits(settings),
             ssl_context=load_tls(settings.tls_certificate, settings.tls_key),
         )
+        connection_limit.count = self._server.count_connections
         self._bound = 0
 
     @property
--- a/src/clementinedyke/callers/steps.py
+++ b/src/clementinedyke/callers/steps.py
@@ -6,6 +6,10 @@
 from typing import Protocol
 
 from clementinedyke.callers.context import RequestContext, SelectedEndpoint
+from clementinedyke.callers.customer_limits import (
+    ConnectionLimit,
+    count_one,
+)
 from clementinedyke.callers.outcome import (
     OutcomeObserver,
     UsageObserver,
@@ -197,6 +201,8 @@
     retries: RetryPolicy = field(default_factory=UnlimitedRetries)
     claims: ClaimComponent | None = None
     get_verdict: Callable[[str], Verdict] = find_no_suspicion
+    connection_limit: ConnectionLimit = field(default_factory=ConnectionLimit)
+    count_daemons: Callable[[], int] = count_one
     region: str = ''
     observe_outcome: OutcomeObserver = ignore_outcome
     observe_usage: UsageObserver = ignore_usage
--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -8,7 +8,12 @@
 
 from clementinedyke.admission_component import AdmissionComponent
 from clementinedyke.application import Application
-from clementinedyke.callers import CallerHandler, HandlerOptions, RequestOutcome
+from clementinedyke.callers import (
+    CallerHandler,
+    ConnectionLimit,
+    HandlerOptions,
+    RequestOutcome,
+)
 from clementinedyke.callers.port import CallerPort, get_dispatch_limits
 from clementinedyke.claim import ClaimSettings
 from clementinedyke.claim_component import ClaimComponent
@@ -71,7 +76,12 @@
             self.configuration.get_directory,
             self._count_daemons,
         )
-        self.caller_port = CallerPort(settings, self._create_handler())
+        self._connection_limit = ConnectionLimit(
+            settings.max_customer_connections
+        )
+        self.caller_port = CallerPort(
+            settings, self._create_handler(), self._connection_limit
+        )
         self.operator_port = OperatorPort(settings, tables, self.reports)
         self._register_reports()
         self.application = Application(
@@ -101,6 +111,8 @@
             retries=RetryPlanner(self._clock, self._generator),
             claims=self.claims,
             get_verdict=self.routing.get_verdict,
+            connection_limit=self._connection_limit,
+            count_daemons=self._count_daemons,
             region=self._settings.region,
             observe_outcome=self._observe_outcome,
         )
--- a/src/clementinedyke/http_connection.py
+++ b/src/clementinedyke/http_connection.py
@@ -182,9 +182,14 @@
         return ResponseWriter(
             self._protocol,
             self._send,
-            lambda: self._is_refused or self._is_draining(),
+            self._is_last_response,
         )
 
+    def _is_last_response(self) -> bool:
+        if self._is_refused or self._reader.must_close:
+            return True
+        return self._is_draining()
+
     async def _send(self, payload: bytes) -> None:
         self._sending_since = trio.current_time()
         await send_all(self._stream, payload)
--- a/src/clementinedyke/http_message.py
+++ b/src/clementinedyke/http_message.py
@@ -62,6 +62,8 @@
     def __init__(self) -> None:
         """Create the information of a new connection."""
         self.customer: str | None = None
+        #: Set by a handler whose response is the last of the connection.
+        self.must_close = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/http_reader.py
+++ b/src/clementinedyke/http_reader.py
@@ -59,6 +59,11 @@
         """Customer of the last request, as noted by the handler."""
         return self._info.customer
 
+    @property
+    def must_close(self) -> bool:
+        """Whether a handler wants the connection closed."""
+        return self._info.must_close
+
     def stop_waiting(self) -> None:
         """Receive no further request if none has begun."""
         if self._stage is _Stage.IDLE:
--- a/tests/caller_tools.py
+++ b/tests/caller_tools.py
@@ -90,6 +90,17 @@
         self.outcomes: list[RequestOutcome] = []
         self.usage: list[TokenUsage] = []
         self.port = 0
+        self.served: ServedPort | None = None
+
+    def count_connections(self, customer: str) -> int:
+        """Return the number of connections of a customer."""
+        assert self.served is not None
+        return self.served.server.count_connections(customer)
+
+    async def wait_until_empty(self) -> None:
+        """Wait until the port has no connection left."""
+        assert self.served is not None
+        await self.served.wait_until_empty()
 
     @property
     def codes(self) -> list[int | None]:
@@ -137,6 +148,7 @@
     served: ServedPort
     async with serve(handler.respond) as served:
         side.port = served.port
+        side.served = served
         yield side
         await served.wait_until_empty()
 
