Share the reads of the platform's lists between all daemons

The two watchers of each zone read both lists every second. In an outage every daemon read both lists each second, 660 reads/s at 330 daemons (calculated).

All daemons now take turns: two reads/s of each list by all together, spread from peer to peer as before. A list that is 8 s old is read by everyone, at most once in 4 to 12 s.

Ruled out: a conditional read, which the platform's protocol does not have.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: test run lint format check binary bench-relay bench-policy lock clean
+.PHONY: test run lint format check binary bench-relay bench-policy bench-sizing lock clean
 
 $(STAMP): requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -36,6 +36,9 @@
 bench-policy: $(STAMP)
 	$(BIN)/python -m bench.policy
 
+bench-sizing: $(STAMP)
+	$(BIN)/python -m bench.sizing
+
 lock:
 	$(BIN)/pip-compile -q --strip-extras --no-emit-index-url --no-emit-find-links --no-emit-trusted-host --generate-hashes --allow-unsafe --extra dev -o requirements-dev.txt pyproject.toml
 	$(BIN)/pip-compile -q --strip-extras --no-emit-index-url --no-emit-find-links --no-emit-trusted-host --generate-hashes --allow-unsafe -o requirements.txt pyproject.toml
--- /dev/null
+++ b/bench/sizing.py
@@ -0,0 +1,143 @@
+"""Costs of one daemon without callers, by size of what it knows.
+
+A daemon process runs against a process of stand-ins. Each row is a run of its
+own; the rows run at the same time. Bytes are counted by relays, both ways,
+without IP and TCP headers.
+"""
+
+import json
+import statistics
+import subprocess
+import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
+from typing import Any
+
+from bench.process_figures import read_processor_time, read_resident
+
+#: A round of the largest subset takes 125 s; connections are opened in it.
+SETTLE_SECONDS = 40
+WINDOW_SECONDS = 20
+CHANGES = 9
+CHANGE_PAUSE = 0.3
+BASE = {
+    'members': 6,
+    'endpoints': 10,
+    'services': 2,
+    'customers': 8,
+    'keys': 8,
+}
+SHAPES: tuple[dict[str, int], ...] = (
+    {},
+    {'members': 109},
+    {'members': 329},
+    {'endpoints': 100},
+    {'endpoints': 600},
+    {'customers': 100, 'keys': 100},
+    {'customers': 710, 'keys': 2000},
+    {'services': 26},
+    {
+        'members': 329,
+        'endpoints': 600,
+        'services': 26,
+        'customers': 710,
+        'keys': 2000,
+    },
+)
+
+
+class Run:
+    """A daemon and its peers."""
+
+    def __init__(self, stack: ExitStack, shape: dict[str, int]) -> None:
+        """Start both processes."""
+        self._stack = stack
+        self._peers = self._start('bench.sizing_peers', json.dumps(shape))
+        platform = self._read(self._peers)['platform']
+        self._daemon = self._start('bench.sizing_daemon', platform)
+
+    def measure(self) -> str:
+        """Return the cells of a row."""
+        time.sleep(SETTLE_SECONDS)
+        pid = self._daemon.pid
+        before, began = self._ask('count'), read_processor_time(pid)
+        time.sleep(WINDOW_SECONDS)
+        after, ended = self._ask('count'), read_processor_time(pid)
+        seconds = after['instant'] - before['instant']
+        kinds = ('state', 'members', 'platform')
+        rates = [(after[kind] - before[kind]) / seconds for kind in kinds]
+        cells = [
+            f'{read_resident(pid):.1f}',
+            f'{100 * (ended - began) / seconds:.2f}',
+            f'{(after["asked"] - before["asked"]) / seconds:.1f}',
+            *(f'{rate:.0f}' for rate in rates),
+            *self._measure_changes(),
+        ]
+        return ' | '.join(cells)
+
+    def _measure_changes(self) -> list[str]:
+        waits: list[float] = []
+        spent: list[float] = []
+        for _ in range(CHANGES):
+            written = self._ask('change')
+            seen = self._read(self._daemon)
+            while seen['version'] < written['version']:
+                seen = self._read(self._daemon)
+            waits.append(seen['instant'] - written['instant'])
+            spent.append(seen['spent'])
+            time.sleep(CHANGE_PAUSE)
+        return [
+            f'{statistics.median(waits):.2f}',
+            f'{max(waits):.2f}',
+            f'{1000 * statistics.median(spent):.2f}',
+        ]
+
+    def _start(self, module: str, argument: str) -> subprocess.Popen[str]:
+        process = subprocess.Popen(
+            [sys.executable, '-m', module, argument],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self._stack.callback(process.wait)
+        self._stack.callback(process.terminate)
+        return process
+
+    def _ask(self, command: str) -> dict[str, Any]:
+        assert self._peers.stdin is not None
+        self._peers.stdin.write(f'{command}\n')
+        self._peers.stdin.flush()
+        return self._read(self._peers)
+
+    def _read(self, process: subprocess.Popen[str]) -> dict[str, Any]:
+        assert process.stdout is not None
+        answer: dict[str, Any] = json.loads(process.stdout.readline())
+        return answer
+
+
+def run_shape(changed: dict[str, int]) -> str:
+    """Return the row of a shape."""
+    shape = BASE | changed
+    with ExitStack() as stack:
+        cells = Run(stack, shape).measure()
+    sizes = ' | '.join(str(size) for size in shape.values())
+    return f'| {sizes} | {cells} |'
+
+
+def main() -> None:
+    """Print a table with a row per shape."""
+    print(
+        '| other members | endpoints | services | customers | keys'
+        ' | resident MB | % of a core | /state calls/s | /state B/s'
+        ' | members B/s | platform B/s | change s, median | change s, most'
+        ' | change, processor ms |'
+    )
+    print('|', ' --- |' * 14, sep='')
+    with ThreadPoolExecutor(len(SHAPES)) as pool:
+        for row in pool.map(run_shape, SHAPES):
+            print(row, flush=True)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/sizing_daemon.py
@@ -0,0 +1,56 @@
+"""Runs the daemon of ``serve`` and prints when changes are in force."""
+
+import json
+import sys
+import time
+from typing import Any
+
+import trio
+
+from clementinedyke.configuration_events import RecordsChanged
+from clementinedyke.daemon import Daemon
+from clementinedyke.demo import run_until_signal
+from clementinedyke.settings import Settings
+
+
+class Stopwatch:
+    """Prints processor time of a change and the instant at its end."""
+
+    def __init__(self, daemon: Daemon) -> None:
+        """Observe a daemon before and after its own observers."""
+        self._began = time.process_time()
+        daemon.control.observers.insert(0, self._begin)
+        daemon.control.observers.append(self._end)
+
+    def _begin(self, change: Any) -> None:
+        self._began = time.process_time()
+
+    def _end(self, change: Any) -> None:
+        if isinstance(change, RecordsChanged):
+            spent = time.process_time() - self._began
+            line = {
+                'version': change.version,
+                'instant': time.monotonic(),
+                'spent': spent,
+            }
+            print(json.dumps(line), flush=True)
+
+
+async def _run(platform: str) -> None:
+    daemon = Daemon(
+        Settings(
+            port=0,
+            operator_port=0,
+            daemon_port=0,
+            platform=platform,
+            availability_zone='zone-0',
+        )
+    )
+    Stopwatch(daemon)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(daemon.application.run)
+        await run_until_signal(daemon.application)
+
+
+if __name__ == '__main__':
+    trio.run(_run, sys.argv[1])
--- a/src/clementinedyke/configuration_events.py
+++ b/src/clementinedyke/configuration_events.py
@@ -19,6 +19,10 @@
     #: Longest mean wait between failed polls of a daemon that is no watcher:
     #: 310 daemons then make 80 reads/s of the platform's 2,000.
     backoff_limit: Milliseconds = 4000
+    #: Reads of each platform list per ``poll_interval`` by all daemons.
+    list_reads: int = 2
+    #: Age of a list at which every daemon reads it for itself.
+    list_silence: Milliseconds = 8000
     key_max_age: Milliseconds = 8000
     watchers: int = 2
     #: Time without any peer after which a daemon counts as the only one.
--- a/src/clementinedyke/directory.py
+++ b/src/clementinedyke/directory.py
@@ -34,8 +34,10 @@
         :param records: validated records of all kinds.
         """
         directory = cls(revision=revision)
+        # Each access to a singledispatchmethod builds a new function.
+        add = directory._add
         for record in records:
-            directory._add(record)
+            add(record)
         return directory
 
     def get_key(self, digest: str) -> KeyRecord | None:
--- a/src/clementinedyke/gossip.py
+++ b/src/clementinedyke/gossip.py
@@ -67,7 +67,7 @@
         self.configuration = ConfigurationCore(
             own, random_source, configuration_options
         )
-        self.lists = PlatformListCore(configuration_options)
+        self.lists = PlatformListCore(configuration_options, random_source)
         self._is_stale = True
 
     def handle(self, event: object, now: Milliseconds) -> list[object]:
@@ -122,8 +122,8 @@
             )
             self.configuration.handle(seen, now)
         yield from self.configuration.handle(event, now)
-        is_watcher = self.configuration.is_watcher
-        yield from self.lists.poll(now, is_watcher=is_watcher)
+        daemons = len(self.membership.view.table.list_ring())
+        yield from self.lists.poll(now, daemons=daemons)
 
     def _watch(self, actions: Iterable[object]) -> Iterator[object]:
         for action in actions:
--- a/src/clementinedyke/platform_lists.py
+++ b/src/clementinedyke/platform_lists.py
@@ -1,5 +1,6 @@
 """Decision core of the platform's lists of endpoints and hosts."""
 
+import random
 import zlib
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
@@ -21,6 +22,9 @@
 )
 from clementinedyke.membership_events import Received, Send
 
+_SHORTEST = 0.5
+_LONGEST = 1.5
+
 ListAction = Send | ReadList | ListChanged
 
 
@@ -52,16 +56,21 @@
     left.
     """
 
-    def __init__(self, options: ConfigurationOptions) -> None:
+    def __init__(
+        self, options: ConfigurationOptions, random_source: random.Random
+    ) -> None:
         """Create a core without any list.
 
         :param options: intervals.
+        :param random_source: seeded source of jitter.
         """
+        self._random = random_source
         self._options = options
         self._states: dict[int, _ListState] = {}
         self._fetches: dict[int, tuple[int, Milliseconds]] = {}
         self._sequence = 0
-        self._next_poll: Milliseconds = 0
+        self._next_turns: dict[int, Milliseconds] = {}
+        self._next_retries: dict[int, Milliseconds] = {}
 
     def get_content(self, place: PlatformList) -> bytes | None:
         """Return the content of a list, None if it was never read.
@@ -92,23 +101,40 @@
             None if state is None else state.describe(now) for state in states
         )
 
-    def poll(
-        self, now: Milliseconds, *, is_watcher: bool
-    ) -> Iterator[ListAction]:
+    def poll(self, now: Milliseconds, *, daemons: int) -> Iterator[ListAction]:
         """Return the reads that are due.
 
+        The lists of the target size have 100 KB, so reads by the watchers
+        every second would cost each of them 20 times its budget. All daemons
+        take turns instead, and content spreads from peer to peer.
+
         :param now: current instant.
-        :param is_watcher: whether this daemon polls for its zone.
+        :param daemons: number of living daemons.
         """
-        if now < self._next_poll:
-            return
-        self._next_poll = now + self._options.poll_interval
         for place in PlatformList:
-            age = self.get_age(place, now)
-            is_silent = age is None or age >= self._options.silence
-            if is_watcher or is_silent:
+            if self._is_due(place, now):
+                self._schedule(place, now, daemons)
                 yield ReadList(place)
 
+    def _is_due(self, place: PlatformList, now: Milliseconds) -> bool:
+        age = self.get_age(place, now)
+        if age is None or age >= self._options.list_silence:
+            return now >= self._next_retries.get(place, 0)
+        return now >= self._next_turns.get(place, 0)
+
+    def _schedule(
+        self, place: PlatformList, now: Milliseconds, daemons: int
+    ) -> None:
+        options = self._options
+        turn = options.poll_interval * max(1, daemons / options.list_reads)
+        retry = options.list_silence
+        if place not in self._states:
+            retry = options.poll_interval
+        # Jitter keeps the daemons from reading in step.
+        factor = self._random.uniform(_SHORTEST, _LONGEST)
+        self._next_turns[place] = now + int(turn * factor)
+        self._next_retries[place] = now + int(retry * factor)
+
     def handle(self, event: object, now: Milliseconds) -> list[ListAction]:
         """Return the actions that an event calls for.
 
--- a/tests/cluster_fake.py
+++ b/tests/cluster_fake.py
@@ -45,6 +45,8 @@
         #: Revision at which answers stand still, as after a bad fail-over.
         self.stuck_at: int | None = None
         self.reads = 0
+        #: Reads of platform lists, answered or not.
+        self.list_reads = 0
         self.lists = [b'[]', b'[]']
 
     def write(self, key: str, value: Any) -> int:
@@ -252,6 +254,7 @@
         if zone in self.storeless_zones:
             return
         answer: object
+        self.table.list_reads += isinstance(read, ReadList)
         if isinstance(read, Poll):
             answer = self.table.read(read)
         elif self.table.is_down:
--- a/tests/test_cluster_parts.py
+++ b/tests/test_cluster_parts.py
@@ -183,7 +183,7 @@
 
     def test_slow_peer(self) -> None:
         """Content that may have been read earlier is not fetched."""
-        core = PlatformListCore(ConfigurationOptions())
+        core = PlatformListCore(ConfigurationOptions(), random.Random(1))
         core.handle(ListAnswered(0, b'new', 900), 1000)
         older = ListAdvert(digest=1, oldest=50, newest=0)
         newer = ListAdvert(digest=1, oldest=10, newest=0)
@@ -191,6 +191,25 @@
             heard = AdvertReceived('p', Advert(lists=(advert,)), asked_at)
             assert len(core.handle(heard, 1050)) == count
 
+    def test_reads_are_shared(self) -> None:
+        """Guards against list reads that grow with the number of daemons."""
+        net = start_cluster()
+        net.run(10000)
+        before = net.table.list_reads
+        net.run(60000)
+        # Two reads/s of each of two lists, with room for jitter.
+        assert 200 <= net.table.list_reads - before <= 280
+
+    def test_outage_is_polled_slowly(self) -> None:
+        """Guards against all daemons reading each second in an outage."""
+        net = start_cluster()
+        net.table.is_down = True
+        net.run(20000)
+        before = net.table.list_reads
+        net.run(40000)
+        reads = net.table.list_reads - before
+        assert 0 < reads <= 2 * DAEMONS * 40 / 6
+
     def test_list_reaches_all(self) -> None:
         """A changed endpoint list is known everywhere within 6 s."""
         net = start_cluster()
