--- a/bench/sizing.py
+++ b/bench/sizing.py
@@ -6,21 +6,35 @@
 """
 
 import json
+import random
 import statistics
 import subprocess
 import sys
 import time
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
 from typing import Any
 
 from bench.process_figures import read_processor_time, read_resident
+from clementinedyke.route_events import EndpointsChanged
+from clementinedyke.route_types import RoutedEndpoint
+from clementinedyke.router import RouterCore
+from clementinedyke.selection import RouterSettings
+from clementinedyke.subset import (
+    Place,
+    RingShare,
+    find_share,
+    select_subset,
+)
 
 #: A round of the largest subset takes 125 s; connections are opened in it.
 SETTLE_SECONDS = 40
 WINDOW_SECONDS = 20
 CHANGES = 9
-CHANGE_PAUSE = 0.3
+CHANGE_PAUSE = 0.37
+ROUNDS = 200
+LISTS = ('/v1/endpoints', '/v1/hosts')
 BASE = {
     'members': 6,
     'endpoints': 10,
@@ -72,6 +86,7 @@
             f'{100 * (ended - began) / seconds:.2f}',
             f'{(after["asked"] - before["asked"]) / seconds:.1f}',
             *(f'{rate:.0f}' for rate in rates),
+            str(count_lists(after) - count_lists(before)),
             *self._measure_changes(),
         ]
         return ' | '.join(cells)
@@ -125,18 +140,77 @@
     return f'| {sizes} | {cells} |'
 
 
+def count_lists(counted: dict[str, Any]) -> int:
+    """Return the reads of platform lists."""
+    calls: dict[str, int] = counted['calls']
+    return sum(calls.get(f'GET {path}', 0) for path in LISTS)
+
+
+def time_calls(step: Callable[[], object]) -> float:
+    """Return the processor milliseconds of a step."""
+    began = time.process_time()
+    for _ in range(ROUNDS):
+        step()
+    return 1000 * (time.process_time() - began) / ROUNDS
+
+
+def measure_share(daemons: int) -> float:
+    """Return the time to find a daemon's place, done after each batch."""
+    places = [
+        Place(f'd-{number}', f'z-{number % 5}') for number in range(daemons)
+    ]
+    return time_calls(lambda: find_share(places[0], places))
+
+
+def measure_subset(endpoints: int) -> float:
+    """Return the time to choose from all services after a change."""
+    services = [
+        [
+            Place(f'e-{service}-{number}', f'z-{number % 5}')
+            for number in range(endpoints // 26)
+        ]
+        for service in range(26)
+    ]
+    share = RingShare(7, 330)
+    return time_calls(
+        lambda: [select_subset(share, service) for service in services]
+    )
+
+
+def measure_room(services: int) -> float:
+    """Return the time to report the room of services of 6 endpoints."""
+    core = RouterCore(RouterSettings(availability_zone='z'), random.Random(1))
+    routed = tuple(
+        RoutedEndpoint(f'e-{number}', f's-{number % services}', 'z')
+        for number in range(6 * services)
+    )
+    core.handle(EndpointsChanged(routed), 0)
+    names = [f's-{number}' for number in range(services)]
+    return time_calls(lambda: [core.get_room(name, 0) for name in names])
+
+
+def print_cores() -> None:
+    """Print the processor time of steps that the rows do not reach."""
+    for daemons in (7, 110, 330):
+        print(f'place among {daemons} daemons: {measure_share(daemons):.2f} ms')
+    print(f'subset of 600 endpoints: {measure_subset(600):.2f} ms')
+    for services in (2, 26):
+        print(f'room of {services} services: {measure_room(services):.3f} ms')
+
+
 def main() -> None:
     """Print a table with a row per shape."""
     print(
         '| other members | endpoints | services | customers | keys'
         ' | resident MB | % of a core | /state calls/s | /state B/s'
-        ' | members B/s | platform B/s | change s, median | change s, most'
+        ' | members B/s | platform B/s | list reads in the window | change s, median | change s, most'
         ' | change, processor ms |'
     )
-    print('|', ' --- |' * 14, sep='')
+    print('|', ' --- |' * 15, sep='')
     with ThreadPoolExecutor(len(SHAPES)) as pool:
         for row in pool.map(run_shape, SHAPES):
             print(row, flush=True)
+    print_cores()
 
 
 if __name__ == '__main__':
