--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -68,12 +68,13 @@
             self._clock,
             settings.availability_zone,
             self._generator,
+            self.control,
         )
         self.admission = AdmissionComponent(
             self.routing.router,
             self._clock,
             self.configuration.get_directory,
-            self._count_daemons,
+            self.routing.subset.count_sharers,
         )
         self._connection_limit = ConnectionLimit(
             settings.max_customer_connections
@@ -119,9 +120,9 @@
 
     def _count_daemons(self) -> int:
         node = self.control.node
-        return (
-            1 if node is None else len(node.membership.view.table.list_ring())
-        )
+        if node is None:
+            return 1
+        return max(1, len(node.membership.view.table.list_ring()))
 
     def _observe_outcome(self, ended: RequestOutcome) -> None:
         self.reports.record_outcome(describe_outcome(ended))
--- a/src/clementinedyke/router.py
+++ b/src/clementinedyke/router.py
@@ -51,6 +51,14 @@
         """Number of requests that were started and did not end."""
         return len(self._in_flight)
 
+    def get_own_streams(self, endpoint_id: str) -> int:
+        """Return the number of own requests at an endpoint.
+
+        :param endpoint_id: endpoint that may be unknown.
+        """
+        state = self._table.get_owner(endpoint_id)
+        return state.loads[endpoint_id].own_streams if state else 0
+
     def get_own_work(self, service: str) -> tuple[EndpointWork, ...]:
         """Return the work in flight to tell the other daemons of.
 
