Run leases, outboxes and usage in the daemon

The components existed, but no daemon ran them. Their identity needs the bound daemon address, so AuthorityComponent builds them when it starts, after the control component. Scopes follow the service records: a new model service gets its lease and outbox, a withdrawn one gives its lease back before its scope may be added again.

On a stop the last usage is written and leases are given back before the control component announces leaving; the order connections end before the daemon port closes, whose bind proves the end of a process.

The incarnation of a lease holder names host, address and run. The run alone could be shared by two hosts, and a death record would then release a living process.

Ruled out: a usage window shorter than the flush interval.

The report registration moves to daemon_reports and the constructor of Daemon into one builder per subject.

--- /dev/null
+++ b/src/clementinedyke/authority_component.py
@@ -0,0 +1,224 @@
+"""Runs the leases, orders and usage of a daemon."""
+
+import random
+
+import trio
+from absl import logging
+
+from clementinedyke.authority_peers import AuthorityPeers, AuthorityTiming
+from clementinedyke.callers import TokenUsage
+from clementinedyke.candidates import CandidateTable
+from clementinedyke.clock import Milliseconds
+from clementinedyke.closing import CloserCore
+from clementinedyke.components import Component
+from clementinedyke.control_messages import Member
+from clementinedyke.daemons import ControlComponent
+from clementinedyke.directory import Directory
+from clementinedyke.http_message import RequestError
+from clementinedyke.lease_component import LeaseComponent
+from clementinedyke.lease_types import Identity
+from clementinedyke.platform.hosts import HostListClient
+from clementinedyke.platform.usage_reports import UsageReportClient
+from clementinedyke.service_authority import ServiceAuthority
+from clementinedyke.usage import PartCore
+from clementinedyke.usage_component import (
+    USAGE_SCOPE,
+    CloserComponent,
+    PartComponent,
+)
+
+_FOLLOW_INTERVAL: Milliseconds = 500
+_MILLISECONDS_PER_SECOND = 1000
+
+
+class AuthorityComponent(Component):
+    """Owns the leases of this daemon and what is done under them.
+
+    Started after the control component, because the identity of a lease holder
+    needs the bound daemon address. It drains before the control component, so
+    that leases are given back before this daemon announces leaving, and after
+    the caller port, so that all usage is counted.
+    """
+
+    def __init__(
+        self,
+        control: ControlComponent,
+        peers: AuthorityPeers,
+        timing: AuthorityTiming,
+        nonces: random.Random,
+    ) -> None:
+        """Create the component; nothing is sought yet.
+
+        :param control: control cores of this daemon.
+        :param peers: clients, records and clock.
+        :param timing: durations of leases and usage windows.
+        :param nonces: seeded source of nonces.
+        """
+        self._control = control
+        self._peers = peers
+        self._timing = timing
+        self._nonces = nonces
+        self._revision = -1
+        self._is_draining = False
+        self._ended = trio.Event()
+        self._nursery: trio.Nursery | None = None
+        self.leases: LeaseComponent | None = None
+        self.part: PartComponent | None = None
+        self.closer: CloserComponent | None = None
+        #: Model services whose lease this daemon may seek, by name.
+        self.services: dict[str, ServiceAuthority] = {}
+
+    def observe_usage(self, usage: TokenUsage) -> None:
+        """Count the tokens of a request that ended.
+
+        :param usage: tokens by customer and service.
+        """
+        if self.part is None:
+            return
+        subject = f'{usage.customer}/{usage.service}'
+        self.part.add_work(
+            {
+                f'{subject}/prompt_tokens': usage.prompt_tokens,
+                f'{subject}/completion_tokens': usage.completion_tokens,
+            }
+        )
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Build the components for the bound address and start them.
+
+        :param nursery: nursery that runs the tasks.
+        :raises RuntimeError: if the daemon port is not bound yet.
+        """
+        node = self._control.node
+        if node is None:
+            raise RuntimeError('leases need the bound daemon port')
+        view = node.membership.view
+        candidates = CandidateTable(view.table.list_ring, view.own.daemon_id)
+        identity = create_identity(view.own, self._control.bound_address)
+        peers = self._peers
+        self.leases = LeaseComponent(
+            identity,
+            peers.tables,
+            HostListClient(peers.platform),
+            peers.clock,
+            self._nonces,
+            candidates.is_candidate,
+            self._timing.lease,
+        )
+        self.part = PartComponent(
+            identity.incarnation,
+            peers.tables,
+            peers.clock,
+            PartCore(flush_interval=self._timing.flush_interval),
+        )
+        self.closer = self._create_closer(self.leases)
+        await nursery.start(
+            self._run, self.leases, (self.leases, self.part, self.closer)
+        )
+
+    async def drain(self) -> None:
+        """Write the last usage and give all leases back."""
+        self._is_draining = True
+        if self.part is None or self.leases is None or self._nursery is None:
+            return
+        await self.part.stop()
+        await self.leases.stop()
+        # The daemon port proves that this process ended, so it may close only
+        # when no order connection is open.
+        self._nursery.cancel_scope.cancel()
+        await self._ended.wait()
+
+    def _create_closer(self, leases: LeaseComponent) -> CloserComponent:
+        closer = CloserComponent(
+            leases.add_scope(USAGE_SCOPE),
+            self._peers.tables,
+            UsageReportClient(self._peers.platform_address),
+            self._peers.clock,
+            CloserCore(self._timing.window_length),
+        )
+        leases.add_source(USAGE_SCOPE, closer)
+        return closer
+
+    async def _run(
+        self,
+        leases: LeaseComponent,
+        components: tuple[Component, ...],
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                for component in components:
+                    await component.start(nursery)
+                task_status.started()
+                await self._follow_records(leases, nursery)
+        finally:
+            self._ended.set()
+
+    async def _follow_records(
+        self, leases: LeaseComponent, nursery: trio.Nursery
+    ) -> None:
+        while not self._is_draining:
+            try:
+                directory = self._peers.get_directory()
+            except RequestError:
+                directory = None
+            if directory is not None:
+                self._follow_deaths(directory, leases)
+                self._follow_services(directory, leases, nursery)
+            await trio.sleep(_FOLLOW_INTERVAL / _MILLISECONDS_PER_SECOND)
+
+    def _follow_services(
+        self,
+        directory: Directory,
+        leases: LeaseComponent,
+        nursery: trio.Nursery,
+    ) -> None:
+        wanted = {
+            name
+            for name, record in directory.services.items()
+            if record.backend == 'model'
+        }
+        for name in sorted(wanted - self.services.keys()):
+            added = ServiceAuthority(name, leases, self._peers)
+            self.services[name] = added
+            nursery.start_soon(added.run)
+        for gone in sorted(self.services.keys() - wanted):
+            if not self.services[gone].is_withdrawn:
+                nursery.start_soon(self._withdraw, gone)
+
+    async def _withdraw(self, name: str) -> None:
+        # The entry stays until the lease is given back: a service that comes
+        # back earlier must not get a second core for the same scope.
+        await self.services[name].withdraw()
+        self.services.pop(name)
+
+    def _follow_deaths(
+        self, directory: Directory, leases: LeaseComponent
+    ) -> None:
+        if directory.revision == self._revision:
+            return
+        self._revision = directory.revision
+        for death in directory.deaths.values():
+            if death.incarnation.startswith(f'{death.host_id}/'):
+                leases.confirm_death(death.incarnation)
+            else:
+                logging.error(
+                    'event=death_ignored name=%s reason="incarnation %s is '
+                    'not of host %s"',
+                    death.name,
+                    death.incarnation,
+                    death.host_id,
+                )
+
+
+def create_identity(own: Member, bound_address: str) -> Identity:
+    """Return the identity under which a run of a daemon holds leases.
+
+    :param own: member record of this daemon.
+    :param bound_address: address that the daemon port is bound to; an
+        advertised one may lead to another process.
+    """
+    incarnation = f'{own.daemon_id}/{own.run}'
+    return Identity(own.host_id, bound_address, incarnation)
--- /dev/null
+++ b/src/clementinedyke/authority_peers.py
@@ -0,0 +1,58 @@
+"""What the authority of a daemon uses of the rest of the process."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from clementinedyke.clock import Clock, Milliseconds
+from clementinedyke.closing import WINDOW_LENGTH
+from clementinedyke.directory import Directory
+from clementinedyke.endpoints.registry import EndpointRegistry
+from clementinedyke.http_client import Address, HttpClient
+from clementinedyke.lease_types import LeaseTiming
+from clementinedyke.platform.tables import TableClient
+from clementinedyke.settings import Settings
+from clementinedyke.usage import FLUSH_INTERVAL
+
+_RENEWALS_PER_LEASE = 3
+
+
+@dataclass(frozen=True, slots=True)
+class AuthorityPeers:
+    """Clients, records and clock that authority is exercised with.
+
+    ``get_directory`` raises ``RequestError`` before the first configuration.
+    """
+
+    tables: TableClient
+    platform: HttpClient
+    endpoints: EndpointRegistry
+    get_directory: Callable[[], Directory]
+    clock: Clock
+
+    @property
+    def platform_address(self) -> Address:
+        """Address of the endpoint interface and the usage interface."""
+        return self.platform.address
+
+
+@dataclass(frozen=True, slots=True)
+class AuthorityTiming:
+    """Durations of leases and of usage windows.
+
+    ``flush_interval`` must be shorter than ``window_length``: a part that is
+    refused by a closed window waits for the next flush, and would find that
+    window closed as well.
+    """
+
+    lease: LeaseTiming = LeaseTiming()
+    window_length: Milliseconds = WINDOW_LENGTH
+    flush_interval: Milliseconds = FLUSH_INTERVAL
+
+    @classmethod
+    def compile(cls, settings: Settings) -> 'AuthorityTiming':
+        """Return the durations that follow from the settings.
+
+        :param settings: settings of the daemon.
+        """
+        duration = settings.lease_duration
+        return cls(LeaseTiming(duration, duration // _RENEWALS_PER_LEASE))
--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -8,7 +8,9 @@
 
 from clementinedyke.admission_component import AdmissionComponent
 from clementinedyke.application import Application
-from clementinedyke.callers import CallerHandler, HandlerOptions, RequestOutcome
+from clementinedyke.authority_component import AuthorityComponent
+from clementinedyke.authority_peers import AuthorityPeers, AuthorityTiming
+from clementinedyke.callers import CallerHandler, HandlerOptions
 from clementinedyke.callers.port import CallerPort, get_dispatch_limits
 from clementinedyke.claim import ClaimSettings
 from clementinedyke.claim_component import ClaimComponent
@@ -18,14 +20,12 @@
     compile_control_options,
     describe_member,
 )
-from clementinedyke.control_report import ConfigurationReport, MemberReport
+from clementinedyke.daemon_reports import DaemonReports
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.daemons.platform_reader import PlatformReader
 from clementinedyke.endpoints.registry import EndpointRegistry
 from clementinedyke.http_client import Address, HttpClient
-from clementinedyke.operators import OperatorPort, OperatorReports
-from clementinedyke.operators.caller_outcomes import describe_outcome
-from clementinedyke.operators.endpoint_status import EndpointStatus
+from clementinedyke.operators import OperatorPort
 from clementinedyke.platform.tables import TableClient
 from clementinedyke.retry_planner import RetryPlanner
 from clementinedyke.routing_component import RoutingComponent
@@ -37,32 +37,80 @@
 class Daemon:
     """The components of an entry daemon and the application that runs them."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(
+        self, settings: Settings, timing: AuthorityTiming | None = None
+    ) -> None:
         """Build the daemon; nothing is opened yet.
 
         :param settings: validated settings.
+        :param timing: durations of leases and usage windows; by default
+            those that follow from the settings.
         """
         self._settings = settings
         self._clock = MonotonicClock()
         self._generator = random.Random(f'{settings.host_id}/{os.getpid()}')
-        platform = HttpClient(Address.parse(settings.platform))
-        tables = TableClient(platform)
-        self.reports = OperatorReports()
+        self._platform = HttpClient(Address.parse(settings.platform))
+        self._tables = TableClient(self._platform)
+        self.reports = DaemonReports()
+        self._build_control()
+        self._build_authority(timing or AuthorityTiming.compile(settings))
+        self._build_requests()
+        self._build_ports()
+        self.reports.add_control(self.control, self.configuration)
+        self.reports.add_endpoints(self.endpoints)
+        # Drained in reverse: no new requests, no leases, leaving is announced.
+        self.application = Application(
+            [
+                self.control,
+                self.configuration,
+                self.endpoints,
+                self.authority,
+                self.routing,
+                self.admission,
+                self.claims,
+                self.caller_port,
+                self.operator_port,
+            ]
+        )
+
+    async def wait_until_ready(self) -> None:
+        """Wait until the daemon has its configuration and endpoints."""
+        while not self.reports.is_ready() or not self.routing.has_state():
+            await trio.sleep(_READY_POLL_SECONDS)
+
+    def _build_control(self) -> None:
+        """Build what tells members, records and endpoints."""
         self.endpoints = EndpointRegistry()
         self.control = ControlComponent(
-            partial(describe_member, settings),
-            PlatformReader(platform),
-            compile_control_options(settings),
+            partial(describe_member, self._settings),
+            PlatformReader(self._platform),
+            compile_control_options(self._settings),
             self._clock,
         )
         self.configuration = ConfigurationComponent(
             self.control, self.endpoints, self._clock
         )
-        self.claims = ClaimComponent(tables, self._clock, ClaimSettings())
+
+    def _build_authority(self, timing: AuthorityTiming) -> None:
+        """Build what is done under leases."""
+        peers = AuthorityPeers(
+            self._tables,
+            self._platform,
+            self.endpoints,
+            self.configuration.get_directory,
+            self._clock,
+        )
+        self.authority = AuthorityComponent(
+            self.control, peers, timing, self._generator
+        )
+
+    def _build_requests(self) -> None:
+        """Build the steps of a caller's request."""
+        self.claims = ClaimComponent(self._tables, self._clock, ClaimSettings())
         self.routing = RoutingComponent(
             self.endpoints,
             self._clock,
-            settings.availability_zone,
+            self._settings.availability_zone,
             self._generator,
         )
         self.admission = AdmissionComponent(
@@ -71,26 +119,13 @@
             self.configuration.get_directory,
             self._count_daemons,
         )
-        self.caller_port = CallerPort(settings, self._create_handler())
-        self.operator_port = OperatorPort(settings, tables, self.reports)
-        self._register_reports()
-        self.application = Application(
-            [
-                self.control,
-                self.configuration,
-                self.endpoints,
-                self.routing,
-                self.admission,
-                self.claims,
-                self.caller_port,
-                self.operator_port,
-            ]
-        )
 
-    async def wait_until_ready(self) -> None:
-        """Wait until the daemon has its configuration and endpoints."""
-        while not self.reports.is_ready() or not self.routing.has_state():
-            await trio.sleep(_READY_POLL_SECONDS)
+    def _build_ports(self) -> None:
+        """Build the ports for callers and operators."""
+        self.caller_port = CallerPort(self._settings, self._create_handler())
+        self.operator_port = OperatorPort(
+            self._settings, self._tables, self.reports
+        )
 
     def _create_handler(self) -> CallerHandler:
         options = HandlerOptions(
@@ -102,7 +137,8 @@
             claims=self.claims,
             get_verdict=self.routing.get_verdict,
             region=self._settings.region,
-            observe_outcome=self._observe_outcome,
+            observe_outcome=self.reports.observe_outcome,
+            observe_usage=self.authority.observe_usage,
         )
         return CallerHandler(self.configuration, self.endpoints, options)
 
@@ -111,24 +147,3 @@
         return (
             1 if node is None else len(node.membership.view.table.list_ring())
         )
-
-    def _observe_outcome(self, ended: RequestOutcome) -> None:
-        self.reports.record_outcome(describe_outcome(ended))
-
-    def _register_reports(self) -> None:
-        report = ConfigurationReport(self.configuration)
-        self.reports.add_readiness('configuration', report.has_configuration)
-        self.reports.add_status('members', MemberReport(self.control))
-        self.reports.add_status('configuration', report)
-        self.reports.metrics.add_gauge(
-            'configuration_revision',
-            'Revision of the records in force.',
-            report.get_revision,
-        )
-        endpoints = EndpointStatus(self.endpoints.list_endpoints)
-        self.reports.add_status('endpoints', endpoints)
-        self.reports.metrics.add_gauge(
-            'live_endpoints',
-            'Endpoints that take new work.',
-            endpoints.get_live_count,
-        )
--- /dev/null
+++ b/src/clementinedyke/daemon_reports.py
@@ -0,0 +1,52 @@
+"""Registers what the components of a daemon tell operators."""
+
+from clementinedyke.callers import RequestOutcome
+from clementinedyke.configuration_component import ConfigurationComponent
+from clementinedyke.control_report import ConfigurationReport, MemberReport
+from clementinedyke.daemons import ControlComponent
+from clementinedyke.endpoints.registry import EndpointRegistry
+from clementinedyke.operators import OperatorReports
+from clementinedyke.operators.caller_outcomes import describe_outcome
+from clementinedyke.operators.endpoint_status import EndpointStatus
+
+
+class DaemonReports(OperatorReports):
+    """Reports of a daemon with the sections of its components."""
+
+    def observe_outcome(self, ended: RequestOutcome) -> None:
+        """Count a request of a caller and keep it for ``explain``.
+
+        :param ended: record of the request.
+        """
+        self.record_outcome(describe_outcome(ended))
+
+    def add_control(
+        self, control: ControlComponent, configuration: ConfigurationComponent
+    ) -> None:
+        """Register members and configuration.
+
+        :param control: control cores of the daemon.
+        :param configuration: records in force.
+        """
+        report = ConfigurationReport(configuration)
+        self.add_readiness('configuration', report.has_configuration)
+        self.add_status('members', MemberReport(control))
+        self.add_status('configuration', report)
+        self.metrics.add_gauge(
+            'configuration_revision',
+            'Revision of the records in force.',
+            report.get_revision,
+        )
+
+    def add_endpoints(self, registry: EndpointRegistry) -> None:
+        """Register the endpoints that the platform lists.
+
+        :param registry: endpoints that the platform lists.
+        """
+        endpoints = EndpointStatus(registry.list_endpoints)
+        self.add_status('endpoints', endpoints)
+        self.metrics.add_gauge(
+            'live_endpoints',
+            'Endpoints that take new work.',
+            endpoints.get_live_count,
+        )
--- a/src/clementinedyke/daemons/component.py
+++ b/src/clementinedyke/daemons/component.py
@@ -67,6 +67,8 @@
         """
         #: Set once the port is bound: no earlier process listens there.
         self.bound = trio.Event()
+        #: Address that the port is bound to, empty before.
+        self.bound_address = ''
         self.node: ControlNode | None = None
         self.observers: list[Observer] = []
         self._describe = describe
@@ -98,9 +100,10 @@
         """
         options = self._options
         listener = bind_daemon_port(options.host, options.port)
-        self.bound.set()
         bound_host, bound_port = listener.getsockname()
         address = f'{bound_host}:{bound_port}'
+        self.bound_address = address
+        self.bound.set()
         logging.info('event=daemon_port_bound address=%s', address)
         seeds = (*options.seeds, *await self._reader.list_seeds())
         self.node = ControlNode(
--- a/src/clementinedyke/lease_component.py
+++ b/src/clementinedyke/lease_component.py
@@ -1,7 +1,7 @@
 """Runs the lease cores of a daemon over the platform."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 import msgspec
@@ -88,9 +88,22 @@
         self._cores: dict[str, LeaseCore] = {}
         self._sources: dict[str, list[OrderSource]] = {}
         self._pending: dict[str, list[LeaseEvent]] = {}
+        self._deaths: set[str] = set()
+        self._nursery: trio.Nursery | None = None
+        self._changes = 0
+
+    @property
+    def changes(self) -> int:
+        """Number of times that this daemon gained or lost a lease."""
+        return self._changes
+
+    @property
+    def cores(self) -> Mapping[str, LeaseCore]:
+        """Leases by scope, for reading."""
+        return self._cores
 
     def add_scope(self, scope: str) -> LeaseCore:
-        """Return the lease of a scope; call it before the start.
+        """Return the lease of a scope, which is sought from now on.
 
         :param scope: for example ``service/chat`` or ``usage``.
         """
@@ -99,9 +112,29 @@
                 self._identity, self._nonces, self._timing
             )
             self._sources[scope] = []
-            self._pending[scope] = []
+            self._pending[scope] = [
+                DeathConfirmed(incarnation)
+                for incarnation in sorted(self._deaths)
+            ]
+            if self._nursery is not None:
+                self._nursery.start_soon(self._run_scope, scope)
         return self._cores[scope]
 
+    async def remove_scope(self, scope: str) -> None:
+        """Give a lease back and forget its scope.
+
+        It may be added again after the return, not before.
+
+        :param scope: scope that was added.
+        """
+        core = self._cores[scope]
+        self._pending[scope].append(StopRequested())
+        while not core.is_given_back:
+            await trio.sleep(TICK_INTERVAL / _MILLISECONDS_PER_SECOND)
+        self._cores.pop(scope)
+        self._sources.pop(scope)
+        self._pending.pop(scope)
+
     def add_source(self, scope: str, source: OrderSource) -> None:
         """Close a source of orders before the scope's lease is given up.
 
@@ -115,6 +148,9 @@
 
         :param incarnation: run of the process that has ended.
         """
+        if incarnation in self._deaths:
+            return
+        self._deaths.add(incarnation)
         for pending in self._pending.values():
             pending.append(DeathConfirmed(incarnation))
 
@@ -123,6 +159,7 @@
 
         :param nursery: nursery that runs the tasks.
         """
+        self._nursery = nursery
         for scope in self._cores:
             nursery.start_soon(self._run_scope, scope)
 
@@ -140,7 +177,7 @@
     async def _run_scope(self, scope: str) -> None:
         core = self._cores[scope]
         was_held = False
-        while True:
+        while self._cores.get(scope) is core:
             tick = LeaseTick(self._is_candidate(scope))
             events = [*self._pending[scope], tick]
             self._pending[scope].clear()
@@ -148,6 +185,7 @@
                 await self._handle(scope, core, event)
             is_held = core.is_held(self._clock.get_now())
             if is_held != was_held:
+                self._changes += 1
                 logging.info(
                     'event=lease scope=%s held=%s fence=%d',
                     scope,
@@ -213,6 +251,6 @@
         return HostsRead(answer.unwrap(), asked_at)
 
     async def _close_orders(self, scope: str) -> LeaseEvent:
-        for source in self._sources[scope]:
+        for source in self._sources.get(scope, ()):
             await source.close_orders()
         return OrdersClosed()
--- /dev/null
+++ b/src/clementinedyke/service_authority.py
@@ -0,0 +1,67 @@
+"""Lease and orders of one model service."""
+
+import trio
+
+from clementinedyke.authority_peers import AuthorityPeers
+from clementinedyke.endpoints.orders import EngineOrderClient
+from clementinedyke.http_client import Address
+from clementinedyke.lease import LeaseCore
+from clementinedyke.lease_component import LeaseComponent
+from clementinedyke.order_target import OrderTarget
+from clementinedyke.outbox_component import OutboxComponent
+from clementinedyke.platform.endpoint_orders import EndpointOrderClient
+
+#: Begins the names of targets at the endpoint interface.
+PLATFORM_PREFIX = 'platform:'
+
+
+class ServiceAuthority:
+    """Seeks the lease of a service and sends its orders."""
+
+    def __init__(
+        self, service: str, leases: LeaseComponent, peers: AuthorityPeers
+    ) -> None:
+        """Add the scope of the service to the leases.
+
+        :param service: name of the service.
+        :param leases: leases of this daemon.
+        :param peers: clients, records and clock.
+        """
+        self._service = service
+        self._leases = leases
+        self._peers = peers
+        self._life = trio.CancelScope()
+        self.is_withdrawn = False
+        self.scope = f'service/{service}'
+        self.lease: LeaseCore = leases.add_scope(self.scope)
+        self.outbox = OutboxComponent(
+            self.scope,
+            self.lease,
+            peers.tables,
+            self._select_target,
+            peers.clock,
+        )
+        leases.add_source(self.scope, self.outbox)
+
+    async def run(self) -> None:
+        """Send orders until the service is withdrawn."""
+        with self._life:
+            async with trio.open_nursery() as nursery:
+                await self.outbox.start(nursery)
+
+    async def withdraw(self) -> None:
+        """Give the lease back and end."""
+        self.is_withdrawn = True
+        await self._leases.remove_scope(self.scope)
+        self._life.cancel()
+
+    def _select_target(self, name: str) -> OrderTarget | None:
+        if name.startswith(PLATFORM_PREFIX):
+            return EndpointOrderClient(self._peers.platform_address)
+        for endpoint in self._peers.endpoints.list_endpoints():
+            if (endpoint.endpoint_id, endpoint.service) == (
+                name,
+                self._service,
+            ):
+                return EngineOrderClient(Address.parse(endpoint.address))
+        return None
--- a/src/clementinedyke/usage_component.py
+++ b/src/clementinedyke/usage_component.py
@@ -65,18 +65,23 @@
     """Writes the daemon's own figures into the open usage window."""
 
     def __init__(
-        self, incarnation: str, tables: TableClient, clock: Clock
+        self,
+        incarnation: str,
+        tables: TableClient,
+        clock: Clock,
+        core: PartCore | None = None,
     ) -> None:
         """Create the component.
 
         :param incarnation: this run of the daemon.
         :param tables: client of the table service.
         :param clock: clock of the process.
+        :param core: core with a flush interval of its own.
         """
         self._incarnation = incarnation
         self._tables = tables
         self._clock = clock
-        self._core = PartCore()
+        self._core = core or PartCore()
 
     def add_work(self, figures: Figures) -> None:
         """Count work that has ended.
--- /dev/null
+++ b/tests/test_daemon_authority.py
@@ -0,0 +1,119 @@
+"""Tests of leases, orders and usage as a running daemon wires them."""
+
+from collections import Counter
+from typing import Any
+
+import trio
+
+from clementinedyke.lease_types import Fencing
+from clementinedyke.order_types import OrderKind
+from daemon_scene import DaemonScene, run_scene, wait_for
+
+SCOPE = 'service/chat'
+COMPLETION = 'lofts/chat/completion_tokens'
+PROMPT = 'lofts/chat/prompt_tokens'
+
+
+def sum_reports(scene: DaemonScene) -> Counter[str]:
+    """Return the sum of the figures of all reports."""
+    total: Counter[str] = Counter()
+    for _, figures in scene.get_reports():
+        total.update(figures)
+    return total
+
+
+class TestLeases:
+    """Guards against a daemon that seeks no lease, or keeps one for ever."""
+
+    def test_order_is_recorded_first(self) -> None:
+        """An engine never gets an order that the next holder cannot see."""
+        trio.run(self._order)
+
+    async def _order(self) -> None:
+        async with run_scene() as scene:
+            daemon = scene.daemons[0]
+            await wait_for(lambda: scene.get_holder(SCOPE))
+            engine = scene.engines[0]
+            recorded: list[str] = []
+            take_order = engine._take_order
+
+            async def note(order: Any, response: Any) -> None:
+                row = scene.get('orders', f'{SCOPE}|engine-0')
+                recorded.append(row['order_id'])
+                await take_order(order, response)
+
+            engine._take_order = note
+            outbox = daemon.authority.services['chat'].outbox
+
+            def is_done() -> bool:
+                if not recorded:
+                    outbox.want_order(
+                        'engine-0', Fencing.CHECKED, OrderKind.ROLE, 'decode'
+                    )
+                row = scene.get('orders', f'{SCOPE}|engine-0')
+                return bool(row and row['outcome'] == 'done')
+
+            await wait_for(is_done)
+            assert engine.role == 'decode'
+            assert recorded == [engine.orders[0]['order_id']]
+
+    def test_scopes_follow_records(self) -> None:
+        """A withdrawn service must not keep a lease nor miss a new one."""
+        trio.run(self._follow)
+
+    async def _follow(self) -> None:
+        async with run_scene() as scene:
+            scene.write('service', 'more', backend='model', models=['n'])
+            await wait_for(lambda: scene.get_holder('service/more'))
+            fence = scene.get('leases', 'service/more')['fence']
+            scene.withdraw('service', 'more')
+            await wait_for(lambda: not scene.get_holder('service/more'))
+            services = scene.daemons[0].authority.services
+            await wait_for(lambda: 'more' not in services)
+            scene.write('service', 'more', backend='model', models=['n'])
+            await wait_for(lambda: scene.get_holder('service/more'))
+            assert scene.get('leases', 'service/more')['fence'] > fence
+
+    def test_graceful_stop(self) -> None:
+        """A stopped daemon must not make its successor wait for a lapse."""
+        trio.run(self._stop)
+
+    async def _stop(self) -> None:
+        async with run_scene() as scene:
+            daemon = scene.daemons[0]
+            await wait_for(lambda: scene.get_holder(SCOPE))
+            await wait_for(lambda: scene.get_holder('usage'))
+            holders: list[Any] = []
+            leave = daemon.control.drain
+
+            async def note() -> None:
+                holders.append(scene.get_holder(SCOPE))
+                holders.append(scene.get_holder('usage'))
+                await leave()
+
+            daemon.control.drain = note
+            daemon.application.request_stop()
+            await wait_for(lambda: holders)
+            assert not any(holders)
+            assert not scene.get('leases', SCOPE)['unreleased']
+
+
+class TestUsage:
+    """Guards against work that is billed twice or not at all."""
+
+    def test_usage_is_reported_once(self) -> None:
+        """The figures of all daemons' requests are in the reports once."""
+        trio.run(self._report)
+
+    async def _report(self) -> None:
+        async with run_scene(daemons=2) as scene:
+            for daemon in scene.daemons:
+                assert await scene.chat(daemon, max_tokens=5) == 200
+            scene.daemons[0].application.request_stop()
+            await wait_for(lambda: sum_reports(scene)[COMPLETION] >= 10)
+            seen = len(scene.get_reports())
+            await wait_for(lambda: len(scene.get_reports()) > seen)
+            windows = [window for window, _ in scene.get_reports()]
+            assert len(windows) == len(set(windows))
+            assert sum_reports(scene)[COMPLETION] == 10
+            assert sum_reports(scene)[PROMPT] == 8
