--- a/src/clementinedyke/routing_component.py
+++ b/src/clementinedyke/routing_component.py
@@ -1,8 +1,8 @@
 """Chooses endpoints for the caller path and watches their state."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, replace
-from functools import partial
 from typing import Annotated, Any
 
 import msgspec
@@ -13,8 +13,7 @@
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.codes import ResultCode
 from clementinedyke.components import Component
-from clementinedyke.daemons import ControlComponent
-from clementinedyke.endpoint_subset import EndpointSubset, find_member_share
+from clementinedyke.endpoint_subset import EndpointSubset
 from clementinedyke.endpoints.registry import Endpoint, EndpointRegistry
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
 from clementinedyke.http_client import HttpRequest
@@ -27,6 +26,7 @@
 )
 from clementinedyke.router import RouterCore
 from clementinedyke.selection import RouterSettings
+from clementinedyke.subset import RingShare
 
 #: Endpoints that are asked at the same time, and the wait after each batch.
 #: The mean is 4.8 calls/s, so a larger subset is asked less often and the
@@ -79,7 +79,7 @@
         clock: Clock,
         availability_zone: str,
         generator: random.Random,
-        control: ControlComponent,
+        get_share: Callable[[], RingShare] = RingShare,
     ) -> None:
         """Create the component.
 
@@ -87,11 +87,12 @@
         :param clock: clock of this process.
         :param availability_zone: zone of this daemon.
         :param generator: seeded source of random choices.
-        :param control: tells which daemons live.
+        :param get_share: returns the place of this daemon among the living
+            ones.
         """
         self._registry = registry
         #: Endpoints that this daemon uses.
-        self.subset = EndpointSubset(partial(find_member_share, control))
+        self.subset = EndpointSubset(get_share)
         self._clock = clock
         self._generator = generator
         self._router = RouterCore(
