Test claims and keys with separate processes under failure

Stand-ins answer what they received at /standin/report, engines echo the message on request, the platform takes its lists over HTTP, can lag and can lose the answer of a commit of one table.

--- a/src/clementinedyke/standins/engine.py
+++ b/src/clementinedyke/standins/engine.py
@@ -17,6 +17,7 @@
     ServerRequest,
 )
 from clementinedyke.standins.events import encode_event, encode_words
+from clementinedyke.standins.service import REPORT_PATH
 
 _OK = 200
 _CONFLICT = 409
@@ -110,6 +111,8 @@
     ) -> None:
         if request.path == '/state':
             await response.send_json(_OK, self._get_state())
+        elif request.path == REPORT_PATH:
+            await response.send_json(_OK, self._get_report())
         elif request.path == '/events':
             await response.send_json(_OK, self._list_events(request.query))
         else:
@@ -198,6 +201,9 @@
             'fence': self.fence,
         }
 
+    def _get_report(self) -> dict[str, Any]:
+        return {**self._get_state(), 'headers': list(self.received_headers)}
+
     def _list_events(self, query: str) -> dict[str, Any]:
         since = int(parse_qs(query).get('since', ['0'])[0])
         events = [
@@ -246,7 +252,8 @@
             await self._stream(count, usage, body, response)
             return
         await trio.sleep(_get_interval(self._token_interval, body) * count)
-        words = ''.join(f'word{index} ' for index in range(count))
+        word = _get_word(body)
+        words = ''.join(f'{word}{index} ' for index in range(count))
         message = {'role': 'assistant', 'content': words}
         choice = {'index': 0, 'message': message, 'finish_reason': 'stop'}
         answer = {
@@ -268,7 +275,8 @@
     ) -> None:
         interval = _get_interval(self._token_interval, body)
         await response.send_head(_OK, _EVENT_STREAM)
-        for event in encode_words(self._model, count):
+        word = _get_word(body)
+        for event in encode_words(self._model, count, word):
             await trio.sleep(interval)
             await response.send_chunk(event)
         if (body.get('stream_options') or {}).get('include_usage'):
@@ -277,6 +285,16 @@
         await response.end()
 
 
+def _get_word(body: dict[str, Any]) -> str:
+    """Return what each word of an answer begins with.
+
+    With ``echo`` in the body, a test sees whose request an answer is for.
+    """
+    if body.get('echo'):
+        return str(body['messages'][-1]['content'])
+    return 'word'
+
+
 def _get_interval(interval: float, body: dict[str, Any]) -> float:
     """Return seconds between tokens; work of high priority runs faster.
 
--- a/src/clementinedyke/standins/events.py
+++ b/src/clementinedyke/standins/events.py
@@ -28,18 +28,20 @@
     return f'data: {json.dumps(answer)}\n\n'.encode()
 
 
-def encode_words(model: str, count: int) -> Iterator[bytes]:
+def encode_words(model: str, count: int, word: str = 'word') -> Iterator[bytes]:
     """Yield an event for each word, and the one that ends the choice.
 
     :param model: model name in the events.
     :param count: number of words.
+    :param word: what each word begins with.
     """
     # One event is encoded and filled in, so that the stand-in is not the
     # bottleneck of a benchmark.
     mark = 'WORD'
     template = encode_event(model, [{'index': 0, 'delta': {'content': mark}}])
     head, _, tail = template.partition(mark.encode())
+    escaped = json.dumps(word)[1:-1].encode()
     for index in range(count):
-        yield b'%bword%d %b' % (head, index, tail)
+        yield b'%b%b%d %b' % (head, escaped, index, tail)
     final = {'index': 0, 'delta': {}, 'finish_reason': 'stop'}
     yield encode_event(model, [final])
--- a/src/clementinedyke/standins/platform.py
+++ b/src/clementinedyke/standins/platform.py
@@ -1,5 +1,6 @@
 """Stand-in of the platform: tables, objects, reports, orders and lists."""
 
+import json
 import re
 from collections.abc import Mapping
 from functools import partial
@@ -14,11 +15,18 @@
     ResponseWriter,
     ServerRequest,
 )
-from clementinedyke.platform.tables import Condition, Conflict, Write
+from clementinedyke.platform.tables import (
+    Condition,
+    Conflict,
+    Snapshot,
+    Write,
+)
 from clementinedyke.standins.tables import MemoryTables
 
 _TABLE_PATH = re.compile(r'/v1/tables/(\w+)/(rows|changes)(?:/(.+))?')
 _STORED_PATH = re.compile(r'/v1/(objects|usage/reports|endpoint-orders)/(.+)')
+_COMMIT_PATH = '/v1/tables/commit'
+_LISTS_PATH = '/lists/'
 _OK = 200
 _NOT_FOUND = 404
 _CONFLICT = 409
@@ -36,13 +44,17 @@
 class Faults(msgspec.Struct):
     """Faults that the stand-in shows until they are set again.
 
-    ``lose_answers`` counts commits that are applied without an answer;
-    ``delay`` is in milliseconds.
+    ``lose_answers`` counts changes that are applied without an answer, of
+    ``lose_table`` only if it is given; ``delay`` is in milliseconds.
+    ``lag_revision`` hides what was written after it from readers of changes;
+    0 is no lag.
     """
 
     outage: bool = False
     delay: int = 0
     lose_answers: int = 0
+    lose_table: str = ''
+    lag_revision: int = 0
 
 
 class PlatformStandin:
@@ -78,7 +90,12 @@
         :param response: writer of the answer.
         """
         if request.path == '/faults':
-            self.faults = msgspec.json.decode(request.body, type=Faults)
+            if request.method != 'GET':
+                self.faults = msgspec.json.decode(request.body, type=Faults)
+            await response.send_json(_OK, msgspec.to_builtins(self.faults))
+            return
+        if request.path.startswith(_LISTS_PATH):
+            self._replace_list(request)
             await response.send_json(_OK, {})
             return
         if self.faults.outage:
@@ -86,7 +103,7 @@
             return
         await trio.sleep(self.faults.delay / _MILLISECONDS_PER_SECOND)
         status, content = self._execute(request)
-        if request.method != 'GET' and self.faults.lose_answers:
+        if self._is_lost(request):
             self.faults.lose_answers -= 1
             raise trio.BrokenResourceError('answer lost by a fault')
         body = content if isinstance(content, bytes) else _encode(content)
@@ -94,8 +111,19 @@
             status, [(b'Content-Type', b'application/json')], body
         )
 
+    def _is_lost(self, request: ServerRequest) -> bool:
+        if request.method == 'GET' or not self.faults.lose_answers:
+            return False
+        table = self.faults.lose_table
+        if not table:
+            return True
+        if request.path != _COMMIT_PATH:
+            return False
+        body = msgspec.json.decode(request.body, type=TransactionBody)
+        return any(write.table == table for write in body.writes)
+
     def _execute(self, request: ServerRequest) -> tuple[int, Any]:
-        if request.path == '/v1/tables/commit':
+        if request.path == _COMMIT_PATH:
             return self._commit(request.body)
         if request.path == '/v1/endpoints':
             return _OK, self.endpoints
@@ -109,6 +137,14 @@
             return self._read(request, *table.groups())
         return _NOT_FOUND, {'error': 'no such path'}
 
+    def _replace_list(self, request: ServerRequest) -> None:
+        """Take the list of endpoints or hosts that a test puts."""
+        listed = json.loads(request.body)
+        if request.path.endswith('/hosts'):
+            self.hosts = listed
+        else:
+            self.endpoints = listed
+
     def _commit(self, body: bytes) -> tuple[int, Any]:
         transaction = msgspec.json.decode(body, type=TransactionBody)
         outcome = self.tables.commit(transaction.conditions, transaction.writes)
@@ -121,7 +157,9 @@
         query = parse_qs(request.query)
         if kind == 'changes':
             since = int(query['since'][0])
-            return _OK, self.tables.get_changes(table, since)
+            lag = self.faults.lag_revision
+            changes = self.tables.get_changes(table, since)
+            return _OK, _hide_later(changes, lag) if lag else changes
         if key is None:
             prefix = query.get('prefix', [''])[0]
             return _OK, self.tables.list_rows(table, prefix)
@@ -140,5 +178,10 @@
         return _OK, {}
 
 
+def _hide_later(changes: Snapshot, lag: int) -> Snapshot:
+    rows = [row for row in changes.rows if row.version <= lag]
+    return Snapshot(min(changes.revision, lag), rows)
+
+
 def _encode(content: Any) -> bytes:
     return msgspec.json.encode(content)
--- a/src/clementinedyke/standins/service.py
+++ b/src/clementinedyke/standins/service.py
@@ -11,6 +11,9 @@
     ServerRequest,
 )
 
+#: What a stand-in received, for tests in other processes.
+REPORT_PATH = '/standin/report'
+_OK = 200
 _CREATED = 201
 _METHOD_NOT_ALLOWED = 405
 
@@ -46,6 +49,10 @@
         :param request: request from a daemon.
         :param response: writer of the answer.
         """
+        if request.method == 'GET' and request.path == REPORT_PATH:
+            report = {'runs': self.runs, 'headers': self.received_headers}
+            await response.send_json(_OK, report)
+            return
         if request.method != 'POST':
             await response.send_json(_METHOD_NOT_ALLOWED, {})
             return
--- /dev/null
+++ b/tests/process_tools.py
@@ -0,0 +1,346 @@
+"""Daemons and stand-ins as processes, with signals, for failure tests."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from functools import partial
+from http.client import HTTPConnection, HTTPException
+from typing import Any
+
+from clementinedyke.records import get_digest
+
+LOCAL = '127.0.0.1'
+TOKEN = 'operator-token-of-tests'
+#: Seconds; only a hang is a failure.
+LIMIT = 60
+CHAT = '/v1/chat/completions'
+BOOKING = '/services/ledger/book'
+REPORT = '/standin/report'
+
+
+def wait_for(condition: Callable[[], Any]) -> Any:
+    """Wait until a condition holds and return its value."""
+    deadline = time.monotonic() + LIMIT
+    while time.monotonic() < deadline:
+        found = condition()
+        if found:
+            return found
+        time.sleep(0.05)
+    raise TimeoutError('the state did not come about')
+
+
+@dataclass
+class Answer:
+    """An answer that arrived whole."""
+
+    status: int
+    code: int
+    text: str
+
+    @property
+    def body(self) -> Any:
+        """JSON content of the answer."""
+        return json.loads(self.text)
+
+
+def send(connection: HTTPConnection, *request: Any) -> Answer:
+    """Send on an open connection: method, path, content and headers."""
+    method, path, content, headers = request
+    connection.request(method, path, json.dumps(content), headers)
+    response = connection.getresponse()
+    text = response.read().decode()
+    code = int(response.getheader('Clementinedyke-Result') or 0)
+    return Answer(response.status, code, text)
+
+
+def connect(port: int) -> HTTPConnection:
+    """Return a connection that opens with its first request."""
+    return HTTPConnection(LOCAL, port, timeout=LIMIT)
+
+
+def call(port: int, method: str, path: str, content: Any = None) -> Answer:
+    """Send one request without a key."""
+    connection = connect(port)
+    try:
+        return send(connection, method, path, content, {})
+    finally:
+        connection.close()
+
+
+@dataclass
+class Process:
+    """A process that the fleet started."""
+
+    popen: subprocess.Popen[str]
+    port: int
+    control_port: int = 0
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to exactly this process."""
+        self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process without warning and wait for its end."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def report(self) -> Any:
+        """Return what a stand-in received."""
+        return call(self.port, 'GET', REPORT).body
+
+    def set_faults(self, **faults: Any) -> None:
+        """Put the faults of a platform or a relay in force."""
+        port = self.control_port or self.port
+        assert call(port, 'PUT', '/faults', faults).status == 200
+
+    def cut(self) -> None:
+        """Cut a relay: no connection is left and none can be opened."""
+        self.set_faults(refuse=True)
+        assert call(self.control_port, 'POST', '/cut').status == 200
+
+
+@dataclass
+class DaemonProcess(Process):
+    """A daemon and its operator port."""
+
+    operator_port: int = 0
+    key: str = 'secret-of-lofts'
+
+    def is_ready(self) -> bool:
+        """Tell whether the daemon takes requests."""
+        try:
+            answer = call(self.operator_port, 'GET', '/readyz')
+        except (OSError, HTTPException):
+            return False
+        return answer.status == 200
+
+    def knows_endpoints(self, count: int) -> bool:
+        """Tell whether so many endpoints take new work."""
+        metrics = call(self.operator_port, 'GET', '/metrics').text
+        line = f'clementinedyke_live_endpoints {count}.0'
+        return line in metrics.splitlines()
+
+    def ask(self, path: str, content: Any, **headers: str) -> Answer:
+        """Send a caller's request over a connection of its own."""
+        return self.ask_on(connect(self.port), path, content, **headers)
+
+    def ask_on(
+        self,
+        connection: HTTPConnection,
+        path: str,
+        content: Any,
+        **headers: str,
+    ) -> Answer:
+        """Send a caller's request over a connection."""
+        given = {'Authorization': f'Bearer {self.key}', **headers}
+        return send(connection, 'POST', path, content, given)
+
+    def book(self, name: str) -> Answer:
+        """Send a booking under an Idempotency-Key."""
+        headers = {'Idempotency-Key': name}
+        return self.ask(BOOKING, {'slot': name}, **headers)
+
+    def chat(self, text: str = 'hello', **fields: Any) -> Answer:
+        """Send a chat request."""
+        return self.ask(CHAT, compile_chat(text, **fields))
+
+    def open_stream(self, text: str, count: int) -> Any:
+        """Return the response of a stream whose head has arrived."""
+        connection = connect(self.port)
+        content = compile_chat(text, stream=True, max_tokens=count)
+        headers = {'Authorization': f'Bearer {self.key}'}
+        connection.request('POST', CHAT, json.dumps(content), headers)
+        return connection.getresponse()
+
+    def operate(self, method: str, path: str, content: Any = None) -> Answer:
+        """Send an operator's request."""
+        headers = {
+            'Authorization': f'Bearer {TOKEN}',
+            'Clementinedyke-Operator': 'tests',
+        }
+        connection = connect(self.operator_port)
+        return send(connection, method, path, content, headers)
+
+
+def compile_chat(text: str, **fields: Any) -> dict[str, Any]:
+    """Return the body of a chat request."""
+    message = {'role': 'user', 'content': text}
+    return {'model': 'm', 'messages': [message], 'echo': True, **fields}
+
+
+def compile_records() -> list[dict[str, Any]]:
+    """Return a model service, an open one, a ledger and a customer."""
+    services = ('chat', 'ledger')
+    return [
+        {
+            'kind': 'service',
+            'name': 'chat',
+            'backend': 'model',
+            'models': ['m'],
+        },
+        {
+            'kind': 'service',
+            'name': 'open',
+            'backend': 'plain',
+            'open_to_all': True,
+        },
+        {
+            'kind': 'service',
+            'name': 'ledger',
+            'backend': 'plain',
+            'repeatable': False,
+        },
+        {'kind': 'customer', 'name': 'lofts', 'services': services},
+        {
+            'kind': 'key',
+            'name': 'key',
+            'customer': 'lofts',
+            'digest': get_digest('secret-of-lofts'),
+        },
+    ]
+
+
+@dataclass
+class Fleet:
+    """Processes of one test class, ended by their ids."""
+
+    processes: list[Process] = field(default_factory=list)
+    endpoints: list[dict[str, str]] = field(default_factory=list)
+    platform: Process = field(init=False)
+
+    def start_platform(self) -> None:
+        """Start the platform with the records of all tests."""
+        self.platform = self.start_standin('platform')
+        writes = [
+            {
+                'table': 'records',
+                'key': f'{record["kind"]}/{record["name"]}',
+                'value': record,
+            }
+            for record in compile_records()
+        ]
+        commit = {'conditions': [], 'writes': writes}
+        port = self.platform.port
+        answer = call(port, 'POST', '/v1/tables/commit', commit)
+        assert answer.status == 200
+
+    def start_standin(self, *arguments: Any) -> Process:
+        """Start a stand-in and wait for its ready line."""
+        popen = _spawn('standin', *arguments, stdout=subprocess.PIPE)
+        process = Process(popen, 0)
+        self.processes.append(process)
+        assert popen.stdout is not None
+        ready = json.loads(popen.stdout.readline())
+        process.port = ready['port']
+        process.control_port = ready.get('control_port', 0)
+        return process
+
+    def start_standins(self, *commands: Sequence[Any]) -> list[Process]:
+        """Start stand-ins at the same time."""
+        with ThreadPoolExecutor() as pool:
+            return list(
+                pool.map(lambda command: self.start_standin(*command), commands)
+            )
+
+    def start_engine(self, *arguments: Any) -> Process:
+        """Start an engine of the chat service and list it."""
+        flags = ('--model', 'm', *arguments)
+        engine = self.start_standin('engine', *flags)
+        self.add_endpoint('chat', engine.port)
+        return engine
+
+    def add_endpoint(self, service: str, port: int) -> None:
+        """Put an endpoint into the platform's list."""
+        self.endpoints.append(
+            {
+                'endpoint_id': f'{service}-{port}',
+                'service': service,
+                'availability_zone': 'zone-a',
+                'address': f'{LOCAL}:{port}',
+            }
+        )
+        self.put_endpoints()
+
+    def put_endpoints(self) -> None:
+        """Tell the platform the present list."""
+        port = self.platform.port
+        answer = call(port, 'PUT', '/lists/endpoints', self.endpoints)
+        assert answer.status == 200
+
+    def start_daemon(self, name: str, **settings: Any) -> DaemonProcess:
+        """Start a daemon; it is not ready yet."""
+        port, operator_port, daemon_port = find_ports()
+        chosen = {
+            'host_id': name,
+            'port': port,
+            'operator_port': operator_port,
+            'daemon_port': daemon_port,
+            'platform': f'{LOCAL}:{self.platform.port}',
+            'operator_token': TOKEN,
+            'log_level': 'warning',
+            **settings,
+        }
+        environment = {
+            f'CLEMENTINEDYKE_{setting.upper()}': str(given)
+            for setting, given in chosen.items()
+        }
+        popen = _spawn('serve', env={**os.environ, **environment})
+        daemon = DaemonProcess(
+            popen, int(chosen['port']), operator_port=operator_port
+        )
+        self.processes.append(daemon)
+        return daemon
+
+    def start_daemons(self, *names: str) -> list[DaemonProcess]:
+        """Start daemons and wait until all are ready and route."""
+        daemons = [self.start_daemon(name) for name in names]
+        self.wait_until_ready(daemons)
+        return daemons
+
+    def wait_until_ready(self, daemons: Sequence[DaemonProcess]) -> None:
+        """Wait until daemons are ready and know all endpoints."""
+        for daemon in daemons:
+            wait_for(daemon.is_ready)
+            wait_for(partial(daemon.knows_endpoints, len(self.endpoints)))
+
+    def end(self) -> None:
+        """End all processes, also those that are stopped."""
+        for process in self.processes:
+            process.popen.kill()
+        for ended in self.processes:
+            ended.popen.wait()
+            if ended.popen.stdout is not None:
+                ended.popen.stdout.close()
+
+
+@contextmanager
+def run_fleet() -> Iterator[Fleet]:
+    """Run a platform; whatever is started later ends with it."""
+    fleet = Fleet()
+    try:
+        fleet.start_platform()
+        yield fleet
+    finally:
+        fleet.end()
+
+
+def find_ports() -> list[int]:
+    """Return three ports that are free now."""
+    listeners = [socket.create_server((LOCAL, 0)) for _ in range(3)]
+    ports = [listener.getsockname()[1] for listener in listeners]
+    for listener in listeners:
+        listener.close()
+    return ports
+
+
+def _spawn(*arguments: Any, **options: Any) -> subprocess.Popen[str]:
+    command = [sys.executable, '-m', 'clementinedyke', *map(str, arguments)]
+    return subprocess.Popen(command, text=True, **options)
