--- a/src/clementinedyke/standins/engine.py
+++ b/src/clementinedyke/standins/engine.py
@@ -75,6 +75,7 @@
         self.running = 0
         self.received = 0
         self.finished = 0
+        self.crashes = 0
         #: Orders that were obeyed, and those refused for their fence.
         self.orders: list[dict[str, Any]] = []
         self.refused_orders: list[dict[str, Any]] = []
@@ -150,6 +151,7 @@
         self.received_headers.append(headers)
         marker = self._faults.crash_marker
         if marker and marker in request.body:
+            self.crashes += 1
             self._life.cancel()
             await trio.sleep_forever()
         if self.running >= self._faults.max_streams:
@@ -202,7 +204,11 @@
         }
 
     def _get_report(self) -> dict[str, Any]:
-        return {**self._get_state(), 'headers': list(self.received_headers)}
+        return {
+            **self._get_state(),
+            'headers': list(self.received_headers),
+            'crashes': self.crashes,
+        }
 
     def _list_events(self, query: str) -> dict[str, Any]:
         since = int(parse_qs(query).get('since', ['0'])[0])
--- a/tests/process_tools.py
+++ b/tests/process_tools.py
@@ -214,11 +214,25 @@
 
     processes: list[Process] = field(default_factory=list)
     endpoints: list[dict[str, str]] = field(default_factory=list)
+    #: Stand-ins beside the platform, in the order of their commands.
+    standins: list[Process] = field(default_factory=list)
     platform: Process = field(init=False)
 
-    def start_platform(self) -> None:
-        """Start the platform with the records of all tests."""
-        self.platform = self.start_standin('platform')
+    def start_standins(self, *commands: Sequence[Any]) -> list[Process]:
+        """Start stand-ins at the same time."""
+        with ThreadPoolExecutor() as pool:
+            return list(
+                pool.map(lambda command: self.start_standin(*command), commands)
+            )
+
+    def take_standins(self, platform: Process, *others: Process) -> None:
+        """Use started stand-ins and write the records."""
+        self.platform = platform
+        self.standins = list(others)
+        self.put_records()
+
+    def put_records(self) -> None:
+        """Write the records of all tests."""
         writes = [
             {
                 'table': 'records',
@@ -243,22 +257,13 @@
         process.control_port = ready.get('control_port', 0)
         return process
 
-    def start_standins(self, *commands: Sequence[Any]) -> list[Process]:
-        """Start stand-ins at the same time."""
-        with ThreadPoolExecutor() as pool:
-            return list(
-                pool.map(lambda command: self.start_standin(*command), commands)
-            )
-
-    def start_engine(self, *arguments: Any) -> Process:
-        """Start an engine of the chat service and list it."""
-        flags = ('--model', 'm', *arguments)
-        engine = self.start_standin('engine', *flags)
-        self.add_endpoint('chat', engine.port)
-        return engine
+    def add_endpoints(self, service: str, *processes: Process) -> None:
+        """Put endpoints of a service into the platform's list."""
+        for process in processes:
+            self._add_endpoint(service, process.port)
+        self.put_endpoints()
 
-    def add_endpoint(self, service: str, port: int) -> None:
-        """Put an endpoint into the platform's list."""
+    def _add_endpoint(self, service: str, port: int) -> None:
         self.endpoints.append(
             {
                 'endpoint_id': f'{service}-{port}',
@@ -267,7 +272,6 @@
                 'address': f'{LOCAL}:{port}',
             }
         )
-        self.put_endpoints()
 
     def put_endpoints(self) -> None:
         """Tell the platform the present list."""
@@ -275,6 +279,13 @@
         answer = call(port, 'PUT', '/lists/endpoints', self.endpoints)
         assert answer.status == 200
 
+    def set_state(self, port: int, state: str) -> None:
+        """Change the listed state of the endpoint at a port."""
+        for endpoint in self.endpoints:
+            if endpoint['address'] == f'{LOCAL}:{port}':
+                endpoint['state'] = state
+        self.put_endpoints()
+
     def start_daemon(self, name: str, **settings: Any) -> DaemonProcess:
         """Start a daemon; it is not ready yet."""
         port, operator_port, daemon_port = find_ports()
@@ -322,16 +333,25 @@
 
 
 @contextmanager
-def run_fleet() -> Iterator[Fleet]:
-    """Run a platform; whatever is started later ends with it."""
+def run_fleet(
+    *commands: Sequence[Any], platform_port: int = 0
+) -> Iterator[Fleet]:
+    """Run a platform and stand-ins; all that is started ends with them."""
     fleet = Fleet()
     try:
-        fleet.start_platform()
+        platform = ('platform', '--port', platform_port)
+        started = fleet.start_standins(platform, *commands)
+        fleet.take_standins(*started)
         yield fleet
     finally:
         fleet.end()
 
 
+def compile_engine(*flags: Any) -> tuple[Any, ...]:
+    """Return the command of an engine of the chat service."""
+    return ('engine', '--model', 'm', *flags)
+
+
 def find_ports() -> list[int]:
     """Return three ports that are free now."""
     listeners = [socket.create_server((LOCAL, 0)) for _ in range(3)]
--- a/tests/test_processes_claims.py
+++ b/tests/test_processes_claims.py
@@ -14,6 +14,8 @@
     Fleet,
     Process,
     call,
+    compile_engine,
+    find_ports,
     run_fleet,
     wait_for,
 )
@@ -46,12 +48,16 @@
 @pytest.fixture(scope='class')
 def scene() -> Iterator[Scene]:
     """Run two daemons, a ledger and an engine."""
-    with run_fleet() as fleet:
-        ledger = fleet.start_standin('service', '--delay', '0.3')
-        target = f'{LOCAL}:{ledger.port}'
-        relay = fleet.start_standin('relay', '--target', target)
-        fleet.add_endpoint('ledger', relay.port)
-        fleet.start_engine()
+    port = find_ports()[0]
+    commands = (
+        ('service', '--delay', '0.3', '--port', port),
+        ('relay', '--target', f'{LOCAL}:{port}'),
+        compile_engine(),
+    )
+    with run_fleet(*commands) as fleet:
+        ledger, relay, engine = fleet.standins
+        fleet.add_endpoints('ledger', relay)
+        fleet.add_endpoints('chat', engine)
         yield Scene(
             fleet, ledger, relay, *fleet.start_daemons('host-a', 'host-b')
         )
--- a/tests/test_processes_keys.py
+++ b/tests/test_processes_keys.py
@@ -14,6 +14,7 @@
     Fleet,
     Process,
     compile_chat,
+    compile_engine,
     connect,
     find_ports,
     run_fleet,
@@ -49,16 +50,18 @@
 @pytest.fixture(scope='class')
 def scene() -> Iterator[Scene]:
     """Run two daemons; each reaches the other through a relay only."""
-    with run_fleet() as fleet:
-        stand = fleet.start_standin('service')
-        fleet.add_endpoint('open', stand.port)
-        engine = fleet.start_engine('--token-interval', '0.1')
-        ports = find_ports()[:2]
-        targets = (fleet.platform.port, *ports)
-        relays = fleet.start_standins(
-            *(('relay', '--target', f'{LOCAL}:{port}') for port in targets)
-        )
-        near, far = (relay.port for relay in relays[1:])
+    ports = find_ports()
+    relays = [('relay', '--target', f'{LOCAL}:{port}') for port in ports]
+    commands = (
+        ('service',),
+        compile_engine('--token-interval', '0.1'),
+        *relays,
+    )
+    with run_fleet(*commands, platform_port=ports[2]) as fleet:
+        stand, engine, *relays = fleet.standins
+        fleet.add_endpoints('open', stand)
+        fleet.add_endpoints('chat', engine)
+        near, far = (relay.port for relay in relays[:2])
         # A peer's address is the relay before it, so that all traffic between
         # the two daemons stops with the cut.
         daemons = [
@@ -73,7 +76,7 @@
                 daemon_port=ports[1],
                 daemon_address=f'{LOCAL}:{far}',
                 key_max_age=5000,
-                platform=f'{LOCAL}:{relays[0].port}',
+                platform=f'{LOCAL}:{relays[2].port}',
             ),
         ]
         fleet.wait_until_ready(daemons)
