--- a/src/clementinedyke/endpoints/registry.py
+++ b/src/clementinedyke/endpoints/registry.py
@@ -1,19 +1,13 @@
 """Endpoints that the platform lists, with a client for each."""
 
+from collections.abc import Callable
 from typing import Literal
 
 import msgspec
-import trio
 
-from clementinedyke.clock import Milliseconds
 from clementinedyke.components import Component
-from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
-from clementinedyke.http_client import Address, HttpClient, HttpRequest
-
-_POLL_INTERVAL: Milliseconds = 1000
-_TIMEOUT: Milliseconds = 2000
-_MILLISECONDS_PER_SECOND = 1000
-_STATUS_OK = 200
+from clementinedyke.exceptions import ProtocolError
+from clementinedyke.http_client import Address, HttpClient
 
 
 class Endpoint(msgspec.Struct, frozen=True):
@@ -28,17 +22,19 @@
 
 
 class EndpointRegistry(Component):
-    """Polls the platform's list of endpoints and owns their clients."""
-
-    def __init__(self, platform: HttpClient) -> None:
-        """Create the registry.
+    """Holds the platform's list of endpoints and owns their clients."""
 
-        :param platform: HTTP client of the platform.
-        """
-        self._platform = platform
+    def __init__(self) -> None:
+        """Create a registry without endpoints."""
         self._endpoints: dict[str, Endpoint] = {}
         self._clients: dict[str, HttpClient] = {}
         self._turn = 0
+        #: Called with all endpoints when the list has changed.
+        self.observers: list[Callable[[tuple[Endpoint, ...]], None]] = []
+
+    def list_endpoints(self) -> tuple[Endpoint, ...]:
+        """Return all listed endpoints, live and leaving."""
+        return tuple(self._endpoints.values())
 
     def select_client(self, service: str) -> HttpClient | None:
         """Return the client of the next live endpoint of a service.
@@ -53,37 +49,43 @@
         if not live:
             return None
         self._turn += 1
-        return self._get_client(live[self._turn % len(live)])
+        return self.get_client(live[self._turn % len(live)])
 
-    async def start(self, nursery: trio.Nursery) -> None:
-        """Read the list once and start polling.
+    def get_client(self, endpoint: Endpoint) -> HttpClient:
+        """Return the client of an endpoint.
 
-        :param nursery: nursery that runs the poll.
+        :param endpoint: listed endpoint.
         """
-        await self._poll()
-        nursery.start_soon(self._poll_forever)
-
-    def _get_client(self, endpoint: Endpoint) -> HttpClient:
-        client = self._clients.get(endpoint.endpoint_id)
+        client = self._clients.get(endpoint.address)
         if client is None:
             client = HttpClient(Address.parse(endpoint.address))
-            self._clients[endpoint.endpoint_id] = client
+            self._clients[endpoint.address] = client
         return client
 
-    async def _poll_forever(self) -> None:
-        while True:
-            await trio.sleep(_POLL_INTERVAL / _MILLISECONDS_PER_SECOND)
-            await self._poll()
+    def replace(self, content: bytes) -> None:
+        """Take a list of endpoints from the platform.
 
-    async def _poll(self) -> None:
-        request = HttpRequest('GET', '/v1/endpoints')
+        :param content: JSON list of endpoints.
+        :raises ProtocolError: if it is not such a list.
+        """
         try:
-            answer = await self._platform.request(request, _TIMEOUT)
-        except (PeerUnavailableError, AnswerLostError):
-            return
-        if answer.status != _STATUS_OK:
+            listed = msgspec.json.decode(content, type=list[Endpoint])
+        except msgspec.MsgspecError as error:
+            raise ProtocolError(f'list of endpoints: {error}') from error
+        endpoints = {endpoint.endpoint_id: endpoint for endpoint in listed}
+        if endpoints == self._endpoints:
             return
-        listed = msgspec.json.decode(answer.body, type=list[Endpoint])
-        self._endpoints = {
-            endpoint.endpoint_id: endpoint for endpoint in listed
-        }
+        self._endpoints = endpoints
+        self._forget_clients()
+        for observer in self.observers:
+            observer(self.list_endpoints())
+
+    def _forget_clients(self) -> None:
+        """Drop the clients of endpoints that are gone.
+
+        Requests that still run keep their connection until they end.
+        """
+        listed = {endpoint.address for endpoint in self._endpoints.values()}
+        for address in list(self._clients):
+            if address not in listed:
+                self._clients.pop(address)
