--- a/src/clementinedyke/role_capacity.py
+++ b/src/clementinedyke/role_capacity.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import replace
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.role_types import EngineProfile, ModelDemand
@@ -37,77 +37,50 @@
     return min(prefill + share * gain, decode - share * loss)
 
 
-@dataclass(frozen=True, slots=True)
-class _Point:
-    prompt_rate: float
-    output_rate: float
+class DemandAverage:
+    """Smoothed demand of a model.
 
+    Carrying the trend on made no difference in the benchmark and is left out.
+    """
 
-class DemandForecast:
-    """Smoothed demand of a model with its trend."""
-
-    def __init__(self, window: Milliseconds, trend_time: Milliseconds) -> None:
-        """Create a forecast without data.
+    def __init__(self, window: Milliseconds) -> None:
+        """Create an average without data.
 
         :param window: time constant of the smoothing.
-        :param trend_time: how far the trend is carried on.
         """
         self._window = window
-        self._trend_time = trend_time
-        self._fast: _Point | None = None
-        self._slow: _Point | None = None
         self._updated: Milliseconds = 0
-        self._latest: ModelDemand | None = None
+        self._demand: ModelDemand | None = None
 
-    def add(self, demand: ModelDemand, now: Milliseconds) -> None:
-        """Take a report.
+    def add(self, demand: ModelDemand, now: Milliseconds) -> ModelDemand:
+        """Take a report and return the smoothed demand.
 
         :param demand: offered work.
         :param now: time of the report.
         """
+        former = self._demand or demand
         step = now - self._updated
+        weight = step / (self._window + step)
         self._updated = now
-        self._latest = demand
-        point = _Point(demand.prompt_rate, demand.output_rate)
-        self._fast = _smooth(self._fast, point, step / self._window)
-        self._slow = _smooth(self._slow, self._fast, step / self._window)
-
-    def get_demand(self) -> ModelDemand | None:
-        """Return the demand that is expected soon, None without data."""
-        if self._latest is None or self._fast is None or self._slow is None:
-            return None
-        # The second smoothing lags the first by one window.
-        ahead = self._trend_time / self._window
-        fast = self._fast
-        slow = self._slow
-        prompt = fast.prompt_rate + ahead * (
-            fast.prompt_rate - slow.prompt_rate
-        )
-        output = fast.output_rate + ahead * (
-            fast.output_rate - slow.output_rate
-        )
-        latest = self._latest
-        return ModelDemand(
-            latest.model,
-            max(prompt, 0),
-            max(output, 0),
-            latest.version,
-            latest.adapters,
+        self._demand = replace(
+            demand,
+            prompt_rate=_blend(former.prompt_rate, demand.prompt_rate, weight),
+            output_rate=_blend(former.output_rate, demand.output_rate, weight),
         )
+        return self._demand
 
 
-class ForecastTable:
-    """Forecasts of all models of a service."""
+class DemandTable:
+    """Smoothed demand of all models of a service."""
 
-    def __init__(self, window: Milliseconds, trend_time: Milliseconds) -> None:
+    def __init__(self, window: Milliseconds) -> None:
         """Create a table without models.
 
         :param window: time constant of the smoothing.
-        :param trend_time: how far the trend is carried on.
         """
         self._window = window
-        self._trend_time = trend_time
-        self._forecasts: dict[str, DemandForecast] = {}
+        self._averages: dict[str, DemandAverage] = {}
+        self._demands: dict[str, ModelDemand] = {}
 
     def apply(self, demands: Iterable[ModelDemand], now: Milliseconds) -> None:
         """Take the demand of all models; the others are forgotten.
@@ -115,33 +88,21 @@
         :param demands: offered work per model.
         :param now: time of the report.
         """
-        forecasts = {}
+        averages = {}
+        smoothed = {}
         for demand in demands:
-            forecast = self._forecasts.get(demand.model)
-            if forecast is None:
-                forecast = DemandForecast(self._window, self._trend_time)
-            forecast.add(demand, now)
-            forecasts[demand.model] = forecast
-        self._forecasts = forecasts
+            average = self._averages.get(demand.model)
+            if average is None:
+                average = DemandAverage(self._window)
+            smoothed[demand.model] = average.add(demand, now)
+            averages[demand.model] = average
+        self._averages = averages
+        self._demands = smoothed
 
     def get_demands(self) -> dict[str, ModelDemand]:
-        """Return the expected demand per model."""
-        expected = {
-            model: forecast.get_demand()
-            for model, forecast in self._forecasts.items()
-        }
-        return {
-            model: demand
-            for model, demand in expected.items()
-            if demand is not None
-        }
-
-
-def _smooth(old: _Point | None, new: _Point, ratio: float) -> _Point:
-    if old is None:
-        return new
-    weight = min(1, ratio / (1 + ratio))
-    return _Point(
-        old.prompt_rate + weight * (new.prompt_rate - old.prompt_rate),
-        old.output_rate + weight * (new.output_rate - old.output_rate),
-    )
+        """Return the smoothed demand per model."""
+        return self._demands
+
+
+def _blend(former: float, latest: float, weight: float) -> float:
+    return former + weight * (latest - former)
--- a/src/clementinedyke/role_moves.py
+++ b/src/clementinedyke/role_moves.py
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Move:
-    """A move and its net gain in seconds of the whole service."""
+    """A move and its net gain in engine seconds."""
 
     engine: PlannedEngine
     model: str
@@ -86,7 +86,8 @@
             duration += settings.load_time
         gain = (self._get_served(groups) - self.served) * settings.horizon
         loss = (self.served - without) * duration
-        return (gain - loss) / _MILLISECONDS_PER_SECOND
+        engines = sum(counts.total() for counts in groups.values())
+        return engines * (gain - loss) / _MILLISECONDS_PER_SECOND
 
     def _remove(self, engine: PlannedEngine) -> _Groups:
         groups = {name: counts.copy() for name, counts in self._groups.items()}
--- a/src/clementinedyke/role_types.py
+++ b/src/clementinedyke/role_types.py
@@ -119,7 +119,7 @@
     ``roles`` are the roles that the service uses; a mixed engine among the
     others takes up small swings without a change. ``utilisation`` is the load
     above which waiting grows too long. ``min_net_gain`` is the hysteresis, in
-    seconds of the whole service. ``dwell`` is the time that an engine keeps a
+    engine seconds. ``dwell`` is the time that an engine keeps a
     role. ``load_time`` is the time the weight store needs for a model.
     """
 
@@ -129,10 +129,9 @@
     horizon: Milliseconds = 60_000
     change_time: Milliseconds = 8000
     load_time: Milliseconds = 30_000
-    min_net_gain: float = 4
+    min_net_gain: float = 20
     dwell: Milliseconds = 60_000
     change_timeout: Milliseconds = 60_000
     max_changing_share: float = 0.05
     demand_window: Milliseconds = 6000
-    trend_time: Milliseconds = 10_000
     adapter_copies: int = 2
--- a/src/clementinedyke/roles.py
+++ b/src/clementinedyke/roles.py
@@ -4,7 +4,7 @@
 from functools import singledispatchmethod
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.role_capacity import ForecastTable
+from clementinedyke.role_capacity import DemandTable
 from clementinedyke.role_moves import Move, MoveEvaluator
 from clementinedyke.role_types import (
     ChangeEnded,
@@ -38,9 +38,7 @@
         """
         self._settings = settings
         self._engines: dict[str, PlannedEngine] = {}
-        self._forecasts = ForecastTable(
-            settings.demand_window, settings.trend_time
-        )
+        self._demands = DemandTable(settings.demand_window)
         self._changing: dict[str, Milliseconds] = {}
         self._changed: dict[str, Milliseconds] = {}
         self._store_free_at: Milliseconds = 0
@@ -81,7 +79,7 @@
     def _handle_demand(
         self, event: DemandReported, now: Milliseconds
     ) -> list[RoleOrder]:
-        self._forecasts.apply(event.demands, now)
+        self._demands.apply(event.demands, now)
         return []
 
     @handle.register
@@ -98,7 +96,7 @@
         self._drop_lost_changes(now)
         if len(self._changing) >= self.max_changing:
             return []
-        demands = self._forecasts.get_demands()
+        demands = self._demands.get_demands()
         order = self._plan_move(demands, now)
         if order is None and now >= self._store_free_at:
             order = self._plan_version(demands) or self._plan_adapter(demands)
