Plan roles and endpoints under the lease of a service

Nothing fed the planners. A ServicePlanner per model service now runs while this daemon holds the lease and its outbox has read the recorded orders; a wish before that would be lost while the planner waits for its outcome.

Demand is the work that arrived, refused work included, over 10 s. Each daemon publishes the eight services with the most work, 14 bytes each with a digest for the name, so that the value stays within 120 bytes. The interval grows with the number of daemons to bound the traffic.

An order for an endpoint carries the number of endpoints that there are with it. A new lease holder sees from the recorded order that an endpoint is on its way and does not order it again.

Engines do not report their model, so a service with several models is not planned; the planner would order loads on false assumptions.

--- a/src/clementinedyke/admission_component.py
+++ b/src/clementinedyke/admission_component.py
@@ -60,6 +60,8 @@
         self._waiters: dict[str, _Waiter] = {}
         self._services: set[str] = set()
         self._revision = -1
+        #: Called with each request that wants to start.
+        self.arrival_observers: list[Callable[[RequestContext], None]] = []
 
     @property
     def core(self) -> AdmissionCore:
@@ -108,6 +110,8 @@
                 _NO_ENDPOINT_RETRY_AFTER,
             )
         self._report_room(service)
+        for observe in self.arrival_observers:
+            observe(context)
         self._feed(self._compile_arrival(context))
         await waiter.decided.wait()
         refusal = waiter.refusal
--- a/src/clementinedyke/authority_peers.py
+++ b/src/clementinedyke/authority_peers.py
@@ -6,10 +6,10 @@
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.closing import WINDOW_LENGTH
 from clementinedyke.directory import Directory
-from clementinedyke.endpoints.registry import EndpointRegistry
 from clementinedyke.http_client import Address, HttpClient
 from clementinedyke.lease_types import LeaseTiming
 from clementinedyke.platform.tables import TableClient
+from clementinedyke.service_planner import PlannerSources
 from clementinedyke.settings import Settings
 from clementinedyke.usage import FLUSH_INTERVAL
 
@@ -20,12 +20,13 @@
 class AuthorityPeers:
     """Clients, records and clock that authority is exercised with.
 
-    ``get_directory`` raises ``RequestError`` before the first configuration.
+    ``planning`` tells engines, endpoints and demand. ``get_directory`` raises
+    ``RequestError`` before the first configuration.
     """
 
     tables: TableClient
     platform: HttpClient
-    endpoints: EndpointRegistry
+    planning: PlannerSources
     get_directory: Callable[[], Directory]
     clock: Clock
 
--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -6,14 +6,10 @@
 
 import trio
 
-from clementinedyke.admission_component import AdmissionComponent
 from clementinedyke.application import Application
 from clementinedyke.authority_component import AuthorityComponent
 from clementinedyke.authority_peers import AuthorityPeers, AuthorityTiming
-from clementinedyke.callers import CallerHandler, HandlerOptions
-from clementinedyke.callers.port import CallerPort, get_dispatch_limits
-from clementinedyke.claim import ClaimSettings
-from clementinedyke.claim_component import ClaimComponent
+from clementinedyke.callers.port import CallerPort
 from clementinedyke.clock import MonotonicClock
 from clementinedyke.configuration_component import ConfigurationComponent
 from clementinedyke.control_options import (
@@ -27,8 +23,7 @@
 from clementinedyke.http_client import Address, HttpClient
 from clementinedyke.operators import OperatorPort
 from clementinedyke.platform.tables import TableClient
-from clementinedyke.retry_planner import RetryPlanner
-from clementinedyke.routing_component import RoutingComponent
+from clementinedyke.request_path import RequestPath
 from clementinedyke.settings import Settings
 
 _READY_POLL_SECONDS = 0.02
@@ -53,8 +48,8 @@
         self._tables = TableClient(self._platform)
         self.reports = DaemonReports()
         self._build_control()
-        self._build_authority(timing or AuthorityTiming.compile(settings))
         self._build_requests()
+        self._build_authority(timing or AuthorityTiming.compile(settings))
         self._build_ports()
         self.reports.add_control(self.control, self.configuration)
         self.reports.add_endpoints(self.endpoints)
@@ -65,9 +60,7 @@
                 self.configuration,
                 self.endpoints,
                 self.authority,
-                self.routing,
-                self.admission,
-                self.claims,
+                *self.requests.components,
                 self.caller_port,
                 self.operator_port,
             ]
@@ -75,7 +68,8 @@
 
     async def wait_until_ready(self) -> None:
         """Wait until the daemon has its configuration and endpoints."""
-        while not self.reports.is_ready() or not self.routing.has_state():
+        routing = self.requests.routing
+        while not self.reports.is_ready() or not routing.has_state():
             await trio.sleep(_READY_POLL_SECONDS)
 
     def _build_control(self) -> None:
@@ -91,12 +85,24 @@
             self.control, self.endpoints, self._clock
         )
 
+    def _build_requests(self) -> None:
+        """Build the steps of a caller's request."""
+        self.requests = RequestPath(
+            self._settings,
+            self.control,
+            self.configuration,
+            self.endpoints,
+            self._tables,
+            self._clock,
+            self._generator,
+        )
+
     def _build_authority(self, timing: AuthorityTiming) -> None:
         """Build what is done under leases."""
         peers = AuthorityPeers(
             self._tables,
             self._platform,
-            self.endpoints,
+            self.requests.planning,
             self.configuration.get_directory,
             self._clock,
         )
@@ -104,46 +110,12 @@
             self.control, peers, timing, self._generator
         )
 
-    def _build_requests(self) -> None:
-        """Build the steps of a caller's request."""
-        self.claims = ClaimComponent(self._tables, self._clock, ClaimSettings())
-        self.routing = RoutingComponent(
-            self.endpoints,
-            self._clock,
-            self._settings.availability_zone,
-            self._generator,
-        )
-        self.admission = AdmissionComponent(
-            self.routing.router,
-            self._clock,
-            self.configuration.get_directory,
-            self._count_daemons,
-        )
-
     def _build_ports(self) -> None:
         """Build the ports for callers and operators."""
-        self.caller_port = CallerPort(self._settings, self._create_handler())
+        handler = self.requests.create_handler(
+            self.reports.observe_outcome, self.authority.observe_usage
+        )
+        self.caller_port = CallerPort(self._settings, handler)
         self.operator_port = OperatorPort(
             self._settings, self._tables, self.reports
         )
-
-    def _create_handler(self) -> CallerHandler:
-        options = HandlerOptions(
-            admission=self.admission,
-            selector=self.routing,
-            limits=get_dispatch_limits(self._settings),
-            clock=self._clock,
-            retries=RetryPlanner(self._clock, self._generator),
-            claims=self.claims,
-            get_verdict=self.routing.get_verdict,
-            region=self._settings.region,
-            observe_outcome=self.reports.observe_outcome,
-            observe_usage=self.authority.observe_usage,
-        )
-        return CallerHandler(self.configuration, self.endpoints, options)
-
-    def _count_daemons(self) -> int:
-        node = self.control.node
-        return (
-            1 if node is None else len(node.membership.view.table.list_ring())
-        )
--- a/src/clementinedyke/daemons/component.py
+++ b/src/clementinedyke/daemons/component.py
@@ -84,6 +84,13 @@
         """Number of connections that peers opened."""
         return self._server.connections
 
+    def count_living(self) -> int:
+        """Return the number of living daemons, at least this one."""
+        if self.node is None:
+            return 1
+        view = self.node.membership.view
+        return max(1, len(view.table.list_ring()))
+
     def publish(self, topic: str, content: bytes) -> None:
         """Publish a small value to all daemons.
 
--- /dev/null
+++ b/src/clementinedyke/demand.py
@@ -0,0 +1,128 @@
+"""Work that callers offer, measured here and told to the other daemons."""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.control_messages import Payload
+from clementinedyke.digest_values import (
+    AmountCodec,
+    compute_digest,
+    select_largest,
+)
+
+DEMAND_TOPIC = 'demand'
+#: Requests arrive at random; over less time the rates are mostly noise.
+_WINDOW: Milliseconds = 10_000
+_MILLISECONDS_PER_SECOND = 1000
+_CODEC = AmountCodec(amounts=2)
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """Offered work in tokens/s."""
+
+    prompt_rate: float = 0
+    output_rate: float = 0
+
+    def __add__(self, other: 'Demand') -> 'Demand':
+        """Return the sum of two demands.
+
+        :param other: demand at another daemon.
+        """
+        return Demand(
+            self.prompt_rate + other.prompt_rate,
+            self.output_rate + other.output_rate,
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class _Arrival:
+    at: Milliseconds
+    service: str
+    prompt_tokens: int
+    output_tokens: int
+
+
+class DemandMeter:
+    """Rates of the work that arrived at this daemon, refused work included."""
+
+    def __init__(self) -> None:
+        """Create a meter that saw nothing."""
+        self._arrivals: deque[_Arrival] = deque()
+
+    def add(
+        self,
+        service: str,
+        prompt_tokens: int,
+        output_tokens: int,
+        now: Milliseconds,
+    ) -> None:
+        """Count a request that arrived.
+
+        :param service: service of the request.
+        :param prompt_tokens: estimated tokens of the prompt.
+        :param output_tokens: estimated tokens of the answer.
+        :param now: time of arrival.
+        """
+        self._arrivals.append(
+            _Arrival(now, service, prompt_tokens, output_tokens)
+        )
+        self._drop_old(now)
+
+    def get_demands(self, now: Milliseconds) -> dict[str, Demand]:
+        """Return the rates by service.
+
+        :param now: current time.
+        """
+        self._drop_old(now)
+        seconds = _WINDOW / _MILLISECONDS_PER_SECOND
+        demands: dict[str, Demand] = {}
+        for arrival in self._arrivals:
+            added = Demand(
+                arrival.prompt_tokens / seconds, arrival.output_tokens / seconds
+            )
+            known = demands.get(arrival.service, Demand())
+            demands[arrival.service] = known + added
+        return demands
+
+    def _drop_old(self, now: Milliseconds) -> None:
+        while self._arrivals and self._arrivals[0].at < now - _WINDOW:
+            self._arrivals.popleft()
+
+
+def encode_demands(demands: dict[str, Demand]) -> bytes:
+    """Return the value of the topic: the services with the most work.
+
+    :param demands: rates of this daemon by service.
+    """
+    rates = {
+        service: demand.prompt_rate + demand.output_rate
+        for service, demand in demands.items()
+    }
+    return _CODEC.encode(
+        (
+            compute_digest(service),
+            (
+                round(demands[service].prompt_rate),
+                round(demands[service].output_rate),
+            ),
+        )
+        for service in select_largest(rates, _CODEC.capacity)
+    )
+
+
+def sum_demand(service: str, payloads: Iterable[Payload]) -> Demand:
+    """Return the sum of a service's demand at several daemons.
+
+    :param service: name of the service.
+    :param payloads: values that living daemons published.
+    """
+    digest = compute_digest(service)
+    total = Demand()
+    for payload in payloads:
+        for published, amounts in _CODEC.decode(payload.content):
+            if published == digest:
+                total += Demand(*amounts)
+    return total
--- /dev/null
+++ b/src/clementinedyke/demand_component.py
@@ -0,0 +1,88 @@
+"""Tells the other daemons which work callers offer here."""
+
+import trio
+
+from clementinedyke.callers import RequestContext
+from clementinedyke.clock import Clock, Milliseconds
+from clementinedyke.components import Component
+from clementinedyke.daemons import ControlComponent
+from clementinedyke.demand import (
+    DEMAND_TOPIC,
+    Demand,
+    DemandMeter,
+    encode_demands,
+    sum_demand,
+)
+
+_INTERVAL: Milliseconds = 2000
+#: Each value reaches every daemon: 330 daemons that publish 120 bytes every
+#: 10 s make 4 KB/s at each of them.
+_INTERVAL_PER_DAEMON: Milliseconds = 30
+_MILLISECONDS_PER_SECOND = 1000
+
+
+class DemandComponent(Component):
+    """Measures, publishes and sums the demand of services."""
+
+    def __init__(self, control: ControlComponent, clock: Clock) -> None:
+        """Create the component.
+
+        :param control: publishes values and receives those of others.
+        :param clock: clock of the process.
+        """
+        self._control = control
+        self._clock = clock
+        self._meter = DemandMeter()
+        self._published = b''
+
+    def observe_arrival(self, context: RequestContext) -> None:
+        """Count a request of a caller.
+
+        :param context: request that arrived.
+        """
+        work = context.work
+        self._meter.add(
+            context.route.service.name,
+            work.prompt_tokens,
+            work.output_tokens,
+            self._clock.get_now(),
+        )
+
+    def get_demand(self, service: str) -> Demand:
+        """Return the demand at this daemon and the other living ones.
+
+        :param service: name of the service.
+        """
+        own = self._meter.get_demands(self._clock.get_now())
+        total = own.get(service, Demand())
+        node = self._control.node
+        if node is None:
+            return total
+        view = node.membership.view
+        living = {member.daemon_id for member in view.table.list_ring()}
+        living.discard(view.own.daemon_id)
+        others = [
+            payload
+            for payload in view.payloads.list_topic(DEMAND_TOPIC)
+            if payload.daemon_id in living
+        ]
+        return total + sum_demand(service, others)
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start publishing.
+
+        :param nursery: nursery that runs the task.
+        """
+        nursery.start_soon(self._run)
+
+    async def _run(self) -> None:
+        while True:
+            demands = self._meter.get_demands(self._clock.get_now())
+            content = encode_demands(demands)
+            if content != self._published:
+                self._control.publish(DEMAND_TOPIC, content)
+                self._published = content
+            interval = max(
+                _INTERVAL, self._control.count_living() * _INTERVAL_PER_DAEMON
+            )
+            await trio.sleep(interval / _MILLISECONDS_PER_SECOND)
--- a/src/clementinedyke/order_book.py
+++ b/src/clementinedyke/order_book.py
@@ -69,6 +69,11 @@
         """Whether the outcome of any order is unknown."""
         return any(target.open_row for target in self._targets.values())
 
+    @property
+    def is_loaded(self) -> bool:
+        """Whether the orders were read under this lease; wishes need that."""
+        return self._is_loaded
+
     def get_row(self, target: str) -> OrderRow | None:
         """Return the last order of a target, None if there is none.
 
--- /dev/null
+++ b/src/clementinedyke/request_path.py
@@ -0,0 +1,99 @@
+"""Builds the components that a caller's request passes through."""
+
+import random
+
+from clementinedyke.admission_component import AdmissionComponent
+from clementinedyke.callers import CallerHandler, HandlerOptions
+from clementinedyke.callers.outcome import OutcomeObserver, UsageObserver
+from clementinedyke.callers.port import get_dispatch_limits
+from clementinedyke.claim import ClaimSettings
+from clementinedyke.claim_component import ClaimComponent
+from clementinedyke.clock import Clock
+from clementinedyke.components import Component
+from clementinedyke.configuration_component import ConfigurationComponent
+from clementinedyke.daemons import ControlComponent
+from clementinedyke.demand_component import DemandComponent
+from clementinedyke.endpoints.registry import EndpointRegistry
+from clementinedyke.platform.tables import TableClient
+from clementinedyke.retry_planner import RetryPlanner
+from clementinedyke.routing_component import RoutingComponent
+from clementinedyke.service_planner import PlannerSources
+from clementinedyke.settings import Settings
+
+
+class RequestPath:
+    """Admission, routing and claims of a daemon, and what they measure."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        control: ControlComponent,
+        configuration: ConfigurationComponent,
+        endpoints: EndpointRegistry,
+        tables: TableClient,
+        clock: Clock,
+        generator: random.Random,
+    ) -> None:
+        """Build the components.
+
+        :param settings: settings of the daemon.
+        :param control: members and published values.
+        :param configuration: records in force.
+        :param endpoints: endpoints that the platform lists.
+        :param tables: client of the table service.
+        :param clock: clock of the process.
+        :param generator: seeded source of random choices.
+        """
+        self._settings = settings
+        self._configuration = configuration
+        self._endpoints = endpoints
+        self._clock = clock
+        self._generator = generator
+        self.claims = ClaimComponent(tables, clock, ClaimSettings())
+        self.routing = RoutingComponent(
+            endpoints, clock, settings.availability_zone, generator
+        )
+        self.admission = AdmissionComponent(
+            self.routing.router,
+            clock,
+            configuration.get_directory,
+            control.count_living,
+        )
+        self.demand = DemandComponent(control, clock)
+        self.admission.arrival_observers.append(self.demand.observe_arrival)
+
+    @property
+    def components(self) -> list[Component]:
+        """Components in start order."""
+        return [self.routing, self.admission, self.claims, self.demand]
+
+    @property
+    def planning(self) -> PlannerSources:
+        """What planners need to know of engines and demand."""
+        return PlannerSources(
+            self.routing.list_engines,
+            self._endpoints.list_endpoints,
+            self.demand.get_demand,
+        )
+
+    def create_handler(
+        self, observe_outcome: OutcomeObserver, observe_usage: UsageObserver
+    ) -> CallerHandler:
+        """Return the handler of callers' requests.
+
+        :param observe_outcome: called with each request that ended.
+        :param observe_usage: called with the tokens of each request.
+        """
+        options = HandlerOptions(
+            admission=self.admission,
+            selector=self.routing,
+            limits=get_dispatch_limits(self._settings),
+            clock=self._clock,
+            retries=RetryPlanner(self._clock, self._generator),
+            claims=self.claims,
+            get_verdict=self.routing.get_verdict,
+            region=self._settings.region,
+            observe_outcome=observe_outcome,
+            observe_usage=observe_usage,
+        )
+        return CallerHandler(self._configuration, self._endpoints, options)
--- a/src/clementinedyke/routing_component.py
+++ b/src/clementinedyke/routing_component.py
@@ -16,6 +16,7 @@
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
 from clementinedyke.http_client import HttpRequest
 from clementinedyke.load import LoadReport
+from clementinedyke.role_types import EngineState, PlannedEngine
 from clementinedyke.route_types import (
     NoChoice,
     Role,
@@ -46,6 +47,20 @@
     endpoint: Endpoint
     boot_id: str = ''
     role: Role = Role.MIXED
+    running: int = 0
+
+    @property
+    def planned(self) -> PlannedEngine:
+        """The engine as planners see it; its model is not reported."""
+        is_known = bool(self.boot_id) and self.endpoint.state == 'live'
+        return PlannedEngine(
+            self.endpoint.endpoint_id,
+            model='',
+            version=1,
+            role=self.role,
+            state=EngineState.READY if is_known else EngineState.DOWN,
+            streams=self.running,
+        )
 
 
 class RoutingComponent(Component):
@@ -88,6 +103,17 @@
         """Return whether endpoints are known."""
         return bool(self._watched)
 
+    def list_engines(self, service: str) -> tuple[PlannedEngine, ...]:
+        """Return the engines of a service as they last reported.
+
+        :param service: name of the service.
+        """
+        return tuple(
+            watched.planned
+            for watched in self._watched.values()
+            if watched.endpoint.service == service
+        )
+
     def get_verdict(self, fingerprint: str) -> quarantine.Verdict:
         """Return what may be done with a request.
 
@@ -245,6 +271,7 @@
             restarted = route_events.EndpointRestarted(endpoint_id)
             self._router.handle(restarted, now)
         watched.boot_id = state.boot_id
+        watched.running = state.running
         self._tell(quarantine.EndpointSeen(endpoint_id, state.boot_id))
         if role is not watched.role:
             watched.role = role
--- a/src/clementinedyke/service_authority.py
+++ b/src/clementinedyke/service_authority.py
@@ -3,16 +3,20 @@
 import trio
 
 from clementinedyke.authority_peers import AuthorityPeers
+from clementinedyke.capacity_wishes import PLATFORM_PREFIX
+from clementinedyke.clock import Milliseconds
 from clementinedyke.endpoints.orders import EngineOrderClient
 from clementinedyke.http_client import Address
+from clementinedyke.http_message import RequestError
 from clementinedyke.lease import LeaseCore
 from clementinedyke.lease_component import LeaseComponent
 from clementinedyke.order_target import OrderTarget
 from clementinedyke.outbox_component import OutboxComponent
 from clementinedyke.platform.endpoint_orders import EndpointOrderClient
+from clementinedyke.service_planner import ServicePlanner
 
-#: Begins the names of targets at the endpoint interface.
-PLATFORM_PREFIX = 'platform:'
+_PLAN_INTERVAL: Milliseconds = 1000
+_MILLISECONDS_PER_SECOND = 1000
 
 
 class ServiceAuthority:
@@ -42,12 +46,16 @@
             peers.clock,
         )
         leases.add_source(self.scope, self.outbox)
+        self._planner = ServicePlanner(
+            service, self.lease, self.outbox, peers.planning, peers.clock
+        )
 
     async def run(self) -> None:
-        """Send orders until the service is withdrawn."""
+        """Plan and send orders until the service is withdrawn."""
         with self._life:
             async with trio.open_nursery() as nursery:
                 await self.outbox.start(nursery)
+                await self._plan_forever()
 
     async def withdraw(self) -> None:
         """Give the lease back and end."""
@@ -55,10 +63,22 @@
         await self._leases.remove_scope(self.scope)
         self._life.cancel()
 
+    async def _plan_forever(self) -> None:
+        while True:
+            self._plan()
+            await trio.sleep(_PLAN_INTERVAL / _MILLISECONDS_PER_SECOND)
+
+    def _plan(self) -> None:
+        try:
+            directory = self._peers.get_directory()
+        except RequestError:
+            return
+        self._planner.tick(directory)
+
     def _select_target(self, name: str) -> OrderTarget | None:
         if name.startswith(PLATFORM_PREFIX):
             return EndpointOrderClient(self._peers.platform_address)
-        for endpoint in self._peers.endpoints.list_endpoints():
+        for endpoint in self._peers.planning.list_endpoints():
             if (endpoint.endpoint_id, endpoint.service) == (
                 name,
                 self._service,
--- /dev/null
+++ b/src/clementinedyke/service_planner.py
@@ -0,0 +1,160 @@
+"""Turns the orders of the planners of one service into wishes."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+
+from clementinedyke.capacity_wishes import CapacityWishes
+from clementinedyke.clock import Clock, Milliseconds
+from clementinedyke.demand import Demand
+from clementinedyke.directory import Directory
+from clementinedyke.endpoints.registry import Endpoint
+from clementinedyke.lease import LeaseCore
+from clementinedyke.lease_types import Fencing
+from clementinedyke.order_types import OrderKind
+from clementinedyke.outbox_component import OutboxComponent
+from clementinedyke.records import ServiceRecord
+from clementinedyke.role_types import (
+    ChangeEnded,
+    ChangeRole,
+    DemandReported,
+    EnginesReported,
+    EngineState,
+    LoadModel,
+    ModelDemand,
+    PlannedEngine,
+    PlannerSettings,
+    PlannerTicked,
+    RoleOrder,
+)
+from clementinedyke.roles import RolePlanner
+
+_CAPACITY_INTERVAL: Milliseconds = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class PlannerSources:
+    """What planners know of the fleet.
+
+    ``list_engines`` returns the engines of a service without their model.
+    """
+
+    list_engines: Callable[[str], Iterable[PlannedEngine]]
+    list_endpoints: Callable[[], Iterable[Endpoint]]
+    get_demand: Callable[[str], Demand]
+
+
+class ServicePlanner:
+    """Plans one service while this daemon holds its lease."""
+
+    def __init__(
+        self,
+        service: str,
+        lease: LeaseCore,
+        outbox: OutboxComponent,
+        sources: PlannerSources,
+        clock: Clock,
+    ) -> None:
+        """Create a planner without a plan.
+
+        :param service: name of the service.
+        :param lease: lease of the service.
+        :param outbox: carries out the wishes.
+        :param sources: engines, endpoints and demand.
+        :param clock: clock of the process.
+        """
+        self._service = service
+        self._lease = lease
+        self._outbox = outbox
+        self._sources = sources
+        self._clock = clock
+        self._tenure = 0
+        self._roles = RolePlanner(PlannerSettings())
+        self._capacity = CapacityWishes(service, outbox)
+        self._next_capacity: Milliseconds = 0
+        #: Orders whose outcome the role planner waits for, by engine.
+        self._ordered: dict[str, str] = {}
+
+    def tick(self, directory: Directory) -> None:
+        """Plan once; does nothing without the lease.
+
+        :param directory: records in force.
+        """
+        now = self._clock.get_now()
+        record = directory.services.get(self._service)
+        is_held = self._lease.may_order(Fencing.CHECKED, now)
+        # A wish before the outbox has read its orders would be lost.
+        if record is None or not is_held or not self._outbox.core.is_loaded:
+            return
+        if self._lease.fence_version != self._tenure:
+            self._begin(self._lease.fence_version)
+        demand = self._sources.get_demand(self._service)
+        # Engines do not report their model, so engines of a service with
+        # several models cannot be planned.
+        if len(record.models) == 1:
+            self._plan_roles(record, demand, now)
+        if now >= self._next_capacity:
+            self._next_capacity = now + _CAPACITY_INTERVAL
+            endpoints = [
+                endpoint
+                for endpoint in self._sources.list_endpoints()
+                if endpoint.service == self._service
+            ]
+            self._capacity.plan(directory, endpoints, demand, now)
+
+    def _begin(self, tenure: int) -> None:
+        """Forget what was planned under an earlier tenure."""
+        self._tenure = tenure
+        self._roles = RolePlanner(PlannerSettings())
+        self._capacity = CapacityWishes(self._service, self._outbox)
+        self._next_capacity = 0
+        self._ordered.clear()
+
+    def _plan_roles(
+        self, record: ServiceRecord, demand: Demand, now: Milliseconds
+    ) -> None:
+        model = record.models[0]
+        planner = self._roles
+        planner.handle(EnginesReported(self._list_engines(model)), now)
+        offered = ModelDemand(model, demand.prompt_rate, demand.output_rate)
+        planner.handle(DemandReported((offered,)), now)
+        for engine_id in self._list_ended():
+            planner.handle(ChangeEnded(engine_id), now)
+        for order in planner.handle(PlannerTicked(), now):
+            self._want(order, Fencing(record.fencing))
+
+    def _list_engines(self, model: str) -> tuple[PlannedEngine, ...]:
+        engines = []
+        for engine in self._sources.list_engines(self._service):
+            row = self._outbox.core.get_row(engine.engine_id)
+            is_open = row is not None and row.outcome == 'open'
+            state = EngineState.CHANGING if is_open else engine.state
+            engines.append(replace(engine, model=model, state=state))
+        return tuple(engines)
+
+    def _list_ended(self) -> list[str]:
+        ended = []
+        for engine_id, argument in self._ordered.items():
+            row = self._outbox.core.get_row(engine_id)
+            if row and row.argument == argument and row.outcome != 'open':
+                ended.append(engine_id)
+        for engine_id in ended:
+            self._ordered.pop(engine_id)
+        return ended
+
+    def _want(self, order: RoleOrder, fencing: Fencing) -> None:
+        kind, argument = compile_order(order)
+        self._ordered[order.engine_id] = argument
+        self._outbox.want_order(order.engine_id, fencing, kind, argument)
+
+
+def compile_order(order: RoleOrder) -> tuple[OrderKind, str]:
+    """Return the kind and the argument of an order to an engine.
+
+    :param order: order of the role planner.
+    """
+    if isinstance(order, ChangeRole):
+        return OrderKind.ROLE, order.role.value
+    if isinstance(order, LoadModel):
+        argument = f'{order.model}/{order.version}/{order.role.value}'
+        return OrderKind.LOAD_MODEL, argument
+    return OrderKind.LOAD_ADAPTER, order.adapter
--- a/tests/daemon_scene.py
+++ b/tests/daemon_scene.py
@@ -59,6 +59,14 @@
         self.write('service', 'chat', backend='model', models=['m'])
         self.write('customer', 'lofts', services=['chat'])
         self.write('key', 'k', customer='lofts', digest=get_digest(KEY))
+        self.write(
+            'capacity',
+            'chat-a',
+            service='chat',
+            availability_zone='zone-a',
+            minimum=len(self.engines) + 1,
+            maximum=len(self.engines) + 1,
+        )
         self._port = await self.platform.start(nursery, HOST, 0)
         for number in range(daemons):
             await self.add_daemon(nursery, f'host-{number}')
--- a/tests/test_daemon_authority.py
+++ b/tests/test_daemon_authority.py
@@ -1,12 +1,12 @@
 """Tests of leases, orders and usage as a running daemon wires them."""
 
+import json
 from collections import Counter
 from typing import Any
 
 import trio
 
-from clementinedyke.lease_types import Fencing
-from clementinedyke.order_types import OrderKind
+from clementinedyke.standins.engine import EngineStandin
 from daemon_scene import DaemonScene, run_scene, wait_for
 
 SCOPE = 'service/chat'
@@ -22,6 +22,31 @@
     return total
 
 
+def list_endpoint_orders(scene: DaemonScene) -> list[str]:
+    """Return the arguments of the orders at the endpoint interface."""
+    return [
+        json.loads(body)['argument']
+        for path, body, _ in scene.platform.received
+        if path.startswith('/v1/endpoint-orders/')
+    ]
+
+
+def watch_orders(
+    scene: DaemonScene,
+    key: str,
+    engine: EngineStandin,
+    seen: dict[str, Any],
+) -> None:
+    """Note each order with the row that was recorded when it arrived."""
+    take_order = engine._take_order
+
+    async def note(order: Any, response: Any) -> None:
+        seen[key] = (scene.get('orders', key), order)
+        await take_order(order, response)
+
+    engine._take_order = note
+
+
 class TestLeases:
     """Guards against a daemon that seeks no lease, or keeps one for ever."""
 
@@ -33,29 +58,21 @@
         async with run_scene() as scene:
             daemon = scene.daemons[0]
             await wait_for(lambda: scene.get_holder(SCOPE))
-            engine = scene.engines[0]
-            recorded: list[str] = []
-            take_order = engine._take_order
-
-            async def note(order: Any, response: Any) -> None:
-                row = scene.get('orders', f'{SCOPE}|engine-0')
-                recorded.append(row['order_id'])
-                await take_order(order, response)
-
-            engine._take_order = note
-            outbox = daemon.authority.services['chat'].outbox
-
-            def is_done() -> bool:
-                if not recorded:
-                    outbox.want_order(
-                        'engine-0', Fencing.CHECKED, OrderKind.ROLE, 'decode'
-                    )
-                row = scene.get('orders', f'{SCOPE}|engine-0')
-                return bool(row and row['outcome'] == 'done')
-
-            await wait_for(is_done)
-            assert engine.role == 'decode'
-            assert recorded == [engine.orders[0]['order_id']]
+            recorded: dict[str, Any] = {}
+            for index, engine in enumerate(scene.engines):
+                watch_orders(scene, f'{SCOPE}|engine-{index}', engine, recorded)
+            prompt = [{'role': 'user', 'content': 'x' * 600000}]
+            await scene.chat(daemon, messages=prompt, max_tokens=1)
+            await wait_for(lambda: recorded)
+            key, (row, order) = recorded.popitem()
+            assert row['order_id'] == order['order_id']
+            assert (order['kind'], order['argument']) == ('role', 'prefill')
+            await wait_for(
+                lambda: scene.get('orders', key)['outcome'] == 'done'
+            )
+
+            await wait_for(lambda: list_endpoint_orders(scene))
+            assert list_endpoint_orders(scene) == ['zone-a/standard/3']
 
     def test_scopes_follow_records(self) -> None:
         """A withdrawn service must not keep a lease nor miss a new one."""
