Fuzz the operator and daemon ports, and contain faults of a connection

A fault in the code around a handler ended the listener's nursery and with it the daemon; it now ends its connection. Handlers of all ports are checked to leave the daemon running.

--- a/src/clementinedyke/http_server.py
+++ b/src/clementinedyke/http_server.py
@@ -4,6 +4,7 @@
 from ssl import SSLContext
 
 import trio
+from absl import logging
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.codes import ResultCode
@@ -114,8 +115,18 @@
     async def serve_stream(self, transport: trio.SocketStream) -> None:
         """Serve one connection until it ends.
 
+        A fault in the code of a connection ends that connection only; in the
+        nursery of the listener it would end the daemon.
+
         :param transport: accepted connection.
         """
+        try:
+            await self._serve_connection(transport)
+        except Exception:
+            logging.exception('event=connection_failed')
+            await trio.aclose_forcefully(transport)
+
+    async def _serve_connection(self, transport: trio.SocketStream) -> None:
         connection = ServerConnection(
             self._wrap(transport), self._limits, lambda: self._is_draining
         )
--- a/tests/fuzzer.py
+++ b/tests/fuzzer.py
@@ -1,13 +1,14 @@
 """Sends random and mutated bytes to a TCP port.
 
-Run ``python tests/fuzzer.py --bytes 1000000`` to check the caller port for
-longer than the test does, or add ``--port N`` to send to any running port on
-loopback. Further ports are checked by a :class:`Fuzzer` with their own seeds.
+Run ``python tests/fuzzer.py --port caller --bytes 1000000`` to check a port
+for longer than the test does. The ports are ``caller``, ``operator`` and
+``daemon``; a number sends to any running HTTP port on loopback.
 """
 
 import argparse
 import os
 import random
+import sys
 from collections.abc import Sequence
 
 import trio
@@ -134,14 +135,18 @@
     parser = argparse.ArgumentParser()
     parser.add_argument('--bytes', type=int, default=100000)
     parser.add_argument('--seed', type=int, default=1)
-    parser.add_argument('--port', type=int, default=0)
+    parser.add_argument('--port', default='caller')
     chosen = parser.parse_args()
-    if chosen.port:
-        trio.run(Fuzzer(chosen.seed).run, chosen.port, chosen.bytes)
+    if chosen.port.isdigit():
+        trio.run(Fuzzer(chosen.seed).run, int(chosen.port), chosen.bytes)
         return
-    from test_fuzz import check_caller_port
+    from test_fuzz import CHECKS
 
-    trio.run(check_caller_port, chosen.seed, chosen.bytes)
+    trio.run(CHECKS[chosen.port], chosen.seed, chosen.bytes)
+    sys.stdout.write(
+        f'{chosen.port} port, seed {chosen.seed}: passed after '
+        f'{chosen.bytes} bytes\n'
+    )
 
 
 if __name__ == '__main__':
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -1,16 +1,50 @@
-"""Fuzz test of the caller port."""
+"""Fuzz tests of the three ports, and of faults in handlers."""
 
 import gc
 import logging
+import struct
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
+from functools import partial
+from types import MappingProxyType
+from typing import Any
 
 import pytest
 import trio
+from h2.connection import H2Connection
+from pydantic import SecretStr
 
 from caller_tools import serve_callers
+from clementinedyke.control_messages import MemberState, Ping, PingRequest
+from clementinedyke.daemons import ControlOptions
+from clementinedyke.daemons.codec import ControlCodec
+from clementinedyke.daemons.links import ADDRESS_HEADER, METHOD, SECRET_HEADER
+from clementinedyke.exceptions import AnswerLostError
+from clementinedyke.http_client import Address, HttpClient, HttpRequest
+from clementinedyke.http_connection import ServerConnection
+from clementinedyke.membership_events import Received
+from clementinedyke.operators import OperatorPort, OperatorReports
+from clementinedyke.platform.tables import TableClient
+from clementinedyke.settings import Settings
 from clementinedyke.standins.engine import EngineStandin
+from clementinedyke.standins.platform import PlatformStandin
 from clementinedyke.standins.service import ServiceStandin
 from fuzzer import Fuzzer, count_descriptors
 from http_tools import HOST
+from test_daemon_port import Cluster, wait_until
+
+TOKEN = 'operator-token-of-tests'
+_OPERATOR = b'Host: x\r\nAuthorization: Bearer %b\r\n' % TOKEN.encode()
+_RECORD = b'{"kind":"customer","name":"c","services":[]}'
+OPERATOR_SEEDS = (
+    b'GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n',
+    b'GET /v1/records?prefix=c HTTP/1.1\r\n%b\r\n' % _OPERATOR,
+    b'GET /v1/explain/0123 HTTP/1.1\r\n%b\r\n' % _OPERATOR,
+    b'PUT /v1/records/customer/c?expect_version=0 HTTP/1.1\r\n%b'
+    b'Content-Length: %d\r\n\r\n%b' % (_OPERATOR, len(_RECORD), _RECORD),
+    b'DELETE /v1/records/customer/c?expect_version=1 HTTP/1.1\r\n%b\r\n'
+    % _OPERATOR,
+)
 
 
 class FailureLog(logging.Handler):
@@ -26,10 +60,21 @@
         self.messages.append(self.format(record))
 
 
+@contextmanager
+def watch_failures() -> Iterator[None]:
+    """Check that no handler failed."""
+    failures = FailureLog()
+    logger = logging.getLogger('absl')
+    logger.addHandler(failures)
+    try:
+        yield
+    finally:
+        logger.removeHandler(failures)
+    assert not failures.messages
+
+
 async def check_caller_port(seed: int, total: int) -> None:
     """Send bytes to a caller port and check what they leave behind."""
-    failures = FailureLog()
-    logging.getLogger('absl').addHandler(failures)
     engine = EngineStandin('m')
     service = ServiceStandin()
     async with trio.open_nursery() as nursery:
@@ -42,13 +87,105 @@
             gc.collect()
             idle = get_counts()
             assert (await side.chat()).status == 200
-            await Fuzzer(seed).run(side.port, total)
-            await side.selector.close_idle()
-            await _wait_for_counts(idle)
+            with watch_failures():
+                await Fuzzer(seed).run(side.port, total)
+                await side.selector.close_idle()
+                await _wait_for_counts(idle)
             assert (await side.chat()).status == 200
         nursery.cancel_scope.cancel()
-    logging.getLogger('absl').removeHandler(failures)
-    assert not failures.messages
+
+
+async def check_operator_port(seed: int, total: int) -> None:
+    """Send bytes to an operator port and check what they leave behind."""
+    async with serve_operators() as (port, tables):
+        gc.collect()
+        idle = get_counts()
+        assert await read_operator_port(port.bound_port) == 200
+        with watch_failures():
+            fuzzer = Fuzzer(seed, OPERATOR_SEEDS)
+            await fuzzer.run(port.bound_port, total)
+            await tables.close()
+            await _wait_for_counts(idle)
+        assert await read_operator_port(port.bound_port) == 200
+
+
+@asynccontextmanager
+async def serve_operators() -> AsyncIterator[tuple[OperatorPort, HttpClient]]:
+    """Run an operator port in front of a platform stand-in."""
+    platform = PlatformStandin()
+    settings = Settings(operator_port=0, operator_token=SecretStr(TOKEN))
+    async with trio.open_nursery() as nursery:
+        address = Address(HOST, await platform.start(nursery, HOST, 0))
+        client = HttpClient(address)
+        port = OperatorPort(settings, TableClient(client), OperatorReports())
+        await port.start(nursery)
+        yield port, client
+        nursery.cancel_scope.cancel()
+
+
+async def read_operator_port(port: int, path: str = '/v1/status') -> int:
+    """Return the status of an authorized read."""
+    header = (b'Authorization', f'Bearer {TOKEN}'.encode())
+    async with HttpClient(Address(HOST, port)) as client:
+        request = HttpRequest('GET', path, [header])
+        return (await client.request(request, 10000)).status
+
+
+async def check_daemon_port(seed: int, total: int) -> None:
+    """Send bytes to the daemon port of one of two daemons."""
+    cluster = Cluster(ControlOptions(secret='s3cret'))
+    async with trio.open_nursery() as nursery:
+        await cluster.start(nursery, 2)
+        await wait_until(lambda: cluster.count_living() == [2, 2])
+        port = int(cluster.get_id(0).rpartition(':')[2])
+        with watch_failures():
+            await Fuzzer(seed, create_daemon_seeds()).run(port, total)
+            await wait_until(lambda: cluster.components[0].connections <= 2)
+            await wait_until(lambda: is_connected(cluster))
+        nursery.cancel_scope.cancel()
+
+
+def is_connected(cluster: Cluster) -> bool:
+    """Return whether two daemons see each other."""
+    seen = [cluster.get_states(cluster.get_id(place)) for place in (0, 1)]
+    return all(
+        states == [MemberState.ALIVE, MemberState.ALIVE] for states in seen
+    )
+
+
+def create_daemon_seeds() -> list[bytes]:
+    """Return HTTP/2 streams of a peer with and without the secret."""
+    return [create_stream(b's3cret'), create_stream(b'wrong')]
+
+
+def create_stream(secret: bytes) -> bytes:
+    """Return the bytes of a stream with two messages."""
+    protocol = H2Connection()
+    protocol.initiate_connection()
+    fields = (
+        (b':method', b'POST'),
+        (b':scheme', b'http'),
+        (b':path', METHOD.encode()),
+        (b':authority', b'x'),
+        (b'te', b'trailers'),
+        (b'content-type', b'application/grpc+msgpack'),
+        (ADDRESS_HEADER.encode(), b'127.0.0.1:1'),
+        (SECRET_HEADER.encode(), secret),
+    )
+    protocol.send_headers(1, fields)
+    for message in (Ping(1), PingRequest(2, '127.0.0.1:1')):
+        encoded = ControlCodec().encode(message, None)
+        protocol.send_data(1, struct.pack('>?I', False, len(encoded)) + encoded)
+    return bytes(protocol.data_to_send())
+
+
+CHECKS = MappingProxyType(
+    {
+        'caller': check_caller_port,
+        'operator': check_operator_port,
+        'daemon': check_daemon_port,
+    }
+)
 
 
 def get_counts() -> tuple[int, int]:
@@ -71,3 +208,82 @@
     def test_caller_port(self, seed: int) -> None:
         """The port answers after 50 kB of broken requests per seed."""
         trio.run(check_caller_port, seed, 50000)
+
+    @pytest.mark.parametrize('port', ['operator', 'daemon'])
+    def test_inner_ports(self, port: str) -> None:
+        """The other ports go on after 20 kB each."""
+        trio.run(CHECKS[port], 1, 20000)
+
+
+class FaultyNode:
+    """Fails on each message and passes everything else on."""
+
+    def __init__(self, node: Any) -> None:
+        """Wrap the core of a daemon."""
+        self.node = node
+        self.failures = 0
+
+    def handle(self, event: object, now: int) -> Any:
+        """Handle an event other than a message."""
+        if isinstance(event, Received):
+            self.failures += 1
+            raise RuntimeError('fault of a handler')
+        return self.node.handle(event, now)
+
+    def has_failed(self) -> bool:
+        """Return whether messages came."""
+        return self.failures > 2
+
+    def __getattr__(self, name: str) -> Any:
+        """Return an attribute of the core."""
+        return getattr(self.node, name)
+
+
+class TestFaultyHandlers:
+    """Guards against a fault in one handler that ends the whole daemon."""
+
+    def test_operator_port(self, monkeypatch: Any) -> None:
+        """The request gets 500 and the next one is answered."""
+
+        async def check() -> None:
+            async with serve_operators() as (port, _):
+                with monkeypatch.context() as patch:
+                    patch.setattr(OperatorReports, 'compile_status', None)
+                    status = await read_operator_port(port.bound_port)
+                    assert status == 500
+                assert await read_operator_port(port.bound_port) == 200
+
+        trio.run(check)
+
+    def test_connection_code(self, monkeypatch: Any) -> None:
+        """A fault outside of the handler closes only its connection."""
+
+        async def check() -> None:
+            async with serve_operators() as (port, _):
+                with monkeypatch.context() as patch:
+                    patch.setattr(ServerConnection, '_serve', None)
+                    with pytest.raises(AnswerLostError):
+                        await read_operator_port(port.bound_port)
+                assert await read_operator_port(port.bound_port) == 200
+
+        trio.run(check)
+
+    def test_daemon_port(self) -> None:
+        """The daemon goes on and hears its peer again afterwards."""
+
+        trio.run(check_faulty_node)
+
+
+async def check_faulty_node() -> None:
+    """Let each message to a daemon fail for a while."""
+    cluster = Cluster(ControlOptions(secret='s3cret'))
+    async with trio.open_nursery() as nursery:
+        await cluster.start(nursery, 2)
+        await wait_until(lambda: cluster.count_living() == [2, 2])
+        component: Any = cluster.components[0]
+        faulty = FaultyNode(component.node)
+        component.node = faulty
+        await wait_until(faulty.has_failed)
+        component.node = faulty.node
+        await wait_until(lambda: is_connected(cluster))
+        nursery.cancel_scope.cancel()
