--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -5,7 +5,6 @@
 import struct
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager
-from functools import partial
 from types import MappingProxyType
 from typing import Any
 
@@ -260,10 +259,10 @@
 
         async def check() -> None:
             async with serve_operators() as (port, _):
-                with monkeypatch.context() as patch:
+                lost = pytest.raises(AnswerLostError)
+                with monkeypatch.context() as patch, lost:
                     patch.setattr(ServerConnection, '_serve', None)
-                    with pytest.raises(AnswerLostError):
-                        await read_operator_port(port.bound_port)
+                    await read_operator_port(port.bound_port)
                 assert await read_operator_port(port.bound_port) == 200
 
         trio.run(check)
