Refuse prompts and output limits that no endpoint should get

max_prompt_tokens of a service record was accepted and never enforced; a longer prompt is now BODY_TOO_LARGE.

--- a/src/clementinedyke/callers/routing.py
+++ b/src/clementinedyke/callers/routing.py
@@ -5,7 +5,7 @@
 
 from clementinedyke.callers.authentication import check_customer, get_customer
 from clementinedyke.callers.context import Route
-from clementinedyke.callers.validation import parse_chat
+from clementinedyke.callers.validation import check_prompt, parse_chat
 from clementinedyke.callers.work import estimate_chat, estimate_plain
 from clementinedyke.codes import ResultCode
 from clementinedyke.directory import Directory
@@ -56,6 +56,7 @@
         )
     check_customer(directory, service, customer)
     work = estimate_chat(customer, service.name, request.body, body)
+    check_prompt(service, work.prompt_tokens)
     return Route(service, customer, CHAT_PATH, work)
 
 
--- a/tests/test_customer_limits.py
+++ b/tests/test_customer_limits.py
@@ -1,9 +1,11 @@
 """Tests of the limits of a customer at one daemon."""
 
+import json
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from typing import Any
 
+import pytest
 import trio
 from hypothesis import given
 from hypothesis import strategies as st
@@ -11,14 +13,19 @@
 from caller_tools import (
     CallerSide,
     FixedConfiguration,
+    create_chat,
     create_request,
     serve_callers,
 )
 from clementinedyke.callers import HandlerOptions
 from clementinedyke.callers.customer_limits import ConnectionLimit
+from clementinedyke.callers.validation import parse_chat
 from clementinedyke.clock import ManualClock
+from clementinedyke.codes import ResultCode
 from clementinedyke.directory import Directory
 from clementinedyke.http_client import Address, HttpClient, HttpResponse
+from clementinedyke.http_message import RequestError
+from clementinedyke.records import Record
 from clementinedyke.standins.engine import EngineStandin
 from clementinedyke.token_rate import TokenRateCore
 from http_tools import HOST
@@ -28,15 +35,15 @@
     monkeypatch: Any,
     check: Callable[[CallerSide], Awaitable[None]],
     options: HandlerOptions,
+    record: Record | None = None,
     **limits: int,
 ) -> None:
-    """Serve a caller port whose customer record has limits."""
+    """Serve a caller port with a record, or limits in the customer's."""
     directory = FixedConfiguration().get_directory()
-    record = replace(directory.customers['lofts'], **limits)
-    limited = Directory.compile(
-        1,
-        (record, *directory.services.values(), *directory.keys.values()),
-    )
+    customer = replace(directory.customers['lofts'], **limits)
+    services = directory.services.values()
+    keys = directory.keys.values()
+    limited = Directory.compile(1, (customer, *services, *keys, record))
     monkeypatch.setattr(
         FixedConfiguration, 'get_directory', lambda this: limited
     )
@@ -84,6 +91,33 @@
         run_limited(monkeypatch, check, options, max_connections=1)
 
 
+class TestRequestSize:
+    """Guards against requests larger than their service or the protocol."""
+
+    def test_prompt(self, monkeypatch: Any) -> None:
+        """A prompt of about 10 tokens runs, one of 100 is refused."""
+
+        async def check(side: CallerSide) -> None:
+            assert (await side.chat()).status == 200
+            refused = await side.chat(messages=[{'content': 'x' * 400}])
+            assert get_result(refused)[:2] == (413, b'2005')
+
+        service = replace(
+            FixedConfiguration().get_directory().services['chat'],
+            max_prompt_tokens=20,
+        )
+        run_limited(monkeypatch, check, HandlerOptions(), service)
+
+    @pytest.mark.parametrize('limit', [0, -1, 1.5, True, '9', 10**10])
+    def test_output(self, limit: Any) -> None:
+        """A limit that no engine understands must not reach one."""
+        for name in ('max_tokens', 'max_completion_tokens'):
+            body = json.dumps(create_chat(**{name: limit})).encode()
+            with pytest.raises(RequestError) as caught:
+                parse_chat(body)
+            assert caught.value.code is ResultCode.BODY_INVALID
+
+
 class TestTokenRate:
     """Guards against a customer that gets more tokens than its record."""
 
