Refuse mistyped environment variables at start

A variable with the CLEMENTINEDYKE_ prefix that names no setting left the default in force without a word. serve, check and demo now stop with exit status 2 and one line that names it. Also adds the missing test of the total request timeout.

--- a/src/clementinedyke/cli.py
+++ b/src/clementinedyke/cli.py
@@ -1,5 +1,6 @@
 """Command line of clementinedyke."""
 
+import os
 import sys
 from collections.abc import Awaitable, Callable
 from importlib import metadata
@@ -17,7 +18,7 @@
 from clementinedyke.operators.failures import CommandError, ExitStatus
 from clementinedyke.operators.record_files import check_files
 from clementinedyke.setting_flags import accept_settings
-from clementinedyke.setting_loader import load_settings
+from clementinedyke.setting_loader import check_environment, load_settings
 from clementinedyke.settings import Settings
 from clementinedyke.standins import command as standin_command
 
@@ -44,6 +45,7 @@
     :param operator_token: token of the operator port; without one it refuses
         all but metrics and health.
     """
+    check_environment(os.environ)
     settings = load_settings(
         {'port': str(port), 'operator_token': operator_token}
     )
--- a/src/clementinedyke/setting_flags.py
+++ b/src/clementinedyke/setting_flags.py
@@ -1,6 +1,7 @@
 """Flags and environment variables of the settings on the command line."""
 
 import inspect
+import os
 from collections.abc import Callable
 from functools import wraps
 from typing import Annotated, Any
@@ -9,6 +10,7 @@
 
 from clementinedyke.setting_loader import (
     SettingDetails,
+    check_environment,
     list_settings,
     load_settings,
 )
@@ -28,6 +30,7 @@
 
     @wraps(command)
     def wrapper(**given: Any) -> None:
+        check_environment(os.environ)
         texts = {flag.name: given.pop(flag.name, None) for flag in flags}
         command(load_settings(texts), **given)
 
--- a/src/clementinedyke/setting_loader.py
+++ b/src/clementinedyke/setting_loader.py
@@ -1,7 +1,8 @@
 """Reads settings and compiles their documentation."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from difflib import get_close_matches
 from pathlib import Path
 from typing import Any
 
@@ -79,6 +80,24 @@
     return '\n'.join([*lines, ''])
 
 
+def check_environment(names: Iterable[str]) -> None:
+    """Refuse environment variables with our prefix that are no setting.
+
+    A mistyped variable would otherwise leave the default in force unnoticed.
+
+    :param names: names of all environment variables.
+    :raises SettingError: naming the first wrong variable.
+    """
+    known = {details.environment_name for details in list_settings()}
+    for name in sorted(names):
+        if name.startswith(_ENVIRONMENT_PREFIX) and name not in known:
+            close = get_close_matches(name, known, 1)
+            hint = f'; did you mean {close[0]}?' if close else ''
+            raise SettingError(
+                f'environment variable {name} is not a setting{hint}'
+            )
+
+
 def load_settings(given: Mapping[str, str | None]) -> Settings:
     """Return the settings from flags and environment variables.
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -85,6 +85,24 @@
         """An endpoint that sends a head and no body does not hang us."""
         trio.run(self._check_timeout)
 
+    async def _check_whole_timeout(self) -> None:
+        limits = DispatchLimits(request_timeout=200)
+        endpoint = RawEndpoint(_BROKEN, waits=True)
+        async with trio.open_nursery() as nursery:
+            port = await endpoint.start(nursery)
+            options = HandlerOptions(limits=limits)
+            async with serve_callers([port, port], options) as side:
+                with pytest.raises(AnswerLostError):
+                    await side.chat(stream=True)
+                await endpoint.closed.wait()
+                await _wait_for_outcome(side)
+                assert side.codes == [4001]
+            nursery.cancel_scope.cancel()
+
+    def test_whole_timeout(self) -> None:
+        """An answer that began and stalls ends, visibly broken."""
+        trio.run(self._check_whole_timeout)
+
 
 class TestStream:
     """Guards against answers that are cut off, leak or are billed wrongly."""
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -86,6 +86,14 @@
         assert errors.count('\n') == 1
         assert "CLEMENTINEDYKE_KEY_MAX_AGE) has value '1'" in errors
 
+    def test_mistyped_variable_stops_start(self) -> None:
+        """A default must not be in force where another value was meant."""
+        status, errors = run_check(CLEMENTINEDYKE_KEY_MAXAGE='3000')
+        assert status == 2
+        assert errors.count('\n') == 1
+        assert 'CLEMENTINEDYKE_KEY_MAXAGE ' in errors
+        assert 'CLEMENTINEDYKE_KEY_MAX_AGE?' in errors
+
     def test_flag_wins_over_variable(self) -> None:
         """A flag given by hand overrides the environment of the host."""
         status, errors = run_check(
