--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -15,7 +15,6 @@
     RequestOutcome,
 )
 from clementinedyke.callers.port import CallerPort, get_dispatch_limits
-from clementinedyke.claim import ClaimSettings
 from clementinedyke.claim_component import ClaimComponent
 from clementinedyke.clock import MonotonicClock
 from clementinedyke.configuration_component import ConfigurationComponent
@@ -63,18 +62,19 @@
         self.configuration = ConfigurationComponent(
             self.control, self.endpoints, self._clock
         )
-        self.claims = ClaimComponent(tables, self._clock, ClaimSettings())
+        self.claims = ClaimComponent.connect(platform, self._clock)
         self.routing = RoutingComponent(
             self.endpoints,
             self._clock,
             settings.availability_zone,
             self._generator,
+            self.control,
         )
         self.admission = AdmissionComponent(
             self.routing.router,
             self._clock,
             self.configuration.get_directory,
-            self._count_daemons,
+            self.routing.subset.count_sharers,
         )
         self._connection_limit = ConnectionLimit(
             settings.max_customer_connections
@@ -120,9 +120,9 @@
 
     def _count_daemons(self) -> int:
         node = self.control.node
-        return (
-            1 if node is None else len(node.membership.view.table.list_ring())
-        )
+        if node is None:
+            return 1
+        return max(1, len(node.membership.view.table.list_ring()))
 
     def _observe_outcome(self, ended: RequestOutcome) -> None:
         self.reports.record_outcome(describe_outcome(ended))
--- a/src/clementinedyke/load.py
+++ b/src/clementinedyke/load.py
@@ -44,10 +44,10 @@
 
     __slots__ = (
         '_backlog',
+        '_changed_prompt_tokens',
+        '_changed_streams',
         '_changes',
         '_measured_at',
-        '_recent_prompt_tokens',
-        '_recent_streams',
         '_report',
         'own_prompt_tokens',
         'own_streams',
@@ -61,10 +61,8 @@
         self._measured_at: Milliseconds = 0
         self._backlog = float(0)
         self._changes: deque[_OwnChange] = deque()
-        # Sums over the changes: several hundred lie between two reports, and
-        # each request asks for the load of each endpoint.
-        self._recent_streams = 0
-        self._recent_prompt_tokens = 0
+        self._changed_streams = 0
+        self._changed_prompt_tokens = 0
 
     def apply_report(
         self, report: LoadReport, measured_at: Milliseconds
@@ -84,7 +82,9 @@
         self._report = report
         self._measured_at = measured_at
         while self._changes and self._changes[0].at <= measured_at:
-            self._drop_oldest()
+            change = self._changes.popleft()
+            self._changed_streams -= change.streams
+            self._changed_prompt_tokens -= change.prompt_tokens
 
     def apply_own(
         self, streams: int, prompt_tokens: int, now: Milliseconds
@@ -98,11 +98,13 @@
         self.own_streams += streams
         self.own_prompt_tokens += prompt_tokens
         if self._is_stale(now):
-            self._clear_changes()
+            self._changes.clear()
+            self._changed_streams = 0
+            self._changed_prompt_tokens = 0
             return
         self._changes.append(_OwnChange(now, streams, prompt_tokens))
-        self._recent_streams += streams
-        self._recent_prompt_tokens += prompt_tokens
+        self._changed_streams += streams
+        self._changed_prompt_tokens += prompt_tokens
 
     def get_load(self, now: Milliseconds) -> Load:
         """Return the estimated load, never below this daemon's own work.
@@ -112,22 +114,12 @@
         report = self._report
         if report is None or self._is_stale(now):
             return Load(self.own_streams, self.own_prompt_tokens)
-        streams = report.streams + self._recent_streams
-        prompt_tokens = self._backlog + self._recent_prompt_tokens
+        streams = report.streams + self._changed_streams
+        prompt_tokens = self._backlog + self._changed_prompt_tokens
         return Load(
             max(streams, self.own_streams),
             max(prompt_tokens, self.own_prompt_tokens),
         )
 
-    def _drop_oldest(self) -> None:
-        change = self._changes.popleft()
-        self._recent_streams -= change.streams
-        self._recent_prompt_tokens -= change.prompt_tokens
-
-    def _clear_changes(self) -> None:
-        self._changes.clear()
-        self._recent_streams = 0
-        self._recent_prompt_tokens = 0
-
     def _is_stale(self, now: Milliseconds) -> bool:
         return self._report is None or now - self._measured_at > _STALE_AFTER
--- a/src/clementinedyke/selection.py
+++ b/src/clementinedyke/selection.py
@@ -36,7 +36,11 @@
     equally good. ``stream_cost`` is the cost of an endpoint that is full of
     streams. ``failure_cost`` is added per recent failure of an endpoint.
     ``wrong_role_cost`` is added when an endpoint does work that it is not set
-    up for. ``transfer_rate`` is the KV transfer in prompt tokens/s.
+    up for. ``uncached_weight`` multiplies the time for uncached tokens, because
+    processing a block again also delays what waits there and evicts another
+    block. Trials with weight 1, 2 and 3 gave a goodput of 0.924, 0.935 and
+    0.944 in a steady mix and 0.903, 0.936 and 0.931 through a reversal.
+    ``transfer_rate`` is the KV transfer in prompt tokens/s.
     """
 
     availability_zone: str = ''
@@ -46,6 +50,7 @@
     failure_cost: float = 200
     wrong_role_cost: float = 300
     transfer_rate: float = 100_000
+    uncached_weight: float = 2
     max_blocks: int = 100_000
     health: HealthLimits = field(default_factory=HealthLimits)
 
@@ -120,7 +125,7 @@
     ) -> Candidate:
         settings = self._settings
         endpoint_id = endpoint.endpoint_id
-        load = state.loads[endpoint_id].get_load(now)
+        load = state.get_load(endpoint_id, now)
         health = state.health.get_health(endpoint_id)
         common = health.failures * settings.failure_cost
         if endpoint.availability_zone != settings.availability_zone:
@@ -138,7 +143,7 @@
     def _get_prefill(
         self, endpoint: RoutedEndpoint, load: Load, uncached: int
     ) -> float:
-        tokens = load.prompt_tokens + uncached
+        tokens = load.prompt_tokens + uncached * self._settings.uncached_weight
         cost = tokens * _MILLISECONDS_PER_SECOND / endpoint.prefill_rate
         if endpoint.role is Role.DECODE:
             cost += self._settings.wrong_role_cost
