Keep list reads even after a common start

bench.cluster showed 46 reads/s at 220 daemons instead of 14: daemons that start together scheduled their turns together, and the lists grew old for all of them. Turns now follow exponential waits.

--- a/bench/sizing_peers.py
+++ b/bench/sizing_peers.py
@@ -7,15 +7,18 @@
 import json
 import sys
 import time
+import zlib
 from collections import Counter
 from functools import partial
 from typing import Any
 
+import msgspec
 import trio
 import trio_asyncio
 
 from bench.cluster import Relay
 from clementinedyke.clock import MonotonicClock
+from clementinedyke.configuration_messages import Advert, ListAdvert
 from clementinedyke.control_messages import (
     Ack,
     Member,
@@ -34,6 +37,7 @@
 HOST = '127.0.0.1'
 ZONES = 5
 TOLD_SYNCS = 3
+LIST_AGE = 2000
 
 
 class CountedEngine(EngineStandin):
@@ -74,6 +78,8 @@
         )
         self._count = count
         self._syncs = 0
+        #: What a peer of the steady state tells about its lists.
+        self.lists: tuple[ListAdvert, ...] = ()
         self._members: tuple[Member, ...] = ()
 
     def describe(self, address: str) -> None:
@@ -94,7 +100,8 @@
 
     def _answer(self, address: str, message: Message) -> None:
         if isinstance(message, Ping):
-            self.server.send(address, Ack(message.sequence))
+            advert = Advert(lists=self.lists)
+            self.server.send(address, Ack(message.sequence, advert=advert))
             self.server.send(address, Ping(0))
         # A real peer sends the members only while the digests differ.
         if isinstance(message, Sync) and self._syncs < TOLD_SYNCS:
@@ -131,6 +138,10 @@
                 endpoint = await self._add_relay(nursery, 'state', engine)
                 self._list_endpoint(number, endpoint)
             self._write_records(address)
+            self.members.lists = tuple(
+                ListAdvert(zlib.crc32(msgspec.json.encode(rows)), LIST_AGE, 0)
+                for rows in (self.platform.endpoints, self.platform.hosts)
+            )
             reached = await self._add_relay(nursery, 'platform', platform)
             print(json.dumps({'platform': reached}), flush=True)
             await self._obey()
--- a/src/clementinedyke/platform_lists.py
+++ b/src/clementinedyke/platform_lists.py
@@ -130,9 +130,10 @@
         retry = options.list_silence
         if place not in self._states:
             retry = options.poll_interval
-        # Jitter keeps the daemons from reading in step.
+        # Daemons that start together would all wait a whole turn without
+        # any read; exponential waits keep the rate of all of them even.
+        self._next_turns[place] = now + int(self._random.expovariate(1 / turn))
         factor = self._random.uniform(_SHORTEST, _LONGEST)
-        self._next_turns[place] = now + int(turn * factor)
         self._next_retries[place] = now + int(retry * factor)
 
     def handle(self, event: object, now: Milliseconds) -> list[ListAction]:
