--- a/bench/sizing.py
+++ b/bench/sizing.py
@@ -203,7 +203,8 @@
     print(
         '| other members | endpoints | services | customers | keys'
         ' | resident MB | % of a core | /state calls/s | /state B/s'
-        ' | members B/s | platform B/s | list reads in the window | change s, median | change s, most'
+        ' | members B/s | platform B/s | list reads in the window'
+        ' | change s, median | change s, most'
         ' | change, processor ms |'
     )
     print('|', ' --- |' * 15, sep='')
--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -8,9 +8,13 @@
 
 from clementinedyke.admission_component import AdmissionComponent
 from clementinedyke.application import Application
-from clementinedyke.callers import CallerHandler, HandlerOptions, RequestOutcome
+from clementinedyke.callers import (
+    CallerHandler,
+    ConnectionLimit,
+    HandlerOptions,
+    RequestOutcome,
+)
 from clementinedyke.callers.port import CallerPort, get_dispatch_limits
-from clementinedyke.claim import ClaimSettings
 from clementinedyke.claim_component import ClaimComponent
 from clementinedyke.clock import MonotonicClock
 from clementinedyke.configuration_component import ConfigurationComponent
@@ -58,7 +62,7 @@
         self.configuration = ConfigurationComponent(
             self.control, self.endpoints, self._clock
         )
-        self.claims = ClaimComponent(tables, self._clock, ClaimSettings())
+        self.claims = ClaimComponent.connect(platform, self._clock)
         self.routing = RoutingComponent(
             self.endpoints,
             self._clock,
@@ -72,7 +76,12 @@
             self.configuration.get_directory,
             self.routing.subset.count_sharers,
         )
-        self.caller_port = CallerPort(settings, self._create_handler())
+        self._connection_limit = ConnectionLimit(
+            settings.max_customer_connections
+        )
+        self.caller_port = CallerPort(
+            settings, self._create_handler(), self._connection_limit
+        )
         self.operator_port = OperatorPort(settings, tables, self.reports)
         self._register_reports()
         self.application = Application(
@@ -102,11 +111,19 @@
             retries=RetryPlanner(self._clock, self._generator),
             claims=self.claims,
             get_verdict=self.routing.get_verdict,
+            connection_limit=self._connection_limit,
+            count_daemons=self._count_daemons,
             region=self._settings.region,
             observe_outcome=self._observe_outcome,
         )
         return CallerHandler(self.configuration, self.endpoints, options)
 
+    def _count_daemons(self) -> int:
+        node = self.control.node
+        if node is None:
+            return 1
+        return max(1, len(node.membership.view.table.list_ring()))
+
     def _observe_outcome(self, ended: RequestOutcome) -> None:
         self.reports.record_outcome(describe_outcome(ended))
 
