Divide the claim budget by the living daemons

Nobody called set_commit_rate: each daemon could make 25 commits/s, 8,250/s at 330 daemons (calculated), where the design allows 200 for all.

The subset of endpoints now follows the members after each batch of state calls instead of after each round. A daemon that just started knows no members and would have asked 600 endpoints, 125 s, before it noticed any.

--- a/src/clementinedyke/claim_component.py
+++ b/src/clementinedyke/claim_component.py
@@ -18,6 +18,8 @@
 
 _TICK_INTERVAL: Milliseconds = 50
 _MILLISECONDS_PER_SECOND = 1000
+#: Commits per second of all daemons; the platform takes several hundred.
+COMMIT_BUDGET = 200
 #: Longest wait for claims in progress when the daemon stops.
 _DRAIN_SECONDS = 30
 
@@ -68,6 +70,8 @@
         self._clock = clock
         self._core = ClaimCore(settings, clock.get_now())
         self._waiters: dict[str, _Waiter] = {}
+        #: Returns the number of living daemons, which share the budget.
+        self.count_daemons: Callable[[], int] = _count_one
         self._nursery: trio.Nursery | None = None
 
     @classmethod
@@ -121,6 +125,7 @@
     async def _tick_forever(self) -> None:
         while True:
             await trio.sleep(_TICK_INTERVAL / _MILLISECONDS_PER_SECOND)
+            self._core.set_commit_rate(COMMIT_BUDGET / self.count_daemons())
             self._feed(msg.ClaimTick())
 
     def _feed(self, event: msg.ClaimEvent) -> None:
@@ -175,3 +180,7 @@
         self._end(request_id, ClaimOutcome(ended.code, message=ended.message))
         event_type = msg.EndpointLost if ended.is_sent else msg.NothingSent
         self._feed(event_type(request_id))
+
+
+def _count_one() -> int:
+    return 1
--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -70,6 +70,7 @@
             self._generator,
             self.control,
         )
+        self.claims.count_daemons = self._count_daemons
         self.admission = AdmissionComponent(
             self.routing.router,
             self._clock,
--- a/src/clementinedyke/routing_component.py
+++ b/src/clementinedyke/routing_component.py
@@ -248,16 +248,21 @@
     async def _watch_forever(self) -> None:
         while True:
             await self._read_states()
-            self._follow_members()
 
     async def _read_states(self) -> None:
-        asked = [
-            watched
-            for watched in self._watched.values()
-            if watched.is_used or watched.boot_id
-        ]
-        for start in range(0, max(1, len(asked)), _STATE_BATCH):
-            await self._read_batch(asked[start : start + _STATE_BATCH])
+        waiting = list(filter(_is_asked, self._watched.values()))
+        await self._read_batch(waiting[:_STATE_BATCH])
+        while len(waiting) > _STATE_BATCH:
+            # A daemon that just started knows no members and begins with all
+            # endpoints; it drops most of them as soon as members are known.
+            waiting = [
+                watched
+                for watched in waiting[_STATE_BATCH:]
+                if watched.endpoint.endpoint_id in self._watched
+                and _is_asked(watched)
+            ]
+            if waiting:
+                await self._read_batch(waiting[:_STATE_BATCH])
 
     async def _read_batch(self, batch: list[_Watched]) -> None:
         async with trio.open_nursery() as nursery:
@@ -265,6 +270,7 @@
                 nursery.start_soon(self._read_state, watched)
         wait = self._generator.uniform(_STATE_INTERVAL, _MAX_STATE_INTERVAL)
         await trio.sleep(wait / _MILLISECONDS_PER_SECOND)
+        self._follow_members()
 
     def _follow_members(self) -> None:
         is_draining = any(
@@ -332,6 +338,14 @@
     )
 
 
+def _is_asked(watched: _Watched) -> bool:
+    """Return whether the endpoint is asked for its state.
+
+    A leaving endpoint that was never asked gets no work and needs no state.
+    """
+    return watched.is_used or bool(watched.boot_id)
+
+
 def _compile_routed(watched: _Watched) -> RoutedEndpoint:
     endpoint = watched.endpoint
     routed = RoutedEndpoint(
