Report the room of services with queued requests only

At each tick of 50 ms the room of every service that ever had a request was worked out twice. A service without a queue is told its room at the next arrival, as before.

--- a/src/clementinedyke/admission_component.py
+++ b/src/clementinedyke/admission_component.py
@@ -30,6 +30,7 @@
 
 @dataclass(slots=True)
 class _Waiter:
+    service: str
     decided: trio.Event = field(default_factory=trio.Event)
     refusal: admission_events.RefuseRequest | None = None
     priority: int = 0
@@ -59,7 +60,6 @@
         self._count_sharers = count_sharers
         self._core = AdmissionCore(AdmissionLimits())
         self._waiters: dict[str, _Waiter] = {}
-        self._services: set[str] = set()
         self._revision = -1
 
     @property
@@ -91,7 +91,7 @@
         :raises RequestError: if the request is refused as not run.
         """
         request_id = context.outcome.request_id
-        waiter = _Waiter()
+        waiter = _Waiter(context.route.service.name)
         self._waiters[request_id] = waiter
         try:
             await self._wait(context, waiter)
@@ -157,12 +157,23 @@
         while True:
             await trio.sleep(_TICK_INTERVAL / _MILLISECONDS_PER_SECOND)
             self._update_weights()
-            for service in self._services:
+            for service in self._list_waiting():
                 self._report_room(service)
             self._feed(admission_events.AdmissionTicked())
 
+    def _list_waiting(self) -> set[str]:
+        """Return the services with queued requests.
+
+        The others learn their room at the next arrival; to report it for 26
+        services at each tick took 2% of a core.
+        """
+        return {
+            waiter.service
+            for waiter in self._waiters.values()
+            if not waiter.decided.is_set()
+        }
+
     def _report_room(self, service: str) -> None:
-        self._services.add(service)
         now = self._clock.get_now()
         room = self._router.get_room(service, now)
         excess_room = self._router.get_room(service, now, _EXCESS_SHARE)
