--- a/src/clementinedyke/request_path.py
+++ b/src/clementinedyke/request_path.py
@@ -56,6 +56,7 @@
         self._clock = clock
         self._generator = generator
         self.claims = ClaimComponent.connect(platform, clock)
+        self.claims.count_daemons = control.count_living
         self.routing = RoutingComponent(
             endpoints,
             clock,
