Divide the commits of claims over the living daemons

Each daemon used the default rate of the claim core, so that all daemons together could pass the platform's budget of 200 commits/s for claims. The rate is now 200 divided by the living daemons, set at each change of the members.

--- a/src/clementinedyke/request_path.py
+++ b/src/clementinedyke/request_path.py
@@ -8,6 +8,7 @@
 from clementinedyke.callers.port import get_dispatch_limits
 from clementinedyke.claim import ClaimSettings
 from clementinedyke.claim_component import ClaimComponent
+from clementinedyke.claim_rate import ClaimRateComponent
 from clementinedyke.clock import Clock
 from clementinedyke.components import Component
 from clementinedyke.configuration_component import ConfigurationComponent
@@ -61,6 +62,7 @@
             configuration.get_directory,
             control.count_living,
         )
+        self.claim_rate = ClaimRateComponent(control, self.claims)
         self.shares = ShareComponent(
             control, self.admission, configuration, clock
         )
@@ -77,6 +79,7 @@
             self.admission,
             self.shares,
             self.claims,
+            self.claim_rate,
             self.demand,
         ]
 
--- a/tests/test_daemon_news.py
+++ b/tests/test_daemon_news.py
@@ -27,12 +27,14 @@
     """Guards against daemons that each see only their own work."""
 
     def test_second_daemon_learns(self) -> None:
-        """Shares, demand and evidence span two daemons."""
+        """Shares, demand, evidence and the commit rate span two daemons."""
         trio.run(self._learn)
 
     async def _learn(self) -> None:
         async with run_scene(daemons=2) as scene:
             first, second = (daemon.requests for daemon in scene.daemons)
+            await wait_for(lambda: first.claim_rate.rate == 100)
+            await wait_for(lambda: second.claim_rate.rate == 100)
             received: list[RemoteConsumed] = []
             second.admission.receive_consumed = received.append
             await scene.chat(scene.daemons[0], max_tokens=5)
