Report leases, orders and usage to operators

The status of a daemon said nothing of leases, orders or usage. It now has a section for each, and /metrics counts lease changes, orders by what became of them and usage windows by state.

--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -53,6 +53,7 @@
         self._build_ports()
         self.reports.add_control(self.control, self.configuration)
         self.reports.add_endpoints(self.endpoints)
+        self.reports.add_authority(self.authority, self._clock)
         # Drained in reverse: no new requests, no leases, leaving is announced.
         self.application = Application(
             [
--- a/src/clementinedyke/daemon_reports.py
+++ b/src/clementinedyke/daemon_reports.py
@@ -1,6 +1,14 @@
 """Registers what the components of a daemon tell operators."""
 
+from clementinedyke.authority_component import AuthorityComponent
+from clementinedyke.authority_report import (
+    AuthorityCollector,
+    LeaseReport,
+    OrderReport,
+    UsageReport,
+)
 from clementinedyke.callers import RequestOutcome
+from clementinedyke.clock import Clock
 from clementinedyke.configuration_component import ConfigurationComponent
 from clementinedyke.control_report import ConfigurationReport, MemberReport
 from clementinedyke.daemons import ControlComponent
@@ -38,6 +46,19 @@
             report.get_revision,
         )
 
+    def add_authority(
+        self, authority: AuthorityComponent, clock: Clock
+    ) -> None:
+        """Register leases, orders and usage.
+
+        :param authority: leases, outboxes and usage of the daemon.
+        :param clock: clock of the process.
+        """
+        self.add_status('leases', LeaseReport(authority, clock))
+        self.add_status('orders', OrderReport(authority))
+        self.add_status('usage', UsageReport(authority))
+        self.metrics.registry.register(AuthorityCollector(authority))
+
     def add_endpoints(self, registry: EndpointRegistry) -> None:
         """Register the endpoints that the platform lists.
 
--- a/src/clementinedyke/lease_decision.py
+++ b/src/clementinedyke/lease_decision.py
@@ -64,6 +64,12 @@
         """Fence of the row as last seen."""
         return self._view.fence
 
+    @property
+    def holder(self) -> Identity | None:
+        """Holder in the row as last seen."""
+        row = self._view.row
+        return row.holder if row else None
+
     @property
     def fence_version(self) -> int:
         """Version of the fence row that this tenure wrote, 0 if unknown."""
--- a/src/clementinedyke/order_book.py
+++ b/src/clementinedyke/order_book.py
@@ -82,6 +82,14 @@
         known = self._targets.get(target)
         return known.row if known else None
 
+    def list_rows(self) -> list[tuple[str, OrderRow]]:
+        """Return the last order of each target that has one, by target."""
+        return [
+            (name, target.row)
+            for name, target in sorted(self._targets.items())
+            if target.row is not None
+        ]
+
     def _load(self) -> list[OutboxAction]:
         if self._is_loading:
             return []
--- a/src/clementinedyke/outbox_component.py
+++ b/src/clementinedyke/outbox_component.py
@@ -1,5 +1,6 @@
 """Runs the outbox core of one scope over the platform and the targets."""
 
+from collections import Counter
 from collections.abc import Callable
 
 import msgspec
@@ -77,6 +78,8 @@
         #: Orders being sent, and when the last lost one was lost.
         self._sending = 0
         self._lost_at: Milliseconds | None = None
+        #: Orders by what became of them, since the start.
+        self.counts: Counter[str] = Counter()
 
     @property
     def core(self) -> OutboxCore:
@@ -192,6 +195,8 @@
         )
         outcome = None if answer.is_err() else answer.unwrap()
         if isinstance(outcome, Commit):
+            is_new = action.row.outcome == 'open'
+            self.counts['recorded' if is_new else action.row.outcome] += 1
             return OrderRecorded(action.target, action.row, outcome.revision)
         return RecordFailed(action.target)
 
@@ -211,6 +216,7 @@
                 answer = await client.send_order(action.row, action.fence)
             finally:
                 self._sending -= 1
+        self.counts[f'answered_{answer.value}'] += 1
         if answer is OrderAnswer.LOST:
             self._lost_at = self._clock.get_now()
         return OrderAnswered(action.target, action.row.order_id, answer)
--- a/src/clementinedyke/usage_component.py
+++ b/src/clementinedyke/usage_component.py
@@ -1,5 +1,7 @@
 """Runs the usage cores of a daemon over the platform."""
 
+from collections import Counter
+
 import msgspec
 import trio
 
@@ -83,6 +85,11 @@
         self._clock = clock
         self._core = core or PartCore()
 
+    @property
+    def core(self) -> PartCore:
+        """Core of the part, for reading."""
+        return self._core
+
     def add_work(self, figures: Figures) -> None:
         """Count work that has ended.
 
@@ -174,6 +181,8 @@
         self._reports = reports
         self._clock = clock
         self._core = core or CloserCore()
+        #: Windows by the state that this daemon wrote, since the start.
+        self.counts: Counter[str] = Counter()
         self._is_sending = False
         self._lost_at: Milliseconds | None = None
 
@@ -184,6 +193,11 @@
         """
         nursery.start_soon(self._run)
 
+    @property
+    def core(self) -> CloserCore:
+        """Core of the windows, for reading."""
+        return self._core
+
     async def close_orders(self) -> None:
         """Wait until no report that was sent can arrive any more."""
         while self._is_sending or self._is_unsettled():
@@ -258,6 +272,7 @@
         answer = await self._tables.commit(conditions, writes)
         outcome = None if answer.is_err() else answer.unwrap()
         if isinstance(outcome, Commit):
+            self.counts[action.row.state] += 1
             return WindowWritten(action.window, action.row, outcome.revision)
         return CloserCallFailed()
 
--- a/tests/test_daemon_authority.py
+++ b/tests/test_daemon_authority.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from clementinedyke.daemon_reports import DaemonReports
 from clementinedyke.standins.engine import EngineStandin
 from daemon_scene import DaemonScene, run_scene, wait_for
 
@@ -71,9 +72,24 @@
                 lambda: scene.get('orders', key)['outcome'] == 'done'
             )
 
+            self._check_reports(daemon.reports, row['order_id'])
             await wait_for(lambda: list_endpoint_orders(scene))
             assert list_endpoint_orders(scene) == ['zone-a/standard/3']
 
+    def _check_reports(self, reports: DaemonReports, order_id: str) -> None:
+        """Operators see the lease, the order and the counters."""
+        status = reports.compile_status()
+        leases = {lease['scope']: lease for lease in status['leases']}
+        assert leases[SCOPE]['held']
+        assert leases[SCOPE]['holder']['host'] == 'host-0'
+        outcomes = {row['order_id']: row['outcome'] for row in status['orders']}
+        assert outcomes[order_id] == 'done'
+        assert status['usage']['part_window'] > 0
+        metrics = reports.metrics.render().decode()
+        done = 'clementinedyke_orders_total{event="done",service="chat"}'
+        assert done in metrics
+        assert 'clementinedyke_lease_changes_total 2.0' in metrics
+
     def test_scopes_follow_records(self) -> None:
         """A withdrawn service must not keep a lease nor miss a new one."""
         trio.run(self._follow)
