--- a/src/clementinedyke/admission_component.py
+++ b/src/clementinedyke/admission_component.py
@@ -30,6 +30,7 @@
 
 @dataclass(slots=True)
 class _Waiter:
+    service: str
     decided: trio.Event = field(default_factory=trio.Event)
     refusal: admission_events.RefuseRequest | None = None
     priority: int = 0
@@ -43,22 +44,25 @@
         router: RouterCore,
         clock: Clock,
         get_directory: Callable[[], Directory],
-        count_daemons: Callable[[], int],
+        count_sharers: Callable[[str], float],
     ) -> None:
         """Create the component.
 
         :param router: tells how much work the endpoints can take.
         :param clock: clock of this process.
         :param get_directory: returns the records in force.
-        :param count_daemons: returns the number of live daemons.
+        :param count_sharers: returns the number of daemons that use an
+            endpoint of a service.
         """
         self._router = router
         self._clock = clock
         self._get_directory = get_directory
-        self._count_daemons = count_daemons
+        self._count_sharers = count_sharers
         self._core = AdmissionCore(AdmissionLimits())
+        # Kept, since singledispatchmethod builds a function at each access;
+        # a request feeds the core about six times.
+        self._handle = self._core.handle
         self._waiters: dict[str, _Waiter] = {}
-        self._services: set[str] = set()
         self._revision = -1
         #: Called with each request that wants to start.
         self.arrival_observers: list[Callable[[RequestContext], None]] = []
@@ -92,7 +96,7 @@
         :raises RequestError: if the request is refused as not run.
         """
         request_id = context.outcome.request_id
-        waiter = _Waiter()
+        waiter = _Waiter(context.route.service.name)
         self._waiters[request_id] = waiter
         try:
             await self._wait(context, waiter)
@@ -160,18 +164,29 @@
         while True:
             await trio.sleep(_TICK_INTERVAL / _MILLISECONDS_PER_SECOND)
             self._update_weights()
-            for service in self._services:
+            for service in self._list_waiting():
                 self._report_room(service)
             self._feed(admission_events.AdmissionTicked())
 
+    def _list_waiting(self) -> set[str]:
+        """Return the services with queued requests.
+
+        The others learn their room at the next arrival; to report it for 26
+        services at each tick took 2% of a core.
+        """
+        return {
+            waiter.service
+            for waiter in self._waiters.values()
+            if not waiter.decided.is_set()
+        }
+
     def _report_room(self, service: str) -> None:
-        self._services.add(service)
         now = self._clock.get_now()
         room = self._router.get_room(service, now)
         excess_room = self._router.get_room(service, now, _EXCESS_SHARE)
         # Daemons do not know who else has work; twice an equal part lets one
         # with more work use what the others leave.
-        share = min(1, 2 / max(1, self._count_daemons()))
+        share = min(1, 2 / max(1, self._count_sharers(service)))
         self._feed(
             admission_events.RoomReported(
                 service, room.scale(share), excess_room.scale(share)
@@ -193,7 +208,7 @@
         self._feed(admission_events.CustomersChanged(weights))
 
     def _feed(self, event: object) -> None:
-        for action in self._core.handle(event, self._clock.get_now()):
+        for action in self._handle(event, self._clock.get_now()):
             waiter = self._waiters.get(action.request_id)
             if waiter is None:
                 continue
--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -93,7 +93,7 @@
             self.control,
             self.configuration,
             self.endpoints,
-            self._tables,
+            self._platform,
             self._clock,
             self._generator,
         )
@@ -116,7 +116,9 @@
         handler = self.requests.create_handler(
             self.reports.observe_outcome, self.authority.observe_usage
         )
-        self.caller_port = CallerPort(self._settings, handler)
+        self.caller_port = CallerPort(
+            self._settings, handler, self.requests.connection_limit
+        )
         self.operator_port = OperatorPort(
             self._settings, self._tables, self.reports
         )
--- a/src/clementinedyke/request_path.py
+++ b/src/clementinedyke/request_path.py
@@ -1,21 +1,26 @@
 """Builds the components that a caller's request passes through."""
 
 import random
+from functools import partial
 
 from clementinedyke.admission_component import AdmissionComponent
-from clementinedyke.callers import CallerHandler, HandlerOptions
+from clementinedyke.callers import (
+    CallerHandler,
+    ConnectionLimit,
+    HandlerOptions,
+)
 from clementinedyke.callers.outcome import OutcomeObserver, UsageObserver
 from clementinedyke.callers.port import get_dispatch_limits
-from clementinedyke.claim import ClaimSettings
 from clementinedyke.claim_component import ClaimComponent
-from clementinedyke.claim_rate import ClaimRateComponent
 from clementinedyke.clock import Clock
 from clementinedyke.components import Component
 from clementinedyke.configuration_component import ConfigurationComponent
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.demand_component import DemandComponent
+from clementinedyke.endpoint_subset import find_member_share
 from clementinedyke.endpoints.registry import EndpointRegistry
 from clementinedyke.evidence_component import EvidenceComponent
+from clementinedyke.http_client import HttpClient
 from clementinedyke.platform.tables import TableClient
 from clementinedyke.retry_planner import RetryPlanner
 from clementinedyke.routing_component import RoutingComponent
@@ -33,7 +38,7 @@
         control: ControlComponent,
         configuration: ConfigurationComponent,
         endpoints: EndpointRegistry,
-        tables: TableClient,
+        platform: HttpClient,
         clock: Clock,
         generator: random.Random,
     ) -> None:
@@ -43,30 +48,40 @@
         :param control: members and published values.
         :param configuration: records in force.
         :param endpoints: endpoints that the platform lists.
-        :param tables: client of the table service.
+        :param platform: HTTP client of the platform.
         :param clock: clock of the process.
         :param generator: seeded source of random choices.
         """
         self._settings = settings
+        self._control = control
         self._configuration = configuration
         self._endpoints = endpoints
         self._clock = clock
         self._generator = generator
-        self.claims = ClaimComponent(tables, clock, ClaimSettings())
+        self.claims = ClaimComponent.connect(platform, clock)
+        self.claims.count_daemons = control.count_living
         self.routing = RoutingComponent(
-            endpoints, clock, settings.availability_zone, generator
+            endpoints,
+            clock,
+            settings.availability_zone,
+            generator,
+            partial(find_member_share, control),
         )
         self.admission = AdmissionComponent(
             self.routing.router,
             clock,
             configuration.get_directory,
-            control.count_living,
+            self.routing.subset.count_sharers,
+        )
+        self.connection_limit = ConnectionLimit(
+            settings.max_customer_connections
         )
-        self.claim_rate = ClaimRateComponent(control, self.claims)
         self.shares = ShareComponent(
             control, self.admission, configuration, clock
         )
-        self.evidence = EvidenceComponent(control, self.routing, tables)
+        self.evidence = EvidenceComponent(
+            control, self.routing, TableClient(platform)
+        )
         self.demand = DemandComponent(control, clock)
         self.admission.arrival_observers.append(self.demand.observe_arrival)
 
@@ -79,7 +94,6 @@
             self.admission,
             self.shares,
             self.claims,
-            self.claim_rate,
             self.demand,
         ]
 
@@ -108,6 +122,8 @@
             retries=RetryPlanner(self._clock, self._generator),
             claims=self.claims,
             get_verdict=self.routing.get_verdict,
+            connection_limit=self.connection_limit,
+            count_daemons=self._control.count_living,
             region=self._settings.region,
             observe_outcome=observe_outcome,
             observe_usage=observe_usage,
--- a/src/clementinedyke/routing_component.py
+++ b/src/clementinedyke/routing_component.py
@@ -1,8 +1,9 @@
 """Chooses endpoints for the caller path and watches their state."""
 
 import random
-from dataclasses import dataclass
-from typing import Any
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Annotated, Any
 
 import msgspec
 import trio
@@ -12,6 +13,7 @@
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.codes import ResultCode
 from clementinedyke.components import Component
+from clementinedyke.endpoint_subset import EndpointSubset
 from clementinedyke.endpoints.registry import Endpoint, EndpointRegistry
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
 from clementinedyke.http_client import HttpRequest
@@ -25,7 +27,12 @@
 )
 from clementinedyke.router import RouterCore
 from clementinedyke.selection import RouterSettings
+from clementinedyke.subset import RingShare
 
+#: Endpoints that are asked at the same time, and the wait after each batch.
+#: The mean is 4.8 calls/s, so a larger subset is asked less often and the
+#: bytes stay the same.
+_STATE_BATCH = 6
 _STATE_INTERVAL: Milliseconds = 1000
 _MAX_STATE_INTERVAL: Milliseconds = 1500
 _STATE_TIMEOUT: Milliseconds = 1500
@@ -35,6 +42,18 @@
 _LOST = frozenset((ResultCode.ANSWER_LOST,))
 
 
+_Count = Annotated[int, msgspec.Meta(ge=1)]
+_Rate = Annotated[float, msgspec.Meta(gt=0)]
+
+
+class _EngineCapacity(msgspec.Struct, frozen=True):
+    """Capacity in ``/state``; None leaves the router's default."""
+
+    max_streams: _Count | None = None
+    max_prompt_tokens: _Count | None = None
+    prefill_rate: _Rate | None = None
+
+
 class _EngineState(msgspec.Struct):
     boot_id: str
     role: str = 'mixed'
@@ -47,6 +66,9 @@
     endpoint: Endpoint
     boot_id: str = ''
     role: Role = Role.MIXED
+    capacity: _EngineCapacity = _EngineCapacity()
+    #: Whether the subset has the endpoint; else it gets no new work.
+    is_used: bool = True
     running: int = 0
 
     @property
@@ -72,6 +94,7 @@
         clock: Clock,
         availability_zone: str,
         generator: random.Random,
+        get_share: Callable[[], RingShare] = RingShare,
     ) -> None:
         """Create the component.
 
@@ -79,8 +102,12 @@
         :param clock: clock of this process.
         :param availability_zone: zone of this daemon.
         :param generator: seeded source of random choices.
+        :param get_share: returns the place of this daemon among the living
+            ones.
         """
         self._registry = registry
+        #: Endpoints that this daemon uses.
+        self.subset = EndpointSubset(get_share)
         self._clock = clock
         self._generator = generator
         self._router = RouterCore(
@@ -89,6 +116,10 @@
         self._quarantine = quarantine.QuarantineCore(
             quarantine.QuarantineSettings()
         )
+        # Kept, since singledispatchmethod builds a function at each access;
+        # a request feeds the cores about six times.
+        self._handle_route = self._router.handle
+        self._handle_suspect = self._quarantine.handle
         self._watched: dict[str, _Watched] = {}
         self._choices: dict[str, route_events.RequestStarted] = {}
         #: Called with evidence that other daemons should have.
@@ -148,7 +179,7 @@
         watched = self._watched[choice.endpoint_id]
         started = route_events.RequestStarted(request, choice)
         self._choices[request.request_id] = started
-        self._router.handle(started, now)
+        self._handle_route(started, now)
         self._tell(
             quarantine.RequestStarted(
                 request.request_id,
@@ -165,7 +196,7 @@
         :param context: request whose answer began.
         """
         event = route_events.FirstTokenReceived(context.outcome.request_id)
-        self._router.handle(event, self._clock.get_now())
+        self._handle_route(event, self._clock.get_now())
 
     def note_end(
         self, context: RequestContext, name: str, code: ResultCode | None
@@ -202,10 +233,10 @@
             event = route_events.RequestFinished(request_id)
         elif code is None:
             event = route_events.RequestCancelled(request_id)
-        self._router.handle(event, self._clock.get_now())
+        self._handle_route(event, self._clock.get_now())
 
     def _tell(self, event: quarantine.QuarantineEvent) -> None:
-        shared = self._quarantine.handle(event, self._clock.get_now())
+        shared = self._handle_suspect(event, self._clock.get_now())
         for action in shared:
             for observer in self.evidence_observers:
                 observer(action.evidence)
@@ -222,27 +253,62 @@
         )
 
     def _replace_endpoints(self, endpoints: tuple[Endpoint, ...]) -> None:
+        used = self.subset.select(endpoints)
         watched: dict[str, _Watched] = {}
         for endpoint in endpoints:
-            known = self._watched.get(endpoint.endpoint_id)
-            entry = known or _Watched(endpoint)
-            entry.endpoint = endpoint
-            watched[endpoint.endpoint_id] = entry
+            endpoint_id = endpoint.endpoint_id
+            is_used = endpoint_id in used
+            is_kept = endpoint.state == 'leaving' or self._is_busy(endpoint_id)
+            if is_used or is_kept:
+                entry = self._watched.get(endpoint_id) or _Watched(endpoint)
+                entry.endpoint = endpoint
+                entry.is_used = is_used
+                watched[endpoint_id] = entry
         self._watched = watched
         self._update_router()
 
+    def _is_busy(self, endpoint_id: str) -> bool:
+        """Return whether an endpoint runs requests of this daemon."""
+        return self._router.get_own_streams(endpoint_id) > 0
+
     def _update_router(self) -> None:
         routed = tuple(map(_compile_routed, self._watched.values()))
         event = route_events.EndpointsChanged(routed)
-        self._router.handle(event, self._clock.get_now())
+        self._handle_route(event, self._clock.get_now())
 
     async def _watch_forever(self) -> None:
         while True:
-            async with trio.open_nursery() as nursery:
-                for watched in self._watched.values():
-                    nursery.start_soon(self._read_state, watched)
-            wait = self._generator.uniform(_STATE_INTERVAL, _MAX_STATE_INTERVAL)
-            await trio.sleep(wait / _MILLISECONDS_PER_SECOND)
+            await self._read_states()
+
+    async def _read_states(self) -> None:
+        waiting = list(filter(_is_asked, self._watched.values()))
+        await self._read_batch(waiting[:_STATE_BATCH])
+        while len(waiting) > _STATE_BATCH:
+            # A daemon that just started knows no members and begins with all
+            # endpoints; it drops most of them as soon as members are known.
+            waiting = [
+                watched
+                for watched in waiting[_STATE_BATCH:]
+                if watched.endpoint.endpoint_id in self._watched
+                and _is_asked(watched)
+            ]
+            if waiting:
+                await self._read_batch(waiting[:_STATE_BATCH])
+
+    async def _read_batch(self, batch: list[_Watched]) -> None:
+        async with trio.open_nursery() as nursery:
+            for watched in batch:
+                nursery.start_soon(self._read_state, watched)
+        wait = self._generator.uniform(_STATE_INTERVAL, _MAX_STATE_INTERVAL)
+        await trio.sleep(wait / _MILLISECONDS_PER_SECOND)
+        self._follow_members()
+
+    def _follow_members(self) -> None:
+        is_draining = any(
+            not watched.is_used for watched in self._watched.values()
+        )
+        if is_draining or self.subset.is_outdated():
+            self._replace_endpoints(self._registry.list_endpoints())
 
     async def _read_state(self, watched: _Watched) -> None:
         asked_at = self._clock.get_now()
@@ -260,6 +326,10 @@
         except msgspec.MsgspecError:
             return
         self._apply_state(watched, state, asked_at)
+        capacity = _parse_capacity(answer.body)
+        if capacity != watched.capacity:
+            watched.capacity = capacity
+            self._update_router()
 
     def _apply_state(
         self, watched: _Watched, state: _EngineState, asked_at: Milliseconds
@@ -269,7 +339,7 @@
         role = _get_role(state.role)
         if watched.boot_id not in {'', state.boot_id}:
             restarted = route_events.EndpointRestarted(endpoint_id)
-            self._router.handle(restarted, now)
+            self._handle_route(restarted, now)
         watched.boot_id = state.boot_id
         watched.running = state.running
         self._tell(quarantine.EndpointSeen(endpoint_id, state.boot_id))
@@ -278,7 +348,7 @@
             self._update_router()
         report = LoadReport(state.running, state.prompt_tokens)
         loaded = route_events.LoadReported(endpoint_id, report, now - asked_at)
-        self._router.handle(loaded, now)
+        self._handle_route(loaded, now)
 
 
 def compile_route_request(
@@ -300,16 +370,37 @@
     )
 
 
+def _is_asked(watched: _Watched) -> bool:
+    """Return whether the endpoint is asked for its state.
+
+    A leaving endpoint that was never asked gets no work and needs no state.
+    """
+    return watched.is_used or bool(watched.boot_id)
+
+
 def _compile_routed(watched: _Watched) -> RoutedEndpoint:
     endpoint = watched.endpoint
-    return RoutedEndpoint(
+    routed = RoutedEndpoint(
         endpoint_id=endpoint.endpoint_id,
         service=endpoint.service,
         availability_zone=endpoint.availability_zone,
         cheap=endpoint.price_class == 'cheap',
-        leaving=endpoint.state == 'leaving',
+        leaving=not watched.is_used,
         role=watched.role,
     )
+    reported = msgspec.structs.asdict(watched.capacity)
+    known = {
+        name: amount for name, amount in reported.items() if amount is not None
+    }
+    return replace(routed, **known)
+
+
+def _parse_capacity(body: bytes) -> _EngineCapacity:
+    """Return the reported capacity; a count below 1 is not taken."""
+    try:
+        return msgspec.json.decode(body, type=_EngineCapacity)
+    except msgspec.MsgspecError:
+        return _EngineCapacity()
 
 
 def _get_role(name: str) -> Role:
--- a/tests/test_daemon_news.py
+++ b/tests/test_daemon_news.py
@@ -1,5 +1,7 @@
 """Tests of what running daemons tell one another."""
 
+from functools import partial
+from operator import setitem as set_item
 from typing import Any
 
 import trio
@@ -33,8 +35,10 @@
     async def _learn(self) -> None:
         async with run_scene(daemons=2) as scene:
             first, second = (daemon.requests for daemon in scene.daemons)
-            await wait_for(lambda: first.claim_rate.rate == 100)
-            await wait_for(lambda: second.claim_rate.rate == 100)
+            rates: dict[str, float] = {}
+            first.claims.core.set_commit_rate = partial(set_item, rates, 'a')
+            second.claims.core.set_commit_rate = partial(set_item, rates, 'b')
+            await wait_for(lambda: rates == {'a': 100, 'b': 100})
             received: list[RemoteConsumed] = []
             second.admission.receive_consumed = received.append
             await scene.chat(scene.daemons[0], max_tokens=5)
