--- a/bench/sizing_peers.py
+++ b/bench/sizing_peers.py
@@ -187,7 +187,7 @@
             writes.append(Write('members', 'seed', row))
         self.platform.tables.commit([], writes)
         self.platform.hosts.extend(
-            {'host_id': f'host-{number}', 'state': 'live'}
+            {'host': f'host-{number}', 'state': 'live'}
             for number in range(shape['members'])
         )
 
