--- a/src/clementinedyke/admission_component.py
+++ b/src/clementinedyke/admission_component.py
@@ -59,8 +59,13 @@
         self._get_directory = get_directory
         self._count_sharers = count_sharers
         self._core = AdmissionCore(AdmissionLimits())
+        # Kept, since singledispatchmethod builds a function at each access;
+        # a request feeds the core about six times.
+        self._handle = self._core.handle
         self._waiters: dict[str, _Waiter] = {}
         self._revision = -1
+        #: Called with each request that wants to start.
+        self.arrival_observers: list[Callable[[RequestContext], None]] = []
 
     @property
     def core(self) -> AdmissionCore:
@@ -109,6 +114,8 @@
                 _NO_ENDPOINT_RETRY_AFTER,
             )
         self._report_room(service)
+        for observe in self.arrival_observers:
+            observe(context)
         self._feed(self._compile_arrival(context))
         await waiter.decided.wait()
         refusal = waiter.refusal
@@ -201,7 +208,7 @@
         self._feed(admission_events.CustomersChanged(weights))
 
     def _feed(self, event: object) -> None:
-        for action in self._core.handle(event, self._clock.get_now()):
+        for action in self._handle(event, self._clock.get_now()):
             waiter = self._waiters.get(action.request_id)
             if waiter is None:
                 continue
--- a/src/clementinedyke/routing_component.py
+++ b/src/clementinedyke/routing_component.py
@@ -18,6 +18,7 @@
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
 from clementinedyke.http_client import HttpRequest
 from clementinedyke.load import LoadReport
+from clementinedyke.role_types import EngineState, PlannedEngine
 from clementinedyke.route_types import (
     NoChoice,
     Role,
@@ -68,6 +69,20 @@
     capacity: _EngineCapacity = _EngineCapacity()
     #: Whether the subset has the endpoint; else it gets no new work.
     is_used: bool = True
+    running: int = 0
+
+    @property
+    def planned(self) -> PlannedEngine:
+        """The engine as planners see it; its model is not reported."""
+        is_known = bool(self.boot_id) and self.endpoint.state == 'live'
+        return PlannedEngine(
+            self.endpoint.endpoint_id,
+            model='',
+            version=1,
+            role=self.role,
+            state=EngineState.READY if is_known else EngineState.DOWN,
+            streams=self.running,
+        )
 
 
 class RoutingComponent(Component):
@@ -101,6 +116,10 @@
         self._quarantine = quarantine.QuarantineCore(
             quarantine.QuarantineSettings()
         )
+        # Kept, since singledispatchmethod builds a function at each access;
+        # a request feeds the cores about six times.
+        self._handle_route = self._router.handle
+        self._handle_suspect = self._quarantine.handle
         self._watched: dict[str, _Watched] = {}
         self._choices: dict[str, route_events.RequestStarted] = {}
         #: Called with evidence that other daemons should have.
@@ -115,6 +134,17 @@
         """Return whether endpoints are known."""
         return bool(self._watched)
 
+    def list_engines(self, service: str) -> tuple[PlannedEngine, ...]:
+        """Return the engines of a service as they last reported.
+
+        :param service: name of the service.
+        """
+        return tuple(
+            watched.planned
+            for watched in self._watched.values()
+            if watched.endpoint.service == service
+        )
+
     def get_verdict(self, fingerprint: str) -> quarantine.Verdict:
         """Return what may be done with a request.
 
@@ -149,7 +179,7 @@
         watched = self._watched[choice.endpoint_id]
         started = route_events.RequestStarted(request, choice)
         self._choices[request.request_id] = started
-        self._router.handle(started, now)
+        self._handle_route(started, now)
         self._tell(
             quarantine.RequestStarted(
                 request.request_id,
@@ -166,7 +196,7 @@
         :param context: request whose answer began.
         """
         event = route_events.FirstTokenReceived(context.outcome.request_id)
-        self._router.handle(event, self._clock.get_now())
+        self._handle_route(event, self._clock.get_now())
 
     def note_end(
         self, context: RequestContext, name: str, code: ResultCode | None
@@ -203,10 +233,10 @@
             event = route_events.RequestFinished(request_id)
         elif code is None:
             event = route_events.RequestCancelled(request_id)
-        self._router.handle(event, self._clock.get_now())
+        self._handle_route(event, self._clock.get_now())
 
     def _tell(self, event: quarantine.QuarantineEvent) -> None:
-        shared = self._quarantine.handle(event, self._clock.get_now())
+        shared = self._handle_suspect(event, self._clock.get_now())
         for action in shared:
             for observer in self.evidence_observers:
                 observer(action.evidence)
@@ -244,7 +274,7 @@
     def _update_router(self) -> None:
         routed = tuple(map(_compile_routed, self._watched.values()))
         event = route_events.EndpointsChanged(routed)
-        self._router.handle(event, self._clock.get_now())
+        self._handle_route(event, self._clock.get_now())
 
     async def _watch_forever(self) -> None:
         while True:
@@ -309,15 +339,16 @@
         role = _get_role(state.role)
         if watched.boot_id not in {'', state.boot_id}:
             restarted = route_events.EndpointRestarted(endpoint_id)
-            self._router.handle(restarted, now)
+            self._handle_route(restarted, now)
         watched.boot_id = state.boot_id
+        watched.running = state.running
         self._tell(quarantine.EndpointSeen(endpoint_id, state.boot_id))
         if role is not watched.role:
             watched.role = role
             self._update_router()
         report = LoadReport(state.running, state.prompt_tokens)
         loaded = route_events.LoadReported(endpoint_id, report, now - asked_at)
-        self._router.handle(loaded, now)
+        self._handle_route(loaded, now)
 
 
 def compile_route_request(
