--- a/src/clementinedyke/request_path.py
+++ b/src/clementinedyke/request_path.py
@@ -17,7 +17,7 @@
 from clementinedyke.configuration_component import ConfigurationComponent
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.demand_component import DemandComponent
-from clementinedyke.endpoint_subset import find_member_share
+from clementinedyke.endpoint_subset import PlannedServices, find_member_share
 from clementinedyke.endpoints.registry import EndpointRegistry
 from clementinedyke.evidence_component import EvidenceComponent
 from clementinedyke.http_client import HttpClient
@@ -67,6 +67,8 @@
             generator,
             partial(find_member_share, control),
         )
+        planned = PlannedServices(control)
+        self.routing.subset.is_planner = planned.is_planner
         self.admission = AdmissionComponent(
             self.routing.router,
             clock,
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -5,8 +5,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from clementinedyke.endpoint_subset import EndpointSubset
+from clementinedyke.endpoints.registry import Endpoint
 from clementinedyke.subset import (
     Place,
+    RingShare,
     compute_windows,
     find_share,
     select_subset,
@@ -152,3 +155,32 @@
         for chosen in subsets.values():
             seen = {names[name] for name in chosen}
             assert len(seen) > 1 or not is_spread
+
+
+class TestEndpointSubset:
+    """What a daemon takes from the platform's list."""
+
+    def test_planner_uses_all(self):
+        """Guards against plans that take unseen engines for missing."""
+        subset = EndpointSubset(lambda: RingShare(3, 330))
+        listed = [
+            Endpoint(f'{service}-{number}', service, f'z-{number % 5}', 'a')
+            for service in ('chat', 'code')
+            for number in range(20)
+        ]
+        assert len(subset.select(listed)) == 12
+        subset.is_planner = {'chat'}.__contains__
+        assert subset.is_outdated()
+        chosen = subset.select(listed)
+        assert sum(name.startswith('chat') for name in chosen) == 20
+        assert len(chosen) == 26
+        assert not subset.is_outdated()
+
+    def test_leaving_is_no_choice(self):
+        """Guards against places taken by endpoints that get no work."""
+        subset = EndpointSubset(RingShare)
+        listed = [
+            Endpoint('a', 'chat', 'z', 'a', state='leaving'),
+            Endpoint('b', 'chat', 'z', 'b'),
+        ]
+        assert subset.select(listed) == {'b'}
