--- /dev/null
+++ b/bench/start_time.py
@@ -0,0 +1,108 @@
+"""Measures how long the binary takes until it is ready.
+
+Run as ``python -m bench.start_time [BINARY]``. Prints the seconds until
+``demo`` printed its ready line and until ``/readyz`` of ``serve`` said yes, and
+the number of child processes then.
+"""
+
+import json
+import os
+import socket
+import subprocess
+import sys
+import time
+from contextlib import ExitStack
+from pathlib import Path
+from urllib import error, request
+
+_RUNS = 3
+_POLL_SECONDS = 0.01
+_TIMEOUT = 60
+
+
+def start(stack: ExitStack, *command: str) -> subprocess.Popen[str]:
+    """Start a process that ends with the stack."""
+    process = subprocess.Popen(
+        command,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+        text=True,
+    )
+    stack.callback(process.wait)
+    stack.callback(process.terminate)
+    return process
+
+
+def count_children(pid: int) -> int:
+    """Return the number of child processes."""
+    listed = Path('/proc', str(pid), 'task').glob('*/children')
+    return sum(len(path.read_text().split()) for path in listed)
+
+
+def read_line(process: subprocess.Popen[str]) -> str:
+    """Return the ready line of a process."""
+    assert process.stdout is not None
+    return process.stdout.readline()
+
+
+def measure_demo(binary: str) -> str:
+    """Return the time of ``demo`` and its children."""
+    with ExitStack() as stack:
+        started = time.monotonic()
+        process = start(stack, binary, 'demo')
+        assert read_line(process)
+        return _format('demo', started, process.pid)
+
+
+def measure_serve(binary: str) -> str:
+    """Return the time of ``serve`` and its children."""
+    with ExitStack() as stack:
+        platform = start(stack, binary, 'standin', 'platform')
+        address = f'127.0.0.1:{json.loads(read_line(platform))["port"]}'
+        operator_port = _find_port()
+        started = time.monotonic()
+        process = start(
+            stack,
+            binary,
+            'serve',
+            f'--platform={address}',
+            '--port=0',
+            '--daemon-port=0',
+            f'--operator-port={operator_port}',
+        )
+        while not _is_ready(operator_port):
+            assert time.monotonic() - started < _TIMEOUT
+            time.sleep(_POLL_SECONDS)
+        return _format('serve', started, process.pid)
+
+
+def _find_port() -> int:
+    with socket.create_server(('127.0.0.1', 0)) as free:
+        return int(free.getsockname()[1])
+
+
+def _is_ready(port: int) -> bool:
+    try:
+        request.urlopen(f'http://127.0.0.1:{port}/readyz', timeout=1)
+    except (error.URLError, OSError):
+        return False
+    return True
+
+
+def _format(name: str, started: float, pid: int) -> str:
+    seconds = time.monotonic() - started
+    return f'{name}: {seconds:.2f} s, {count_children(pid)} child processes\n'
+
+
+def main() -> None:
+    """Measure the binary several times."""
+    binary = sys.argv[1] if len(sys.argv) > 1 else 'dist/clementinedyke'
+    size = Path(binary).stat().st_size
+    sys.stdout.write(f'{size} bytes, load {os.getloadavg()}\n')
+    for _ in range(_RUNS):
+        sys.stdout.write(measure_demo(binary))
+        sys.stdout.write(measure_serve(binary))
+
+
+if __name__ == '__main__':
+    main()
