--- a/src/clementinedyke/daemons/component.py
+++ b/src/clementinedyke/daemons/component.py
@@ -67,6 +67,8 @@
         """
         #: Set once the port is bound: no earlier process listens there.
         self.bound = trio.Event()
+        #: Address that the port is bound to, empty before.
+        self.bound_address = ''
         self.node: ControlNode | None = None
         self.observers: list[Observer] = []
         self._describe = describe
@@ -82,6 +84,13 @@
         """Number of connections that peers opened."""
         return self._server.connections
 
+    def count_living(self) -> int:
+        """Return the number of living daemons, at least this one."""
+        if self.node is None:
+            return 1
+        view = self.node.membership.view
+        return max(1, len(view.table.list_ring()))
+
     def publish(self, topic: str, content: bytes) -> None:
         """Publish a small value to all daemons.
 
@@ -98,9 +107,10 @@
         """
         options = self._options
         listener = bind_daemon_port(options.host, options.port)
-        self.bound.set()
         bound_host, bound_port = listener.getsockname()
         address = f'{bound_host}:{bound_port}'
+        self.bound_address = address
+        self.bound.set()
         logging.info('event=daemon_port_bound address=%s', address)
         seeds = (*options.seeds, *await self._reader.list_seeds())
         self.node = ControlNode(
--- a/src/clementinedyke/routing_component.py
+++ b/src/clementinedyke/routing_component.py
@@ -1,8 +1,8 @@
 """Chooses endpoints for the caller path and watches their state."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, replace
-from functools import partial
 from typing import Annotated, Any
 
 import msgspec
@@ -13,12 +13,12 @@
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.codes import ResultCode
 from clementinedyke.components import Component
-from clementinedyke.daemons import ControlComponent
-from clementinedyke.endpoint_subset import EndpointSubset, find_member_share
+from clementinedyke.endpoint_subset import EndpointSubset
 from clementinedyke.endpoints.registry import Endpoint, EndpointRegistry
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
 from clementinedyke.http_client import HttpRequest
 from clementinedyke.load import LoadReport
+from clementinedyke.role_types import EngineState, PlannedEngine
 from clementinedyke.route_types import (
     NoChoice,
     Role,
@@ -27,6 +27,7 @@
 )
 from clementinedyke.router import RouterCore
 from clementinedyke.selection import RouterSettings
+from clementinedyke.subset import RingShare
 
 #: Endpoints that are asked at the same time, and the wait after each batch.
 #: The mean is 4.8 calls/s, so a larger subset is asked less often and the
@@ -68,6 +69,20 @@
     capacity: _EngineCapacity = _EngineCapacity()
     #: Whether the subset has the endpoint; else it gets no new work.
     is_used: bool = True
+    running: int = 0
+
+    @property
+    def planned(self) -> PlannedEngine:
+        """The engine as planners see it; its model is not reported."""
+        is_known = bool(self.boot_id) and self.endpoint.state == 'live'
+        return PlannedEngine(
+            self.endpoint.endpoint_id,
+            model='',
+            version=1,
+            role=self.role,
+            state=EngineState.READY if is_known else EngineState.DOWN,
+            streams=self.running,
+        )
 
 
 class RoutingComponent(Component):
@@ -79,7 +94,7 @@
         clock: Clock,
         availability_zone: str,
         generator: random.Random,
-        control: ControlComponent,
+        get_share: Callable[[], RingShare] = RingShare,
     ) -> None:
         """Create the component.
 
@@ -87,11 +102,12 @@
         :param clock: clock of this process.
         :param availability_zone: zone of this daemon.
         :param generator: seeded source of random choices.
-        :param control: tells which daemons live.
+        :param get_share: returns the place of this daemon among the living
+            ones.
         """
         self._registry = registry
         #: Endpoints that this daemon uses.
-        self.subset = EndpointSubset(partial(find_member_share, control))
+        self.subset = EndpointSubset(get_share)
         self._clock = clock
         self._generator = generator
         self._router = RouterCore(
@@ -118,6 +134,17 @@
         """Return whether endpoints are known."""
         return bool(self._watched)
 
+    def list_engines(self, service: str) -> tuple[PlannedEngine, ...]:
+        """Return the engines of a service as they last reported.
+
+        :param service: name of the service.
+        """
+        return tuple(
+            watched.planned
+            for watched in self._watched.values()
+            if watched.endpoint.service == service
+        )
+
     def get_verdict(self, fingerprint: str) -> quarantine.Verdict:
         """Return what may be done with a request.
 
@@ -252,16 +279,21 @@
     async def _watch_forever(self) -> None:
         while True:
             await self._read_states()
-            self._follow_members()
 
     async def _read_states(self) -> None:
-        asked = [
-            watched
-            for watched in self._watched.values()
-            if watched.is_used or watched.boot_id
-        ]
-        for start in range(0, max(1, len(asked)), _STATE_BATCH):
-            await self._read_batch(asked[start : start + _STATE_BATCH])
+        waiting = list(filter(_is_asked, self._watched.values()))
+        await self._read_batch(waiting[:_STATE_BATCH])
+        while len(waiting) > _STATE_BATCH:
+            # A daemon that just started knows no members and begins with all
+            # endpoints; it drops most of them as soon as members are known.
+            waiting = [
+                watched
+                for watched in waiting[_STATE_BATCH:]
+                if watched.endpoint.endpoint_id in self._watched
+                and _is_asked(watched)
+            ]
+            if waiting:
+                await self._read_batch(waiting[:_STATE_BATCH])
 
     async def _read_batch(self, batch: list[_Watched]) -> None:
         async with trio.open_nursery() as nursery:
@@ -269,6 +301,7 @@
                 nursery.start_soon(self._read_state, watched)
         wait = self._generator.uniform(_STATE_INTERVAL, _MAX_STATE_INTERVAL)
         await trio.sleep(wait / _MILLISECONDS_PER_SECOND)
+        self._follow_members()
 
     def _follow_members(self) -> None:
         is_draining = any(
@@ -308,6 +341,7 @@
             restarted = route_events.EndpointRestarted(endpoint_id)
             self._handle_route(restarted, now)
         watched.boot_id = state.boot_id
+        watched.running = state.running
         self._tell(quarantine.EndpointSeen(endpoint_id, state.boot_id))
         if role is not watched.role:
             watched.role = role
@@ -336,6 +370,14 @@
     )
 
 
+def _is_asked(watched: _Watched) -> bool:
+    """Return whether the endpoint is asked for its state.
+
+    A leaving endpoint that was never asked gets no work and needs no state.
+    """
+    return watched.is_used or bool(watched.boot_id)
+
+
 def _compile_routed(watched: _Watched) -> RoutedEndpoint:
     endpoint = watched.endpoint
     routed = RoutedEndpoint(
--- a/src/clementinedyke/standins/engine.py
+++ b/src/clementinedyke/standins/engine.py
@@ -17,6 +17,7 @@
     ServerRequest,
 )
 from clementinedyke.standins.events import encode_event, encode_words
+from clementinedyke.standins.service import REPORT_PATH
 
 _OK = 200
 _CONFLICT = 409
@@ -91,6 +92,7 @@
         self.running = 0
         self.received = 0
         self.finished = 0
+        self.crashes = 0
         #: Orders that were obeyed, and those refused for their fence.
         self.orders: list[dict[str, Any]] = []
         self.refused_orders: list[dict[str, Any]] = []
@@ -127,6 +129,8 @@
     ) -> None:
         if request.path == '/state':
             await response.send_json(_OK, self._get_state())
+        elif request.path == REPORT_PATH:
+            await response.send_json(_OK, self._get_report())
         elif request.path == '/events':
             await response.send_json(_OK, self._list_events(request.query))
         else:
@@ -164,6 +168,7 @@
         self.received_headers.append(headers)
         marker = self._faults.crash_marker
         if marker and marker in request.body:
+            self.crashes += 1
             self._life.cancel()
             await trio.sleep_forever()
         if self.running >= self._faults.max_streams:
@@ -228,6 +233,13 @@
             if amount is not None
         }
 
+    def _get_report(self) -> dict[str, Any]:
+        return {
+            **self._get_state(),
+            'headers': list(self.received_headers),
+            'crashes': self.crashes,
+        }
+
     def _list_events(self, query: str) -> dict[str, Any]:
         since = int(parse_qs(query).get('since', ['0'])[0])
         events = [
@@ -276,7 +288,8 @@
             await self._stream(count, usage, body, response)
             return
         await trio.sleep(self._get_interval(body) * count)
-        words = ''.join(f'word{index} ' for index in range(count))
+        word = _get_word(body)
+        words = ''.join(f'{word}{index} ' for index in range(count))
         message = {'role': 'assistant', 'content': words}
         choice = {'index': 0, 'message': message, 'finish_reason': 'stop'}
         answer = {
@@ -298,7 +311,8 @@
     ) -> None:
         interval = self._get_interval(body)
         await response.send_head(_OK, _EVENT_STREAM)
-        for event in encode_words(self._model, count):
+        word = _get_word(body)
+        for event in encode_words(self._model, count, word):
             await trio.sleep(interval)
             await response.send_chunk(event)
         if (body.get('stream_options') or {}).get('include_usage'):
@@ -315,3 +329,13 @@
         if is_urgent and self._capacity.honours_priority:
             return self._token_interval / 2
         return self._token_interval
+
+
+def _get_word(body: dict[str, Any]) -> str:
+    """Return what each word of an answer begins with.
+
+    With ``echo`` in the body, a test sees whose request an answer is for.
+    """
+    if body.get('echo'):
+        return str(body['messages'][-1]['content'])
+    return 'word'
