--- a/bench/daemon_process.py
+++ b/bench/daemon_process.py
@@ -35,7 +35,7 @@
 async def _wait_for_capacity(daemon: Daemon) -> None:
     """Wait until the engines have told their capacity."""
     await daemon.wait_until_ready()
-    router = daemon.routing.router
+    router = daemon.requests.routing.router
     clock = MonotonicClock()
     while router.get_room('bench', clock.get_now()).streams < _EXPECTED_STREAMS:
         await trio.sleep(_POLL_SECONDS)
