--- a/src/clementinedyke/service_planner.py
+++ b/src/clementinedyke/service_planner.py
@@ -35,7 +35,8 @@
 class PlannerSources:
     """What planners know of the fleet.
 
-    ``list_engines`` returns the engines of a service without their model.
+    ``list_engines`` returns the engines of a service whose state is followed,
+    without their model.
     """
 
     list_engines: Callable[[str], Iterable[PlannedEngine]]
@@ -94,12 +95,8 @@
             self._plan_roles(record, demand, now)
         if now >= self._next_capacity:
             self._next_capacity = now + _CAPACITY_INTERVAL
-            endpoints = [
-                endpoint
-                for endpoint in self._sources.list_endpoints()
-                if endpoint.service == self._service
-            ]
-            self._capacity.plan(directory, endpoints, demand, now)
+            listed = self._list_endpoints()
+            self._capacity.plan(directory, listed, demand, now)
 
     def _begin(self, tenure: int) -> None:
         """Forget what was planned under an earlier tenure."""
@@ -114,14 +111,30 @@
     ) -> None:
         model = record.models[0]
         planner = self._roles
-        planner.handle(EnginesReported(self._list_engines(model)), now)
-        offered = ModelDemand(model, demand.prompt_rate, demand.output_rate)
+        engines = self._list_engines(model)
+        planner.handle(EnginesReported(engines), now)
+        # This daemon follows the state of a subset of the engines. The subset
+        # is planned as a sample, with its part of the demand.
+        share = len(engines) / max(1, len(engines), self._count_live())
+        offered = ModelDemand(
+            model, demand.prompt_rate * share, demand.output_rate * share
+        )
         planner.handle(DemandReported((offered,)), now)
         for engine_id in self._list_ended():
             planner.handle(ChangeEnded(engine_id), now)
         for order in planner.handle(PlannerTicked(), now):
             self._want(order, Fencing(record.fencing))
 
+    def _list_endpoints(self) -> list[Endpoint]:
+        return [
+            endpoint
+            for endpoint in self._sources.list_endpoints()
+            if endpoint.service == self._service
+        ]
+
+    def _count_live(self) -> int:
+        return sum(item.state == 'live' for item in self._list_endpoints())
+
     def _list_engines(self, model: str) -> tuple[PlannedEngine, ...]:
         engines = []
         for engine in self._sources.list_engines(self._service):
