Hold a fingerprint until the evidence of its loss is with all daemons

Cause: a request that crashes engines was retried at once by its daemon and run by another daemon that had not heard of the loss: 4 and 5 crashes of 5 engines (test_both_daemons_at_once, bound 3). A suspect for which every endpoint ran another suspect was refused instead of waiting, which made test_bystanders fail in 1 of 5 runs.

Ruled out: evidence that does not arrive (it is in table suspects and published); the sends overtook it.

Change: within the settle time after any loss a fingerprint is held: new requests are refused with the time to come back, the daemon's own retry waits. A suspect waits for an endpoint without another suspect.

--- a/src/clementinedyke/callers/dispatch.py
+++ b/src/clementinedyke/callers/dispatch.py
@@ -19,6 +19,9 @@
 from clementinedyke.quarantine import Verdict
 
 _MILLISECONDS_PER_SECOND = 1000
+#: Longest wait of a suspect for an endpoint without another suspect.
+_CROWDED_TIMEOUT: Milliseconds = 10000
+_CROWDED_INTERVAL: Milliseconds = 50
 _REFUSED_VERDICTS = frozenset((Verdict.HELD, Verdict.CONVICTED))
 
 
@@ -58,7 +61,7 @@
         failure: RequestError | None = None
         excluded: frozenset[str] = frozenset()
         for _ in range(self._options.limits.max_tries):
-            endpoint = self._selector.select(context, excluded)
+            endpoint = await self._select(context, excluded)
             if endpoint is None:
                 break
             latest = await self._attempt(context, endpoint, deadline)
@@ -73,6 +76,21 @@
             f'service {context.route.service.name!r} has no endpoint',
         )
 
+    async def _select(
+        self, context: RequestContext, excluded: frozenset[str]
+    ) -> SelectedEndpoint | None:
+        """Return an endpoint; a suspect waits until one runs no other."""
+        limit = context.route.service.deadline or _CROWDED_TIMEOUT
+        with trio.move_on_after(limit / _MILLISECONDS_PER_SECOND):
+            while True:
+                endpoint = self._selector.select(context, excluded)
+                fingerprint = context.work.fingerprint
+                verdict = self._options.get_verdict(fingerprint)
+                if endpoint is not None or verdict is not Verdict.SUSPECT:
+                    return endpoint
+                await trio.sleep(_CROWDED_INTERVAL / _MILLISECONDS_PER_SECOND)
+        return None
+
     async def _wait_for_retry(
         self, context: RequestContext, failure: RequestError, deadline: float
     ) -> bool:
@@ -84,7 +102,8 @@
         if resume_at >= deadline:
             return False
         await trio.sleep_until(resume_at)
-        return True
+        verdict = self._options.get_verdict(context.work.fingerprint)
+        return verdict not in _REFUSED_VERDICTS
 
     def _plan_retry(
         self, context: RequestContext, failure: RequestError
@@ -95,13 +114,14 @@
         is_unsent = failure.code is ResultCode.NO_ENDPOINT
         if not is_unsent and not context.is_repeatable:
             return None
-        verdict = self._options.get_verdict(context.work.fingerprint)
-        if verdict in _REFUSED_VERDICTS:
-            return None
         limit = context.route.service.deadline
         limit = limit or self._options.limits.first_byte_timeout
         deadline = context.outcome.received_at + limit
-        return self._options.retries.plan_retry(context, failure.code, deadline)
+        retries = self._options.retries
+        wait = retries.plan_retry(context, failure.code, deadline)
+        if wait is None:
+            return None
+        return max(wait, self._options.get_hold(context.work.fingerprint))
 
     async def _attempt(
         self,
--- a/src/clementinedyke/callers/steps.py
+++ b/src/clementinedyke/callers/steps.py
@@ -185,6 +185,14 @@
     return Verdict.CLEAR
 
 
+def find_no_hold(fingerprint: str) -> Milliseconds:
+    """Return no wait; stands in for a quarantine.
+
+    :param fingerprint: digest of customer, service and body.
+    """
+    return 0
+
+
 @dataclass(frozen=True, slots=True)
 class HandlerOptions:
     """Parts of the pipeline that a daemon can replace.
@@ -201,6 +209,7 @@
     retries: RetryPolicy = field(default_factory=UnlimitedRetries)
     claims: ClaimComponent | None = None
     get_verdict: Callable[[str], Verdict] = find_no_suspicion
+    get_hold: Callable[[str], Milliseconds] = find_no_hold
     connection_limit: ConnectionLimit = field(default_factory=ConnectionLimit)
     count_daemons: Callable[[], int] = count_one
     region: str = ''
--- a/src/clementinedyke/quarantine.py
+++ b/src/clementinedyke/quarantine.py
@@ -102,7 +102,7 @@
 class QuarantineSettings:
     """Bounds of the quarantine.
 
-    ``settle_time``: wait for the evidence of other daemons about a loss.
+    ``settle_time``: wait until the evidence about a loss is with all daemons.
     ``retention``: time after which evidence is forgotten.
     """
 
@@ -144,17 +144,28 @@
         losses = self._get_losses(fingerprint)
         if not losses:
             return Verdict.CLEAR
-        if len(losses) < _LOSSES_TO_CONVICT:
-            return Verdict.SUSPECT
-        newest = max(loss.seen_at for loss in losses)
-        if newest + self._settings.settle_time > now:
-            # Another daemon may know who else was aboard.
+        if self.get_hold(fingerprint, now):
             return Verdict.HELD
-        if not self._is_blamed(losses, fingerprint):
+        is_repeated = len(losses) >= _LOSSES_TO_CONVICT
+        if not is_repeated or not self._is_blamed(losses, fingerprint):
             return Verdict.SUSPECT
         is_proven = all(loss.is_crash for loss in losses)
         return Verdict.CONVICTED if is_proven else Verdict.HELD
 
+    def get_hold(self, fingerprint: str, now: Milliseconds) -> Milliseconds:
+        """Return how long the newest loss is still being examined.
+
+        Until then other daemons do not know of the loss, and this one does
+        not know who else was aboard; a try would cost another endpoint.
+
+        :param fingerprint: digest of customer, service and body.
+        :param now: current time in milliseconds.
+        """
+        seen = [loss.seen_at for loss in self._get_losses(fingerprint)]
+        if not seen:
+            return 0
+        return max(0, max(seen) + self._settings.settle_time - now)
+
     def may_share(self, endpoint_id: str, fingerprint: str) -> bool:
         """Tell whether a suspect may run on an endpoint.
 
--- a/src/clementinedyke/routing_component.py
+++ b/src/clementinedyke/routing_component.py
@@ -152,6 +152,13 @@
         """
         return self._quarantine.get_verdict(fingerprint, self._clock.get_now())
 
+    def get_hold(self, fingerprint: str) -> Milliseconds:
+        """Return how long the newest loss is still being examined.
+
+        :param fingerprint: digest of customer, service and body.
+        """
+        return self._quarantine.get_hold(fingerprint, self._clock.get_now())
+
     def receive_evidence(
         self, evidence: tuple[quarantine.Evidence, ...]
     ) -> None:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -185,8 +185,8 @@
             fleet.send(daemon, daemon, f'other-{daemon}')
             fleet.run_engines()
             fleet.deliver()
-        assert fleet.send(2, 3, _KILLER) is Verdict.HELD
-        fleet.now += 2000
+            assert fleet.send(2, 3, _KILLER) is Verdict.HELD
+            fleet.now += 2000
         assert fleet.send(2, 3, _KILLER) is Verdict.CONVICTED
         assert fleet.crashes == 2
 
@@ -196,6 +196,7 @@
         fleet.send(0, 0, _KILLER)
         fleet.send(0, 0, 'other-0')
         fleet.run_engines()
+        fleet.now += 2000
         fleet.send(0, 1, _KILLER)
         assert not fleet.cores[0].may_share('engine-1', 'other-0')
 
@@ -214,4 +215,5 @@
         for engine in range(2):
             fleet.send(0, engine, _KILLER)
             fleet.lose(engine, is_crash=True)
+            fleet.now += 2000
         assert fleet.send(0, 2, _KILLER) is Verdict.HELD
