--- a/tests/test_daemon_authority.py
+++ b/tests/test_daemon_authority.py
@@ -90,8 +90,8 @@
         assert done in metrics
         assert 'clementinedyke_lease_changes_total 2.0' in metrics
 
-    def test_scopes_follow_records(self) -> None:
-        """A withdrawn service must not keep a lease nor miss a new one."""
+    def test_scopes_and_stop(self) -> None:
+        """A withdrawn service or a stopped daemon must not keep a lease."""
         trio.run(self._follow)
 
     async def _follow(self) -> None:
@@ -106,29 +106,26 @@
             scene.write('service', 'more', backend='model', models=['n'])
             await wait_for(lambda: scene.get_holder('service/more'))
             assert scene.get('leases', 'service/more')['fence'] > fence
+            await self._check_stop(scene)
 
-    def test_graceful_stop(self) -> None:
+    async def _check_stop(self, scene: DaemonScene) -> None:
         """A stopped daemon must not make its successor wait for a lapse."""
-        trio.run(self._stop)
-
-    async def _stop(self) -> None:
-        async with run_scene() as scene:
-            daemon = scene.daemons[0]
-            await wait_for(lambda: scene.get_holder(SCOPE))
-            await wait_for(lambda: scene.get_holder('usage'))
-            holders: list[Any] = []
-            leave = daemon.control.drain
-
-            async def note() -> None:
-                holders.append(scene.get_holder(SCOPE))
-                holders.append(scene.get_holder('usage'))
-                await leave()
-
-            daemon.control.drain = note
-            daemon.application.request_stop()
-            await wait_for(lambda: holders)
-            assert not any(holders)
-            assert not scene.get('leases', SCOPE)['unreleased']
+        daemon = scene.daemons[0]
+        await wait_for(lambda: scene.get_holder(SCOPE))
+        await wait_for(lambda: scene.get_holder('usage'))
+        holders: list[Any] = []
+        leave = daemon.control.drain
+
+        async def note() -> None:
+            holders.append(scene.get_holder(SCOPE))
+            holders.append(scene.get_holder('usage'))
+            await leave()
+
+        daemon.control.drain = note
+        daemon.application.request_stop()
+        await wait_for(lambda: holders)
+        assert not any(holders)
+        assert not scene.get('leases', SCOPE)['unreleased']
 
 
 class TestUsage:
