--- a/bench/start_time.py
+++ b/bench/start_time.py
@@ -13,8 +13,11 @@
 import time
 from contextlib import ExitStack
 from pathlib import Path
+from tempfile import TemporaryDirectory
 from urllib import error, request
 
+from bench.relay_state import compile_state
+
 _RUNS = 3
 _POLL_SECONDS = 0.01
 _TIMEOUT = 60
@@ -57,7 +60,12 @@
 def measure_serve(binary: str) -> str:
     """Return the time of ``serve`` and its children."""
     with ExitStack() as stack:
-        platform = start(stack, binary, 'standin', 'platform')
+        # A daemon without any record never becomes ready.
+        state = Path(stack.enter_context(TemporaryDirectory()), 'state.json')
+        state.write_text(json.dumps(compile_state([])))
+        platform = start(
+            stack, binary, 'standin', 'platform', f'--state={state}'
+        )
         address = f'127.0.0.1:{json.loads(read_line(platform))["port"]}'
         operator_port = _find_port()
         started = time.monotonic()
