--- a/src/clementinedyke/request_path.py
+++ b/src/clementinedyke/request_path.py
@@ -17,13 +17,16 @@
 from clementinedyke.configuration_component import ConfigurationComponent
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.demand_component import DemandComponent
-from clementinedyke.endpoint_subset import find_member_share
+from clementinedyke.endpoint_subset import PlannedServices, find_member_share
 from clementinedyke.endpoints.registry import EndpointRegistry
+from clementinedyke.evidence_component import EvidenceComponent
 from clementinedyke.http_client import HttpClient
+from clementinedyke.platform.tables import TableClient
 from clementinedyke.retry_planner import RetryPlanner
 from clementinedyke.routing_component import RoutingComponent
 from clementinedyke.service_planner import PlannerSources
 from clementinedyke.settings import Settings
+from clementinedyke.share_component import ShareComponent
 
 
 class RequestPath:
@@ -64,6 +67,8 @@
             generator,
             partial(find_member_share, control),
         )
+        planned = PlannedServices(control)
+        self.routing.subset.is_planner = planned.is_planner
         self.admission = AdmissionComponent(
             self.routing.router,
             clock,
@@ -73,13 +78,26 @@
         self.connection_limit = ConnectionLimit(
             settings.max_customer_connections
         )
+        self.shares = ShareComponent(
+            control, self.admission, configuration, clock
+        )
+        self.evidence = EvidenceComponent(
+            control, self.routing, TableClient(platform)
+        )
         self.demand = DemandComponent(control, clock)
         self.admission.arrival_observers.append(self.demand.observe_arrival)
 
     @property
     def components(self) -> list[Component]:
         """Components in start order."""
-        return [self.routing, self.admission, self.claims, self.demand]
+        return [
+            self.routing,
+            self.evidence,
+            self.admission,
+            self.shares,
+            self.claims,
+            self.demand,
+        ]
 
     @property
     def planning(self) -> PlannerSources:
