Weigh role changes against the square root of the engines

With engine seconds, cold caches moved four engines to prompts in the first half minute, and the mix then needed them for outputs.

The hysteresis is now 9 engine seconds per square root of the engines, the noise of random arrivals. The engine that has not changed for longest changes next, and a role is kept for 120 s instead of 60 s.

--- a/src/clementinedyke/role_types.py
+++ b/src/clementinedyke/role_types.py
@@ -119,8 +119,8 @@
     ``roles`` are the roles that the service uses; a mixed engine among the
     others takes up small swings without a change. ``utilisation`` is the load
     above which waiting grows too long. ``min_net_gain`` is the hysteresis, in
-    engine seconds. ``dwell`` is the time that an engine keeps a
-    role. ``load_time`` is the time the weight store needs for a model.
+    engine seconds per square root of the number of engines. ``dwell`` is the
+    time that an engine keeps a role, the length of a swing of the mix. ``load_time`` is the time the weight store needs for a model.
     """
 
     profile: EngineProfile = EngineProfile()
@@ -129,8 +129,8 @@
     horizon: Milliseconds = 60_000
     change_time: Milliseconds = 8000
     load_time: Milliseconds = 30_000
-    min_net_gain: float = 20
-    dwell: Milliseconds = 60_000
+    min_net_gain: float = 9
+    dwell: Milliseconds = 120_000
     change_timeout: Milliseconds = 60_000
     max_changing_share: float = 0.05
     demand_window: Milliseconds = 6000
--- a/src/clementinedyke/roles.py
+++ b/src/clementinedyke/roles.py
@@ -1,5 +1,6 @@
 """Plans roles, models, adapters and versions of a service's engines."""
 
+import math
 from collections import Counter
 from functools import singledispatchmethod
 
@@ -119,13 +120,17 @@
             self._settings, self._engines.values(), demands
         )
         moves: list[Move] = []
-        for engine in self._get_idlest(now):
+        for engine in self._get_movable(now):
             models = list(demands)
             if now < self._store_free_at:
                 models = [engine.model] if engine.model in demands else []
             moves.extend(evaluator.list_moves(engine, models))
         best = max(moves, key=_get_rank, default=None)
-        if best is None or best.net_gain <= self._settings.min_net_gain:
+        # Random arrivals move the demand by about the square root of the
+        # engines; a smaller gain may be gone before the change is over.
+        noise = math.sqrt(len(self._engines))
+        threshold = self._settings.min_net_gain * noise
+        if best is None or best.net_gain <= threshold:
             return None
         target = best.engine
         if best.model == target.model:
@@ -133,18 +138,23 @@
         version = demands[best.model].version
         return LoadModel(target.engine_id, best.model, version, best.role)
 
-    def _get_idlest(self, now: Milliseconds) -> list[PlannedEngine]:
-        """Return the idlest movable engine of each model and role."""
+    def _get_movable(self, now: Milliseconds) -> list[PlannedEngine]:
+        """Return one movable engine of each model and role.
+
+        It is one that has not changed for longest, so that no engine changes
+        twice while others have not changed; the idlest one of them.
+        """
         never = now - self._settings.dwell
-        idlest: dict[tuple[str, Role], PlannedEngine] = {}
+        groups: dict[tuple[str, Role], list[PlannedEngine]] = {}
         for engine in self._get_ready():
-            if self._changed.get(engine.engine_id, never) > never:
-                continue
-            group = (engine.model, engine.role)
-            if engine.streams < idlest.get(group, engine).streams:
-                idlest[group] = engine
-            idlest.setdefault(group, engine)
-        return list(idlest.values())
+            if self._changed.get(engine.engine_id, never) <= never:
+                group = (engine.model, engine.role)
+                groups.setdefault(group, []).append(engine)
+        return [min(group, key=self._get_turn) for group in groups.values()]
+
+    def _get_turn(self, engine: PlannedEngine) -> tuple[float, int]:
+        changed = self._changed.get(engine.engine_id, -math.inf)
+        return changed, engine.streams
 
     def _plan_version(
         self, demands: dict[str, ModelDemand]
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -158,6 +158,27 @@
         orders = plan(engines, *repeat(build_demand(300_000, 100_000), 5))
         assert [type(order) for order in orders] == [types.ChangeRole]
 
+    def test_swing_back_moves_another_engine(self) -> None:
+        """An engine must not change twice while others have not changed."""
+        planner = RolePlanner(types.PlannerSettings())
+        roles = [*repeat(Role.PREFILL, 3), *repeat(Role.DECODE, 5)]
+        planner.handle(build_engines(*roles, streams=1), 0)
+        planner.handle(build_demand(30_000, 500), 1000)
+        changed = planner.handle(types.PlannerTicked(), 1000)[0].engine_id
+        planner.handle(types.ChangeEnded(changed), 9000)
+        engines = [
+            types.PlannedEngine(f'e{number}', _MODEL, 1, Role.PREFILL)
+            if f'e{number}' == changed
+            else types.PlannedEngine(f'e{number}', _MODEL, 1, role, streams=1)
+            for number, role in enumerate(roles)
+        ]
+        planner.handle(types.EnginesReported(tuple(engines)), 9000)
+        later = 1000 + types.PlannerSettings().dwell
+        planner.handle(build_demand(500, 12_000), later)
+        orders = planner.handle(types.PlannerTicked(), later)
+        assert orders
+        assert orders[0].engine_id != changed
+
     def test_versions_roll_one_at_a_time(self) -> None:
         """A new version must not empty the service."""
         engines = build_engines(*repeat(Role.MIXED, 3))
