Measure killers, a slow engine and mechanisms under failures

Scenarios of the policy benchmark: requests that crash the engine that processes their prompt, with the real QuarantineCore on and off, and one prefill engine that is four times slower, with ejection on and off.

--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -23,6 +23,7 @@
 BLOCK_TOKENS = 1000
 TRANSFER_TOKENS_PER_MS = 100
 CHANGE_TIME = 4000
+REPAIR_TIME = 30_000
 #: Prompt tokens that an engine takes into one step, by role.
 CHUNKS = {Role.PREFILL: 2048, Role.MIXED: 256, Role.DECODE: 128}
 
@@ -68,6 +69,7 @@
     on_first: Callable[[], None]
     on_done: Callable[[], None]
     on_fail: Callable[[str], None]
+    kills: bool = False
     remaining: int = 0
     cancelled: bool = False
 
@@ -132,6 +134,10 @@
         self.is_changing = False
         self.memory = PrefixMemory()
         self.changes = 0
+        self.boots = 0
+        self.kills = 0
+        #: Factor on the time of each step.
+        self.slowness = 1
         self._reset()
 
     @property
@@ -182,6 +188,7 @@
         self.is_up = False
         self.is_changing = False
         self.target = None
+        self.boots += 1
         self.memory = PrefixMemory()
         self._reset()
         for job in jobs:
@@ -213,6 +220,7 @@
         chunk = min(self.backlog, CHUNKS[self.role])
         duration = STEP_BASE + chunk * STEP_PER_PROMPT_TOKEN
         duration += len(self._streams) * STEP_PER_STREAM
+        duration *= self.slowness
         end_at = self.timeline.now + duration
         self.timeline.call_at(end_at, self._end_step, chunk, self.epoch)
 
@@ -229,6 +237,9 @@
     def _process_prompts(self, chunk: int) -> None:
         while chunk > 0 and self._prompts:
             job = self._prompts[0][2]
+            if job.kills:
+                self._die()
+                return
             done = min(chunk, job.remaining)
             job.remaining -= done
             chunk -= done
@@ -237,6 +248,12 @@
                 self.memory.add(job.hashes)
                 self._pass_on(job)
 
+    def _die(self) -> None:
+        self.kills += 1
+        self.crash()
+        at = self.timeline.now + REPAIR_TIME
+        self.timeline.call_at(at, setattr, self, 'is_up', True)
+
     def _pass_on(self, job: Job) -> None:
         job.on_first()
         decoder = job.decoder
@@ -285,6 +302,7 @@
         self.is_up = True
         self.is_leaving = False
         self.changes = 0
+        self.boots = 0
         self._random = random.Random(seed)
         self._jobs: list[Job] = []
 
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -23,6 +23,7 @@
 )
 from bench.policy_tables import (
     compile_ablations,
+    compile_failures,
     compile_scenarios,
     compile_sweep,
     compile_targets,
@@ -56,6 +57,7 @@
         scenarios=compile_scenarios(figures, USERS, SCENARIOS, ''),
         larger=compile_scenarios(figures, LARGER, LARGER_SCENARIOS, 'larger'),
         ablations=compile_ablations(figures),
+        failures=compile_failures(figures),
         sweep=compile_sweep(figures),
     )
     (DOCS / 'bench-policy.md').write_text(page, encoding='utf-8')
--- a/bench/policy_daemons.py
+++ b/bench/policy_daemons.py
@@ -9,6 +9,7 @@
 from bench.policy_fleet import Fleet
 from bench.policy_load import PREFILL_RATE
 from bench.policy_outcome import Ending, Outcome
+from bench.policy_quarantine import Guard
 from clementinedyke import admission_events, retry, route_events
 from clementinedyke.admission import AdmissionCore
 from clementinedyke.load import Load, LoadEstimate
@@ -98,6 +99,7 @@
         on_first=attempt.note_first,
         on_done=attempt.note_done,
         on_fail=attempt.note_failure,
+        kills=bool(request.killer),
     )
     target = world.fleet.endpoints[choice.endpoint_id]
     world.timeline.call_at(world.timeline.now + 1, target.submit, job)
@@ -141,6 +143,7 @@
     roles: bool = True
     cheap_rule: bool = True
     early_refusal: bool = True
+    quarantine: bool = True
 
 
 class UncorrectedLoad(LoadEstimate):
@@ -174,12 +177,16 @@
         if not switches.retry_budget:
             limits = retry.RetryLimits(burst=10**9, daemon_burst=10**9)
         self.retry = retry.RetryCore(limits, generator)
+        self.guard = Guard(world, is_active=switches.quarantine)
         self._waiting: dict[str, Outcome] = {}
         self._attempts: dict[str, Attempt] = {}
 
     def arrive(self, outcome: Outcome) -> None:
         """Take a request of a caller."""
         request = outcome.request
+        if self.guard.is_stopped(request):
+            end(outcome, Ending.REFUSED, self.world)
+            return
         now = round(self.world.timeline.now)
         choice = self.router.select_endpoint(
             self._compile_route(outcome, frozenset()), now
@@ -249,6 +256,8 @@
         now = round(self.world.timeline.now)
         request = outcome.request
         end(outcome, Ending.WHOLE, self.world)
+        used = list_endpoints(attempt.choice)
+        self.guard.note_end(request, used, is_whole=True)
         finished = route_events.RequestFinished(_get_id(outcome))
         self.router.handle(finished, now)
         success = retry.AttemptSucceeded(request.service, request.customer)
@@ -267,6 +276,10 @@
         now = round(self.world.timeline.now)
         failed = route_events.RequestFailed(_get_id(outcome), endpoint_id)
         self.router.handle(failed, now)
+        if sent:
+            self.guard.note_loss(endpoint_id)
+        used = list_endpoints(attempt.choice)
+        self.guard.note_end(outcome.request, used, is_whole=False)
         note_harm(attempt, endpoint_id, self.world, sent=sent)
         if outcome.first_at:
             # The caller has a part of the answer already.
@@ -328,13 +341,19 @@
         excluded: frozenset[str],
         priority: int = 1,
     ) -> None:
+        if self.guard.is_stopped(outcome.request):
+            self._give_up(outcome, Ending.REFUSED)
+            return
         now = round(self.world.timeline.now)
-        route = self._compile_route(outcome, excluded)
+        suspect_hosts = self.guard.list_excluded(outcome.request)
+        route = self._compile_route(outcome, excluded | suspect_hosts)
         choice = self.router.select_endpoint(route, now)
         if isinstance(choice, NoChoice):
             self._retry(outcome, number, frozenset(), sent=False)
             return
         self.router.handle(route_events.RequestStarted(route, choice), now)
+        used = list_endpoints(choice)
+        self.guard.note_start(outcome.request, used)
         attempt = Attempt(self, outcome, choice, number, excluded)
         send(attempt, self.world, self.zone, priority)
 
@@ -459,6 +478,11 @@
     )
 
 
+def list_endpoints(choice: Choice) -> set[str]:
+    """Return the endpoints that take part in a request."""
+    return set(filter(None, (choice.endpoint_id, choice.decode_endpoint_id)))
+
+
 def scale(room: Room, share: float) -> Room:
     """Return a part of the room."""
     return Room(room.streams * share, room.prompt_tokens * share)
--- a/bench/policy_faults.py
+++ b/bench/policy_faults.py
@@ -3,9 +3,12 @@
 from collections import Counter
 from typing import Any
 
+from bench.fakes import REPAIR_TIME
 from bench.policy_planners import restart
 
-REPAIR_TIME = 30_000
+#: One engine takes four times as long from here on.
+SLOW_FROM = 40_000
+SLOWNESS = 4
 
 
 class Faults:
@@ -25,6 +28,9 @@
         if scenario.cut:
             timeline.call_at(90_000, self._cut, 0)
             timeline.call_at(150_000, self._cut, None)
+        if scenario.slow:
+            engine = self._world.fleet.get_members('chat')[1]
+            timeline.call_at(SLOW_FROM, setattr, engine, 'slowness', SLOWNESS)
         if scenario.reclaim:
             timeline.call_at(100_000, self._announce_reclaim)
 
--- a/bench/policy_load.py
+++ b/bench/policy_load.py
@@ -17,6 +17,11 @@
 DECODE_RATE = 2160
 DOCUMENTS = 6
 NON_REPEATABLE_SHARE = 0.4
+#: Each killer is sent again every 5 s, two minutes long.
+KILLER_START = 50_000
+KILLER_SPACING = 20_000
+KILLER_INTERVAL = 5000
+KILLER_REPEATS = 24
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +69,7 @@
     shift_start: int = 60_000
     shift_end: int = 180_000
     flood: float = 1
+    killers: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +86,8 @@
     output_tokens: int
     expected_output: int
     repeatable: bool = True
+    #: Fingerprint of a request that crashes each engine that runs it.
+    killer: str = ''
 
     @property
     def shared_tokens(self) -> int:
@@ -120,6 +128,7 @@
         """Return the requests of a run in order of time."""
         requests = self._generate_chat(duration)
         at = float(0)
+        requests.extend(self._draw_killers())
         while self._plain:
             at += self._random.expovariate(self._plain * 3 / 1000)
             if at > duration:
@@ -183,6 +192,21 @@
             expected_output=kind.mean_output,
         )
 
+    def _draw_killers(self) -> list[Request]:
+        drawn = []
+        for killer in range(self._load.killers):
+            start = KILLER_START + killer * KILLER_SPACING
+            request = self._draw(start, list(PROMPT_MIX), 'c1')
+            drawn += [
+                replace(
+                    request,
+                    at=start + number * KILLER_INTERVAL,
+                    killer=f'killer-{killer}',
+                )
+                for number in range(KILLER_REPEATS)
+            ]
+        return drawn
+
     def _draw_plain(self, at: float) -> Request:
         draw = self._random
         return Request(
--- a/src/clementinedyke/role_types.py
+++ b/src/clementinedyke/role_types.py
@@ -120,7 +120,8 @@
     others takes up small swings without a change. ``utilisation`` is the load
     above which waiting grows too long. ``min_net_gain`` is the hysteresis, in
     engine seconds per square root of the number of engines. ``dwell`` is the
-    time that an engine keeps a role, the length of a swing of the mix. ``load_time`` is the time the weight store needs for a model.
+    time that an engine keeps a role, the length of a swing of the mix.
+    ``load_time`` is the time the weight store needs for a model.
     """
 
     profile: EngineProfile = EngineProfile()
