--- a/src/clementinedyke/endpoint_subset.py
+++ b/src/clementinedyke/endpoint_subset.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
+from clementinedyke.candidates import CandidateTable
 from clementinedyke.control_messages import Member
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.endpoints.registry import Endpoint
@@ -23,12 +24,18 @@
         :param get_share: returns the place of this daemon among all.
         """
         self._get_share = get_share
+        #: Tells whether this daemon may plan for a service. It then uses all
+        #: endpoints: plans from a subset would take the rest for missing.
+        self.is_planner: Callable[[str], bool] = _is_no_planner
+        self._planned: frozenset[str] = frozenset()
         self._share = RingShare()
         self._sizes: dict[str, int] = {}
 
     def is_outdated(self) -> bool:
         """Return whether the members have changed since the last choice."""
-        return self._share != self._get_share()
+        if self._share != self._get_share():
+            return True
+        return self._planned != frozenset(filter(self.is_planner, self._sizes))
 
     def select(self, listed: Iterable[Endpoint]) -> frozenset[str]:
         """Return the live endpoints that this daemon uses.
@@ -38,10 +45,11 @@
         self._share = self._get_share()
         services = _group(listed)
         self._sizes = {name: len(places) for name, places in services.items()}
+        self._planned = frozenset(filter(self.is_planner, services))
         return frozenset(
             name
-            for places in services.values()
-            for name in select_subset(self._share, places)
+            for service, places in services.items()
+            for name in self._select_places(service, places)
         )
 
     def count_sharers(self, service: str) -> float:
@@ -52,6 +60,40 @@
         endpoints = self._sizes.get(service, 0)
         return count_sharers(endpoints, self._share.daemons)
 
+    def _select_places(
+        self, service: str, places: list[Place]
+    ) -> tuple[str, ...]:
+        if service in self._planned:
+            return tuple(place.name for place in places)
+        return select_subset(self._share, places)
+
+
+class PlannedServices:
+    """Services whose lease this daemon may seek."""
+
+    def __init__(self, control: ControlComponent) -> None:
+        """Follow a control component.
+
+        :param control: holds the membership core.
+        """
+        self._control = control
+        self._candidates: CandidateTable | None = None
+
+    def is_planner(self, service: str) -> bool:
+        """Return whether this daemon is a candidate for the lease.
+
+        :param service: name of the service.
+        """
+        node = self._control.node
+        if node is None:
+            return False
+        if self._candidates is None:
+            view = node.membership.view
+            self._candidates = CandidateTable(
+                view.table.list_ring, view.own.daemon_id
+            )
+        return self._candidates.is_candidate(f'service/{service}')
+
 
 def find_member_share(control: ControlComponent) -> RingShare:
     """Return the place of this daemon among the living members.
@@ -77,3 +119,7 @@
             place = Place(endpoint.endpoint_id, endpoint.availability_zone)
             services.setdefault(endpoint.service, []).append(place)
     return services
+
+
+def _is_no_planner(service: str) -> bool:
+    return False
--- a/src/clementinedyke/order_book.py
+++ b/src/clementinedyke/order_book.py
@@ -69,6 +69,11 @@
         """Whether the outcome of any order is unknown."""
         return any(target.open_row for target in self._targets.values())
 
+    @property
+    def is_loaded(self) -> bool:
+        """Whether the orders were read under this lease; wishes need that."""
+        return self._is_loaded
+
     def get_row(self, target: str) -> OrderRow | None:
         """Return the last order of a target, None if there is none.
 
@@ -77,6 +82,14 @@
         known = self._targets.get(target)
         return known.row if known else None
 
+    def list_rows(self) -> list[tuple[str, OrderRow]]:
+        """Return the last order of each target that has one, by target."""
+        return [
+            (name, target.row)
+            for name, target in sorted(self._targets.items())
+            if target.row is not None
+        ]
+
     def _load(self) -> list[OutboxAction]:
         if self._is_loading:
             return []
