Let daemons that start at the same time find each other

Cause: a daemon read the seed rows once, before it registered its own. Two daemons that started together saw neither row and stayed alone for good; each then took the whole claim budget and saw only itself among the candidates of leases.

Change: the rows are read again after the own one is written. Of any two daemons the later one to register then sees the other.

--- a/src/clementinedyke/daemons/seed_rows.py
+++ b/src/clementinedyke/daemons/seed_rows.py
@@ -36,14 +36,26 @@
         self._ended: set[str] = set()
 
     async def run(self) -> None:
-        """Register, then clean forever."""
+        """Register, look for daemons that registered meanwhile, then clean."""
         while not await self._reader.register(self._node.membership.view.own):
             await self._sleep(_RETRY)
+        while not await self._find_peers():
+            await self._sleep(_RETRY)
         while True:
             await self._sleep(_CLEAN_INTERVAL)
             if self._node.configuration.is_watcher:
                 await self.clean()
 
+    async def _find_peers(self) -> bool:
+        """Read the rows again; return whether they could be read.
+
+        Of two daemons that start at once, the later one to register sees the
+        other's row now, which neither saw when it read its seeds.
+        """
+        addresses = await self._reader.list_seeds()
+        self._node.membership.add_seeds(addresses)
+        return bool(addresses)
+
     async def clean(self) -> None:
         """Remove rows of members that were dead at the last pass already."""
         table = self._node.membership.view.table
--- a/src/clementinedyke/membership.py
+++ b/src/clementinedyke/membership.py
@@ -126,6 +126,13 @@
         if others:
             yield self._compare_with(self._random.choice(others))
 
+    def add_seeds(self, addresses: Iterable[str]) -> None:
+        """Take further addresses to contact.
+
+        :param addresses: addresses of daemon ports, known ones included.
+        """
+        self.seeds = tuple(dict.fromkeys((*self.seeds, *addresses)))
+
     def _reconnect(self, now: Milliseconds) -> Iterator[Action]:
         ring = self.view.table.list_ring()
         interval = self._options.reconnect_interval
--- a/tests/test_daemon_port.py
+++ b/tests/test_daemon_port.py
@@ -145,6 +145,16 @@
     )
 
 
+async def check_simultaneous_start(
+    cluster: Cluster, nursery: trio.Nursery
+) -> None:
+    """Daemons that read the seeds before any had registered still meet."""
+    async with trio.open_nursery() as starting:
+        for zone in ('zone-a', 'zone-b', 'zone-c'):
+            starting.start_soon(cluster.add, nursery, zone)
+    await wait_until(lambda: cluster.count_living() == [3, 3, 3])
+
+
 async def check_leave(cluster: Cluster, nursery: trio.Nursery) -> None:
     """All know the leave."""
     await wait_until(lambda: cluster.count_living() == [3, 3, 3])
@@ -191,6 +201,10 @@
 class TestCluster:
     """Guards against cores that agree only in the fake."""
 
+    def test_simultaneous_start(self) -> None:
+        """A fleet that is started at once must not stay apart."""
+        run_cluster(check_simultaneous_start, count=0)
+
     def test_loss_and_withdrawn_key(self) -> None:
         """A killed daemon is seen, and a withdrawn key reaches all."""
 
