Let a suspect wait for its hold instead of refusing it, number two codes apart

Cause: a request beside the killer that arrived at a second daemon within the settle time was refused (503, 3010), which test_both_daemons_at_once showed. With one loss it now waits for the hold and runs as a suspect; with two losses it is refused at once as before.

STORE_UNREACHABLE and REQUEST_HELD were both 3010, so that one was an alias of the other: REQUEST_HELD is 3011 and the enumeration must be unique.

--- a/src/clementinedyke/callers/dispatch.py
+++ b/src/clementinedyke/callers/dispatch.py
@@ -79,18 +79,37 @@
     async def _select(
         self, context: RequestContext, excluded: frozenset[str]
     ) -> SelectedEndpoint | None:
-        """Return an endpoint; a suspect waits until one runs no other."""
+        """Return an endpoint.
+
+        A suspect waits until its losses are examined and an endpoint runs no
+        other suspect.
+        """
         limit = context.route.service.deadline or _CROWDED_TIMEOUT
         with trio.move_on_after(limit / _MILLISECONDS_PER_SECOND):
-            while True:
+            return await self._wait_for_endpoint(context, excluded)
+        return None
+
+    async def _wait_for_endpoint(
+        self, context: RequestContext, excluded: frozenset[str]
+    ) -> SelectedEndpoint | None:
+        while not self._is_refused(context):
+            wait = self._options.get_hold(context.work.fingerprint)
+            if not wait:
                 endpoint = self._selector.select(context, excluded)
-                fingerprint = context.work.fingerprint
-                verdict = self._options.get_verdict(fingerprint)
-                if endpoint is not None or verdict is not Verdict.SUSPECT:
+                if endpoint is not None or not self._is_suspect(context):
                     return endpoint
-                await trio.sleep(_CROWDED_INTERVAL / _MILLISECONDS_PER_SECOND)
+                wait = _CROWDED_INTERVAL
+            await trio.sleep(wait / _MILLISECONDS_PER_SECOND)
         return None
 
+    def _is_suspect(self, context: RequestContext) -> bool:
+        verdict = self._options.get_verdict(context.work.fingerprint)
+        return verdict is Verdict.SUSPECT
+
+    def _is_refused(self, context: RequestContext) -> bool:
+        verdict = self._options.get_verdict(context.work.fingerprint)
+        return verdict in _REFUSED_VERDICTS
+
     async def _wait_for_retry(
         self, context: RequestContext, failure: RequestError, deadline: float
     ) -> bool:
@@ -102,8 +121,7 @@
         if resume_at >= deadline:
             return False
         await trio.sleep_until(resume_at)
-        verdict = self._options.get_verdict(context.work.fingerprint)
-        return verdict not in _REFUSED_VERDICTS
+        return not self._is_refused(context)
 
     def _plan_retry(
         self, context: RequestContext, failure: RequestError
--- a/src/clementinedyke/codes.py
+++ b/src/clementinedyke/codes.py
@@ -15,6 +15,7 @@
     RUN = 'run'
 
 
+@enum.unique
 class ResultCode(enum.IntEnum):
     """Number that tells how a request ended.
 
@@ -50,8 +51,8 @@
     NOT_READY = 3007
     CONNECTION_LIMIT = 3008
     STORE_UNAVAILABLE = 3009
-    REQUEST_HELD = 3010
     STORE_UNREACHABLE = 3010
+    REQUEST_HELD = 3011
     ANSWER_LOST = 4000
     ENDPOINT_TIMEOUT = 4001
     CLAIM_PENDING = 4002
--- a/src/clementinedyke/quarantine.py
+++ b/src/clementinedyke/quarantine.py
@@ -21,7 +21,7 @@
 
     #: Run it anywhere.
     CLEAR = 'clear'
-    #: Run it on an endpoint that runs no other suspect.
+    #: Run it after its hold, on an endpoint that runs no other suspect.
     SUSPECT = 'suspect'
     #: Refuse it for now: the loss of an endpoint is still being examined.
     HELD = 'held'
@@ -144,10 +144,11 @@
         losses = self._get_losses(fingerprint)
         if not losses:
             return Verdict.CLEAR
+        if len(losses) < _LOSSES_TO_CONVICT:
+            return Verdict.SUSPECT
         if self.get_hold(fingerprint, now):
             return Verdict.HELD
-        is_repeated = len(losses) >= _LOSSES_TO_CONVICT
-        if not is_repeated or not self._is_blamed(losses, fingerprint):
+        if not self._is_blamed(losses, fingerprint):
             return Verdict.SUSPECT
         is_proven = all(loss.is_crash for loss in losses)
         return Verdict.CONVICTED if is_proven else Verdict.HELD
@@ -156,7 +157,8 @@
         """Return how long the newest loss is still being examined.
 
         Until then other daemons do not know of the loss, and this one does
-        not know who else was aboard; a try would cost another endpoint.
+        not know who else was aboard; a try would cost another endpoint. A
+        suspect waits for so long before each try.
 
         :param fingerprint: digest of customer, service and body.
         :param now: current time in milliseconds.
