--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -8,6 +8,7 @@
 import sys
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
@@ -62,18 +63,25 @@
         self._port = port
 
     async def serve(self, client: trio.SocketStream) -> None:
-        """Pass bytes both ways."""
+        """Pass bytes both ways until one side closes or resets."""
         server = await trio.open_tcp_stream('127.0.0.1', self._port)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._copy, client, server)
-            nursery.start_soon(self._copy, server, client)
+        async with server, trio.open_nursery() as nursery:
+            scope = nursery.cancel_scope
+            nursery.start_soon(self._copy, client, server, scope)
+            nursery.start_soon(self._copy, server, client, scope)
 
     async def _copy(
-        self, source: trio.SocketStream, target: trio.SocketStream
+        self,
+        source: trio.SocketStream,
+        target: trio.SocketStream,
+        scope: trio.CancelScope,
     ) -> None:
-        async for data in source:
-            self.passed += len(data)
-            await target.send_all(data)
+        # Order connections are closed with a reset.
+        with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            async for data in source:
+                self.passed += len(data)
+                await target.send_all(data)
+        scope.cancel()
 
 
 async def measure_wire() -> Wire:
