--- /dev/null
+++ b/tests/test_platform_lists.py
@@ -0,0 +1,32 @@
+"""Tests of the platform's lists as clients read them."""
+
+import trio
+
+from clementinedyke.http_client import Address, HttpClient
+from clementinedyke.platform.failures import TableFailure
+from clementinedyke.platform.hosts import HostListClient
+from clementinedyke.standins.platform import PlatformStandin
+
+
+async def list_hosts(listed: list[object]) -> object:
+    """Return what the client makes of a list of the platform."""
+    async with trio.open_nursery() as nursery:
+        platform = PlatformStandin()
+        platform.hosts = listed  # type: ignore[assignment]
+        port = await platform.start(nursery, '127.0.0.1', 0)
+        client = HostListClient(HttpClient(Address('127.0.0.1', port)))
+        answer = await client.list_hosts()
+        nursery.cancel_scope.cancel()
+    return answer.ok() if answer.is_ok() else answer.err()
+
+
+class TestHostList:
+    """Guards against a platform answer that ends the daemon."""
+
+    def test_malformed_list(self) -> None:
+        """A list of another form counts as no answer."""
+        assert trio.run(list_hosts, ['host-a']) is TableFailure.NOT_DONE
+
+    def test_names(self) -> None:
+        """The names of the hosts are returned."""
+        assert trio.run(list_hosts, [{'host': 'a'}]) == frozenset(('a',))
