--- a/Makefile
+++ b/Makefile
@@ -6,10 +6,10 @@
 .PHONY: test run lint format check binary bench-relay bench-policy bench-sizing lock clean
 
 $(STAMP): requirements-dev.txt pyproject.toml
-	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install -q --require-hashes -r requirements-dev.txt
-	$(BIN)/pip install -q --no-deps --no-build-isolation -e .
-	touch $(STAMP)
+	@$(PYTHON) -m venv $(VENV) 1>&2
+	@$(BIN)/pip install -q --require-hashes -r requirements-dev.txt 1>&2
+	@$(BIN)/pip install -q --no-deps --no-build-isolation -e . 1>&2
+	@touch $(STAMP)
 
 run: $(STAMP)
 	@exec $(BIN)/clementinedyke demo
