Share the room report between the daemon and the benchmark, drop unused state

The benchmark and the admission component each worked out a daemon's part of the endpoints' room, with a copy of the excess share, so that a change of one would have left the other behind. room_report serves both. The routing component kept a choice per request that nothing read; the lease core had an unused constant. Behaviour is unchanged.

--- a/bench/policy_daemons.py
+++ b/bench/policy_daemons.py
@@ -13,11 +13,11 @@
 from clementinedyke import admission_events, retry, route_events
 from clementinedyke.admission import AdmissionCore
 from clementinedyke.load import Load, LoadEstimate
+from clementinedyke.room_report import compile_room_report
 from clementinedyke.route_types import (
     Choice,
     NoChoice,
     Role,
-    Room,
     RoutedEndpoint,
     RouteRequest,
 )
@@ -29,8 +29,6 @@
 OUTPUT_COST = 4
 PLAIN_COST = 100
 CONNECT_TIMEOUT = 250
-#: Part of the endpoints' limits that customers over their share may fill.
-EXCESS_SHARE = 0.5
 MS_PER_PROMPT_TOKEN = 1000 / PREFILL_RATE
 
 
@@ -226,14 +224,7 @@
         if not self.switches.admission:
             return
         now = round(self.world.timeline.now)
-        room = self.router.get_room(service, now)
-        excess_room = self.router.get_room(service, now, EXCESS_SHARE)
-        # Daemons do not know who else has work; twice an equal part lets one
-        # with more work use what the others leave.
-        share = min(1, 2 / daemons)
-        event = admission_events.RoomReported(
-            service, scale(room, share), scale(excess_room, share)
-        )
+        event = compile_room_report(self.router, service, daemons, now)
         self._act(self.admission.handle(event, now))
 
     def get_peer_news(self, service: str) -> route_events.PeerReported:
@@ -483,10 +474,5 @@
     return set(filter(None, (choice.endpoint_id, choice.decode_endpoint_id)))
 
 
-def scale(room: Room, share: float) -> Room:
-    """Return a part of the room."""
-    return Room(room.streams * share, room.prompt_tokens * share)
-
-
 def _get_id(outcome: Outcome) -> str:
     return f'r{outcome.request.number}'
--- a/src/clementinedyke/admission_component.py
+++ b/src/clementinedyke/admission_component.py
@@ -14,6 +14,7 @@
 from clementinedyke.components import Component
 from clementinedyke.directory import Directory
 from clementinedyke.http_message import RequestError
+from clementinedyke.room_report import compile_room_report
 from clementinedyke.router import RouterCore
 from clementinedyke.service_admission import AdmissionLimits
 
@@ -24,8 +25,6 @@
 _MILLISECONDS_PER_SECOND = 1000
 #: Work of an output token in prompt tokens: decoding is so much slower.
 _OUTPUT_COST = 4
-#: Part of the endpoints' limits that customers over their share may use.
-_EXCESS_SHARE = 0.5
 
 
 @dataclass(slots=True)
@@ -181,17 +180,9 @@
         }
 
     def _report_room(self, service: str) -> None:
+        sharers = self._count_sharers(service)
         now = self._clock.get_now()
-        room = self._router.get_room(service, now)
-        excess_room = self._router.get_room(service, now, _EXCESS_SHARE)
-        # Daemons do not know who else has work; twice an equal part lets one
-        # with more work use what the others leave.
-        share = min(1, 2 / max(1, self._count_sharers(service)))
-        self._feed(
-            admission_events.RoomReported(
-                service, room.scale(share), excess_room.scale(share)
-            )
-        )
+        self._feed(compile_room_report(self._router, service, sharers, now))
 
     def _update_weights(self) -> None:
         try:
--- a/src/clementinedyke/lease.py
+++ b/src/clementinedyke/lease.py
@@ -19,8 +19,6 @@
 )
 from clementinedyke.lease_types import Fencing, FormerHolder
 
-_NONCE_BITS = 64
-
 
 class LeaseCore(LeaseDecision):
     """Seeks, holds, loses and gives back the lease of one scope."""
--- a/src/clementinedyke/routing_component.py
+++ b/src/clementinedyke/routing_component.py
@@ -121,7 +121,6 @@
         self._handle_route = self._router.handle
         self._handle_suspect = self._quarantine.handle
         self._watched: dict[str, _Watched] = {}
-        self._choices: dict[str, route_events.RequestStarted] = {}
         #: Called with evidence that other daemons should have.
         self.evidence_observers: list[Any] = []
 
@@ -185,7 +184,6 @@
             return None
         watched = self._watched[choice.endpoint_id]
         started = route_events.RequestStarted(request, choice)
-        self._choices[request.request_id] = started
         self._handle_route(started, now)
         self._tell(
             quarantine.RequestStarted(
@@ -215,7 +213,6 @@
         :param code: result code, None if the caller left.
         """
         request_id = context.outcome.request_id
-        self._choices.pop(request_id, None)
         self._tell_router_end(request_id, name, code)
         watched = self._watched.get(name)
         if code in _LOST and watched and watched.endpoint.state == 'live':
