--- a/src/clementinedyke/authority_component.py
+++ b/src/clementinedyke/authority_component.py
@@ -17,8 +17,8 @@
 from clementinedyke.http_message import RequestError
 from clementinedyke.lease_component import LeaseComponent
 from clementinedyke.lease_types import Identity
-from clementinedyke.platform.hosts import HostListClient
-from clementinedyke.platform.usage_reports import UsageReportClient
+from clementinedyke.reference_platform.hosts import HostListClient
+from clementinedyke.reference_platform.usage_reports import UsageReportClient
 from clementinedyke.service_authority import ServiceAuthority
 from clementinedyke.usage import PartCore
 from clementinedyke.usage_component import (
--- a/src/clementinedyke/authority_peers.py
+++ b/src/clementinedyke/authority_peers.py
@@ -8,7 +8,7 @@
 from clementinedyke.directory import Directory
 from clementinedyke.http_client import Address, HttpClient
 from clementinedyke.lease_types import LeaseTiming
-from clementinedyke.platform.tables import TableClient
+from clementinedyke.reference_platform.tables import TableClient
 from clementinedyke.service_planner import PlannerSources
 from clementinedyke.settings import Settings
 from clementinedyke.usage import FLUSH_INTERVAL
--- a/src/clementinedyke/claim_component.py
+++ b/src/clementinedyke/claim_component.py
@@ -13,8 +13,8 @@
 from clementinedyke.codes import ResultCode
 from clementinedyke.components import Component
 from clementinedyke.http_client import HttpClient
-from clementinedyke.platform.objects import ObjectClient
-from clementinedyke.platform.tables import TableClient
+from clementinedyke.reference_platform.objects import ObjectClient
+from clementinedyke.reference_platform.tables import TableClient
 
 _TICK_INTERVAL: Milliseconds = 50
 _MILLISECONDS_PER_SECOND = 1000
--- a/src/clementinedyke/claim_store.py
+++ b/src/clementinedyke/claim_store.py
@@ -6,9 +6,9 @@
 import msgspec
 
 from clementinedyke import claim_messages as msg
-from clementinedyke.platform.failures import TableFailure
-from clementinedyke.platform.objects import ObjectClient
-from clementinedyke.platform.tables import (
+from clementinedyke.call_failures import TableFailure
+from clementinedyke.reference_platform.objects import ObjectClient
+from clementinedyke.reference_platform.tables import (
     ABSENT,
     Condition,
     Conflict,
--- a/src/clementinedyke/clock.py
+++ b/src/clementinedyke/clock.py
@@ -24,6 +24,19 @@
         return time.monotonic_ns() // _NANOSECONDS_PER_MILLISECOND
 
 
+class BootClock:
+    """Clock of a host that goes on while the host is suspended.
+
+    A lease that is checked against a clock that stands still during a
+    suspension would seem to be held long after it has lapsed.
+    """
+
+    def get_now(self) -> Milliseconds:
+        """Return milliseconds since the host was started."""
+        instant = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+        return instant // _NANOSECONDS_PER_MILLISECOND
+
+
 class ManualClock:
     """Clock that moves only when a test or a benchmark advances it."""
 
--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -22,7 +22,7 @@
 from clementinedyke.endpoints.registry import EndpointRegistry
 from clementinedyke.http_client import Address, HttpClient
 from clementinedyke.operators import OperatorPort
-from clementinedyke.platform.tables import TableClient
+from clementinedyke.reference_platform.tables import TableClient
 from clementinedyke.request_path import RequestPath
 from clementinedyke.settings import Settings
 
--- /dev/null
+++ b/src/clementinedyke/entry/capacity_plan.py
@@ -0,0 +1,162 @@
+"""Plans how many engines of each kind stand in each availability zone."""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.entry.catalog import (
+    EntryEndpoint,
+    EntryService,
+    ScalingOffer,
+)
+from clementinedyke.entry.duty_types import CapacityOrder, OrderOutcome
+
+#: An order is repeated if the engines do not stand this long after the time
+#: that they take to start.
+_REPEAT_SLACK: Milliseconds = 3000
+#: Wait before an order that could not be met is tried again.
+_RETRY_UNAVAILABLE: Milliseconds = 3000
+_RETRY_FAILED: Milliseconds = 600
+
+_Subject = tuple[str, str, bool]
+
+
+@dataclass(frozen=True, slots=True)
+class CapacityTargets:
+    """How many engines a service needs.
+
+    ``per_zone`` cheap engines stand in each availability zone while they are
+    to be had. ``safe`` engines in all must serve before standard ones are
+    given back.
+    """
+
+    per_zone: int
+    safe: int
+
+
+@dataclass(slots=True)
+class _LastOrder:
+    count: int
+    retry_at: Milliseconds
+
+
+class CapacityPlan:
+    """Replaces standard engines by cheap ones spread over all zones.
+
+    Cheap engines are reclaimed a zone at a time; the ones in the other zones
+    carry on, and standard engines are ordered only where no cheap ones are to
+    be had and too few engines are left.
+    """
+
+    def __init__(self, targets: CapacityTargets) -> None:
+        """Create a plan without orders.
+
+        :param targets: engines that are wanted.
+        """
+        self._targets = targets
+        self._orders: dict[_Subject, _LastOrder] = {}
+        self._unavailable: dict[tuple[str, str], Milliseconds] = {}
+
+    def list_orders(
+        self,
+        service: EntryService,
+        endpoints: Iterable[EntryEndpoint],
+        now: Milliseconds,
+    ) -> list[CapacityOrder]:
+        """Return the orders that are due.
+
+        :param service: service whose engines may be ordered.
+        :param endpoints: all endpoints as they have registered themselves.
+        :param now: current instant.
+        """
+        offer = service.scaling
+        if offer is None:
+            return []
+        standing = _count_standing(service.name, endpoints)
+        orders = []
+        for order in self._list_wishes(service.name, offer, standing, now):
+            subject = (order.service, order.availability_zone, order.is_cheap)
+            present = standing[order.availability_zone, order.is_cheap]
+            if self._is_due(subject, order.count, present, now):
+                orders.append(order)
+        return orders
+
+    def note_outcome(
+        self,
+        order: CapacityOrder,
+        outcome: OrderOutcome,
+        offer: ScalingOffer,
+        now: Milliseconds,
+    ) -> None:
+        """Take what became of an order.
+
+        :param order: order that was sent.
+        :param outcome: answer of the platform.
+        :param offer: bounds of the service.
+        :param now: current instant.
+        """
+        subject = (order.service, order.availability_zone, order.is_cheap)
+        retry_at = now + offer.boot_time + _REPEAT_SLACK
+        if outcome is OrderOutcome.UNAVAILABLE:
+            retry_at = now + _RETRY_UNAVAILABLE
+            if order.is_cheap:
+                zone = (order.service, order.availability_zone)
+                self._unavailable[zone] = retry_at
+        elif outcome is not OrderOutcome.DONE:
+            retry_at = now + _RETRY_FAILED
+        self._orders[subject] = _LastOrder(order.count, retry_at)
+
+    def forget_orders(self) -> None:
+        """Forget what was ordered; another daemon may have ordered since."""
+        self._orders.clear()
+
+    def _is_due(
+        self,
+        subject: _Subject,
+        wanted: int,
+        present: int,
+        now: Milliseconds,
+    ) -> bool:
+        last = self._orders.get(subject)
+        if last is None:
+            return wanted != present
+        if last.count != wanted:
+            return True
+        return wanted != present and now >= last.retry_at
+
+    def _list_wishes(
+        self,
+        service: str,
+        offer: ScalingOffer,
+        standing: Counter[tuple[str, bool]],
+        now: Milliseconds,
+    ) -> list[CapacityOrder]:
+        if offer.cheap_price is None or offer.cheap_price >= 1:
+            return []
+        cheap_total = sum(
+            count for (_, is_cheap), count in standing.items() if is_cheap
+        )
+        keeps_standard = cheap_total < self._targets.safe
+        wishes = []
+        for zone in sorted(offer.zone_prices):
+            standard = standing[zone, False] if keeps_standard else 0
+            room = offer.maximum - standing[zone, False]
+            cheap = max(0, min(self._targets.per_zone, room))
+            if cheap + standard < offer.minimum:
+                cheap = min(offer.minimum, max(0, room))
+            wishes.append(CapacityOrder(service, zone, True, cheap))
+            if standard != standing[zone, False]:
+                wishes.append(CapacityOrder(service, zone, False, standard))
+        return wishes
+
+
+def _count_standing(
+    service: str, endpoints: Iterable[EntryEndpoint]
+) -> Counter[tuple[str, bool]]:
+    """Return engines that are not leaving, by zone and kind."""
+    return Counter(
+        (endpoint.availability_zone, endpoint.is_cheap)
+        for endpoint in endpoints
+        if endpoint.service == service and not endpoint.is_leaving
+    )
--- /dev/null
+++ b/src/clementinedyke/entry/configuration_view.py
@@ -0,0 +1,175 @@
+"""The configuration in force at this daemon, and how old its proof is."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from result import Result
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.entry.catalog import (
+    EntryConfiguration,
+    EntryCustomer,
+    EntryRoute,
+)
+from clementinedyke.entry.journal import Journal
+from clementinedyke.entry.watch import StoredRow
+
+Decoder = Callable[[bytes], Result[EntryConfiguration, str]]
+
+
+@dataclass(frozen=True, slots=True)
+class _Index:
+    """Look-ups of one version; routes by host, longest prefix first."""
+
+    configuration: EntryConfiguration
+    routes: Mapping[str, tuple[EntryRoute, ...]]
+    customers: Mapping[str, EntryCustomer]
+
+
+class ConfigurationView:
+    """Keeps the newest version that was ever seen; it never goes back."""
+
+    def __init__(self, key: str, decode: Decoder, journal: Journal) -> None:
+        """Create a view without a configuration.
+
+        :param key: key of the row that holds the configuration.
+        :param decode: decodes the row's content.
+        :param journal: log of changes of state.
+        """
+        self._key = key
+        self._decode = decode
+        self._journal = journal
+        self._index: _Index | None = None
+        self._content = b''
+        self._confirmed_at: Milliseconds | None = None
+
+    @property
+    def configuration(self) -> EntryConfiguration | None:
+        """Version in force, None before the first one."""
+        return self._index.configuration if self._index else None
+
+    @property
+    def version(self) -> int:
+        """Number of the version in force, 0 before the first one."""
+        return self._index.configuration.version if self._index else 0
+
+    @property
+    def content(self) -> bytes:
+        """Raw content of the version in force, for other daemons."""
+        return self._content
+
+    @property
+    def confirmed_at(self) -> Milliseconds | None:
+        """Instant at which no newer version existed."""
+        return self._confirmed_at
+
+    def get_age(self, now: Milliseconds) -> Milliseconds | None:
+        """Return for how long newer versions may exist, None if unknown.
+
+        :param now: current instant.
+        """
+        return None if self._confirmed_at is None else now - self._confirmed_at
+
+    def find_route(self, host: str, path: str) -> EntryRoute | None:
+        """Return the route with the longest prefix of a path.
+
+        :param host: host name in lower case, without a port.
+        :param path: path of the request.
+        """
+        routes = self._index.routes.get(host, ()) if self._index else ()
+        for route in routes:
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def find_customer(self, key: str | None) -> EntryCustomer | None:
+        """Return the customer that holds a key.
+
+        :param key: key of the caller, if it sent one.
+        """
+        if self._index is None or key is None:
+            return None
+        return self._index.customers.get(key)
+
+    def replace_rows(
+        self, rows: tuple[StoredRow, ...], now: Milliseconds
+    ) -> None:
+        """Take all rows of the configuration's table.
+
+        :param rows: rows with their raw content.
+        :param now: current instant.
+        """
+        self.apply_rows(rows, now)
+
+    def apply_rows(
+        self, rows: tuple[StoredRow, ...], now: Milliseconds
+    ) -> None:
+        """Take changed rows of the configuration's table.
+
+        :param rows: rows with their raw content.
+        :param now: current instant.
+        """
+        for row in rows:
+            if row.key == self._key and row.content is not None:
+                self.apply_content(row.content)
+
+    def apply_content(self, content: bytes) -> None:
+        """Put a version in force if it is newer.
+
+        :param content: raw content of the configuration's row.
+        """
+        if content == self._content:
+            return
+        decoded = self._decode(content)
+        if decoded.is_err():
+            self._journal.write(
+                'configuration_unreadable',
+                reason=decoded.unwrap_err(),
+                kept_version=self.version,
+            )
+            return
+        configuration = decoded.unwrap()
+        if configuration.version <= self.version:
+            return
+        self._index = _compile_index(configuration)
+        self._content = content
+        self._journal.write(
+            'configuration_in_force',
+            version=configuration.version,
+            routes=len(configuration.routes),
+        )
+
+    def confirm(self, as_of: Milliseconds) -> None:
+        """Take that no newer version existed at an instant.
+
+        :param as_of: instant on the clock of this host.
+        """
+        if self._confirmed_at is None or as_of > self._confirmed_at:
+            self._confirmed_at = as_of
+
+    def note_failure(self, now: Milliseconds) -> None:
+        """Do nothing: the age of the confirmation tells of lost contact.
+
+        :param now: current instant.
+        """
+
+
+def _compile_index(configuration: EntryConfiguration) -> _Index:
+    routes: dict[str, list[EntryRoute]] = {}
+    for route in configuration.routes:
+        routes.setdefault(route.host, []).append(route)
+    for entries in routes.values():
+        entries.sort(key=_get_prefix_length, reverse=True)
+    return _Index(
+        configuration,
+        {host: tuple(entries) for host, entries in routes.items()},
+        {
+            key: customer
+            for customer in configuration.customers or ()
+            for key in customer.keys
+        },
+    )
+
+
+def _get_prefix_length(route: EntryRoute) -> int:
+    return len(route.prefix)
--- /dev/null
+++ b/src/clementinedyke/entry/duty_lease.py
@@ -0,0 +1,72 @@
+"""Authority over the duties, as one lease gives it."""
+
+from clementinedyke.clock import Clock, Milliseconds
+from clementinedyke.entry.duty_types import Authority
+from clementinedyke.entry.usage_duty import compile_fence_condition
+from clementinedyke.lease import LeaseCore
+from clementinedyke.lease_types import Fencing
+from clementinedyke.rows import Condition
+
+#: Scope of the one lease over all duties.
+DUTIES_SCOPE = 'duties'
+#: A call is sent only if the lease lasts this much longer: a call takes a few
+#: milliseconds to arrive, more from a slow host.
+_SEND_MARGIN: Milliseconds = 300
+#: What a new holder waits beyond the lease time.
+_TAKE_OVER_SLACK: Milliseconds = 200
+
+
+class DutyLease:
+    """Tells whether this daemon may act, and under which fence.
+
+    The platform doesn't check fences and counts holders that take turns
+    within the lease time as two. A new holder therefore waits for the lease
+    time before it acts, also when the former one has given the lease back.
+    """
+
+    def __init__(
+        self,
+        core: LeaseCore,
+        host: str,
+        clock: Clock,
+        lease_duration: Milliseconds,
+    ) -> None:
+        """Create the authority over a lease.
+
+        :param core: lease of the duties.
+        :param host: name of this host, under which it acts.
+        :param clock: clock of the host.
+        :param lease_duration: time that a lease lasts without renewal.
+        """
+        self._core = core
+        self._host = host
+        self._clock = clock
+        self._wait = lease_duration + _TAKE_OVER_SLACK
+        self._fence_version = 0
+        self._acts_from: Milliseconds = 0
+
+    @property
+    def fence(self) -> int:
+        """Fence as last seen."""
+        return self._core.fence
+
+    @property
+    def fence_condition(self) -> Condition:
+        """Condition of a write that only the holder may make."""
+        return compile_fence_condition(DUTIES_SCOPE, self._core.fence_version)
+
+    def get_authority(self) -> Authority | None:
+        """Return the authority to make a call now, None without it."""
+        now = self._clock.get_now()
+        self._note_tenure(now)
+        may_act = self._core.may_order(Fencing.CHECKED, now + _SEND_MARGIN)
+        if not may_act or now < self._acts_from:
+            return None
+        return Authority(self._host, self._core.fence)
+
+    def _note_tenure(self, now: Milliseconds) -> None:
+        version = self._core.fence_version
+        if version and version != self._fence_version:
+            is_first = self._core.fence == 1
+            self._acts_from = now if is_first else now + self._wait
+        self._fence_version = version
--- /dev/null
+++ b/src/clementinedyke/entry/duty_types.py
@@ -0,0 +1,46 @@
+"""Calls that only the holder of the duties makes, and their outcomes."""
+
+import enum
+from dataclasses import dataclass
+
+from clementinedyke.entry.catalog import EntryEndpoint, Stage
+
+
+@dataclass(frozen=True, slots=True)
+class Authority:
+    """Name of the holder and its fence."""
+
+    holder: str
+    fence: int
+
+
+class OrderOutcome(enum.Enum):
+    """What became of an order."""
+
+    DONE = 'done'
+    #: Nothing was done; the order may be repeated.
+    NOT_DONE = 'not_done'
+    #: The answer was lost; the order may have taken effect.
+    UNKNOWN = 'unknown'
+    #: None are to be had at the moment, or another order is in progress.
+    UNAVAILABLE = 'unavailable'
+    #: The order is wrong or its fence is old.
+    REFUSED = 'refused'
+
+
+@dataclass(frozen=True, slots=True)
+class CapacityOrder:
+    """Number of engines of one kind wanted in an availability zone."""
+
+    service: str
+    availability_zone: str
+    is_cheap: bool
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class StageOrder:
+    """Change of the stage of an engine."""
+
+    endpoint: EntryEndpoint
+    stage: Stage
--- /dev/null
+++ b/src/clementinedyke/entry/endpoint_view.py
@@ -0,0 +1,155 @@
+"""The endpoints that may get work, from their entries in the store."""
+
+from collections.abc import Callable, Iterable
+
+from result import Result
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.entry.catalog import EntryEndpoint
+from clementinedyke.entry.journal import Journal
+from clementinedyke.entry.watch import StoredRow
+
+Decoder = Callable[[str, bytes], Result[EntryEndpoint, str]]
+
+#: An entry may lapse while the store is away although its endpoint lives; it
+#: is back within about 2 s of the store's return.
+_LAPSE_WINDOW: Milliseconds = 4000
+#: What a lapsed endpoint's hold ends before the drain delay does, for the
+#: requests that are just being sent.
+_HOLD_MARGIN: Milliseconds = 300
+
+
+class EndpointView:
+    """Endpoints by id; those that leave are told apart."""
+
+    def __init__(
+        self, decode: Decoder, drain_delay: Milliseconds, journal: Journal
+    ) -> None:
+        """Create a view without endpoints.
+
+        :param decode: decodes the content of an entry.
+        :param drain_delay: an endpoint whose entry is gone gets no request
+            later than that.
+        :param journal: log of changes of state.
+        """
+        self._decode = decode
+        self._hold = max(0, drain_delay - _HOLD_MARGIN)
+        self._journal = journal
+        self._endpoints: dict[str, EntryEndpoint] = {}
+        self._held_until: dict[str, Milliseconds] = {}
+        self._disrupted_at: Milliseconds | None = None
+        self._confirmed_at: Milliseconds | None = None
+        #: Rises with each change.
+        self.revision = 0
+
+    @property
+    def confirmed_at(self) -> Milliseconds | None:
+        """Instant at which the entries were complete."""
+        return self._confirmed_at
+
+    def get_endpoint(self, endpoint_id: str) -> EntryEndpoint | None:
+        """Return an endpoint, None if it is gone.
+
+        :param endpoint_id: id of the endpoint.
+        """
+        return self._endpoints.get(endpoint_id)
+
+    def list_endpoints(self, now: Milliseconds) -> list[EntryEndpoint]:
+        """Return all endpoints, leaving ones included.
+
+        :param now: current instant.
+        """
+        for endpoint_id, until in tuple(self._held_until.items()):
+            if now >= until:
+                self._drop(endpoint_id, 'lapsed')
+        return list(self._endpoints.values())
+
+    def replace_rows(
+        self, rows: tuple[StoredRow, ...], now: Milliseconds
+    ) -> None:
+        """Take all entries in place of the former ones.
+
+        :param rows: rows with their raw content.
+        :param now: current instant.
+        """
+        present = {row.key for row in rows}
+        for endpoint_id in tuple(self._endpoints):
+            if endpoint_id not in present:
+                self._lose(endpoint_id, now)
+        self.apply_rows(rows, now)
+
+    def apply_rows(
+        self, rows: Iterable[StoredRow], now: Milliseconds
+    ) -> None:
+        """Take changed entries.
+
+        :param rows: rows with their raw content.
+        :param now: current instant.
+        """
+        for row in rows:
+            if row.content is None:
+                self._lose(row.key, now)
+                continue
+            decoded = self._decode(row.key, row.content)
+            if decoded.is_err():
+                self._journal.write(
+                    'endpoint_entry_unreadable',
+                    endpoint=row.key,
+                    reason=decoded.unwrap_err(),
+                )
+                self._lose(row.key, now)
+                continue
+            self._put(decoded.unwrap())
+
+    def confirm(self, as_of: Milliseconds) -> None:
+        """Take that the entries were complete at an instant.
+
+        :param as_of: instant on the clock of this host.
+        """
+        self._confirmed_at = as_of
+
+    def note_failure(self, now: Milliseconds) -> None:
+        """Take that the store did not answer.
+
+        :param now: current instant.
+        """
+        self._disrupted_at = now
+
+    def _put(self, endpoint: EntryEndpoint) -> None:
+        self._held_until.pop(endpoint.endpoint_id, None)
+        known = self._endpoints.get(endpoint.endpoint_id)
+        self._endpoints[endpoint.endpoint_id] = endpoint
+        self.revision += 1
+        if known is None or (known.is_leaving, known.stage) != (
+            endpoint.is_leaving,
+            endpoint.stage,
+        ):
+            self._journal.write(
+                'endpoint_changed',
+                endpoint=endpoint.endpoint_id,
+                service=endpoint.service,
+                zone=endpoint.availability_zone,
+                leaving=endpoint.is_leaving,
+                cheap=endpoint.is_cheap,
+                stage=endpoint.stage.value if endpoint.stage else None,
+            )
+
+    def _lose(self, endpoint_id: str, now: Milliseconds) -> None:
+        if endpoint_id not in self._endpoints:
+            return
+        disrupted_at = self._disrupted_at
+        is_suspect = (
+            disrupted_at is not None and now - disrupted_at < _LAPSE_WINDOW
+        )
+        if is_suspect and not self._endpoints[endpoint_id].is_leaving:
+            self._held_until.setdefault(endpoint_id, now + self._hold)
+            return
+        self._drop(endpoint_id, 'removed')
+
+    def _drop(self, endpoint_id: str, reason: str) -> None:
+        self._held_until.pop(endpoint_id, None)
+        if self._endpoints.pop(endpoint_id, None) is not None:
+            self.revision += 1
+            self._journal.write(
+                'endpoint_gone', endpoint=endpoint_id, reason=reason
+            )
--- /dev/null
+++ b/src/clementinedyke/entry/gateway.py
@@ -0,0 +1,152 @@
+"""Answers the requests of callers."""
+
+from collections.abc import Callable
+
+import trio
+
+from clementinedyke.clock import Clock, Milliseconds
+from clementinedyke.codes import ResultCode, get_details
+from clementinedyke.entry.catalog import RequestKind
+from clementinedyke.entry.endpoint_protocol import EndpointProtocol
+from clementinedyke.entry.intake import Intake, Job, Refusal
+from clementinedyke.entry.journal import Journal
+from clementinedyke.entry.outcomes import JobFailure, StreamBroken
+from clementinedyke.entry.runners import PlainRunner, RunnerTools
+from clementinedyke.entry.stream_runner import StreamRunner
+from clementinedyke.http_message import (
+    ResponseWriter,
+    ServerRequest,
+    compile_error_body,
+)
+
+_MILLISECONDS_PER_SECOND = 1000
+#: An endpoint ends its work at the deadline and says so; its answer is waited
+#: for so long.
+_DEADLINE_GRACE: Milliseconds = 120
+
+
+class Gateway:
+    """Admits requests, has them run and gives each its final answer."""
+
+    def __init__(
+        self, intake: Intake, tools: RunnerTools, journal: Journal
+    ) -> None:
+        """Create the gateway.
+
+        :param intake: checks requests.
+        :param tools: cores and clients of the daemon.
+        :param journal: log of decisions.
+        """
+        self._intake = intake
+        self._tools = tools
+        self._journal = journal
+        self._plain = PlainRunner(tools)
+        self._streams: StreamRunner | None = None
+        #: Told of each request that ended, with the job if it was admitted.
+        self.observe: Callable[[int, Job | None, Milliseconds], None] = _ignore
+
+    def attach(self, nursery: trio.Nursery) -> None:
+        """Take the nursery for work that outlasts its request.
+
+        :param nursery: nursery of the daemon.
+        """
+        self._streams = StreamRunner(self._tools, nursery)
+
+    async def respond(
+        self, request: ServerRequest, response: ResponseWriter
+    ) -> None:
+        """Answer one request of a caller.
+
+        :param request: request with its whole body.
+        :param response: writer to the caller.
+        """
+        now = self._clock.get_now()
+        decoded = self._protocol.read_request(request)
+        if decoded is None:
+            refusal = Refusal(ResultCode.BODY_INVALID, 'no request id')
+            await self._refuse(refusal, response)
+            return
+        admitted = self._intake.admit(decoded, now)
+        if isinstance(admitted, Refusal):
+            self._journal.write(
+                'request_refused',
+                request=decoded.request_id,
+                code=int(admitted.code),
+                reason=admitted.message,
+            )
+            await self._refuse(admitted, response)
+            return
+        self._tools.get_budget(admitted.service.name).note_request(now)
+        await self._run(admitted, response)
+
+    @property
+    def _clock(self) -> Clock:
+        return self._tools.clock
+
+    @property
+    def _protocol(self) -> EndpointProtocol:
+        return self._tools.protocol
+
+    async def _run(self, job: Job, response: ResponseWriter) -> None:
+        code = ResultCode.OK
+        reason = ''
+        try:
+            await self._run_in_time(job, response)
+        except JobFailure as failure:
+            code, reason = failure.code, str(failure)
+            refusal = Refusal(code, reason, failure.retry_after)
+            await self._refuse(refusal, response)
+        except StreamBroken as broken:
+            code, reason = ResultCode.ANSWER_LOST, str(broken)
+        finally:
+            self._note_end(job, code, reason)
+
+    async def _run_in_time(self, job: Job, response: ResponseWriter) -> None:
+        left = job.get_time_left(self._clock.get_now()) + _DEADLINE_GRACE
+        with trio.move_on_after(left / _MILLISECONDS_PER_SECOND) as scope:
+            if job.route.kind is RequestKind.STREAM and self._streams:
+                await self._streams.run(job, response)
+            else:
+                await self._plain.run(job, response)
+        if not scope.cancelled_caught:
+            return
+        if response.is_started:
+            raise StreamBroken('the deadline has passed')
+        code = ResultCode.DEADLINE_UNREACHABLE
+        if job.has_started or job.sends:
+            code = ResultCode.ENDPOINT_TIMEOUT
+        raise JobFailure(code, 'the deadline has passed')
+
+    async def _refuse(
+        self, refusal: Refusal, response: ResponseWriter
+    ) -> None:
+        headers = self._protocol.compile_refusal_headers(refusal.retry_after)
+        await response.send_json(
+            get_details(refusal.code).status,
+            compile_error_body(refusal.code, refusal.message),
+            [
+                *headers,
+                (b'Clementinedyke-Result', str(int(refusal.code)).encode()),
+            ],
+        )
+
+    def _note_end(self, job: Job, code: ResultCode, reason: str) -> None:
+        duration = self._clock.get_now() - job.received_at
+        self.observe(int(code), job, duration)
+        self._journal.write(
+            'request_ended',
+            request=job.request.request_id,
+            route=job.route.name,
+            customer=job.customer,
+            code=int(code),
+            reason=reason,
+            started=job.has_started,
+            sends=job.sends,
+            runs=job.runs,
+            duration_ms=duration,
+            tried=sorted(job.excluded),
+        )
+
+
+def _ignore(code: int, job: Job | None, duration: Milliseconds) -> None:
+    """Do nothing; the observer of a gateway without metrics."""
--- /dev/null
+++ b/src/clementinedyke/entry/host_settings.py
@@ -0,0 +1,56 @@
+"""What a daemon learns from its host when it starts."""
+
+from dataclasses import dataclass
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.http_client import Address
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceBounds:
+    """Promises that the daemon keeps; times in milliseconds.
+
+    ``configuration_delay``: a new version is in force so long after it was
+    accepted. ``store_grace``: by how much an unreachable store may stretch
+    that. ``drain_delay``: a leaving endpoint gets no request later than that.
+    ``stop_grace``: from SIGTERM to SIGKILL. ``contact_time``: how long a host
+    must have been sound to count as connected. ``lease_duration``: authority
+    lasts so long without renewal. ``usage_window``: length of a window;
+    ``usage_delay``: a report is due so long after its end.
+    ``cache_lifetime``: how long a read prompt part is expected to be kept.
+    """
+
+    configuration_delay: Milliseconds
+    store_grace: Milliseconds
+    drain_delay: Milliseconds
+    stop_grace: Milliseconds
+    contact_time: Milliseconds
+    lease_duration: Milliseconds
+    usage_window: Milliseconds
+    usage_delay: Milliseconds
+    retry_ratio: float
+    retry_window: Milliseconds
+    retry_allowance: float
+
+
+@dataclass(frozen=True, slots=True)
+class HostSettings:
+    """Addresses, limits and bounds of one host.
+
+    ``peer_port`` is free for traffic between daemons. ``duties_address`` is
+    where usage reports and orders of engines go, None if there are none.
+    """
+
+    host: str
+    ip: str
+    availability_zone: str
+    availability_zones: tuple[str, ...]
+    caller_address: Address
+    ready_address: Address
+    peer_port: int
+    metrics_port: int
+    store_address: Address
+    duties_address: Address | None
+    memory_mb: int
+    max_descriptors: int
+    bounds: ServiceBounds
--- /dev/null
+++ b/src/clementinedyke/entry/intake.py
@@ -0,0 +1,160 @@
+"""Decides whether a caller's request may run, and where it belongs."""
+
+import random
+from dataclasses import dataclass, field
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.codes import ResultCode
+from clementinedyke.entry.catalog import (
+    EntryCustomer,
+    EntryRequest,
+    EntryRoute,
+    EntryService,
+)
+from clementinedyke.entry.configuration_view import ConfigurationView
+
+#: A key or route that is unknown here may be new while the store has not
+#: answered for this long; such a request is sent away instead of denied.
+_DOUBTFUL_AGE: Milliseconds = 4000
+_RETRY_UNKNOWN: Milliseconds = 500
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a request is not run; it has not run and never will."""
+
+    code: ResultCode
+    message: str
+    retry_after: Milliseconds | None = None
+
+
+@dataclass(slots=True)
+class Job:
+    """A request that may run, and what has become of it so far.
+
+    Instants are on the clock of this host. ``has_started`` is set from the
+    moment at which an endpoint may have begun to run the request.
+    """
+
+    request: EntryRequest
+    route: EntryRoute
+    service: EntryService
+    customer: str | None
+    priority: int
+    received_at: Milliseconds
+    deadline: Milliseconds
+    has_started: bool = False
+    runs: int = 0
+    sends: int = 0
+    excluded: set[str] = field(default_factory=set)
+
+    def get_time_left(self, now: Milliseconds) -> Milliseconds:
+        """Return the time until the deadline, at least 0.
+
+        :param now: current instant.
+        """
+        return max(0, self.deadline - now)
+
+
+class Intake:
+    """Checks requests against the configuration in force."""
+
+    def __init__(
+        self,
+        view: ConfigurationView,
+        max_key_age: Milliseconds,
+        generator: random.Random,
+    ) -> None:
+        """Create the intake.
+
+        :param view: configuration in force.
+        :param max_key_age: a key that was not confirmed for this long is not
+            accepted: it may have been withdrawn.
+        :param generator: seeded source for routes that are split.
+        """
+        self._view = view
+        self._max_key_age = max_key_age
+        self._generator = generator
+
+    def admit(self, request: EntryRequest, now: Milliseconds) -> Job | Refusal:
+        """Return the job of a request, or why it is refused.
+
+        :param request: decoded request.
+        :param now: current instant.
+        """
+        if self._view.configuration is None:
+            return Refusal(
+                ResultCode.NOT_READY, 'no configuration yet', _RETRY_UNKNOWN
+            )
+        route = self._view.find_route(request.host, request.path)
+        if route is None:
+            return self._deny(ResultCode.ROUTE_UNKNOWN, 'no such route', now)
+        customer = self._view.find_customer(request.key)
+        if not route.is_public and self._view.configuration.customers:
+            refusal = self._check_key(customer, now)
+            if refusal is not None:
+                return refusal
+        return self._create_job(request, route, customer, now)
+
+    def _check_key(
+        self, customer: EntryCustomer | None, now: Milliseconds
+    ) -> Refusal | None:
+        if customer is None:
+            return self._deny(ResultCode.KEY_UNKNOWN, 'unknown key', now)
+        age = self._view.get_age(now)
+        if age is None or age > self._max_key_age:
+            return Refusal(
+                ResultCode.KEY_STATE_STALE,
+                'the state of keys has not been confirmed lately',
+                _RETRY_UNKNOWN,
+            )
+        return None
+
+    def _deny(
+        self, code: ResultCode, message: str, now: Milliseconds
+    ) -> Refusal:
+        age = self._view.get_age(now)
+        if age is None or age > _DOUBTFUL_AGE:
+            return Refusal(
+                ResultCode.KEY_STATE_STALE,
+                f'{message} in a configuration that may be old',
+                _RETRY_UNKNOWN,
+            )
+        return Refusal(code, message)
+
+    def _create_job(
+        self,
+        request: EntryRequest,
+        route: EntryRoute,
+        customer: EntryCustomer | None,
+        now: Milliseconds,
+    ) -> Job | Refusal:
+        configuration = self._view.configuration
+        name = self._choose_service(route)
+        service = configuration.services.get(name) if configuration else None
+        if service is None:
+            return Refusal(
+                ResultCode.NO_ENDPOINT, f'no service {name}', _RETRY_UNKNOWN
+            )
+        patience = route.timeout
+        if request.patience is not None:
+            patience = min(patience, request.patience)
+        priority = route.priority
+        if customer is not None and customer.priority is not None:
+            priority = customer.priority
+        return Job(
+            request=request,
+            route=route,
+            service=service,
+            customer=customer.name if customer else None,
+            priority=priority,
+            received_at=now,
+            deadline=now + patience,
+        )
+
+    def _choose_service(self, route: EntryRoute) -> str:
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        weights = [max(0, share.weight) for share in route.shares]
+        chosen = self._generator.choices(route.shares, weights)[0]
+        return chosen.service
--- /dev/null
+++ b/src/clementinedyke/entry/order_component.py
@@ -0,0 +1,134 @@
+"""Orders engines and their stages while this daemon holds the duties."""
+
+from typing import Protocol
+
+import trio
+
+from clementinedyke.clock import Clock
+from clementinedyke.components import Component
+from clementinedyke.entry.capacity_plan import CapacityPlan
+from clementinedyke.entry.catalog import EntryEndpoint, EntryService
+from clementinedyke.entry.configuration_view import ConfigurationView
+from clementinedyke.entry.duty_lease import DutyLease
+from clementinedyke.entry.duty_types import (
+    Authority,
+    CapacityOrder,
+    OrderOutcome,
+    StageOrder,
+)
+from clementinedyke.entry.endpoint_view import EndpointView
+from clementinedyke.entry.journal import Journal
+from clementinedyke.entry.stage_plan import StagePlan
+
+_STEP_SECONDS = 0.25
+
+
+class OrderSender(Protocol):
+    """Where orders of capacity and stages go."""
+
+    async def order_capacity(
+        self, order: CapacityOrder, authority: Authority
+    ) -> OrderOutcome:
+        """Order a number of engines."""
+
+    async def order_stage(
+        self, order: StageOrder, authority: Authority
+    ) -> OrderOutcome:
+        """Order a change of stage."""
+
+
+class OrderComponent(Component):
+    """One task that compares plans with what stands, and sends orders."""
+
+    def __init__(
+        self,
+        lease: DutyLease,
+        views: tuple[ConfigurationView, EndpointView],
+        plans: tuple[CapacityPlan, StagePlan],
+        sender: OrderSender,
+        clock: Clock,
+        journal: Journal,
+    ) -> None:
+        """Create the component.
+
+        :param lease: authority over the duties.
+        :param views: configuration and endpoints.
+        :param plans: plans of capacity and of stages.
+        :param sender: client of the platform and of engines.
+        :param clock: clock of the host.
+        :param journal: log of orders.
+        """
+        self._lease = lease
+        self._configuration, self._endpoints = views
+        self._capacity, self._stages = plans
+        self._sender = sender
+        self._clock = clock
+        self._journal = journal
+        self._fence = 0
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start the task.
+
+        :param nursery: nursery that runs it.
+        """
+        nursery.start_soon(self._run)
+
+    async def _run(self) -> None:
+        while True:
+            await trio.sleep(_STEP_SECONDS)
+            await self._step()
+
+    async def _step(self) -> None:
+        configuration = self._configuration.configuration
+        authority = self._lease.get_authority()
+        if authority is None or configuration is None:
+            return
+        if authority.fence != self._fence:
+            self._fence = authority.fence
+            self._capacity.forget_orders()
+        endpoints = self._endpoints.list_endpoints(self._clock.get_now())
+        for service in configuration.services.values():
+            if service.scaling is not None:
+                await self._order_capacity(service, endpoints)
+            if service.engine is not None:
+                await self._order_stages(service, endpoints)
+
+    async def _order_capacity(
+        self, service: EntryService, endpoints: list[EntryEndpoint]
+    ) -> None:
+        offer = service.scaling
+        now = self._clock.get_now()
+        for order in self._capacity.list_orders(service, endpoints, now):
+            authority = self._lease.get_authority()
+            if authority is None or offer is None:
+                return
+            outcome = await self._sender.order_capacity(order, authority)
+            self._capacity.note_outcome(
+                order, outcome, offer, self._clock.get_now()
+            )
+            self._journal.write(
+                'capacity_ordered',
+                service=order.service,
+                zone=order.availability_zone,
+                cheap=order.is_cheap,
+                count=order.count,
+                outcome=outcome.value,
+                fence=authority.fence,
+            )
+
+    async def _order_stages(
+        self, service: EntryService, endpoints: list[EntryEndpoint]
+    ) -> None:
+        now = self._clock.get_now()
+        for order in self._stages.list_orders(service.name, endpoints, now):
+            authority = self._lease.get_authority()
+            if authority is None:
+                return
+            outcome = await self._sender.order_stage(order, authority)
+            self._journal.write(
+                'stage_ordered',
+                endpoint=order.endpoint.endpoint_id,
+                stage=order.stage.value,
+                outcome=outcome.value,
+                fence=authority.fence,
+            )
--- /dev/null
+++ b/src/clementinedyke/entry/platform_parts.py
@@ -0,0 +1,38 @@
+"""What a platform's adapter gives to the entry daemon."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from result import Result
+
+from clementinedyke.entry.catalog import EntryConfiguration, EntryEndpoint
+from clementinedyke.entry.endpoint_protocol import EndpointProtocol
+from clementinedyke.entry.order_component import OrderSender
+from clementinedyke.entry.usage_duty import UsageReporter
+from clementinedyke.entry.watch import TableFeed
+from clementinedyke.lease_component import HostList
+from clementinedyke.rows import RowStore
+
+
+class Store(RowStore, TableFeed, Protocol):
+    """Rows with conditions, and feeds of their changes."""
+
+
+class Duties(UsageReporter, OrderSender, Protocol):
+    """Calls that one daemon at a time may make."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformParts:
+    """Clients and translations of one platform; ``duties`` may be absent."""
+
+    store: Store
+    hosts: HostList
+    duties: Duties | None
+    protocol: EndpointProtocol
+    configuration_table: str
+    configuration_key: str
+    decode_configuration: Callable[[bytes], Result[EntryConfiguration, str]]
+    endpoints_table: str
+    decode_endpoint: Callable[[str, bytes], Result[EntryEndpoint, str]]
--- /dev/null
+++ b/src/clementinedyke/entry/ports.py
@@ -0,0 +1,137 @@
+"""Ports for callers, for the readiness question and for metrics."""
+
+from functools import partial
+from http import HTTPStatus
+
+import trio
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.components import Component
+from clementinedyke.entry.catalog import CallerBounds
+from clementinedyke.entry.configuration_view import ConfigurationView
+from clementinedyke.entry.gateway import Gateway
+from clementinedyke.entry.journal import Journal
+from clementinedyke.http_client import Address
+from clementinedyke.http_message import ResponseWriter, ServerRequest
+from clementinedyke.http_server import ConnectionLimits, HttpServer
+
+_MILLISECONDS_PER_SECOND = 1000
+#: The balancer asks once a second and takes a host out after two misses;
+#: until then new connections arrive and are served.
+_LEAVE_TIME: Milliseconds = 2600
+#: What is left of the stop grace for giving back leases and writing usage.
+_STOP_RESERVE: Milliseconds = 1200
+#: Descriptors that are kept for files, endpoints, the store and peers.
+_RESERVED_DESCRIPTORS = 600
+
+
+class CallerPort(Component):
+    """Serves callers, and leaves in steps when the daemon stops."""
+
+    def __init__(
+        self,
+        address: Address,
+        gateway: Gateway,
+        readiness: 'Readiness',
+        stop_grace: Milliseconds,
+        max_descriptors: int,
+    ) -> None:
+        """Create the port.
+
+        :param address: address that the platform sends callers to.
+        :param gateway: answers requests.
+        :param readiness: told when the daemon leaves.
+        :param stop_grace: time from the stop signal to the end.
+        :param max_descriptors: descriptors of the process.
+        """
+        self._address = address
+        self._gateway = gateway
+        self._readiness = readiness
+        self._stop_grace = stop_grace
+        limits = ConnectionLimits(
+            max_connections=max(1, max_descriptors - _RESERVED_DESCRIPTORS)
+        )
+        self._server = HttpServer(self._respond, limits)
+        self._limits = limits
+
+    def set_bounds(self, bounds: CallerBounds) -> None:
+        """Take the limits of a new configuration.
+
+        :param bounds: what callers may send, and how long they may take.
+        """
+        self._limits.max_header_bytes = bounds.max_header_bytes
+        self._limits.max_body_bytes = bounds.max_body_bytes
+        self._limits.header_timeout = bounds.header_timeout
+        self._limits.idle_timeout = bounds.idle_timeout
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Bind the port.
+
+        :param nursery: nursery that runs the server.
+        """
+        self._gateway.attach(nursery)
+        serve = partial(
+            self._server.serve, self._address.host, self._address.port
+        )
+        await nursery.start(serve)
+
+    async def drain(self) -> None:
+        """Serve until the balancer sends no more callers, then finish."""
+        self._readiness.leave()
+        await trio.sleep(_LEAVE_TIME / _MILLISECONDS_PER_SECOND)
+        left = self._stop_grace - _LEAVE_TIME - _STOP_RESERVE
+        with trio.move_on_after(max(0, left) / _MILLISECONDS_PER_SECOND):
+            await self._server.drain()
+
+    async def _respond(
+        self, request: ServerRequest, response: ResponseWriter
+    ) -> None:
+        if self._readiness.is_leaving:
+            request.connection.must_close = True
+        await self._gateway.respond(request, response)
+
+
+class Readiness(Component):
+    """Answers whether the balancer shall send callers to this host."""
+
+    def __init__(
+        self, address: Address, view: ConfigurationView, journal: Journal
+    ) -> None:
+        """Create the port.
+
+        :param address: address that the platform asks.
+        :param view: a daemon without configuration is not ready.
+        :param journal: log of changes of state.
+        """
+        self._address = address
+        self._view = view
+        self._journal = journal
+        self._server = HttpServer(self._respond)
+        self.is_leaving = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers are welcome."""
+        return not self.is_leaving and self._view.configuration is not None
+
+    def leave(self) -> None:
+        """Say from now on that no callers are welcome."""
+        self.is_leaving = True
+        self._journal.write('daemon_leaving')
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Bind the port.
+
+        :param nursery: nursery that runs the server.
+        """
+        await nursery.start(
+            self._server.serve, self._address.host, self._address.port
+        )
+
+    async def _respond(
+        self, request: ServerRequest, response: ResponseWriter
+    ) -> None:
+        status = (
+            HTTPStatus.OK if self.is_ready else HTTPStatus.SERVICE_UNAVAILABLE
+        )
+        await response.send_json(status, {'ready': self.is_ready})
--- /dev/null
+++ b/src/clementinedyke/entry/sync_component.py
@@ -0,0 +1,75 @@
+"""Carries changes of the views to what depends on them."""
+
+import trio
+
+from clementinedyke.clock import Clock
+from clementinedyke.components import Component
+from clementinedyke.entry.configuration_view import ConfigurationView
+from clementinedyke.entry.endpoint_view import EndpointView
+from clementinedyke.entry.exchange import Exchange
+from clementinedyke.entry.placement import PlacementCore
+from clementinedyke.entry.ports import CallerPort
+
+#: Entries change a few times a second at most; a request that is placed in
+#: between by an older list is covered by the drain delay of seconds.
+_INTERVAL_SECONDS = 0.02
+
+
+class SyncComponent(Component):
+    """One task that looks for new revisions."""
+
+    def __init__(
+        self,
+        configuration: ConfigurationView,
+        endpoints: EndpointView,
+        placement: PlacementCore,
+        exchange: Exchange,
+        caller_port: CallerPort,
+        clock: Clock,
+    ) -> None:
+        """Create the component.
+
+        :param configuration: configuration in force.
+        :param endpoints: endpoints as they register themselves.
+        :param placement: core that places work on them.
+        :param exchange: connections to them.
+        :param caller_port: port whose limits are configured.
+        :param clock: clock of the host.
+        """
+        self._configuration = configuration
+        self._endpoints = endpoints
+        self._placement = placement
+        self._exchange = exchange
+        self._caller_port = caller_port
+        self._clock = clock
+        self._version = 0
+        self._revision = 0
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start the task.
+
+        :param nursery: nursery that runs it.
+        """
+        nursery.start_soon(self._run)
+
+    async def stop(self) -> None:
+        """Close the connections to endpoints."""
+        await self._exchange.close()
+
+    async def _run(self) -> None:
+        while True:
+            await self._step()
+            await trio.sleep(_INTERVAL_SECONDS)
+
+    async def _step(self) -> None:
+        configuration = self._configuration.configuration
+        if configuration and configuration.version != self._version:
+            self._version = configuration.version
+            self._caller_port.set_bounds(configuration.bounds)
+        endpoints = self._endpoints.list_endpoints(self._clock.get_now())
+        if self._endpoints.revision != self._revision:
+            self._revision = self._endpoints.revision
+            self._placement.set_endpoints(endpoints)
+            await self._exchange.forget_endpoints(
+                {endpoint.run_id for endpoint in endpoints}
+            )
--- /dev/null
+++ b/src/clementinedyke/entry/usage_counter.py
@@ -0,0 +1,46 @@
+"""Counts the requests of each customer that began in a usage window."""
+
+from collections import Counter
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.entry.wall_time import WallTime
+
+#: Windows that are kept: reports are due two windows after the end.
+_KEPT_WINDOWS = 12
+
+
+class UsageCounter:
+    """Counts of this daemon by number of the window."""
+
+    def __init__(self, wall_time: WallTime, window_length: Milliseconds) -> None:
+        """Create an empty counter.
+
+        :param wall_time: true time.
+        :param window_length: length of a window in milliseconds.
+        """
+        self._wall_time = wall_time
+        self._length = window_length
+        self._counts: dict[int, Counter[str]] = {}
+
+    @property
+    def window(self) -> int:
+        """Number of the present window."""
+        return self._wall_time.get_unix() // self._length
+
+    def note_start(self, customer: str | None) -> None:
+        """Count a request that has just begun to run.
+
+        :param customer: its customer, None on a route without keys.
+        """
+        if customer is None:
+            return
+        window = self.window
+        self._counts.setdefault(window, Counter())[customer] += 1
+        self._counts.pop(window - _KEPT_WINDOWS, None)
+
+    def get_counts(self, window: int) -> dict[str, int]:
+        """Return the requests by customer that began in a window.
+
+        :param window: number of the window.
+        """
+        return dict(self._counts.get(window, {}))
--- /dev/null
+++ b/src/clementinedyke/entry/usage_duty.py
@@ -0,0 +1,215 @@
+"""Usage windows of the wall clock: parts, sums and reports."""
+
+from collections import Counter
+from collections.abc import Mapping
+from typing import Protocol
+
+import msgspec
+from result import Result
+
+from clementinedyke.call_failures import TableFailure
+from clementinedyke.clock import Milliseconds
+from clementinedyke.entry.duty_types import Authority
+from clementinedyke.entry.journal import Journal
+from clementinedyke.entry.usage_counter import UsageCounter
+from clementinedyke.lease_component import FENCES_TABLE
+from clementinedyke.rows import ABSENT, Commit, Condition, Row, RowStore, Write
+
+PARTS_TABLE = 'usage_parts'
+WINDOWS_TABLE = 'usage_windows'
+#: Parts are complete so long after the end of a window: they are written
+#: within a second, and a slow store takes half a second.
+SETTLE_TIME: Milliseconds = 2500
+#: Windows that a new holder looks back for: older ones are past their time.
+_LOOK_BACK = 3
+
+
+class WindowSum(msgspec.Struct, frozen=True):
+    """Counts of a window, fixed before they are first reported."""
+
+    counts: dict[str, int]
+    is_reported: bool = False
+
+
+class UsageReporter(Protocol):
+    """Where reports go."""
+
+    async def report_usage(
+        self, window: int, counts: dict[str, int], authority: Authority
+    ) -> Result[None, TableFailure]:
+        """Report the counts of a window."""
+
+
+class PartWriter:
+    """Writes this run's counts of a window whenever they have grown.
+
+    Each write demands the version of the one before, so that a write whose
+    answer was lost cannot come late and put older counts in place of newer.
+    """
+
+    def __init__(
+        self, store: RowStore, counter: UsageCounter, run_id: str
+    ) -> None:
+        """Create the writer.
+
+        :param store: rows of the platform.
+        :param counter: counts of this daemon.
+        :param run_id: identity of this run of the daemon.
+        """
+        self._store = store
+        self._counter = counter
+        self._run_id = run_id
+        self._written: dict[int, dict[str, int]] = {}
+        self._versions: dict[int, int] = {}
+
+    async def write_parts(self) -> None:
+        """Write the parts of the present window and of the one before."""
+        present = self._counter.window
+        for window in (present - 1, present):
+            counts = self._counter.get_counts(window)
+            if counts and counts != self._written.get(window):
+                await self._write(window, counts)
+        for known in (self._written, self._versions):
+            for window in [item for item in known if item < present - 1]:
+                known.pop(window)
+
+    async def _write(self, window: int, counts: dict[str, int]) -> None:
+        key = f'{window}/{self._run_id}'
+        version = self._versions.get(window, ABSENT)
+        answer = await self._store.commit(
+            [Condition(PARTS_TABLE, key, version)],
+            [Write(PARTS_TABLE, key, counts)],
+        )
+        outcome = None if answer.is_err() else answer.unwrap()
+        if isinstance(outcome, Commit):
+            self._versions[window] = outcome.revision
+            self._written[window] = counts
+            return
+        row = await self._store.get_row(PARTS_TABLE, key)
+        known = None if row.is_err() else row.unwrap()
+        if known is not None:
+            self._versions[window] = known.version
+            self._written[window] = known.value
+
+
+class WindowCloser:
+    """Sums and reports windows while this daemon holds the duties."""
+
+    def __init__(
+        self,
+        store: RowStore,
+        reporter: UsageReporter,
+        counter: UsageCounter,
+        journal: Journal,
+    ) -> None:
+        """Create the closer.
+
+        :param store: rows of the platform.
+        :param reporter: client of the usage interface.
+        :param counter: tells the present window.
+        :param journal: log of reports.
+        """
+        self._store = store
+        self._reporter = reporter
+        self._counter = counter
+        self._journal = journal
+        self._reported: set[int] = set()
+
+    async def close_windows(
+        self, last: int, authority: Authority, fence: Condition
+    ) -> None:
+        """Report the windows up to one that are not reported yet.
+
+        :param last: newest window whose parts are complete.
+        :param authority: holder and fence for the reports.
+        :param fence: condition that fails once another daemon holds the duty.
+        """
+        for window in range(last - _LOOK_BACK, last + 1):
+            if window not in self._reported:
+                await self._close(window, authority, fence)
+        self._reported = {
+            window for window in self._reported if window >= last - _LOOK_BACK
+        }
+
+    async def _close(
+        self, window: int, authority: Authority, fence: Condition
+    ) -> None:
+        row = await self._fix_counts(window, fence)
+        if row is None:
+            return
+        summed = msgspec.convert(row.value, WindowSum)
+        if summed.is_reported or not summed.counts:
+            self._reported.add(window)
+            return
+        answer = await self._reporter.report_usage(
+            window, summed.counts, authority
+        )
+        self._journal.write(
+            'usage_reported',
+            window=window,
+            counts=summed.counts,
+            outcome='ok' if answer.is_ok() else answer.unwrap_err().value,
+        )
+        if answer.is_ok():
+            self._reported.add(window)
+            await self._mark(window, row, summed)
+
+    async def _fix_counts(self, window: int, fence: Condition) -> Row | None:
+        """Return the window's row, written now if it is absent."""
+        known = await self._store.get_row(WINDOWS_TABLE, str(window))
+        if known.is_err():
+            return None
+        row = known.unwrap()
+        if row is not None:
+            return row
+        parts = await self._store.list_rows(PARTS_TABLE, f'{window}/')
+        if parts.is_err():
+            return None
+        summed = WindowSum(_sum_parts([row.value for row in parts.unwrap().rows]))
+        if not summed.counts:
+            return Row(str(window), ABSENT, msgspec.to_builtins(summed))
+        answer = await self._store.commit(
+            [Condition(WINDOWS_TABLE, str(window), ABSENT), fence],
+            [Write(WINDOWS_TABLE, str(window), summed)],
+        )
+        outcome = None if answer.is_err() else answer.unwrap()
+        if not isinstance(outcome, Commit):
+            # The next pass reads what has become of the write.
+            return None
+        return Row(str(window), outcome.revision, msgspec.to_builtins(summed))
+
+    async def _mark(self, window: int, row: Row, summed: WindowSum) -> None:
+        """Note the report and drop the parts that it covers.
+
+        A mark that is lost only makes a new holder repeat the same report.
+        """
+        parts = await self._store.list_rows(PARTS_TABLE, f'{window}/')
+        old = [] if parts.is_err() else parts.unwrap().rows
+        await self._store.commit(
+            [Condition(WINDOWS_TABLE, str(window), row.version)],
+            [
+                Write(
+                    WINDOWS_TABLE,
+                    str(window),
+                    msgspec.structs.replace(summed, is_reported=True),
+                ),
+                *(Write(PARTS_TABLE, part.key) for part in old),
+            ],
+        )
+
+
+def compile_fence_condition(scope: str, version: int) -> Condition:
+    """Return the condition that a daemon still holds a lease.
+
+    :param scope: scope of the lease.
+    :param version: version of the fence row that its tenure wrote.
+    """
+    return Condition(FENCES_TABLE, scope, version)
+
+
+def _sum_parts(parts: list[Mapping[str, int]]) -> dict[str, int]:
+    total: Counter[str] = Counter()
+    for part in parts:
+        if isinstance(part, dict):
+            total.update(part)
+    return dict(sorted(total.items()))
--- /dev/null
+++ b/src/clementinedyke/entry/watch.py
@@ -0,0 +1,170 @@
+"""Follows one table of the store and keeps a copy of it current."""
+
+from dataclasses import dataclass
+from random import Random
+from typing import Protocol
+
+import trio
+from result import Result
+
+from clementinedyke.call_failures import TableFailure
+from clementinedyke.clock import Clock, Milliseconds
+from clementinedyke.components import Component
+from clementinedyke.entry.journal import Journal
+
+_MILLISECONDS_PER_SECOND = 1000
+#: Wait between two calls of a feed that fails. All daemons lose the store at
+#: the same time, so the waits are spread.
+_MIN_RETRY: Milliseconds = 80
+_MAX_RETRY: Milliseconds = 250
+
+
+@dataclass(frozen=True, slots=True)
+class StoredRow:
+    """A row with its raw content; None marks a row that was dropped."""
+
+    key: str
+    version: int
+    content: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class FeedAnswer:
+    """Rows of a table, or changes of it, up to a revision."""
+
+    revision: int
+    rows: tuple[StoredRow, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryLost:
+    """The store no longer has the changes that were asked for."""
+
+
+class TableFeed(Protocol):
+    """What the watch needs of the store."""
+
+    async def read_table(
+        self, table: str, prefix: str = ''
+    ) -> Result[FeedAnswer, TableFailure]:
+        """Return all rows of a table."""
+
+    async def follow_table(
+        self, table: str, revision: int, wait: Milliseconds
+    ) -> Result[FeedAnswer | HistoryLost, TableFailure]:
+        """Wait for changes of a table."""
+
+
+class TableReader(Protocol):
+    """What the rows of a watched table are given to."""
+
+    def replace_rows(
+        self, rows: tuple[StoredRow, ...], now: Milliseconds
+    ) -> None:
+        """Take all rows of the table in place of the former ones."""
+
+    def apply_rows(
+        self, rows: tuple[StoredRow, ...], now: Milliseconds
+    ) -> None:
+        """Take changed rows."""
+
+    def confirm(self, as_of: Milliseconds) -> None:
+        """Take that the rows were complete at an instant."""
+
+    def note_failure(self, now: Milliseconds) -> None:
+        """Take that the store did not answer."""
+
+
+class TableWatch(Component):
+    """One task that reads a table once and then follows its changes."""
+
+    def __init__(
+        self,
+        table: str,
+        feed: TableFeed,
+        reader: TableReader,
+        wait: Milliseconds,
+        clock: Clock,
+        journal: Journal,
+        generator: Random,
+    ) -> None:
+        """Create the watch.
+
+        :param table: table name.
+        :param feed: client of the store.
+        :param reader: takes the rows.
+        :param wait: longest time in milliseconds that one call waits; a
+            connection that went silent is noticed a little later.
+        :param clock: clock of the host.
+        :param journal: log of changes of state.
+        :param generator: seeded source of jitter.
+        """
+        self._table = table
+        self._feed = feed
+        self._reader = reader
+        self._wait = wait
+        self._clock = clock
+        self._journal = journal
+        self._generator = generator
+        self._revision: int | None = None
+        self._is_connected = False
+        self.failures = 0
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start the task.
+
+        :param nursery: nursery that runs it.
+        """
+        nursery.start_soon(self._run)
+
+    async def _run(self) -> None:
+        while True:
+            if not await self._step():
+                delay = self._generator.randint(_MIN_RETRY, _MAX_RETRY)
+                await trio.sleep(delay / _MILLISECONDS_PER_SECOND)
+
+    async def _step(self) -> bool:
+        """Make one call; tell whether the store answered."""
+        sent_at = self._clock.get_now()
+        if self._revision is None:
+            answer = await self._feed.read_table(self._table)
+            if answer.is_ok():
+                self._reader.replace_rows(
+                    answer.unwrap().rows, self._clock.get_now()
+                )
+            return self._note(answer, sent_at)
+        changes = await self._feed.follow_table(
+            self._table, self._revision, self._wait
+        )
+        outcome = changes.unwrap() if changes.is_ok() else None
+        if isinstance(outcome, FeedAnswer):
+            self._reader.apply_rows(outcome.rows, self._clock.get_now())
+        return self._note(changes, sent_at)
+
+    def _note(
+        self,
+        answer: Result[FeedAnswer, TableFailure]
+        | Result[FeedAnswer | HistoryLost, TableFailure],
+        sent_at: Milliseconds,
+    ) -> bool:
+        if answer.is_err():
+            self.failures += 1
+            self._reader.note_failure(self._clock.get_now())
+            self._note_connection(is_connected=False)
+            return False
+        self._note_connection(is_connected=True)
+        outcome = answer.unwrap()
+        if isinstance(outcome, HistoryLost):
+            self._journal.write('feed_history_lost', table=self._table)
+            self._revision = None
+            return True
+        self._revision = outcome.revision
+        self._reader.confirm(sent_at)
+        return True
+
+    def _note_connection(self, *, is_connected: bool) -> None:
+        if is_connected == self._is_connected:
+            return
+        self._is_connected = is_connected
+        event = 'store_regained' if is_connected else 'store_lost'
+        self._journal.write(event, table=self._table)
--- a/src/clementinedyke/evidence_component.py
+++ b/src/clementinedyke/evidence_component.py
@@ -17,7 +17,7 @@
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.daemons.component import Change
 from clementinedyke.membership_events import PayloadChanged
-from clementinedyke.platform.tables import (
+from clementinedyke.reference_platform.tables import (
     ABSENT,
     Commit,
     Condition,
--- a/src/clementinedyke/handover.py
+++ b/src/clementinedyke/handover.py
@@ -117,3 +117,14 @@
             or entry.identity.host in self._absent_hosts
             or entry.identity.incarnation in self._dead_incarnations
         )
+
+
+class LapseHandover(HandoverCore):
+    """Takes the lapse of a lease as the proof that its holder has ended.
+
+    Fits a platform that forgives the late orders of a host that was suspended
+    or cut off, and lists no hosts.
+    """
+
+    def _is_proved(self, entry: FormerHolder) -> bool:
+        return True
--- a/src/clementinedyke/http_client.py
+++ b/src/clementinedyke/http_client.py
@@ -1,5 +1,7 @@
 """HTTP/1.1 client on trio and h11 with a pool of connections to one address."""
 
+import math
+import re
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -23,7 +25,10 @@
 _READ_SIZE = 65536
 _MAX_IDLE_CONNECTIONS = 64
 _MILLISECONDS_PER_SECOND = 1000
-_CONNECT_TIMEOUT: Milliseconds = 1000
+DEFAULT_CONNECT_TIMEOUT: Milliseconds = 1000
+#: A kept connection is given up so long before its peer would close it.
+_KEEP_ALIVE_MARGIN_SECONDS = 0.5
+_KEEP_ALIVE = re.compile(rb'timeout=(\d+)')
 _LOST = (
     trio.BrokenResourceError,
     trio.ClosedResourceError,
@@ -81,6 +86,8 @@
         default_factory=lambda: h11.Connection(h11.CLIENT)
     )
     is_ended: bool = False
+    #: trio time in seconds after which the peer may close it while idle.
+    usable_until: float = math.inf
 
     async def receive_event(self) -> h11.Event:
         while True:
@@ -101,13 +108,10 @@
         return parts
 
     async def send(self, request: HttpRequest, authority: str) -> None:
-        headers = [
-            (b'Host', authority.encode()),
-            (b'Content-Length', str(len(request.body)).encode()),
-            *request.headers,
-        ]
         head = h11.Request(
-            method=request.method, target=request.target, headers=headers
+            method=request.method,
+            target=request.target,
+            headers=_compile_headers(request, authority),
         )
         parts = [self.protocol.send(head)]
         if request.body:
@@ -193,15 +197,20 @@
     """Client of one address; several requests may run at the same time."""
 
     def __init__(
-        self, address: Address, ssl_context: SSLContext | None = None
+        self,
+        address: Address,
+        ssl_context: SSLContext | None = None,
+        connect_timeout: Milliseconds = DEFAULT_CONNECT_TIMEOUT,
     ) -> None:
         """Create a client; no connection is opened yet.
 
         :param address: peer to connect to.
         :param ssl_context: uses TLS when given.
+        :param connect_timeout: longest wait for a connection in milliseconds.
         """
         self._address = address
         self._ssl_context = ssl_context
+        self._connect_timeout = connect_timeout
         self._idle: list[_Connection] = []
 
     @property
@@ -276,6 +285,7 @@
         while True:
             event = await _receive_or_lose(connection)
             if isinstance(event, h11.Response):
+                connection.usable_until = _get_usable_until(event)
                 return ResponseStream(event, connection)
             if not isinstance(event, h11.InformationalResponse):
                 raise ProtocolError(f'{self._address}: no response head')
@@ -290,7 +300,9 @@
 
     async def _connect(self) -> trio.abc.Stream:
         try:
-            with trio.fail_after(_CONNECT_TIMEOUT / _MILLISECONDS_PER_SECOND):
+            with trio.fail_after(
+                self._connect_timeout / _MILLISECONDS_PER_SECOND
+            ):
                 return await self._open_stream()
         except (OSError, trio.TooSlowError, trio.BrokenResourceError) as error:
             raise PeerUnavailableError(
@@ -332,6 +344,29 @@
         await trio.aclose_forcefully(connection.stream)
 
 
+def _compile_headers(
+    request: HttpRequest, authority: str
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers with the two that HTTP/1.1 asks for.
+
+    A request that names its host keeps it: a relay passes it on unchanged.
+    """
+    named = any(name.lower() == b'host' for name, _ in request.headers)
+    host = [] if named else [(b'Host', authority.encode())]
+    length = (b'Content-Length', str(len(request.body)).encode())
+    return [*host, length, *request.headers]
+
+
+def _get_usable_until(head: h11.Response) -> float:
+    """Return until when the connection may be kept, in trio seconds."""
+    for name, content in head.headers:
+        found = _KEEP_ALIVE.search(content) if name == b'keep-alive' else None
+        if found is not None:
+            timeout = int(found.group(1)) - _KEEP_ALIVE_MARGIN_SECONDS
+            return trio.current_time() + timeout
+    return math.inf
+
+
 async def _receive_or_lose(connection: _Connection) -> h11.Event:
     try:
         event = await connection.receive_event()
@@ -348,6 +383,8 @@
     A pooled connection that the peer closed would turn the next request into
     one with an unknown outcome although nothing ran.
     """
+    if trio.current_time() >= connection.usable_until:
+        return False
     stream = connection.stream
     if isinstance(stream, trio.SSLStream):
         stream = stream.transport_stream
--- a/src/clementinedyke/http_message.py
+++ b/src/clementinedyke/http_message.py
@@ -24,10 +24,13 @@
 _CLOSE = (b'Connection', b'close')
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class ConnectionLimits:
     """Limits of a server; sizes in bytes, times in milliseconds.
 
+    They may be changed while the server runs; what has begun to wait keeps
+    its limit.
+
     ``idle_timeout`` bounds the time between two requests, ``header_timeout``
     the time from the first byte of a request to the end of its headers,
     ``receive_timeout`` the time for its body, and ``write_timeout`` the time
--- a/src/clementinedyke/lease_component.py
+++ b/src/clementinedyke/lease_component.py
@@ -7,9 +7,12 @@
 import msgspec
 import trio
 from absl import logging
+from result import Result
 
+from clementinedyke.call_failures import TableFailure
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.components import Component
+from clementinedyke.handover import HandoverCore
 from clementinedyke.lease import LeaseCore
 from clementinedyke.lease_messages import (
     CloseOrders,
@@ -30,12 +33,11 @@
     WriteLease,
 )
 from clementinedyke.lease_types import Identity, LeaseRow, LeaseTiming
-from clementinedyke.platform.hosts import HostListClient
-from clementinedyke.platform.tables import (
+from clementinedyke.rows import (
     ABSENT,
     Commit,
     Condition,
-    TableClient,
+    RowStore,
     Write,
 )
 
@@ -60,18 +62,26 @@
         """Return once no order that was sent can reach its target."""
 
 
+class HostList(Protocol):
+    """List of live hosts; a proof that former holders have ended."""
+
+    async def list_hosts(self) -> Result[frozenset[str], TableFailure]:
+        """Return the names of the listed hosts."""
+
+
 class LeaseComponent(Component):
     """Seeks and holds the leases of some scopes."""
 
     def __init__(
         self,
         identity: Identity,
-        tables: TableClient,
-        hosts: HostListClient,
+        tables: RowStore,
+        hosts: HostList,
         clock: Clock,
         nonces: random.Random,
         is_candidate: Callable[[str], bool],
         timing: LeaseTiming | None = None,
+        handover: HandoverCore | None = None,
     ) -> None:
         """Create the component; the daemon address must be bound already.
 
@@ -82,6 +92,8 @@
         :param nonces: seeded source of nonces.
         :param is_candidate: tells whether this daemon seeks a scope's lease.
         :param timing: durations of leases.
+        :param handover: judge of former holders that all scopes share, by
+            default one a scope.
         """
         self._identity = identity
         self._tables = tables
@@ -90,6 +102,7 @@
         self._nonces = nonces
         self._is_candidate = is_candidate
         self._timing = timing
+        self._handover = handover
         self._last_hosts: HostsRead | None = None
         self._cores: dict[str, LeaseCore] = {}
         self._sources: dict[str, list[OrderSource]] = {}
@@ -115,7 +128,7 @@
         """
         if scope not in self._cores:
             self._cores[scope] = LeaseCore(
-                self._identity, self._nonces, self._timing
+                self._identity, self._nonces, self._timing, self._handover
             )
             self._sources[scope] = []
             self._pending[scope] = [
--- a/src/clementinedyke/operators/answers.py
+++ b/src/clementinedyke/operators/answers.py
@@ -14,7 +14,7 @@
     Refused,
     VersionConflict,
 )
-from clementinedyke.platform.tables import Row
+from clementinedyke.reference_platform.tables import Row
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/operators/change.py
+++ b/src/clementinedyke/operators/change.py
@@ -37,8 +37,8 @@
     check_references,
     compile_transaction,
 )
-from clementinedyke.platform.failures import TableFailure
-from clementinedyke.platform.tables import ABSENT, Commit
+from clementinedyke.call_failures import TableFailure
+from clementinedyke.reference_platform.tables import ABSENT, Commit
 
 #: A change that loses this many races against changes of other records, or
 #: whose answer is lost as often, is given up.
--- a/src/clementinedyke/operators/change_actions.py
+++ b/src/clementinedyke/operators/change_actions.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from clementinedyke.platform.tables import Condition, Write
+from clementinedyke.reference_platform.tables import Condition, Write
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/operators/change_events.py
+++ b/src/clementinedyke/operators/change_events.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from clementinedyke.platform.failures import TableFailure
-from clementinedyke.platform.tables import Commit, Conflict, Row
+from clementinedyke.call_failures import TableFailure
+from clementinedyke.reference_platform.tables import Commit, Conflict, Row
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/operators/record_service.py
+++ b/src/clementinedyke/operators/record_service.py
@@ -32,8 +32,8 @@
     NO_ROW,
     RECORDS_TABLE,
 )
-from clementinedyke.platform.failures import TableFailure
-from clementinedyke.platform.tables import (
+from clementinedyke.call_failures import TableFailure
+from clementinedyke.reference_platform.tables import (
     Row,
     Snapshot,
     TableClient,
--- a/src/clementinedyke/operators/transaction.py
+++ b/src/clementinedyke/operators/transaction.py
@@ -8,7 +8,7 @@
 from clementinedyke.operators.change_actions import Refused, SendCommit
 from clementinedyke.operators.change_events import Change
 from clementinedyke.operators.references import check_delete, check_put
-from clementinedyke.platform.tables import ABSENT, Condition, Row, Write
+from clementinedyke.reference_platform.tables import ABSENT, Condition, Row, Write
 from clementinedyke.records import Record, parse_record
 
 RECORDS_TABLE = 'records'
--- a/src/clementinedyke/outbox_component.py
+++ b/src/clementinedyke/outbox_component.py
@@ -34,7 +34,7 @@
     TenureBegun,
     TenureEnded,
 )
-from clementinedyke.platform.tables import (
+from clementinedyke.reference_platform.tables import (
     Commit,
     Condition,
     TableClient,
--- a/src/clementinedyke/platform/calls.py
+++ b/src/clementinedyke/peer_calls.py
@@ -11,7 +11,7 @@
     HttpResponse,
 )
 from clementinedyke.order_connection import exchange_once
-from clementinedyke.platform.failures import TableFailure
+from clementinedyke.call_failures import TableFailure
 
 DEFAULT_TIMEOUT: Milliseconds = 2000
 STATUS_OK = 200
--- /dev/null
+++ b/src/clementinedyke/platform/command.py
@@ -0,0 +1,43 @@
+"""Starts the entry daemon from the platform's settings file."""
+
+import os
+import signal
+import sys
+from pathlib import Path
+
+import trio
+from absl import logging
+
+from clementinedyke.entry.application import EntryApplication
+from clementinedyke.exceptions import SettingError
+from clementinedyke.logs import set_up_logging
+from clementinedyke.platform.parts import create_parts
+from clementinedyke.platform.settings_file import (
+    PATH_VARIABLE,
+    load_host_settings,
+)
+
+_EXIT_USAGE = 2
+
+
+def main() -> None:
+    """Run the daemon until SIGTERM; exit with status 2 on wrong settings."""
+    set_up_logging('warning')
+    path = os.environ.get(PATH_VARIABLE, '')
+    try:
+        settings = load_host_settings(Path(path))
+    except SettingError as error:
+        sys.stderr.write(f'clementinedyke: {error}\n')
+        sys.exit(_EXIT_USAGE)
+    trio.run(_serve, EntryApplication(settings, create_parts(settings)))
+
+
+async def _serve(daemon: EntryApplication) -> None:
+    async with trio.open_nursery() as nursery:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+            nursery.start_soon(daemon.application.run)
+            async for received in signals:
+                if received == signal.SIGTERM:
+                    break
+                logging.info('event=settings_signal')
+            daemon.application.request_stop()
--- /dev/null
+++ b/src/clementinedyke/platform/configuration_document.py
@@ -0,0 +1,176 @@
+"""The operator's configuration as it lies in the store."""
+
+import msgspec
+from result import Err, Ok, Result
+
+from clementinedyke.entry.catalog import (
+    CallerBounds,
+    EngineTraits,
+    EntryConfiguration,
+    EntryCustomer,
+    EntryRoute,
+    EntryService,
+    RequestKind,
+    ScalingOffer,
+    ServiceShare,
+)
+
+#: Table and key of the newest configuration.
+CONFIGURATION_TABLE = 'op'
+CONFIGURATION_KEY = 'config'
+_MILLISECONDS_PER_SECOND = 1000
+_KINDS = {
+    'safe': RequestKind.REPEATABLE,
+    'unsafe': RequestKind.ONCE,
+    'streaming': RequestKind.STREAM,
+}
+
+
+class _Share(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float
+    priority: int = 0
+    service: str = ''
+    traffic_split: list[_Share] | None = None
+    max_attempts: int = 1
+    #: The route asks for no key.
+    public: bool = False
+    #: A stream may go on at another engine after its last event.
+    resumable: bool = False
+
+
+class _Engine(msgspec.Struct):
+    slots: int
+    #: Tokens that running requests and cached parts share.
+    kv_capacity: float
+    token_kv_bytes: float
+
+
+class _Scaling(msgspec.Struct):
+    #: Both bounds hold in each zone, for cheap and other engines together.
+    min: int
+    max: int
+    boot_s: float = 0
+    #: Part of the price of another engine, not a price.
+    spot_price: float | None = None
+    zone_prices: dict[str, float] = msgspec.field(default_factory=dict)
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_connections: int = 0
+    engine: _Engine | None = None
+    scaling: _Scaling | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str]
+    priority: int | None = None
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits
+    tenants: list[_Tenant] | None = None
+
+
+def decode_configuration(content: bytes) -> Result[EntryConfiguration, str]:
+    """Return the configuration in a row, or why it cannot be read.
+
+    :param content: raw content of the row.
+    """
+    try:
+        document = msgspec.json.decode(content, type=_Configuration)
+        return Ok(_convert(document))
+    except (msgspec.MsgspecError, KeyError, ValueError) as error:
+        return Err(f'{type(error).__name__}: {error}')
+
+
+def _convert(document: _Configuration) -> EntryConfiguration:
+    limits = document.limits
+    customers = None
+    if document.tenants is not None:
+        customers = tuple(
+            EntryCustomer(item.name, frozenset(item.api_keys), item.priority)
+            for item in document.tenants
+        )
+    return EntryConfiguration(
+        version=document.version,
+        routes=tuple(_convert_route(route) for route in document.routes),
+        services={
+            service.name: _convert_service(service)
+            for service in document.services
+        },
+        bounds=CallerBounds(
+            max_header_bytes=limits.max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            header_timeout=int(limits.header_timeout_ms),
+            idle_timeout=int(limits.idle_timeout_ms),
+        ),
+        customers=customers,
+    )
+
+
+def _convert_route(route: _Route) -> EntryRoute:
+    shares = route.traffic_split or [_Share(route.service, 1)]
+    return EntryRoute(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.prefix,
+        kind=_KINDS[route.kind],
+        timeout=int(route.timeout_ms),
+        latency_objective=int(route.target_latency_ms),
+        priority=route.priority,
+        shares=tuple(
+            ServiceShare(share.service, share.weight) for share in shares
+        ),
+        max_attempts=max(1, route.max_attempts),
+        is_public=route.public,
+        is_resumable=route.resumable,
+    )
+
+
+def _convert_service(service: _Service) -> EntryService:
+    engine = service.engine
+    scaling = service.scaling
+    return EntryService(
+        name=service.name,
+        max_connections=service.max_connections,
+        engine=None
+        if engine is None
+        else EngineTraits(
+            slots=engine.slots,
+            memory_tokens=int(engine.kv_capacity),
+            token_bytes=int(engine.token_kv_bytes),
+        ),
+        scaling=None if scaling is None else _convert_scaling(scaling),
+    )
+
+
+def _convert_scaling(scaling: _Scaling) -> ScalingOffer:
+    return ScalingOffer(
+        minimum=scaling.min,
+        maximum=scaling.max,
+        boot_time=int(scaling.boot_s * _MILLISECONDS_PER_SECOND),
+        cheap_price=scaling.spot_price,
+        zone_prices=scaling.zone_prices,
+    )
--- /dev/null
+++ b/src/clementinedyke/platform/duties.py
@@ -0,0 +1,151 @@
+"""Calls of the platform that one daemon at a time may make."""
+
+import msgspec
+from result import Err, Ok, Result
+
+from clementinedyke.call_failures import TableFailure
+from clementinedyke.clock import Milliseconds
+from clementinedyke.entry.duty_types import (
+    Authority,
+    CapacityOrder,
+    OrderOutcome,
+    StageOrder,
+)
+from clementinedyke.http_client import Address, Headers, HttpRequest
+from clementinedyke.peer_calls import STATUS_OK, call_once
+
+_JSON_TYPE = (b'Content-Type', b'application/json')
+_STATUS_ACCEPTED = 202
+_STATUS_CONFLICT = 409
+_STATUS_SERVER_ERROR = 500
+_STATUS_TOO_MANY = 429
+_STATUS_UNAVAILABLE = 503
+#: Longest wait for an answer: the platform answers within a few ms, and 50
+#: times later while it is slow.
+_CALL_TIMEOUT: Milliseconds = 1200
+
+
+class _Usage(msgspec.Struct):
+    window: int
+    counts: dict[str, int]
+
+
+class _Scale(msgspec.Struct, omit_defaults=True):
+    service: str
+    zone: str
+    desired: int
+    spot: bool = False
+
+
+class _Stage(msgspec.Struct):
+    op: str
+    stage: str
+    holder: str
+    fence: int
+    #: Orders that the engine must have accepted so far.
+    expected: int
+
+
+class DutyClient:
+    """Usage reports and orders; one connection for each call.
+
+    A connection of its own keeps a call from arriving long after it was sent.
+    """
+
+    def __init__(self, address: Address) -> None:
+        """Create a client.
+
+        :param address: address of the platform's interface for duties.
+        """
+        self._address = address
+
+    async def report_usage(
+        self, window: int, counts: dict[str, int], authority: Authority
+    ) -> Result[None, TableFailure]:
+        """Report how many requests of each customer began in a window.
+
+        :param window: number of the window.
+        :param counts: requests by customer.
+        :param authority: holder of the duty and its fence.
+        """
+        body = msgspec.json.encode(_Usage(window, counts))
+        outcome = await self._post('/usage', body, authority)
+        if outcome is OrderOutcome.DONE:
+            return Ok(None)
+        if outcome is OrderOutcome.UNKNOWN:
+            return Err(TableFailure.UNKNOWN)
+        return Err(TableFailure.NOT_DONE)
+
+    async def order_capacity(
+        self, order: CapacityOrder, authority: Authority
+    ) -> OrderOutcome:
+        """Order a number of engines for a service in an availability zone.
+
+        :param order: what is wanted.
+        :param authority: holder of the duty and its fence.
+        """
+        body = msgspec.json.encode(
+            _Scale(
+                service=order.service,
+                zone=order.availability_zone,
+                desired=order.count,
+                spot=order.is_cheap,
+            )
+        )
+        return await self._post('/scale', body, authority)
+
+    async def order_stage(
+        self, order: StageOrder, authority: Authority
+    ) -> OrderOutcome:
+        """Order an engine to do another part of generations.
+
+        :param order: engine, stage, and the orders that it has accepted.
+        :param authority: holder of the duty and its fence.
+        """
+        body = msgspec.json.encode(
+            _Stage(
+                op='stage',
+                stage=order.stage.value,
+                holder=authority.holder,
+                fence=authority.fence,
+                expected=order.endpoint.sequence,
+            )
+        )
+        expected = order.endpoint.endpoint_id.encode()
+        request = HttpRequest(
+            'POST',
+            '/v1/order',
+            [(b'X-Expect-Instance', expected), _JSON_TYPE],
+            body,
+        )
+        return await _call(order.endpoint.address, request)
+
+    async def _post(
+        self, target: str, body: bytes, authority: Authority
+    ) -> OrderOutcome:
+        headers: Headers = [
+            (b'X-Duty-Holder', authority.holder.encode()),
+            (b'X-Fencing-Token', str(authority.fence).encode()),
+            _JSON_TYPE,
+        ]
+        return await _call(
+            self._address, HttpRequest('POST', target, headers, body)
+        )
+
+
+async def _call(address: Address, request: HttpRequest) -> OrderOutcome:
+    answer = await call_once(address, request, _CALL_TIMEOUT)
+    if answer.is_err():
+        if answer.unwrap_err() is TableFailure.UNKNOWN:
+            return OrderOutcome.UNKNOWN
+        return OrderOutcome.NOT_DONE
+    status = answer.unwrap().status
+    if status in {STATUS_OK, _STATUS_ACCEPTED}:
+        return OrderOutcome.DONE
+    if status == _STATUS_CONFLICT:
+        return OrderOutcome.UNAVAILABLE
+    if status in {_STATUS_TOO_MANY, _STATUS_UNAVAILABLE}:
+        return OrderOutcome.NOT_DONE
+    if status >= _STATUS_SERVER_ERROR:
+        return OrderOutcome.UNKNOWN
+    return OrderOutcome.REFUSED
--- /dev/null
+++ b/src/clementinedyke/platform/endpoint_document.py
@@ -0,0 +1,66 @@
+"""Entries by which endpoints register themselves in the store."""
+
+import msgspec
+from result import Err, Ok, Result
+
+from clementinedyke.entry.catalog import EntryEndpoint, Stage
+from clementinedyke.http_client import Address
+
+#: Table of the entries; the key is the endpoint's id, which stands nowhere
+#: else.
+ENDPOINTS_TABLE = 'servers'
+_STATES = {'ready': False, 'draining': True}
+_STAGES = {'prefill': Stage.PREFILL, 'decode': Stage.DECODE}
+_MAX_PORT = 65535
+
+
+class _Entry(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    stage: str | None = None
+    #: Ordered at the lower price; may be reclaimed.
+    spot: bool = False
+    #: Time left of an engine that is reclaimed.
+    leaves_ms: float | None = None
+    #: Unix milliseconds of the start: an id may be used by a later run.
+    born: int = 0
+    #: Orders accepted by this run, not a version of the entry.
+    sequence: int = 0
+
+
+def decode_endpoint(
+    endpoint_id: str, content: bytes
+) -> Result[EntryEndpoint, str]:
+    """Return the endpoint in a row, or why the row names none.
+
+    :param endpoint_id: key of the row.
+    :param content: raw content of the row.
+    """
+    try:
+        entry = msgspec.json.decode(content, type=_Entry)
+        return Ok(_convert(endpoint_id, entry))
+    except (msgspec.MsgspecError, KeyError, ValueError) as error:
+        return Err(f'{type(error).__name__}: {error}')
+
+
+def _convert(endpoint_id: str, entry: _Entry) -> EntryEndpoint:
+    address = Address.parse(entry.address)
+    if not 0 < address.port <= _MAX_PORT or entry.slots <= 0:
+        raise ValueError(f'address {entry.address} or slots {entry.slots}')
+    leaves_in = None if entry.leaves_ms is None else int(entry.leaves_ms)
+    return EntryEndpoint(
+        endpoint_id=endpoint_id,
+        service=entry.service,
+        address=address,
+        availability_zone=entry.zone,
+        slots=entry.slots,
+        is_leaving=_STATES[entry.state],
+        stage=None if entry.stage is None else _STAGES[entry.stage],
+        is_cheap=entry.spot,
+        leaves_in=leaves_in,
+        started_at=entry.born,
+        sequence=entry.sequence,
+    )
--- /dev/null
+++ b/src/clementinedyke/platform/requests.py
@@ -0,0 +1,246 @@
+"""Requests and answers of callers and endpoints, header by header."""
+
+import msgspec
+from absl import logging
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.entry.catalog import EntryRequest, PromptPart
+from clementinedyke.entry.endpoint_protocol import (
+    AnswerHead,
+    EndpointLoad,
+    PrefillAnswer,
+    PromptMemory,
+    SendOptions,
+)
+from clementinedyke.http_client import Headers, HttpRequest
+from clementinedyke.http_message import ServerRequest
+
+_MILLISECONDS_PER_SECOND = 1000
+_STATUS_OTHER_ENDPOINT = 421
+_REQUEST_ID = b'x-request-id'
+_KEY = b'x-key'
+_DEADLINE = b'x-deadline-ms'
+_TOKENS = b'x-token-count'
+_PARTS = b'x-prefix-hash'
+_LAST_EVENT = b'last-event-id'
+_SIGNATURE = b'x-server-signature'
+_LOAD = b'x-instance-load'
+_NOT_RUN = b'x-not-executed'
+#: Headers that concern one connection only, and those that the daemon sets
+#: itself whatever the caller sent.
+_OWN_HEADERS = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'transfer-encoding',
+        b'content-length',
+        b'te',
+        b'trailer',
+        b'upgrade',
+        b'expect',
+        _KEY,
+        _DEADLINE,
+        _LAST_EVENT,
+        b'x-tenant',
+        b'x-expect-instance',
+        b'x-expect-version',
+        b'x-stage',
+        b'x-kv-source',
+        b'x-kv-hold',
+        b'x-kv-backup',
+        b'x-pin-ms',
+        b'x-request-priority',
+        b'kv-fetch',
+    )
+)
+#: Headers of an answer that concern one connection only; the daemon frames
+#: the body itself.
+_CONNECTION_HEADERS = frozenset(
+    (
+        b'connection',
+        b'content-length',
+        b'keep-alive',
+        b'proxy-connection',
+        b'transfer-encoding',
+        b'trailer',
+        b'upgrade',
+    )
+)
+
+
+class _Handle(msgspec.Struct):
+    handle: str
+    tokens: int
+
+
+class RequestTranslator:
+    """Implements the endpoint protocol of the users' platform."""
+
+    def read_request(self, request: ServerRequest) -> EntryRequest | None:
+        """Return a caller's request, None without a usable id or time.
+
+        :param request: request with its whole body.
+        """
+        fields = dict(request.headers)
+        request_id = _get_text(fields, _REQUEST_ID)
+        patience = _get_number(fields, _DEADLINE)
+        if not request_id:
+            return None
+        prompt_tokens, output_tokens = _read_tokens(fields)
+        query = f'?{request.query}' if request.query else ''
+        host = _get_text(fields, b'host') or ''
+        return EntryRequest(
+            request_id=request_id,
+            method=request.method,
+            target=f'{request.path}{query}',
+            host=host.partition(':')[0].lower(),
+            path=request.path,
+            body=request.body,
+            forwarded_headers=_select_forwarded(request.headers),
+            key=_get_text(fields, _KEY),
+            patience=patience,
+            prompt_tokens=prompt_tokens,
+            output_tokens=output_tokens,
+            prompt_parts=_read_parts(fields),
+            last_event_id=_get_number(fields, _LAST_EVENT),
+        )
+
+    def compile_request(
+        self, request: EntryRequest, options: SendOptions
+    ) -> HttpRequest:
+        """Return the request that goes to an endpoint.
+
+        :param request: caller's request.
+        :param options: what the daemon adds.
+        """
+        added = {
+            'X-Deadline-Ms': str(options.time_left),
+            'X-Expect-Instance': options.endpoint.endpoint_id,
+        }
+        if options.customer is not None:
+            added['X-Tenant'] = options.customer
+        if options.priority is not None:
+            added['X-Request-Priority'] = str(options.priority)
+        if options.is_prefill:
+            added['X-Stage'] = 'prefill'
+        if options.memory is not None:
+            source = options.memory.endpoint.address
+            added['X-Kv-Source'] = f'{source}/{options.memory.handle}'
+        if options.after_event is not None:
+            added['Last-Event-Id'] = str(options.after_event)
+        headers = [
+            *request.forwarded_headers,
+            *((name.encode(), text.encode()) for name, text in added.items()),
+        ]
+        return HttpRequest(
+            request.method, request.target, headers, request.body
+        )
+
+    def compile_release(self, memory: PromptMemory) -> HttpRequest:
+        """Return the call that frees prompt memory at its engine.
+
+        :param memory: memory that was not taken.
+        """
+        expected = (b'X-Expect-Instance', memory.endpoint.endpoint_id.encode())
+        return HttpRequest(
+            'DELETE', f'/v1/kv-handle/{memory.handle}', [expected]
+        )
+
+    def read_head(self, status: int, headers: Headers) -> AnswerHead:
+        """Return the decoded head of an endpoint's answer.
+
+        :param status: HTTP status.
+        :param headers: header names in lower case and their values.
+        """
+        fields = dict(headers)
+        content_type = _get_text(fields, b'content-type') or ''
+        return AnswerHead(
+            status=status,
+            request_id=_get_text(fields, _REQUEST_ID),
+            is_signed=_SIGNATURE in fields,
+            was_not_run=_NOT_RUN in fields or status == _STATUS_OTHER_ENDPOINT,
+            is_wrong_endpoint=status == _STATUS_OTHER_ENDPOINT,
+            is_stream=content_type.startswith('text/event-stream'),
+            load=_read_load(fields),
+            forwarded_headers=[
+                pair for pair in headers if pair[0] not in _CONNECTION_HEADERS
+            ],
+        )
+
+    def read_prefill(self, body: bytes) -> PrefillAnswer | None:
+        """Return the decoded answer to a prefill, None if unreadable.
+
+        :param body: whole body.
+        """
+        try:
+            answer = msgspec.json.decode(body, type=_Handle)
+        except msgspec.MsgspecError as error:
+            logging.warning('event=prefill_answer_unreadable error=%s', error)
+            return None
+        return PrefillAnswer(answer.handle, answer.tokens)
+
+    def compile_refusal_headers(
+        self, retry_after: Milliseconds | None
+    ) -> Headers:
+        """Return the headers of a refusal.
+
+        :param retry_after: when the caller should come back.
+        """
+        if retry_after is None:
+            return []
+        # The platform's callers take fractions of a second.
+        seconds = retry_after / _MILLISECONDS_PER_SECOND
+        return [(b'Retry-After', f'{seconds:.3f}'.encode())]
+
+
+def _select_forwarded(headers: Headers) -> tuple[tuple[bytes, bytes], ...]:
+    named = {
+        name.strip().lower()
+        for key, content in headers
+        if key == b'connection'
+        for name in content.split(b',')
+    }
+    return tuple(
+        (name, content)
+        for name, content in headers
+        if name not in _OWN_HEADERS and name not in named
+    )
+
+
+def _get_text(fields: dict[bytes, bytes], name: bytes) -> str | None:
+    content = fields.get(name)
+    return None if content is None else content.decode('latin-1').strip()
+
+
+def _get_number(fields: dict[bytes, bytes], name: bytes) -> int | None:
+    text = _get_text(fields, name)
+    if text is None or not text.isdigit():
+        return None
+    return int(text)
+
+
+def _read_tokens(fields: dict[bytes, bytes]) -> tuple[int, int]:
+    """Return the tokens of the prompt and the most that are generated."""
+    prompt, _, output = (_get_text(fields, _TOKENS) or '').partition(',')
+    return (
+        int(prompt) if prompt.isdigit() else 0,
+        int(output) if output.isdigit() else 0,
+    )
+
+
+def _read_parts(fields: dict[bytes, bytes]) -> tuple[PromptPart, ...]:
+    parts = []
+    for entry in (_get_text(fields, _PARTS) or '').split(','):
+        part_id, _, tokens = entry.strip().partition(':')
+        if part_id and tokens.isdigit():
+            parts.append(PromptPart(part_id, int(tokens)))
+    return tuple(parts)
+
+
+def _read_load(fields: dict[bytes, bytes]) -> EndpointLoad | None:
+    numbers = (_get_text(fields, _LOAD) or '').split(',')
+    if len(numbers) != 3 or not all(item.isdigit() for item in numbers):
+        return None
+    running, waiting, slots = (int(item) for item in numbers)
+    return EndpointLoad(running, waiting, slots)
--- /dev/null
+++ b/src/clementinedyke/platform/settings_file.py
@@ -0,0 +1,144 @@
+"""Settings file that the platform writes for each process."""
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from pydantic import BaseModel, Field, ValidationError
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.entry.host_settings import HostSettings, ServiceBounds
+from clementinedyke.exceptions import SettingError
+from clementinedyke.http_client import Address
+
+#: Environment variable that holds the path of the settings file.
+PATH_VARIABLE = 'CLEMENTINEDYKE_SETTINGS'
+_MILLISECONDS_PER_SECOND = 1000
+#: Ports that the platform leaves free: the first is for other daemons, the
+#: second for metrics.
+_PEER_PORT, _METRICS_PORT = 0, 1
+
+
+class _Listen(BaseModel):
+    front: str
+    ready: str
+
+
+class _Limits(BaseModel):
+    memory_mb: int = Field(gt=0)
+    max_fds: int = Field(gt=0)
+
+
+class _Bounds(BaseModel):
+    """Bounds that the rules name; seconds where the name ends in ``_s``."""
+
+    config_apply_ms: int = Field(gt=0)
+    outer_ms: int = Field(ge=0)
+    drain_ms: int = Field(gt=0)
+    grace_s: float = Field(gt=0)
+    contact_ms: int = Field(gt=0)
+    lease_ms: int = Field(gt=0)
+    usage_window_s: float = Field(gt=0)
+    usage_late_s: float = Field(gt=0)
+    retry_budget_ratio: float = Field(ge=0)
+    budget_window_s: float = Field(gt=0)
+    budget_extra: float = Field(ge=0)
+
+
+class _Store(BaseModel):
+    address: str
+
+
+class _Duties(BaseModel):
+    """The interface of the platform for usage reports and engine orders."""
+
+    address: str
+
+
+class _SettingsFile(BaseModel):
+    node: str = Field(min_length=1)
+    ip: str
+    zone: str
+    zones: dict[str, str] = Field(default_factory=dict)
+    #: First and last port for traffic between daemons.
+    internal_ports: tuple[int, int]
+    listen: _Listen
+    limits: _Limits
+    bounds: _Bounds
+    platform: _Store
+    #: Absent where a deployment has no duties.
+    cloud: _Duties | None = None
+
+
+def load_host_settings(path: Path) -> HostSettings:
+    """Return the settings in a file.
+
+    :param path: settings file in TOML.
+    :raises SettingError: naming the file and the first wrong field.
+    """
+    try:
+        document = tomllib.loads(path.read_text(encoding='utf-8'))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise SettingError(f'settings file {path}: {error}') from error
+    return decode_host_settings(document, str(path))
+
+
+def decode_host_settings(
+    document: dict[str, Any], source: str
+) -> HostSettings:
+    """Return the settings in a decoded file.
+
+    :param document: tables of the file.
+    :param source: name of the file for errors.
+    :raises SettingError: naming the first wrong field.
+    """
+    try:
+        return _convert(_SettingsFile.model_validate(document))
+    except ValidationError as error:
+        first = error.errors(include_url=False)[0]
+        name = '.'.join(str(part) for part in first['loc'])
+        raise SettingError(
+            f'settings file {source}: {name}: {first["msg"]}'
+        ) from error
+    except ValueError as malformed:
+        raise SettingError(f'settings file {source}: {malformed}') from None
+
+
+def _convert(document: _SettingsFile) -> HostSettings:
+    first_port = document.internal_ports[0]
+    duties = document.cloud
+    return HostSettings(
+        host=document.node,
+        ip=document.ip,
+        availability_zone=document.zone,
+        availability_zones=tuple(document.zones) or (document.zone,),
+        caller_address=Address.parse(document.listen.front),
+        ready_address=Address.parse(document.listen.ready),
+        peer_port=first_port + _PEER_PORT,
+        metrics_port=first_port + _METRICS_PORT,
+        store_address=Address.parse(document.platform.address),
+        duties_address=None if duties is None else Address.parse(duties.address),
+        memory_mb=document.limits.memory_mb,
+        max_descriptors=document.limits.max_fds,
+        bounds=_convert_bounds(document.bounds),
+    )
+
+
+def _convert_bounds(bounds: _Bounds) -> ServiceBounds:
+    return ServiceBounds(
+        configuration_delay=bounds.config_apply_ms,
+        store_grace=bounds.outer_ms,
+        drain_delay=bounds.drain_ms,
+        stop_grace=_to_milliseconds(bounds.grace_s),
+        contact_time=bounds.contact_ms,
+        lease_duration=bounds.lease_ms,
+        usage_window=_to_milliseconds(bounds.usage_window_s),
+        usage_delay=_to_milliseconds(bounds.usage_late_s),
+        retry_ratio=bounds.retry_budget_ratio,
+        retry_window=_to_milliseconds(bounds.budget_window_s),
+        retry_allowance=bounds.budget_extra,
+    )
+
+
+def _to_milliseconds(seconds: float) -> Milliseconds:
+    return int(seconds * _MILLISECONDS_PER_SECOND)
--- /dev/null
+++ b/src/clementinedyke/platform/store.py
@@ -0,0 +1,273 @@
+"""Client of the platform's store of rows."""
+
+import base64
+import binascii
+from collections.abc import Sequence
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+from absl import logging
+from result import Err, Ok, Result
+
+from clementinedyke.call_failures import TableFailure
+from clementinedyke.clock import Milliseconds
+from clementinedyke.entry.watch import FeedAnswer, HistoryLost, StoredRow
+from clementinedyke.http_client import HttpClient, HttpRequest
+from clementinedyke.peer_calls import STATUS_OK, CallResult, call_pooled
+from clementinedyke.rows import (
+    Commit,
+    CommitResult,
+    Condition,
+    Conflict,
+    Row,
+    Snapshot,
+    Write,
+)
+
+_STATUS_CONDITION_FAILED = 412
+_STATUS_HISTORY_LOST = 410
+_JSON_TYPE = (b'Content-Type', b'application/json')
+#: Longest wait for an answer of the store. It answers within 6 ms when idle;
+#: a slow one (60 times) within 400 ms.
+_CALL_TIMEOUT: Milliseconds = 1500
+#: What an answer to a call that waits may take beyond its wait.
+_FEED_SLACK: Milliseconds = 700
+#: Rows that the store gives in one answer.
+_PAGE_ROWS = 500
+
+
+class _WireRow(msgspec.Struct):
+    key: str
+    #: The one counter of all transactions: it orders the rows of all tables.
+    ver: int
+    #: Base64; absent where the row was dropped.
+    value: str = ''
+    #: Set by the feed for a row that was dropped.
+    removed: bool = False
+
+
+class _WirePage(msgspec.Struct):
+    ver: int
+    rows: list[_WireRow]
+    has_more: bool = False
+
+
+class _WireCommit(msgspec.Struct):
+    ver: int
+
+
+class _WireConflict(msgspec.Struct):
+    rows: list[msgspec.Raw] = msgspec.field(default_factory=list)
+
+
+class StoreClient:
+    """Rows of the tables with an empty part, over a pooled HTTP client."""
+
+    def __init__(self, client: HttpClient) -> None:
+        """Create a client.
+
+        :param client: HTTP client of the store's address.
+        """
+        self._client = client
+
+    async def commit(
+        self, conditions: Sequence[Condition], writes: Sequence[Write]
+    ) -> CommitResult:
+        """Apply all writes if all conditions hold, else none.
+
+        :param conditions: row versions that must be in force.
+        :param writes: new row values, encoded as JSON; None drops the row.
+        """
+        body = msgspec.json.encode(_compile_transaction(conditions, writes))
+        answer = await self._call(
+            HttpRequest('POST', '/v1/rows-tx', [_JSON_TYPE], body),
+            _CALL_TIMEOUT,
+        )
+        if answer.is_err():
+            return Err(answer.unwrap_err())
+        response = answer.unwrap()
+        if response.status == _STATUS_CONDITION_FAILED:
+            return Ok(Conflict([]))
+        if response.status != STATUS_OK:
+            return Err(TableFailure.NOT_DONE)
+        try:
+            decoded = msgspec.json.decode(response.body, type=_WireCommit)
+        except msgspec.MsgspecError as error:
+            logging.warning('event=store_answer_unreadable error=%s', error)
+            return Err(TableFailure.UNKNOWN)
+        return Ok(Commit(decoded.ver))
+
+    async def get_row(
+        self, table: str, key: str
+    ) -> Result[Row | None, TableFailure]:
+        """Return a row with its decoded JSON value, or None if absent.
+
+        :param table: table name.
+        :param key: row key.
+        """
+        # A key followed by its least successor is a range of one row.
+        target = f'from={_quote(key)}&to={_quote(key)}%00&limit=1'
+        answer = await self._read_page(table, target)
+        if answer.is_err():
+            return Err(answer.unwrap_err())
+        rows = _decode_values(answer.unwrap().rows)
+        return Ok(rows[0] if rows else None)
+
+    async def list_rows(
+        self, table: str, prefix: str = ''
+    ) -> Result[Snapshot, TableFailure]:
+        """Return the rows whose key begins with a prefix, values decoded.
+
+        :param table: table name.
+        :param prefix: beginning of the keys, in ASCII.
+        """
+        answer = await self.read_table(table, prefix)
+        if answer.is_err():
+            return Err(answer.unwrap_err())
+        feed = answer.unwrap()
+        rows = [
+            Row(row.key, row.version, _decode_json(row))
+            for row in feed.rows
+            if row.content is not None
+        ]
+        return Ok(Snapshot(feed.revision, rows))
+
+    async def read_table(
+        self, table: str, prefix: str = ''
+    ) -> Result[FeedAnswer, TableFailure]:
+        """Return the rows of a table with their raw values.
+
+        :param table: table name.
+        :param prefix: beginning of the keys, in ASCII.
+        """
+        rows: list[StoredRow] = []
+        start = prefix
+        while True:
+            end = f'&to={_quote(_get_successor(prefix))}' if prefix else ''
+            answer = await self._read_page(
+                table, f'from={_quote(start)}{end}&limit={_PAGE_ROWS}'
+            )
+            if answer.is_err():
+                return Err(answer.unwrap_err())
+            page = answer.unwrap()
+            rows += [_convert_row(row) for row in page.rows]
+            if not page.has_more or not page.rows:
+                return Ok(FeedAnswer(page.ver, tuple(rows)))
+            start = f'{page.rows[-1].key}\0'
+
+    async def follow_table(
+        self, table: str, revision: int, wait: Milliseconds
+    ) -> Result[FeedAnswer | HistoryLost, TableFailure]:
+        """Wait for changes of a table.
+
+        :param table: table name.
+        :param revision: revision up to which the caller knows the table.
+        :param wait: longest time in milliseconds that the store waits.
+        """
+        target = (
+            f'/v1/rows-feed?table={table}&after={revision}&wait_ms={wait}'
+        )
+        answer = await self._call(
+            HttpRequest('GET', target), wait + _FEED_SLACK
+        )
+        if answer.is_ok() and answer.unwrap().status == _STATUS_HISTORY_LOST:
+            return Ok(HistoryLost())
+        page = _decode_page(answer)
+        if page.is_err():
+            return Err(page.unwrap_err())
+        rows = tuple(_convert_row(row) for row in page.unwrap().rows)
+        return Ok(FeedAnswer(page.unwrap().ver, rows))
+
+    async def _read_page(
+        self, table: str, query: str
+    ) -> Result[_WirePage, TableFailure]:
+        target = f'/v1/rows-get?table={table}&part=&{query}'
+        return _decode_page(
+            await self._call(HttpRequest('GET', target), _CALL_TIMEOUT)
+        )
+
+    async def _call(
+        self, request: HttpRequest, timeout: Milliseconds
+    ) -> CallResult:
+        return await call_pooled(self._client, request, timeout)
+
+
+def _compile_transaction(
+    conditions: Sequence[Condition], writes: Sequence[Write]
+) -> dict[str, Any]:
+    return {
+        'expected': [
+            {**_name_row(item.table, item.key), 'ver': item.version}
+            for item in conditions
+        ],
+        'puts': [
+            {
+                **_name_row(write.table, write.key),
+                'value': _encode_value(write.value),
+            }
+            for write in writes
+            if write.value is not None
+        ],
+        'remove': [
+            _name_row(write.table, write.key)
+            for write in writes
+            if write.value is None
+        ],
+    }
+
+
+def _name_row(table: str, key: str) -> dict[str, str]:
+    return {'table': table, 'part': '', 'key': key}
+
+
+def _encode_value(value: Any) -> str:  # noqa: WPS110
+    return base64.b64encode(msgspec.json.encode(value)).decode('ascii')
+
+
+def _decode_page(answer: CallResult) -> Result[_WirePage, TableFailure]:
+    if answer.is_err():
+        return Err(answer.unwrap_err())
+    response = answer.unwrap()
+    if response.status != STATUS_OK:
+        return Err(TableFailure.NOT_DONE)
+    try:
+        return Ok(msgspec.json.decode(response.body, type=_WirePage))
+    except msgspec.MsgspecError as error:
+        logging.warning('event=store_answer_unreadable error=%s', error)
+        return Err(TableFailure.NOT_DONE)
+
+
+def _convert_row(row: _WireRow) -> StoredRow:
+    if row.removed:
+        return StoredRow(row.key, row.ver, None)
+    try:
+        content = base64.b64decode(row.value, validate=True)
+    except binascii.Error:
+        # Another writer's row; its empty content is no document of any kind.
+        logging.warning('event=row_unreadable key=%s', row.key)
+        content = b''
+    return StoredRow(row.key, row.ver, content)
+
+
+def _decode_values(rows: Sequence[_WireRow]) -> list[Row]:
+    return [
+        Row(row.key, row.ver, _decode_json(_convert_row(row))) for row in rows
+    ]
+
+
+def _decode_json(row: StoredRow) -> Any:
+    try:
+        return msgspec.json.decode(row.content or b'')
+    except msgspec.MsgspecError:
+        logging.warning('event=row_unreadable key=%s', row.key)
+        return None
+
+
+def _quote(text: str) -> str:
+    return quote(text, safe='')
+
+
+def _get_successor(prefix: str) -> str:
+    """Return the least text above all texts with a prefix."""
+    return f'{prefix[:-1]}{chr(ord(prefix[-1]) + 1)}'
--- a/src/clementinedyke/platform/endpoint_orders.py
+++ b/src/clementinedyke/reference_platform/endpoint_orders.py
@@ -6,13 +6,13 @@
 from clementinedyke.http_client import Address, HttpRequest
 from clementinedyke.order_target import TargetState
 from clementinedyke.order_types import OrderAnswer, OrderRow
-from clementinedyke.platform.calls import (
+from clementinedyke.peer_calls import (
     DEFAULT_TIMEOUT,
     STATUS_NOT_FOUND,
     STATUS_OK,
     call_once,
 )
-from clementinedyke.platform.failures import TableFailure
+from clementinedyke.call_failures import TableFailure
 
 _STATUS_SERVER_ERROR = 500
 
--- a/src/clementinedyke/platform/hosts.py
+++ b/src/clementinedyke/reference_platform/hosts.py
@@ -5,12 +5,12 @@
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.http_client import HttpClient, HttpRequest
-from clementinedyke.platform.calls import (
+from clementinedyke.peer_calls import (
     DEFAULT_TIMEOUT,
     STATUS_OK,
     call_pooled,
 )
-from clementinedyke.platform.failures import TableFailure
+from clementinedyke.call_failures import TableFailure
 
 
 class Host(msgspec.Struct, frozen=True):
--- a/src/clementinedyke/platform/tables.py
+++ b/src/clementinedyke/reference_platform/tables.py
@@ -1,7 +1,6 @@
 """Client of the platform's transactional table service."""
 
 from collections.abc import Sequence
-from typing import Any
 from urllib.parse import quote
 
 import msgspec
@@ -9,71 +8,44 @@
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.http_client import HttpClient, HttpRequest
-from clementinedyke.platform.calls import (
+from clementinedyke.peer_calls import (
     DEFAULT_TIMEOUT,
     STATUS_NOT_FOUND,
     STATUS_OK,
     CallResult,
     call_pooled,
 )
-from clementinedyke.platform.failures import TableFailure
-
-_STATUS_CONFLICT = 409
-
-#: Version of a row that does not exist.
-ABSENT = 0
-
-
-class Row(msgspec.Struct, frozen=True):
-    """A row with the revision that wrote it; value None marks a deletion."""
-
-    key: str
-    version: int
-    value: Any = None
-
-
-class Snapshot(msgspec.Struct, frozen=True):
-    """Rows of one table as of a revision."""
-
-    revision: int
-    rows: list[Row]
-
-
-class Condition(msgspec.Struct, frozen=True):
-    """Demands that a row has a version; 0 demands that it is absent."""
-
-    table: str
-    key: str
-    version: int
-
-
-class Write(msgspec.Struct, frozen=True):
-    """New value of a row; value None deletes it."""
-
-    table: str
-    key: str
-    value: Any = None
-
-
-class Conflict(msgspec.Struct, frozen=True):
-    """Conditions that did not hold, with the versions in force."""
-
-    conflicts: list[Condition]
-
-
-class Commit(msgspec.Struct, frozen=True):
-    """Revision of a transaction that was applied."""
+from clementinedyke.call_failures import TableFailure
+from clementinedyke.rows import (
+    ABSENT,
+    Commit,
+    CommitResult,
+    Condition,
+    Conflict,
+    Row,
+    Snapshot,
+    Write,
+)
 
-    revision: int
+__all__ = (
+    'ABSENT',
+    'Commit',
+    'CommitResult',
+    'Condition',
+    'Conflict',
+    'Row',
+    'Snapshot',
+    'TableClient',
+    'Write',
+)
 
+_STATUS_CONFLICT = 409
 
 class _Transaction(msgspec.Struct):
     conditions: list[Condition]
     writes: list[Write]
 
 
-CommitResult = Result[Commit | Conflict, TableFailure]
-
 
 class TableClient:
     """Calls the table service over a pooled HTTP client."""
--- a/src/clementinedyke/request_path.py
+++ b/src/clementinedyke/request_path.py
@@ -21,7 +21,7 @@
 from clementinedyke.endpoints.registry import EndpointRegistry
 from clementinedyke.evidence_component import EvidenceComponent
 from clementinedyke.http_client import HttpClient
-from clementinedyke.platform.tables import TableClient
+from clementinedyke.reference_platform.tables import TableClient
 from clementinedyke.retry_planner import RetryPlanner
 from clementinedyke.routing_component import RoutingComponent
 from clementinedyke.service_planner import PlannerSources
--- /dev/null
+++ b/src/clementinedyke/rows.py
@@ -0,0 +1,77 @@
+"""Versioned rows of a table service, and what a store of them offers."""
+
+from collections.abc import Sequence
+from typing import Any, Protocol
+
+import msgspec
+from result import Result
+
+from clementinedyke.call_failures import TableFailure
+
+#: Version of a row that does not exist.
+ABSENT = 0
+
+
+class Row(msgspec.Struct, frozen=True):
+    """A row with the revision that wrote it; value None marks a deletion."""
+
+    key: str
+    version: int
+    value: Any = None
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """Rows of one table as of a revision."""
+
+    revision: int
+    rows: list[Row]
+
+
+class Condition(msgspec.Struct, frozen=True):
+    """Demands that a row has a version; 0 demands that it is absent."""
+
+    table: str
+    key: str
+    version: int
+
+
+class Write(msgspec.Struct, frozen=True):
+    """New value of a row; value None deletes it."""
+
+    table: str
+    key: str
+    value: Any = None
+
+
+class Conflict(msgspec.Struct, frozen=True):
+    """Conditions that did not hold, with the versions in force."""
+
+    conflicts: list[Condition]
+
+
+class Commit(msgspec.Struct, frozen=True):
+    """Revision of a transaction that was applied."""
+
+    revision: int
+
+
+CommitResult = Result[Commit | Conflict, TableFailure]
+
+
+class RowStore(Protocol):
+    """Table service as the cores' components use it."""
+
+    async def commit(
+        self, conditions: Sequence[Condition], writes: Sequence[Write]
+    ) -> CommitResult:
+        """Apply all writes if all conditions hold, else none."""
+
+    async def get_row(
+        self, table: str, key: str
+    ) -> Result[Row | None, TableFailure]:
+        """Return a row, or None if it does not exist."""
+
+    async def list_rows(
+        self, table: str, prefix: str = ''
+    ) -> Result[Snapshot, TableFailure]:
+        """Return the rows whose key begins with a prefix."""
--- a/src/clementinedyke/standins/platform.py
+++ b/src/clementinedyke/standins/platform.py
@@ -15,7 +15,7 @@
     ResponseWriter,
     ServerRequest,
 )
-from clementinedyke.platform.tables import (
+from clementinedyke.reference_platform.tables import (
     Condition,
     Conflict,
     Snapshot,
--- a/src/clementinedyke/standins/tables.py
+++ b/src/clementinedyke/standins/tables.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from clementinedyke.platform.tables import (
+from clementinedyke.reference_platform.tables import (
     ABSENT,
     Commit,
     Condition,
--- a/src/clementinedyke/usage_component.py
+++ b/src/clementinedyke/usage_component.py
@@ -27,7 +27,7 @@
 from clementinedyke.lease_component import FENCES_TABLE, TICK_INTERVAL
 from clementinedyke.lease_types import Fencing
 from clementinedyke.order_connection import USER_TIMEOUT
-from clementinedyke.platform.tables import (
+from clementinedyke.reference_platform.tables import (
     ABSENT,
     Commit,
     Condition,
@@ -35,7 +35,7 @@
     TableClient,
     Write,
 )
-from clementinedyke.platform.usage_reports import UsageReportClient
+from clementinedyke.reference_platform.usage_reports import UsageReportClient
 from clementinedyke.usage import PartCore
 from clementinedyke.usage_messages import (
     Figures,
--- a/tests/authority_world.py
+++ b/tests/authority_world.py
@@ -19,7 +19,7 @@
 from clementinedyke.handover import HandoverCore
 from clementinedyke.lease import LeaseCore
 from clementinedyke.outbox import OutboxCore
-from clementinedyke.platform.tables import Condition, Conflict, Write
+from clementinedyke.reference_platform.tables import Condition, Conflict, Write
 from clementinedyke.standins.tables import MemoryTables
 from clementinedyke.usage import PartCore
 
--- a/tests/lease_holder.py
+++ b/tests/lease_holder.py
@@ -19,8 +19,8 @@
 from clementinedyke.lease_types import Fencing, Identity, LeaseTiming
 from clementinedyke.order_types import OrderKind
 from clementinedyke.outbox_component import OutboxComponent
-from clementinedyke.platform.hosts import HostListClient
-from clementinedyke.platform.tables import TableClient
+from clementinedyke.reference_platform.hosts import HostListClient
+from clementinedyke.reference_platform.tables import TableClient
 
 SCOPE = 'service/chat'
 TIMING = LeaseTiming(duration=1500, renew_interval=400, host_interval=1000)
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -17,7 +17,7 @@
 from clementinedyke import claim_messages as msg
 from clementinedyke.claim import ClaimCore, ClaimSettings
 from clementinedyke.codes import ExecutionState, ResultCode, get_details
-from clementinedyke.platform.tables import Condition, Conflict, Write
+from clementinedyke.reference_platform.tables import Condition, Conflict, Write
 from clementinedyke.standins.tables import MemoryTables
 
 _DAEMONS = 3
--- a/tests/test_claim_store.py
+++ b/tests/test_claim_store.py
@@ -7,8 +7,8 @@
 from clementinedyke import claim_messages as msg
 from clementinedyke.claim_store import MAX_ROW_BODY_BYTES, ClaimStore
 from clementinedyke.http_client import Address, HttpClient
-from clementinedyke.platform.objects import ObjectClient
-from clementinedyke.platform.tables import TableClient
+from clementinedyke.reference_platform.objects import ObjectClient
+from clementinedyke.reference_platform.tables import TableClient
 from clementinedyke.standins.platform import PlatformStandin
 
 Check = Callable[[ClaimStore, PlatformStandin], Awaitable[None]]
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -23,7 +23,7 @@
 from clementinedyke.http_connection import ServerConnection
 from clementinedyke.membership_events import Received
 from clementinedyke.operators import OperatorPort, OperatorReports
-from clementinedyke.platform.tables import TableClient
+from clementinedyke.reference_platform.tables import TableClient
 from clementinedyke.settings import Settings
 from clementinedyke.standins.engine import EngineStandin
 from clementinedyke.standins.platform import PlatformStandin
--- a/tests/test_operator_port.py
+++ b/tests/test_operator_port.py
@@ -17,7 +17,7 @@
 
 from clementinedyke.http_client import Address, HttpClient, HttpRequest
 from clementinedyke.operators import OperatorPort, OperatorReports
-from clementinedyke.platform.tables import TableClient
+from clementinedyke.reference_platform.tables import TableClient
 from clementinedyke.settings import Settings
 
 _TOKEN = 'operator-token-of-tests'
--- a/tests/test_operator_reports.py
+++ b/tests/test_operator_reports.py
@@ -24,7 +24,7 @@
 )
 from clementinedyke.operators.outcomes import OutcomeRing
 from clementinedyke.operators.record_service import RecordService
-from clementinedyke.platform.tables import (
+from clementinedyke.reference_platform.tables import (
     Commit,
     Condition,
     Conflict,
--- a/tests/test_platform_lists.py
+++ b/tests/test_platform_lists.py
@@ -3,8 +3,8 @@
 import trio
 
 from clementinedyke.http_client import Address, HttpClient
-from clementinedyke.platform.failures import TableFailure
-from clementinedyke.platform.hosts import HostListClient
+from clementinedyke.call_failures import TableFailure
+from clementinedyke.reference_platform.hosts import HostListClient
 from clementinedyke.standins.platform import PlatformStandin
 
 
--- a/tests/test_record_changes.py
+++ b/tests/test_record_changes.py
@@ -39,7 +39,7 @@
     NO_ROW,
     RECORDS_TABLE,
 )
-from clementinedyke.platform.tables import Conflict, Row, TableFailure
+from clementinedyke.reference_platform.tables import Conflict, Row, TableFailure
 from clementinedyke.standins.tables import MemoryTables
 
 _CUSTOMERS = ('a', 'b')
