--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -44,7 +44,7 @@
 _CALL_TIMEOUT = 1600
 _DRIFT_FACTOR = 1.1
 _NEVER = 10**9
-_DECODE_SHARE = 0.34
+_DECODE_SHARE = 0.25
 _TARGETS = CapacityTargets(per_zone=3, safe=4)
 
 
--- a/src/clementinedyke/entry/catalog.py
+++ b/src/clementinedyke/entry/catalog.py
@@ -143,8 +143,7 @@
 
     ``started_at`` is in Unix milliseconds and tells two runs under one id
     apart; 0 if the endpoint does not say. ``leaves_in`` is the time that a
-    leaving endpoint has left, None if unknown. ``sequence`` counts the orders
-    that it has accepted.
+    leaving endpoint has left, None if unknown.
     """
 
     endpoint_id: str
@@ -157,7 +156,6 @@
     is_cheap: bool = False
     leaves_in: Milliseconds | None = None
     started_at: int = 0
-    sequence: int = 0
 
     @property
     def run_id(self) -> str:
--- a/src/clementinedyke/entry/duty_types.py
+++ b/src/clementinedyke/entry/duty_types.py
@@ -38,9 +38,23 @@
     count: int
 
 
+@dataclass(frozen=True, slots=True)
+class EngineState:
+    """What an engine says of itself; ``accepted`` counts its orders."""
+
+    stage: Stage
+    is_changing: bool
+    accepted: int
+
+
 @dataclass(frozen=True, slots=True)
 class StageOrder:
-    """Change of the stage of an engine."""
+    """Change of the stage of an engine.
+
+    ``accepted`` is the number of orders that the engine must have accepted
+    when the order takes effect: one that comes late does nothing then.
+    """
 
     endpoint: EntryEndpoint
     stage: Stage
+    accepted: int = 0
--- a/src/clementinedyke/entry/order_component.py
+++ b/src/clementinedyke/entry/order_component.py
@@ -1,10 +1,11 @@
 """Orders engines and their stages while this daemon holds the duties."""
 
+from dataclasses import replace
 from typing import Protocol
 
 import trio
 
-from clementinedyke.clock import Clock
+from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.components import Component
 from clementinedyke.entry.capacity_plan import CapacityPlan
 from clementinedyke.entry.catalog import EntryEndpoint, EntryService
@@ -13,6 +14,7 @@
 from clementinedyke.entry.duty_types import (
     Authority,
     CapacityOrder,
+    EngineState,
     OrderOutcome,
     StageOrder,
 )
@@ -21,6 +23,9 @@
 from clementinedyke.entry.stage_plan import StagePlan
 
 _STEP_SECONDS = 0.25
+#: Endpoints register themselves within about two heartbeats of 1.2 s; orders
+#: for engines that merely have not registered yet would be for nothing.
+_OBSERVE_TIME: Milliseconds = 2500
 
 
 class OrderSender(Protocol):
@@ -36,6 +41,11 @@
     ) -> OrderOutcome:
         """Order a change of stage."""
 
+    async def get_engine_state(
+        self, endpoint: EntryEndpoint
+    ) -> EngineState | None:
+        """Return what an engine says of itself."""
+
 
 class OrderComponent(Component):
     """One task that compares plans with what stands, and sends orders."""
@@ -65,6 +75,7 @@
         self._clock = clock
         self._journal = journal
         self._fence = 0
+        self._acts_from = clock.get_now() + _OBSERVE_TIME
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start the task.
@@ -81,12 +92,13 @@
     async def _step(self) -> None:
         configuration = self._configuration.configuration
         authority = self._lease.get_authority()
-        if authority is None or configuration is None:
+        now = self._clock.get_now()
+        if authority is None or configuration is None or now < self._acts_from:
             return
         if authority.fence != self._fence:
             self._fence = authority.fence
             self._capacity.forget_orders()
-        endpoints = self._endpoints.list_endpoints(self._clock.get_now())
+        endpoints = self._endpoints.list_endpoints(now)
         for service in configuration.services.values():
             if service.scaling is not None:
                 await self._order_capacity(service, endpoints)
@@ -120,10 +132,12 @@
         self, service: EntryService, endpoints: list[EntryEndpoint]
     ) -> None:
         now = self._clock.get_now()
-        for order in self._stages.list_orders(service.name, endpoints, now):
+        for wanted in self._stages.list_orders(service.name, endpoints, now):
+            state = await self._sender.get_engine_state(wanted.endpoint)
             authority = self._lease.get_authority()
-            if authority is None:
+            if authority is None or state is None or state.is_changing:
                 return
+            order = replace(wanted, accepted=state.accepted)
             outcome = await self._sender.order_stage(order, authority)
             self._journal.write(
                 'stage_ordered',
--- a/src/clementinedyke/entry/stage_plan.py
+++ b/src/clementinedyke/entry/stage_plan.py
@@ -22,7 +22,7 @@
         :param decode_share: part of the engines that generates.
         """
         self._decode_share = decode_share
-        self._pending: dict[str, tuple[str, Milliseconds]] = {}
+        self._pending: dict[str, tuple[str, Stage, Milliseconds]] = {}
 
     def list_orders(
         self,
@@ -48,7 +48,11 @@
         order = self._select_change(engines)
         if order is None:
             return []
-        self._pending[service] = (order.endpoint.run_id, now + _CHANGE_TIME)
+        self._pending[service] = (
+            order.endpoint.run_id,
+            order.stage,
+            now + _CHANGE_TIME,
+        )
         return [order]
 
     def _is_changing(
@@ -57,11 +61,12 @@
         pending = self._pending.get(service)
         if pending is None:
             return False
-        run_id, until = pending
-        accepted = any(
-            engine.run_id == run_id and engine.sequence for engine in engines
+        run_id, stage, until = pending
+        is_done = any(
+            engine.run_id == run_id and engine.stage is stage
+            for engine in engines
         )
-        if now >= until or accepted:
+        if is_done or now >= until:
             self._pending.pop(service)
             return False
         return True
--- a/src/clementinedyke/platform/duties.py
+++ b/src/clementinedyke/platform/duties.py
@@ -1,13 +1,16 @@
 """Calls of the platform that one daemon at a time may make."""
 
 import msgspec
+from absl import logging
 from result import Err, Ok, Result
 
 from clementinedyke.call_failures import TableFailure
 from clementinedyke.clock import Milliseconds
+from clementinedyke.entry.catalog import EntryEndpoint, Stage
 from clementinedyke.entry.duty_types import (
     Authority,
     CapacityOrder,
+    EngineState,
     OrderOutcome,
     StageOrder,
 )
@@ -46,6 +49,15 @@
     expected: int
 
 
+class _Report(msgspec.Struct):
+    stage: str
+    #: Whether an order is being carried out, not whether requests run.
+    busy: bool
+    #: Orders accepted; unlike the number of the same name in the store's
+    #: entry, which counts heartbeats.
+    sequence: int
+
+
 class DutyClient:
     """Usage reports and orders; one connection for each call.
 
@@ -108,7 +120,7 @@
                 stage=order.stage.value,
                 holder=authority.holder,
                 fence=authority.fence,
-                expected=order.endpoint.sequence,
+                expected=order.accepted,
             )
         )
         expected = order.endpoint.endpoint_id.encode()
@@ -120,6 +132,26 @@
         )
         return await _call(order.endpoint.address, request)
 
+    async def get_engine_state(
+        self, endpoint: EntryEndpoint
+    ) -> EngineState | None:
+        """Return what an engine says of itself, None without an answer.
+
+        :param endpoint: engine to ask.
+        """
+        expected = (b'X-Expect-Instance', endpoint.endpoint_id.encode())
+        request = HttpRequest('GET', '/v1/report', [expected])
+        answer = await call_once(endpoint.address, request, _CALL_TIMEOUT)
+        if answer.is_err() or answer.unwrap().status != STATUS_OK:
+            return None
+        try:
+            report = msgspec.json.decode(answer.unwrap().body, type=_Report)
+            stage = Stage(report.stage)
+        except (msgspec.MsgspecError, ValueError) as error:
+            logging.warning('event=engine_report_unreadable error=%s', error)
+            return None
+        return EngineState(stage, report.busy, report.sequence)
+
     async def _post(
         self, target: str, body: bytes, authority: Authority
     ) -> OrderOutcome:
--- a/src/clementinedyke/platform/endpoint_document.py
+++ b/src/clementinedyke/platform/endpoint_document.py
@@ -27,8 +27,6 @@
     leaves_ms: float | None = None
     #: Unix milliseconds of the start: an id may be used by a later run.
     born: int = 0
-    #: Orders accepted by this run, not a version of the entry.
-    sequence: int = 0
 
 
 def decode_endpoint(
@@ -62,5 +60,4 @@
         is_cheap=entry.spot,
         leaves_in=leaves_in,
         started_at=entry.born,
-        sequence=entry.sequence,
     )
