--- a/bench/sizing_peers.py
+++ b/bench/sizing_peers.py
@@ -29,8 +29,8 @@
 )
 from clementinedyke.daemons.options import ControlOptions
 from clementinedyke.daemons.server import ControlServer, bind_daemon_port
-from clementinedyke.reference_platform.tables import Write
 from clementinedyke.records import get_digest
+from clementinedyke.reference_platform.tables import Write
 from clementinedyke.standins.engine import EngineStandin
 from clementinedyke.standins.platform import PlatformStandin
 
--- a/src/clementinedyke/daemons/platform_reader.py
+++ b/src/clementinedyke/daemons/platform_reader.py
@@ -10,7 +10,12 @@
 from clementinedyke.control_messages import Member
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
 from clementinedyke.http_client import HttpClient, HttpRequest
-from clementinedyke.reference_platform.tables import ABSENT, Condition, TableClient, Write
+from clementinedyke.reference_platform.tables import (
+    ABSENT,
+    Condition,
+    TableClient,
+    Write,
+)
 
 MEMBERS_TABLE = 'members'
 RECORDS_TABLE = 'records'
--- a/src/clementinedyke/demo.py
+++ b/src/clementinedyke/demo.py
@@ -12,8 +12,8 @@
 from clementinedyke.application import Application
 from clementinedyke.daemon import Daemon
 from clementinedyke.daemons.platform_reader import RECORDS_TABLE
-from clementinedyke.reference_platform.tables import Write
 from clementinedyke.records import get_digest
+from clementinedyke.reference_platform.tables import Write
 from clementinedyke.settings import Settings
 from clementinedyke.standins.engine import EngineStandin
 from clementinedyke.standins.platform import PlatformStandin
--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -5,47 +5,32 @@
 
 from clementinedyke.application import Application
 from clementinedyke.clock import BootClock
-from clementinedyke.components import Component
-from clementinedyke.entry.capacity_plan import CapacityPlan, CapacityTargets
 from clementinedyke.entry.configuration_view import ConfigurationView
-from clementinedyke.entry.duty_lease import DUTIES_SCOPE, DutyLease
+from clementinedyke.entry.duties import DutyTools, create_duties
 from clementinedyke.entry.endpoint_view import EndpointView
 from clementinedyke.entry.exchange import Exchange
 from clementinedyke.entry.gateway import Gateway
 from clementinedyke.entry.host_settings import HostSettings
 from clementinedyke.entry.intake import Intake
 from clementinedyke.entry.journal import Journal
-from clementinedyke.entry.order_component import OrderComponent
+from clementinedyke.entry.news import NewsBoard
+from clementinedyke.entry.peers import PeerComponent, PeerIdentity
 from clementinedyke.entry.placement import PlacementCore
 from clementinedyke.entry.platform_parts import PlatformParts
 from clementinedyke.entry.ports import CallerPort, Readiness
 from clementinedyke.entry.retry_budget import RetryBudget
 from clementinedyke.entry.runners import RunnerTools
-from clementinedyke.entry.stage_plan import StagePlan
 from clementinedyke.entry.sync_component import SyncComponent
-from clementinedyke.entry.usage_component import UsageComponent
 from clementinedyke.entry.usage_counter import UsageCounter
-from clementinedyke.entry.usage_duty import PartWriter, WindowCloser
 from clementinedyke.entry.wall_time import WallTime
 from clementinedyke.entry.watch import TableReader, TableWatch
-from clementinedyke.handover import LapseHandover
-from clementinedyke.lease_component import LeaseComponent
-from clementinedyke.lease_types import Identity, LeaseTiming
+from clementinedyke.http_client import Address
 
 #: Longest wait of one feed call: a connection that went silent is noticed
 #: within this time and the slack of the client.
 _FEED_WAIT = 1500
 _LOG_LINES_PER_SECOND = 200
 _MAX_WAITING_LINES = 2000
-#: A key must have been confirmed within the bound of a new configuration and
-#: what an unreachable store may stretch it by, less this margin.
-_KEY_AGE_MARGIN = 600
-_RENEWALS_PER_LEASE = 3
-_CALL_TIMEOUT = 1600
-_DRIFT_FACTOR = 1.1
-_NEVER = 10**9
-_DECODE_SHARE = 0.25
-_TARGETS = CapacityTargets(per_zone=3, safe=4)
 
 
 class EntryApplication:
@@ -60,8 +45,7 @@
         self._settings = settings
         self._platform = platform
         self._clock = BootClock()
-        started = time.time_ns()
-        self._run_id = f'{settings.host}.{started:x}'
+        self._run_id = f'{settings.host}.{time.time_ns():x}'
         self._generator = random.Random(self._run_id)
         self._journal = Journal(
             self._clock,
@@ -74,13 +58,20 @@
             self._wall_time, settings.bounds.usage_window
         )
         self._budgets: dict[str, RetryBudget] = {}
+        self._placement = PlacementCore(settings.availability_zone)
+        self._board = NewsBoard(settings.host)
         self._build_views()
+        self._build_peers()
         self._build_requests()
+        self._duties = create_duties(
+            settings, platform, self._run_id, self._compile_duty_tools()
+        )
         self.application = Application(
             [
                 self._journal,
                 *self._watches,
-                *self._build_duties(),
+                self._peers,
+                *self._duties,
                 self._sync,
                 self._readiness,
                 self._caller_port,
@@ -117,24 +108,39 @@
             for table, reader in readers.items()
         ]
 
+    def _build_peers(self) -> None:
+        """Build what talks to the other daemons."""
+        settings = self._settings
+        self._peers = PeerComponent(
+            PeerIdentity(
+                settings.host,
+                self._run_id,
+                Address(settings.ip, settings.peer_port),
+            ),
+            self._platform.store,
+            self._board,
+            self._placement,
+            (self._configuration, self._endpoints),
+            (self._clock, self._journal, self._generator),
+        )
+
     def _build_requests(self) -> None:
         """Build the path of a caller's request."""
         settings = self._settings
-        bounds = settings.bounds
-        placement = PlacementCore(settings.availability_zone)
-        exchange = Exchange(self._platform.protocol, placement, self._clock)
+        exchange = Exchange(
+            self._platform.protocol, self._placement, self._clock
+        )
         tools = RunnerTools(
             self._platform.protocol,
-            placement,
+            self._placement,
             exchange,
             self._usage,
             self._clock,
             count_daemons=self._count_daemons,
             get_budget=self._get_budget,
         )
-        max_age = bounds.configuration_delay + bounds.store_grace
         intake = Intake(
-            self._configuration, max_age - _KEY_AGE_MARGIN, self._generator
+            self._configuration, settings.bounds.max_key_age, self._generator
         )
         gateway = Gateway(intake, tools, self._journal)
         self._readiness = Readiness(
@@ -144,69 +150,37 @@
             settings.caller_address,
             gateway,
             self._readiness,
-            bounds.stop_grace,
+            settings.bounds.stop_grace,
             settings.max_descriptors,
         )
         self._sync = SyncComponent(
             self._configuration,
             self._endpoints,
-            placement,
+            self._placement,
             exchange,
             self._caller_port,
             self._clock,
         )
 
-    def _build_duties(self) -> list[Component]:
-        """Build what one daemon at a time does."""
-        platform = self._platform
-        if platform.duties is None:
-            return []
-        settings = self._settings
-        duration = settings.bounds.lease_duration
-        identity = Identity(
-            settings.host, str(settings.caller_address), self._run_id
+    def _compile_duty_tools(self) -> DutyTools:
+        return DutyTools(
+            clock=self._clock,
+            journal=self._journal,
+            generator=self._generator,
+            wall_time=self._wall_time,
+            usage=self._usage,
+            configuration=self._configuration,
+            endpoints=self._endpoints,
+            is_candidate=self._may_lead,
         )
-        timing = LeaseTiming(
-            duration=duration,
-            renew_interval=duration // _RENEWALS_PER_LEASE,
-            drift_factor=_DRIFT_FACTOR,
-            call_timeout=_CALL_TIMEOUT,
-            host_interval=_NEVER,
-        )
-        leases = LeaseComponent(
-            identity,
-            platform.store,
-            platform.hosts,
-            self._clock,
-            self._generator,
-            is_candidate=lambda scope: not self._readiness.is_leaving,
-            timing=timing,
-            handover=LapseHandover(identity, 0, 0),
-        )
-        core = leases.add_scope(DUTIES_SCOPE)
-        lease = DutyLease(core, settings.host, self._clock, duration)
-        closer = WindowCloser(
-            platform.store, platform.duties, self._usage, self._journal
-        )
-        usage = UsageComponent(
-            lease,
-            PartWriter(platform.store, self._usage, self._run_id),
-            closer,
-            self._wall_time,
-            settings.bounds.usage_window,
-        )
-        orders = OrderComponent(
-            lease,
-            (self._configuration, self._endpoints),
-            (CapacityPlan(_TARGETS), StagePlan(_DECODE_SHARE)),
-            platform.duties,
-            self._clock,
-            self._journal,
-        )
-        return [leases, usage, orders]
+
+    def _may_lead(self, scope: str) -> bool:
+        return not self._readiness.is_leaving
 
     def _count_daemons(self) -> int:
-        return max(7, 1)
+        heard = self._board.count_daemons(self._clock.get_now())
+        # Right after a start none was heard yet, but the list was read.
+        return max(heard, self._peers.known_daemons)
 
     def _get_budget(self, service: str) -> RetryBudget:
         budget = self._budgets.get(service)
@@ -217,4 +191,3 @@
             )
             self._budgets[service] = budget
         return budget
-
--- /dev/null
+++ b/src/clementinedyke/entry/duties.py
@@ -0,0 +1,124 @@
+"""Builds what one daemon at a time does."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from clementinedyke.clock import Clock, Milliseconds
+from clementinedyke.components import Component
+from clementinedyke.entry.capacity_plan import CapacityPlan, CapacityTargets
+from clementinedyke.entry.configuration_view import ConfigurationView
+from clementinedyke.entry.duty_lease import DUTIES_SCOPE, DutyLease
+from clementinedyke.entry.endpoint_view import EndpointView
+from clementinedyke.entry.host_settings import HostSettings
+from clementinedyke.entry.journal import Journal
+from clementinedyke.entry.order_component import OrderComponent
+from clementinedyke.entry.platform_parts import Duties, PlatformParts
+from clementinedyke.entry.stage_plan import StagePlan
+from clementinedyke.entry.usage_component import UsageComponent
+from clementinedyke.entry.usage_counter import UsageCounter
+from clementinedyke.entry.usage_duty import PartWriter, WindowCloser
+from clementinedyke.entry.wall_time import WallTime
+from clementinedyke.handover import LapseHandover
+from clementinedyke.lease_component import LeaseComponent
+from clementinedyke.lease_types import Identity, LeaseTiming
+
+_RENEWALS_PER_LEASE = 3
+#: Longer than the timeout of the store's client.
+_CALL_TIMEOUT: Milliseconds = 1600
+#: Bounds the ratio of the rates of two hosts' clocks.
+_DRIFT_FACTOR = 1.1
+#: The platform has no list of hosts to read.
+_NEVER: Milliseconds = 10**9
+#: Engines that generate, of all engines of a service: with a quarter of them
+#: at 64 places each, about 15 streams at a time leave every step short.
+_DECODE_SHARE = 0.25
+#: Cheap engines in each zone, and how many must serve before standard ones
+#: are given back.
+_TARGETS = CapacityTargets(per_zone=3, safe=4)
+
+
+@dataclass(frozen=True, slots=True)
+class DutyTools:
+    """What the duties use of the rest of the daemon."""
+
+    clock: Clock
+    journal: Journal
+    generator: Random
+    wall_time: WallTime
+    usage: UsageCounter
+    configuration: ConfigurationView
+    endpoints: EndpointView
+    is_candidate: Callable[[str], bool]
+
+
+def create_duties(
+    settings: HostSettings,
+    platform: PlatformParts,
+    run_id: str,
+    tools: DutyTools,
+) -> list[Component]:
+    """Return the components of the duties, none without duties.
+
+    :param settings: settings of the host.
+    :param platform: clients of the platform.
+    :param run_id: identity of this run of the daemon.
+    :param tools: what the duties use.
+    """
+    if platform.duties is None:
+        return []
+    leases = _create_leases(settings, platform, run_id, tools)
+    core = leases.add_scope(DUTIES_SCOPE)
+    lease = DutyLease(
+        core, settings.host, tools.clock, settings.bounds.lease_duration
+    )
+    usage = UsageComponent(
+        lease,
+        PartWriter(platform.store, tools.usage, run_id),
+        WindowCloser(
+            platform.store, platform.duties, tools.usage, tools.journal
+        ),
+        tools.wall_time,
+        settings.bounds.usage_window,
+    )
+    return [leases, usage, _create_orders(lease, platform.duties, tools)]
+
+
+def _create_leases(
+    settings: HostSettings,
+    platform: PlatformParts,
+    run_id: str,
+    tools: DutyTools,
+) -> LeaseComponent:
+    duration = settings.bounds.lease_duration
+    identity = Identity(settings.host, str(settings.caller_address), run_id)
+    timing = LeaseTiming(
+        duration=duration,
+        renew_interval=duration // _RENEWALS_PER_LEASE,
+        drift_factor=_DRIFT_FACTOR,
+        call_timeout=_CALL_TIMEOUT,
+        host_interval=_NEVER,
+    )
+    return LeaseComponent(
+        identity,
+        platform.store,
+        platform.hosts,
+        tools.clock,
+        tools.generator,
+        is_candidate=tools.is_candidate,
+        timing=timing,
+        handover=LapseHandover(identity, 0, 0),
+    )
+
+
+def _create_orders(
+    lease: DutyLease, duties: Duties, tools: DutyTools
+) -> OrderComponent:
+    return OrderComponent(
+        lease,
+        (tools.configuration, tools.endpoints),
+        (CapacityPlan(_TARGETS), StagePlan(_DECODE_SHARE)),
+        duties,
+        tools.clock,
+        tools.journal,
+    )
--- a/src/clementinedyke/entry/endpoint_view.py
+++ b/src/clementinedyke/entry/endpoint_view.py
@@ -36,6 +36,7 @@
         self._hold = max(0, drain_delay - _HOLD_MARGIN)
         self._journal = journal
         self._endpoints: dict[str, EntryEndpoint] = {}
+        self._rows: dict[str, StoredRow] = {}
         self._held_until: dict[str, Milliseconds] = {}
         self._disrupted_at: Milliseconds | None = None
         self._confirmed_at: Milliseconds | None = None
@@ -54,6 +55,10 @@
         """
         return self._endpoints.get(endpoint_id)
 
+    def list_rows(self) -> list[StoredRow]:
+        """Return the entries as they lie in the store, for other daemons."""
+        return list(self._rows.values())
+
     def list_endpoints(self, now: Milliseconds) -> list[EntryEndpoint]:
         """Return all endpoints, leaving ones included.
 
@@ -78,9 +83,7 @@
                 self._lose(endpoint_id, now)
         self.apply_rows(rows, now)
 
-    def apply_rows(
-        self, rows: Iterable[StoredRow], now: Milliseconds
-    ) -> None:
+    def apply_rows(self, rows: Iterable[StoredRow], now: Milliseconds) -> None:
         """Take changed entries.
 
         :param rows: rows with their raw content.
@@ -90,6 +93,10 @@
             if row.content is None:
                 self._lose(row.key, now)
                 continue
+            known = self._rows.get(row.key)
+            if known is not None and known.version >= row.version:
+                self._held_until.pop(row.key, None)
+                continue
             decoded = self._decode(row.key, row.content)
             if decoded.is_err():
                 self._journal.write(
@@ -99,6 +106,7 @@
                 )
                 self._lose(row.key, now)
                 continue
+            self._rows[row.key] = row
             self._put(decoded.unwrap())
 
     def confirm(self, as_of: Milliseconds) -> None:
@@ -106,7 +114,8 @@
 
         :param as_of: instant on the clock of this host.
         """
-        self._confirmed_at = as_of
+        if self._confirmed_at is None or as_of > self._confirmed_at:
+            self._confirmed_at = as_of
 
     def note_failure(self, now: Milliseconds) -> None:
         """Take that the store did not answer.
@@ -148,6 +157,7 @@
 
     def _drop(self, endpoint_id: str, reason: str) -> None:
         self._held_until.pop(endpoint_id, None)
+        self._rows.pop(endpoint_id, None)
         if self._endpoints.pop(endpoint_id, None) is not None:
             self.revision += 1
             self._journal.write(
--- a/src/clementinedyke/entry/exchange.py
+++ b/src/clementinedyke/entry/exchange.py
@@ -73,6 +73,7 @@
         request = self._protocol.compile_request(job.request, options)
         work = self._placement.get_work(endpoint)
         work.running += 1
+        job.path.append(endpoint.endpoint_id)
         try:
             async with self._get_client(endpoint).open_response(
                 request
@@ -80,7 +81,7 @@
                 head = self._read_head(job, stream, endpoint)
                 yield EndpointAnswer(head, stream, endpoint)
         except PeerUnavailableError:
-            self._note_failure(job, endpoint)
+            self._placement.note_unreachable(endpoint, self._clock.get_now())
             raise
         except ProtocolError as error:
             self._note_failure(job, endpoint)
@@ -131,9 +132,13 @@
         head = self._protocol.read_head(stream.status, stream.headers)
         if head.request_id not in {None, job.request.request_id}:
             raise AnswerLostError('answer of another request')
+        now = self._clock.get_now()
         if head.load is not None:
-            now = self._clock.get_now()
             self._placement.note_load(endpoint, head.load, now)
+        if head.was_not_run:
+            self._placement.note_rejection(endpoint, now)
+        else:
+            self._placement.note_acceptance(endpoint)
         return head
 
     def _note_failure(self, job: Job, endpoint: EntryEndpoint) -> None:
--- a/src/clementinedyke/entry/gateway.py
+++ b/src/clementinedyke/entry/gateway.py
@@ -117,9 +117,7 @@
             code = ResultCode.ENDPOINT_TIMEOUT
         raise JobFailure(code, 'the deadline has passed')
 
-    async def _refuse(
-        self, refusal: Refusal, response: ResponseWriter
-    ) -> None:
+    async def _refuse(self, refusal: Refusal, response: ResponseWriter) -> None:
         headers = self._protocol.compile_refusal_headers(refusal.retry_after)
         await response.send_json(
             get_details(refusal.code).status,
@@ -144,9 +142,16 @@
             sends=job.sends,
             runs=job.runs,
             duration_ms=duration,
-            tried=sorted(job.excluded),
+            read_ms=_get_delay(job, job.read_at),
+            first_event_ms=_get_delay(job, job.first_event_at),
+            prompt=job.request.prompt_tokens,
+            path=job.path,
         )
 
 
+def _get_delay(job: Job, at: Milliseconds | None) -> Milliseconds | None:
+    return None if at is None else at - job.received_at
+
+
 def _ignore(code: int, job: Job | None, duration: Milliseconds) -> None:
     """Do nothing; the observer of a gateway without metrics."""
--- a/src/clementinedyke/entry/host_settings.py
+++ b/src/clementinedyke/entry/host_settings.py
@@ -17,7 +17,8 @@
     must have been sound to count as connected. ``lease_duration``: authority
     lasts so long without renewal. ``usage_window``: length of a window;
     ``usage_delay``: a report is due so long after its end.
-    ``cache_lifetime``: how long a read prompt part is expected to be kept.
+    ``max_key_age``: a key that was not confirmed for longer is refused, None
+    where a daemon that is cut off goes on serving.
     """
 
     configuration_delay: Milliseconds
@@ -31,6 +32,7 @@
     retry_ratio: float
     retry_window: Milliseconds
     retry_allowance: float
+    max_key_age: Milliseconds | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/entry/intake.py
+++ b/src/clementinedyke/entry/intake.py
@@ -33,7 +33,8 @@
     """A request that may run, and what has become of it so far.
 
     Instants are on the clock of this host. ``has_started`` is set from the
-    moment at which an endpoint may have begun to run the request.
+    moment at which an endpoint may have begun to run the request. ``path``
+    names the endpoints in the order of the sends.
     """
 
     request: EntryRequest
@@ -46,6 +47,10 @@
     has_started: bool = False
     runs: int = 0
     sends: int = 0
+    reads: int = 0
+    read_at: Milliseconds | None = None
+    first_event_at: Milliseconds | None = None
+    path: list[str] = field(default_factory=list)
     excluded: set[str] = field(default_factory=set)
 
     def get_time_left(self, now: Milliseconds) -> Milliseconds:
@@ -62,14 +67,15 @@
     def __init__(
         self,
         view: ConfigurationView,
-        max_key_age: Milliseconds,
+        max_key_age: Milliseconds | None,
         generator: random.Random,
     ) -> None:
         """Create the intake.
 
         :param view: configuration in force.
         :param max_key_age: a key that was not confirmed for this long is not
-            accepted: it may have been withdrawn.
+            accepted: it may have been withdrawn. None accepts it: a store
+            that answers no daemon has accepted no withdrawal either.
         :param generator: seeded source for routes that are split.
         """
         self._view = view
@@ -102,7 +108,8 @@
         if customer is None:
             return self._deny(ResultCode.KEY_UNKNOWN, 'unknown key', now)
         age = self._view.get_age(now)
-        if age is None or age > self._max_key_age:
+        limit = self._max_key_age
+        if limit is not None and (age is None or age > limit):
             return Refusal(
                 ResultCode.KEY_STATE_STALE,
                 'the state of keys has not been confirmed lately',
--- /dev/null
+++ b/src/clementinedyke/entry/news.py
@@ -0,0 +1,166 @@
+"""What daemons tell one another of their work, many times a second."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import msgspec
+
+from clementinedyke.clock import Milliseconds
+
+#: News that are older than this many intervals of their sender count no more.
+_LIFETIME_INTERVALS = 4
+_MIN_LIFETIME: Milliseconds = 400
+#: A daemon that was heard within the window of the retry budget shares it.
+_SHARE_TIME: Milliseconds = 10000
+
+
+class PeerNews(msgspec.Struct, frozen=True, array_like=True):
+    """One datagram: the sender's work and what it knows of the store.
+
+    ``configuration_age`` is the time in ms since the store has confirmed the
+    version, -1 if it never has. ``interval`` is the time in ms until the next
+    datagram at the latest. ``work`` has running requests and unread prompt
+    tokens by id of the endpoint. ``read_parts`` has the prompt parts that
+    engines have read since the last datagram, by id of the endpoint.
+    """
+
+    host: str
+    run_id: str
+    sequence: int
+    version: int
+    configuration_age: int
+    interval: int
+    work: dict[str, tuple[int, int]]
+    read_parts: dict[str, list[str]]
+
+
+@dataclass(frozen=True, slots=True)
+class _Heard:
+    news: PeerNews
+    heard_at: Milliseconds
+
+
+class NewsBoard:
+    """The last news of each other daemon, and sums over them."""
+
+    def __init__(self, host: str) -> None:
+        """Create an empty board.
+
+        :param host: name of this host.
+        """
+        self._host = host
+        self._heard: dict[str, _Heard] = {}
+        self._active: set[str] = set()
+        self._running: dict[str, int] = {}
+        self._tokens: dict[str, int] = {}
+
+    @property
+    def running(self) -> Mapping[str, int]:
+        """Requests of other daemons by id of the endpoint."""
+        return self._running
+
+    @property
+    def tokens(self) -> Mapping[str, int]:
+        """Unread prompt tokens of other daemons by id of the endpoint."""
+        return self._tokens
+
+    def note_news(self, news: PeerNews, now: Milliseconds) -> bool:
+        """Take news; tell whether they are newer than the last ones.
+
+        :param news: decoded datagram.
+        :param now: current instant.
+        """
+        if news.host == self._host:
+            return False
+        known = self._heard.get(news.host)
+        if known is not None and known.news.run_id == news.run_id:
+            if known.news.sequence >= news.sequence:
+                return False
+        self._deactivate(news.host)
+        self._heard[news.host] = _Heard(news, now)
+        self._activate(news)
+        return True
+
+    def expire(self, now: Milliseconds) -> None:
+        """Drop the work of daemons that have fallen silent.
+
+        :param now: current instant.
+        """
+        for host in tuple(self._active):
+            heard = self._heard[host]
+            if now - heard.heard_at > _get_lifetime(heard.news):
+                self._deactivate(host)
+
+    def count_daemons(self, now: Milliseconds) -> int:
+        """Return how many daemons share the retry budget, this one included.
+
+        :param now: current instant.
+        """
+        return 1 + sum(
+            1
+            for heard in self._heard.values()
+            if now - heard.heard_at < _SHARE_TIME
+        )
+
+    def get_confirmation(
+        self, version: int, now: Milliseconds
+    ) -> Milliseconds | None:
+        """Return the latest instant at which a version was the newest.
+
+        :param version: version that is in force here.
+        :param now: current instant.
+        """
+        instants = [
+            heard.heard_at - heard.news.configuration_age
+            for heard in self._heard.values()
+            if heard.news.version == version
+            and heard.news.configuration_age >= 0
+        ]
+        return max(instants, default=None)
+
+    def select_source(self, now: Milliseconds) -> str | None:
+        """Return the host whose view of the store is the freshest.
+
+        :param now: current instant.
+        """
+        fresh = [
+            heard
+            for heard in self._heard.values()
+            if heard.news.configuration_age >= 0
+            and now - heard.heard_at <= _get_lifetime(heard.news)
+        ]
+        if not fresh:
+            return None
+        best = min(
+            fresh,
+            key=lambda heard: (
+                heard.news.configuration_age + now - heard.heard_at
+            ),
+        )
+        return best.news.host
+
+    def _activate(self, news: PeerNews) -> None:
+        self._active.add(news.host)
+        for endpoint_id, (running, tokens) in news.work.items():
+            self._add(endpoint_id, running, tokens)
+
+    def _deactivate(self, host: str) -> None:
+        if host not in self._active:
+            return
+        self._active.discard(host)
+        for endpoint_id, counts in self._heard[host].news.work.items():
+            running, tokens = counts
+            self._add(endpoint_id, -running, -tokens)
+
+    def _add(self, endpoint_id: str, running: int, tokens: int) -> None:
+        sums = ((self._running, running), (self._tokens, tokens))
+        for totals, amount in sums:
+            total = totals.get(endpoint_id, 0) + amount
+            if total > 0:
+                totals[endpoint_id] = total
+            else:
+                totals.pop(endpoint_id, None)
+
+
+def _get_lifetime(news: PeerNews) -> Milliseconds:
+    return max(_MIN_LIFETIME, _LIFETIME_INTERVALS * news.interval)
--- /dev/null
+++ b/src/clementinedyke/entry/peers.py
@@ -0,0 +1,330 @@
+"""Finds the other daemons, tells them news and lends them the store's state."""
+
+import socket
+from dataclasses import dataclass
+from random import Random
+
+import msgspec
+import trio
+from absl import logging
+
+from clementinedyke.clock import Clock, Milliseconds
+from clementinedyke.components import Component
+from clementinedyke.entry.configuration_view import ConfigurationView
+from clementinedyke.entry.endpoint_view import EndpointView
+from clementinedyke.entry.journal import Journal
+from clementinedyke.entry.news import NewsBoard, PeerNews
+from clementinedyke.entry.placement import PlacementCore
+from clementinedyke.entry.watch import StoredRow
+from clementinedyke.exceptions import (
+    AnswerLostError,
+    PeerUnavailableError,
+    ProtocolError,
+)
+from clementinedyke.http_client import Address, HttpClient, HttpRequest
+from clementinedyke.http_message import ResponseWriter, ServerRequest
+from clementinedyke.http_server import HttpServer
+from clementinedyke.rows import RowStore, Write
+
+DAEMONS_TABLE = 'daemons'
+_STATE_PATH = '/state'
+_STATUS_OK = 200
+_MILLISECONDS_PER_SECOND = 1000
+_MAX_DATAGRAM = 65507
+#: Datagrams a second that a daemon sends to all others together; with more
+#: daemons each hears less often.
+_DATAGRAMS_PER_SECOND = 60
+_MIN_INTERVAL: Milliseconds = 100
+#: News without any change are sent so many times less often.
+_IDLE_FACTOR = 5
+#: How often the list of daemons is read: new ones make themselves known by
+#: their news, so it only finds what was missed.
+_LIST_INTERVAL: Milliseconds = 8000
+_FIRST_LIST_INTERVAL: Milliseconds = 700
+_FIRST_LISTS = 4
+#: A feed that has not confirmed its table for this long is helped out by
+#: another daemon; the feed itself confirms within 1.5 s and a little.
+_HELP_AGE: Milliseconds = 2300
+_HELP_INTERVAL: Milliseconds = 300
+_HELP_TIMEOUT: Milliseconds = 500
+
+
+class _DaemonRow(msgspec.Struct, frozen=True):
+    """Where a daemon hears news; its key is the name of its host."""
+
+    ip: str
+    port: int
+
+
+class _SharedRow(msgspec.Struct, frozen=True, array_like=True):
+    key: str
+    version: int
+    content: bytes
+
+
+class _SharedState(msgspec.Struct, frozen=True, array_like=True):
+    """What a daemon knows of the store; ages in ms, -1 if unknown."""
+
+    configuration: bytes
+    configuration_age: int
+    endpoints: list[_SharedRow]
+    endpoints_age: int
+
+
+@dataclass(frozen=True, slots=True)
+class PeerIdentity:
+    """Name, run and address of a daemon towards the others."""
+
+    host: str
+    run_id: str
+    address: Address
+
+
+class PeerComponent(Component):
+    """Tasks that send and receive news, and one that asks for help.
+
+    A daemon that the store turns away, while it serves others, gets the
+    configuration and the endpoints from one of them.
+    """
+
+    def __init__(
+        self,
+        identity: PeerIdentity,
+        store: RowStore,
+        board: NewsBoard,
+        placement: PlacementCore,
+        views: tuple[ConfigurationView, EndpointView],
+        tools: tuple[Clock, Journal, Random],
+    ) -> None:
+        """Create the component.
+
+        :param identity: this daemon.
+        :param store: rows of the platform, which list the daemons.
+        :param board: takes the news.
+        :param placement: core whose work is told and which learns of others'.
+        :param views: configuration and endpoints.
+        :param tools: clock, log and source of jitter.
+        """
+        self._identity = identity
+        self._store = store
+        self._board = board
+        self._placement = placement
+        self._configuration = views[0]
+        self._endpoints = views[1]
+        self._clock = tools[0]
+        self._journal = tools[1]
+        self._generator = tools[2]
+        self._peers: dict[str, Address] = {}
+        self._sequence = 0
+        self._last_work: dict[str, tuple[int, int]] = {}
+        self._socket = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._server = HttpServer(self._respond)
+
+    @property
+    def interval(self) -> Milliseconds:
+        """Time between two datagrams to one daemon while there are news."""
+        spread = len(self._peers) * _MILLISECONDS_PER_SECOND
+        return max(_MIN_INTERVAL, spread // _DATAGRAMS_PER_SECOND)
+
+    @property
+    def known_daemons(self) -> int:
+        """Number of daemons that were ever listed or heard, with this one."""
+        return 1 + len(self._peers)
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Bind both sockets and start the tasks.
+
+        :param nursery: nursery that runs the tasks.
+        """
+        address = self._identity.address
+        await self._socket.bind((address.host, address.port))
+        await nursery.start(self._server.serve, address.host, address.port)
+        nursery.start_soon(self._receive)
+        nursery.start_soon(self._send)
+        nursery.start_soon(self._find_peers)
+        nursery.start_soon(self._help_out)
+
+    async def stop(self) -> None:
+        """Close the socket for news."""
+        self._socket.close()
+
+    async def _receive(self) -> None:
+        while True:
+            try:
+                received, sender = await self._socket.recvfrom(_MAX_DATAGRAM)
+            except OSError as error:
+                # An unreachable peer's ICMP answer; other peers still send.
+                self._journal.write('news_error', error=str(error))
+                continue
+            except trio.ClosedResourceError:
+                return
+            try:
+                news = msgspec.msgpack.decode(received, type=PeerNews)
+            except msgspec.MsgspecError as malformed:
+                self._journal.write('news_unreadable', error=str(malformed))
+                continue
+            self._take_news(news, Address(sender[0], sender[1]))
+
+    def _take_news(self, news: PeerNews, sender: Address) -> None:
+        now = self._clock.get_now()
+        if not self._board.note_news(news, now):
+            return
+        self._peers[news.host] = sender
+        self._placement.set_remote(self._board.running, self._board.tokens)
+        self._placement.note_remote_parts(news.read_parts, now)
+        confirmed = self._board.get_confirmation(
+            self._configuration.version, now
+        )
+        if confirmed is not None:
+            self._configuration.confirm(confirmed)
+
+    async def _send(self) -> None:
+        idle_rounds = 0
+        while True:
+            await trio.sleep(self.interval / _MILLISECONDS_PER_SECOND)
+            now = self._clock.get_now()
+            self._board.expire(now)
+            work = self._placement.list_own_work(now)
+            idle_rounds += 1
+            # What an engine has read is told with the work that ends by it.
+            if work != self._last_work or idle_rounds >= _IDLE_FACTOR:
+                self._last_work = work
+                idle_rounds = 0
+                await self._send_news(work)
+
+    async def _send_news(self, work: dict[str, tuple[int, int]]) -> None:
+        self._sequence += 1
+        age = self._configuration.get_age(self._clock.get_now())
+        news = PeerNews(
+            host=self._identity.host,
+            run_id=self._identity.run_id,
+            sequence=self._sequence,
+            version=self._configuration.version,
+            configuration_age=-1 if age is None else age,
+            interval=self.interval * _IDLE_FACTOR,
+            work=work,
+            read_parts=self._placement.take_read_parts(),
+        )
+        payload = msgspec.msgpack.encode(news)
+        for peer in tuple(self._peers.values()):
+            try:
+                await self._socket.sendto(payload, (peer.host, peer.port))
+            except OSError as error:
+                self._journal.write(
+                    'news_error', peer=str(peer), error=str(error)
+                )
+
+    async def _find_peers(self) -> None:
+        identity = self._identity
+        own = _DaemonRow(identity.address.host, identity.address.port)
+        is_listed = False
+        rounds = 0
+        while True:
+            if not is_listed:
+                written = await self._store.commit(
+                    [], [Write(DAEMONS_TABLE, identity.host, own)]
+                )
+                is_listed = written.is_ok()
+            await self._list_peers()
+            rounds += 1
+            wait = (
+                _LIST_INTERVAL
+                if rounds > _FIRST_LISTS
+                else _FIRST_LIST_INTERVAL
+            )
+            jitter = self._generator.random() * wait / 4
+            await trio.sleep((wait + jitter) / _MILLISECONDS_PER_SECOND)
+
+    async def _list_peers(self) -> None:
+        answer = await self._store.list_rows(DAEMONS_TABLE)
+        if answer.is_err():
+            return
+        for row in answer.unwrap().rows:
+            if row.key == self._identity.host:
+                continue
+            try:
+                peer = msgspec.convert(row.value, _DaemonRow)
+            except msgspec.MsgspecError as error:
+                logging.warning(
+                    'event=daemon_row_unreadable key=%s error=%s',
+                    row.key,
+                    error,
+                )
+                continue
+            self._peers.setdefault(row.key, Address(peer.ip, peer.port))
+
+    async def _help_out(self) -> None:
+        while True:
+            await trio.sleep(_HELP_INTERVAL / _MILLISECONDS_PER_SECOND)
+            now = self._clock.get_now()
+            if not self._needs_help(now):
+                continue
+            source = self._board.select_source(now)
+            if source is not None and source in self._peers:
+                await self._fetch_state(source, self._peers[source])
+
+    def _needs_help(self, now: Milliseconds) -> bool:
+        confirmed = self._endpoints.confirmed_at
+        return confirmed is None or now - confirmed > _HELP_AGE
+
+    async def _fetch_state(self, host: str, address: Address) -> None:
+        client = HttpClient(address, connect_timeout=_HELP_TIMEOUT)
+        asked_at = self._clock.get_now()
+        try:
+            async with client:
+                answer = await client.request(
+                    HttpRequest('GET', _STATE_PATH), _HELP_TIMEOUT
+                )
+            state = msgspec.msgpack.decode(answer.body, type=_SharedState)
+        except (
+            PeerUnavailableError,
+            AnswerLostError,
+            ProtocolError,
+            msgspec.MsgspecError,
+        ) as error:
+            self._journal.write('state_not_lent', peer=host, reason=str(error))
+            return
+        self._apply_state(host, state, asked_at)
+
+    def _apply_state(
+        self, host: str, state: _SharedState, asked_at: Milliseconds
+    ) -> None:
+        former = self._configuration.version
+        if state.configuration:
+            self._configuration.apply_content(state.configuration)
+        if state.configuration_age >= 0:
+            self._configuration.confirm(asked_at - state.configuration_age)
+        confirmed = self._endpoints.confirmed_at
+        as_of = asked_at - state.endpoints_age
+        is_newer = confirmed is None or as_of > confirmed
+        if state.endpoints_age >= 0 and is_newer:
+            rows = tuple(
+                StoredRow(row.key, row.version, row.content)
+                for row in state.endpoints
+            )
+            self._endpoints.replace_rows(rows, asked_at)
+            self._endpoints.confirm(as_of)
+        self._journal.write(
+            'state_lent',
+            peer=host,
+            former_version=former,
+            version=self._configuration.version,
+            age_ms=state.configuration_age,
+        )
+
+    async def _respond(
+        self, request: ServerRequest, response: ResponseWriter
+    ) -> None:
+        now = self._clock.get_now()
+        age = self._configuration.get_age(now)
+        confirmed = self._endpoints.confirmed_at
+        state = _SharedState(
+            self._configuration.content,
+            -1 if age is None else age,
+            [
+                _SharedRow(row.key, row.version, row.content or b'')
+                for row in self._endpoints.list_rows()
+            ],
+            -1 if confirmed is None else now - confirmed,
+        )
+        await response.send_whole(_STATUS_OK, [], msgspec.msgpack.encode(state))
--- a/src/clementinedyke/entry/runners.py
+++ b/src/clementinedyke/entry/runners.py
@@ -156,4 +156,3 @@
             placement.note_failure(answer.endpoint, request_id, now)
         else:
             placement.note_success(answer.endpoint, request_id)
-
--- a/src/clementinedyke/entry/stage_plan.py
+++ b/src/clementinedyke/entry/stage_plan.py
@@ -71,22 +71,30 @@
             return False
         return True
 
-    def _select_change(
-        self, engines: list[EntryEndpoint]
-    ) -> StageOrder | None:
-        wanted = math.ceil(len(engines) * self._decode_share)
-        wanted = min(max(1, wanted), len(engines) - 1)
+    def _select_change(self, engines: list[EntryEndpoint]) -> StageOrder | None:
+        wanted = self._count_wanted(engines)
         decoding = [item for item in engines if item.stage is Stage.DECODE]
         if len(decoding) < wanted:
             reading = [item for item in engines if item.stage is Stage.PREFILL]
             chosen = _select_by_zone(reading, decoding, is_fullest=False)
             return StageOrder(chosen, Stage.DECODE)
-        # A surplus of one is left alone: a change costs seconds of an engine.
-        if len(decoding) > wanted + 1:
+        if len(decoding) > wanted:
             chosen = _select_by_zone(decoding, decoding, is_fullest=True)
             return StageOrder(chosen, Stage.PREFILL)
         return None
 
+    def _count_wanted(self, engines: list[EntryEndpoint]) -> int:
+        """Return how many engines shall generate.
+
+        A zone that is cut off goes on with its own engines, and memory moves
+        at half the speed between zones: each zone with two engines has one
+        that generates.
+        """
+        zones = Counter(item.availability_zone for item in engines)
+        paired = sum(1 for count in zones.values() if count > 1)
+        share = math.ceil(len(engines) * self._decode_share)
+        return min(max(1, share, paired), len(engines) - 1)
+
 
 def _select_by_zone(
     candidates: list[EntryEndpoint],
--- a/src/clementinedyke/entry/stream_runner.py
+++ b/src/clementinedyke/entry/stream_runner.py
@@ -6,6 +6,7 @@
 
 from clementinedyke.entry.catalog import EntryEndpoint
 from clementinedyke.entry.endpoint_protocol import (
+    PrefillAnswer,
     PromptMemory,
     SendOptions,
 )
@@ -19,13 +20,14 @@
 from clementinedyke.http_message import ResponseWriter
 
 _STATUS_OK = 200
+_MILLISECONDS_PER_SECOND = 1000
 _MAX_PRIORITY = 9
 #: Engines that are asked to read one prompt before an engine that generates
 #: has to read it itself, at half the speed.
 _MAX_PREFILLS = 3
 #: Engines that generate which are tried with the same memory; one that has no
 #: room and one that cannot fetch it answer alike.
-_MAX_FETCHES = 3
+_MAX_FETCHES = 2
 
 
 @dataclass(slots=True)
@@ -91,9 +93,7 @@
         if job.service.engine is None:
             return placement.select_any(job.service.name, now, excluded)
         source = generation.memory.endpoint if generation.memory else None
-        return placement.select_decode(
-            job.service.name, source, now, excluded
-        )
+        return placement.select_decode(job.service.name, source, now, excluded)
 
     async def _read_prompt(self, generation: _Generation) -> None:
         """Let an engine read the prompt, if one can."""
@@ -109,6 +109,7 @@
             if endpoint is None or not self._may_read(generation):
                 return
             generation.failed_readers.add(endpoint.endpoint_id)
+            job.reads += 1
             generation.memory = await self._try_prefill(generation, endpoint)
             if generation.memory is not None:
                 generation.fetches = 0
@@ -136,26 +137,40 @@
             priority=min(job.priority, _MAX_PRIORITY),
             is_prefill=True,
         )
-        unread = tools.placement.start_read(endpoint, generation.profile)
+        limit = tools.placement.get_read_limit(endpoint, generation.profile)
+        ticket = tools.placement.start_read(
+            endpoint, generation.profile, started_at
+        )
+        decoded: PrefillAnswer | None = None
         try:
-            async with tools.exchange.open_answer(job, options) as answer:
-                body = await answer.stream.receive_body()
-        except (PeerUnavailableError, AnswerLostError):
-            return None
+            with trio.move_on_after(limit / _MILLISECONDS_PER_SECOND):
+                decoded = await self._ask_prefill(job, options)
         finally:
-            tools.placement.end_read(endpoint, unread)
-        if answer.head.status != _STATUS_OK:
-            return None
-        decoded = tools.protocol.read_prefill(body)
+            now = tools.clock.get_now()
+            tools.placement.end_read(ticket, now)
         if decoded is None:
+            if now - started_at >= limit:
+                tools.placement.note_failure(
+                    endpoint, job.request.request_id, now
+                )
             return None
-        now = tools.clock.get_now()
-        tools.placement.note_read(
-            endpoint, generation.profile, unread, now - started_at, now
-        )
+        job.read_at = now
+        tools.placement.note_read(ticket, generation.profile, now)
         tools.placement.note_success(endpoint, job.request.request_id)
         return PromptMemory(endpoint, decoded.handle)
 
+    async def _ask_prefill(
+        self, job: Job, options: SendOptions
+    ) -> PrefillAnswer | None:
+        try:
+            async with self._tools.exchange.open_answer(job, options) as answer:
+                body = await answer.stream.receive_body()
+                if answer.head.status != _STATUS_OK:
+                    return None
+                return self._tools.protocol.read_prefill(body)
+        except (PeerUnavailableError, AnswerLostError):
+            return None
+
     async def _try(
         self, generation: _Generation, endpoint: EntryEndpoint
     ) -> bool:
@@ -236,8 +251,13 @@
     def _note_not_run(
         self, generation: _Generation, answer: EndpointAnswer
     ) -> None:
+        """Choose another engine, and read the prompt again after two.
+
+        An engine that cannot fetch the memory answers like one that has no
+        room or changes its stage.
+        """
         generation.job.excluded.add(answer.endpoint.endpoint_id)
-        if generation.fetches >= _MAX_FETCHES:
+        if generation.memory is not None and generation.fetches >= _MAX_FETCHES:
             self._release(generation)
             generation.memory = None
             generation.job.excluded.clear()
@@ -288,6 +308,7 @@
             await generation.response.send_chunk(passed)
             return
         generation.is_head_sent = True
+        generation.job.first_event_at = self._tools.clock.get_now()
         self._tools.usage.note_start(generation.job.customer)
         await generation.response.send_head(
             answer.head.status, answer.head.forwarded_headers, passed
--- a/src/clementinedyke/entry/usage_counter.py
+++ b/src/clementinedyke/entry/usage_counter.py
@@ -6,13 +6,15 @@
 from clementinedyke.entry.wall_time import WallTime
 
 #: Windows that are kept: reports are due two windows after the end.
-_KEPT_WINDOWS = 12
+_KEPT = 12
 
 
 class UsageCounter:
     """Counts of this daemon by number of the window."""
 
-    def __init__(self, wall_time: WallTime, window_length: Milliseconds) -> None:
+    def __init__(
+        self, wall_time: WallTime, window_length: Milliseconds
+    ) -> None:
         """Create an empty counter.
 
         :param wall_time: true time.
@@ -36,7 +38,12 @@
             return
         window = self.window
         self._counts.setdefault(window, Counter())[customer] += 1
-        self._counts.pop(window - _KEPT_WINDOWS, None)
+        for old in [item for item in self._counts if item <= window - _KEPT]:
+            self._counts.pop(old)
+
+    def list_windows(self) -> list[int]:
+        """Return the windows with counts, oldest first."""
+        return sorted(self._counts)
 
     def get_counts(self, window: int) -> dict[str, int]:
         """Return the requests by customer that began in a window.
--- a/src/clementinedyke/entry/usage_duty.py
+++ b/src/clementinedyke/entry/usage_duty.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from collections.abc import Mapping
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 import msgspec
 from result import Result
@@ -22,6 +22,7 @@
 SETTLE_TIME: Milliseconds = 2500
 #: Windows that a new holder looks back for: older ones are past their time.
 _LOOK_BACK = 3
+_Known = TypeVar('_Known')
 
 
 class WindowSum(msgspec.Struct, frozen=True):
@@ -63,15 +64,14 @@
         self._versions: dict[int, int] = {}
 
     async def write_parts(self) -> None:
-        """Write the parts of the present window and of the one before."""
-        present = self._counter.window
-        for window in (present - 1, present):
+        """Write the parts of all windows that have grown since."""
+        counted = self._counter.list_windows()
+        for window in counted:
             counts = self._counter.get_counts(window)
-            if counts and counts != self._written.get(window):
+            if counts != self._written.get(window):
                 await self._write(window, counts)
-        for known in (self._written, self._versions):
-            for window in [item for item in known if item < present - 1]:
-                known.pop(window)
+        self._written = _select_windows(self._written, counted)
+        self._versions = _select_windows(self._versions, counted)
 
     async def _write(self, window: int, counts: dict[str, int]) -> None:
         key = f'{window}/{self._run_id}'
@@ -165,7 +165,9 @@
         parts = await self._store.list_rows(PARTS_TABLE, f'{window}/')
         if parts.is_err():
             return None
-        summed = WindowSum(_sum_parts([row.value for row in parts.unwrap().rows]))
+        summed = WindowSum(
+            _sum_parts([row.value for row in parts.unwrap().rows])
+        )
         if not summed.counts:
             return Row(str(window), ABSENT, msgspec.to_builtins(summed))
         answer = await self._store.commit(
@@ -207,6 +209,16 @@
     return Condition(FENCES_TABLE, scope, version)
 
 
+def _select_windows(
+    known: dict[int, _Known], windows: list[int]
+) -> dict[int, _Known]:
+    return {
+        window: content
+        for window, content in known.items()
+        if window in windows
+    }
+
+
 def _sum_parts(parts: list[Mapping[str, int]]) -> dict[str, int]:
     total: Counter[str] = Counter()
     for part in parts:
--- a/src/clementinedyke/evidence_component.py
+++ b/src/clementinedyke/evidence_component.py
@@ -17,6 +17,7 @@
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.daemons.component import Change
 from clementinedyke.membership_events import PayloadChanged
+from clementinedyke.quarantine import Evidence
 from clementinedyke.reference_platform.tables import (
     ABSENT,
     Commit,
@@ -24,7 +25,6 @@
     TableClient,
     Write,
 )
-from clementinedyke.quarantine import Evidence
 from clementinedyke.routing_component import RoutingComponent
 
 SUSPECTS_TABLE = 'suspects'
--- a/src/clementinedyke/operators/change.py
+++ b/src/clementinedyke/operators/change.py
@@ -9,6 +9,7 @@
 
 from functools import singledispatchmethod
 
+from clementinedyke.call_failures import TableFailure
 from clementinedyke.operators.change_actions import (
     Action,
     Applied,
@@ -37,7 +38,6 @@
     check_references,
     compile_transaction,
 )
-from clementinedyke.call_failures import TableFailure
 from clementinedyke.reference_platform.tables import ABSENT, Commit
 
 #: A change that loses this many races against changes of other records, or
--- a/src/clementinedyke/operators/component.py
+++ b/src/clementinedyke/operators/component.py
@@ -10,8 +10,8 @@
 from clementinedyke.operators.providers import OperatorReports
 from clementinedyke.operators.record_service import RecordService
 from clementinedyke.operators.routes import OperatorHandler
-from clementinedyke.reference_platform.tables import TableClient
 from clementinedyke.ports import explain_bind_failure
+from clementinedyke.reference_platform.tables import TableClient
 from clementinedyke.settings import Settings
 from clementinedyke.tls import load_tls
 
--- a/src/clementinedyke/operators/record_service.py
+++ b/src/clementinedyke/operators/record_service.py
@@ -7,6 +7,7 @@
 
 from result import Result
 
+from clementinedyke.call_failures import TableFailure
 from clementinedyke.operators.change import ChangeCore
 from clementinedyke.operators.change_actions import (
     Outcome,
@@ -32,7 +33,6 @@
     NO_ROW,
     RECORDS_TABLE,
 )
-from clementinedyke.call_failures import TableFailure
 from clementinedyke.reference_platform.tables import (
     Row,
     Snapshot,
--- a/src/clementinedyke/operators/transaction.py
+++ b/src/clementinedyke/operators/transaction.py
@@ -8,8 +8,13 @@
 from clementinedyke.operators.change_actions import Refused, SendCommit
 from clementinedyke.operators.change_events import Change
 from clementinedyke.operators.references import check_delete, check_put
-from clementinedyke.reference_platform.tables import ABSENT, Condition, Row, Write
 from clementinedyke.records import Record, parse_record
+from clementinedyke.reference_platform.tables import (
+    ABSENT,
+    Condition,
+    Row,
+    Write,
+)
 
 RECORDS_TABLE = 'records'
 AUDIT_TABLE = 'audit'
--- a/src/clementinedyke/peer_calls.py
+++ b/src/clementinedyke/peer_calls.py
@@ -2,6 +2,7 @@
 
 from result import Err, Ok, Result
 
+from clementinedyke.call_failures import TableFailure
 from clementinedyke.clock import Milliseconds
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
 from clementinedyke.http_client import (
@@ -11,7 +12,6 @@
     HttpResponse,
 )
 from clementinedyke.order_connection import exchange_once
-from clementinedyke.call_failures import TableFailure
 
 DEFAULT_TIMEOUT: Milliseconds = 2000
 STATUS_OK = 200
--- a/src/clementinedyke/platform/command.py
+++ b/src/clementinedyke/platform/command.py
@@ -9,6 +9,7 @@
 from absl import logging
 
 from clementinedyke.entry.application import EntryApplication
+from clementinedyke.entry.host_settings import HostSettings
 from clementinedyke.exceptions import SettingError
 from clementinedyke.logs import set_up_logging
 from clementinedyke.platform.parts import create_parts
@@ -29,12 +30,15 @@
     except SettingError as error:
         sys.stderr.write(f'clementinedyke: {error}\n')
         sys.exit(_EXIT_USAGE)
-    trio.run(_serve, EntryApplication(settings, create_parts(settings)))
+    trio.run(_serve, settings)
 
 
-async def _serve(daemon: EntryApplication) -> None:
+async def _serve(settings: HostSettings) -> None:
+    daemon = EntryApplication(settings, create_parts(settings))
     async with trio.open_nursery() as nursery:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGHUP
+        ) as signals:
             nursery.start_soon(daemon.application.run)
             async for received in signals:
                 if received == signal.SIGTERM:
--- a/src/clementinedyke/platform/settings_file.py
+++ b/src/clementinedyke/platform/settings_file.py
@@ -43,6 +43,9 @@
     retry_budget_ratio: float = Field(ge=0)
     budget_window_s: float = Field(gt=0)
     budget_extra: float = Field(ge=0)
+    #: Whether a machine that is cut off refuses keys after ``revoke_ms``.
+    revoke_strict: bool = False
+    revoke_ms: int = Field(default=5000, gt=0)
 
 
 class _Store(BaseModel):
@@ -83,9 +86,7 @@
     return decode_host_settings(document, str(path))
 
 
-def decode_host_settings(
-    document: dict[str, Any], source: str
-) -> HostSettings:
+def decode_host_settings(document: dict[str, Any], source: str) -> HostSettings:
     """Return the settings in a decoded file.
 
     :param document: tables of the file.
@@ -117,7 +118,9 @@
         peer_port=first_port + _PEER_PORT,
         metrics_port=first_port + _METRICS_PORT,
         store_address=Address.parse(document.platform.address),
-        duties_address=None if duties is None else Address.parse(duties.address),
+        duties_address=None
+        if duties is None
+        else Address.parse(duties.address),
         memory_mb=document.limits.memory_mb,
         max_descriptors=document.limits.max_fds,
         bounds=_convert_bounds(document.bounds),
@@ -137,6 +140,7 @@
         retry_ratio=bounds.retry_budget_ratio,
         retry_window=_to_milliseconds(bounds.budget_window_s),
         retry_allowance=bounds.budget_extra,
+        max_key_age=bounds.revoke_ms if bounds.revoke_strict else None,
     )
 
 
--- a/src/clementinedyke/platform/store.py
+++ b/src/clementinedyke/platform/store.py
@@ -165,9 +165,7 @@
         :param revision: revision up to which the caller knows the table.
         :param wait: longest time in milliseconds that the store waits.
         """
-        target = (
-            f'/v1/rows-feed?table={table}&after={revision}&wait_ms={wait}'
-        )
+        target = f'/v1/rows-feed?table={table}&after={revision}&wait_ms={wait}'
         answer = await self._call(
             HttpRequest('GET', target), wait + _FEED_SLACK
         )
--- a/src/clementinedyke/reference_platform/endpoint_orders.py
+++ b/src/clementinedyke/reference_platform/endpoint_orders.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from clementinedyke.call_failures import TableFailure
 from clementinedyke.clock import Milliseconds
 from clementinedyke.http_client import Address, HttpRequest
 from clementinedyke.order_target import TargetState
@@ -12,7 +13,6 @@
     STATUS_OK,
     call_once,
 )
-from clementinedyke.call_failures import TableFailure
 
 _STATUS_SERVER_ERROR = 500
 
--- a/src/clementinedyke/reference_platform/hosts.py
+++ b/src/clementinedyke/reference_platform/hosts.py
@@ -3,6 +3,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from clementinedyke.call_failures import TableFailure
 from clementinedyke.clock import Milliseconds
 from clementinedyke.http_client import HttpClient, HttpRequest
 from clementinedyke.peer_calls import (
@@ -10,7 +11,6 @@
     STATUS_OK,
     call_pooled,
 )
-from clementinedyke.call_failures import TableFailure
 
 
 class Host(msgspec.Struct, frozen=True):
--- a/src/clementinedyke/reference_platform/objects.py
+++ b/src/clementinedyke/reference_platform/objects.py
@@ -4,6 +4,7 @@
 
 from result import Err, Ok, Result
 
+from clementinedyke.call_failures import TableFailure
 from clementinedyke.clock import Milliseconds
 from clementinedyke.http_client import HttpClient, HttpRequest
 from clementinedyke.peer_calls import (
@@ -12,7 +13,6 @@
     STATUS_OK,
     call_pooled,
 )
-from clementinedyke.call_failures import TableFailure
 
 
 class ObjectClient:
--- a/src/clementinedyke/reference_platform/tables.py
+++ b/src/clementinedyke/reference_platform/tables.py
@@ -6,6 +6,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from clementinedyke.call_failures import TableFailure
 from clementinedyke.clock import Milliseconds
 from clementinedyke.http_client import HttpClient, HttpRequest
 from clementinedyke.peer_calls import (
@@ -15,7 +16,6 @@
     CallResult,
     call_pooled,
 )
-from clementinedyke.call_failures import TableFailure
 from clementinedyke.rows import (
     ABSENT,
     Commit,
@@ -41,12 +41,12 @@
 
 _STATUS_CONFLICT = 409
 
+
 class _Transaction(msgspec.Struct):
     conditions: list[Condition]
     writes: list[Write]
 
 
-
 class TableClient:
     """Calls the table service over a pooled HTTP client."""
 
--- a/src/clementinedyke/reference_platform/usage_reports.py
+++ b/src/clementinedyke/reference_platform/usage_reports.py
@@ -3,6 +3,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from clementinedyke.call_failures import TableFailure
 from clementinedyke.clock import Milliseconds
 from clementinedyke.http_client import Address, HttpRequest
 from clementinedyke.peer_calls import (
@@ -11,7 +12,6 @@
     STATUS_OK,
     call_once,
 )
-from clementinedyke.call_failures import TableFailure
 
 
 class UsageReportClient:
--- a/src/clementinedyke/service_authority.py
+++ b/src/clementinedyke/service_authority.py
@@ -12,7 +12,9 @@
 from clementinedyke.lease_component import LeaseComponent
 from clementinedyke.order_target import OrderTarget
 from clementinedyke.outbox_component import OutboxComponent
-from clementinedyke.reference_platform.endpoint_orders import EndpointOrderClient
+from clementinedyke.reference_platform.endpoint_orders import (
+    EndpointOrderClient,
+)
 from clementinedyke.service_planner import ServicePlanner
 
 _PLAN_INTERVAL: Milliseconds = 1000
--- a/tests/daemon_scene.py
+++ b/tests/daemon_scene.py
@@ -12,8 +12,8 @@
 from clementinedyke.daemons.platform_reader import RECORDS_TABLE
 from clementinedyke.http_client import Address, HttpClient, HttpRequest
 from clementinedyke.lease_types import LeaseTiming
-from clementinedyke.reference_platform.tables import Write
 from clementinedyke.records import get_digest
+from clementinedyke.reference_platform.tables import Write
 from clementinedyke.settings import Settings
 from clementinedyke.standins.engine import EngineFaults, EngineStandin
 from clementinedyke.standins.platform import PlatformStandin
--- a/tests/test_platform_lists.py
+++ b/tests/test_platform_lists.py
@@ -2,8 +2,8 @@
 
 import trio
 
-from clementinedyke.http_client import Address, HttpClient
 from clementinedyke.call_failures import TableFailure
+from clementinedyke.http_client import Address, HttpClient
 from clementinedyke.reference_platform.hosts import HostListClient
 from clementinedyke.standins.platform import PlatformStandin
 
