Have the cheap engines and their stages stand before the first callers

Usage windows were summed in the first half second after the store's return, before the other daemons had written their parts.

--- a/src/clementinedyke/entry/capacity_plan.py
+++ b/src/clementinedyke/entry/capacity_plan.py
@@ -57,6 +57,8 @@
         self._targets = targets
         self._orders: dict[_Subject, _LastOrder] = {}
         self._unavailable: dict[tuple[str, str], Milliseconds] = {}
+        #: Standard engines are given back before the cheap ones serve.
+        self.replaces_at_once = False
 
     def list_orders(
         self,
@@ -137,7 +139,9 @@
         cheap_total = sum(
             count for (_, is_cheap), count in standing.items() if is_cheap
         )
-        keeps_standard = cheap_total < self._targets.safe
+        keeps_standard = (
+            cheap_total < self._targets.safe and not self.replaces_at_once
+        )
         wishes = []
         for zone in sorted(offer.zone_prices):
             standard = standing[zone, False] if keeps_standard else 0
--- a/src/clementinedyke/entry/duties.py
+++ b/src/clementinedyke/entry/duties.py
@@ -15,7 +15,7 @@
 from clementinedyke.entry.order_component import OrderComponent
 from clementinedyke.entry.platform_parts import Duties, PlatformParts
 from clementinedyke.entry.stage_plan import StagePlan
-from clementinedyke.entry.usage_component import UsageComponent
+from clementinedyke.entry.usage_component import UsageComponent, UsageTiming
 from clementinedyke.entry.usage_counter import UsageCounter
 from clementinedyke.entry.usage_duty import PartWriter, WindowCloser
 from clementinedyke.entry.wall_time import WallTime
@@ -50,6 +50,7 @@
     configuration: ConfigurationView
     endpoints: EndpointView
     is_candidate: Callable[[str], bool]
+    is_store_sound: Callable[[], bool]
 
 
 def create_duties(
@@ -79,7 +80,11 @@
             platform.store, platform.duties, tools.usage, tools.journal
         ),
         tools.wall_time,
-        settings.bounds.usage_window,
+        UsageTiming(
+            settings.bounds.usage_window,
+            settings.bounds.usage_delay,
+            tools.is_store_sound,
+        ),
     )
     return [leases, usage, _create_orders(lease, platform.duties, tools)]
 
--- a/src/clementinedyke/entry/gateway.py
+++ b/src/clementinedyke/entry/gateway.py
@@ -42,8 +42,10 @@
         self._journal = journal
         self._plain = PlainRunner(tools)
         self._streams: StreamRunner | None = None
-        #: Told of each request that ended, with the job if it was admitted.
-        self.observe: Callable[[int, Job | None, Milliseconds], None] = _ignore
+        #: Told of each admitted request that ended; no code if its caller left.
+        self.observe: Callable[[ResultCode | None, Job, Milliseconds], None] = (
+            _ignore
+        )
 
     def attach(self, nursery: trio.Nursery) -> None:
         """Take the nursery for work that outlasts its request.
@@ -88,10 +90,11 @@
         return self._tools.protocol
 
     async def _run(self, job: Job, response: ResponseWriter) -> None:
-        code = ResultCode.OK
-        reason = ''
+        code = None
+        reason = 'the caller left'
         try:
             await self._run_in_time(job, response)
+            code, reason = ResultCode.OK, ''
         except JobFailure as failure:
             code, reason = failure.code, str(failure)
             refusal = Refusal(code, reason, failure.retry_after)
@@ -128,15 +131,15 @@
             ],
         )
 
-    def _note_end(self, job: Job, code: ResultCode, reason: str) -> None:
+    def _note_end(self, job: Job, code: ResultCode | None, reason: str) -> None:
         duration = self._clock.get_now() - job.received_at
-        self.observe(int(code), job, duration)
+        self.observe(code, job, duration)
         self._journal.write(
             'request_ended',
             request=job.request.request_id,
             route=job.route.name,
             customer=job.customer,
-            code=int(code),
+            code=None if code is None else int(code),
             reason=reason,
             started=job.has_started,
             sends=job.sends,
@@ -153,5 +156,5 @@
     return None if at is None else at - job.received_at
 
 
-def _ignore(code: int, job: Job | None, duration: Milliseconds) -> None:
+def _ignore(code: ResultCode | None, job: Job, duration: Milliseconds) -> None:
     """Do nothing; the observer of a gateway without metrics."""
--- a/src/clementinedyke/entry/order_component.py
+++ b/src/clementinedyke/entry/order_component.py
@@ -25,7 +25,12 @@
 _STEP_SECONDS = 0.25
 #: Endpoints register themselves within about two heartbeats of 1.2 s; orders
 #: for engines that merely have not registered yet would be for nothing.
-_OBSERVE_TIME: Milliseconds = 2500
+_OBSERVE_TIME: Milliseconds = 2000
+
+
+#: When the whole system starts for the first time, callers come seconds after
+#: the hosts; until then no engine that serves is missed.
+_FIRST_START_TIME: Milliseconds = 5000
 
 
 class OrderSender(Protocol):
@@ -75,7 +80,7 @@
         self._clock = clock
         self._journal = journal
         self._fence = 0
-        self._acts_from = clock.get_now() + _OBSERVE_TIME
+        self._started_at = clock.get_now()
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start the task.
@@ -93,8 +98,13 @@
         configuration = self._configuration.configuration
         authority = self._lease.get_authority()
         now = self._clock.get_now()
-        if authority is None or configuration is None or now < self._acts_from:
+        if authority is None or configuration is None:
+            return
+        if now < self._started_at + _OBSERVE_TIME:
             return
+        self._capacity.replaces_at_once = (
+            authority.fence == 1 and now < self._started_at + _FIRST_START_TIME
+        )
         if authority.fence != self._fence:
             self._fence = authority.fence
             self._capacity.forget_orders()
@@ -135,9 +145,12 @@
         for wanted in self._stages.list_orders(service.name, endpoints, now):
             state = await self._sender.get_engine_state(wanted.endpoint)
             authority = self._lease.get_authority()
-            if authority is None or state is None or state.is_changing:
+            if authority is None:
                 return
+            if state is None or state.is_changing:
+                continue
             order = replace(wanted, accepted=state.accepted)
+            self._stages.note_sent(order, self._clock.get_now())
             outcome = await self._sender.order_stage(order, authority)
             self._journal.write(
                 'stage_ordered',
--- a/src/clementinedyke/entry/stage_plan.py
+++ b/src/clementinedyke/entry/stage_plan.py
@@ -3,13 +3,14 @@
 import math
 from collections import Counter
 from collections.abc import Iterable
+from dataclasses import replace
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.entry.catalog import EntryEndpoint, Stage
 from clementinedyke.entry.duty_types import StageOrder
 
-#: A changed engine is away for seconds; the next change of the service waits
-#: until its entry shows the new stage, or for this time.
+#: A changed engine is away for seconds and its entry lags; an order that has
+#: not shown by then is taken as lost.
 _CHANGE_TIME: Milliseconds = 8000
 
 
@@ -22,7 +23,7 @@
         :param decode_share: part of the engines that generates.
         """
         self._decode_share = decode_share
-        self._pending: dict[str, tuple[str, Stage, Milliseconds]] = {}
+        self._pending: dict[str, tuple[Stage, Milliseconds]] = {}
 
     def list_orders(
         self,
@@ -30,52 +31,59 @@
         endpoints: Iterable[EntryEndpoint],
         now: Milliseconds,
     ) -> list[StageOrder]:
-        """Return the change of stage that is due, if one is.
+        """Return the changes of stage that are due.
 
         :param service: name of the service.
         :param endpoints: all endpoints as they have registered themselves.
         :param now: current instant.
         """
         engines = [
-            endpoint
+            self._foresee(endpoint, now)
             for endpoint in endpoints
             if endpoint.service == service
             and endpoint.stage is not None
             and not endpoint.is_leaving
         ]
-        if len(engines) < 2 or self._is_changing(service, engines, now):
-            return []
-        order = self._select_change(engines)
-        if order is None:
-            return []
-        self._pending[service] = (
-            order.endpoint.run_id,
+        orders: list[StageOrder] = []
+        while len(engines) > 1:
+            order = self._select_change(engines)
+            if order is None:
+                break
+            changed = replace(order.endpoint, stage=order.stage)
+            engines[engines.index(order.endpoint)] = changed
+            orders.append(order)
+        return orders
+
+    def note_sent(self, order: StageOrder, now: Milliseconds) -> None:
+        """Take that an order has been sent.
+
+        Its engine counts with the new stage until its entry shows it.
+
+        :param order: order that may take effect.
+        :param now: current instant.
+        """
+        self._pending[order.endpoint.run_id] = (
             order.stage,
             now + _CHANGE_TIME,
         )
-        return [order]
 
-    def _is_changing(
-        self, service: str, engines: list[EntryEndpoint], now: Milliseconds
-    ) -> bool:
-        pending = self._pending.get(service)
+    def _foresee(
+        self, endpoint: EntryEndpoint, now: Milliseconds
+    ) -> EntryEndpoint:
+        pending = self._pending.get(endpoint.run_id)
         if pending is None:
-            return False
-        run_id, stage, until = pending
-        is_done = any(
-            engine.run_id == run_id and engine.stage is stage
-            for engine in engines
-        )
-        if is_done or now >= until:
-            self._pending.pop(service)
-            return False
-        return True
+            return endpoint
+        stage, until = pending
+        if now >= until or endpoint.stage is stage:
+            self._pending.pop(endpoint.run_id)
+            return endpoint
+        return replace(endpoint, stage=stage)
 
     def _select_change(self, engines: list[EntryEndpoint]) -> StageOrder | None:
         wanted = self._count_wanted(engines)
         decoding = [item for item in engines if item.stage is Stage.DECODE]
+        reading = [item for item in engines if item.stage is Stage.PREFILL]
         if len(decoding) < wanted:
-            reading = [item for item in engines if item.stage is Stage.PREFILL]
             chosen = _select_by_zone(reading, decoding, is_fullest=False)
             return StageOrder(chosen, Stage.DECODE)
         if len(decoding) > wanted:
--- a/src/clementinedyke/entry/usage_component.py
+++ b/src/clementinedyke/entry/usage_component.py
@@ -1,5 +1,8 @@
 """Writes this daemon's usage, and reports all of it under the lease."""
 
+from collections.abc import Callable
+from dataclasses import dataclass
+
 import trio
 
 from clementinedyke.clock import Milliseconds
@@ -16,6 +19,23 @@
 _CLOSE_INTERVAL_SECONDS = 0.5
 
 
+#: Time before a report is due at which it is sent even with parts missing.
+_REPORT_RESERVE: Milliseconds = 1500
+
+
+@dataclass(frozen=True, slots=True)
+class UsageTiming:
+    """Lengths in milliseconds, and whether the store answers of late.
+
+    ``report_delay`` is the time after a window's end at which its report is
+    due.
+    """
+
+    window: Milliseconds
+    report_delay: Milliseconds
+    is_store_sound: Callable[[], bool]
+
+
 class UsageComponent(Component):
     """Two tasks: one for the parts, one for the reports."""
 
@@ -25,7 +45,7 @@
         writer: PartWriter,
         closer: WindowCloser,
         wall_time: WallTime,
-        window_length: Milliseconds,
+        timing: UsageTiming,
     ) -> None:
         """Create the component.
 
@@ -33,13 +53,13 @@
         :param writer: writes this daemon's parts.
         :param closer: sums and reports windows.
         :param wall_time: true time.
-        :param window_length: length of a window in milliseconds.
+        :param timing: length of windows and when reports are due.
         """
         self._lease = lease
         self._writer = writer
         self._closer = closer
         self._wall_time = wall_time
-        self._length = window_length
+        self._timing = timing
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start the tasks.
@@ -65,9 +85,19 @@
             authority = self._lease.get_authority()
             if authority is None:
                 continue
-            settled = self._wall_time.get_unix() - SETTLE_TIME
+            settled = self._wall_time.get_unix() - self._get_wait()
             await self._closer.close_windows(
-                settled // self._length - 1,
+                settled // self._timing.window - 1,
                 authority,
                 self._lease.fence_condition,
             )
+
+    def _get_wait(self) -> Milliseconds:
+        """Return how long after its end a window is summed.
+
+        Daemons that could not write their parts do so within a second of the
+        store's return; a window waits for them as long as its report allows.
+        """
+        if self._timing.is_store_sound():
+            return SETTLE_TIME
+        return max(SETTLE_TIME, self._timing.report_delay - _REPORT_RESERVE)
