Let usage windows wait for the final parts of all daemons

Cause: windows were summed 2.5 s after their end whether all daemons had written their parts or not; a daemon that was cut off or turned away by the store was left out. A part now says that it is final, and a window waits for those of the daemons heard since it began, at the latest until 1.5 s before the report is due. A new holder waits for calls on their way instead of the whole lease time, unless its own host may have acted before.

--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -29,8 +29,6 @@
 #: Longest wait of one feed call: a connection that went silent is noticed
 #: within this time and the slack of the client.
 _FEED_WAIT = 1500
-#: The store counts as sound after this time without a failed call.
-_SOUND_TIME = 2000
 _LOG_LINES_PER_SECOND = 200
 _MAX_WAITING_LINES = 2000
 
@@ -174,18 +172,15 @@
             configuration=self._configuration,
             endpoints=self._endpoints,
             is_candidate=self._may_lead,
-            is_store_sound=self._is_store_sound,
+            list_hosts=self._list_hosts,
         )
 
     def _may_lead(self, scope: str) -> bool:
         return not self._readiness.is_leaving
 
-    def _is_store_sound(self) -> bool:
-        """Tell whether the store has answered every call of late."""
-        now = self._clock.get_now()
-        return all(
-            now - watch.failed_at > _SOUND_TIME for watch in self._watches
-        )
+    def _list_hosts(self, age: int) -> frozenset[str]:
+        """Return the hosts of the daemons that were heard of late."""
+        return self._board.list_hosts(age, self._clock.get_now())
 
     def _count_daemons(self) -> int:
         heard = self._board.count_daemons(self._clock.get_now())
--- a/src/clementinedyke/entry/duties.py
+++ b/src/clementinedyke/entry/duties.py
@@ -50,7 +50,7 @@
     configuration: ConfigurationView
     endpoints: EndpointView
     is_candidate: Callable[[str], bool]
-    is_store_sound: Callable[[], bool]
+    list_hosts: Callable[[Milliseconds], frozenset[str]]
 
 
 def create_duties(
@@ -75,15 +75,14 @@
     )
     usage = UsageComponent(
         lease,
-        PartWriter(platform.store, tools.usage, run_id),
+        PartWriter(platform.store, tools.usage, settings.host, run_id),
         WindowCloser(
-            platform.store, platform.duties, tools.usage, tools.journal
+            platform.store, platform.duties, tools.journal, tools.list_hosts
         ),
         tools.wall_time,
         UsageTiming(
             settings.bounds.usage_window,
             settings.bounds.usage_delay,
-            tools.is_store_sound,
         ),
     )
     return [leases, usage, _create_orders(lease, platform.duties, tools)]
@@ -103,6 +102,7 @@
         drift_factor=_DRIFT_FACTOR,
         call_timeout=_CALL_TIMEOUT,
         host_interval=_NEVER,
+        observes_anew=True,
     )
     return LeaseComponent(
         identity,
--- a/src/clementinedyke/entry/duty_lease.py
+++ b/src/clementinedyke/entry/duty_lease.py
@@ -12,16 +12,20 @@
 #: A call is sent only if the lease lasts this much longer: a call takes a few
 #: milliseconds to arrive, more from a slow host.
 _SEND_MARGIN: Milliseconds = 300
-#: What a new holder waits beyond the lease time.
-_TAKE_OVER_SLACK: Milliseconds = 200
+#: Calls of a former holder arrive within this time after its lease: they go
+#: over connections of their own and the send margin is left besides.
+_ARRIVAL_TIME: Milliseconds = 700
+#: What a host waits beyond the lease time before it takes its turn again.
+_TURN_SLACK: Milliseconds = 300
 
 
 class DutyLease:
     """Tells whether this daemon may act, and under which fence.
 
-    The platform doesn't check fences and counts holders that take turns
-    within the lease time as two. A new holder therefore waits for the lease
-    time before it acts, also when the former one has given the lease back.
+    The platform doesn't check fences: it takes a call that comes behind one
+    of a later holder, or holders that take turns within the lease time, as
+    two holders at once. A new holder therefore waits until the calls of the
+    former one have arrived, and longer if its own host may have acted before.
     """
 
     def __init__(
@@ -41,9 +45,11 @@
         self._core = core
         self._host = host
         self._clock = clock
-        self._wait = lease_duration + _TAKE_OVER_SLACK
+        self._turn_time = lease_duration + _TURN_SLACK
         self._fence_version = 0
         self._acts_from: Milliseconds = 0
+        #: An earlier run on this host may have acted until it ended.
+        self._acted_at = clock.get_now()
 
     @property
     def fence(self) -> int:
@@ -62,11 +68,15 @@
         may_act = self._core.may_order(Fencing.CHECKED, now + _SEND_MARGIN)
         if not may_act or now < self._acts_from:
             return None
+        self._acted_at = now
         return Authority(self._host, self._core.fence)
 
     def _note_tenure(self, now: Milliseconds) -> None:
         version = self._core.fence_version
         if version and version != self._fence_version:
-            is_first = self._core.fence == 1
-            self._acts_from = now if is_first else now + self._wait
+            self._acts_from = now
+            if self._core.fence > 1:
+                self._acts_from = max(
+                    now + _ARRIVAL_TIME, self._acted_at + self._turn_time
+                )
         self._fence_version = version
--- a/src/clementinedyke/entry/news.py
+++ b/src/clementinedyke/entry/news.py
@@ -102,6 +102,21 @@
             if now - heard.heard_at < _SHARE_TIME
         )
 
+    def list_hosts(
+        self, age: Milliseconds, now: Milliseconds
+    ) -> frozenset[str]:
+        """Return the hosts heard of in the last time, own included.
+
+        :param age: how long ago the time begins.
+        :param now: current instant.
+        """
+        heard = {
+            host
+            for host, item in self._heard.items()
+            if now - item.heard_at <= age
+        }
+        return frozenset(heard | {self._host})
+
     def get_confirmation(
         self, version: int, now: Milliseconds
     ) -> Milliseconds | None:
--- a/src/clementinedyke/entry/usage_component.py
+++ b/src/clementinedyke/entry/usage_component.py
@@ -1,6 +1,5 @@
 """Writes this daemon's usage, and reports all of it under the lease."""
 
-from collections.abc import Callable
 from dataclasses import dataclass
 
 import trio
@@ -12,6 +11,7 @@
     SETTLE_TIME,
     PartWriter,
     WindowCloser,
+    WindowTime,
 )
 from clementinedyke.entry.wall_time import WallTime
 
@@ -25,15 +25,15 @@
 
 @dataclass(frozen=True, slots=True)
 class UsageTiming:
-    """Lengths in milliseconds, and whether the store answers of late.
-
-    ``report_delay`` is the time after a window's end at which its report is
-    due.
-    """
+    """Length of a window, and when its report is due after its end."""
 
     window: Milliseconds
     report_delay: Milliseconds
-    is_store_sound: Callable[[], bool]
+
+    @property
+    def last_call(self) -> Milliseconds:
+        """Time after a window's end at which it waits for no more parts."""
+        return max(SETTLE_TIME, self.report_delay - _REPORT_RESERVE)
 
 
 class UsageComponent(Component):
@@ -85,19 +85,11 @@
             authority = self._lease.get_authority()
             if authority is None:
                 continue
-            settled = self._wall_time.get_unix() - self._get_wait()
+            present = WindowTime(
+                self._wall_time.get_unix(),
+                self._timing.window,
+                self._timing.last_call,
+            )
             await self._closer.close_windows(
-                settled // self._timing.window - 1,
-                authority,
-                self._lease.fence_condition,
+                present, authority, self._lease.fence_condition
             )
-
-    def _get_wait(self) -> Milliseconds:
-        """Return how long after its end a window is summed.
-
-        Daemons that could not write their parts do so within a second of the
-        store's return; a window waits for them as long as its report allows.
-        """
-        if self._timing.is_store_sound():
-            return SETTLE_TIME
-        return max(SETTLE_TIME, self._timing.report_delay - _REPORT_RESERVE)
--- a/src/clementinedyke/entry/usage_counter.py
+++ b/src/clementinedyke/entry/usage_counter.py
@@ -34,15 +34,12 @@
 
         :param customer: its customer, None on a route without keys.
         """
-        if customer is None:
-            return
-        window = self.window
-        self._counts.setdefault(window, Counter())[customer] += 1
-        for old in [item for item in self._counts if item <= window - _KEPT]:
-            self._counts.pop(old)
+        if customer is not None:
+            self._open_window()[customer] += 1
 
     def list_windows(self) -> list[int]:
-        """Return the windows with counts, oldest first."""
+        """Return the windows that are kept, the present one last."""
+        self._open_window()
         return sorted(self._counts)
 
     def get_counts(self, window: int) -> dict[str, int]:
@@ -51,3 +48,10 @@
         :param window: number of the window.
         """
         return dict(self._counts.get(window, {}))
+
+    def _open_window(self) -> Counter[str]:
+        window = self.window
+        if window not in self._counts:
+            for old in [it for it in self._counts if it <= window - _KEPT]:
+                self._counts.pop(old)
+        return self._counts.setdefault(window, Counter())
--- a/src/clementinedyke/entry/usage_duty.py
+++ b/src/clementinedyke/entry/usage_duty.py
@@ -1,10 +1,12 @@
 """Usage windows of the wall clock: parts, sums and reports."""
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from typing import Protocol, TypeVar
 
 import msgspec
+from absl import logging
 from result import Result
 
 from clementinedyke.call_failures import TableFailure
@@ -17,9 +19,9 @@
 
 PARTS_TABLE = 'usage_parts'
 WINDOWS_TABLE = 'usage_windows'
-#: Parts are complete so long after the end of a window: they are written
-#: within a second, and a slow store takes half a second.
-SETTLE_TIME: Milliseconds = 2500
+#: Parts may be complete so long after the end of a window: they are written
+#: every second.
+SETTLE_TIME: Milliseconds = 1200
 #: Windows that a new holder looks back for: older ones are past their time.
 _LOOK_BACK = 3
 _Known = TypeVar('_Known')
@@ -32,6 +34,43 @@
     is_reported: bool = False
 
 
+class UsagePart(msgspec.Struct, frozen=True):
+    """Counts of one run of a daemon; final once its window has ended."""
+
+    host: str
+    counts: dict[str, int]
+    is_final: bool
+
+
+@dataclass(frozen=True, slots=True)
+class WindowTime:
+    """Unix time in milliseconds as the windows see it.
+
+    Windows wait for parts until ``last_call`` after their end.
+    """
+
+    unix: int
+    length: Milliseconds
+    last_call: Milliseconds
+
+    @property
+    def last(self) -> int:
+        """Newest window whose parts may be complete."""
+        return (self.unix - SETTLE_TIME) // self.length - 1
+
+    @property
+    def last_due(self) -> int:
+        """Newest window that waits for no more parts."""
+        return (self.unix - self.last_call) // self.length - 1
+
+    def get_age(self, window: int) -> Milliseconds:
+        """Return the time since a window began.
+
+        :param window: number of the window.
+        """
+        return self.unix - window * self.length
+
+
 class UsageReporter(Protocol):
     """Where reports go."""
 
@@ -49,47 +88,54 @@
     """
 
     def __init__(
-        self, store: RowStore, counter: UsageCounter, run_id: str
+        self, store: RowStore, counter: UsageCounter, host: str, run_id: str
     ) -> None:
         """Create the writer.
 
         :param store: rows of the platform.
         :param counter: counts of this daemon.
+        :param host: name of this host.
         :param run_id: identity of this run of the daemon.
         """
         self._store = store
         self._counter = counter
         self._run_id = run_id
-        self._written: dict[int, dict[str, int]] = {}
+        self._host = host
+        self._written: dict[int, UsagePart] = {}
         self._versions: dict[int, int] = {}
 
     async def write_parts(self) -> None:
-        """Write the parts of all windows that have grown since."""
+        """Write the parts of all windows that have changed since."""
         counted = self._counter.list_windows()
+        present = counted[-1]
         for window in counted:
-            counts = self._counter.get_counts(window)
-            if counts != self._written.get(window):
-                await self._write(window, counts)
+            part = UsagePart(
+                self._host,
+                self._counter.get_counts(window),
+                is_final=window < present,
+            )
+            if part != self._written.get(window):
+                await self._write(window, part)
         self._written = _select_windows(self._written, counted)
         self._versions = _select_windows(self._versions, counted)
 
-    async def _write(self, window: int, counts: dict[str, int]) -> None:
+    async def _write(self, window: int, part: UsagePart) -> None:
         key = f'{window}/{self._run_id}'
         version = self._versions.get(window, ABSENT)
         answer = await self._store.commit(
             [Condition(PARTS_TABLE, key, version)],
-            [Write(PARTS_TABLE, key, counts)],
+            [Write(PARTS_TABLE, key, part)],
         )
         outcome = None if answer.is_err() else answer.unwrap()
         if isinstance(outcome, Commit):
             self._versions[window] = outcome.revision
-            self._written[window] = counts
+            self._written[window] = part
             return
         row = await self._store.get_row(PARTS_TABLE, key)
         known = None if row.is_err() else row.unwrap()
         if known is not None:
             self._versions[window] = known.version
-            self._written[window] = known.value
+            self._written[window] = msgspec.convert(known.value, UsagePart)
 
 
 class WindowCloser:
@@ -99,44 +145,43 @@
         self,
         store: RowStore,
         reporter: UsageReporter,
-        counter: UsageCounter,
         journal: Journal,
+        list_hosts: Callable[[Milliseconds], frozenset[str]],
     ) -> None:
         """Create the closer.
 
         :param store: rows of the platform.
         :param reporter: client of the usage interface.
-        :param counter: tells the present window.
         :param journal: log of reports.
+        :param list_hosts: hosts that were heard within the last milliseconds.
         """
         self._store = store
         self._reporter = reporter
-        self._counter = counter
         self._journal = journal
+        self._list_hosts = list_hosts
         self._reported: set[int] = set()
 
     async def close_windows(
-        self, last: int, authority: Authority, fence: Condition
+        self, present: WindowTime, authority: Authority, fence: Condition
     ) -> None:
-        """Report the windows up to one that are not reported yet.
+        """Report the windows that are complete or due.
 
-        :param last: newest window whose parts are complete.
+        :param present: which windows may be summed now.
         :param authority: holder and fence for the reports.
         :param fence: condition that fails once another daemon holds the duty.
         """
-        for window in range(last - _LOOK_BACK, last + 1):
-            if window not in self._reported:
-                await self._close(window, authority, fence)
-        self._reported = {
-            window for window in self._reported if window >= last - _LOOK_BACK
-        }
-
-    async def _close(
-        self, window: int, authority: Authority, fence: Condition
+        oldest = present.last - _LOOK_BACK
+        for window in range(oldest, present.last + 1):
+            if window in self._reported:
+                continue
+            row = await self._fix_counts(window, fence, present)
+            if row is not None:
+                await self._report(window, row, authority)
+        self._reported = {known for known in self._reported if known >= oldest}
+
+    async def _report(
+        self, window: int, row: Row, authority: Authority
     ) -> None:
-        row = await self._fix_counts(window, fence)
-        if row is None:
-            return
         summed = msgspec.convert(row.value, WindowSum)
         if summed.is_reported or not summed.counts:
             self._reported.add(window)
@@ -154,8 +199,10 @@
             self._reported.add(window)
             await self._mark(window, row, summed)
 
-    async def _fix_counts(self, window: int, fence: Condition) -> Row | None:
-        """Return the window's row, written now if it is absent."""
+    async def _fix_counts(
+        self, window: int, fence: Condition, present: WindowTime
+    ) -> Row | None:
+        """Return the window's row, written now if its parts are complete."""
         known = await self._store.get_row(WINDOWS_TABLE, str(window))
         if known.is_err():
             return None
@@ -165,9 +212,13 @@
         parts = await self._store.list_rows(PARTS_TABLE, f'{window}/')
         if parts.is_err():
             return None
-        summed = WindowSum(
-            _sum_parts([row.value for row in parts.unwrap().rows])
-        )
+        listed = _decode_parts(parts.unwrap().rows)
+        written = {part.host for part in listed if part.is_final}
+        # A daemon that fell silent before the window has nothing to write.
+        awaited = self._list_hosts(present.get_age(window))
+        if window > present.last_due and not awaited <= written:
+            return None
+        summed = WindowSum(_sum_parts(listed))
         if not summed.counts:
             return Row(str(window), ABSENT, msgspec.to_builtins(summed))
         answer = await self._store.commit(
@@ -219,9 +270,20 @@
     }
 
 
-def _sum_parts(parts: list[Mapping[str, int]]) -> dict[str, int]:
+def _decode_parts(rows: Iterable[Row]) -> list[UsagePart]:
+    parts = []
+    for row in rows:
+        try:
+            parts.append(msgspec.convert(row.value, UsagePart))
+        except msgspec.MsgspecError as error:
+            logging.warning(
+                'event=usage_part_unreadable key=%s error=%s', row.key, error
+            )
+    return parts
+
+
+def _sum_parts(parts: list[UsagePart]) -> dict[str, int]:
     total: Counter[str] = Counter()
     for part in parts:
-        if isinstance(part, dict):
-            total.update(part)
+        total.update(part.counts)
     return dict(sorted(total.items()))
--- a/src/clementinedyke/entry/watch.py
+++ b/src/clementinedyke/entry/watch.py
@@ -17,7 +17,6 @@
 #: the same time, so the waits are spread.
 _MIN_RETRY: Milliseconds = 80
 _MAX_RETRY: Milliseconds = 250
-_LONG_AGO: Milliseconds = 10**9
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,8 +108,6 @@
         self._generator = generator
         self._revision: int | None = None
         self._is_connected = False
-        #: Instant of the last call that failed.
-        self.failed_at: Milliseconds = -_LONG_AGO
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start the task.
@@ -150,8 +147,7 @@
         sent_at: Milliseconds,
     ) -> bool:
         if answer.is_err():
-            self.failed_at = self._clock.get_now()
-            self._reader.note_failure(self.failed_at)
+            self._reader.note_failure(self._clock.get_now())
             self._note_connection(is_connected=False)
             return False
         self._note_connection(is_connected=True)
--- a/src/clementinedyke/lease.py
+++ b/src/clementinedyke/lease.py
@@ -88,6 +88,8 @@
     ) -> list[LeaseAction]:
         self._call_until = now
         self._next_read = now
+        if self._timing.observes_anew:
+            self._view.restart_observation(now)
         return []
 
     @handle.register
--- a/src/clementinedyke/lease_row_view.py
+++ b/src/clementinedyke/lease_row_view.py
@@ -73,6 +73,13 @@
         """Whether this process stands among the former holders."""
         return self.drop_own() != self.unreleased
 
+    def restart_observation(self, now: Milliseconds) -> None:
+        """Take that renewals may have been missed until now.
+
+        :param now: current instant.
+        """
+        self._seen_at = now
+
     def is_free(self, now: Milliseconds) -> bool:
         """Tell whether the lease may be taken over.
 
--- a/src/clementinedyke/lease_types.py
+++ b/src/clementinedyke/lease_types.py
@@ -23,6 +23,8 @@
     ``quiet_wait`` is the TCP user timeout of order connections.
     ``host_lag`` bounds the age of a reading of the host list.
     ``call_timeout`` is longer than the timeout of the table client.
+    ``observes_anew``: after a failed call the row must be seen unchanged for
+    the whole duration again, so that an outage of the store moves no lease.
     """
 
     duration: Milliseconds = 9000
@@ -32,6 +34,7 @@
     call_timeout: Milliseconds = 2500
     host_interval: Milliseconds = 10000
     host_lag: Milliseconds = 60000
+    observes_anew: bool = False
 
     @property
     def bounded_quiet_wait(self) -> Milliseconds:
