--- a/src/clementinedyke/authority_component.py
+++ b/src/clementinedyke/authority_component.py
@@ -15,7 +15,7 @@
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.directory import Directory
 from clementinedyke.http_message import RequestError
-from clementinedyke.lease_component import LeaseComponent
+from clementinedyke.lease_component import LeaseComponent, LeasePolicy
 from clementinedyke.lease_types import Identity
 from clementinedyke.reference_platform.hosts import HostListClient
 from clementinedyke.reference_platform.usage_reports import UsageReportClient
@@ -103,7 +103,7 @@
             peers.clock,
             self._nonces,
             candidates.is_candidate,
-            self._timing.lease,
+            LeasePolicy(self._timing.lease),
         )
         self.part = PartComponent(
             identity.incarnation,
--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -8,6 +8,7 @@
 from clementinedyke.entry.configuration_view import ConfigurationView
 from clementinedyke.entry.duties import DutyTools, create_duties
 from clementinedyke.entry.endpoint_view import EndpointView
+from clementinedyke.entry.endpoint_work import WorkTable
 from clementinedyke.entry.exchange import Exchange
 from clementinedyke.entry.gateway import Gateway
 from clementinedyke.entry.host_settings import HostSettings
@@ -58,7 +59,7 @@
             self._wall_time, settings.bounds.usage_window
         )
         self._budgets: dict[str, RetryBudget] = {}
-        self._placement = PlacementCore(settings.availability_zone)
+        self._work = WorkTable()
         self._board = NewsBoard(settings.host)
         self._build_views()
         self._build_peers()
@@ -119,7 +120,7 @@
             ),
             self._platform.store,
             self._board,
-            self._placement,
+            self._work,
             (self._configuration, self._endpoints),
             (self._clock, self._journal, self._generator),
         )
@@ -127,12 +128,11 @@
     def _build_requests(self) -> None:
         """Build the path of a caller's request."""
         settings = self._settings
-        exchange = Exchange(
-            self._platform.protocol, self._placement, self._clock
-        )
+        placement = PlacementCore(settings.availability_zone, self._work)
+        exchange = Exchange(self._platform.protocol, placement, self._clock)
         tools = RunnerTools(
             self._platform.protocol,
-            self._placement,
+            placement,
             exchange,
             self._usage,
             self._clock,
@@ -156,7 +156,7 @@
         self._sync = SyncComponent(
             self._configuration,
             self._endpoints,
-            self._placement,
+            placement,
             exchange,
             self._caller_port,
             self._clock,
--- a/src/clementinedyke/entry/configuration_view.py
+++ b/src/clementinedyke/entry/configuration_view.py
@@ -158,11 +158,12 @@
     routes: dict[str, list[EntryRoute]] = {}
     for route in configuration.routes:
         routes.setdefault(route.host, []).append(route)
-    for entries in routes.values():
-        entries.sort(key=_get_prefix_length, reverse=True)
     return _Index(
         configuration,
-        {host: tuple(entries) for host, entries in routes.items()},
+        {
+            host: tuple(sorted(found, key=_get_prefix_length, reverse=True))
+            for host, found in routes.items()
+        },
         {
             key: customer
             for customer in configuration.customers or ()
--- a/src/clementinedyke/entry/duties.py
+++ b/src/clementinedyke/entry/duties.py
@@ -20,7 +20,7 @@
 from clementinedyke.entry.usage_duty import PartWriter, WindowCloser
 from clementinedyke.entry.wall_time import WallTime
 from clementinedyke.handover import LapseHandover
-from clementinedyke.lease_component import LeaseComponent
+from clementinedyke.lease_component import LeaseComponent, LeasePolicy
 from clementinedyke.lease_types import Identity, LeaseTiming
 
 _RENEWALS_PER_LEASE = 3
@@ -111,8 +111,7 @@
         tools.clock,
         tools.generator,
         is_candidate=tools.is_candidate,
-        timing=timing,
-        handover=LapseHandover(identity, 0, 0),
+        policy=LeasePolicy(timing, LapseHandover(identity, 0, 0)),
     )
 
 
--- a/src/clementinedyke/entry/endpoint_view.py
+++ b/src/clementinedyke/entry/endpoint_view.py
@@ -92,22 +92,8 @@
         for row in rows:
             if row.content is None:
                 self._lose(row.key, now)
-                continue
-            known = self._rows.get(row.key)
-            if known is not None and known.version >= row.version:
-                self._held_until.pop(row.key, None)
-                continue
-            decoded = self._decode(row.key, row.content)
-            if decoded.is_err():
-                self._journal.write(
-                    'endpoint_entry_unreadable',
-                    endpoint=row.key,
-                    reason=decoded.unwrap_err(),
-                )
-                self._lose(row.key, now)
-                continue
-            self._rows[row.key] = row
-            self._put(decoded.unwrap())
+            else:
+                self._apply_entry(row, row.content, now)
 
     def confirm(self, as_of: Milliseconds) -> None:
         """Take that the entries were complete at an instant.
@@ -124,6 +110,25 @@
         """
         self._disrupted_at = now
 
+    def _apply_entry(
+        self, row: StoredRow, content: bytes, now: Milliseconds
+    ) -> None:
+        known = self._rows.get(row.key)
+        if known is not None and known.version >= row.version:
+            self._held_until.pop(row.key, None)
+            return
+        decoded = self._decode(row.key, content)
+        if decoded.is_ok():
+            self._rows[row.key] = row
+            self._put(decoded.unwrap())
+            return
+        self._journal.write(
+            'endpoint_entry_unreadable',
+            endpoint=row.key,
+            reason=decoded.unwrap_err(),
+        )
+        self._lose(row.key, now)
+
     def _put(self, endpoint: EntryEndpoint) -> None:
         self._held_until.pop(endpoint.endpoint_id, None)
         known = self._endpoints.get(endpoint.endpoint_id)
--- a/src/clementinedyke/entry/exchange.py
+++ b/src/clementinedyke/entry/exchange.py
@@ -71,7 +71,7 @@
         """
         endpoint = options.endpoint
         request = self._protocol.compile_request(job.request, options)
-        work = self._placement.get_work(endpoint)
+        work = self._placement.work.get_work(endpoint)
         work.running += 1
         job.path.append(endpoint.endpoint_id)
         try:
@@ -81,7 +81,9 @@
                 head = self._read_head(job, stream, endpoint)
                 yield EndpointAnswer(head, stream, endpoint)
         except PeerUnavailableError:
-            self._placement.note_unreachable(endpoint, self._clock.get_now())
+            self._placement.work.note_unreachable(
+                endpoint, self._clock.get_now()
+            )
             raise
         except ProtocolError as error:
             self._note_failure(job, endpoint)
@@ -134,11 +136,11 @@
             raise AnswerLostError('answer of another request')
         now = self._clock.get_now()
         if head.load is not None:
-            self._placement.note_load(endpoint, head.load, now)
+            self._placement.work.note_load(endpoint, head.load, now)
         if head.was_not_run:
-            self._placement.note_rejection(endpoint, now)
+            self._placement.work.note_rejection(endpoint, now)
         else:
-            self._placement.note_acceptance(endpoint)
+            self._placement.work.note_acceptance(endpoint)
         return head
 
     def _note_failure(self, job: Job, endpoint: EntryEndpoint) -> None:
--- a/src/clementinedyke/entry/gateway.py
+++ b/src/clementinedyke/entry/gateway.py
@@ -106,12 +106,11 @@
 
     async def _run_in_time(self, job: Job, response: ResponseWriter) -> None:
         left = job.get_time_left(self._clock.get_now()) + _DEADLINE_GRACE
-        with trio.move_on_after(left / _MILLISECONDS_PER_SECOND) as scope:
+        with trio.move_on_after(left / _MILLISECONDS_PER_SECOND):
             if job.route.kind is RequestKind.STREAM and self._streams:
                 await self._streams.run(job, response)
             else:
                 await self._plain.run(job, response)
-        if not scope.cancelled_caught:
             return
         if response.is_started:
             raise StreamBroken('the deadline has passed')
--- a/src/clementinedyke/entry/news.py
+++ b/src/clementinedyke/entry/news.py
@@ -138,21 +138,12 @@
 
         :param now: current instant.
         """
-        fresh = [
-            heard
-            for heard in self._heard.values()
-            if heard.news.configuration_age >= 0
-            and now - heard.heard_at <= _get_lifetime(heard.news)
-        ]
-        if not fresh:
-            return None
-        best = min(
-            fresh,
-            key=lambda heard: (
-                heard.news.configuration_age + now - heard.heard_at
-            ),
-        )
-        return best.news.host
+        ages = {
+            host: now - item.heard_at + item.news.configuration_age
+            for host, item in self._heard.items()
+            if _is_source(item, now)
+        }
+        return min(ages, key=ages.__getitem__, default=None)
 
     def _activate(self, news: PeerNews) -> None:
         self._active.add(news.host)
@@ -163,7 +154,8 @@
         if host not in self._active:
             return
         self._active.discard(host)
-        for endpoint_id, counts in self._heard[host].news.work.items():
+        news = self._heard[host].news
+        for endpoint_id, counts in news.work.items():
             running, tokens = counts
             self._add(endpoint_id, -running, -tokens)
 
@@ -177,5 +169,10 @@
                 totals.pop(endpoint_id, None)
 
 
+def _is_source(heard: _Heard, now: Milliseconds) -> bool:
+    is_fresh = now - heard.heard_at <= _get_lifetime(heard.news)
+    return is_fresh and heard.news.configuration_age >= 0
+
+
 def _get_lifetime(news: PeerNews) -> Milliseconds:
     return max(_MIN_LIFETIME, _LIFETIME_INTERVALS * news.interval)
--- a/src/clementinedyke/entry/order_component.py
+++ b/src/clementinedyke/entry/order_component.py
@@ -74,8 +74,10 @@
         :param journal: log of orders.
         """
         self._lease = lease
-        self._configuration, self._endpoints = views
-        self._capacity, self._stages = plans
+        self._configuration = views[0]
+        self._endpoints = views[1]
+        self._capacity = plans[0]
+        self._stages = plans[1]
         self._sender = sender
         self._clock = clock
         self._journal = journal
--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -12,15 +12,11 @@
 from clementinedyke.components import Component
 from clementinedyke.entry.configuration_view import ConfigurationView
 from clementinedyke.entry.endpoint_view import EndpointView
+from clementinedyke.entry.endpoint_work import WorkTable
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.news import NewsBoard, PeerNews
-from clementinedyke.entry.placement import PlacementCore
 from clementinedyke.entry.watch import StoredRow
-from clementinedyke.exceptions import (
-    AnswerLostError,
-    PeerUnavailableError,
-    ProtocolError,
-)
+from clementinedyke.exceptions import ClementinedykeError
 from clementinedyke.http_client import Address, HttpClient, HttpRequest
 from clementinedyke.http_message import ResponseWriter, ServerRequest
 from clementinedyke.http_server import HttpServer
@@ -92,7 +88,7 @@
         identity: PeerIdentity,
         store: RowStore,
         board: NewsBoard,
-        placement: PlacementCore,
+        work: WorkTable,
         views: tuple[ConfigurationView, EndpointView],
         tools: tuple[Clock, Journal, Random],
     ) -> None:
@@ -101,14 +97,14 @@
         :param identity: this daemon.
         :param store: rows of the platform, which list the daemons.
         :param board: takes the news.
-        :param placement: core whose work is told and which learns of others'.
+        :param work: own work, which is told, and that of others.
         :param views: configuration and endpoints.
         :param tools: clock, log and source of jitter.
         """
         self._identity = identity
         self._store = store
         self._board = board
-        self._placement = placement
+        self._work = work
         self._configuration = views[0]
         self._endpoints = views[1]
         self._clock = tools[0]
@@ -170,8 +166,8 @@
         if not self._board.note_news(news, now):
             return
         self._peers[news.host] = sender
-        self._placement.set_remote(self._board.running, self._board.tokens)
-        self._placement.note_remote_parts(news.read_parts, now)
+        self._work.set_remote(self._board.running, self._board.tokens)
+        self._work.note_remote_parts(news.read_parts, now)
         confirmed = self._board.get_confirmation(
             self._configuration.version, now
         )
@@ -184,7 +180,7 @@
             await trio.sleep(self.interval / _MILLISECONDS_PER_SECOND)
             now = self._clock.get_now()
             self._board.expire(now)
-            work = self._placement.list_own_work(now)
+            work = self._work.list_own_work(now)
             idle_rounds += 1
             # What an engine has read is told with the work that ends by it.
             if work != self._last_work or idle_rounds >= _IDLE_FACTOR:
@@ -203,7 +199,7 @@
             configuration_age=-1 if age is None else age,
             interval=self.interval * _IDLE_FACTOR,
             work=work,
-            read_parts=self._placement.take_read_parts(),
+            read_parts=self._work.take_read_parts(),
         )
         payload = msgspec.msgpack.encode(news)
         for peer in tuple(self._peers.values()):
@@ -276,12 +272,7 @@
                     HttpRequest('GET', _STATE_PATH), _HELP_TIMEOUT
                 )
             state = msgspec.msgpack.decode(answer.body, type=_SharedState)
-        except (
-            PeerUnavailableError,
-            AnswerLostError,
-            ProtocolError,
-            msgspec.MsgspecError,
-        ) as error:
+        except (ClementinedykeError, msgspec.MsgspecError) as error:
             self._journal.write('state_not_lent', peer=host, reason=str(error))
             return
         self._apply_state(host, state, asked_at)
--- a/src/clementinedyke/entry/placement.py
+++ b/src/clementinedyke/entry/placement.py
@@ -1,126 +1,40 @@
 """Chooses the endpoint for each part of a request."""
 
 import hashlib
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Iterable
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.entry.catalog import EntryEndpoint, PromptPart, Stage
-from clementinedyke.entry.endpoint_protocol import EndpointLoad
+from clementinedyke.entry.catalog import EntryEndpoint, Stage
+from clementinedyke.entry.endpoint_work import PromptProfile, WorkTable
 from clementinedyke.health import HealthLimits, HealthState, HealthTable
 
-#: Tokens per millisecond that an engine is taken to read before any was
-#: timed; the sheets give 61 and 93 without the steps between pieces.
-_FIRST_READ_RATE = 50.0
-_RATE_WEIGHT = 0.2
-#: Fixed part in ms of a read; calls on idle engines took about 95 ms.
-_READ_BASE: Milliseconds = 95
-#: Shortest prompt whose time tells of the rate.
-_TIMED_TOKENS = 4000
-#: Work of relating a token to one before it, in parts of a token's own. The
-#: sheets give 0.3 to 0.5 ms a million pairs.
-_PAIR_WORK = 3e-5
-#: A load that an endpoint told of is out of date after this time.
-_LOAD_LIFETIME: Milliseconds = 1000
 #: Part of an endpoint's slots by which one in another availability zone must
 #: be emptier to be chosen: bytes between zones cost money.
 _ZONE_PENALTY = 0.1
 _MAX_EJECTION: Milliseconds = 8000
 _LIMITS = HealthLimits(failures=3, ejection=1000, max_ejection=_MAX_EJECTION)
-#: An endpoint that refused a connection is tried again after this time; a
-#: crashed one is back after some seconds.
-_UNREACHABLE_TIME: Milliseconds = 1000
-#: Time that a prompt may take beyond a multiple of the expected one.
-_MIN_READ_LIMIT: Milliseconds = 1200
-_READ_LIMIT_FACTOR = 3
-#: Pause of an endpoint that rejected a request; doubles with each one.
-_MIN_REJECTED: Milliseconds = 100
-_MAX_REJECTED: Milliseconds = 1600
 _NOTHING: frozenset[str] = frozenset()
 _HASH_BYTES = 8
 
 
-@dataclass(slots=True)
-class EndpointWork:
-    """What is known of the work at an endpoint.
-
-    ``running`` and ``prompt_tokens`` are of this daemon. ``others`` are the
-    requests beyond them that the endpoint last told of.
-    """
-
-    running: int = 0
-    reads: dict[int, float] = field(default_factory=dict)
-    drained_at: Milliseconds = 0
-    others: float = 0
-    told_at: Milliseconds | None = None
-    read_rate: float = _FIRST_READ_RATE
-    unreachable_until: Milliseconds = 0
-    rejections: int = 0
-    known_parts: dict[str, Milliseconds] = field(default_factory=dict)
-
-    @property
-    def prompt_tokens(self) -> float:
-        """Work of this daemon's prompts that is not done yet, in tokens."""
-        return sum(self.reads.values())
-
-    def drain(self, other_tokens: float, now: Milliseconds) -> None:
-        """Take the work off that the engine has done since the last call.
-
-        The engine reads all prompts at the same time.
-
-        :param other_tokens: work of the other daemons.
-        :param now: current instant.
-        """
-        passed = now - self.drained_at
-        self.drained_at = now
-        total = self.prompt_tokens
-        if total <= 0 or passed <= 0:
-            return
-        done = passed * self.read_rate / (total + other_tokens)
-        left = max(0, 1 - done)
-        self.reads = {key: work * left for key, work in self.reads.items()}
-
-
-@dataclass(frozen=True, slots=True)
-class PromptProfile:
-    """What placing needs to know of a prompt."""
-
-    tokens: int
-    parts: tuple[PromptPart, ...]
-
-    @property
-    def shared_parts(self) -> tuple[PromptPart, ...]:
-        """Parts that other requests may bring too."""
-        return self.parts[:-1]
-
-    @property
-    def shared_tokens(self) -> int:
-        """Tokens of the shared parts."""
-        return sum(part.tokens for part in self.shared_parts)
-
-    @property
-    def affinity(self) -> str:
-        """Text that is equal for prompts which share all they can."""
-        shared = self.shared_parts
-        return shared[-1].part_id if shared else ''
-
-
 class PlacementCore:
     """Places prompts where their parts are kept, and work where room is."""
 
-    def __init__(self, availability_zone: str) -> None:
+    def __init__(self, availability_zone: str, work: WorkTable) -> None:
         """Create a core without endpoints.
 
         :param availability_zone: zone of this daemon.
+        :param work: work at the endpoints.
         """
         self._zone = availability_zone
+        self._work = work
         self._endpoints: dict[str, list[EntryEndpoint]] = {}
-        self._work: dict[str, EndpointWork] = {}
         self._health: dict[str, HealthTable] = {}
-        self._remote_running: Mapping[str, int] | None = None
-        self._remote_tokens: Mapping[str, int] = {}
-        self._read_parts: dict[str, list[str]] = {}
-        self._last_read = 0
+
+    @property
+    def work(self) -> WorkTable:
+        """Work at the endpoints."""
+        return self._work
 
     def set_endpoints(self, endpoints: Iterable[EntryEndpoint]) -> None:
         """Take all endpoints in place of the former ones.
@@ -128,50 +42,14 @@
         :param endpoints: endpoints, leaving ones included.
         """
         by_service: dict[str, list[EntryEndpoint]] = {}
-        for endpoint in endpoints:
+        listed = tuple(endpoints)
+        self._work.set_endpoints(listed)
+        for endpoint in listed:
             by_service.setdefault(endpoint.service, []).append(endpoint)
-        known = {item.run_id for group in by_service.values() for item in group}
-        for run_id in tuple(self._work):
-            if run_id not in known:
-                self._work.pop(run_id)
         for service, group in by_service.items():
             self._set_health(service, group)
         self._endpoints = by_service
 
-    def get_work(self, endpoint: EntryEndpoint) -> EndpointWork:
-        """Return what is known of the work at an endpoint.
-
-        :param endpoint: any endpoint.
-        """
-        return self._work.setdefault(endpoint.run_id, EndpointWork())
-
-    def list_own_work(self, now: Milliseconds) -> dict[str, tuple[int, int]]:
-        """Return running requests and unread prompt tokens of this daemon.
-
-        The keys are ids of endpoints; idle ones are left out.
-
-        :param now: current instant.
-        """
-        own = {}
-        for group in self._endpoints.values():
-            for endpoint in group:
-                work = self._get_drained(endpoint, now)
-                if work.running:
-                    tokens = int(work.prompt_tokens)
-                    own[endpoint.endpoint_id] = (work.running, tokens)
-        return own
-
-    def set_remote(
-        self, running: Mapping[str, int], tokens: Mapping[str, int]
-    ) -> None:
-        """Take the work of the other daemons.
-
-        :param running: requests by id of the endpoint.
-        :param tokens: unread prompt tokens by id of the endpoint.
-        """
-        self._remote_running = running
-        self._remote_tokens = tokens
-
     def select_prefill(
         self,
         service: str,
@@ -194,7 +72,7 @@
         ).run_id
         return min(
             candidates,
-            key=lambda item: self._get_read_time(
+            key=lambda item: self._work.get_read_time(
                 item, profile, now, is_home=item.run_id == home
             ),
         )
@@ -242,107 +120,6 @@
             for endpoint in self._endpoints.get(service, ())
         )
 
-    def note_load(
-        self, endpoint: EntryEndpoint, load: EndpointLoad, now: Milliseconds
-    ) -> None:
-        """Take the load that an endpoint told of.
-
-        :param endpoint: endpoint that answered.
-        :param load: requests that it runs and queues.
-        :param now: current instant.
-        """
-        work = self.get_work(endpoint)
-        work.others = max(0, load.running + load.waiting - work.running)
-        work.told_at = now
-
-    def get_read_limit(
-        self, endpoint: EntryEndpoint, profile: PromptProfile
-    ) -> Milliseconds:
-        """Return the time after which another engine is asked to read.
-
-        An engine that went dark answers nothing at all; without a limit the
-        prompt would wait for it until the deadline.
-
-        :param endpoint: engine that is to read the prompt.
-        :param profile: the prompt.
-        """
-        work = self.get_work(endpoint)
-        others = self._remote_tokens.get(endpoint.endpoint_id, 0)
-        unread = _get_unread(work, profile, is_home=False)
-        expected = (work.prompt_tokens + others + unread) / work.read_rate
-        return _MIN_READ_LIMIT + int(_READ_LIMIT_FACTOR * expected)
-
-    def start_read(
-        self,
-        endpoint: EntryEndpoint,
-        profile: PromptProfile,
-        now: Milliseconds,
-    ) -> 'ReadTicket':
-        """Count a prompt that goes to an engine.
-
-        :param endpoint: engine that is to read it.
-        :param profile: the prompt.
-        :param now: current instant.
-        """
-        work = self._get_drained(endpoint, now)
-        self._last_read += 1
-        unread = _get_unread(work, profile, is_home=False)
-        others = self._remote_tokens.get(endpoint.endpoint_id, 0)
-        is_alone = not work.reads and not others
-        work.reads[self._last_read] = unread
-        return ReadTicket(endpoint, self._last_read, unread, now, is_alone)
-
-    def end_read(self, ticket: 'ReadTicket', now: Milliseconds) -> None:
-        """Count a prompt that was read or given up.
-
-        :param ticket: what the start returned.
-        :param now: current instant.
-        """
-        work = self._get_drained(ticket.endpoint, now)
-        work.reads.pop(ticket.number, None)
-
-    def note_read(
-        self, ticket: 'ReadTicket', profile: PromptProfile, now: Milliseconds
-    ) -> None:
-        """Take that an engine has read a prompt.
-
-        :param ticket: what the start returned.
-        :param profile: the prompt.
-        :param now: current instant.
-        """
-        endpoint = ticket.endpoint
-        work = self.get_work(endpoint)
-        duration = now - ticket.started_at - _READ_BASE
-        if ticket.is_alone and ticket.unread >= _TIMED_TOKENS and duration > 0:
-            rate = ticket.unread / duration
-            work.read_rate += _RATE_WEIGHT * (rate - work.read_rate)
-        for part in profile.shared_parts:
-            work.known_parts[part.part_id] = now
-            self._read_parts.setdefault(endpoint.endpoint_id, []).append(
-                part.part_id
-            )
-
-    def take_read_parts(self) -> dict[str, list[str]]:
-        """Return the parts that were read since the last call, to be told."""
-        taken = self._read_parts
-        self._read_parts = {}
-        return taken
-
-    def note_remote_parts(
-        self, read_parts: Mapping[str, list[str]], now: Milliseconds
-    ) -> None:
-        """Take what engines have read for other daemons.
-
-        :param read_parts: ids of parts by id of the endpoint.
-        :param now: current instant.
-        """
-        for group in self._endpoints.values():
-            for endpoint in group:
-                parts = read_parts.get(endpoint.endpoint_id, ())
-                if parts:
-                    work = self.get_work(endpoint)
-                    work.known_parts.update(dict.fromkeys(parts, now))
-
     def note_success(self, endpoint: EntryEndpoint, request_id: str) -> None:
         """Count an answer.
 
@@ -366,42 +143,6 @@
         if table is not None:
             table.record_failure(endpoint.run_id, request_id, now)
 
-    def note_unreachable(
-        self, endpoint: EntryEndpoint, now: Milliseconds
-    ) -> None:
-        """Take that no connection to an endpoint could be opened.
-
-        It gets no work for a while, however many others are unreachable: a
-        cut zone takes most endpoints away at once.
-
-        :param endpoint: endpoint that was tried.
-        :param now: current instant.
-        """
-        self.get_work(endpoint).unreachable_until = now + _UNREACHABLE_TIME
-
-    def note_rejection(
-        self, endpoint: EntryEndpoint, now: Milliseconds
-    ) -> None:
-        """Take that an endpoint sent a request away without running it.
-
-        An endpoint that rejects all it gets, such as one that changes its
-        stage, looks empty; without a pause it would draw all requests.
-
-        :param endpoint: endpoint that rejected a request.
-        :param now: current instant.
-        """
-        work = self.get_work(endpoint)
-        pause = min(_MAX_REJECTED, _MIN_REJECTED << work.rejections)
-        work.rejections += 1
-        work.unreachable_until = now + pause
-
-    def note_acceptance(self, endpoint: EntryEndpoint) -> None:
-        """Take that an endpoint runs a request.
-
-        :param endpoint: endpoint that accepted a request.
-        """
-        self.get_work(endpoint).rejections = 0
-
     def _set_health(self, service: str, group: list[EntryEndpoint]) -> None:
         table = self._health.setdefault(service, HealthTable(_LIMITS))
         former = {item.run_id for item in self._endpoints.get(service, ())}
@@ -434,7 +175,7 @@
         reachable = [
             endpoint
             for endpoint in candidates
-            if self.get_work(endpoint).unreachable_until <= now
+            if self._work.get_work(endpoint).paused_until <= now
         ]
         candidates = reachable or candidates
         if table is None:
@@ -459,77 +200,10 @@
     def _get_fill(
         self, endpoint: EntryEndpoint, zone: str, now: Milliseconds
     ) -> float:
-        work = self.get_work(endpoint)
-        others = self._get_others(endpoint, work, now)
-        fill = (work.running + others) / endpoint.slots
+        fill = self._work.get_requests(endpoint, now) / endpoint.slots
         is_near = endpoint.availability_zone == zone
         return fill if is_near else fill + _ZONE_PENALTY
 
-    def _get_others(
-        self, endpoint: EntryEndpoint, work: EndpointWork, now: Milliseconds
-    ) -> float:
-        """Return the requests of other daemons at an endpoint.
-
-        The daemons' news are newer than what the endpoint told of; that
-        stands in until the first news.
-        """
-        if self._remote_running is not None:
-            return self._remote_running.get(endpoint.endpoint_id, 0)
-        return work.others if _is_recent(work, now) else 0
-
-    def _get_read_time(
-        self,
-        endpoint: EntryEndpoint,
-        profile: PromptProfile,
-        now: Milliseconds,
-        *,
-        is_home: bool,
-    ) -> float:
-        work = self._get_drained(endpoint, now)
-        others = self._remote_tokens.get(endpoint.endpoint_id, 0)
-        waiting = work.prompt_tokens + others
-        unread = _get_unread(work, profile, is_home=is_home)
-        return (waiting + unread) / work.read_rate
-
-    def _get_drained(
-        self, endpoint: EntryEndpoint, now: Milliseconds
-    ) -> EndpointWork:
-        work = self.get_work(endpoint)
-        work.drain(self._remote_tokens.get(endpoint.endpoint_id, 0), now)
-        return work
-
-
-@dataclass(frozen=True, slots=True)
-class ReadTicket:
-    """A prompt that an engine is reading; ``unread`` is its work in tokens."""
-
-    endpoint: EntryEndpoint
-    number: int
-    unread: float
-    started_at: Milliseconds
-    is_alone: bool
-
-
-def _get_unread(
-    work: EndpointWork, profile: PromptProfile, *, is_home: bool
-) -> float:
-    """Return the work that an engine is expected to have with a prompt.
-
-    Each token read is also related to all tokens before it, so that long
-    prompts cost more than their length tells.
-    """
-    cached = 0
-    for part in profile.shared_parts:
-        if not is_home and part.part_id not in work.known_parts:
-            break
-        cached += part.tokens
-    unread = max(0, profile.tokens - cached)
-    return unread + _PAIR_WORK * unread * (cached + unread / 2)
-
-
-def _is_recent(work: EndpointWork, now: Milliseconds) -> bool:
-    return work.told_at is not None and now - work.told_at < _LOAD_LIFETIME
-
 
 def _get_affinity(profile: PromptProfile, endpoint: EntryEndpoint) -> bytes:
     """Return the weight of an engine for a prompt (rendezvous hashing).
--- a/src/clementinedyke/entry/runners.py
+++ b/src/clementinedyke/entry/runners.py
@@ -20,7 +20,8 @@
 from clementinedyke.http_message import ResponseWriter
 
 _STATUS_SERVER_ERROR = 500
-_STATUS_SUCCESS = range(200, 300)
+_FIRST_SUCCESS = 200
+_FIRST_REDIRECT = 300
 #: A caller whose request found no room comes back after this time: about one
 #: answer of a plain service, or a few steps of an engine.
 RETRY_FULL: Milliseconds = 150
@@ -126,7 +127,8 @@
             return False
         job.has_started = True
         body = await answer.stream.receive_body()
-        if not head.is_signed and head.status in _STATUS_SUCCESS:
+        is_success = _FIRST_SUCCESS <= head.status < _FIRST_REDIRECT
+        if is_success and not head.is_signed:
             raise AnswerLostError('the answer bears no signature')
         job.runs += 1
         self._tools.usage.note_start(job.customer)
--- a/src/clementinedyke/entry/stream_runner.py
+++ b/src/clementinedyke/entry/stream_runner.py
@@ -10,11 +10,11 @@
     PromptMemory,
     SendOptions,
 )
+from clementinedyke.entry.endpoint_work import PromptProfile
 from clementinedyke.entry.event_stream import EventSplitter
 from clementinedyke.entry.exchange import EndpointAnswer
 from clementinedyke.entry.intake import Job
 from clementinedyke.entry.outcomes import JobFailure, StreamBroken
-from clementinedyke.entry.placement import PromptProfile
 from clementinedyke.entry.runners import RunnerTools
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
 from clementinedyke.http_message import ResponseWriter
@@ -67,9 +67,10 @@
         request = job.request
         profile = PromptProfile(request.prompt_tokens, request.prompt_parts)
         generation = _Generation(job, response, profile)
+        is_done = False
         try:
-            while not await self._advance(generation):
-                continue
+            while not is_done:
+                is_done = await self._advance(generation)
         finally:
             self._release(generation)
 
@@ -137,8 +138,10 @@
             priority=min(job.priority, _MAX_PRIORITY),
             is_prefill=True,
         )
-        limit = tools.placement.get_read_limit(endpoint, generation.profile)
-        ticket = tools.placement.start_read(
+        limit = tools.placement.work.get_read_limit(
+            endpoint, generation.profile
+        )
+        ticket = tools.placement.work.start_read(
             endpoint, generation.profile, started_at
         )
         decoded: PrefillAnswer | None = None
@@ -147,7 +150,7 @@
                 decoded = await self._ask_prefill(job, options)
         finally:
             now = tools.clock.get_now()
-            tools.placement.end_read(ticket, now)
+            tools.placement.work.end_read(ticket, now)
         if decoded is None:
             if now - started_at >= limit:
                 tools.placement.note_failure(
@@ -155,7 +158,7 @@
                 )
             return None
         job.read_at = now
-        tools.placement.note_read(ticket, generation.profile, now)
+        tools.placement.work.note_read(ticket, generation.profile, now)
         tools.placement.note_success(endpoint, job.request.request_id)
         return PromptMemory(endpoint, decoded.handle)
 
--- a/src/clementinedyke/entry/usage_counter.py
+++ b/src/clementinedyke/entry/usage_counter.py
@@ -52,6 +52,9 @@
     def _open_window(self) -> Counter[str]:
         window = self.window
         if window not in self._counts:
-            for old in [it for it in self._counts if it <= window - _KEPT]:
-                self._counts.pop(old)
+            self._counts = {
+                number: counts
+                for number, counts in self._counts.items()
+                if number > window - _KEPT
+            }
         return self._counts.setdefault(window, Counter())
--- a/src/clementinedyke/entry/usage_duty.py
+++ b/src/clementinedyke/entry/usage_duty.py
@@ -218,8 +218,13 @@
         awaited = self._list_hosts(present.get_age(window))
         if window > present.last_due and not awaited <= written:
             return None
-        summed = WindowSum(_sum_parts(listed))
-        if not summed.counts:
+        return await self._write_sum(window, fence, _sum_parts(listed))
+
+    async def _write_sum(
+        self, window: int, fence: Condition, counts: dict[str, int]
+    ) -> Row | None:
+        summed = WindowSum(counts)
+        if not counts:
             return Row(str(window), ABSENT, msgspec.to_builtins(summed))
         answer = await self._store.commit(
             [Condition(WINDOWS_TABLE, str(window), ABSENT), fence],
--- a/src/clementinedyke/lease_component.py
+++ b/src/clementinedyke/lease_component.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from typing import Protocol
 
 import msgspec
@@ -62,6 +63,17 @@
         """Return once no order that was sent can reach its target."""
 
 
+@dataclass(frozen=True, slots=True)
+class LeasePolicy:
+    """Durations of leases, and a judge of former holders for all scopes.
+
+    None stands for the defaults of the core, and one judge a scope.
+    """
+
+    timing: LeaseTiming | None = None
+    handover: HandoverCore | None = None
+
+
 class HostList(Protocol):
     """List of live hosts; a proof that former holders have ended."""
 
@@ -80,8 +92,7 @@
         clock: Clock,
         nonces: random.Random,
         is_candidate: Callable[[str], bool],
-        timing: LeaseTiming | None = None,
-        handover: HandoverCore | None = None,
+        policy: LeasePolicy | None = None,
     ) -> None:
         """Create the component; the daemon address must be bound already.
 
@@ -91,9 +102,7 @@
         :param clock: clock of the process.
         :param nonces: seeded source of nonces.
         :param is_candidate: tells whether this daemon seeks a scope's lease.
-        :param timing: durations of leases.
-        :param handover: judge of former holders that all scopes share, by
-            default one a scope.
+        :param policy: durations and the judge of former holders.
         """
         self._identity = identity
         self._tables = tables
@@ -101,8 +110,7 @@
         self._clock = clock
         self._nonces = nonces
         self._is_candidate = is_candidate
-        self._timing = timing
-        self._handover = handover
+        self._policy = policy or LeasePolicy()
         self._last_hosts: HostsRead | None = None
         self._cores: dict[str, LeaseCore] = {}
         self._sources: dict[str, list[OrderSource]] = {}
@@ -128,7 +136,10 @@
         """
         if scope not in self._cores:
             self._cores[scope] = LeaseCore(
-                self._identity, self._nonces, self._timing, self._handover
+                self._identity,
+                self._nonces,
+                self._policy.timing,
+                self._policy.handover,
             )
             self._sources[scope] = []
             self._pending[scope] = [
--- a/src/clementinedyke/platform/duties.py
+++ b/src/clementinedyke/platform/duties.py
@@ -1,5 +1,8 @@
 """Calls of the platform that one daemon at a time may make."""
 
+from collections.abc import Mapping
+from http import HTTPStatus
+
 import msgspec
 from absl import logging
 from result import Err, Ok, Result
@@ -18,11 +21,14 @@
 from clementinedyke.peer_calls import STATUS_OK, call_once
 
 _JSON_TYPE = (b'Content-Type', b'application/json')
-_STATUS_ACCEPTED = 202
-_STATUS_CONFLICT = 409
 _STATUS_SERVER_ERROR = 500
-_STATUS_TOO_MANY = 429
-_STATUS_UNAVAILABLE = 503
+_OUTCOMES: Mapping[int, OrderOutcome] = {
+    HTTPStatus.OK: OrderOutcome.DONE,
+    HTTPStatus.ACCEPTED: OrderOutcome.DONE,
+    HTTPStatus.CONFLICT: OrderOutcome.UNAVAILABLE,
+    HTTPStatus.TOO_MANY_REQUESTS: OrderOutcome.NOT_DONE,
+    HTTPStatus.SERVICE_UNAVAILABLE: OrderOutcome.NOT_DONE,
+}
 #: Longest wait for an answer: the platform answers within a few ms, and 50
 #: times later while it is slow.
 _CALL_TIMEOUT: Milliseconds = 1200
@@ -172,12 +178,6 @@
             return OrderOutcome.UNKNOWN
         return OrderOutcome.NOT_DONE
     status = answer.unwrap().status
-    if status in {STATUS_OK, _STATUS_ACCEPTED}:
-        return OrderOutcome.DONE
-    if status == _STATUS_CONFLICT:
-        return OrderOutcome.UNAVAILABLE
-    if status in {_STATUS_TOO_MANY, _STATUS_UNAVAILABLE}:
-        return OrderOutcome.NOT_DONE
     if status >= _STATUS_SERVER_ERROR:
-        return OrderOutcome.UNKNOWN
-    return OrderOutcome.REFUSED
+        return _OUTCOMES.get(status, OrderOutcome.UNKNOWN)
+    return _OUTCOMES.get(status, OrderOutcome.REFUSED)
--- a/src/clementinedyke/platform/settings_file.py
+++ b/src/clementinedyke/platform/settings_file.py
@@ -14,6 +14,8 @@
 #: Environment variable that holds the path of the settings file.
 PATH_VARIABLE = 'CLEMENTINEDYKE_SETTINGS'
 _MILLISECONDS_PER_SECOND = 1000
+#: The figure of both sheets.
+_DEFAULT_REVOKE_MS = 5000
 #: Ports that the platform leaves free: the first is for other daemons, the
 #: second for metrics.
 _PEER_PORT, _METRICS_PORT = 0, 1
@@ -45,7 +47,7 @@
     budget_extra: float = Field(ge=0)
     #: Whether a machine that is cut off refuses keys after ``revoke_ms``.
     revoke_strict: bool = False
-    revoke_ms: int = Field(default=5000, gt=0)
+    revoke_ms: int = Field(default=_DEFAULT_REVOKE_MS, gt=0)
 
 
 class _Store(BaseModel):
