Never take back an endpoint that was seen to go; ask for help only when behind

State is now ordered by the store's revision, held entries are not lent, and a daemon asks for help only when another one's news show a newer version or change.

Feeds wait 3 to 8 s instead of 1.5 s and three daemons seek the lease, which cuts calls to the store. Cheap engines are three quarters of what may be ordered in each zone instead of three.

--- a/src/clementinedyke/candidates.py
+++ b/src/clementinedyke/candidates.py
@@ -25,8 +25,17 @@
     :param count: number of candidates.
     """
     daemons = [member.daemon_id for member in members]
-    weigh = partial(_get_weight, scope)
-    return frozenset(sorted(daemons, key=weigh, reverse=True)[:count])
+    return _select_first(scope, daemons, count)
+
+
+def is_candidate(scope: str, daemon_id: str, daemons: Iterable[str]) -> bool:
+    """Tell whether a daemon seeks the lease of a scope.
+
+    :param scope: scope of the lease.
+    :param daemon_id: the daemon.
+    :param daemons: living daemons, the one included.
+    """
+    return daemon_id in _select_first(scope, daemons, CANDIDATE_COUNT)
 
 
 class CandidateTable:
@@ -62,6 +71,13 @@
         return known
 
 
+def _select_first(
+    scope: str, daemons: Iterable[str], count: int
+) -> frozenset[str]:
+    weigh = partial(_get_weight, scope)
+    return frozenset(sorted(daemons, key=weigh, reverse=True)[:count])
+
+
 def _get_weight(scope: str, daemon_id: str) -> bytes:
     return hashlib.blake2b(
         f'lease {scope} {daemon_id}'.encode(), digest_size=_WEIGHT_BYTES
--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -4,6 +4,7 @@
 import time
 
 from clementinedyke.application import Application
+from clementinedyke.candidates import is_candidate
 from clementinedyke.clock import BootClock
 from clementinedyke.entry.configuration_view import ConfigurationView
 from clementinedyke.entry.duties import DutyTools, create_duties
@@ -19,17 +20,22 @@
 from clementinedyke.entry.placement import PlacementCore
 from clementinedyke.entry.platform_parts import PlatformParts
 from clementinedyke.entry.ports import CallerPort, Readiness
-from clementinedyke.entry.retry_budget import RetryBudget
+from clementinedyke.entry.retry_budget import RetryBudgets
 from clementinedyke.entry.runners import RunnerTools
 from clementinedyke.entry.sync_component import SyncComponent
 from clementinedyke.entry.usage_counter import UsageCounter
 from clementinedyke.entry.wall_time import WallTime
 from clementinedyke.entry.watch import TableReader, TableWatch
-from clementinedyke.http_client import Address
 
-#: Longest wait of one feed call: a connection that went silent is noticed
-#: within this time and the slack of the client.
-_FEED_WAIT = 1500
+#: Longest wait of one feed call. Without other daemons it bounds the time in
+#: which a silent connection is noticed; with them, their news tell of changes
+#: that were missed, and each call costs money.
+_FEED_WAIT_ALONE = 1500
+_FEED_WAIT_EACH = 100
+_MIN_FEED_WAIT = 3000
+_MAX_FEED_WAIT = 8000
+#: A daemon that was not heard for so long seeks no lease.
+_CANDIDATE_SILENCE = 2500
 _LOG_LINES_PER_SECOND = 200
 _MAX_WAITING_LINES = 2000
 
@@ -58,7 +64,6 @@
         self._usage = UsageCounter(
             self._wall_time, settings.bounds.usage_window
         )
-        self._budgets: dict[str, RetryBudget] = {}
         self._work = WorkTable()
         self._board = NewsBoard(settings.host)
         self._build_views()
@@ -101,7 +106,7 @@
                 table,
                 platform.store,
                 reader,
-                _FEED_WAIT,
+                self._get_feed_wait,
                 self._clock,
                 self._journal,
                 self._generator,
@@ -116,7 +121,7 @@
             PeerIdentity(
                 settings.host,
                 self._run_id,
-                Address(settings.ip, settings.peer_port),
+                settings.peer_address,
             ),
             self._platform.store,
             self._board,
@@ -137,7 +142,7 @@
             self._usage,
             self._clock,
             count_daemons=self._count_daemons,
-            get_budget=self._get_budget,
+            budgets=RetryBudgets(settings.bounds),
         )
         intake = Intake(
             self._configuration, settings.bounds.max_key_age, self._generator
@@ -172,11 +177,23 @@
             configuration=self._configuration,
             endpoints=self._endpoints,
             is_candidate=self._may_lead,
+            count_daemons=self._count_daemons,
             list_hosts=self._list_hosts,
         )
 
     def _may_lead(self, scope: str) -> bool:
-        return not self._readiness.is_leaving
+        if self._readiness.is_leaving:
+            return False
+        heard = self._board.list_hosts(
+            _CANDIDATE_SILENCE, self._clock.get_now()
+        )
+        return is_candidate(scope, self._settings.host, heard)
+
+    def _get_feed_wait(self) -> int:
+        heard = self._board.count_daemons(self._clock.get_now())
+        if heard == 1:
+            return _FEED_WAIT_ALONE
+        return min(_MAX_FEED_WAIT, max(_MIN_FEED_WAIT, heard * _FEED_WAIT_EACH))
 
     def _list_hosts(self, age: int) -> frozenset[str]:
         """Return the hosts of the daemons that were heard of late."""
@@ -186,13 +203,3 @@
         heard = self._board.count_daemons(self._clock.get_now())
         # Right after a start none was heard yet, but the list was read.
         return max(heard, self._peers.known_daemons)
-
-    def _get_budget(self, service: str) -> RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            bounds = self._settings.bounds
-            budget = RetryBudget(
-                bounds.retry_ratio, bounds.retry_window, bounds.retry_allowance
-            )
-            self._budgets[service] = budget
-        return budget
--- a/src/clementinedyke/entry/capacity_plan.py
+++ b/src/clementinedyke/entry/capacity_plan.py
@@ -1,5 +1,6 @@
 """Plans how many engines of each kind stand in each availability zone."""
 
+import math
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -26,13 +27,13 @@
 class CapacityTargets:
     """How many engines a service needs.
 
-    ``per_zone`` cheap engines stand in each availability zone while they are
-    to be had. ``safe`` engines in all must serve before standard ones are
-    given back.
+    ``zone_share`` of the engines that may be ordered in a zone are ordered
+    there as cheap ones. ``safe_share`` of all these must serve before
+    standard ones are given back.
     """
 
-    per_zone: int
-    safe: int
+    zone_share: float
+    safe_share: float
 
 
 @dataclass(slots=True)
@@ -136,24 +137,36 @@
     ) -> list[CapacityOrder]:
         if offer.cheap_price is None or offer.cheap_price >= 1:
             return []
-        cheap_total = sum(
-            count for (_, is_cheap), count in standing.items() if is_cheap
-        )
-        keeps_standard = (
-            cheap_total < self._targets.safe and not self.replaces_at_once
-        )
+        per_zone = math.ceil(offer.maximum * self._targets.zone_share)
+        keeps_standard = self._keeps_standard(offer, standing, per_zone)
         wishes = []
         for zone in sorted(offer.zone_prices):
-            standard = standing[zone, False] if keeps_standard else 0
-            room = offer.maximum - standing[zone, False]
-            cheap = max(0, min(self._targets.per_zone, room))
+            present = standing[zone, False]
+            standard = present if keeps_standard else 0
+            room = max(0, offer.maximum - present)
+            cheap = min(per_zone, room)
             if cheap + standard < offer.minimum:
-                cheap = min(offer.minimum, max(0, room))
+                cheap = min(offer.minimum, room)
             wishes.append(CapacityOrder(service, zone, True, cheap))
-            if standard != standing[zone, False]:
+            if standard != present:
                 wishes.append(CapacityOrder(service, zone, False, standard))
         return wishes
 
+    def _keeps_standard(
+        self,
+        offer: ScalingOffer,
+        standing: Counter[tuple[str, bool]],
+        per_zone: int,
+    ) -> bool:
+        """Tell whether too few cheap engines serve to go without others."""
+        if self.replaces_at_once:
+            return False
+        cheap_total = sum(
+            count for (_, is_cheap), count in standing.items() if is_cheap
+        )
+        wanted = per_zone * len(offer.zone_prices)
+        return cheap_total < wanted * self._targets.safe_share
+
 
 def _count_standing(
     service: str, endpoints: Iterable[EntryEndpoint]
--- a/src/clementinedyke/entry/configuration_view.py
+++ b/src/clementinedyke/entry/configuration_view.py
@@ -139,10 +139,11 @@
             routes=len(configuration.routes),
         )
 
-    def confirm(self, as_of: Milliseconds) -> None:
+    def confirm(self, as_of: Milliseconds, revision: int = 0) -> None:
         """Take that no newer version existed at an instant.
 
         :param as_of: instant on the clock of this host.
+        :param revision: revision of the store; versions have their own order.
         """
         if self._confirmed_at is None or as_of > self._confirmed_at:
             self._confirmed_at = as_of
--- a/src/clementinedyke/entry/duties.py
+++ b/src/clementinedyke/entry/duties.py
@@ -33,9 +33,11 @@
 #: Engines that generate, of all engines of a service: with a quarter of them
 #: at 64 places each, about 15 streams at a time leave every step short.
 _DECODE_SHARE = 0.25
-#: Cheap engines in each zone, and how many must serve before standard ones
-#: are given back.
-_TARGETS = CapacityTargets(per_zone=3, safe=4)
+#: Part of the engines that may be ordered in a zone, and the part of these
+#: that must serve before standard ones are given back.
+_ZONE_SHARE = 0.75
+_SAFE_SHARE = 0.4
+_TARGETS = CapacityTargets(_ZONE_SHARE, _SAFE_SHARE)
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +52,7 @@
     configuration: ConfigurationView
     endpoints: EndpointView
     is_candidate: Callable[[str], bool]
+    count_daemons: Callable[[], int]
     list_hosts: Callable[[Milliseconds], frozenset[str]]
 
 
@@ -83,6 +86,7 @@
         UsageTiming(
             settings.bounds.usage_window,
             settings.bounds.usage_delay,
+            tools.count_daemons,
         ),
     )
     return [leases, usage, _create_orders(lease, platform.duties, tools)]
--- a/src/clementinedyke/entry/endpoint_view.py
+++ b/src/clementinedyke/entry/endpoint_view.py
@@ -40,7 +40,11 @@
         self._held_until: dict[str, Milliseconds] = {}
         self._disrupted_at: Milliseconds | None = None
         self._confirmed_at: Milliseconds | None = None
-        #: Rises with each change.
+        #: Revision of the store up to which all changes are known.
+        self.as_of_revision = 0
+        #: Revision of the last change that was seen.
+        self.changed_revision = 0
+        #: Rises with each change of the view.
         self.revision = 0
 
     @property
@@ -57,7 +61,11 @@
 
     def list_rows(self) -> list[StoredRow]:
         """Return the entries as they lie in the store, for other daemons."""
-        return list(self._rows.values())
+        return [
+            row
+            for key, row in self._rows.items()
+            if key not in self._held_until
+        ]
 
     def list_endpoints(self, now: Milliseconds) -> list[EntryEndpoint]:
         """Return all endpoints, leaving ones included.
@@ -90,16 +98,19 @@
         :param now: current instant.
         """
         for row in rows:
+            self.changed_revision = max(self.changed_revision, row.version)
             if row.content is None:
                 self._lose(row.key, now)
             else:
                 self._apply_entry(row, row.content, now)
 
-    def confirm(self, as_of: Milliseconds) -> None:
+    def confirm(self, as_of: Milliseconds, revision: int) -> None:
         """Take that the entries were complete at an instant.
 
         :param as_of: instant on the clock of this host.
+        :param revision: revision of the store at that instant.
         """
+        self.as_of_revision = max(self.as_of_revision, revision)
         if self._confirmed_at is None or as_of > self._confirmed_at:
             self._confirmed_at = as_of
 
--- a/src/clementinedyke/entry/gateway.py
+++ b/src/clementinedyke/entry/gateway.py
@@ -78,7 +78,7 @@
             )
             await self._refuse(admitted, response)
             return
-        self._tools.get_budget(admitted.service.name).note_request(now)
+        self._tools.budgets.get_budget(admitted.service.name).note_request(now)
         await self._run(admitted, response)
 
     @property
--- a/src/clementinedyke/entry/host_settings.py
+++ b/src/clementinedyke/entry/host_settings.py
@@ -39,7 +39,7 @@
 class HostSettings:
     """Addresses, limits and bounds of one host.
 
-    ``peer_port`` is free for traffic between daemons. ``duties_address`` is
+    ``peer_address`` is free for traffic between daemons. ``duties_address`` is
     where usage reports and orders of engines go, None if there are none.
     """
 
@@ -49,7 +49,7 @@
     availability_zones: tuple[str, ...]
     caller_address: Address
     ready_address: Address
-    peer_port: int
+    peer_address: Address
     metrics_port: int
     store_address: Address
     duties_address: Address | None
--- a/src/clementinedyke/entry/news.py
+++ b/src/clementinedyke/entry/news.py
@@ -18,8 +18,9 @@
     """One datagram: the sender's work and what it knows of the store.
 
     ``configuration_age`` is the time in ms since the store has confirmed the
-    version, -1 if it never has. ``interval`` is the time in ms until the next
-    datagram at the latest. ``work`` has running requests and unread prompt
+    version, -1 if it never has. ``endpoints_revision`` is the revision of the
+    last change of the endpoints that it knows. ``interval`` is the time in ms
+    until the next datagram at the latest. ``work`` has running requests and unread prompt
     tokens by id of the endpoint. ``read_parts`` has the prompt parts that
     engines have read since the last datagram, by id of the endpoint.
     """
@@ -29,6 +30,7 @@
     sequence: int
     version: int
     configuration_age: int
+    endpoints_revision: int
     interval: int
     work: dict[str, tuple[int, int]]
     read_parts: dict[str, list[str]]
@@ -133,17 +135,22 @@
         ]
         return max(instants, default=None)
 
-    def select_source(self, now: Milliseconds) -> str | None:
-        """Return the host whose view of the store is the freshest.
+    def find_ahead(
+        self, version: int, revision: int, now: Milliseconds
+    ) -> str | None:
+        """Return a host that knows more of the store, None if there is none.
 
+        :param version: version of the configuration that is in force here.
+        :param revision: revision up to which this daemon knows the endpoints.
         :param now: current instant.
         """
-        ages = {
-            host: now - item.heard_at + item.news.configuration_age
+        ahead = {
+            host: (item.news.version, item.news.endpoints_revision)
             for host, item in self._heard.items()
-            if _is_source(item, now)
+            if now - item.heard_at <= _get_lifetime(item.news)
+            and _is_ahead(item.news, version, revision)
         }
-        return min(ages, key=ages.__getitem__, default=None)
+        return max(ahead, key=ahead.__getitem__, default=None)
 
     def _activate(self, news: PeerNews) -> None:
         self._active.add(news.host)
@@ -169,9 +176,8 @@
                 totals.pop(endpoint_id, None)
 
 
-def _is_source(heard: _Heard, now: Milliseconds) -> bool:
-    is_fresh = now - heard.heard_at <= _get_lifetime(heard.news)
-    return is_fresh and heard.news.configuration_age >= 0
+def _is_ahead(news: PeerNews, version: int, revision: int) -> bool:
+    return news.version > version or news.endpoints_revision > revision
 
 
 def _get_lifetime(news: PeerNews) -> Milliseconds:
--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -35,13 +35,13 @@
 _IDLE_FACTOR = 5
 #: How often the list of daemons is read: new ones make themselves known by
 #: their news, so it only finds what was missed.
-_LIST_INTERVAL: Milliseconds = 8000
+_LIST_INTERVAL: Milliseconds = 15000
 _FIRST_LIST_INTERVAL: Milliseconds = 700
 _FIRST_LISTS = 4
-#: A feed that has not confirmed its table for this long is helped out by
-#: another daemon; the feed itself confirms within 1.5 s and a little.
-_HELP_AGE: Milliseconds = 2300
-_HELP_INTERVAL: Milliseconds = 300
+#: A daemon that another one has been ahead of for so long asks it for help;
+#: changes reach all feeds within a few milliseconds of one another.
+_HELP_DELAY: Milliseconds = 250
+_HELP_INTERVAL: Milliseconds = 100
 _HELP_TIMEOUT: Milliseconds = 500
 
 
@@ -59,12 +59,16 @@
 
 
 class _SharedState(msgspec.Struct, frozen=True, array_like=True):
-    """What a daemon knows of the store; ages in ms, -1 if unknown."""
+    """What a daemon knows of the store.
+
+    ``configuration_age`` is in ms, -1 if it was never confirmed.
+    ``endpoints_revision`` is the revision up to which the endpoints are known.
+    """
 
     configuration: bytes
     configuration_age: int
     endpoints: list[_SharedRow]
-    endpoints_age: int
+    endpoints_revision: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -197,6 +201,7 @@
             sequence=self._sequence,
             version=self._configuration.version,
             configuration_age=-1 if age is None else age,
+            endpoints_revision=self._endpoints.changed_revision,
             interval=self.interval * _IDLE_FACTOR,
             work=work,
             read_parts=self._work.take_read_parts(),
@@ -250,19 +255,23 @@
             self._peers.setdefault(row.key, Address(peer.ip, peer.port))
 
     async def _help_out(self) -> None:
+        behind_since: Milliseconds | None = None
         while True:
             await trio.sleep(_HELP_INTERVAL / _MILLISECONDS_PER_SECOND)
             now = self._clock.get_now()
-            if not self._needs_help(now):
+            source = self._board.find_ahead(
+                self._configuration.version,
+                self._endpoints.as_of_revision,
+                now,
+            )
+            if source is None:
+                behind_since = None
                 continue
-            source = self._board.select_source(now)
-            if source is not None and source in self._peers:
+            if behind_since is None:
+                behind_since = now
+            if now - behind_since >= _HELP_DELAY and source in self._peers:
                 await self._fetch_state(source, self._peers[source])
 
-    def _needs_help(self, now: Milliseconds) -> bool:
-        confirmed = self._endpoints.confirmed_at
-        return confirmed is None or now - confirmed > _HELP_AGE
-
     async def _fetch_state(self, host: str, address: Address) -> None:
         client = HttpClient(address, connect_timeout=_HELP_TIMEOUT)
         asked_at = self._clock.get_now()
@@ -285,16 +294,13 @@
             self._configuration.apply_content(state.configuration)
         if state.configuration_age >= 0:
             self._configuration.confirm(asked_at - state.configuration_age)
-        confirmed = self._endpoints.confirmed_at
-        as_of = asked_at - state.endpoints_age
-        is_newer = confirmed is None or as_of > confirmed
-        if state.endpoints_age >= 0 and is_newer:
+        if state.endpoints_revision > self._endpoints.as_of_revision:
             rows = tuple(
                 StoredRow(row.key, row.version, row.content)
                 for row in state.endpoints
             )
             self._endpoints.replace_rows(rows, asked_at)
-            self._endpoints.confirm(as_of)
+            self._endpoints.confirm(asked_at, state.endpoints_revision)
         self._journal.write(
             'state_lent',
             peer=host,
@@ -308,7 +314,6 @@
     ) -> None:
         now = self._clock.get_now()
         age = self._configuration.get_age(now)
-        confirmed = self._endpoints.confirmed_at
         state = _SharedState(
             self._configuration.content,
             -1 if age is None else age,
@@ -316,6 +321,6 @@
                 _SharedRow(row.key, row.version, row.content or b'')
                 for row in self._endpoints.list_rows()
             ],
-            -1 if confirmed is None else now - confirmed,
+            self._endpoints.as_of_revision,
         )
         await response.send_whole(_STATUS_OK, [], msgspec.msgpack.encode(state))
--- a/src/clementinedyke/entry/retry_budget.py
+++ b/src/clementinedyke/entry/retry_budget.py
@@ -3,6 +3,7 @@
 from collections import deque
 
 from clementinedyke.clock import Milliseconds
+from clementinedyke.entry.host_settings import ServiceBounds
 
 #: Part of the allowance that is spent; the rest covers daemons that join or
 #: leave within a window.
@@ -67,3 +68,28 @@
         for instants in (self._requests, self._repeats):
             while instants and instants[0] <= oldest:
                 instants.popleft()
+
+
+class RetryBudgets:
+    """The budgets of a daemon by service."""
+
+    def __init__(self, bounds: ServiceBounds) -> None:
+        """Create unspent budgets.
+
+        :param bounds: ratio, window and allowance of each service.
+        """
+        self._bounds = bounds
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def get_budget(self, service: str) -> RetryBudget:
+        """Return the budget of a service.
+
+        :param service: name of the service.
+        """
+        bounds = self._bounds
+        return self._budgets.setdefault(
+            service,
+            RetryBudget(
+                bounds.retry_ratio, bounds.retry_window, bounds.retry_allowance
+            ),
+        )
--- a/src/clementinedyke/entry/runners.py
+++ b/src/clementinedyke/entry/runners.py
@@ -14,7 +14,7 @@
 from clementinedyke.entry.intake import Job
 from clementinedyke.entry.outcomes import JobFailure
 from clementinedyke.entry.placement import PlacementCore
-from clementinedyke.entry.retry_budget import RetryBudget
+from clementinedyke.entry.retry_budget import RetryBudgets
 from clementinedyke.entry.usage_counter import UsageCounter
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
 from clementinedyke.http_message import ResponseWriter
@@ -42,7 +42,7 @@
     usage: UsageCounter
     clock: Clock
     count_daemons: Callable[[], int]
-    get_budget: Callable[[str], RetryBudget]
+    budgets: RetryBudgets
 
     def may_send(self, job: Job) -> bool:
         """Count a send of a job if it is the first or the budget allows it.
@@ -52,7 +52,7 @@
         job.sends += 1
         if job.sends == 1:
             return True
-        budget = self.get_budget(job.service.name)
+        budget = self.budgets.get_budget(job.service.name)
         return budget.spend(self.count_daemons(), self.clock.get_now())
 
     def create_failure(self, job: Job, message: str) -> JobFailure:
@@ -143,7 +143,7 @@
         if not job.route.is_repeatable or job.runs >= job.route.max_attempts:
             return False
         now = self._tools.clock.get_now()
-        budget = self._tools.get_budget(job.service.name)
+        budget = self._tools.budgets.get_budget(job.service.name)
         has_budget = budget.get_left(self._tools.count_daemons(), now) >= 1
         has_other = self._tools.placement.select_any(
             job.service.name, now, frozenset(job.excluded)
--- a/src/clementinedyke/entry/stream_runner.py
+++ b/src/clementinedyke/entry/stream_runner.py
@@ -120,7 +120,7 @@
         """Count a read; only the first one that is accepted is free."""
         if not generation.failed_readers:
             return True
-        budget = self._tools.get_budget(generation.job.service.name)
+        budget = self._tools.budgets.get_budget(generation.job.service.name)
         return budget.spend(
             self._tools.count_daemons(), self._tools.clock.get_now()
         )
--- a/src/clementinedyke/entry/usage_component.py
+++ b/src/clementinedyke/entry/usage_component.py
@@ -1,5 +1,6 @@
 """Writes this daemon's usage, and reports all of it under the lease."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import trio
@@ -15,7 +16,9 @@
 )
 from clementinedyke.entry.wall_time import WallTime
 
-_PART_INTERVAL_SECONDS = 1
+_PART_INTERVAL_SECONDS: float = 1
+_PART_INTERVAL_EACH = 0.04
+_MAX_PART_INTERVAL: float = 4
 _CLOSE_INTERVAL_SECONDS = 0.5
 
 
@@ -29,6 +32,16 @@
 
     window: Milliseconds
     report_delay: Milliseconds
+    count_daemons: Callable[[], int]
+
+    def get_part_interval(self) -> float:
+        """Return the seconds between two writes of a daemon's parts.
+
+        What was not written yet is lost with the daemon; with more daemons
+        each counts less, and the writes of all share the store's rate.
+        """
+        interval = self.count_daemons() * _PART_INTERVAL_EACH
+        return min(_MAX_PART_INTERVAL, max(_PART_INTERVAL_SECONDS, interval))
 
     @property
     def last_call(self) -> Milliseconds:
@@ -76,7 +89,7 @@
 
     async def _write_parts(self) -> None:
         while True:
-            await trio.sleep(_PART_INTERVAL_SECONDS)
+            await trio.sleep(self._timing.get_part_interval())
             await self._writer.write_parts()
 
     async def _close_windows(self) -> None:
--- a/src/clementinedyke/entry/watch.py
+++ b/src/clementinedyke/entry/watch.py
@@ -1,5 +1,6 @@
 """Follows one table of the store and keeps a copy of it current."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 from typing import Protocol
@@ -68,8 +69,8 @@
     ) -> None:
         """Take changed rows."""
 
-    def confirm(self, as_of: Milliseconds) -> None:
-        """Take that the rows were complete at an instant."""
+    def confirm(self, as_of: Milliseconds, revision: int) -> None:
+        """Take that the rows were complete at an instant and revision."""
 
     def note_failure(self, now: Milliseconds) -> None:
         """Take that the store did not answer."""
@@ -83,7 +84,7 @@
         table: str,
         feed: TableFeed,
         reader: TableReader,
-        wait: Milliseconds,
+        get_wait: Callable[[], Milliseconds],
         clock: Clock,
         journal: Journal,
         generator: Random,
@@ -93,8 +94,9 @@
         :param table: table name.
         :param feed: client of the store.
         :param reader: takes the rows.
-        :param wait: longest time in milliseconds that one call waits; a
-            connection that went silent is noticed a little later.
+        :param get_wait: returns the longest time in milliseconds that one
+            call waits; a connection that went silent is noticed a little
+            later.
         :param clock: clock of the host.
         :param journal: log of changes of state.
         :param generator: seeded source of jitter.
@@ -102,7 +104,7 @@
         self._table = table
         self._feed = feed
         self._reader = reader
-        self._wait = wait
+        self._get_wait = get_wait
         self._clock = clock
         self._journal = journal
         self._generator = generator
@@ -133,7 +135,7 @@
                 )
             return self._note(answer, sent_at)
         changes = await self._feed.follow_table(
-            self._table, self._revision, self._wait
+            self._table, self._revision, self._get_wait()
         )
         outcome = changes.unwrap() if changes.is_ok() else None
         if isinstance(outcome, FeedAnswer):
@@ -157,7 +159,7 @@
             self._revision = None
             return True
         self._revision = outcome.revision
-        self._reader.confirm(sent_at)
+        self._reader.confirm(sent_at, outcome.revision)
         return True
 
     def _note_connection(self, *, is_connected: bool) -> None:
--- a/src/clementinedyke/platform/settings_file.py
+++ b/src/clementinedyke/platform/settings_file.py
@@ -117,7 +117,7 @@
         availability_zones=tuple(document.zones) or (document.zone,),
         caller_address=Address.parse(document.listen.front),
         ready_address=Address.parse(document.listen.ready),
-        peer_port=first_port + _PEER_PORT,
+        peer_address=Address(document.ip, first_port + _PEER_PORT),
         metrics_port=first_port + _METRICS_PORT,
         store_address=Address.parse(document.platform.address),
         duties_address=None
