--- /dev/null
+++ b/tests/entry_samples.py
@@ -0,0 +1,109 @@
+"""Configurations, endpoints and requests that the entry tests share."""
+
+from clementinedyke.clock import ManualClock
+from clementinedyke.entry.catalog import (
+    CallerBounds,
+    EngineTraits,
+    EntryConfiguration,
+    EntryCustomer,
+    EntryEndpoint,
+    EntryRequest,
+    EntryRoute,
+    EntryService,
+    PromptPart,
+    RequestKind,
+    ScalingOffer,
+    ServiceShare,
+    Stage,
+)
+from clementinedyke.entry.journal import Journal
+from clementinedyke.http_client import Address
+
+ZONES = ('zone-a', 'zone-b', 'zone-c', 'zone-d')
+
+
+def create_journal(clock: ManualClock) -> Journal:
+    """Return a journal whose lines stay in memory."""
+    return Journal(clock, 'host-1', lines_per_second=1000, max_waiting=1000)
+
+
+def create_endpoint(
+    endpoint_id: str,
+    stage: Stage | None = None,
+    zone: str = 'zone-a',
+    **fields: object,
+) -> EntryEndpoint:
+    """Return an endpoint of service ``chat``."""
+    return EntryEndpoint(
+        endpoint_id,
+        fields.pop('service', 'chat'),
+        Address('127.0.0.1', 9),
+        zone,
+        fields.pop('slots', 10),
+        stage=stage,
+        **fields,
+    )
+
+
+def create_route(**fields: object) -> EntryRoute:
+    """Return a route of host ``desk.example``."""
+    given = {
+        'name': 'review',
+        'host': 'desk.example',
+        'prefix': '/review/',
+        'kind': RequestKind.STREAM,
+        'timeout': 6000,
+        'latency_objective': 800,
+        'priority': 2,
+        'shares': (ServiceShare('chat', 1),),
+        'max_attempts': 2,
+        **fields,
+    }
+    return EntryRoute(**given)
+
+
+def create_service(name: str = 'chat', maximum: int = 3) -> EntryService:
+    """Return a service of engines that may be ordered in four zones."""
+    return EntryService(
+        name,
+        100,
+        engine=EngineTraits(64, 500000, 35136),
+        scaling=ScalingOffer(
+            1, maximum, 4000, 0.2, dict.fromkeys(ZONES, float(1))
+        ),
+    )
+
+
+def create_configuration(
+    version: int = 1, **fields: object
+) -> EntryConfiguration:
+    """Return a configuration with one route, service and customer."""
+    given = {
+        'routes': (create_route(),),
+        'services': {'chat': create_service()},
+        'bounds': CallerBounds(16384, 4194304, 3000, 15000),
+        'customers': (EntryCustomer('loft', frozenset(('key-1',))),),
+        **fields,
+    }
+    return EntryConfiguration(version, **given)
+
+
+def create_request(request_id: str = 'r-1', **fields: object) -> EntryRequest:
+    """Return a request of customer ``loft`` on the route of the samples."""
+    given = {
+        'method': 'POST',
+        'target': '/review/1',
+        'host': 'desk.example',
+        'path': '/review/1',
+        'body': b'spec',
+        'forwarded_headers': (),
+        'key': 'key-1',
+        'patience': 5000,
+        'prompt_tokens': 17000,
+        'prompt_parts': (
+            PromptPart('rulebook', 13000),
+            PromptPart(f'own-{request_id}', 4000),
+        ),
+        **fields,
+    }
+    return EntryRequest(request_id, **given)
--- /dev/null
+++ b/tests/row_table.py
@@ -0,0 +1,79 @@
+"""Rows in memory that fail on demand, as components see a store."""
+
+from collections.abc import Sequence
+
+import msgspec
+from result import Err, Ok, Result
+
+from clementinedyke.call_failures import TableFailure
+from clementinedyke.rows import (
+    Commit,
+    CommitResult,
+    Condition,
+    Conflict,
+    Row,
+    Snapshot,
+    Write,
+)
+
+
+class RowTable:
+    """A store of rows; ``is_down`` fails all calls, ``loses`` answers."""
+
+    def __init__(self) -> None:
+        """Create an empty store."""
+        self.rows: dict[tuple[str, str], Row] = {}
+        self.revision = 0
+        self.is_down = False
+        self.loses = 0
+
+    async def commit(
+        self, conditions: Sequence[Condition], writes: Sequence[Write]
+    ) -> CommitResult:
+        """Apply all writes if all conditions hold, else none."""
+        if self.is_down:
+            return Err(TableFailure.NOT_DONE)
+        for item in conditions:
+            if self._get_version(item.table, item.key) != item.version:
+                return Ok(Conflict([]))
+        self.revision += 1
+        for write in writes:
+            self._apply(write)
+        if self.loses:
+            self.loses -= 1
+            return Err(TableFailure.UNKNOWN)
+        return Ok(Commit(self.revision))
+
+    async def get_row(
+        self, table: str, key: str
+    ) -> Result[Row | None, TableFailure]:
+        """Return a row, or None if it does not exist."""
+        if self.is_down:
+            return Err(TableFailure.NOT_DONE)
+        return Ok(self.rows.get((table, key)))
+
+    async def list_rows(
+        self, table: str, prefix: str = ''
+    ) -> Result[Snapshot, TableFailure]:
+        """Return the rows whose key begins with a prefix."""
+        if self.is_down:
+            return Err(TableFailure.NOT_DONE)
+        rows = [
+            row
+            for (name, key), row in sorted(self.rows.items())
+            if name == table and key.startswith(prefix)
+        ]
+        return Ok(Snapshot(self.revision, rows))
+
+    def _get_version(self, table: str, key: str) -> int:
+        known = self.rows.get((table, key))
+        return 0 if known is None else known.version
+
+    def _apply(self, write: Write) -> None:
+        if write.value is None:
+            self.rows.pop((write.table, write.key), None)
+            return
+        content = msgspec.json.decode(msgspec.json.encode(write.value))
+        self.rows[write.table, write.key] = Row(
+            write.key, self.revision, content
+        )
--- /dev/null
+++ b/tests/test_entry_budget.py
@@ -0,0 +1,49 @@
+"""Tests of a daemon's share of the retries of a service."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from clementinedyke.entry.retry_budget import RetryBudget
+
+_RATIO = 0.2
+_WINDOW = 10000
+_ALLOWANCE = 54
+
+
+class TestRetryBudget:
+    """Guards against a retry storm of all daemons together."""
+
+    @settings(max_examples=60, derandomize=True, deadline=None)
+    @given(daemons=st.integers(1, 12), seed=st.integers(0, 1000))
+    def test_sum_of_all_daemons(self, daemons: int, seed: int) -> None:
+        """In each window, all daemons together stay within the limit.
+
+        Every request fails and is tried again as often as the budget allows,
+        and the callers come to the daemons unevenly.
+        """
+        generator = random.Random(seed)
+        budgets = [
+            RetryBudget(_RATIO, _WINDOW, _ALLOWANCE) for _ in range(daemons)
+        ]
+        requests: list[int] = []
+        repeats: list[int] = []
+        for now in range(0, 3 * _WINDOW, 50):
+            budget = budgets[int(daemons * generator.random() ** 2)]
+            budget.note_request(now)
+            requests.append(now)
+            while budget.spend(daemons, now):
+                repeats.append(now)
+            oldest = now - _WINDOW
+            recent = sum(1 for instant in repeats if instant > oldest)
+            asked = sum(1 for instant in requests if instant > oldest)
+            assert recent <= _RATIO * asked + _ALLOWANCE
+
+    def test_recovers(self) -> None:
+        """A spent budget is whole again one window later."""
+        budget = RetryBudget(_RATIO, _WINDOW, _ALLOWANCE)
+        spent = [budget.spend(3, 0) for _ in range(_ALLOWANCE)]
+        assert any(spent)
+        assert not budget.spend(3, _WINDOW - 1)
+        assert budget.spend(3, _WINDOW + 1)
--- /dev/null
+++ b/tests/test_entry_configuration.py
@@ -0,0 +1,237 @@
+"""Tests of the configuration in force at a daemon of the users' platform."""
+
+import json
+import random
+
+from result import Err, Ok
+from tests.entry_samples import (
+    create_configuration,
+    create_journal,
+    create_request,
+    create_route,
+)
+
+from clementinedyke.clock import ManualClock
+from clementinedyke.codes import ResultCode
+from clementinedyke.entry.catalog import (
+    EntryConfiguration,
+    RequestKind,
+    ServiceShare,
+)
+from clementinedyke.entry.configuration_view import ConfigurationView
+from clementinedyke.entry.intake import Intake, Job, Refusal
+from clementinedyke.entry.watch import StoredRow
+from clementinedyke.platform.configuration_document import (
+    decode_configuration,
+)
+
+_DOCUMENT = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r-1',
+            'host': 'Desk.example',
+            'prefix': '/review/',
+            'kind': 'streaming',
+            'timeout_ms': 6000,
+            'target_latency_ms': 800,
+            'priority': 2,
+            'traffic_split': [
+                {'service': 'chat', 'weight': 90},
+                {'service': 'other', 'weight': 10},
+            ],
+            'max_attempts': 1,
+            'public': False,
+            'resumable': True,
+        }
+    ],
+    'services': [
+        {
+            'name': 'chat',
+            'health_path': '/healthz',
+            'max_connections': 360,
+            'engine': {
+                'slots': 64,
+                'kv_capacity': 500904,
+                'token_kv_bytes': 35136,
+            },
+            'scaling': {
+                'min': 1,
+                'max': 3,
+                'boot_s': 4.5,
+                'spot_price': 0.22,
+                'zone_prices': {'zone-a': 1.0},
+            },
+        }
+    ],
+    'limits': {
+        'max_header_bytes': 16384,
+        'max_body_bytes': 4194304,
+        'header_timeout_ms': 3000,
+        'idle_timeout_ms': 15000,
+    },
+    'tenants': [{'name': 'loft', 'api_keys': ['key-1'], 'priority': 1}],
+}
+
+
+def create_view(clock: ManualClock) -> ConfigurationView:
+    """Return a view whose documents are versions as decimal text."""
+
+    def decode(content: bytes) -> Ok | Err:
+        if not content.isdigit():
+            return Err('not a number')
+        return Ok(create_configuration(int(content)))
+
+    return ConfigurationView('config', decode, create_journal(clock))
+
+
+def create_fixed_view(configuration: EntryConfiguration) -> ConfigurationView:
+    """Return a view with a configuration in force."""
+
+    def decode(content: bytes) -> Ok:
+        return Ok(configuration)
+
+    view = ConfigurationView('config', decode, create_journal(ManualClock()))
+    view.apply_content(b'1')
+    return view
+
+
+class TestConfigurationDocument:
+    """Guards against reading the operator's document wrongly."""
+
+    def test_fields(self) -> None:
+        """Names that mislead must end up in the field that they mean."""
+        decoded = decode_configuration(json.dumps(_DOCUMENT).encode()).unwrap()
+        route = decoded.routes[0]
+        assert decoded.version == 7
+        assert route.host == 'desk.example'
+        assert route.kind is RequestKind.STREAM
+        assert route.is_resumable and route.is_repeatable
+        assert route.shares == (
+            ServiceShare('chat', 90),
+            ServiceShare('other', 10),
+        )
+        assert decoded.services['chat'].scaling.boot_time == 4500
+        assert decoded.services['chat'].engine.memory_tokens == 500904
+        assert decoded.customers[0].keys == frozenset(('key-1',))
+
+    def test_unreadable(self) -> None:
+        """A broken document must be refused whole, with a reason."""
+        for content in (b'', b'{', b'{"version": 8}', b'\xff\xfe'):
+            assert decode_configuration(content).unwrap_err()
+
+    def test_unknown_kind(self) -> None:
+        """A kind that is not known says nothing of what may be repeated."""
+        document = json.loads(json.dumps(_DOCUMENT))
+        document['routes'][0]['kind'] = 'sometimes'
+        assert decode_configuration(json.dumps(document).encode()).is_err()
+
+
+class TestConfigurationView:
+    """Guards against a configuration that goes back or is lost."""
+
+    def test_never_back(self) -> None:
+        """An older version, read late, must not replace a newer one."""
+        view = create_view(ManualClock())
+        for version in (3, 5, 4):
+            row = StoredRow('config', version, str(version).encode())
+            view.apply_rows((row,), 0)
+        assert view.version == 5
+
+    def test_unreadable_keeps_last(self) -> None:
+        """A document that can't be read must leave the last one in force."""
+        view = create_view(ManualClock())
+        view.apply_rows((StoredRow('config', 1, b'3'),), 0)
+        view.apply_rows((StoredRow('config', 2, b'garbage'),), 0)
+        view.apply_rows((StoredRow('config', 3, None),), 0)
+        assert view.version == 3
+
+    def test_other_rows(self) -> None:
+        """Other rows of the operator's table are no configuration."""
+        view = create_view(ManualClock())
+        view.replace_rows((StoredRow('notes', 9, b'9'),), 0)
+        assert view.configuration is None
+
+    def test_longest_prefix(self) -> None:
+        """The longest prefix decides, in whichever order routes stand."""
+        short = create_route(name='short', prefix='/')
+        long = create_route(name='long', prefix='/review/')
+        for routes in ((short, long), (long, short)):
+            view = create_fixed_view(create_configuration(1, routes=routes))
+            assert view.find_route('desk.example', '/review/1').name == 'long'
+            assert view.find_route('desk.example', '/else').name == 'short'
+            assert view.find_route('else.example', '/') is None
+
+    def test_age(self) -> None:
+        """A confirmation that arrives late must not make the view younger."""
+        view = create_view(ManualClock())
+        view.confirm(500)
+        view.confirm(300)
+        assert view.get_age(1000) == 500
+
+
+class TestIntake:
+    """Guards against denying what may run, and running what may not."""
+
+    def admit(
+        self, view: ConfigurationView, now: int, **fields: object
+    ) -> object:
+        """Return the decision on a request."""
+        intake = Intake(view, None, random.Random(1))
+        return intake.admit(create_request(**fields), now)
+
+    def test_no_configuration(self) -> None:
+        """Without a configuration nothing is known to be wrong."""
+        refusal = self.admit(create_view(ManualClock()), 0)
+        assert refusal.code is ResultCode.NOT_READY
+        assert refusal.retry_after
+
+    def test_unknown_key(self) -> None:
+        """Unknown keys are denied only while the view is confirmed."""
+        view = create_view(ManualClock())
+        view.apply_content(b'1')
+        view.confirm(0)
+        fresh = self.admit(view, 100, key='other')
+        stale = self.admit(view, 60000, key='other')
+        assert fresh.code is ResultCode.KEY_UNKNOWN
+        assert stale.code is ResultCode.KEY_STATE_STALE
+
+    def test_unknown_route(self) -> None:
+        """A route that was just added must not be answered 404."""
+        view = create_view(ManualClock())
+        view.apply_content(b'1')
+        view.confirm(0)
+        assert (
+            self.admit(view, 100, path='/new/').code is ResultCode.ROUTE_UNKNOWN
+        )
+        assert (
+            self.admit(view, 9000, path='/new/').code
+            is ResultCode.KEY_STATE_STALE
+        )
+
+    def test_store_away(self) -> None:
+        """A store that answers nobody must not stop known customers."""
+        view = create_view(ManualClock())
+        view.apply_content(b'1')
+        view.confirm(0)
+        assert isinstance(self.admit(view, 60000), Job)
+
+    def test_strict_keys(self) -> None:
+        """Where the operator wants it, keys that are unconfirmed stop."""
+        view = create_view(ManualClock())
+        view.apply_content(b'1')
+        view.confirm(0)
+        intake = Intake(view, 5000, random.Random(1))
+        assert isinstance(intake.admit(create_request(), 4000), Job)
+        refusal = intake.admit(create_request(), 6000)
+        assert isinstance(refusal, Refusal)
+        assert refusal.code is ResultCode.KEY_STATE_STALE
+
+    def test_deadline(self) -> None:
+        """The caller's patience and the route's time-out both bind."""
+        view = create_view(ManualClock())
+        view.apply_content(b'1')
+        view.confirm(0)
+        assert self.admit(view, 100, patience=2000).deadline == 2100
+        assert self.admit(view, 100, patience=60000).deadline == 6100
+        assert self.admit(view, 100, patience=None).deadline == 6100
