--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -84,6 +84,11 @@
             ]
         )
 
+    @property
+    def caller_port(self) -> int:
+        """TCP port for callers, 0 before the start."""
+        return self._caller_port.bound_port
+
     def _build_views(self) -> None:
         """Build what follows the store's tables."""
         platform = self._platform
--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -115,6 +115,7 @@
         self._journal = tools[1]
         self._generator = tools[2]
         self._peers: dict[str, Address] = {}
+        self._port = identity.address.port
         self._sequence = 0
         self._last_work: dict[str, tuple[int, int]] = {}
         self._socket = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -136,9 +137,11 @@
 
         :param nursery: nursery that runs the tasks.
         """
-        address = self._identity.address
-        await self._socket.bind((address.host, address.port))
-        await nursery.start(self._server.serve, address.host, address.port)
+        host = self._identity.address.host
+        await self._socket.bind((host, self._identity.address.port))
+        # Port 0 stands for a free one, which both sockets then share.
+        self._port = int(self._socket.getsockname()[1])
+        await nursery.start(self._server.serve, host, self._port)
         nursery.start_soon(self._receive)
         nursery.start_soon(self._send)
         nursery.start_soon(self._find_peers)
@@ -217,7 +220,7 @@
 
     async def _find_peers(self) -> None:
         identity = self._identity
-        own = _DaemonRow(identity.address.host, identity.address.port)
+        own = _DaemonRow(identity.address.host, self._port)
         is_listed = False
         rounds = 0
         while True:
--- a/src/clementinedyke/entry/ports.py
+++ b/src/clementinedyke/entry/ports.py
@@ -53,6 +53,8 @@
         )
         self._server = HttpServer(self._respond, limits)
         self._limits = limits
+        #: TCP port that was bound, 0 before the start.
+        self.bound_port = 0
 
     def set_bounds(self, bounds: CallerBounds) -> None:
         """Take the limits of a new configuration.
@@ -73,7 +75,7 @@
         serve = partial(
             self._server.serve, self._address.host, self._address.port
         )
-        await nursery.start(serve)
+        self.bound_port = await nursery.start(serve)
 
     async def drain(self) -> None:
         """Serve until the balancer sends no more callers, then finish."""
--- /dev/null
+++ b/tests/entry_scene.py
@@ -0,0 +1,202 @@
+"""A daemon of the users' platform in one process with its stand-ins."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+from tests.platform_standin import (
+    DutiesStandin,
+    EndpointStandin,
+    StoreStandin,
+    serve,
+)
+
+from clementinedyke.entry.application import EntryApplication
+from clementinedyke.entry.host_settings import HostSettings, ServiceBounds
+from clementinedyke.http_client import (
+    Address,
+    HttpClient,
+    HttpRequest,
+    HttpResponse,
+)
+from clementinedyke.platform.parts import create_parts
+
+_TIMEOUT = 4000
+_BOUNDS = ServiceBounds(
+    configuration_delay=2000,
+    store_grace=5000,
+    drain_delay=2000,
+    stop_grace=4000,
+    contact_time=3000,
+    lease_duration=900,
+    usage_window=1000,
+    usage_delay=2000,
+    retry_ratio=0.2,
+    retry_window=10000,
+    retry_allowance=54,
+    max_key_age=None,
+)
+CONFIGURATION = {
+    'version': 1,
+    'routes': [
+        {
+            'name': name,
+            'host': 'desk.example',
+            'prefix': f'/{name}/',
+            'kind': kind,
+            'timeout_ms': 3000,
+            'target_latency_ms': 500,
+            'priority': 1,
+            'service': service,
+            'max_attempts': 2,
+            'resumable': name == 'resumable',
+        }
+        for name, kind, service in (
+            ('read', 'safe', 'ledger'),
+            ('book', 'unsafe', 'ledger'),
+            ('ask', 'streaming', 'chat'),
+            ('resumable', 'streaming', 'chat'),
+        )
+    ],
+    'services': [
+        {
+            'name': 'chat',
+            'max_connections': 100,
+            'engine': {'slots': 8, 'kv_capacity': 9000, 'token_kv_bytes': 9},
+        },
+        {'name': 'ledger', 'max_connections': 100},
+    ],
+    'limits': {
+        'max_header_bytes': 16384,
+        'max_body_bytes': 4194304,
+        'header_timeout_ms': 3000,
+        'idle_timeout_ms': 15000,
+    },
+    'tenants': [{'name': 'loft', 'api_keys': ['key-1']}],
+}
+
+
+class EntryScene:
+    """Store, duties and endpoints, and daemons that are started on them."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        """Create a scene; :meth:`start` opens it."""
+        self.nursery = nursery
+        self.store = StoreStandin()
+        self.duties = DutiesStandin()
+        self.endpoints: dict[str, EndpointStandin] = {}
+        self.daemons: list[EntryApplication] = []
+        self._store_port = 0
+        self._duties_port = 0
+
+    async def start(self) -> None:
+        """Open the stand-ins with two engines and two plain endpoints."""
+        self._store_port = await serve(self.nursery, self.store.respond)
+        self._duties_port = await serve(self.nursery, self.duties.respond)
+        for endpoint in (
+            EndpointStandin('reader', 'prefill'),
+            EndpointStandin('writer', 'decode'),
+            EndpointStandin('ledger-1'),
+            EndpointStandin('ledger-2'),
+        ):
+            await self.add_endpoint(endpoint)
+
+    async def add_endpoint(self, endpoint: EndpointStandin) -> None:
+        """Open an endpoint and register it."""
+        endpoint.port = await serve(self.nursery, endpoint.respond)
+        self.endpoints[endpoint.endpoint_id] = endpoint
+        self.register(endpoint)
+
+    def register(self, endpoint: EndpointStandin, **fields: object) -> None:
+        """Write the entry of an endpoint."""
+        service = 'chat' if endpoint.stage else 'ledger'
+        entry = endpoint.compile_entry(service, **fields)
+        self.store.put('servers', endpoint.endpoint_id, entry)
+
+    async def start_daemon(
+        self, host: str = 'host-1', store_port: int | None = None
+    ) -> EntryApplication:
+        """Start a daemon and wait until its ports are bound."""
+        port = self._store_port if store_port is None else store_port
+        settings = HostSettings(
+            host=host,
+            ip='127.0.0.1',
+            availability_zone='zone-a',
+            availability_zones=('zone-a',),
+            caller_address=Address('127.0.0.1', 0),
+            ready_address=Address('127.0.0.1', 0),
+            peer_address=Address('127.0.0.1', 0),
+            metrics_port=0,
+            store_address=Address('127.0.0.1', port),
+            duties_address=Address('127.0.0.1', self._duties_port),
+            memory_mb=300,
+            max_descriptors=1000,
+            bounds=_BOUNDS,
+        )
+        daemon = EntryApplication(settings, create_parts(settings))
+        await self.nursery.start(daemon.application.run)
+        self.daemons.append(daemon)
+        return daemon
+
+    async def ask(
+        self, path: str, request_id: str = 'r-1', **headers: str
+    ) -> HttpResponse:
+        """Send a request to the first daemon and return the answer."""
+        given = {
+            'host': 'desk.example',
+            'x-request-id': request_id,
+            'x-deadline-ms': '2500',
+            'x-key': 'key-1',
+            'x-token-count': '1200,20',
+            'x-prefix-hash': f'rules:1000,{request_id}:200',
+            **{name.replace('_', '-'): text for name, text in headers.items()},
+        }
+        request = HttpRequest(
+            'POST',
+            path,
+            [(name.encode(), text.encode()) for name, text in given.items()],
+            b'body',
+        )
+        port = self.daemons[0].caller_port
+        async with HttpClient(Address('127.0.0.1', port)) as client:
+            return await client.request(request, _TIMEOUT)
+
+    async def wait_for(self, is_reached: Callable[[], object]) -> None:
+        """Wait until something holds; the test's time limit bounds it."""
+        while not is_reached():
+            await trio.sleep(0.01)
+
+    async def wait_until_served(self) -> None:
+        """Wait until the daemon answers a request of each service."""
+        for path in ('/read/1', '/ask/1'):
+            answer = await self.ask(path, 'probe')
+            while answer.status != 200:
+                await trio.sleep(0.02)
+                answer = await self.ask(path, 'probe')
+        for endpoint in self.endpoints.values():
+            endpoint.seen.clear()
+            endpoint.runs.clear()
+
+
+class SceneRunner:
+    """Runs one scenario within a bounded time."""
+
+    def __init__(self, limit_seconds: float = 20) -> None:
+        """Create a runner.
+
+        :param limit_seconds: a scenario that takes longer fails.
+        """
+        self._limit = limit_seconds
+
+    def run(self, scenario: Callable[[EntryScene], Awaitable[None]]) -> None:
+        """Run a scenario on a scene that is open."""
+        trio.run(self._main, scenario)
+
+    async def _main(
+        self, scenario: Callable[[EntryScene], Awaitable[None]]
+    ) -> None:
+        with trio.fail_after(self._limit):
+            async with trio.open_nursery() as nursery:
+                scene = EntryScene(nursery)
+                await scene.start()
+                await scenario(scene)
+                nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/platform_standin.py
@@ -0,0 +1,241 @@
+"""Stand-ins of the users' platform: its store, endpoints and duties."""
+
+import base64
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from urllib.parse import parse_qs
+
+import trio
+
+from clementinedyke.http_message import ResponseWriter, ServerRequest
+from clementinedyke.http_server import HttpServer
+
+_SIGNATURE = (b'X-Server-Signature', b'signed')
+
+
+def encode(document: object) -> str:
+    """Return a value as it lies in a row."""
+    return base64.b64encode(json.dumps(document).encode()).decode()
+
+
+async def send(
+    response: ResponseWriter, status: int, document: object, *headers: tuple
+) -> None:
+    """Answer with a JSON document."""
+    await response.send_json(status, document, list(headers))
+
+
+class StoreStandin:
+    """Rows with one counter of versions, and feeds of their changes."""
+
+    def __init__(self) -> None:
+        """Create an empty store."""
+        self.version = 0
+        self.rows: dict[tuple[str, str], dict] = {}
+        self.history: list[dict] = []
+        #: Version before which the history was dropped.
+        self.forgotten = 0
+        #: Peers' answers are lost, or refused with this status.
+        self.refuses = 0
+        self.loses = 0
+        self.calls: list[str] = []
+        self._changed = trio.Event()
+
+    def put(self, table: str, key: str, document: object) -> None:
+        """Write a row as the operator or an endpoint does."""
+        self._change([{'table': table, 'key': key, 'value': encode(document)}])
+
+    def put_raw(self, table: str, key: str, text: str) -> None:
+        """Write a row whose value is given as it lies in the store."""
+        self._change([{'table': table, 'key': key, 'value': text}])
+
+    def drop(self, table: str, key: str) -> None:
+        """Drop a row."""
+        self._change([{'table': table, 'key': key, 'removed': True}])
+
+    def forget_history(self) -> None:
+        """Drop the history, so that feeds must read anew."""
+        self.forgotten = self.version
+        self._wake()
+
+    async def respond(
+        self, request: ServerRequest, response: ResponseWriter
+    ) -> None:
+        """Answer one call."""
+        self.calls.append(request.path)
+        if self.refuses:
+            await send(response, self.refuses, {})
+            return
+        if request.path == '/v1/rows-tx':
+            await self._transact(json.loads(request.body), request, response)
+            return
+        query = {
+            key: found[0] for key, found in parse_qs(request.query).items()
+        }
+        if request.path == '/v1/rows-feed':
+            await self._feed(query, response)
+            return
+        await self._get(query, response)
+
+    async def _transact(
+        self, body: dict, request: ServerRequest, response: ResponseWriter
+    ) -> None:
+        for item in body['expected']:
+            known = self.rows.get((item['table'], item['key']), {})
+            if known.get('ver', 0) != item['ver']:
+                await send(response, 412, {'rows': []})
+                return
+        removed = [{**item, 'removed': True} for item in body['remove']]
+        self._change([*body['puts'], *removed])
+        if self.loses:
+            self.loses -= 1
+            request.connection.must_close = True
+            raise trio.BrokenResourceError('the answer is lost')
+        await send(response, 200, {'ver': self.version, 'now_ms': 1})
+
+    async def _get(self, query: dict, response: ResponseWriter) -> None:
+        rows = [
+            row
+            for (table, key), row in sorted(self.rows.items())
+            if table == query['table']
+            and key >= query.get('from', '')
+            and ('to' not in query or key < query['to'])
+        ]
+        limit = int(query.get('limit', '500'))
+        page = {'rows': rows[:limit], 'has_more': len(rows) > limit}
+        await send(response, 200, {**page, 'ver': self.version, 'now_ms': 1})
+
+    async def _feed(self, query: dict, response: ResponseWriter) -> None:
+        after = int(query['after'])
+        with trio.move_on_after(int(query['wait_ms']) / 1000):
+            while not self._list_changes(query['table'], after):
+                if after < self.forgotten:
+                    break
+                await self._changed.wait()
+        if after < self.forgotten:
+            await send(response, 410, {})
+            return
+        changes = self._list_changes(query['table'], after)
+        await send(response, 200, {'rows': changes, 'ver': self.version})
+
+    def _list_changes(self, table: str, after: int) -> list[dict]:
+        return [
+            row
+            for row in self.history
+            if row['table'] == table and row['ver'] > after
+        ]
+
+    def _change(self, rows: list[dict]) -> None:
+        self.version += 1
+        for row in rows:
+            changed = {**row, 'ver': self.version}
+            place = (row['table'], row['key'])
+            if row.get('removed'):
+                self.rows.pop(place, None)
+            else:
+                self.rows[place] = changed
+            self.history.append(changed)
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+
+@dataclass
+class EndpointStandin:
+    """An engine or plain service, with the requests that reached it.
+
+    ``plan`` is asked for each request and may answer it by itself.
+    """
+
+    endpoint_id: str
+    stage: str | None = None
+    events: int = 3
+    seen: list[ServerRequest] = field(default_factory=list)
+    runs: list[str] = field(default_factory=list)
+    freed: list[str] = field(default_factory=list)
+    plan: Callable | None = None
+    port: int = 0
+
+    def compile_entry(self, service: str, **fields: object) -> dict:
+        """Return the entry by which it registers itself."""
+        return {
+            'service': service,
+            'address': f'127.0.0.1:{self.port}',
+            'zone': 'zone-a',
+            'version': 'v1',
+            'slots': 8,
+            'state': 'ready',
+            'cold_remaining_ms': 0,
+            'stage': self.stage,
+            'sequence': 1,
+            'born': 17,
+            **fields,
+        }
+
+    async def respond(
+        self, request: ServerRequest, response: ResponseWriter
+    ) -> None:
+        """Answer one request."""
+        if request.method == 'DELETE':
+            self.freed.append(request.path)
+            await send(response, 200, {})
+            return
+        self.seen.append(request)
+        echo = (b'X-Request-Id', request.get_header(b'x-request-id').encode())
+        if request.get_header(b'x-expect-instance') != self.endpoint_id:
+            await send(response, 421, {}, echo)
+            return
+        if self.plan is not None and await self.plan(self, request, response):
+            return
+        if request.get_header(b'x-stage') == 'prefill':
+            answer = {
+                'handle': f'h-{len(self.seen)}',
+                'tokens': 5,
+                'version': 1,
+            }
+            await send(response, 200, answer, echo)
+            return
+        self.runs.append(request.get_header(b'x-request-id'))
+        if self.stage is None:
+            headers = [echo, _SIGNATURE]
+            await response.send_whole(200, headers, self.endpoint_id.encode())
+            return
+        await self.stream(request, response, self.events)
+
+    async def stream(
+        self, request: ServerRequest, response: ResponseWriter, until: int
+    ) -> None:
+        """Send the events of a stream behind the one asked for."""
+        after = int(request.get_header(b'last-event-id') or 0)
+        echo = (b'X-Request-Id', request.get_header(b'x-request-id').encode())
+        kind = (b'Content-Type', b'text/event-stream')
+        await response.send_head(200, [echo, _SIGNATURE, kind])
+        for number in range(after + 1, until + 1):
+            await response.send_chunk(b'id: %d\ndata: x\n\n' % number)
+        if until >= self.events:
+            await response.end()
+
+
+class DutiesStandin:
+    """Takes usage reports and orders of capacity."""
+
+    def __init__(self) -> None:
+        """Begin without calls."""
+        self.calls: list[tuple[str, dict]] = []
+
+    async def respond(
+        self, request: ServerRequest, response: ResponseWriter
+    ) -> None:
+        """Accept one call."""
+        self.calls.append((request.path, json.loads(request.body)))
+        await send(response, 200, {})
+
+
+async def serve(nursery: trio.Nursery, respond: Callable) -> int:
+    """Serve a stand-in on a free port of loopback; return the port."""
+    server = HttpServer(respond)
+    return await nursery.start(partial(server.serve, '127.0.0.1', 0))
--- /dev/null
+++ b/tests/test_entry_daemon.py
@@ -0,0 +1,366 @@
+"""Tests of a whole daemon against stand-ins of the users' platform."""
+
+import copy
+
+import trio
+from tests.entry_scene import CONFIGURATION, EntryScene, SceneRunner
+from tests.platform_standin import EndpointStandin, StoreStandin, send, serve
+
+from clementinedyke.http_client import AnswerLostError
+from clementinedyke.http_message import ResponseWriter, ServerRequest
+
+
+def change_configuration(version: int, **changes: object) -> dict:
+    """Return another version of the configuration."""
+    return {**copy.deepcopy(CONFIGURATION), 'version': version, **changes}
+
+
+async def open_scene(scene: EntryScene) -> None:
+    """Configure the scene, start a daemon and wait until it serves."""
+    scene.store.put('op', 'config', CONFIGURATION)
+    await scene.start_daemon()
+    await scene.wait_until_served()
+
+
+def run_scene(scenario: object) -> None:
+    """Run a scenario on a daemon that serves."""
+
+    async def main(scene: EntryScene) -> None:
+        await open_scene(scene)
+        await scenario(scene)
+
+    SceneRunner().run(main)
+
+
+async def reject(
+    endpoint: EndpointStandin, request: ServerRequest, response: ResponseWriter
+) -> bool:
+    """Say of each request that it was not run."""
+    echo = (b'X-Request-Id', request.get_header(b'x-request-id').encode())
+    await send(response, 503, {}, echo, (b'X-Not-Executed', b'1'))
+    return True
+
+
+async def lose_answer(
+    endpoint: EndpointStandin, request: ServerRequest, response: ResponseWriter
+) -> bool:
+    """Run a request and close the connection without an answer."""
+    endpoint.runs.append(request.get_header(b'x-request-id'))
+    raise trio.BrokenResourceError('the answer is lost')
+
+
+async def break_stream(
+    endpoint: EndpointStandin, request: ServerRequest, response: ResponseWriter
+) -> bool:
+    """Send two events and a part of the third, then break off."""
+    await endpoint.stream(request, response, 2)
+    await response.send_chunk(b'id: 3\nda')
+    raise trio.BrokenResourceError('the engine crashed')
+
+
+class TestCallerPath:
+    """Guards against requests that reach the wrong place or nobody."""
+
+    def test_generation(self) -> None:
+        """One engine reads the prompt, the other generates from it."""
+
+        async def scenario(scene: EntryScene) -> None:
+            answer = await scene.ask('/ask/1', x_tenant='forged')
+            reader = scene.endpoints['reader']
+            writer = scene.endpoints['writer']
+            headers = dict(answer.headers)
+            assert answer.status == 200
+            assert headers[b'x-server-signature'] == b'signed'
+            assert answer.body.count(b'data: x') == 3
+            assert reader.seen[0].get_header(b'x-stage') == 'prefill'
+            source = writer.seen[0].get_header(b'x-kv-source')
+            assert source.startswith(f'127.0.0.1:{reader.port}/h-')
+            assert writer.seen[0].get_header(b'x-tenant') == 'loft'
+            assert writer.seen[0].get_header(b'x-key') is None
+            assert writer.runs == ['r-1']
+
+        run_scene(scenario)
+
+    def test_denials(self) -> None:
+        """Unknown keys and routes are denied and reach no endpoint."""
+
+        async def scenario(scene: EntryScene) -> None:
+            unknown_key = await scene.ask('/read/1', x_key='other')
+            unknown_route = await scene.ask('/none/1')
+            assert (unknown_key.status, unknown_route.status) == (401, 404)
+            assert not scene.endpoints['ledger-1'].seen
+            assert not scene.endpoints['ledger-2'].seen
+
+        run_scene(scenario)
+
+    def test_before_the_configuration(self) -> None:
+        """A daemon that knows no configuration must deny nothing."""
+
+        async def scenario(scene: EntryScene) -> None:
+            await scene.start_daemon()
+            answer = await scene.ask('/read/1', x_key='other')
+            assert answer.status == 503
+            assert b'retry-after' in dict(answer.headers)
+
+        SceneRunner().run(scenario)
+
+    def test_new_configuration(self) -> None:
+        """A withdrawn key stops, also when the feed's history is lost."""
+
+        async def scenario(scene: EntryScene) -> None:
+            tenants = [{'name': 'loft', 'api_keys': ['key-2']}]
+            scene.store.put(
+                'op', 'config', change_configuration(4, tenants=tenants)
+            )
+            scene.store.forget_history()
+            answer = await scene.ask('/read/1')
+            while answer.status != 401:
+                await trio.sleep(0.02)
+                answer = await scene.ask('/read/1')
+            late = change_configuration(3)
+            scene.store.put('op', 'config', late)
+            await trio.sleep(0.2)
+            assert (await scene.ask('/read/1')).status == 401
+            assert (await scene.ask('/read/1', x_key='key-2')).status == 200
+
+        run_scene(scenario)
+
+    def test_leaving_endpoint(self) -> None:
+        """An endpoint that drains gets nothing more."""
+
+        async def scenario(scene: EntryScene) -> None:
+            leaving = scene.endpoints['ledger-1']
+            scene.register(leaving, state='draining')
+            await trio.sleep(0.2)
+            for number in range(6):
+                await scene.ask('/read/1', f'r-{number}')
+            assert not leaving.seen
+            assert len(scene.endpoints['ledger-2'].runs) == 6
+
+        run_scene(scenario)
+
+    def test_reused_address(self) -> None:
+        """Another endpoint at an old address answers 421 and runs nothing."""
+
+        async def scenario(scene: EntryScene) -> None:
+            for number in (1, 2):
+                old = scene.endpoints[f'ledger-{number}']
+                old.endpoint_id = f'moved-{number}'
+            fresh = EndpointStandin('ledger-3')
+            await scene.add_endpoint(fresh)
+            await trio.sleep(0.2)
+            assert (await scene.ask('/read/1')).status == 200
+            assert fresh.runs == ['r-1']
+
+        run_scene(scenario)
+
+
+class TestAtMostOnce:
+    """Guards against second runs and untrue refusals."""
+
+    def test_lost_answer(self) -> None:
+        """A booking whose answer is lost is not sent again, nor promised."""
+
+        async def scenario(scene: EntryScene) -> None:
+            for name in ('ledger-1', 'ledger-2'):
+                scene.endpoints[name].plan = lose_answer
+            answer = await scene.ask('/book/1')
+            runs = [
+                run
+                for name in ('ledger-1', 'ledger-2')
+                for run in scene.endpoints[name].runs
+            ]
+            assert runs == ['r-1']
+            assert answer.status == 502
+
+        run_scene(scenario)
+
+    def test_repeatable(self) -> None:
+        """A look-up whose answer is lost runs at another endpoint."""
+
+        async def scenario(scene: EntryScene) -> None:
+            scene.endpoints['ledger-1'].plan = lose_answer
+            for number in range(4):
+                answer = await scene.ask('/read/1', f'r-{number}')
+                assert answer.body == b'ledger-2'
+
+        run_scene(scenario)
+
+    def test_rejected_booking(self) -> None:
+        """A booking that was rejected may run elsewhere."""
+
+        async def scenario(scene: EntryScene) -> None:
+            scene.endpoints['ledger-1'].plan = reject
+            for number in range(3):
+                answer = await scene.ask('/book/1', f'r-{number}')
+                assert answer.body == b'ledger-2'
+
+        run_scene(scenario)
+
+    def test_rejected_everywhere(self) -> None:
+        """With no room anywhere the caller learns when to come back."""
+
+        async def scenario(scene: EntryScene) -> None:
+            for name in ('ledger-1', 'ledger-2'):
+                scene.endpoints[name].plan = reject
+            answer = await scene.ask('/book/1')
+            assert answer.status == 429
+            assert float(dict(answer.headers)[b'retry-after']) > 0
+
+        run_scene(scenario)
+
+    def test_answer_of_another_request(self) -> None:
+        """An answer that bears another id must not reach the caller."""
+
+        async def answer_other(
+            endpoint: EndpointStandin,
+            request: ServerRequest,
+            response: ResponseWriter,
+        ) -> bool:
+            headers = [
+                (b'X-Request-Id', b'other'),
+                (b'X-Server-Signature', b's'),
+            ]
+            await response.send_whole(200, headers, b'not yours')
+            return True
+
+        async def scenario(scene: EntryScene) -> None:
+            for name in ('ledger-1', 'ledger-2'):
+                scene.endpoints[name].plan = answer_other
+            answer = await scene.ask('/book/1')
+            assert answer.status == 502
+            assert b'not yours' not in answer.body
+
+        run_scene(scenario)
+
+
+class TestStreams:
+    """Guards against streams that join, skip or end falsely."""
+
+    def test_resume(self) -> None:
+        """A stream that may be resumed goes on behind the last whole event."""
+
+        async def scenario(scene: EntryScene) -> None:
+            scene.endpoints['writer'].plan = break_stream
+            second = EndpointStandin('writer-2', 'decode')
+            await scene.add_endpoint(second)
+            await trio.sleep(0.2)
+            bodies = [
+                (await scene.ask('/resumable/1', f'r-{number}')).body
+                for number in range(4)
+            ]
+            expected = b''.join(
+                b'id: %d\ndata: x\n\n' % number for number in (1, 2, 3)
+            )
+            assert bodies == [expected, expected, expected, expected]
+            assert scene.endpoints['writer'].seen
+
+        run_scene(scenario)
+
+    def test_broken_off(self) -> None:
+        """A stream that can't go on must not look complete."""
+
+        async def scenario(scene: EntryScene) -> None:
+            scene.endpoints['writer'].plan = break_stream
+            try:
+                answer = await scene.ask('/ask/1')
+            except AnswerLostError:
+                return
+            raise AssertionError(f'complete with status {answer.status}')
+
+        run_scene(scenario)
+
+    def test_lapsed_memory(self) -> None:
+        """A prompt whose memory has lapsed is read again."""
+
+        async def reject_first(
+            endpoint: EndpointStandin,
+            request: ServerRequest,
+            response: ResponseWriter,
+        ) -> bool:
+            source = request.get_header(b'x-kv-source') or ''
+            if source.endswith('/h-1'):
+                return await reject(endpoint, request, response)
+            return False
+
+        async def scenario(scene: EntryScene) -> None:
+            for name in ('writer', 'writer-2'):
+                writer = scene.endpoints.get(name) or EndpointStandin(
+                    name, 'decode'
+                )
+                writer.plan = reject_first
+                if name not in scene.endpoints:
+                    await scene.add_endpoint(writer)
+            await scene.add_endpoint(EndpointStandin('reader-2', 'prefill'))
+            await trio.sleep(0.2)
+            answer = await scene.ask('/ask/1')
+            assert answer.status == 200
+            assert answer.body.count(b'data: x') == 3
+
+        run_scene(scenario)
+
+    def test_unused_memory_is_freed(self) -> None:
+        """Memory that no engine takes must not lie there until it lapses."""
+
+        async def scenario(scene: EntryScene) -> None:
+            scene.endpoints['writer'].plan = reject
+            answer = await scene.ask('/ask/1')
+            assert answer.status == 429
+            reader = scene.endpoints['reader']
+            await scene.wait_for(lambda: reader.freed)
+
+        run_scene(scenario)
+
+
+class TestDuties:
+    """Guards against usage that is never reported."""
+
+    def test_usage(self) -> None:
+        """Requests that ran are reported once, for their customer."""
+
+        async def scenario(scene: EntryScene) -> None:
+            for number in range(5):
+                await scene.ask('/read/1', f'r-{number}')
+            await scene.wait_for(lambda: scene.duties.calls)
+            path, report = scene.duties.calls[0]
+            assert path == '/usage'
+            assert set(report['counts']) == {'loft'}
+
+        run_scene(scenario)
+
+
+async def start_behind_front(scene: EntryScene) -> StoreStandin:
+    """Start two daemons; return what the first one takes for the store."""
+    front = StoreStandin()
+    front.rows = scene.store.rows
+    front.history = scene.store.history
+    front.version = scene.store.version
+    port = await serve(scene.nursery, front.respond)
+    await scene.start_daemon('host-1', store_port=port)
+    await scene.wait_until_served()
+    await scene.start_daemon('host-2')
+    await scene.wait_for(lambda: ('daemons', 'host-2') in scene.store.rows)
+    return front
+
+
+class TestPeers:
+    """Guards against a daemon that stays behind when the store rejects it."""
+
+    def test_help_by_another_daemon(self) -> None:
+        """A daemon that the store turns away learns of a withdrawn key."""
+
+        async def scenario(scene: EntryScene) -> None:
+            scene.store.put('op', 'config', CONFIGURATION)
+            front = await start_behind_front(scene)
+            await trio.sleep(0.5)
+            front.refuses = 503
+            tenants = [{'name': 'loft', 'api_keys': ['key-2']}]
+            scene.store.put(
+                'op', 'config', change_configuration(9, tenants=tenants)
+            )
+            answer = await scene.ask('/read/1')
+            while answer.status != 401:
+                await trio.sleep(0.05)
+                answer = await scene.ask('/read/1')
+
+        SceneRunner().run(scenario)
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,285 @@
+"""Tests of the adapter to the users' platform."""
+
+from collections.abc import Awaitable, Callable
+
+import pytest
+import trio
+from tests.entry_samples import create_endpoint
+from tests.platform_standin import StoreStandin, serve
+
+from clementinedyke.call_failures import TableFailure
+from clementinedyke.entry.endpoint_protocol import PromptMemory, SendOptions
+from clementinedyke.entry.watch import HistoryLost
+from clementinedyke.exceptions import SettingError
+from clementinedyke.http_client import Address, HttpClient
+from clementinedyke.http_message import ServerRequest
+from clementinedyke.platform.requests import RequestTranslator
+from clementinedyke.platform.settings_file import decode_host_settings
+from clementinedyke.platform.store import StoreClient
+from clementinedyke.rows import ABSENT, Commit, Condition, Conflict, Write
+
+_SETTINGS = {
+    'node': 'front-a-1',
+    'ip': '10.1.0.31',
+    'zone': 'zone-a',
+    'zones': {'zone-a': 'region', 'zone-b': 'region'},
+    'internal_ports': [7780, 7795],
+    'listen': {'front': '10.1.0.31:8368', 'ready': '10.1.0.31:8369'},
+    'limits': {'memory_mb': 300, 'max_fds': 4100, 'new_field': 1},
+    'bounds': {
+        'config_apply_ms': 2000,
+        'outer_ms': 5000,
+        'drain_ms': 2000,
+        'grace_s': 8,
+        'contact_ms': 3000,
+        'lease_ms': 3000,
+        'usage_window_s': 5,
+        'usage_late_s': 10,
+        'retry_budget_ratio': 0.2,
+        'budget_window_s': 10,
+        'budget_extra': 54,
+        'revoke_strict': False,
+        'revoke_ms': 5000,
+    },
+    'platform': {'address': '10.200.1.7:8362'},
+    'cloud': {'address': '10.200.0.99:8362'},
+}
+
+
+class TestSettingsFile:
+    """Guards against a daemon that starts with wrong settings."""
+
+    def test_units(self) -> None:
+        """Seconds of the file must become milliseconds."""
+        settings = decode_host_settings(_SETTINGS, 'file')
+        assert settings.bounds.stop_grace == 8000
+        assert settings.bounds.usage_window == 5000
+        assert settings.bounds.max_key_age is None
+        assert settings.peer_address == Address('10.1.0.31', 7780)
+
+    def test_strict_keys(self) -> None:
+        """A strict deployment must bound the age of key state."""
+        bounds = {**_SETTINGS['bounds'], 'revoke_strict': True}
+        settings = decode_host_settings({**_SETTINGS, 'bounds': bounds}, 'f')
+        assert settings.bounds.max_key_age == 5000
+
+    def test_without_duties(self) -> None:
+        """A deployment without duties must start."""
+        given = {key: _SETTINGS[key] for key in _SETTINGS if key != 'cloud'}
+        assert decode_host_settings(given, 'file').duties_address is None
+
+    def test_wrong_field(self) -> None:
+        """The error must name the field, or nobody finds it."""
+        cases = (
+            (
+                'bounds.lease_ms',
+                {'bounds': {**_SETTINGS['bounds'], 'lease_ms': 0}},
+            ),
+            ('node', {'node': ''}),
+            ('limits.max_fds', {'limits': {'memory_mb': 300}}),
+            ('10.1.0.31', {'platform': {'address': '10.1.0.31'}}),
+        )
+        for name, change in cases:
+            with pytest.raises(SettingError, match=name):
+                decode_host_settings({**_SETTINGS, **change}, 'file')
+
+
+class TestRequestTranslator:
+    """Guards against what a caller must not set, and what must not pass."""
+
+    def compile(self, headers: list, **options: object) -> dict:
+        """Return the headers that an endpoint gets."""
+        translator = RequestTranslator()
+        given = [
+            (b'host', b'desk.example'),
+            (b'x-request-id', b'r-1'),
+            *headers,
+        ]
+        request = translator.read_request(
+            ServerRequest('POST', '/review/1', 'a=1', given, b'body')
+        )
+        endpoint = create_endpoint('i-1')
+        sent = translator.compile_request(
+            request, SendOptions(endpoint, 900, 'loft', **options)
+        )
+        assert sent.target == '/review/1?a=1'
+        return {
+            name.decode().lower(): text.decode() for name, text in sent.headers
+        }
+
+    def test_forged_headers(self) -> None:
+        """Headers that are the daemon's to set must not come from callers."""
+        forged = [
+            (b'x-key', b'secret'),
+            (b'x-tenant', b'other'),
+            (b'x-kv-source', b'10.0.0.1:1/h'),
+            (b'x-kv-hold', b'h'),
+            (b'x-kv-backup', b'10.0.0.1:1'),
+            (b'x-pin-ms', b'4000'),
+            (b'kv-fetch', b'10.0.0.1:1'),
+            (b'x-stage', b'prefill'),
+            (b'x-expect-instance', b'i-9'),
+            (b'x-request-priority', b'0'),
+            (b'x-deadline-ms', b'99999'),
+        ]
+        sent = self.compile(forged)
+        assert sent['x-tenant'] == 'loft'
+        assert sent['x-expect-instance'] == 'i-1'
+        assert sent['x-deadline-ms'] == '900'
+        assert not {
+            'x-key',
+            'x-kv-source',
+            'x-kv-hold',
+            'x-kv-backup',
+            'x-pin-ms',
+            'kv-fetch',
+            'x-stage',
+            'x-request-priority',
+        } & set(sent)
+
+    def test_forwarded_headers(self) -> None:
+        """What describes the request must reach the endpoint unchanged."""
+        sent = self.compile(
+            [
+                (b'x-model', b'm'),
+                (b'x-token-count', b'1460,80'),
+                (b'x-prefix-hash', b'aa:800,bb:660'),
+                (b'x-custom', b'1'),
+                (b'connection', b'keep-alive, x-hop'),
+                (b'x-hop', b'1'),
+            ]
+        )
+        assert sent['host'] == 'desk.example'
+        assert sent['x-token-count'] == '1460,80'
+        assert sent['x-prefix-hash'] == 'aa:800,bb:660'
+        assert sent['x-custom'] == '1'
+        assert 'x-hop' not in sent
+        assert 'connection' not in sent
+
+    def test_memory_and_resume(self) -> None:
+        """Memory is named by the engine that keeps it."""
+        source = create_endpoint('i-2')
+        sent = self.compile(
+            [], memory=PromptMemory(source, 'h-1'), after_event=4, priority=1
+        )
+        assert sent['x-kv-source'] == '127.0.0.1:9/h-1'
+        assert sent['last-event-id'] == '4'
+        assert sent['x-request-priority'] == '1'
+
+    def test_without_id(self) -> None:
+        """A request without an id can't be told from another one."""
+        request = ServerRequest('GET', '/', '', [(b'host', b'h')], b'')
+        assert RequestTranslator().read_request(request) is None
+
+    def test_answer_head(self) -> None:
+        """Only the endpoint's own statement says that nothing ran."""
+        translator = RequestTranslator()
+        shed = translator.read_head(503, [(b'x-not-executed', b'1')])
+        other = translator.read_head(421, [])
+        own = translator.read_head(503, [(b'x-instance-load', b'3,1,8')])
+        assert shed.was_not_run and other.was_not_run
+        assert not own.was_not_run
+        assert (own.load.running, own.load.waiting, own.load.slots) == (3, 1, 8)
+        broken = translator.read_head(200, [(b'x-instance-load', b'3,x')])
+        assert broken.load is None
+
+    def test_retry_after(self) -> None:
+        """Callers take fractions; a whole second is most of their time."""
+        headers = RequestTranslator().compile_refusal_headers(150)
+        assert headers == [(b'Retry-After', b'0.150')]
+
+
+def run_with_store(
+    scenario: Callable[[StoreStandin, StoreClient], Awaitable[None]],
+) -> None:
+    """Run a scenario against the stand-in of the store."""
+
+    async def main() -> None:
+        standin = StoreStandin()
+        async with trio.open_nursery() as nursery:
+            port = await serve(nursery, standin.respond)
+            client = HttpClient(Address('127.0.0.1', port))
+            await scenario(standin, StoreClient(client))
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+class TestStoreClient:
+    """Guards against taking a call for done or undone that is not."""
+
+    def test_conditions(self) -> None:
+        """A condition that does not hold must apply nothing."""
+
+        async def scenario(standin: StoreStandin, client: StoreClient) -> None:
+            absent = Condition('t', 'k', ABSENT)
+            write = Write('t', 'k', {'a': 1})
+            first = (await client.commit([absent], [write])).unwrap()
+            second = (await client.commit([absent], [write])).unwrap()
+            assert isinstance(first, Commit)
+            assert isinstance(second, Conflict)
+            row = (await client.get_row('t', 'k')).unwrap()
+            assert row.version == first.revision
+            assert row.value == {'a': 1}
+            assert (await client.get_row('t', 'kk')).unwrap() is None
+
+        run_with_store(scenario)
+
+    def test_refusal_and_loss(self) -> None:
+        """A refused call did nothing; a lost one may have."""
+
+        async def scenario(standin: StoreStandin, client: StoreClient) -> None:
+            write = Write('t', 'k', 1)
+            standin.refuses = 503
+            refused = await client.commit([], [write])
+            standin.refuses = 0
+            standin.loses = 1
+            lost = await client.commit([], [write])
+            assert refused.unwrap_err() is TableFailure.NOT_DONE
+            assert lost.unwrap_err() is TableFailure.UNKNOWN
+            assert standin.version == 1
+
+        run_with_store(scenario)
+
+    def test_pages(self) -> None:
+        """A table of several pages must be read whole."""
+
+        async def scenario(standin: StoreStandin, client: StoreClient) -> None:
+            for number in range(1203):
+                standin.put('t', f'k{number:05}', number)
+            answer = (await client.read_table('t')).unwrap()
+            assert len(answer.rows) == 1203
+            some = (await client.list_rows('t', 'k0000')).unwrap()
+            assert [row.value for row in some.rows] == list(range(10))
+
+        run_with_store(scenario)
+
+    def test_feed(self) -> None:
+        """Changes and removals arrive in order; lost history is told."""
+
+        async def scenario(standin: StoreStandin, client: StoreClient) -> None:
+            standin.put('t', 'a', 1)
+            standin.put('u', 'other', 1)
+            standin.drop('t', 'a')
+            answer = (await client.follow_table('t', 0, 50)).unwrap()
+            assert [row.content for row in answer.rows] == [b'1', None]
+            quiet = (
+                await client.follow_table('t', answer.revision, 50)
+            ).unwrap()
+            assert not quiet.rows
+            standin.forget_history()
+            lost = (await client.follow_table('t', 0, 50)).unwrap()
+            assert isinstance(lost, HistoryLost)
+
+        run_with_store(scenario)
+
+    def test_unreadable_value(self) -> None:
+        """A value that is no base64 must not hide the other rows."""
+
+        async def scenario(standin: StoreStandin, client: StoreClient) -> None:
+            standin.put_raw('t', 'a', '%%%')
+            standin.put('t', 'b', 2)
+            answer = (await client.read_table('t')).unwrap()
+            assert [row.content for row in answer.rows] == [b'', b'2']
+
+        run_with_store(scenario)
