--- a/src/clementinedyke/cli.py
+++ b/src/clementinedyke/cli.py
@@ -17,6 +17,7 @@
 from clementinedyke.operators.commands import add_commands
 from clementinedyke.operators.failures import CommandError, ExitStatus
 from clementinedyke.operators.record_files import check_files
+from clementinedyke.platform.settings_file import load_host_settings
 from clementinedyke.setting_flags import accept_settings
 from clementinedyke.setting_loader import check_environment, load_settings
 from clementinedyke.settings import Settings
@@ -63,12 +64,20 @@
 
 @app.command
 @accept_settings
-def check(settings: Settings, *, record: tuple[Path, ...] = ()) -> None:
+def check(
+    settings: Settings,
+    *,
+    record: tuple[Path, ...] = (),
+    host_settings: tuple[Path, ...] = (),
+) -> None:
     """Validate settings and record files without starting anything.
 
     :param record: JSON file with a record or a list of records; repeatable.
+    :param host_settings: settings file of the users' platform; repeatable.
     """
     Daemon(settings)
+    for path in host_settings:
+        load_host_settings(path)
     count = check_files(record)
     sys.stdout.write(f'settings and {count} records are valid\n')
 
--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -6,34 +6,30 @@
 from clementinedyke.application import Application
 from clementinedyke.candidates import is_candidate
 from clementinedyke.clock import BootClock
+from clementinedyke.components import Component
 from clementinedyke.entry.configuration_view import ConfigurationView
 from clementinedyke.entry.duties import DutyTools, create_duties
 from clementinedyke.entry.endpoint_view import EndpointView
 from clementinedyke.entry.endpoint_work import WorkTable
-from clementinedyke.entry.exchange import Exchange
-from clementinedyke.entry.gateway import Gateway
 from clementinedyke.entry.host_settings import HostSettings
-from clementinedyke.entry.intake import Intake
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.news import NewsBoard
+from clementinedyke.entry.observation import (
+    ObservedParts,
+    create_metrics_port,
+)
 from clementinedyke.entry.peers import PeerComponent, PeerIdentity
-from clementinedyke.entry.placement import PlacementCore
 from clementinedyke.entry.platform_parts import PlatformParts
 from clementinedyke.entry.ports import CallerPort, Readiness
-from clementinedyke.entry.retry_budget import RetryBudgets
-from clementinedyke.entry.runners import RunnerTools
+from clementinedyke.entry.request_path import (
+    PathTools,
+    create_request_path,
+)
 from clementinedyke.entry.sync_component import SyncComponent
 from clementinedyke.entry.usage_counter import UsageCounter
 from clementinedyke.entry.wall_time import WallTime
-from clementinedyke.entry.watch import TableReader, TableWatch
-
-#: Longest wait of one feed call. Without other daemons it bounds the time in
-#: which a silent connection is noticed; with them, their news tell of changes
-#: that were missed, and each call costs money.
-_FEED_WAIT_ALONE = 1500
-_FEED_WAIT_EACH = 100
-_MIN_FEED_WAIT = 3000
-_MAX_FEED_WAIT = 8000
+from clementinedyke.entry.watch import FeedPace, TableReader, TableWatch
+
 #: A daemon that was not heard for so long seeks no lease.
 _CANDIDATE_SILENCE = 2500
 _LOG_LINES_PER_SECOND = 200
@@ -75,6 +71,7 @@
         self.application = Application(
             [
                 self._journal,
+                *self._build_metrics(),
                 *self._watches,
                 self._peers,
                 *self._duties,
@@ -111,7 +108,7 @@
                 table,
                 platform.store,
                 reader,
-                self._get_feed_wait,
+                FeedPace(self._count_heard),
                 self._clock,
                 self._journal,
                 self._generator,
@@ -138,21 +135,20 @@
     def _build_requests(self) -> None:
         """Build the path of a caller's request."""
         settings = self._settings
-        placement = PlacementCore(settings.availability_zone, self._work)
-        exchange = Exchange(self._platform.protocol, placement, self._clock)
-        tools = RunnerTools(
+        path = create_request_path(
+            settings,
             self._platform.protocol,
-            placement,
-            exchange,
-            self._usage,
-            self._clock,
-            count_daemons=self._count_daemons,
-            budgets=RetryBudgets(settings.bounds),
-        )
-        intake = Intake(
-            self._configuration, settings.bounds.max_key_age, self._generator
+            self._configuration,
+            self._work,
+            PathTools(
+                self._usage,
+                self._clock,
+                self._journal,
+                self._generator,
+                self._count_daemons,
+            ),
         )
-        gateway = Gateway(intake, tools, self._journal)
+        self._gateway = path.gateway
         self._readiness = Readiness(
             settings.ready_address, self._configuration, self._journal
         )
@@ -166,12 +162,26 @@
         self._sync = SyncComponent(
             self._configuration,
             self._endpoints,
-            placement,
-            exchange,
+            path.placement,
+            path.exchange,
             self._caller_port,
             self._clock,
         )
 
+    def _build_metrics(self) -> list[Component]:
+        return create_metrics_port(
+            self._settings.metrics_address,
+            self._gateway,
+            ObservedParts(
+                self._clock,
+                self._configuration,
+                self._endpoints,
+                self._journal,
+                self._board,
+                self._duties,
+            ),
+        )
+
     def _compile_duty_tools(self) -> DutyTools:
         return DutyTools(
             clock=self._clock,
@@ -194,17 +204,14 @@
         )
         return is_candidate(scope, self._settings.host, heard)
 
-    def _get_feed_wait(self) -> int:
-        heard = self._board.count_daemons(self._clock.get_now())
-        if heard == 1:
-            return _FEED_WAIT_ALONE
-        return min(_MAX_FEED_WAIT, max(_MIN_FEED_WAIT, heard * _FEED_WAIT_EACH))
-
     def _list_hosts(self, age: int) -> frozenset[str]:
         """Return the hosts of the daemons that were heard of late."""
         return self._board.list_hosts(age, self._clock.get_now())
 
+    def _count_heard(self) -> int:
+        return self._board.count_daemons(self._clock.get_now())
+
     def _count_daemons(self) -> int:
-        heard = self._board.count_daemons(self._clock.get_now())
+        heard = self._count_heard()
         # Right after a start none was heard yet, but the list was read.
         return max(heard, self._peers.known_daemons)
--- a/src/clementinedyke/entry/host_settings.py
+++ b/src/clementinedyke/entry/host_settings.py
@@ -39,7 +39,8 @@
 class HostSettings:
     """Addresses, limits and bounds of one host.
 
-    ``peer_address`` is free for traffic between daemons. ``duties_address`` is
+    ``peer_address`` is free for traffic between daemons. ``metrics_address``
+    is None where no metrics are served. ``duties_address`` is
     where usage reports and orders of engines go, None if there are none.
     """
 
@@ -50,7 +51,7 @@
     caller_address: Address
     ready_address: Address
     peer_address: Address
-    metrics_port: int
+    metrics_address: Address | None
     store_address: Address
     duties_address: Address | None
     memory_mb: int
--- a/src/clementinedyke/entry/news.py
+++ b/src/clementinedyke/entry/news.py
@@ -20,9 +20,9 @@
     ``configuration_age`` is the time in ms since the store has confirmed the
     version, -1 if it never has. ``endpoints_revision`` is the revision of the
     last change of the endpoints that it knows. ``interval`` is the time in ms
-    until the next datagram at the latest. ``work`` has running requests and unread prompt
-    tokens by id of the endpoint. ``read_parts`` has the prompt parts that
-    engines have read since the last datagram, by id of the endpoint.
+    until the next datagram at the latest. ``work`` has running requests and
+    unread prompt tokens by id of the endpoint. ``read_parts`` has the prompt
+    parts that engines have read since the last datagram, by id of the endpoint.
     """
 
     host: str
--- /dev/null
+++ b/src/clementinedyke/entry/observation.py
@@ -0,0 +1,92 @@
+"""Connects the metrics with the parts whose figures they show."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from clementinedyke.clock import Clock, Milliseconds
+from clementinedyke.components import Component
+from clementinedyke.entry.configuration_view import ConfigurationView
+from clementinedyke.entry.endpoint_view import EndpointView
+from clementinedyke.entry.gateway import Gateway
+from clementinedyke.entry.journal import Journal
+from clementinedyke.entry.metrics import (
+    EntryMetrics,
+    GaugeSources,
+    MetricsPort,
+)
+from clementinedyke.entry.news import NewsBoard
+from clementinedyke.http_client import Address
+from clementinedyke.lease_component import LeaseComponent
+
+
+@dataclass(frozen=True, slots=True)
+class ObservedParts:
+    """Parts of a daemon that the gauges read."""
+
+    clock: Clock
+    configuration: ConfigurationView
+    endpoints: EndpointView
+    journal: Journal
+    board: NewsBoard
+    duties: Sequence[Component]
+
+    def get_configuration_age(self) -> Milliseconds | None:
+        """Return the time since the version in force was confirmed."""
+        return self.configuration.get_age(self.clock.get_now())
+
+    def get_endpoints_age(self) -> Milliseconds | None:
+        """Return the time since the endpoints were confirmed."""
+        confirmed = self.endpoints.confirmed_at
+        return None if confirmed is None else self.clock.get_now() - confirmed
+
+    def get_version(self) -> int:
+        """Return the version in force."""
+        return self.configuration.version
+
+    def count_endpoints(self) -> int:
+        """Return the number of endpoints that are known."""
+        return len(self.endpoints.list_rows())
+
+    def count_daemons(self) -> int:
+        """Return the number of daemons that were heard."""
+        return self.board.count_daemons(self.clock.get_now())
+
+    def count_dropped_lines(self) -> int:
+        """Return the number of log lines that were not written."""
+        return self.journal.dropped_total
+
+    def holds_duties(self) -> bool:
+        """Tell whether this daemon holds the duties."""
+        now = self.clock.get_now()
+        return any(
+            core.is_held(now)
+            for component in self.duties
+            if isinstance(component, LeaseComponent)
+            for core in component.cores.values()
+        )
+
+
+def create_metrics_port(
+    address: Address | None, gateway: Gateway, parts: ObservedParts
+) -> list[Component]:
+    """Return the port for metrics, none without an address.
+
+    :param address: address to bind.
+    :param gateway: tells of each request that ended.
+    :param parts: parts that the gauges read.
+    """
+    if address is None:
+        return []
+    metrics = EntryMetrics(
+        GaugeSources(
+            get_configuration_age=parts.get_configuration_age,
+            get_endpoints_age=parts.get_endpoints_age,
+            get_version=parts.get_version,
+            count_endpoints=parts.count_endpoints,
+            count_daemons=parts.count_daemons,
+            count_dropped_lines=parts.count_dropped_lines,
+            holds_duties=parts.holds_duties,
+        )
+    )
+    gateway.observe = metrics.observe
+    return [MetricsPort(address, metrics)]
--- /dev/null
+++ b/src/clementinedyke/entry/request_path.py
@@ -0,0 +1,70 @@
+"""Builds what a caller's request passes through."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from clementinedyke.clock import Clock
+from clementinedyke.entry.configuration_view import ConfigurationView
+from clementinedyke.entry.endpoint_protocol import EndpointProtocol
+from clementinedyke.entry.endpoint_work import WorkTable
+from clementinedyke.entry.exchange import Exchange
+from clementinedyke.entry.gateway import Gateway
+from clementinedyke.entry.host_settings import HostSettings
+from clementinedyke.entry.intake import Intake
+from clementinedyke.entry.journal import Journal
+from clementinedyke.entry.placement import PlacementCore
+from clementinedyke.entry.retry_budget import RetryBudgets
+from clementinedyke.entry.runners import RunnerTools
+from clementinedyke.entry.usage_counter import UsageCounter
+
+
+@dataclass(frozen=True, slots=True)
+class PathTools:
+    """What the path uses of the rest of the daemon."""
+
+    usage: UsageCounter
+    clock: Clock
+    journal: Journal
+    generator: random.Random
+    count_daemons: Callable[[], int]
+
+
+@dataclass(frozen=True, slots=True)
+class RequestPath:
+    """The gateway, and the parts that other components feed."""
+
+    gateway: Gateway
+    placement: PlacementCore
+    exchange: Exchange
+
+
+def create_request_path(
+    settings: HostSettings,
+    protocol: EndpointProtocol,
+    view: ConfigurationView,
+    work: WorkTable,
+    tools: PathTools,
+) -> RequestPath:
+    """Return the path; nothing is opened yet.
+
+    :param settings: settings of the host.
+    :param protocol: translation of requests and answers.
+    :param view: configuration in force.
+    :param work: work at the endpoints.
+    :param tools: what the path uses of the rest of the daemon.
+    """
+    placement = PlacementCore(settings.availability_zone, work)
+    exchange = Exchange(protocol, placement, tools.clock)
+    intake = Intake(view, settings.bounds.max_key_age, tools.generator)
+    runner_tools = RunnerTools(
+        protocol,
+        placement,
+        exchange,
+        tools.usage,
+        tools.clock,
+        count_daemons=tools.count_daemons,
+        budgets=RetryBudgets(settings.bounds),
+    )
+    gateway = Gateway(intake, runner_tools, tools.journal)
+    return RequestPath(gateway, placement, exchange)
--- a/src/clementinedyke/entry/usage_component.py
+++ b/src/clementinedyke/entry/usage_component.py
@@ -17,7 +17,7 @@
 from clementinedyke.entry.wall_time import WallTime
 
 _PART_INTERVAL_SECONDS: float = 1
-_PART_INTERVAL_EACH = 0.04
+_PART_INTERVAL_EACH = 0.06
 _MAX_PART_INTERVAL: float = 4
 _CLOSE_INTERVAL_SECONDS = 0.5
 
--- a/src/clementinedyke/entry/watch.py
+++ b/src/clementinedyke/entry/watch.py
@@ -19,6 +19,15 @@
 _MIN_RETRY: Milliseconds = 80
 _MAX_RETRY: Milliseconds = 250
 
+_WAIT_ALONE: Milliseconds = 1500
+_WAIT_EACH: Milliseconds = 150
+_MIN_WAIT: Milliseconds = 3000
+_MAX_WAIT: Milliseconds = 10000
+#: The longest pause is half of the 2 s in which a configuration comes into
+#: force and a leaving endpoint gets its last request.
+_PAUSE_EACH: Milliseconds = 15
+_MAX_PAUSE: Milliseconds = 1000
+
 
 @dataclass(frozen=True, slots=True)
 class StoredRow:
@@ -76,6 +85,30 @@
         """Take that the store did not answer."""
 
 
+@dataclass(frozen=True, slots=True)
+class FeedPace:
+    """How long a feed's calls wait for changes, and the pause behind them.
+
+    Without other daemons the wait bounds the time in which a silent
+    connection is noticed; with them, their news tell of changes that were
+    missed, and each call costs money. Each change is told to every daemon, so
+    that both grow with their number.
+    """
+
+    count_daemons: Callable[[], int]
+
+    def get_wait(self) -> Milliseconds:
+        """Return the longest time that a call waits."""
+        daemons = self.count_daemons()
+        if daemons == 1:
+            return _WAIT_ALONE
+        return min(_MAX_WAIT, max(_MIN_WAIT, daemons * _WAIT_EACH))
+
+    def get_pause(self) -> Milliseconds:
+        """Return the time between changes and the next call."""
+        return min(_MAX_PAUSE, self.count_daemons() * _PAUSE_EACH)
+
+
 class TableWatch(Component):
     """One task that reads a table once and then follows its changes."""
 
@@ -84,7 +117,7 @@
         table: str,
         feed: TableFeed,
         reader: TableReader,
-        get_wait: Callable[[], Milliseconds],
+        pace: FeedPace,
         clock: Clock,
         journal: Journal,
         generator: Random,
@@ -94,9 +127,7 @@
         :param table: table name.
         :param feed: client of the store.
         :param reader: takes the rows.
-        :param get_wait: returns the longest time in milliseconds that one
-            call waits; a connection that went silent is noticed a little
-            later.
+        :param pace: how long calls wait and how they follow one another.
         :param clock: clock of the host.
         :param journal: log of changes of state.
         :param generator: seeded source of jitter.
@@ -104,7 +135,7 @@
         self._table = table
         self._feed = feed
         self._reader = reader
-        self._get_wait = get_wait
+        self._pace = pace
         self._clock = clock
         self._journal = journal
         self._generator = generator
@@ -135,12 +166,17 @@
                 )
             return self._note(answer, sent_at)
         changes = await self._feed.follow_table(
-            self._table, self._revision, self._get_wait()
+            self._table, self._revision, self._pace.get_wait()
         )
         outcome = changes.unwrap() if changes.is_ok() else None
         if isinstance(outcome, FeedAnswer):
             self._reader.apply_rows(outcome.rows, self._clock.get_now())
-        return self._note(changes, sent_at)
+        is_answered = self._note(changes, sent_at)
+        if isinstance(outcome, FeedAnswer) and outcome.rows:
+            # Changes come in series; one call takes all that come meanwhile.
+            pause = self._pace.get_pause()
+            await trio.sleep(pause / _MILLISECONDS_PER_SECOND)
+        return is_answered
 
     def _note(
         self,
--- a/src/clementinedyke/operators/commands.py
+++ b/src/clementinedyke/operators/commands.py
@@ -1,13 +1,18 @@
 """Commands that talk to the operator port of a daemon."""
 
 import secrets
+import sys
+from collections.abc import Iterator
 from datetime import UTC, datetime
+from pathlib import Path
 from typing import Annotated, Any
 from urllib.parse import quote
 
 import cyclopts
 
+from clementinedyke.entry.explain import compile_story, select_lines
 from clementinedyke.operators.client import Connection
+from clementinedyke.operators.failures import CommandError, ExitStatus
 from clementinedyke.operators.record_files import get_key, read_records
 from clementinedyke.operators.tables_output import (
     print_fields,
@@ -197,17 +202,45 @@
 
 
 def explain(
-    request_id: str, *, json: bool = False, connection: Connection = _DEFAULT
+    request_id: str,
+    *,
+    json: bool = False,
+    log: tuple[str, ...] = (),
+    connection: Connection = _DEFAULT,
 ) -> None:
     """Print how a request was routed and ended.
 
-    :param request_id: value of the header Clementinedyke-Request-Id.
+    :param request_id: value of the header Clementinedyke-Request-Id, or the
+        caller's own id where a log is given.
     :param json: print JSON.
+    :param log: file with log lines of entry daemons, or - for standard input;
+        repeatable. Without one the daemon is asked.
     """
+    if log:
+        lines = list(_read_logs(log))
+        if json:
+            print_json({'lines': select_lines(lines, request_id)})
+        else:
+            sys.stdout.write(f'{compile_story(lines, request_id)}\n')
+        return
     target = f'/v1/explain/{quote(request_id, safe="")}'
     _print(connection.call('GET', target), as_json=json)
 
 
+def _read_logs(paths: tuple[str, ...]) -> Iterator[str]:
+    for path in paths:
+        if path == '-':
+            yield from sys.stdin
+            continue
+        try:
+            with Path(path).open(encoding='utf-8', errors='replace') as lines:
+                yield from lines
+        except OSError as error:
+            raise CommandError(
+                f'log {path} cannot be read: {error}', ExitStatus.USAGE
+            ) from error
+
+
 def _put(
     connection: Connection,
     content: dict[str, Any],
--- a/src/clementinedyke/platform/command.py
+++ b/src/clementinedyke/platform/command.py
@@ -14,6 +14,7 @@
 from clementinedyke.logs import set_up_logging
 from clementinedyke.platform.parts import create_parts
 from clementinedyke.platform.settings_file import (
+    METRICS_VARIABLE,
     PATH_VARIABLE,
     load_host_settings,
 )
@@ -26,7 +27,9 @@
     set_up_logging('warning')
     path = os.environ.get(PATH_VARIABLE, '')
     try:
-        settings = load_host_settings(Path(path))
+        settings = load_host_settings(
+            Path(path), os.environ.get(METRICS_VARIABLE, '')
+        )
     except SettingError as error:
         sys.stderr.write(f'clementinedyke: {error}\n')
         sys.exit(_EXIT_USAGE)
--- a/src/clementinedyke/platform/settings_file.py
+++ b/src/clementinedyke/platform/settings_file.py
@@ -1,6 +1,7 @@
 """Settings file that the platform writes for each process."""
 
 import tomllib
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -16,9 +17,9 @@
 _MILLISECONDS_PER_SECOND = 1000
 #: The figure of both sheets.
 _DEFAULT_REVOKE_MS = 5000
-#: Ports that the platform leaves free: the first is for other daemons, the
-#: second for metrics.
-_PEER_PORT, _METRICS_PORT = 0, 1
+#: Environment variable that holds the port for metrics, empty for none. The
+#: deploy file names the same port for the platform.
+METRICS_VARIABLE = 'CLEMENTINEDYKE_METRICS_PORT'
 
 
 class _Listen(BaseModel):
@@ -75,17 +76,26 @@
     cloud: _Duties | None = None
 
 
-def load_host_settings(path: Path) -> HostSettings:
-    """Return the settings in a file.
+def load_host_settings(path: Path, metrics_port: str = '') -> HostSettings:
+    """Return the settings in a file, and the port for metrics.
 
     :param path: settings file in TOML.
+    :param metrics_port: port number, empty for none.
     :raises SettingError: naming the file and the first wrong field.
     """
     try:
         document = tomllib.loads(path.read_text(encoding='utf-8'))
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
         raise SettingError(f'settings file {path}: {error}') from error
-    return decode_host_settings(document, str(path))
+    settings = decode_host_settings(document, str(path))
+    if not metrics_port:
+        return settings
+    if not metrics_port.isdigit():
+        raise SettingError(
+            f'{METRICS_VARIABLE} has value {metrics_port!r}; allowed: a port'
+        )
+    address = Address(settings.ip, int(metrics_port))
+    return replace(settings, metrics_address=address)
 
 
 def decode_host_settings(document: dict[str, Any], source: str) -> HostSettings:
@@ -108,7 +118,6 @@
 
 
 def _convert(document: _SettingsFile) -> HostSettings:
-    first_port = document.internal_ports[0]
     duties = document.cloud
     return HostSettings(
         host=document.node,
@@ -117,8 +126,8 @@
         availability_zones=tuple(document.zones) or (document.zone,),
         caller_address=Address.parse(document.listen.front),
         ready_address=Address.parse(document.listen.ready),
-        peer_address=Address(document.ip, first_port + _PEER_PORT),
-        metrics_port=first_port + _METRICS_PORT,
+        peer_address=Address(document.ip, document.internal_ports[0]),
+        metrics_address=None,
         store_address=Address.parse(document.platform.address),
         duties_address=None
         if duties is None
--- a/tests/entry_scene.py
+++ b/tests/entry_scene.py
@@ -125,7 +125,7 @@
             caller_address=Address('127.0.0.1', 0),
             ready_address=Address('127.0.0.1', 0),
             peer_address=Address('127.0.0.1', 0),
-            metrics_port=0,
+            metrics_address=Address('127.0.0.1', 0),
             store_address=Address('127.0.0.1', port),
             duties_address=Address('127.0.0.1', self._duties_port),
             memory_mb=300,
