--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -154,7 +154,7 @@
         )
         self._caller_port = CallerPort(
             settings.caller_address,
-            gateway,
+            path.gateway,
             self._readiness,
             settings.bounds.stop_grace,
             settings.max_descriptors,
