--- a/src/clementinedyke/entry/duties.py
+++ b/src/clementinedyke/entry/duties.py
@@ -74,7 +74,11 @@
     leases = _create_leases(settings, platform, run_id, tools)
     core = leases.add_scope(DUTIES_SCOPE)
     lease = DutyLease(
-        core, settings.host, tools.clock, settings.bounds.lease_duration
+        core,
+        settings.host,
+        tools.clock,
+        settings.bounds.lease_duration,
+        tools.journal,
     )
     usage = UsageComponent(
         lease,
--- a/src/clementinedyke/entry/duty_lease.py
+++ b/src/clementinedyke/entry/duty_lease.py
@@ -2,6 +2,7 @@
 
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.entry.duty_types import Authority
+from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.usage_duty import compile_fence_condition
 from clementinedyke.lease import LeaseCore
 from clementinedyke.lease_types import Fencing
@@ -34,6 +35,7 @@
         host: str,
         clock: Clock,
         lease_duration: Milliseconds,
+        journal: Journal,
     ) -> None:
         """Create the authority over a lease.
 
@@ -41,10 +43,12 @@
         :param host: name of this host, under which it acts.
         :param clock: clock of the host.
         :param lease_duration: time that a lease lasts without renewal.
+        :param journal: log of duties gained and lost.
         """
         self._core = core
         self._host = host
         self._clock = clock
+        self._journal = journal
         self._turn_time = lease_duration + _TURN_SLACK
         self._fence_version = 0
         self._acts_from: Milliseconds = 0
@@ -72,7 +76,12 @@
         return Authority(self._host, self._core.fence)
 
     def _note_tenure(self, now: Milliseconds) -> None:
-        version = self._core.fence_version
+        version = self._core.fence_version if self._core.is_held(now) else 0
+        if version != self._fence_version:
+            self._journal.write(
+                'duties_gained' if version else 'duties_lost',
+                fence=self._core.fence,
+            )
         if version and version != self._fence_version:
             self._acts_from = now
             if self._core.fence > 1:
--- a/src/clementinedyke/entry/usage_component.py
+++ b/src/clementinedyke/entry/usage_component.py
@@ -22,8 +22,9 @@
 _CLOSE_INTERVAL_SECONDS = 0.5
 
 
-#: Time before a report is due at which it is sent even with parts missing.
-_REPORT_RESERVE: Milliseconds = 1500
+#: Time before a report is due at which it is sent even with parts missing:
+#: another daemon takes the duties over within 4 s.
+_REPORT_RESERVE: Milliseconds = 4000
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_entry_lease.py
+++ b/tests/test_entry_lease.py
@@ -6,6 +6,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from tests.entry_samples import create_journal
 
 from clementinedyke.clock import ManualClock
 from clementinedyke.entry.duty_lease import DutyLease
@@ -76,7 +77,13 @@
             _TIMING,
             LapseHandover(identity, 0, 0),
         )
-        self.lease = DutyLease(self.core, host, self.clock, _DURATION)
+        self.lease = DutyLease(
+            self.core,
+            host,
+            self.clock,
+            _DURATION,
+            create_journal(self.clock),
+        )
         self.is_cut = False
         self.is_frozen = False
         self.is_stopping = False
