--- a/tests/lease_holder.py
+++ b/tests/lease_holder.py
@@ -15,7 +15,7 @@
 from clementinedyke.clock import MonotonicClock
 from clementinedyke.endpoints.orders import EngineOrderClient
 from clementinedyke.http_client import Address, HttpClient
-from clementinedyke.lease_component import LeaseComponent
+from clementinedyke.lease_component import LeaseComponent, LeasePolicy
 from clementinedyke.lease_types import Fencing, Identity, LeaseTiming
 from clementinedyke.order_types import OrderKind
 from clementinedyke.outbox_component import OutboxComponent
@@ -50,7 +50,7 @@
             clock,
             random.Random(host),
             lambda scope: True,
-            TIMING,
+            LeasePolicy(TIMING),
         )
         lease = leases.add_scope(SCOPE)
         self._outbox = OutboxComponent(
