--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -86,6 +86,22 @@
         """TCP port for callers, 0 before the start."""
         return self._caller_port.bound_port
 
+    def note_settings(self, settings: HostSettings | None, reason: str) -> None:
+        """Take that the host's settings were read again.
+
+        Addresses and bounds are those of the start until the next one; the
+        platform restarts a process whose place has changed.
+
+        :param settings: settings in the file, None if they can't be used.
+        :param reason: why they can't be used.
+        """
+        outcome = 'unchanged' if settings == self._settings else 'changed'
+        self._journal.write(
+            'settings_read',
+            outcome='unusable' if settings is None else outcome,
+            reason=reason,
+        )
+
     def _build_views(self) -> None:
         """Build what follows the store's tables."""
         platform = self._platform
--- a/src/clementinedyke/entry/gateway.py
+++ b/src/clementinedyke/entry/gateway.py
@@ -10,10 +10,11 @@
 from clementinedyke.entry.endpoint_protocol import EndpointProtocol
 from clementinedyke.entry.intake import Intake, Job, Refusal
 from clementinedyke.entry.journal import Journal
-from clementinedyke.entry.outcomes import JobFailure, StreamBroken
+from clementinedyke.entry.outcomes import StreamBroken
 from clementinedyke.entry.runners import PlainRunner, RunnerTools
 from clementinedyke.entry.stream_runner import StreamRunner
 from clementinedyke.http_message import (
+    RequestError,
     ResponseWriter,
     ServerRequest,
     compile_error_body,
@@ -95,7 +96,7 @@
         try:
             await self._run_in_time(job, response)
             code, reason = ResultCode.OK, ''
-        except JobFailure as failure:
+        except RequestError as failure:
             code, reason = failure.code, str(failure)
             refusal = Refusal(code, reason, failure.retry_after)
             await self._refuse(refusal, response)
@@ -117,7 +118,7 @@
         code = ResultCode.DEADLINE_UNREACHABLE
         if job.has_started or job.sends:
             code = ResultCode.ENDPOINT_TIMEOUT
-        raise JobFailure(code, 'the deadline has passed')
+        raise RequestError(code, 'the deadline has passed')
 
     async def _refuse(self, refusal: Refusal, response: ResponseWriter) -> None:
         headers = self._protocol.compile_refusal_headers(refusal.retry_after)
--- a/src/clementinedyke/entry/journal.py
+++ b/src/clementinedyke/entry/journal.py
@@ -72,10 +72,12 @@
 
         :param nursery: nursery that runs it.
         """
+        self.write('daemon_started')
         nursery.start_soon(self._run)
 
     async def stop(self) -> None:
         """Write the lines that still wait, as far as the output takes them."""
+        self.write('daemon_stopped')
         with trio.move_on_after(1):
             await self._flush()
 
--- a/src/clementinedyke/entry/runners.py
+++ b/src/clementinedyke/entry/runners.py
@@ -12,12 +12,11 @@
 )
 from clementinedyke.entry.exchange import EndpointAnswer, Exchange
 from clementinedyke.entry.intake import Job
-from clementinedyke.entry.outcomes import JobFailure
 from clementinedyke.entry.placement import PlacementCore
 from clementinedyke.entry.retry_budget import RetryBudgets
 from clementinedyke.entry.usage_counter import UsageCounter
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
-from clementinedyke.http_message import ResponseWriter
+from clementinedyke.http_message import RequestError, ResponseWriter
 
 _STATUS_SERVER_ERROR = 500
 _FIRST_SUCCESS = 200
@@ -55,17 +54,17 @@
         budget = self.budgets.get_budget(job.service.name)
         return budget.spend(self.count_daemons(), self.clock.get_now())
 
-    def create_failure(self, job: Job, message: str) -> JobFailure:
+    def create_failure(self, job: Job, message: str) -> RequestError:
         """Return the final answer of a job that no endpoint answers.
 
         :param job: job that failed.
         :param message: reason.
         """
         if job.has_started:
-            return JobFailure(ResultCode.ANSWER_LOST, message)
+            return RequestError(ResultCode.ANSWER_LOST, message)
         if self.placement.has_endpoints(job.service.name):
-            return JobFailure(ResultCode.QUEUE_FULL, message, RETRY_FULL)
-        return JobFailure(ResultCode.NO_ENDPOINT, message, RETRY_ABSENT)
+            return RequestError(ResultCode.QUEUE_FULL, message, RETRY_FULL)
+        return RequestError(ResultCode.NO_ENDPOINT, message, RETRY_ABSENT)
 
 
 class PlainRunner:
@@ -83,7 +82,7 @@
 
         :param job: admitted request.
         :param response: writer to the caller.
-        :raises JobFailure: if no endpoint answers it.
+        :raises RequestError: if no endpoint answers it.
         """
         is_delivered = False
         while not is_delivered:
@@ -115,7 +114,7 @@
             job.runs += 1
             if self._may_run_again(job):
                 return False
-            raise JobFailure(ResultCode.ANSWER_LOST, str(error)) from error
+            raise RequestError(ResultCode.ANSWER_LOST, str(error)) from error
 
     async def _take(
         self, job: Job, answer: EndpointAnswer, response: ResponseWriter
--- a/src/clementinedyke/entry/stream_runner.py
+++ b/src/clementinedyke/entry/stream_runner.py
@@ -15,10 +15,10 @@
 from clementinedyke.entry.event_stream import EventSplitter
 from clementinedyke.entry.exchange import EndpointAnswer
 from clementinedyke.entry.intake import Job
-from clementinedyke.entry.outcomes import JobFailure, StreamBroken
+from clementinedyke.entry.outcomes import StreamBroken
 from clementinedyke.entry.runners import RunnerTools
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
-from clementinedyke.http_message import ResponseWriter
+from clementinedyke.http_message import RequestError, ResponseWriter
 
 _STATUS_OK = 200
 _MILLISECONDS_PER_SECOND = 1000
@@ -62,7 +62,7 @@
 
         :param job: admitted request.
         :param response: writer to the caller.
-        :raises JobFailure: if no event was passed on.
+        :raises RequestError: if no event was passed on.
         :raises StreamBroken: if the stream ended behind an event.
         """
         request = job.request
@@ -225,7 +225,7 @@
     def _note_lost(self, generation: _Generation, reason: str) -> None:
         """Prepare another run, if the stream may be resumed.
 
-        :raises JobFailure: if it may not and nothing was passed on.
+        :raises RequestError: if it may not and nothing was passed on.
         :raises StreamBroken: if it may not and events were passed on.
         """
         job = generation.job
@@ -242,7 +242,7 @@
 
     def _give_up(
         self, generation: _Generation, message: str
-    ) -> JobFailure | StreamBroken:
+    ) -> RequestError | StreamBroken:
         if generation.is_head_sent:
             return StreamBroken(message)
         return self._tools.create_failure(generation.job, message)
--- a/src/clementinedyke/platform/command.py
+++ b/src/clementinedyke/platform/command.py
@@ -6,7 +6,6 @@
 from pathlib import Path
 
 import trio
-from absl import logging
 
 from clementinedyke.entry.application import EntryApplication
 from clementinedyke.entry.host_settings import HostSettings
@@ -25,11 +24,8 @@
 def main() -> None:
     """Run the daemon until SIGTERM; exit with status 2 on wrong settings."""
     set_up_logging('warning')
-    path = os.environ.get(PATH_VARIABLE, '')
     try:
-        settings = load_host_settings(
-            Path(path), os.environ.get(METRICS_VARIABLE, '')
-        )
+        settings = _load()
     except SettingError as error:
         sys.stderr.write(f'clementinedyke: {error}\n')
         sys.exit(_EXIT_USAGE)
@@ -46,5 +42,19 @@
             async for received in signals:
                 if received == signal.SIGTERM:
                     break
-                logging.info('event=settings_signal')
+                _reload(daemon)
             daemon.application.request_stop()
+
+
+def _load() -> HostSettings:
+    return load_host_settings(
+        Path(os.environ.get(PATH_VARIABLE, '')),
+        os.environ.get(METRICS_VARIABLE, ''),
+    )
+
+
+def _reload(daemon: EntryApplication) -> None:
+    try:
+        daemon.note_settings(_load(), '')
+    except SettingError as error:
+        daemon.note_settings(None, str(error))
