Take ejected endpoints back, spread prompts that share nothing, trust no unsigned refusal

Found by reading the change: an endpoint that had once been ejected counted as ejected for ever, so that the share that may be ejected was used up; prompts without shared parts had one home; an unsigned 503 was passed on and promised what nobody vouched for; the note that no cheap engines are to be had was never read. Each has a test.

--- a/src/clementinedyke/entry/capacity_plan.py
+++ b/src/clementinedyke/entry/capacity_plan.py
@@ -20,6 +20,9 @@
 _RETRY_UNAVAILABLE: Milliseconds = 3000
 _RETRY_FAILED: Milliseconds = 600
 
+#: Standard engines that stand in for the cheap ones of a zone.
+_STAND_INS = 2
+
 _Subject = tuple[str, str, bool]
 
 
@@ -143,6 +146,10 @@
         for zone in sorted(offer.zone_prices):
             present = standing[zone, False]
             standard = present if keeps_standard else 0
+            if keeps_standard and now < self._unavailable.get(
+                (service, zone), 0
+            ):
+                standard = max(present, min(_STAND_INS, offer.maximum))
             room = max(0, offer.maximum - present)
             cheap = min(per_zone, room)
             if cheap + standard < offer.minimum:
--- a/src/clementinedyke/entry/endpoint_work.py
+++ b/src/clementinedyke/entry/endpoint_work.py
@@ -93,8 +93,8 @@
     @property
     def affinity(self) -> str:
         """Text that is equal for prompts which share all they can."""
-        shared = self.shared_parts
-        return shared[-1].part_id if shared else ''
+        known = self.shared_parts or self.parts
+        return known[-1].part_id if known else ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/entry/exchange.py
+++ b/src/clementinedyke/entry/exchange.py
@@ -3,6 +3,8 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+from absl import logging
+
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.entry.catalog import EntryEndpoint
 from clementinedyke.entry.endpoint_protocol import (
@@ -80,16 +82,17 @@
             ) as stream:
                 head = self._read_head(job, stream, endpoint)
                 yield EndpointAnswer(head, stream, endpoint)
-        except PeerUnavailableError:
+        except PeerUnavailableError as unreachable:
+            job.failures.append(str(unreachable))
             self._placement.work.note_unreachable(
                 endpoint, self._clock.get_now()
             )
             raise
         except ProtocolError as error:
-            self._note_failure(job, endpoint)
+            self._note_failure(job, endpoint, error)
             raise AnswerLostError(str(error)) from error
-        except AnswerLostError:
-            self._note_failure(job, endpoint)
+        except AnswerLostError as lost:
+            self._note_failure(job, endpoint, lost)
             raise
         finally:
             work.running -= 1
@@ -103,9 +106,13 @@
         request = self._protocol.compile_release(memory)
         try:
             await client.request(request, _RELEASE_TIMEOUT)
-        except (PeerUnavailableError, AnswerLostError, ProtocolError):
+        except (PeerUnavailableError, AnswerLostError, ProtocolError) as error:
             # The engine frees it by itself when its lifetime has passed.
-            return
+            logging.info(
+                'event=memory_not_released endpoint=%s error=%s',
+                memory.endpoint.endpoint_id,
+                error,
+            )
 
     async def forget_endpoints(self, present: set[str]) -> None:
         """Close the connections to endpoints that are gone.
@@ -143,7 +150,10 @@
             self._placement.work.note_acceptance(endpoint)
         return head
 
-    def _note_failure(self, job: Job, endpoint: EntryEndpoint) -> None:
+    def _note_failure(
+        self, job: Job, endpoint: EntryEndpoint, error: Exception
+    ) -> None:
+        job.failures.append(f'{endpoint.endpoint_id}: {error}')
         self._placement.note_failure(
             endpoint, job.request.request_id, self._clock.get_now()
         )
--- a/src/clementinedyke/entry/explain.py
+++ b/src/clementinedyke/entry/explain.py
@@ -55,12 +55,13 @@
             f'({_describe(line.get("code"))})'
         )
     path = ' -> '.join(line.get('path') or ['no endpoint'])
+    failures = '; '.join(line.get('failures') or ())
     return (
         f'{place}: route {line.get("route")} of customer '
         f'{line.get("customer")}, {line.get("duration_ms")} ms, via {path}; '
         f'prompt read after {line.get("read_ms")} ms, first event after '
         f'{line.get("first_event_ms")} ms; {line.get("reason") or "answered"} '
-        f'({_describe(line.get("code"))})'
+        f'({_describe(line.get("code"))}); failures: {failures or "none"}'
     )
 
 
--- a/src/clementinedyke/entry/gateway.py
+++ b/src/clementinedyke/entry/gateway.py
@@ -144,11 +144,13 @@
             started=job.has_started,
             sends=job.sends,
             runs=job.runs,
+            reads=job.reads,
             duration_ms=duration,
             read_ms=_get_delay(job, job.read_at),
             first_event_ms=_get_delay(job, job.first_event_at),
             prompt=job.request.prompt_tokens,
             path=job.path,
+            failures=job.failures,
         )
 
 
--- a/src/clementinedyke/entry/intake.py
+++ b/src/clementinedyke/entry/intake.py
@@ -34,7 +34,8 @@
 
     Instants are on the clock of this host. ``has_started`` is set from the
     moment at which an endpoint may have begun to run the request. ``path``
-    names the endpoints in the order of the sends.
+    names the endpoints in the order of the sends, ``failures`` says why those
+    of them that failed did.
     """
 
     request: EntryRequest
@@ -51,6 +52,7 @@
     read_at: Milliseconds | None = None
     first_event_at: Milliseconds | None = None
     path: list[str] = field(default_factory=list)
+    failures: list[str] = field(default_factory=list)
     excluded: set[str] = field(default_factory=set)
 
     def get_time_left(self, now: Milliseconds) -> Milliseconds:
--- a/src/clementinedyke/entry/placement.py
+++ b/src/clementinedyke/entry/placement.py
@@ -72,8 +72,11 @@
         ).run_id
         return min(
             candidates,
-            key=lambda item: self._work.get_read_time(
-                item, profile, now, is_home=item.run_id == home
+            key=lambda item: (
+                self._work.get_read_time(
+                    item, profile, now, is_home=item.run_id == home
+                ),
+                item.run_id != home,
             ),
         )
 
@@ -120,15 +123,26 @@
             for endpoint in self._endpoints.get(service, ())
         )
 
-    def note_success(self, endpoint: EntryEndpoint, request_id: str) -> None:
+    def note_success(
+        self, endpoint: EntryEndpoint, request_id: str, now: Milliseconds
+    ) -> None:
         """Count an answer.
 
+        An answer after an ejection has ended takes the endpoint back; one of
+        a request that was sent before does not.
+
         :param endpoint: endpoint that answered.
         :param request_id: request that was answered.
+        :param now: current instant.
         """
         table = self._health.get(endpoint.service)
-        if table is not None:
-            table.record_success(endpoint.run_id, request_id)
+        if table is None:
+            return
+        table.add(endpoint.run_id)
+        health = table.get_health(endpoint.run_id)
+        if health.get_state(now) is HealthState.PROBING:
+            table.record_probe(endpoint.run_id, request_id)
+        table.record_success(endpoint.run_id, request_id)
 
     def note_failure(
         self, endpoint: EntryEndpoint, request_id: str, now: Milliseconds
--- a/src/clementinedyke/entry/runners.py
+++ b/src/clementinedyke/entry/runners.py
@@ -19,8 +19,6 @@
 from clementinedyke.http_message import RequestError, ResponseWriter
 
 _STATUS_SERVER_ERROR = 500
-_FIRST_SUCCESS = 200
-_FIRST_REDIRECT = 300
 #: A caller whose request found no room comes back after this time: about one
 #: answer of a plain service, or a few steps of an engine.
 RETRY_FULL: Milliseconds = 150
@@ -126,8 +124,8 @@
             return False
         job.has_started = True
         body = await answer.stream.receive_body()
-        is_success = _FIRST_SUCCESS <= head.status < _FIRST_REDIRECT
-        if is_success and not head.is_signed:
+        if not head.is_signed:
+            # Only the endpoint itself may promise that nothing ran.
             raise AnswerLostError('the answer bears no signature')
         job.runs += 1
         self._tools.usage.note_start(job.customer)
@@ -152,8 +150,8 @@
     def _note_health(self, job: Job, answer: EndpointAnswer) -> None:
         placement = self._tools.placement
         request_id = job.request.request_id
+        now = self._tools.clock.get_now()
         if answer.head.status >= _STATUS_SERVER_ERROR:
-            now = self._tools.clock.get_now()
             placement.note_failure(answer.endpoint, request_id, now)
         else:
-            placement.note_success(answer.endpoint, request_id)
+            placement.note_success(answer.endpoint, request_id, now)
--- a/src/clementinedyke/entry/stream_runner.py
+++ b/src/clementinedyke/entry/stream_runner.py
@@ -173,7 +173,7 @@
             return None
         job.read_at = now
         tools.placement.work.note_read(ticket, generation.profile, now)
-        tools.placement.note_success(endpoint, job.request.request_id)
+        tools.placement.note_success(endpoint, job.request.request_id, now)
         return PromptMemory(endpoint, decoded.handle)
 
     async def _ask_prefill(
@@ -257,7 +257,8 @@
             self._note_not_run(generation, answer)
             return False
         job.has_started = True
-        if head.status == _STATUS_OK and not head.is_signed:
+        if not head.is_signed:
+            # Only the endpoint itself may promise that nothing ran.
             raise AnswerLostError('the answer bears no signature')
         if head.status == _STATUS_OK:
             generation.memory = None
@@ -314,7 +315,9 @@
         await self._pass_bytes(generation, answer, splitter.take_rest())
         generation.job.runs += 1
         self._tools.placement.note_success(
-            answer.endpoint, generation.job.request.request_id
+            answer.endpoint,
+            generation.job.request.request_id,
+            self._tools.clock.get_now(),
         )
         await generation.response.end()
 
--- a/src/clementinedyke/platform/requests.py
+++ b/src/clementinedyke/platform/requests.py
@@ -78,7 +78,7 @@
     """Implements the endpoint protocol of the users' platform."""
 
     def read_request(self, request: ServerRequest) -> EntryRequest | None:
-        """Return a caller's request, None without a usable id or time.
+        """Return a caller's request, None without an id.
 
         :param request: request with its whole body.
         """
--- a/src/clementinedyke/platform/store.py
+++ b/src/clementinedyke/platform/store.py
@@ -57,10 +57,6 @@
     ver: int
 
 
-class _WireConflict(msgspec.Struct):
-    rows: list[msgspec.Raw] = msgspec.field(default_factory=list)
-
-
 class StoreClient:
     """Rows of the tables with an empty part, over a pooled HTTP client."""
 
--- a/tests/test_entry_daemon.py
+++ b/tests/test_entry_daemon.py
@@ -233,6 +233,25 @@
 
         run_scene(scenario)
 
+    def test_foreign_promise(self) -> None:
+        """A 503 that the endpoint does not vouch for promises nothing."""
+
+        async def answer_unsigned(
+            endpoint: EndpointStandin,
+            request: ServerRequest,
+            response: ResponseWriter,
+        ) -> bool:
+            endpoint.runs.append(request.get_header(b'x-request-id'))
+            await send(response, 503, {})
+            return True
+
+        async def scenario(scene: EntryScene) -> None:
+            for name in ('ledger-1', 'ledger-2'):
+                scene.endpoints[name].plan = answer_unsigned
+            assert (await scene.ask('/book/1')).status == 502
+
+        run_scene(scenario)
+
 
 class TestStreams:
     """Guards against streams that join, skip or end falsely."""
--- a/tests/test_entry_placement.py
+++ b/tests/test_entry_placement.py
@@ -268,3 +268,38 @@
         for number in range(3):
             core.note_failure(grey, f'r-{number}', 0)
         assert core.select_any('chat', 10).endpoint_id != grey.endpoint_id
+
+    def test_ejected_endpoint_comes_back(self) -> None:
+        """An endpoint that answers again must not stay under suspicion.
+
+        Endpoints that had once been ejected counted as ejected for ever, and
+        soon no other one could be.
+        """
+        core = create_core('zone-a', 'zone-b', 'zone-b', stage=None)
+        grey = core.select_any('chat', 0)
+        for number in range(3):
+            core.note_failure(grey, f'r-{number}', 0)
+        core.note_success(grey, 'early', 10)
+        assert core.select_any('chat', 20).endpoint_id != grey.endpoint_id
+        core.note_success(grey, 'late', 5000)
+        other = core.select_any('chat', 5000, frozenset((grey.endpoint_id,)))
+        for again in range(3):
+            core.note_failure(other, f'r-{again}', 5000)
+        left = {
+            core.select_any('chat', 5010, frozenset((name,))).endpoint_id
+            for name in ('i-0', 'i-1', 'i-2')
+        }
+        assert other.endpoint_id not in left
+
+    def test_prompts_without_shared_parts(self) -> None:
+        """Prompts that share nothing must not all go to one engine."""
+        core = create_core(*_FOUR)
+        chosen = {
+            core.select_prefill(
+                'chat',
+                PromptProfile(900, (PromptPart(f'own-{number}', 900),)),
+                0,
+            ).endpoint_id
+            for number in range(30)
+        }
+        assert len(chosen) == 4
--- a/tests/test_entry_plans.py
+++ b/tests/test_entry_plans.py
@@ -81,6 +81,18 @@
         assert not plan.list_orders(_SERVICE, fleet, 2000)
         assert plan.list_orders(_SERVICE, fleet, 4000)
 
+    def test_stand_ins(self) -> None:
+        """With cheap engines nowhere to be had, standard ones are ordered."""
+        plan = create_plan()
+        for order in plan.list_orders(_SERVICE, create_fleet(0, 0), 0):
+            plan.note_outcome(
+                order, OrderOutcome.UNAVAILABLE, _SERVICE.scaling, 0
+            )
+        orders = plan.list_orders(_SERVICE, create_fleet(0, 0), 500)
+        assert select_kind(orders, is_cheap=False) == [2, 2, 2, 2]
+        back = plan.list_orders(_SERVICE, create_fleet(3, 2), 20000)
+        assert select_kind(back, is_cheap=False) == [0, 0, 0, 0]
+
     def test_satisfied(self) -> None:
         """A fleet as planned causes no calls."""
         assert not create_plan().list_orders(_SERVICE, create_fleet(3, 0), 0)
