End a stop that waited for ever for a late connection

Cause: when daemons stop at the same moment, a connection that the listener had accepted before it closed is made known after all connections were aborted, and grpclib waits for its handler without end, in a shielded scope.

The close now aborts what turns up until the server has closed, and the component bounds it.

--- a/src/clementinedyke/daemons/component.py
+++ b/src/clementinedyke/daemons/component.py
@@ -41,6 +41,8 @@
 )
 
 _MILLISECONDS_PER_SECOND = 1000
+#: Longest time that closing connections may hold up a stop.
+_CLOSE_LIMIT_SECONDS = 3
 #: Time for the announcement of leaving to go out.
 _LEAVE_DELAY: Milliseconds = 200
 
@@ -148,7 +150,7 @@
             try:
                 await self._tick_forever()
             finally:
-                with trio.CancelScope(shield=True):
+                with trio.move_on_after(_CLOSE_LIMIT_SECONDS, shield=True):
                     await trio_asyncio.aio_as_trio(self._close)()
 
     async def _close(self) -> None:
--- a/src/clementinedyke/daemons/server.py
+++ b/src/clementinedyke/daemons/server.py
@@ -28,6 +28,8 @@
 
 _BACKLOG = 128
 _ADDRESS_LIMIT = 64
+#: Connections that turn up while the port closes are aborted so often.
+_ABORT_INTERVAL_SECONDS = 0.05
 
 
 def bind_daemon_port(host: str, port: int) -> socket.socket:
@@ -134,12 +136,19 @@
         )
 
     async def close(self) -> None:
-        """Close the port and all connections."""
-        if self._server is not None:
-            self._server.close()
+        """Close the port and all connections.
+
+        A connection that was accepted just before the port closed is made
+        known only afterwards, and its handler would never end.
+        """
+        if self._server is None:
+            return
+        self._server.close()
+        waiting = asyncio.ensure_future(self._server.wait_closed())
+        while not waiting.done():
             for transport in list(self._transports):
                 transport.abort()
-            await self._server.wait_closed()
+            await asyncio.wait({waiting}, timeout=_ABORT_INTERVAL_SECONDS)
 
     def send(self, address: str, message: Message) -> bool:
         """Send a message on the stream that a peer opened, if there is one.
