--- a/src/clementinedyke/entry/retry_budget.py
+++ b/src/clementinedyke/entry/retry_budget.py
@@ -52,6 +52,11 @@
         self._repeats.append(now)
         return True
 
+    def refund(self) -> None:
+        """Take the last repeated send off: it reached no endpoint."""
+        if self._repeats:
+            self._repeats.pop()
+
     def charge(self, now: Milliseconds) -> None:
         """Count a repeated send that has been made, allowed or not.
 
--- a/src/clementinedyke/entry/runners.py
+++ b/src/clementinedyke/entry/runners.py
@@ -52,6 +52,15 @@
         budget = self.budgets.get_budget(job.service.name)
         return budget.spend(self.count_daemons(), self.clock.get_now())
 
+    def take_back_send(self, job: Job) -> None:
+        """Take a send off that could not be made: only arrivals count.
+
+        :param job: job whose endpoint could not be reached.
+        """
+        job.sends -= 1
+        if job.sends:
+            self.budgets.get_budget(job.service.name).refund()
+
     def create_failure(self, job: Job, message: str) -> RequestError:
         """Return the final answer of a job that no endpoint answers.
 
@@ -106,6 +115,7 @@
             async with tools.exchange.open_answer(job, options) as answer:
                 return await self._take(job, answer, response)
         except PeerUnavailableError:
+            tools.take_back_send(job)
             return False
         except AnswerLostError as error:
             job.has_started = True
--- a/src/clementinedyke/entry/stream_runner.py
+++ b/src/clementinedyke/entry/stream_runner.py
@@ -165,6 +165,8 @@
         try:
             with trio.move_on_after(limit / _MILLISECONDS_PER_SECOND):
                 decoded = await self._ask_prefill(job, options)
+        except PeerUnavailableError:
+            return None
         finally:
             now = tools.clock.get_now()
             tools.placement.work.end_read(ticket, now)
@@ -185,7 +187,7 @@
                 if answer.head.status != _STATUS_OK:
                     return None
                 return self._tools.protocol.read_prefill(body)
-        except (PeerUnavailableError, AnswerLostError):
+        except AnswerLostError:
             return None
 
     async def _try(
@@ -198,6 +200,7 @@
             async with self._tools.exchange.open_answer(job, options) as answer:
                 return await self._take(generation, answer)
         except PeerUnavailableError:
+            self._tools.take_back_send(job)
             job.excluded.add(endpoint.endpoint_id)
         except AnswerLostError as error:
             job.excluded.add(endpoint.endpoint_id)
--- a/tests/test_entry_daemon.py
+++ b/tests/test_entry_daemon.py
@@ -233,6 +233,25 @@
 
         run_scene(scenario)
 
+    def test_unreachable_endpoints(self) -> None:
+        """Endpoints that can't be reached must not use up the retry budget.
+
+        In a zone that was cut off, requests were refused for want of budget
+        after connections that had never been opened.
+        """
+
+        async def scenario(scene: EntryScene) -> None:
+            for name in ('ledger-1', 'ledger-2'):
+                scene.register(scene.endpoints[name], zone='zone-b')
+            for number in range(80):
+                scene.register(EndpointStandin(f'gone-{number}', port=1))
+            await trio.sleep(0.3)
+            for name in ('a', 'b', 'c'):
+                answer = await scene.ask('/book/1', name)
+                assert answer.status == 200
+
+        run_scene(scenario)
+
     def test_foreign_promise(self) -> None:
         """A 503 that the endpoint does not vouch for promises nothing."""
 
