Stop a request whose reads were rejected once the budget is spent

Engines that changed their stage rejected the first read of every request; the failed read was charged, but the generation that followed counted as a first send and was never held back. The new test fails without the change.

--- a/src/clementinedyke/entry/stream_runner.py
+++ b/src/clementinedyke/entry/stream_runner.py
@@ -116,15 +116,19 @@
             if generation.memory is not None:
                 generation.fetches = 0
                 return
+            # The failed read makes whatever follows it a repeat.
+            if self._get_budget_left(job) < 0:
+                raise self._give_up(generation, 'no retry budget is left')
 
     def _may_read(self, generation: _Generation) -> bool:
         """Tell whether an engine may be asked to read the prompt."""
-        if not generation.failed_readers:
-            return True
+        is_first = not generation.failed_readers
+        return is_first or self._get_budget_left(generation.job) >= 1
+
+    def _get_budget_left(self, job: Job) -> float:
         tools = self._tools
-        budget = tools.budgets.get_budget(generation.job.service.name)
-        left = budget.get_left(tools.count_daemons(), tools.clock.get_now())
-        return left >= 1
+        budget = tools.budgets.get_budget(job.service.name)
+        return budget.get_left(tools.count_daemons(), tools.clock.get_now())
 
     def _note_unread(
         self, ticket: ReadTicket, job: Job, limit: Milliseconds
--- a/tests/test_entry_daemon.py
+++ b/tests/test_entry_daemon.py
@@ -337,6 +337,25 @@
 
         run_scene(scenario)
 
+    def test_rejected_reads(self) -> None:
+        """Reads that all engines reject must not go beyond the budget.
+
+        Hunt, scale-1 --seed 718327536026: engines that changed their stage
+        rejected the reads of all requests; 123 arrivals beyond the first, 99
+        allowed.
+        """
+
+        async def scenario(scene: EntryScene) -> None:
+            reader = scene.endpoints['reader']
+            writer = scene.endpoints['writer']
+            reader.plan = reject
+            for number in range(90):
+                await scene.ask('/ask/1', f'r-{number}')
+            arrivals = len(reader.seen) + len(writer.seen)
+            assert arrivals - 90 <= 0.2 * 90 + 54
+
+        run_scene(scenario)
+
     def test_unused_memory_is_freed(self) -> None:
         """Memory that no engine takes must not lie there until it lapses."""
 
