Tell requests that crash engines from those beside them

(2) A bystander that is acquitted by a whole answer is acquitted only at the daemon that ran it. (3) A state answer that was asked for before a loss took the loss back.

Suspects of a loss now get disjoint parts of the endpoints by their rank, a loss that is explained by an earlier culprit is no evidence against others, and only an answer asked for after a loss proves that the engine lived on. The set of acquitted fingerprints no longer grows with each whole answer.

Ruled out: evidence that takes longer than the settle time (the traces show all evidence with both daemons before the third try).

--- a/src/clementinedyke/quarantine.py
+++ b/src/clementinedyke/quarantine.py
@@ -6,7 +6,9 @@
 """
 
 import enum
-from collections import defaultdict
+import itertools
+from collections import Counter, defaultdict
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 
@@ -56,10 +58,14 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointSeen:
-    """An endpoint answered under a boot id."""
+    """An endpoint answered under a boot id.
+
+    ``asked_at`` is the time in milliseconds at which it was asked.
+    """
 
     endpoint_id: str
     boot_id: str
+    asked_at: Milliseconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,6 +139,8 @@
         self._running: dict[str, RequestStarted] = {}
         self._losses: dict[_LossKey, _Loss] = {}
         self._acquitted: dict[str, set[_LossKey]] = defaultdict(set)
+        #: Fingerprints that explain losses; None after a change of either.
+        self._blamed: set[str] | None = None
 
     def get_verdict(self, fingerprint: str, now: Milliseconds) -> Verdict:
         """Return what may be done with a request.
@@ -144,11 +152,14 @@
         losses = self._get_losses(fingerprint)
         if not losses:
             return Verdict.CLEAR
+        blamed = self._get_blamed()
+        if fingerprint not in blamed:
+            losses = [loss for loss in losses if not loss.fingerprints & blamed]
         if len(losses) < _LOSSES_TO_CONVICT:
             return Verdict.SUSPECT
         if self.get_hold(fingerprint, now):
             return Verdict.HELD
-        if not self._is_blamed(losses, fingerprint):
+        if fingerprint not in blamed:
             return Verdict.SUSPECT
         is_proven = all(loss.is_crash for loss in losses)
         return Verdict.CONVICTED if is_proven else Verdict.HELD
@@ -181,6 +192,42 @@
             for started in self._running.values()
         )
 
+    def list_barred(
+        self, fingerprint: str, endpoint_ids: Iterable[str]
+    ) -> frozenset[str]:
+        """Return the endpoints on which a request may not run now.
+
+        The hold of all suspects of a loss ends at the same time, also at
+        other daemons. Each suspect gets its own part of the endpoints, so
+        that a second loss tells them apart.
+
+        :param fingerprint: digest of customer, service and body.
+        :param endpoint_ids: endpoints that could run it.
+        """
+        candidates = set(endpoint_ids)
+        keys = self._get_open_keys(fingerprint)
+        if not keys:
+            return frozenset()
+        crowded = {
+            endpoint_id
+            for endpoint_id in candidates
+            if not self.may_share(endpoint_id, fingerprint)
+        }
+        newest = max(keys, key=lambda key: self._losses[key].seen_at)
+        # All daemons must come to the same parts; older losses may be open
+        # at one of them only.
+        free = sorted(candidates - {newest[0]})
+        if not free:
+            return frozenset(crowded)
+        suspects = sorted(self._losses[newest].fingerprints)
+        rank = suspects.index(fingerprint) % len(free)
+        own = {
+            endpoint_id
+            for index, endpoint_id in enumerate(free)
+            if index % len(suspects) == rank
+        }
+        return frozenset(crowded | (candidates - own))
+
     def handle(
         self, event: QuarantineEvent, now: Milliseconds
     ) -> list[ShareEvidence]:
@@ -210,7 +257,9 @@
         started = self._running.pop(event.request_id, None)
         if started is not None and event.is_whole:
             losses = self._get_loss_keys(started.fingerprint)
-            self._acquitted[started.fingerprint].update(losses)
+            if losses:
+                self._acquitted[started.fingerprint].update(losses)
+                self._blamed = None
         return []
 
     @_apply.register
@@ -237,12 +286,14 @@
         for key, loss in list(self._losses.items()):
             if key[0] != event.endpoint_id or loss.is_crash:
                 continue
-            if key[1] == event.boot_id:
-                # The endpoint went on running: its connections were cut.
-                self._losses.pop(key)
-            else:
+            if key[1] != event.boot_id:
                 loss.is_crash = True
                 shared += _compile_evidence(key, loss)
+            elif event.asked_at >= loss.seen_at:
+                # The endpoint went on running: its connections were cut. An
+                # answer to an earlier question may be older than the loss.
+                self._losses.pop(key)
+                self._blamed = None
         return shared
 
     @_apply.register
@@ -258,6 +309,7 @@
         now: Milliseconds,
     ) -> list[Evidence]:
         """Add evidence and return what was new."""
+        self._blamed = None
         fresh = [item for item in evidence if self._add(item, now)]
         while len(self._losses) > self._settings.max_losses:
             self._losses.pop(next(iter(self._losses)))
@@ -272,29 +324,55 @@
         loss.fingerprints.add(item.fingerprint)
         return is_new
 
-    def _is_blamed(self, losses: list[_Loss], fingerprint: str) -> bool:
-        """Tell whether a loss has no other repeated suspect aboard.
+    def _get_blamed(self) -> set[str]:
+        if self._blamed is None:
+            self._blamed = self._list_blamed()
+        return self._blamed
+
+    def _list_blamed(self) -> set[str]:
+        """Return the fingerprints that explain losses of their own.
 
-        Two fingerprints that were lost together twice cannot be told apart;
-        both stay suspects and run on different endpoints from then on.
+        A loss is explained by one that was blamed for earlier losses, and is
+        no evidence against the others aboard.
         """
-        return any(
-            self._list_repeated(loss) == {fingerprint} for loss in losses
-        )
+        blamed: set[str] = set()
+        unexplained: list[set[str]] = []
+        for aboard in self._list_repeated():
+            if aboard & blamed:
+                continue
+            unexplained.append(aboard)
+            blamed |= _find_blamed(unexplained)
+            unexplained = [left for left in unexplained if not left & blamed]
+        return blamed
+
+    def _list_repeated(self) -> list[set[str]]:
+        """Return the repeated suspects of each loss that has any.
 
-    def _list_repeated(self, loss: _Loss) -> set[str]:
+        Few requests are aboard twice, so that comparing losses stays cheap.
+        """
+        losses = list(itertools.starmap(self._list_open, self._losses.items()))
+        repeated = _get_repeated(losses)
+        return [aboard & repeated for aboard in losses if aboard & repeated]
+
+    def _list_open(self, key: _LossKey, loss: _Loss) -> set[str]:
+        """Return the fingerprints aboard that were not acquitted since."""
         return {
-            other
-            for other in loss.fingerprints
-            if len(self._get_losses(other)) >= _LOSSES_TO_CONVICT
+            fingerprint
+            for fingerprint in loss.fingerprints
+            if key not in self._acquitted.get(fingerprint, set())
         }
 
     def _get_losses(self, fingerprint: str) -> list[_Loss]:
+        keys = self._get_open_keys(fingerprint)
+        return [self._losses[key] for key in keys]
+
+    def _get_open_keys(self, fingerprint: str) -> list[_LossKey]:
+        """Return the losses of which a request was not acquitted."""
         acquitted = self._acquitted.get(fingerprint, set())
         return [
-            loss
-            for key, loss in self._losses.items()
-            if fingerprint in loss.fingerprints and key not in acquitted
+            key
+            for key in self._get_loss_keys(fingerprint)
+            if key not in acquitted
         ]
 
     def _get_loss_keys(self, fingerprint: str) -> list[_LossKey]:
@@ -309,6 +387,27 @@
         for key, loss in list(self._losses.items()):
             if loss.seen_at <= oldest:
                 self._losses.pop(key)
+                self._blamed = None
+
+
+def _find_blamed(losses: list[set[str]]) -> set[str]:
+    """Return the fingerprints that are the only repeated one of a loss.
+
+    Two that were lost together twice cannot be told apart; both stay
+    suspects and run on different endpoints from then on.
+    """
+    repeated = _get_repeated(losses)
+    sole = [aboard & repeated for aboard in losses]
+    return {min(found) for found in sole if len(found) == 1}
+
+
+def _get_repeated(losses: list[set[str]]) -> set[str]:
+    counts = Counter(itertools.chain.from_iterable(losses))
+    return {
+        fingerprint
+        for fingerprint, count in counts.items()
+        if count >= _LOSSES_TO_CONVICT
+    }
 
 
 def _compile_evidence(key: _LossKey, loss: _Loss) -> list[Evidence]:
--- a/src/clementinedyke/routing_component.py
+++ b/src/clementinedyke/routing_component.py
@@ -176,8 +176,10 @@
         :param excluded: endpoints that were tried.
         """
         now = self._clock.get_now()
-        crowded = self._list_crowded(context.work.fingerprint)
-        request = compile_route_request(context, excluded | crowded)
+        barred = self._quarantine.list_barred(
+            context.work.fingerprint, self._watched.keys() - excluded
+        )
+        request = compile_route_request(context, excluded | barred)
         choice = self._router.select_endpoint(request, now)
         context.outcome.weigh(choice)
         if isinstance(choice, NoChoice):
@@ -245,17 +247,6 @@
             for observer in self.evidence_observers:
                 observer(action.evidence)
 
-    def _list_crowded(self, fingerprint: str) -> frozenset[str]:
-        """Return the endpoints where a suspect may not run now."""
-        verdict = self.get_verdict(fingerprint)
-        if verdict is quarantine.Verdict.CLEAR:
-            return frozenset()
-        return frozenset(
-            endpoint_id
-            for endpoint_id in self._watched
-            if not self._quarantine.may_share(endpoint_id, fingerprint)
-        )
-
     def _replace_endpoints(self, endpoints: tuple[Endpoint, ...]) -> None:
         used = self.subset.select(endpoints)
         watched: dict[str, _Watched] = {}
@@ -346,7 +337,9 @@
             self._handle_route(restarted, now)
         watched.boot_id = state.boot_id
         watched.running = state.running
-        self._tell(quarantine.EndpointSeen(endpoint_id, state.boot_id))
+        self._tell(
+            quarantine.EndpointSeen(endpoint_id, state.boot_id, asked_at)
+        )
         if role is not watched.role:
             watched.role = role
             self._update_router()
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,6 +1,7 @@
 """Tests of the recognition of requests that crash endpoints."""
 
 from dataclasses import dataclass, field
+from random import Random
 
 from hypothesis import Phase, settings
 from hypothesis import strategies as st
@@ -14,6 +15,7 @@
 from clementinedyke.quarantine import (
     EndpointLost,
     EndpointSeen,
+    Evidence,
     EvidenceReceived,
     QuarantineCore,
     QuarantineSettings,
@@ -95,7 +97,8 @@
         """Let all daemons read the engine's boot id."""
         boot = f'boot-{self.boots[engine]}'
         for daemon in range(_DAEMONS):
-            self.feed(daemon, EndpointSeen(f'engine-{engine}', boot))
+            seen = EndpointSeen(f'engine-{engine}', boot, self.now)
+            self.feed(daemon, seen)
 
     def run_engines(self) -> None:
         """Crash the engines that run the killer; finish other requests."""
@@ -202,6 +205,61 @@
         fleet.send(0, 1, _KILLER)
         assert not fleet.cores[0].may_share('engine-1', 'other-0')
 
+    def test_suspects_of_two_daemons(self) -> None:
+        """Daemons that try suspects again together lose no fourth engine."""
+        generator = Random(4)
+        for _ in range(200):
+            fleet = Fleet()
+            tries = ((0, _KILLER), (1, 'other-1'), (2, 'other-2'))
+            for daemon, fingerprint in tries:
+                fleet.send(daemon, 0, fingerprint)
+            convict(fleet, generator)
+            assert fleet.crashes <= 3
+
+    def test_suspect_of_an_older_loss(self) -> None:
+        """Daemons give out the same parts though one knows an older loss."""
+        cores = [QuarantineCore(QuarantineSettings()) for _ in range(2)]
+        older = Evidence('engine-0', 'boot', 'other', is_crash=True)
+        cores[1].handle(EvidenceReceived((older,)), 0)
+        newer = tuple(
+            Evidence('engine-3', 'boot', name, is_crash=True)
+            for name in ('other', _KILLER)
+        )
+        for core in cores:
+            core.handle(EvidenceReceived(newer), 10)
+        engines = {f'engine-{number}' for number in range(_ENGINES)}
+        allowed = engines - cores[0].list_barred(_KILLER, engines)
+        assert allowed
+        assert not allowed - cores[1].list_barred('other', engines)
+
+    def test_beside_two_killers(self) -> None:
+        """A request aboard losses of two killers is not blamed for them.
+
+        The daemon does not know that another one has run it in between.
+        """
+        core = QuarantineCore(QuarantineSettings())
+        losses = (
+            ('engine-0', (_KILLER, 'other')),
+            ('engine-1', (_KILLER,)),
+            ('engine-2', ('second killer', 'other', 'third')),
+        )
+        for now, (engine, aboard) in enumerate(losses):
+            evidence = tuple(
+                Evidence(engine, 'boot', name, is_crash=True) for name in aboard
+            )
+            core.handle(EvidenceReceived(evidence), now)
+        assert core.get_verdict('other', 10000) is Verdict.SUSPECT
+        assert core.get_verdict(_KILLER, 10000) is Verdict.CONVICTED
+
+    def test_state_asked_before_the_loss(self) -> None:
+        """An answer that was under way as the engine crashed proves nothing."""
+        fleet = Fleet(now=100)
+        fleet.send(0, 0, _KILLER)
+        fleet.lose(0, is_crash=True)
+        fleet.feed(0, EndpointSeen('engine-0', 'boot-0', 90))
+        verdict = fleet.cores[0].get_verdict(_KILLER, fleet.now)
+        assert verdict is Verdict.SUSPECT
+
     def test_cut_is_no_evidence(self) -> None:
         """A network cut must not make suspects of all requests."""
         fleet = Fleet()
@@ -219,3 +277,21 @@
             fleet.lose(engine, is_crash=True)
             fleet.now += 2000
         assert fleet.send(0, 2, _KILLER) is Verdict.HELD
+
+
+def convict(fleet: Fleet, generator: Random) -> None:
+    """Try all requests aboard again at random engines that are allowed.
+
+    It ends when no daemon sends the killer any more.
+    """
+    while any(run[2] == _KILLER for run in fleet.aboard.values()):
+        again = [(run[0], run[2]) for run in fleet.aboard.values()]
+        fleet.run_engines()
+        fleet.deliver()
+        fleet.now += 2000
+        for daemon, fingerprint in again:
+            core = fleet.cores[daemon]
+            engines = {f'engine-{number}' for number in range(_ENGINES)}
+            barred = core.list_barred(fingerprint, engines)
+            chosen = generator.choice(sorted(engines - barred))
+            fleet.send(daemon, int(chosen[-1]), fingerprint)
