Let suspects take turns where there are more than endpoints

A loss had more suspects than endpoints were left, so that two of them had the same part and were aboard the second loss together.

Ruled out: evidence that came late; in the traces of the run before, both daemons knew all losses before each try.

The new test without processes fails before.

Conclusion: a suspect waits one settle time more for each round of endpoints that suspects before it take up.

--- a/src/clementinedyke/quarantine.py
+++ b/src/clementinedyke/quarantine.py
@@ -193,22 +193,24 @@
         )
 
     def list_barred(
-        self, fingerprint: str, endpoint_ids: Iterable[str]
+        self, fingerprint: str, endpoint_ids: Iterable[str], now: Milliseconds
     ) -> frozenset[str]:
         """Return the endpoints on which a request may not run now.
 
         The hold of all suspects of a loss ends at the same time, also at
         other daemons. Each suspect gets its own part of the endpoints, so
-        that a second loss tells them apart.
+        that a second loss tells them apart; more suspects than endpoints
+        take turns.
 
         :param fingerprint: digest of customer, service and body.
         :param endpoint_ids: endpoints that could run it.
+        :param now: current time in milliseconds.
         """
         candidates = set(endpoint_ids)
         keys = self._get_open_keys(fingerprint)
         if not keys:
             return frozenset()
-        crowded = {
+        barred = {
             endpoint_id
             for endpoint_id in candidates
             if not self.may_share(endpoint_id, fingerprint)
@@ -217,16 +219,10 @@
         # All daemons must come to the same parts; older losses may be open
         # at one of them only.
         free = sorted(candidates - {newest[0]})
-        if not free:
-            return frozenset(crowded)
-        suspects = sorted(self._losses[newest].fingerprints)
-        rank = suspects.index(fingerprint) % len(free)
-        own = {
-            endpoint_id
-            for index, endpoint_id in enumerate(free)
-            if index % len(suspects) == rank
-        }
-        return frozenset(crowded | (candidates - own))
+        if free:
+            own = self._list_part(fingerprint, newest, free, now)
+            barred |= candidates - own
+        return frozenset(barred)
 
     def handle(
         self, event: QuarantineEvent, now: Milliseconds
@@ -324,6 +320,25 @@
         loss.fingerprints.add(item.fingerprint)
         return is_new
 
+    def _list_part(
+        self,
+        fingerprint: str,
+        key: _LossKey,
+        free: list[str],
+        now: Milliseconds,
+    ) -> set[str]:
+        """Return a suspect's part of the endpoints, empty before its turn."""
+        loss = self._losses[key]
+        suspects = sorted(loss.fingerprints)
+        turn, rank = divmod(suspects.index(fingerprint), len(free))
+        if now < loss.seen_at + self._settings.settle_time * (1 + turn):
+            return set()
+        return {
+            endpoint_id
+            for index, endpoint_id in enumerate(free)
+            if index % len(suspects) == rank
+        }
+
     def _get_blamed(self) -> set[str]:
         if self._blamed is None:
             self._blamed = self._list_blamed()
--- a/src/clementinedyke/routing_component.py
+++ b/src/clementinedyke/routing_component.py
@@ -177,7 +177,7 @@
         """
         now = self._clock.get_now()
         barred = self._quarantine.list_barred(
-            context.work.fingerprint, self._watched.keys() - excluded
+            context.work.fingerprint, self._watched.keys() - excluded, now
         )
         request = compile_route_request(context, excluded | barred)
         choice = self._router.select_endpoint(request, now)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -228,9 +228,28 @@
         for core in cores:
             core.handle(EvidenceReceived(newer), 10)
         engines = {f'engine-{number}' for number in range(_ENGINES)}
-        allowed = engines - cores[0].list_barred(_KILLER, engines)
+        allowed = engines - cores[0].list_barred(_KILLER, engines, 2000)
         assert allowed
-        assert not allowed - cores[1].list_barred('other', engines)
+        assert not allowed - cores[1].list_barred('other', engines, 2000)
+
+    def test_more_suspects_than_engines(self) -> None:
+        """No two suspects may be tried at one engine in one turn."""
+        core = QuarantineCore(QuarantineSettings())
+        names = [f'other-{number}' for number in range(7)]
+        evidence = tuple(
+            Evidence('engine-3', 'boot', name, is_crash=True) for name in names
+        )
+        core.handle(EvidenceReceived(evidence), 0)
+        engines = {f'engine-{number}' for number in range(_ENGINES)}
+        for now in (1600, 3100, 4600):
+            taken = [
+                sorted(engines - core.list_barred(name, engines, now))
+                for name in names
+            ]
+            if now < 3000:
+                first = [item for items in taken for item in items]
+                assert len(first) == len(set(first)) == 3
+        assert all(taken)
 
     def test_beside_two_killers(self) -> None:
         """A request aboard losses of two killers is not blamed for them.
@@ -292,6 +311,6 @@
         for daemon, fingerprint in again:
             core = fleet.cores[daemon]
             engines = {f'engine-{number}' for number in range(_ENGINES)}
-            barred = core.list_barred(fingerprint, engines)
+            barred = core.list_barred(fingerprint, engines, fleet.now)
             chosen = generator.choice(sorted(engines - barred))
             fleet.send(daemon, int(chosen[-1]), fingerprint)
