Choose ports of test processes below those of connections

Cause: the process tests choose free ports, release them and start daemons on them.

Conclusion: ports come from 12000 to 31999 and are tried before they are used. A port can still be lost to another run of the tests, at about 1 in 2000.

--- a/tests/process_tools.py
+++ b/tests/process_tools.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -13,6 +14,7 @@
 from dataclasses import dataclass, field
 from functools import partial
 from http.client import HTTPConnection, HTTPException
+from itertools import islice
 from typing import Any
 
 from clementinedyke.records import get_digest
@@ -21,6 +23,8 @@
 TOKEN = 'operator-token-of-tests'
 #: Seconds; only a hang is a failure.
 LIMIT = 60
+_SERVER_PORTS = range(12000, 32000)
+_PORT_TRIES = 100
 CHAT = '/v1/chat/completions'
 BOOKING = '/services/ledger/book'
 REPORT = '/standin/report'
@@ -353,12 +357,21 @@
 
 
 def find_ports() -> list[int]:
-    """Return three ports that are free now."""
-    listeners = [socket.create_server((LOCAL, 0)) for _ in range(3)]
-    ports = [listener.getsockname()[1] for listener in listeners]
-    for listener in listeners:
-        listener.close()
-    return ports
+    """Return three ports that are free now.
+
+    They lie below the ports that connections get by themselves; a process
+    that starts a second later would find one of those taken now and then.
+    """
+    candidates = random.sample(_SERVER_PORTS, _PORT_TRIES)
+    return list(islice(filter(_is_free, candidates), 3))
+
+
+def _is_free(port: int) -> bool:
+    try:
+        socket.create_server((LOCAL, port)).close()
+    except OSError:
+        return False
+    return True
 
 
 def _spawn(*arguments: Any, **options: Any) -> subprocess.Popen[str]:
