--- a/src/clementinedyke/admission_component.py
+++ b/src/clementinedyke/admission_component.py
@@ -13,7 +13,7 @@
 from clementinedyke.codes import ResultCode
 from clementinedyke.components import Component
 from clementinedyke.directory import Directory
-from clementinedyke.http_message import RequestError
+from clementinedyke.http.message import RequestError
 from clementinedyke.room_report import compile_room_report
 from clementinedyke.router import RouterCore
 from clementinedyke.service_admission import AdmissionLimits
--- a/src/clementinedyke/authority_component.py
+++ b/src/clementinedyke/authority_component.py
@@ -14,7 +14,7 @@
 from clementinedyke.control_messages import Member
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.directory import Directory
-from clementinedyke.http_message import RequestError
+from clementinedyke.http.message import RequestError
 from clementinedyke.lease_component import LeaseComponent, LeasePolicy
 from clementinedyke.lease_types import Identity
 from clementinedyke.reference_platform.hosts import HostListClient
--- a/src/clementinedyke/callers/authentication.py
+++ b/src/clementinedyke/callers/authentication.py
@@ -2,7 +2,7 @@
 
 from clementinedyke.codes import ResultCode
 from clementinedyke.directory import Directory
-from clementinedyke.http_server import RequestError, ServerRequest
+from clementinedyke.http.server import RequestError, ServerRequest
 from clementinedyke.records import ServiceRecord, get_digest
 
 
--- a/src/clementinedyke/callers/claiming.py
+++ b/src/clementinedyke/callers/claiming.py
@@ -15,7 +15,7 @@
     DispatchFailure,
 )
 from clementinedyke.codes import ExecutionState, ResultCode, get_details
-from clementinedyke.http_message import RequestError, compile_result_headers
+from clementinedyke.http.message import RequestError, compile_result_headers
 
 _RETRY_AFTER = 2000
 _NONCE_BYTES = 16
--- a/src/clementinedyke/callers/collector.py
+++ b/src/clementinedyke/callers/collector.py
@@ -1,8 +1,8 @@
 """Collects the answer of an endpoint instead of writing it to a caller."""
 
 from clementinedyke.claim_messages import KeptAnswer
-from clementinedyke.http_client import Headers
-from clementinedyke.http_message import ResponseWriter
+from clementinedyke.http.client import Headers
+from clementinedyke.http.message import ResponseWriter
 
 _DROPPED = frozenset((b'content-length', b'transfer-encoding'))
 _OWN_PREFIX = b'clementinedyke-'
--- a/src/clementinedyke/callers/context.py
+++ b/src/clementinedyke/callers/context.py
@@ -4,8 +4,8 @@
 
 from clementinedyke.callers.outcome import RequestOutcome
 from clementinedyke.callers.work import Work
-from clementinedyke.http_client import HttpClient
-from clementinedyke.http_server import ResponseWriter, ServerRequest
+from clementinedyke.http.client import HttpClient
+from clementinedyke.http.server import ResponseWriter, ServerRequest
 from clementinedyke.records import ServiceRecord
 
 
--- a/src/clementinedyke/callers/customer_limits.py
+++ b/src/clementinedyke/callers/customer_limits.py
@@ -7,7 +7,7 @@
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.codes import ResultCode
 from clementinedyke.directory import Directory
-from clementinedyke.http_message import ConnectionInfo, RequestError
+from clementinedyke.http.message import ConnectionInfo, RequestError
 from clementinedyke.token_rate import TokenRateCore
 
 _RETRY_AFTER: Milliseconds = 1000
--- a/src/clementinedyke/callers/dispatch.py
+++ b/src/clementinedyke/callers/dispatch.py
@@ -14,8 +14,8 @@
     PeerUnavailableError,
     ProtocolError,
 )
-from clementinedyke.http_client import HttpRequest
-from clementinedyke.http_server import RequestError
+from clementinedyke.http.client import HttpRequest
+from clementinedyke.http.server import RequestError
 from clementinedyke.quarantine import Verdict
 
 _MILLISECONDS_PER_SECOND = 1000
--- a/src/clementinedyke/callers/handler.py
+++ b/src/clementinedyke/callers/handler.py
@@ -18,7 +18,7 @@
 from clementinedyke.codes import ResultCode
 from clementinedyke.configuration_component import ConfigurationComponent
 from clementinedyke.endpoints.registry import EndpointRegistry
-from clementinedyke.http_server import (
+from clementinedyke.http.server import (
     RequestError,
     ResponseWriter,
     ServerRequest,
--- a/src/clementinedyke/callers/outcome.py
+++ b/src/clementinedyke/callers/outcome.py
@@ -5,7 +5,7 @@
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.codes import ResultCode
-from clementinedyke.http_message import create_request_id
+from clementinedyke.http.message import create_request_id
 from clementinedyke.route_types import RouteResult
 
 
--- a/src/clementinedyke/callers/port.py
+++ b/src/clementinedyke/callers/port.py
@@ -8,10 +8,10 @@
 from clementinedyke.callers.handler import CallerHandler
 from clementinedyke.callers.steps import DispatchLimits
 from clementinedyke.components import Component
-from clementinedyke.http_server import ConnectionLimits, HttpServer
+from clementinedyke.http.server import ConnectionLimits, HttpServer
+from clementinedyke.http.tls import load_tls
 from clementinedyke.ports import explain_bind_failure
 from clementinedyke.settings import Settings
-from clementinedyke.tls import load_tls
 
 _MILLISECONDS_PER_SECOND = 1000
 
--- a/src/clementinedyke/callers/relay.py
+++ b/src/clementinedyke/callers/relay.py
@@ -10,8 +10,8 @@
 )
 from clementinedyke.callers.validation import strip_headers
 from clementinedyke.codes import ResultCode
-from clementinedyke.http_client import Headers, ResponseStream
-from clementinedyke.http_server import compile_result_headers
+from clementinedyke.http.client import Headers, ResponseStream
+from clementinedyke.http.server import compile_result_headers
 
 _LENGTH = b'content-length'
 
--- a/src/clementinedyke/callers/routing.py
+++ b/src/clementinedyke/callers/routing.py
@@ -9,7 +9,7 @@
 from clementinedyke.callers.work import estimate_chat, estimate_plain
 from clementinedyke.codes import ResultCode
 from clementinedyke.directory import Directory
-from clementinedyke.http_server import RequestError, ServerRequest
+from clementinedyke.http.server import RequestError, ServerRequest
 
 CHAT_PATH = '/v1/chat/completions'
 MODELS_PATH = '/v1/models'
--- a/src/clementinedyke/callers/rules.py
+++ b/src/clementinedyke/callers/rules.py
@@ -2,7 +2,7 @@
 
 from clementinedyke.callers.context import RequestContext
 from clementinedyke.codes import ResultCode
-from clementinedyke.http_message import RequestError
+from clementinedyke.http.message import RequestError
 from clementinedyke.quarantine import Verdict
 
 _HELD_RETRY_AFTER = 2000
--- a/src/clementinedyke/callers/tokens.py
+++ b/src/clementinedyke/callers/tokens.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from clementinedyke.http_client import Headers
+from clementinedyke.http.client import Headers
 
 _EVENT_STREAM = b'text/event-stream'
 #: The final usage event is searched for in so many last bytes.
--- a/src/clementinedyke/callers/validation.py
+++ b/src/clementinedyke/callers/validation.py
@@ -5,8 +5,8 @@
 from typing import Any
 
 from clementinedyke.codes import ResultCode
-from clementinedyke.http_client import Headers
-from clementinedyke.http_server import RequestError
+from clementinedyke.http.client import Headers
+from clementinedyke.http.server import RequestError
 from clementinedyke.records import ServiceRecord
 
 #: Headers that never reach an endpoint or a caller: the key, and those that
--- a/src/clementinedyke/claim_component.py
+++ b/src/clementinedyke/claim_component.py
@@ -12,7 +12,7 @@
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.codes import ResultCode
 from clementinedyke.components import Component
-from clementinedyke.http_client import HttpClient
+from clementinedyke.http.client import HttpClient
 from clementinedyke.reference_platform.objects import ObjectClient
 from clementinedyke.reference_platform.tables import TableClient
 
--- a/src/clementinedyke/configuration_component.py
+++ b/src/clementinedyke/configuration_component.py
@@ -11,7 +11,7 @@
 from clementinedyke.directory import Directory
 from clementinedyke.endpoints.registry import EndpointRegistry
 from clementinedyke.exceptions import ProtocolError
-from clementinedyke.http_message import RequestError
+from clementinedyke.http.message import RequestError
 from clementinedyke.platform_lists import PlatformList
 
 
--- a/src/clementinedyke/control_report.py
+++ b/src/clementinedyke/control_report.py
@@ -2,7 +2,7 @@
 
 from clementinedyke.configuration_component import ConfigurationComponent
 from clementinedyke.daemons import ControlComponent
-from clementinedyke.http_message import RequestError
+from clementinedyke.http.message import RequestError
 
 
 class ConfigurationReport:
--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -20,7 +20,7 @@
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.daemons.platform_reader import PlatformReader
 from clementinedyke.endpoints.registry import EndpointRegistry
-from clementinedyke.http_client import Address, HttpClient
+from clementinedyke.http.client import Address, HttpClient
 from clementinedyke.operators import OperatorPort
 from clementinedyke.reference_platform.tables import TableClient
 from clementinedyke.request_path import RequestPath
--- a/src/clementinedyke/daemons/directory_source.py
+++ b/src/clementinedyke/daemons/directory_source.py
@@ -12,7 +12,7 @@
 from clementinedyke.daemons.component import Change, ControlComponent
 from clementinedyke.directory import Directory
 from clementinedyke.exceptions import RecordError
-from clementinedyke.http_server import RequestError
+from clementinedyke.http.server import RequestError
 from clementinedyke.records import parse_record
 
 
--- a/src/clementinedyke/daemons/links.py
+++ b/src/clementinedyke/daemons/links.py
@@ -17,7 +17,7 @@
 from clementinedyke.daemons.codec import ControlCodec, receive_message
 from clementinedyke.daemons.options import ControlOptions
 from clementinedyke.exceptions import ProtocolError
-from clementinedyke.http_client import Address
+from clementinedyke.http.client import Address
 
 METHOD = '/clementinedyke.Control/Exchange'
 ADDRESS_HEADER = 'daemon-address'
--- a/src/clementinedyke/daemons/platform_reader.py
+++ b/src/clementinedyke/daemons/platform_reader.py
@@ -9,7 +9,7 @@
 from clementinedyke.configuration_messages import ConfigurationRow
 from clementinedyke.control_messages import Member
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
-from clementinedyke.http_client import HttpClient, HttpRequest
+from clementinedyke.http.client import HttpClient, HttpRequest
 from clementinedyke.reference_platform.tables import (
     ABSENT,
     Condition,
--- a/src/clementinedyke/endpoints/orders.py
+++ b/src/clementinedyke/endpoints/orders.py
@@ -4,7 +4,7 @@
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
-from clementinedyke.http_client import Address, HttpRequest
+from clementinedyke.http.client import Address, HttpRequest
 from clementinedyke.order_connection import exchange_once
 from clementinedyke.order_target import TargetState
 from clementinedyke.order_types import OrderAnswer, OrderRow
--- a/src/clementinedyke/endpoints/registry.py
+++ b/src/clementinedyke/endpoints/registry.py
@@ -7,7 +7,7 @@
 
 from clementinedyke.components import Component
 from clementinedyke.exceptions import ProtocolError
-from clementinedyke.http_client import Address, HttpClient
+from clementinedyke.http.client import Address, HttpClient
 
 
 class Endpoint(msgspec.Struct, frozen=True):
--- a/src/clementinedyke/entry/catalog.py
+++ b/src/clementinedyke/entry/catalog.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.http_client import Address
+from clementinedyke.http.client import Address
 
 
 class RequestKind(enum.Enum):
--- a/src/clementinedyke/entry/endpoint_protocol.py
+++ b/src/clementinedyke/entry/endpoint_protocol.py
@@ -5,8 +5,8 @@
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.entry.catalog import EntryEndpoint, EntryRequest
-from clementinedyke.http_client import Headers, HttpRequest
-from clementinedyke.http_message import ServerRequest
+from clementinedyke.http.client import Headers, HttpRequest
+from clementinedyke.http.message import ServerRequest
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/entry/exchange.py
+++ b/src/clementinedyke/entry/exchange.py
@@ -7,7 +7,6 @@
 from absl import logging
 
 from clementinedyke.clock import Clock, Milliseconds
-from clementinedyke.connection_rest import ConnectionRest
 from clementinedyke.entry.catalog import EntryEndpoint
 from clementinedyke.entry.endpoint_protocol import (
     AnswerHead,
@@ -23,7 +22,8 @@
     PeerUnavailableError,
     ProtocolError,
 )
-from clementinedyke.http_client import HttpClient, ResponseStream
+from clementinedyke.http.client import HttpClient, ResponseStream
+from clementinedyke.http.connection_rest import ConnectionRest
 
 #: Longest wait for a connection: hosts and endpoints are about a millisecond
 #: apart, and a lost opening packet is sent again after a second only.
--- a/src/clementinedyke/entry/gateway.py
+++ b/src/clementinedyke/entry/gateway.py
@@ -13,7 +13,7 @@
 from clementinedyke.entry.outcomes import StreamBroken
 from clementinedyke.entry.runners import PlainRunner, RunnerTools
 from clementinedyke.entry.stream_runner import StreamRunner
-from clementinedyke.http_message import (
+from clementinedyke.http.message import (
     RequestError,
     ResponseWriter,
     ServerRequest,
--- a/src/clementinedyke/entry/host_settings.py
+++ b/src/clementinedyke/entry/host_settings.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.http_client import Address
+from clementinedyke.http.client import Address
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/entry/metrics.py
+++ b/src/clementinedyke/entry/metrics.py
@@ -18,9 +18,9 @@
 from clementinedyke.codes import ResultCode
 from clementinedyke.components import Component
 from clementinedyke.entry.intake import Job
-from clementinedyke.http_client import Address
-from clementinedyke.http_message import ResponseWriter, ServerRequest
-from clementinedyke.http_server import HttpServer
+from clementinedyke.http.client import Address
+from clementinedyke.http.message import ResponseWriter, ServerRequest
+from clementinedyke.http.server import HttpServer
 
 _MILLISECONDS_PER_SECOND = 1000
 #: Seconds; the objectives of the sheets are 0.2 to 0.8.
--- a/src/clementinedyke/entry/observation.py
+++ b/src/clementinedyke/entry/observation.py
@@ -16,7 +16,7 @@
 )
 from clementinedyke.entry.news import NewsBoard
 from clementinedyke.entry.store_calls import StoreCallLog
-from clementinedyke.http_client import Address
+from clementinedyke.http.client import Address
 from clementinedyke.lease_component import LeaseComponent
 
 
--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -17,9 +17,9 @@
 from clementinedyke.entry.news import NewsBoard, PeerNews
 from clementinedyke.entry.watch import StoredRow
 from clementinedyke.exceptions import ClementinedykeError
-from clementinedyke.http_client import Address, HttpClient, HttpRequest
-from clementinedyke.http_message import ResponseWriter, ServerRequest
-from clementinedyke.http_server import HttpServer
+from clementinedyke.http.client import Address, HttpClient, HttpRequest
+from clementinedyke.http.message import ResponseWriter, ServerRequest
+from clementinedyke.http.server import HttpServer
 from clementinedyke.rows import RowStore, Write
 
 DAEMONS_TABLE = 'daemons'
--- a/src/clementinedyke/entry/ports.py
+++ b/src/clementinedyke/entry/ports.py
@@ -12,9 +12,9 @@
 from clementinedyke.entry.gateway import Gateway
 from clementinedyke.entry.host_settings import HostSettings
 from clementinedyke.entry.journal import Journal
-from clementinedyke.http_client import Address
-from clementinedyke.http_message import ResponseWriter, ServerRequest
-from clementinedyke.http_server import ConnectionLimits, HttpServer
+from clementinedyke.http.client import Address
+from clementinedyke.http.message import ResponseWriter, ServerRequest
+from clementinedyke.http.server import ConnectionLimits, HttpServer
 
 _MILLISECONDS_PER_SECOND = 1000
 #: The balancer asks once a second and takes a host out after two misses;
--- a/src/clementinedyke/entry/request_path.py
+++ b/src/clementinedyke/entry/request_path.py
@@ -18,7 +18,7 @@
 from clementinedyke.entry.retry_budget import RetryBudgets
 from clementinedyke.entry.runners import RunnerTools
 from clementinedyke.entry.usage_counter import UsageCounter
-from clementinedyke.http_client import MAX_IDLE_CONNECTIONS
+from clementinedyke.http.client import MAX_IDLE_CONNECTIONS
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/entry/runners.py
+++ b/src/clementinedyke/entry/runners.py
@@ -19,8 +19,8 @@
 from clementinedyke.entry.retry_budget import RetryBudgets
 from clementinedyke.entry.usage_counter import UsageCounter
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
-from clementinedyke.http_client import HttpResponse
-from clementinedyke.http_message import RequestError, ResponseWriter
+from clementinedyke.http.client import HttpResponse
+from clementinedyke.http.message import RequestError, ResponseWriter
 
 _STATUS_SERVER_ERROR = 500
 _MILLISECONDS_PER_SECOND = 1000
--- a/src/clementinedyke/entry/stream_runner.py
+++ b/src/clementinedyke/entry/stream_runner.py
@@ -19,7 +19,7 @@
 from clementinedyke.entry.outcomes import StreamBroken
 from clementinedyke.entry.runners import RunnerTools
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
-from clementinedyke.http_message import RequestError, ResponseWriter
+from clementinedyke.http.message import RequestError, ResponseWriter
 
 _STATUS_OK = 200
 _MILLISECONDS_PER_SECOND = 1000
--- a/src/clementinedyke/http_client.py
+++ b/src/clementinedyke/http/client.py
@@ -12,14 +12,14 @@
 import trio
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.connection_rest import ConnectionRest
 from clementinedyke.exceptions import (
     AnswerLostError,
     ConnectionDroppedError,
     PeerUnavailableError,
     ProtocolError,
 )
-from clementinedyke.socket_io import read_now, receive_some, send_all
+from clementinedyke.http.connection_rest import ConnectionRest
+from clementinedyke.http.socket_io import read_now, receive_some, send_all
 
 #: Header names and values as they stand on the wire.
 Headers = Sequence[tuple[bytes, bytes]]
--- a/src/clementinedyke/http_connection.py
+++ b/src/clementinedyke/http/connection.py
@@ -10,7 +10,7 @@
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.codes import ResultCode
-from clementinedyke.http_message import (
+from clementinedyke.http.message import (
     ConnectionLimits,
     RequestError,
     RequestHandler,
@@ -18,8 +18,8 @@
     ServerRequest,
     write_error,
 )
-from clementinedyke.http_reader import RequestReader
-from clementinedyke.socket_io import receive_some, send_all
+from clementinedyke.http.reader import RequestReader
+from clementinedyke.http.socket_io import receive_some, send_all
 
 _READ_SIZE = 65536
 _MILLISECONDS_PER_SECOND = 1000
--- a/src/clementinedyke/http_message.py
+++ b/src/clementinedyke/http/message.py
@@ -12,7 +12,7 @@
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.codes import ResultCode, get_details
-from clementinedyke.http_client import Headers
+from clementinedyke.http.client import Headers
 
 _JSON_TYPE = (b'Content-Type', b'application/json')
 _MILLISECONDS_PER_SECOND = 1000
--- a/src/clementinedyke/http_reader.py
+++ b/src/clementinedyke/http/reader.py
@@ -9,13 +9,13 @@
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.codes import ResultCode, get_details
-from clementinedyke.http_message import (
+from clementinedyke.http.message import (
     ConnectionInfo,
     ConnectionLimits,
     RequestError,
     ServerRequest,
 )
-from clementinedyke.socket_io import receive_some
+from clementinedyke.http.socket_io import receive_some
 
 _READ_SIZE = 65536
 _MILLISECONDS_PER_SECOND = 1000
--- a/src/clementinedyke/http_server.py
+++ b/src/clementinedyke/http/server.py
@@ -8,8 +8,8 @@
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.codes import ResultCode
-from clementinedyke.http_connection import ServerConnection
-from clementinedyke.http_message import (
+from clementinedyke.http.connection import ServerConnection
+from clementinedyke.http.message import (
     ConnectionInfo,
     ConnectionLimits,
     RequestError,
--- a/src/clementinedyke/operators/answers.py
+++ b/src/clementinedyke/operators/answers.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from clementinedyke.codes import ResultCode, get_details
-from clementinedyke.http_server import compile_error_body
+from clementinedyke.http.server import compile_error_body
 from clementinedyke.operators.change_actions import (
     Applied,
     NotDone,
--- a/src/clementinedyke/operators/client.py
+++ b/src/clementinedyke/operators/client.py
@@ -19,7 +19,7 @@
     PeerUnavailableError,
     ProtocolError,
 )
-from clementinedyke.http_client import (
+from clementinedyke.http.client import (
     Address,
     HttpClient,
     HttpRequest,
--- a/src/clementinedyke/operators/component.py
+++ b/src/clementinedyke/operators/component.py
@@ -5,7 +5,8 @@
 import trio
 
 from clementinedyke.components import Component
-from clementinedyke.http_server import HttpServer
+from clementinedyke.http.server import HttpServer
+from clementinedyke.http.tls import load_tls
 from clementinedyke.logs import log_event
 from clementinedyke.operators.providers import OperatorReports
 from clementinedyke.operators.record_service import RecordService
@@ -13,7 +14,6 @@
 from clementinedyke.ports import explain_bind_failure
 from clementinedyke.reference_platform.tables import TableClient
 from clementinedyke.settings import Settings
-from clementinedyke.tls import load_tls
 
 
 class OperatorPort(Component):
--- a/src/clementinedyke/operators/routes.py
+++ b/src/clementinedyke/operators/routes.py
@@ -8,7 +8,7 @@
 from urllib.parse import parse_qs, unquote
 
 from clementinedyke.codes import ResultCode
-from clementinedyke.http_server import ResponseWriter, ServerRequest
+from clementinedyke.http.server import ResponseWriter, ServerRequest
 from clementinedyke.logs import log_event
 from clementinedyke.operators.answers import (
     Answer,
--- a/src/clementinedyke/order_connection.py
+++ b/src/clementinedyke/order_connection.py
@@ -11,7 +11,7 @@
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
-from clementinedyke.http_client import Address, HttpRequest, HttpResponse
+from clementinedyke.http.client import Address, HttpRequest, HttpResponse
 
 #: The kernel drops data that was not acknowledged for this long.
 USER_TIMEOUT: Milliseconds = 5000
--- a/src/clementinedyke/peer_calls.py
+++ b/src/clementinedyke/peer_calls.py
@@ -5,7 +5,7 @@
 from clementinedyke.call_failures import TableFailure
 from clementinedyke.clock import Milliseconds
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
-from clementinedyke.http_client import (
+from clementinedyke.http.client import (
     Address,
     HttpClient,
     HttpRequest,
--- a/src/clementinedyke/platform/duties.py
+++ b/src/clementinedyke/platform/duties.py
@@ -17,7 +17,7 @@
     OrderOutcome,
     StageOrder,
 )
-from clementinedyke.http_client import Address, Headers, HttpRequest
+from clementinedyke.http.client import Address, Headers, HttpRequest
 from clementinedyke.peer_calls import STATUS_OK, call_once
 
 _JSON_TYPE = (b'Content-Type', b'application/json')
--- a/src/clementinedyke/platform/endpoint_document.py
+++ b/src/clementinedyke/platform/endpoint_document.py
@@ -4,7 +4,7 @@
 from result import Err, Ok, Result
 
 from clementinedyke.entry.catalog import EntryEndpoint, Stage
-from clementinedyke.http_client import Address
+from clementinedyke.http.client import Address
 
 #: Table of the entries; the key is the endpoint's id, which stands nowhere
 #: else.
--- a/src/clementinedyke/platform/parts.py
+++ b/src/clementinedyke/platform/parts.py
@@ -5,7 +5,7 @@
 from clementinedyke.call_failures import TableFailure
 from clementinedyke.entry.host_settings import HostSettings
 from clementinedyke.entry.platform_parts import PlatformParts
-from clementinedyke.http_client import HttpClient
+from clementinedyke.http.client import HttpClient
 from clementinedyke.platform.configuration_document import (
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
--- a/src/clementinedyke/platform/requests.py
+++ b/src/clementinedyke/platform/requests.py
@@ -12,8 +12,8 @@
     PromptMemory,
     SendOptions,
 )
-from clementinedyke.http_client import Headers, HttpRequest
-from clementinedyke.http_message import ServerRequest
+from clementinedyke.http.client import Headers, HttpRequest
+from clementinedyke.http.message import ServerRequest
 
 _MILLISECONDS_PER_SECOND = 1000
 _STATUS_OTHER_ENDPOINT = 421
--- a/src/clementinedyke/platform/settings_file.py
+++ b/src/clementinedyke/platform/settings_file.py
@@ -10,7 +10,7 @@
 from clementinedyke.clock import Milliseconds
 from clementinedyke.entry.host_settings import HostSettings, ServiceBounds
 from clementinedyke.exceptions import SettingError
-from clementinedyke.http_client import Address
+from clementinedyke.http.client import Address
 
 #: Environment variable that holds the path of the settings file.
 PATH_VARIABLE = 'CLEMENTINEDYKE_SETTINGS'
--- a/src/clementinedyke/platform/store.py
+++ b/src/clementinedyke/platform/store.py
@@ -14,7 +14,7 @@
 from clementinedyke.clock import Milliseconds
 from clementinedyke.entry.store_calls import StoreCall
 from clementinedyke.entry.watch import FeedAnswer, HistoryLost, StoredRow
-from clementinedyke.http_client import HttpClient, HttpRequest
+from clementinedyke.http.client import HttpClient, HttpRequest
 from clementinedyke.peer_calls import STATUS_OK, CallResult, call_pooled
 from clementinedyke.rows import (
     Commit,
--- a/src/clementinedyke/reference_platform/endpoint_orders.py
+++ b/src/clementinedyke/reference_platform/endpoint_orders.py
@@ -4,7 +4,7 @@
 
 from clementinedyke.call_failures import TableFailure
 from clementinedyke.clock import Milliseconds
-from clementinedyke.http_client import Address, HttpRequest
+from clementinedyke.http.client import Address, HttpRequest
 from clementinedyke.order_target import TargetState
 from clementinedyke.order_types import OrderAnswer, OrderRow
 from clementinedyke.peer_calls import (
--- a/src/clementinedyke/reference_platform/usage_reports.py
+++ b/src/clementinedyke/reference_platform/usage_reports.py
@@ -5,7 +5,7 @@
 
 from clementinedyke.call_failures import TableFailure
 from clementinedyke.clock import Milliseconds
-from clementinedyke.http_client import Address, HttpRequest
+from clementinedyke.http.client import Address, HttpRequest
 from clementinedyke.peer_calls import (
     DEFAULT_TIMEOUT,
     STATUS_NOT_FOUND,
--- a/src/clementinedyke/request_path.py
+++ b/src/clementinedyke/request_path.py
@@ -20,7 +20,7 @@
 from clementinedyke.endpoint_subset import PlannedServices, find_member_share
 from clementinedyke.endpoints.registry import EndpointRegistry
 from clementinedyke.evidence_component import EvidenceComponent
-from clementinedyke.http_client import HttpClient
+from clementinedyke.http.client import HttpClient
 from clementinedyke.reference_platform.tables import TableClient
 from clementinedyke.retry_planner import RetryPlanner
 from clementinedyke.routing_component import RoutingComponent
--- a/src/clementinedyke/routing_component.py
+++ b/src/clementinedyke/routing_component.py
@@ -16,7 +16,7 @@
 from clementinedyke.endpoint_subset import EndpointSubset
 from clementinedyke.endpoints.registry import Endpoint, EndpointRegistry
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
-from clementinedyke.http_client import HttpRequest
+from clementinedyke.http.client import HttpRequest
 from clementinedyke.load import LoadReport
 from clementinedyke.role_types import EngineState, PlannedEngine
 from clementinedyke.route_types import (
--- a/src/clementinedyke/service_authority.py
+++ b/src/clementinedyke/service_authority.py
@@ -6,8 +6,8 @@
 from clementinedyke.capacity_wishes import PLATFORM_PREFIX
 from clementinedyke.clock import Milliseconds
 from clementinedyke.endpoints.orders import EngineOrderClient
-from clementinedyke.http_client import Address
-from clementinedyke.http_message import RequestError
+from clementinedyke.http.client import Address
+from clementinedyke.http.message import RequestError
 from clementinedyke.lease import LeaseCore
 from clementinedyke.lease_component import LeaseComponent
 from clementinedyke.order_target import OrderTarget
--- a/src/clementinedyke/setting_fields.py
+++ b/src/clementinedyke/setting_fields.py
@@ -5,7 +5,7 @@
 
 from pydantic import Field
 
-from clementinedyke.http_client import Address
+from clementinedyke.http.client import Address
 
 _NAME_PATTERN = '^[a-z0-9][a-z0-9._-]{0,62}$'
 _NAME_ALLOWED = '1 to 63 of a-z, 0-9, ".", "_", "-"'
--- a/src/clementinedyke/share_component.py
+++ b/src/clementinedyke/share_component.py
@@ -9,7 +9,7 @@
 from clementinedyke.control_messages import Payload
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.daemons.component import Change
-from clementinedyke.http_message import RequestError
+from clementinedyke.http.message import RequestError
 from clementinedyke.membership_events import MemberChanged, PayloadChanged
 from clementinedyke.shares import SHARES_TOPIC, ConsumptionTotals, PeerTotals
 
--- a/src/clementinedyke/standins/command.py
+++ b/src/clementinedyke/standins/command.py
@@ -10,7 +10,7 @@
 import msgspec
 import trio
 
-from clementinedyke.http_client import Address
+from clementinedyke.http.client import Address
 from clementinedyke.standins.engine import (
     EngineCapacity,
     EngineFaults,
--- a/src/clementinedyke/standins/engine.py
+++ b/src/clementinedyke/standins/engine.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from clementinedyke.http_server import (
+from clementinedyke.http.server import (
     HttpServer,
     ResponseWriter,
     ServerRequest,
--- a/src/clementinedyke/standins/platform.py
+++ b/src/clementinedyke/standins/platform.py
@@ -10,7 +10,7 @@
 import msgspec
 import trio
 
-from clementinedyke.http_server import (
+from clementinedyke.http.server import (
     HttpServer,
     ResponseWriter,
     ServerRequest,
--- a/src/clementinedyke/standins/relay.py
+++ b/src/clementinedyke/standins/relay.py
@@ -5,7 +5,7 @@
 import msgspec
 import trio
 
-from clementinedyke.http_server import (
+from clementinedyke.http.server import (
     HttpServer,
     ResponseWriter,
     ServerRequest,
--- a/tests/caller_tools.py
+++ b/tests/caller_tools.py
@@ -18,8 +18,8 @@
 )
 from clementinedyke.codes import ResultCode
 from clementinedyke.directory import Directory
-from clementinedyke.http_client import Address, HttpClient, HttpResponse
-from clementinedyke.http_client import HttpRequest as Request
+from clementinedyke.http.client import Address, HttpClient, HttpResponse
+from clementinedyke.http.client import HttpRequest as Request
 from clementinedyke.records import (
     CustomerRecord,
     KeyRecord,
--- a/tests/daemon_scene.py
+++ b/tests/daemon_scene.py
@@ -10,7 +10,7 @@
 from clementinedyke.authority_peers import AuthorityTiming
 from clementinedyke.daemon import Daemon
 from clementinedyke.daemons.platform_reader import RECORDS_TABLE
-from clementinedyke.http_client import Address, HttpClient, HttpRequest
+from clementinedyke.http.client import Address, HttpClient, HttpRequest
 from clementinedyke.lease_types import LeaseTiming
 from clementinedyke.records import get_digest
 from clementinedyke.reference_platform.tables import Write
--- a/tests/entry_samples.py
+++ b/tests/entry_samples.py
@@ -18,7 +18,7 @@
 )
 from clementinedyke.entry.host_settings import ServiceBounds
 from clementinedyke.entry.journal import Journal
-from clementinedyke.http_client import Address
+from clementinedyke.http.client import Address
 
 BOUNDS = ServiceBounds(
     configuration_delay=2000,
--- a/tests/entry_scene.py
+++ b/tests/entry_scene.py
@@ -13,7 +13,7 @@
 
 from clementinedyke.entry.application import EntryApplication
 from clementinedyke.entry.host_settings import HostSettings
-from clementinedyke.http_client import (
+from clementinedyke.http.client import (
     Address,
     HttpClient,
     HttpRequest,
--- a/tests/http_tools.py
+++ b/tests/http_tools.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from clementinedyke.http_server import (
+from clementinedyke.http.server import (
     ConnectionLimits,
     HttpServer,
     ResponseWriter,
--- a/tests/lease_holder.py
+++ b/tests/lease_holder.py
@@ -14,7 +14,7 @@
 from clementinedyke.application import Application
 from clementinedyke.clock import MonotonicClock
 from clementinedyke.endpoints.orders import EngineOrderClient
-from clementinedyke.http_client import Address, HttpClient
+from clementinedyke.http.client import Address, HttpClient
 from clementinedyke.lease_component import LeaseComponent, LeasePolicy
 from clementinedyke.lease_types import Fencing, Identity, LeaseTiming
 from clementinedyke.order_types import OrderKind
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -9,8 +9,8 @@
 
 import trio
 
-from clementinedyke.http_message import ResponseWriter, ServerRequest
-from clementinedyke.http_server import HttpServer
+from clementinedyke.http.message import ResponseWriter, ServerRequest
+from clementinedyke.http.server import HttpServer
 
 _SIGNATURE = (b'X-Server-Signature', b'signed')
 
--- a/tests/test_claim_store.py
+++ b/tests/test_claim_store.py
@@ -6,7 +6,7 @@
 
 from clementinedyke import claim_messages as msg
 from clementinedyke.claim_store import MAX_ROW_BODY_BYTES, ClaimStore
-from clementinedyke.http_client import Address, HttpClient
+from clementinedyke.http.client import Address, HttpClient
 from clementinedyke.reference_platform.objects import ObjectClient
 from clementinedyke.reference_platform.tables import TableClient
 from clementinedyke.standins.platform import PlatformStandin
--- a/tests/test_connection_rest.py
+++ b/tests/test_connection_rest.py
@@ -6,12 +6,12 @@
 import pytest
 import trio
 
-from clementinedyke.connection_rest import ConnectionRest
 from clementinedyke.exceptions import (
     AnswerLostError,
     ConnectionDroppedError,
 )
-from clementinedyke.http_client import Address, HttpClient, HttpRequest
+from clementinedyke.http.client import Address, HttpClient, HttpRequest
+from clementinedyke.http.connection_rest import ConnectionRest
 
 _ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
 
--- a/tests/test_customer_limits.py
+++ b/tests/test_customer_limits.py
@@ -23,8 +23,8 @@
 from clementinedyke.clock import ManualClock
 from clementinedyke.codes import ResultCode
 from clementinedyke.directory import Directory
-from clementinedyke.http_client import Address, HttpClient, HttpResponse
-from clementinedyke.http_message import RequestError
+from clementinedyke.http.client import Address, HttpClient, HttpResponse
+from clementinedyke.http.message import RequestError
 from clementinedyke.records import Record
 from clementinedyke.standins.engine import EngineStandin
 from clementinedyke.token_rate import TokenRateCore
--- a/tests/test_entry_daemon.py
+++ b/tests/test_entry_daemon.py
@@ -6,8 +6,8 @@
 from tests.entry_scene import CONFIGURATION, EntryScene, SceneRunner
 from tests.platform_standin import EndpointStandin, StoreStandin, send, serve
 
-from clementinedyke.http_client import AnswerLostError
-from clementinedyke.http_message import ResponseWriter, ServerRequest
+from clementinedyke.http.client import AnswerLostError
+from clementinedyke.http.message import ResponseWriter, ServerRequest
 
 
 def change_configuration(version: int, **changes: object) -> dict:
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -19,8 +19,8 @@
 from clementinedyke.daemons.codec import ControlCodec
 from clementinedyke.daemons.links import ADDRESS_HEADER, METHOD, SECRET_HEADER
 from clementinedyke.exceptions import AnswerLostError
-from clementinedyke.http_client import Address, HttpClient, HttpRequest
-from clementinedyke.http_connection import ServerConnection
+from clementinedyke.http.client import Address, HttpClient, HttpRequest
+from clementinedyke.http.connection import ServerConnection
 from clementinedyke.membership_events import Received
 from clementinedyke.operators import OperatorPort, OperatorReports
 from clementinedyke.reference_platform.tables import TableClient
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -7,8 +7,8 @@
 import trio
 import trustme
 
-from clementinedyke.http_client import Address, HttpClient, HttpRequest
-from clementinedyke.http_server import (
+from clementinedyke.http.client import Address, HttpClient, HttpRequest
+from clementinedyke.http.server import (
     ConnectionLimits,
     ResponseWriter,
     ServerRequest,
--- a/tests/test_operator_port.py
+++ b/tests/test_operator_port.py
@@ -15,7 +15,7 @@
 import trio
 import trustme
 
-from clementinedyke.http_client import Address, HttpClient, HttpRequest
+from clementinedyke.http.client import Address, HttpClient, HttpRequest
 from clementinedyke.operators import OperatorPort, OperatorReports
 from clementinedyke.reference_platform.tables import TableClient
 from clementinedyke.settings import Settings
--- a/tests/test_operator_reports.py
+++ b/tests/test_operator_reports.py
@@ -8,7 +8,7 @@
 
 from clementinedyke.codes import ResultCode
 from clementinedyke.daemon import Daemon
-from clementinedyke.http_client import Address, HttpClient
+from clementinedyke.http.client import Address, HttpClient
 from clementinedyke.logs import compile_line
 from clementinedyke.operators import (
     Attempt,
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -10,8 +10,8 @@
 
 from clementinedyke.callers.collector import AnswerCollector
 from clementinedyke.codes import ResultCode
-from clementinedyke.http_client import Headers
-from clementinedyke.http_message import RequestError, write_error
+from clementinedyke.http.client import Headers
+from clementinedyke.http.message import RequestError, write_error
 
 
 def post(
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -11,8 +11,8 @@
 from clementinedyke.entry.endpoint_protocol import PromptMemory, SendOptions
 from clementinedyke.entry.watch import HistoryLost
 from clementinedyke.exceptions import SettingError
-from clementinedyke.http_client import Address, HttpClient
-from clementinedyke.http_message import ServerRequest
+from clementinedyke.http.client import Address, HttpClient
+from clementinedyke.http.message import ServerRequest
 from clementinedyke.platform.requests import RequestTranslator
 from clementinedyke.platform.settings_file import decode_host_settings
 from clementinedyke.platform.store import StoreClient
--- a/tests/test_platform_lists.py
+++ b/tests/test_platform_lists.py
@@ -3,7 +3,7 @@
 import trio
 
 from clementinedyke.call_failures import TableFailure
-from clementinedyke.http_client import Address, HttpClient
+from clementinedyke.http.client import Address, HttpClient
 from clementinedyke.reference_platform.hosts import HostListClient
 from clementinedyke.standins.platform import PlatformStandin
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -16,7 +16,7 @@
 from clementinedyke.callers import DispatchLimits, HandlerOptions
 from clementinedyke.callers.tokens import EventTokenCounter
 from clementinedyke.exceptions import AnswerLostError
-from clementinedyke.http_client import Address, HttpClient
+from clementinedyke.http.client import Address, HttpClient
 from clementinedyke.standins.engine import EngineStandin
 from clementinedyke.standins.service import ServiceStandin
 from http_tools import HOST
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -10,7 +10,7 @@
 import trio
 
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
-from clementinedyke.http_client import (
+from clementinedyke.http.client import (
     Address,
     HttpClient,
     HttpRequest,
