--- a/bench/daemon_process.py
+++ b/bench/daemon_process.py
@@ -10,7 +10,7 @@
 from clementinedyke.clock import MonotonicClock
 from clementinedyke.daemon import Daemon
 from clementinedyke.demo import run_until_signal
-from clementinedyke.settings import Settings
+from clementinedyke.settings.core import Settings
 
 #: A path here makes the daemon write its profile there when it stops.
 _PROFILE = os.environ.get('BENCH_PROFILE')
--- a/bench/sizing_daemon.py
+++ b/bench/sizing_daemon.py
@@ -10,7 +10,7 @@
 from clementinedyke.configuration_events import RecordsChanged
 from clementinedyke.daemon import Daemon
 from clementinedyke.demo import run_until_signal
-from clementinedyke.settings import Settings
+from clementinedyke.settings.core import Settings
 
 
 class Stopwatch:
--- a/src/clementinedyke/authority_peers.py
+++ b/src/clementinedyke/authority_peers.py
@@ -10,7 +10,7 @@
 from clementinedyke.lease_types import LeaseTiming
 from clementinedyke.reference_platform.tables import TableClient
 from clementinedyke.service_planner import PlannerSources
-from clementinedyke.settings import Settings
+from clementinedyke.settings.core import Settings
 from clementinedyke.usage import FLUSH_INTERVAL
 
 _RENEWALS_PER_LEASE = 3
--- a/src/clementinedyke/callers/port.py
+++ b/src/clementinedyke/callers/port.py
@@ -11,7 +11,7 @@
 from clementinedyke.http.server import ConnectionLimits, HttpServer
 from clementinedyke.http.tls import load_tls
 from clementinedyke.ports import explain_bind_failure
-from clementinedyke.settings import Settings
+from clementinedyke.settings.core import Settings
 
 _MILLISECONDS_PER_SECOND = 1000
 
--- a/src/clementinedyke/cli.py
+++ b/src/clementinedyke/cli.py
@@ -18,9 +18,9 @@
 from clementinedyke.operators.failures import CommandError, ExitStatus
 from clementinedyke.operators.record_files import check_files
 from clementinedyke.platform.settings_file import load_host_settings
-from clementinedyke.setting_flags import accept_settings
-from clementinedyke.setting_loader import check_environment, load_settings
-from clementinedyke.settings import Settings
+from clementinedyke.settings.core import Settings
+from clementinedyke.settings.flags import accept_settings
+from clementinedyke.settings.loader import check_environment, load_settings
 from clementinedyke.standins import command as standin_command
 
 app = cyclopts.App(
--- a/src/clementinedyke/control_options.py
+++ b/src/clementinedyke/control_options.py
@@ -6,7 +6,7 @@
 from clementinedyke.control_messages import Member
 from clementinedyke.daemons import ControlOptions
 from clementinedyke.membership_events import MembershipOptions
-from clementinedyke.settings import Settings
+from clementinedyke.settings.core import Settings
 
 _NANOSECONDS_PER_MILLISECOND = 1_000_000
 
--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -24,7 +24,7 @@
 from clementinedyke.operators import OperatorPort
 from clementinedyke.reference_platform.tables import TableClient
 from clementinedyke.request_path import RequestPath
-from clementinedyke.settings import Settings
+from clementinedyke.settings.core import Settings
 
 _READY_POLL_SECONDS = 0.02
 
--- a/src/clementinedyke/demo.py
+++ b/src/clementinedyke/demo.py
@@ -14,7 +14,7 @@
 from clementinedyke.daemons.platform_reader import RECORDS_TABLE
 from clementinedyke.records import get_digest
 from clementinedyke.reference_platform.tables import Write
-from clementinedyke.settings import Settings
+from clementinedyke.settings.core import Settings
 from clementinedyke.standins.engine import EngineStandin
 from clementinedyke.standins.platform import PlatformStandin
 from clementinedyke.standins.service import ServiceStandin
--- a/src/clementinedyke/operators/component.py
+++ b/src/clementinedyke/operators/component.py
@@ -13,7 +13,7 @@
 from clementinedyke.operators.routes import OperatorHandler
 from clementinedyke.ports import explain_bind_failure
 from clementinedyke.reference_platform.tables import TableClient
-from clementinedyke.settings import Settings
+from clementinedyke.settings.core import Settings
 
 
 class OperatorPort(Component):
--- a/src/clementinedyke/request_path.py
+++ b/src/clementinedyke/request_path.py
@@ -25,7 +25,7 @@
 from clementinedyke.retry_planner import RetryPlanner
 from clementinedyke.routing_component import RoutingComponent
 from clementinedyke.service_planner import PlannerSources
-from clementinedyke.settings import Settings
+from clementinedyke.settings.core import Settings
 from clementinedyke.share_component import ShareComponent
 
 
--- /dev/null
+++ b/src/clementinedyke/settings/__init__.py
@@ -0,0 +1,7 @@
+"""Settings of a daemon."""
+
+from clementinedyke.settings.core import (
+    Settings,
+)
+
+__all__ = ('Settings',)
--- a/src/clementinedyke/settings.py
+++ b/src/clementinedyke/settings/core.py
@@ -8,7 +8,7 @@
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, SecretStr
 
-from clementinedyke.setting_fields import (
+from clementinedyke.settings.fields import (
     check_address,
     check_ip,
     create_address,
--- a/src/clementinedyke/setting_flags.py
+++ b/src/clementinedyke/settings/flags.py
@@ -8,7 +8,7 @@
 
 import cyclopts
 
-from clementinedyke.setting_loader import (
+from clementinedyke.settings.loader import (
     SettingDetails,
     check_environment,
     list_settings,
--- a/src/clementinedyke/setting_loader.py
+++ b/src/clementinedyke/settings/loader.py
@@ -11,7 +11,7 @@
 from pydantic.fields import FieldInfo
 
 from clementinedyke.exceptions import SettingError
-from clementinedyke.settings import MIN_TOKEN_LENGTH, Settings
+from clementinedyke.settings.core import MIN_TOKEN_LENGTH, Settings
 
 _ENVIRONMENT_PREFIX = 'CLEMENTINEDYKE_'
 
--- a/tests/daemon_scene.py
+++ b/tests/daemon_scene.py
@@ -14,7 +14,7 @@
 from clementinedyke.lease_types import LeaseTiming
 from clementinedyke.records import get_digest
 from clementinedyke.reference_platform.tables import Write
-from clementinedyke.settings import Settings
+from clementinedyke.settings.core import Settings
 from clementinedyke.standins.engine import EngineFaults, EngineStandin
 from clementinedyke.standins.platform import PlatformStandin
 
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -24,7 +24,7 @@
 from clementinedyke.membership_events import Received
 from clementinedyke.operators import OperatorPort, OperatorReports
 from clementinedyke.reference_platform.tables import TableClient
-from clementinedyke.settings import Settings
+from clementinedyke.settings.core import Settings
 from clementinedyke.standins.engine import EngineStandin
 from clementinedyke.standins.platform import PlatformStandin
 from clementinedyke.standins.service import ServiceStandin
--- a/tests/test_operator_port.py
+++ b/tests/test_operator_port.py
@@ -18,7 +18,7 @@
 from clementinedyke.http.client import Address, HttpClient, HttpRequest
 from clementinedyke.operators import OperatorPort, OperatorReports
 from clementinedyke.reference_platform.tables import TableClient
-from clementinedyke.settings import Settings
+from clementinedyke.settings.core import Settings
 
 _TOKEN = 'operator-token-of-tests'
 
--- a/tests/test_operator_reports.py
+++ b/tests/test_operator_reports.py
@@ -31,7 +31,7 @@
     TableClient,
     Write,
 )
-from clementinedyke.settings import Settings
+from clementinedyke.settings.core import Settings
 from clementinedyke.standins.platform import Faults, PlatformStandin
 from clementinedyke.standins.tables import MemoryTables
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,7 +7,7 @@
 import pytest
 
 from clementinedyke.exceptions import SettingError
-from clementinedyke.setting_loader import (
+from clementinedyke.settings.loader import (
     compile_settings_page,
     list_settings,
     load_settings,
