--- a/bench/relay_state.py
+++ b/bench/relay_state.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from clementinedyke.records import get_digest
+from clementinedyke.records.core import get_digest
 
 HOST = '127.0.0.1'
 KEY = 'bench-key'
--- a/bench/sizing_peers.py
+++ b/bench/sizing_peers.py
@@ -29,7 +29,7 @@
 )
 from clementinedyke.daemons.options import ControlOptions
 from clementinedyke.daemons.server import ControlServer, bind_daemon_port
-from clementinedyke.records import get_digest
+from clementinedyke.records.core import get_digest
 from clementinedyke.reference_platform.tables import Write
 from clementinedyke.standins.engine import EngineStandin
 from clementinedyke.standins.platform import PlatformStandin
--- a/src/clementinedyke/admission_component.py
+++ b/src/clementinedyke/admission_component.py
@@ -12,8 +12,8 @@
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.codes import ResultCode
 from clementinedyke.components import Component
-from clementinedyke.directory import Directory
 from clementinedyke.http.message import RequestError
+from clementinedyke.records.directory import Directory
 from clementinedyke.room_report import compile_room_report
 from clementinedyke.router import RouterCore
 from clementinedyke.service_admission import AdmissionLimits
--- a/src/clementinedyke/authority_component.py
+++ b/src/clementinedyke/authority_component.py
@@ -13,10 +13,10 @@
 from clementinedyke.components import Component
 from clementinedyke.control_messages import Member
 from clementinedyke.daemons import ControlComponent
-from clementinedyke.directory import Directory
 from clementinedyke.http.message import RequestError
 from clementinedyke.lease_component import LeaseComponent, LeasePolicy
 from clementinedyke.lease_types import Identity
+from clementinedyke.records.directory import Directory
 from clementinedyke.reference_platform.hosts import HostListClient
 from clementinedyke.reference_platform.usage_reports import UsageReportClient
 from clementinedyke.service_authority import ServiceAuthority
--- a/src/clementinedyke/authority_peers.py
+++ b/src/clementinedyke/authority_peers.py
@@ -5,9 +5,9 @@
 
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.closing import WINDOW_LENGTH
-from clementinedyke.directory import Directory
 from clementinedyke.http.client import Address, HttpClient
 from clementinedyke.lease_types import LeaseTiming
+from clementinedyke.records.directory import Directory
 from clementinedyke.reference_platform.tables import TableClient
 from clementinedyke.service_planner import PlannerSources
 from clementinedyke.settings.core import Settings
--- a/src/clementinedyke/callers/authentication.py
+++ b/src/clementinedyke/callers/authentication.py
@@ -1,9 +1,9 @@
 """Checks of keys and of a customer's right to use a service."""
 
 from clementinedyke.codes import ResultCode
-from clementinedyke.directory import Directory
 from clementinedyke.http.server import RequestError, ServerRequest
-from clementinedyke.records import ServiceRecord, get_digest
+from clementinedyke.records.core import ServiceRecord, get_digest
+from clementinedyke.records.directory import Directory
 
 
 def get_customer(directory: Directory, request: ServerRequest) -> str:
--- a/src/clementinedyke/callers/context.py
+++ b/src/clementinedyke/callers/context.py
@@ -6,7 +6,7 @@
 from clementinedyke.callers.work import Work
 from clementinedyke.http.client import HttpClient
 from clementinedyke.http.server import ResponseWriter, ServerRequest
-from clementinedyke.records import ServiceRecord
+from clementinedyke.records.core import ServiceRecord
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/callers/customer_limits.py
+++ b/src/clementinedyke/callers/customer_limits.py
@@ -6,8 +6,8 @@
 from clementinedyke.callers.context import RequestContext
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.codes import ResultCode
-from clementinedyke.directory import Directory
 from clementinedyke.http.message import ConnectionInfo, RequestError
+from clementinedyke.records.directory import Directory
 from clementinedyke.token_rate import TokenRateCore
 
 _RETRY_AFTER: Milliseconds = 1000
--- a/src/clementinedyke/callers/routing.py
+++ b/src/clementinedyke/callers/routing.py
@@ -8,8 +8,8 @@
 from clementinedyke.callers.validation import check_prompt, parse_chat
 from clementinedyke.callers.work import estimate_chat, estimate_plain
 from clementinedyke.codes import ResultCode
-from clementinedyke.directory import Directory
 from clementinedyke.http.server import RequestError, ServerRequest
+from clementinedyke.records.directory import Directory
 
 CHAT_PATH = '/v1/chat/completions'
 MODELS_PATH = '/v1/models'
--- a/src/clementinedyke/callers/validation.py
+++ b/src/clementinedyke/callers/validation.py
@@ -7,7 +7,7 @@
 from clementinedyke.codes import ResultCode
 from clementinedyke.http.client import Headers
 from clementinedyke.http.server import RequestError
-from clementinedyke.records import ServiceRecord
+from clementinedyke.records.core import ServiceRecord
 
 #: Headers that never reach an endpoint or a caller: the key, and those that
 #: belong to one connection.
--- a/src/clementinedyke/capacity_wishes.py
+++ b/src/clementinedyke/capacity_wishes.py
@@ -21,12 +21,12 @@
 )
 from clementinedyke.clock import Milliseconds
 from clementinedyke.demand import Demand
-from clementinedyke.directory import Directory
 from clementinedyke.endpoints.registry import Endpoint
 from clementinedyke.lease_types import Fencing
 from clementinedyke.order_types import OrderKind
 from clementinedyke.outbox_component import OutboxComponent
-from clementinedyke.records import CapacityRecord
+from clementinedyke.records.core import CapacityRecord
+from clementinedyke.records.directory import Directory
 from clementinedyke.role_types import PlannerSettings
 
 #: Begins the names of targets at the endpoint interface.
--- a/src/clementinedyke/configuration_component.py
+++ b/src/clementinedyke/configuration_component.py
@@ -8,11 +8,11 @@
 from clementinedyke.configuration_events import ListChanged
 from clementinedyke.daemons import ControlComponent, DirectorySource
 from clementinedyke.daemons.component import Change
-from clementinedyke.directory import Directory
 from clementinedyke.endpoints.registry import EndpointRegistry
 from clementinedyke.exceptions import ProtocolError
 from clementinedyke.http.message import RequestError
 from clementinedyke.platform_lists import PlatformList
+from clementinedyke.records.directory import Directory
 
 
 class ConfigurationComponent(Component):
--- a/src/clementinedyke/configuration_feed.py
+++ b/src/clementinedyke/configuration_feed.py
@@ -18,7 +18,7 @@
 )
 from clementinedyke.control_messages import Member
 from clementinedyke.membership_events import Send
-from clementinedyke.record_rows import Confirmation, RecordRows, Requests
+from clementinedyke.records.rows import Confirmation, RecordRows, Requests
 
 ConfigurationAction = Send | Poll | RecordsChanged
 
--- a/src/clementinedyke/daemons/directory_source.py
+++ b/src/clementinedyke/daemons/directory_source.py
@@ -10,10 +10,10 @@
 from clementinedyke.configuration_events import RecordsChanged
 from clementinedyke.configuration_messages import ConfigurationRow
 from clementinedyke.daemons.component import Change, ControlComponent
-from clementinedyke.directory import Directory
 from clementinedyke.exceptions import RecordError
 from clementinedyke.http.server import RequestError
-from clementinedyke.records import parse_record
+from clementinedyke.records.core import parse_record
+from clementinedyke.records.directory import Directory
 
 
 class DirectorySource:
--- a/src/clementinedyke/demo.py
+++ b/src/clementinedyke/demo.py
@@ -12,7 +12,7 @@
 from clementinedyke.application import Application
 from clementinedyke.daemon import Daemon
 from clementinedyke.daemons.platform_reader import RECORDS_TABLE
-from clementinedyke.records import get_digest
+from clementinedyke.records.core import get_digest
 from clementinedyke.reference_platform.tables import Write
 from clementinedyke.settings.core import Settings
 from clementinedyke.standins.engine import EngineStandin
--- a/src/clementinedyke/operators/commands.py
+++ b/src/clementinedyke/operators/commands.py
@@ -19,7 +19,7 @@
     print_json,
     print_table,
 )
-from clementinedyke.records import get_digest
+from clementinedyke.records.core import get_digest
 
 _DEFAULT = Connection()
 _KEY_SCHEMA_VERSION = 2
--- a/src/clementinedyke/operators/record_files.py
+++ b/src/clementinedyke/operators/record_files.py
@@ -8,7 +8,7 @@
 
 from clementinedyke.exceptions import RecordError
 from clementinedyke.operators.references import check_put
-from clementinedyke.records import Record, parse_record
+from clementinedyke.records.core import Record, parse_record
 
 
 def read_records(path: str) -> list[dict[str, Any]]:
--- a/src/clementinedyke/operators/references.py
+++ b/src/clementinedyke/operators/references.py
@@ -4,7 +4,7 @@
 from functools import singledispatch
 
 from clementinedyke.exceptions import RecordError
-from clementinedyke.records import (
+from clementinedyke.records.core import (
     CapacityRecord,
     CustomerRecord,
     KeyRecord,
--- a/src/clementinedyke/operators/transaction.py
+++ b/src/clementinedyke/operators/transaction.py
@@ -8,7 +8,7 @@
 from clementinedyke.operators.change_actions import Refused, SendCommit
 from clementinedyke.operators.change_events import Change
 from clementinedyke.operators.references import check_delete, check_put
-from clementinedyke.records import Record, parse_record
+from clementinedyke.records.core import Record, parse_record
 from clementinedyke.reference_platform.tables import (
     ABSENT,
     Condition,
--- /dev/null
+++ b/src/clementinedyke/records/__init__.py
@@ -0,0 +1,21 @@
+"""Records of services, customers and keys."""
+
+from clementinedyke.records.core import (
+    CapacityRecord,
+    CustomerRecord,
+    DeathRecord,
+    KeyRecord,
+    ServiceRecord,
+    get_digest,
+    parse_record,
+)
+
+__all__ = (
+    'CapacityRecord',
+    'CustomerRecord',
+    'DeathRecord',
+    'KeyRecord',
+    'ServiceRecord',
+    'get_digest',
+    'parse_record',
+)
--- a/src/clementinedyke/records.py
+++ b/src/clementinedyke/records/core.py
@@ -10,7 +10,7 @@
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.exceptions import RecordError
-from clementinedyke.record_documents import DOCUMENTS, Document
+from clementinedyke.records.documents import DOCUMENTS, Document
 
 #: Fields of a key that an error message may show; any other may hold a secret
 #: that an operator pasted by mistake.
--- a/src/clementinedyke/directory.py
+++ b/src/clementinedyke/records/directory.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 
-from clementinedyke.records import (
+from clementinedyke.records.core import (
     CapacityRecord,
     CustomerRecord,
     DeathRecord,
--- a/src/clementinedyke/service_planner.py
+++ b/src/clementinedyke/service_planner.py
@@ -6,13 +6,13 @@
 from clementinedyke.capacity_wishes import CapacityWishes
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.demand import Demand
-from clementinedyke.directory import Directory
 from clementinedyke.endpoints.registry import Endpoint
 from clementinedyke.lease import LeaseCore
 from clementinedyke.lease_types import Fencing
 from clementinedyke.order_types import OrderKind
 from clementinedyke.outbox_component import OutboxComponent
-from clementinedyke.records import ServiceRecord
+from clementinedyke.records.core import ServiceRecord
+from clementinedyke.records.directory import Directory
 from clementinedyke.role_types import (
     ChangeEnded,
     ChangeRole,
--- a/src/clementinedyke/shares.py
+++ b/src/clementinedyke/shares.py
@@ -16,7 +16,7 @@
     compute_digest,
     select_largest,
 )
-from clementinedyke.directory import Directory
+from clementinedyke.records.directory import Directory
 
 SHARES_TOPIC = 'shares'
 _CODEC = AmountCodec(amounts=2)
--- a/tests/caller_tools.py
+++ b/tests/caller_tools.py
@@ -17,15 +17,15 @@
     TokenUsage,
 )
 from clementinedyke.codes import ResultCode
-from clementinedyke.directory import Directory
 from clementinedyke.http.client import Address, HttpClient, HttpResponse
 from clementinedyke.http.client import HttpRequest as Request
-from clementinedyke.records import (
+from clementinedyke.records.core import (
     CustomerRecord,
     KeyRecord,
     ServiceRecord,
     get_digest,
 )
+from clementinedyke.records.directory import Directory
 from http_tools import HOST, ServedPort, serve
 
 KEY = 'secret-of-the-customer'
--- a/tests/process_tools.py
+++ b/tests/process_tools.py
@@ -17,7 +17,7 @@
 from itertools import islice
 from typing import Any
 
-from clementinedyke.records import get_digest
+from clementinedyke.records.core import get_digest
 
 LOCAL = '127.0.0.1'
 TOKEN = 'operator-token-of-tests'
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -17,7 +17,7 @@
 from clementinedyke.configuration_events import ConfigurationOptions
 from clementinedyke.configuration_messages import ConfigurationRow
 from clementinedyke.membership_events import MembershipOptions
-from clementinedyke.record_rows import RecordRows
+from clementinedyke.records.rows import RecordRows
 from cluster_fake import FakeNetwork
 
 ZONES = ('za', 'zb', 'zc')
--- a/tests/test_cluster_parts.py
+++ b/tests/test_cluster_parts.py
@@ -22,7 +22,7 @@
 from clementinedyke.membership_events import MembershipOptions, Publish
 from clementinedyke.payloads import PayloadStore
 from clementinedyke.platform_lists import PlatformList, PlatformListCore
-from clementinedyke.record_rows import RecordRows
+from clementinedyke.records.rows import RecordRows
 from clementinedyke.rumors import RumorQueue
 from clementinedyke.watchers import select_watchers
 from cluster_fake import FakeNetwork
--- a/tests/test_customer_limits.py
+++ b/tests/test_customer_limits.py
@@ -22,10 +22,10 @@
 from clementinedyke.callers.validation import parse_chat
 from clementinedyke.clock import ManualClock
 from clementinedyke.codes import ResultCode
-from clementinedyke.directory import Directory
 from clementinedyke.http.client import Address, HttpClient, HttpResponse
 from clementinedyke.http.message import RequestError
-from clementinedyke.records import Record
+from clementinedyke.records.core import Record
+from clementinedyke.records.directory import Directory
 from clementinedyke.standins.engine import EngineStandin
 from clementinedyke.token_rate import TokenRateCore
 from http_tools import HOST
--- a/tests/test_daemon_news.py
+++ b/tests/test_daemon_news.py
@@ -10,9 +10,9 @@
 from clementinedyke.control_messages import Payload
 from clementinedyke.demand import Demand, encode_demands, sum_demand
 from clementinedyke.digest_values import VALUE_LIMIT
-from clementinedyke.directory import Directory
 from clementinedyke.quarantine import Verdict
-from clementinedyke.records import CustomerRecord, ServiceRecord
+from clementinedyke.records.core import CustomerRecord, ServiceRecord
+from clementinedyke.records.directory import Directory
 from clementinedyke.shares import ConsumptionTotals, PeerTotals
 from daemon_scene import CRASH, run_scene, wait_for
 
--- a/tests/test_processes_configuration.py
+++ b/tests/test_processes_configuration.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from clementinedyke.records import get_digest
+from clementinedyke.records.core import get_digest
 from process_tools import (
     Answer,
     DaemonProcess,
--- a/tests/test_processes_keys.py
+++ b/tests/test_processes_keys.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from clementinedyke.records import get_digest
+from clementinedyke.records.core import get_digest
 from process_tools import (
     CHAT,
     LOCAL,
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from clementinedyke.directory import Directory
 from clementinedyke.exceptions import RecordError
 from clementinedyke.operators.record_files import check_files
-from clementinedyke.records import ServiceRecord, parse_record
+from clementinedyke.records.core import ServiceRecord, parse_record
+from clementinedyke.records.directory import Directory
 
 _DIGEST = 'a' * 64
 _SERVICE = {'kind': 'service', 'name': 's', 'backend': 'model'}
