--- a/bench/policy_cost_cases.py
+++ b/bench/policy_cost_cases.py
@@ -2,8 +2,10 @@
 
 import random
 
-from clementinedyke import admission_events, route_events
-from clementinedyke.admission import AdmissionCore
+from clementinedyke import route_events
+from clementinedyke.admission import events as admission_events
+from clementinedyke.admission.core import AdmissionCore
+from clementinedyke.admission.service import AdmissionLimits
 from clementinedyke.capacity import CapacityPlanner
 from clementinedyke.capacity_types import (
     CapacitySettings,
@@ -32,7 +34,6 @@
 )
 from clementinedyke.router import RouterCore
 from clementinedyke.selection import RouterSettings
-from clementinedyke.service_admission import AdmissionLimits
 
 HASHES = tuple(range(8))
 
--- a/bench/policy_daemons.py
+++ b/bench/policy_daemons.py
@@ -10,8 +10,10 @@
 from bench.policy_load import PREFILL_RATE
 from bench.policy_outcome import Ending, Outcome
 from bench.policy_quarantine import Guard
-from clementinedyke import admission_events, retry, route_events
-from clementinedyke.admission import AdmissionCore
+from clementinedyke import retry, route_events
+from clementinedyke.admission import events as admission_events
+from clementinedyke.admission.core import AdmissionCore
+from clementinedyke.admission.service import AdmissionLimits
 from clementinedyke.load import Load, LoadEstimate
 from clementinedyke.room_report import compile_room_report
 from clementinedyke.route_types import (
@@ -23,7 +25,6 @@
 )
 from clementinedyke.router import RouterCore
 from clementinedyke.selection import RouterSettings
-from clementinedyke.service_admission import AdmissionLimits
 
 #: Work of an output token in prompt tokens: the ratio of the engine's rates.
 OUTPUT_COST = 4
--- a/src/clementinedyke/__init__.py
+++ b/src/clementinedyke/__init__.py
@@ -4,7 +4,8 @@
 takes typed events and the time, and returns typed actions.
 """
 
-from clementinedyke.admission import AdmissionCore
+from clementinedyke.admission.core import AdmissionCore
+from clementinedyke.admission.service import AdmissionLimits
 from clementinedyke.application import Application
 from clementinedyke.capacity import CapacityPlanner
 from clementinedyke.claim import ClaimCore, ClaimSettings
@@ -23,7 +24,6 @@
 from clementinedyke.roles import RolePlanner
 from clementinedyke.router import RouterCore
 from clementinedyke.selection import RouterSettings
-from clementinedyke.service_admission import AdmissionLimits
 from clementinedyke.usage import PartCore
 
 __all__ = (
--- a/src/clementinedyke/admission_component.py
+++ b/src/clementinedyke/admission/component.py
@@ -6,8 +6,9 @@
 
 import trio
 
-from clementinedyke import admission_events
-from clementinedyke.admission import AdmissionCore
+from clementinedyke.admission import events as admission_events
+from clementinedyke.admission.core import AdmissionCore
+from clementinedyke.admission.service import AdmissionLimits
 from clementinedyke.callers.context import RequestContext
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.codes import ResultCode
@@ -16,7 +17,6 @@
 from clementinedyke.records.directory import Directory
 from clementinedyke.room_report import compile_room_report
 from clementinedyke.router import RouterCore
-from clementinedyke.service_admission import AdmissionLimits
 
 #: Time to the start of a request whose service record sets no deadline.
 _DEFAULT_DEADLINE: Milliseconds = 10000
--- a/src/clementinedyke/admission.py
+++ b/src/clementinedyke/admission/core.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
-from clementinedyke.admission_events import (
+from clementinedyke.admission.events import (
     AdmissionAction,
     AdmissionTicked,
     CallerLeft,
@@ -16,9 +16,9 @@
     RoomReported,
     StartRequest,
 )
+from clementinedyke.admission.fair_queue import QueuedRequest
+from clementinedyke.admission.service import AdmissionLimits, ServiceAdmission
 from clementinedyke.clock import Milliseconds
-from clementinedyke.fair_queue import QueuedRequest
-from clementinedyke.service_admission import AdmissionLimits, ServiceAdmission
 
 #: Engines run a request earlier the less time it has left. Each limit in
 #: milliseconds that the time left is below adds 1 to the priority. Requests of
@@ -73,7 +73,7 @@
     def handle(self, event: object, now: Milliseconds) -> list[AdmissionAction]:
         """Take an event and return the requests to start and to refuse.
 
-        :param event: event of :mod:`clementinedyke.admission_events`.
+        :param event: event of :mod:`clementinedyke.admission.events`.
         :param now: current time.
         :raises TypeError: if the event is of another type.
         """
--- a/src/clementinedyke/service_admission.py
+++ b/src/clementinedyke/admission/service.py
@@ -4,15 +4,15 @@
 from dataclasses import dataclass
 from functools import partial
 
-from clementinedyke.admission_events import (
+from clementinedyke.admission.events import (
     AdmissionAction,
     CustomerTokens,
     RefuseRequest,
 )
+from clementinedyke.admission.fair_queue import FairQueue, QueuedRequest
+from clementinedyke.admission.rate_meter import RateMeter, ShareMeter
 from clementinedyke.clock import Milliseconds
 from clementinedyke.codes import ResultCode
-from clementinedyke.fair_queue import FairQueue, QueuedRequest
-from clementinedyke.rate_meter import RateMeter, ShareMeter
 from clementinedyke.running_work import RunningWork
 
 _MILLISECONDS_PER_SECOND = 1000
@@ -23,7 +23,7 @@
     """Limits of admission; sizes in tokens, times in milliseconds.
 
     ``max_lead``
-    is described in :class:`clementinedyke.fair_queue.FairQueue`.
+    is described in :class:`clementinedyke.admission.fair_queue.FairQueue`.
     ``rate_window`` is the time over which the start rate is averaged,
     ``share_window`` that over which the shares of customers are compared.
     """
--- a/src/clementinedyke/share_component.py
+++ b/src/clementinedyke/admission/share_component.py
@@ -2,7 +2,12 @@
 
 import trio
 
-from clementinedyke.admission_component import AdmissionComponent
+from clementinedyke.admission.component import AdmissionComponent
+from clementinedyke.admission.shares import (
+    SHARES_TOPIC,
+    ConsumptionTotals,
+    PeerTotals,
+)
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.components import Component
 from clementinedyke.configuration_component import ConfigurationComponent
@@ -11,7 +16,6 @@
 from clementinedyke.daemons.component import Change
 from clementinedyke.http.message import RequestError
 from clementinedyke.membership_events import MemberChanged, PayloadChanged
-from clementinedyke.shares import SHARES_TOPIC, ConsumptionTotals, PeerTotals
 
 _INTERVAL: Milliseconds = 500
 #: Each value reaches every daemon: 330 daemons that publish 120 bytes every
--- a/src/clementinedyke/shares.py
+++ b/src/clementinedyke/admission/shares.py
@@ -9,7 +9,7 @@
 from collections import defaultdict
 from collections.abc import Iterable, Iterator
 
-from clementinedyke.admission_events import CustomerTokens, RemoteConsumed
+from clementinedyke.admission.events import CustomerTokens, RemoteConsumed
 from clementinedyke.control_messages import Payload
 from clementinedyke.digest_values import (
     AmountCodec,
--- a/src/clementinedyke/callers/customer_limits.py
+++ b/src/clementinedyke/callers/customer_limits.py
@@ -3,12 +3,12 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
+from clementinedyke.admission.token_rate import TokenRateCore
 from clementinedyke.callers.context import RequestContext
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.codes import ResultCode
 from clementinedyke.http.message import ConnectionInfo, RequestError
 from clementinedyke.records.directory import Directory
-from clementinedyke.token_rate import TokenRateCore
 
 _RETRY_AFTER: Milliseconds = 1000
 #: Retry-After at a rate of 0, which never allows a request.
--- a/src/clementinedyke/claim.py
+++ b/src/clementinedyke/claim.py
@@ -11,6 +11,7 @@
 from functools import singledispatchmethod
 from itertools import chain
 
+from clementinedyke.admission.rate import TokenBucket
 from clementinedyke.claim_messages import (
     BatchApplied,
     BatchConflicted,
@@ -37,7 +38,6 @@
 )
 from clementinedyke.clock import Milliseconds
 from clementinedyke.codes import ResultCode
-from clementinedyke.rate import TokenBucket
 
 _MAX_BATCH_ROWS = 100
 _MAX_COMMITS_IN_FLIGHT = 4
--- a/src/clementinedyke/request_path.py
+++ b/src/clementinedyke/request_path.py
@@ -3,7 +3,8 @@
 import random
 from functools import partial
 
-from clementinedyke.admission_component import AdmissionComponent
+from clementinedyke.admission.component import AdmissionComponent
+from clementinedyke.admission.share_component import ShareComponent
 from clementinedyke.callers import (
     CallerHandler,
     ConnectionLimit,
@@ -26,7 +27,6 @@
 from clementinedyke.routing_component import RoutingComponent
 from clementinedyke.service_planner import PlannerSources
 from clementinedyke.settings.core import Settings
-from clementinedyke.share_component import ShareComponent
 
 
 class RequestPath:
--- a/src/clementinedyke/room_report.py
+++ b/src/clementinedyke/room_report.py
@@ -1,6 +1,6 @@
 """Part of the endpoints' room that one daemon may use."""
 
-from clementinedyke.admission_events import RoomReported
+from clementinedyke.admission.events import RoomReported
 from clementinedyke.clock import Milliseconds
 from clementinedyke.router import RouterCore
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -10,12 +10,12 @@
     rule,
 )
 
-from clementinedyke import admission_events as events
-from clementinedyke.admission import AdmissionCore
+from clementinedyke.admission import events
+from clementinedyke.admission.core import AdmissionCore
+from clementinedyke.admission.fair_queue import FairQueue, QueuedRequest
+from clementinedyke.admission.service import AdmissionLimits
 from clementinedyke.codes import ResultCode
-from clementinedyke.fair_queue import FairQueue, QueuedRequest
 from clementinedyke.route_types import Room
-from clementinedyke.service_admission import AdmissionLimits
 
 _CUSTOMERS = ('a', 'b', 'c')
 _WEIGHTS = {'a': 1, 'b': 2, 'c': 4}
--- a/tests/test_customer_limits.py
+++ b/tests/test_customer_limits.py
@@ -17,6 +17,7 @@
     create_request,
     serve_callers,
 )
+from clementinedyke.admission.token_rate import TokenRateCore
 from clementinedyke.callers import HandlerOptions
 from clementinedyke.callers.customer_limits import ConnectionLimit
 from clementinedyke.callers.validation import parse_chat
@@ -27,7 +28,6 @@
 from clementinedyke.records.core import Record
 from clementinedyke.records.directory import Directory
 from clementinedyke.standins.engine import EngineStandin
-from clementinedyke.token_rate import TokenRateCore
 from http_tools import HOST
 
 
--- a/tests/test_daemon_news.py
+++ b/tests/test_daemon_news.py
@@ -6,14 +6,14 @@
 
 import trio
 
-from clementinedyke.admission_events import CustomerTokens, RemoteConsumed
+from clementinedyke.admission.events import CustomerTokens, RemoteConsumed
+from clementinedyke.admission.shares import ConsumptionTotals, PeerTotals
 from clementinedyke.control_messages import Payload
 from clementinedyke.demand import Demand, encode_demands, sum_demand
 from clementinedyke.digest_values import VALUE_LIMIT
 from clementinedyke.quarantine import Verdict
 from clementinedyke.records.core import CustomerRecord, ServiceRecord
 from clementinedyke.records.directory import Directory
-from clementinedyke.shares import ConsumptionTotals, PeerTotals
 from daemon_scene import CRASH, run_scene, wait_for
 
 DIRECTORY = Directory.compile(
