--- a/src/clementinedyke/__init__.py
+++ b/src/clementinedyke/__init__.py
@@ -8,8 +8,8 @@
 from clementinedyke.admission.service import AdmissionLimits
 from clementinedyke.application import Application
 from clementinedyke.capacity import CapacityPlanner
-from clementinedyke.claim import ClaimCore, ClaimSettings
-from clementinedyke.claim_messages import ClaimRequested
+from clementinedyke.claims.core import ClaimCore, ClaimSettings
+from clementinedyke.claims.messages import ClaimRequested
 from clementinedyke.clock import Clock, ManualClock, MonotonicClock
 from clementinedyke.closing import CloserCore
 from clementinedyke.codes import ExecutionState, ResultCode
--- a/src/clementinedyke/callers/claiming.py
+++ b/src/clementinedyke/callers/claiming.py
@@ -6,10 +6,10 @@
 from dataclasses import replace
 from functools import partial
 
-from clementinedyke import claim_messages
 from clementinedyke.callers.collector import AnswerCollector
 from clementinedyke.callers.context import RequestContext
-from clementinedyke.claim_component import (
+from clementinedyke.claims import messages as claim_messages
+from clementinedyke.claims.component import (
     ClaimComponent,
     ClaimOutcome,
     DispatchFailure,
--- a/src/clementinedyke/callers/collector.py
+++ b/src/clementinedyke/callers/collector.py
@@ -1,6 +1,6 @@
 """Collects the answer of an endpoint instead of writing it to a caller."""
 
-from clementinedyke.claim_messages import KeptAnswer
+from clementinedyke.claims.messages import KeptAnswer
 from clementinedyke.http.client import Headers
 from clementinedyke.http.message import ResponseWriter
 
--- a/src/clementinedyke/callers/steps.py
+++ b/src/clementinedyke/callers/steps.py
@@ -16,7 +16,7 @@
     ignore_outcome,
     ignore_usage,
 )
-from clementinedyke.claim_component import ClaimComponent
+from clementinedyke.claims.component import ClaimComponent
 from clementinedyke.clock import Clock, Milliseconds, MonotonicClock
 from clementinedyke.codes import ResultCode
 from clementinedyke.endpoints.registry import EndpointRegistry
--- /dev/null
+++ b/src/clementinedyke/claims/__init__.py
@@ -0,0 +1,53 @@
+"""Claims that let a non-repeatable request run at most once."""
+
+from clementinedyke.claims.core import (
+    ClaimCore,
+    ClaimSettings,
+)
+from clementinedyke.claims.messages import (
+    BatchApplied,
+    BatchConflicted,
+    BatchFailed,
+    ClaimRequested,
+    ClaimRow,
+    ClaimState,
+    ClaimTick,
+    CommitBatch,
+    Dispatch,
+    EndpointAnswered,
+    EndpointLost,
+    KeptAnswer,
+    NothingSent,
+    PassAnswer,
+    ReadFailed,
+    ReadRow,
+    RefuseClaim,
+    ReplayAnswer,
+    RowRead,
+    RowWrite,
+)
+
+__all__ = (
+    'BatchApplied',
+    'BatchConflicted',
+    'BatchFailed',
+    'ClaimCore',
+    'ClaimRequested',
+    'ClaimRow',
+    'ClaimSettings',
+    'ClaimState',
+    'ClaimTick',
+    'CommitBatch',
+    'Dispatch',
+    'EndpointAnswered',
+    'EndpointLost',
+    'KeptAnswer',
+    'NothingSent',
+    'PassAnswer',
+    'ReadFailed',
+    'ReadRow',
+    'RefuseClaim',
+    'ReplayAnswer',
+    'RowRead',
+    'RowWrite',
+)
--- a/src/clementinedyke/claim_component.py
+++ b/src/clementinedyke/claims/component.py
@@ -6,9 +6,9 @@
 
 import trio
 
-from clementinedyke import claim_messages as msg
-from clementinedyke.claim import ClaimCore, ClaimSettings
-from clementinedyke.claim_store import ClaimStore
+from clementinedyke.claims import messages as msg
+from clementinedyke.claims.core import ClaimCore, ClaimSettings
+from clementinedyke.claims.store import ClaimStore
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.codes import ResultCode
 from clementinedyke.components import Component
--- a/src/clementinedyke/claim.py
+++ b/src/clementinedyke/claims/core.py
@@ -12,7 +12,7 @@
 from itertools import chain
 
 from clementinedyke.admission.rate import TokenBucket
-from clementinedyke.claim_messages import (
+from clementinedyke.claims.messages import (
     BatchApplied,
     BatchConflicted,
     BatchFailed,
--- a/src/clementinedyke/claim_store.py
+++ b/src/clementinedyke/claims/store.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from clementinedyke import claim_messages as msg
 from clementinedyke.call_failures import TableFailure
+from clementinedyke.claims import messages as msg
 from clementinedyke.reference_platform.objects import ObjectClient
 from clementinedyke.reference_platform.tables import (
     ABSENT,
--- a/src/clementinedyke/request_path.py
+++ b/src/clementinedyke/request_path.py
@@ -12,7 +12,7 @@
 )
 from clementinedyke.callers.outcome import OutcomeObserver, UsageObserver
 from clementinedyke.callers.port import get_dispatch_limits
-from clementinedyke.claim_component import ClaimComponent
+from clementinedyke.claims.component import ClaimComponent
 from clementinedyke.clock import Clock
 from clementinedyke.components import Component
 from clementinedyke.configuration_component import ConfigurationComponent
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -14,8 +14,8 @@
     run_state_machine_as_test,
 )
 
-from clementinedyke import claim_messages as msg
-from clementinedyke.claim import ClaimCore, ClaimSettings
+from clementinedyke.claims import messages as msg
+from clementinedyke.claims.core import ClaimCore, ClaimSettings
 from clementinedyke.codes import ExecutionState, ResultCode, get_details
 from clementinedyke.reference_platform.tables import Condition, Conflict, Write
 from clementinedyke.standins.tables import MemoryTables
--- a/tests/test_claim_budget.py
+++ b/tests/test_claim_budget.py
@@ -5,9 +5,9 @@
 import trio
 from trio.testing import MockClock
 
-from clementinedyke import claim_messages as msg
-from clementinedyke.claim import ClaimSettings
-from clementinedyke.claim_component import ClaimComponent, DispatchFailure
+from clementinedyke.claims import messages as msg
+from clementinedyke.claims.component import ClaimComponent, DispatchFailure
+from clementinedyke.claims.core import ClaimSettings
 from clementinedyke.codes import ResultCode
 
 _SECONDS = 20
--- a/tests/test_claim_store.py
+++ b/tests/test_claim_store.py
@@ -4,8 +4,8 @@
 
 import trio
 
-from clementinedyke import claim_messages as msg
-from clementinedyke.claim_store import MAX_ROW_BODY_BYTES, ClaimStore
+from clementinedyke.claims import messages as msg
+from clementinedyke.claims.store import MAX_ROW_BODY_BYTES, ClaimStore
 from clementinedyke.http.client import Address, HttpClient
 from clementinedyke.reference_platform.objects import ObjectClient
 from clementinedyke.reference_platform.tables import TableClient
--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -7,7 +7,7 @@
 import pytest
 
 import clementinedyke as library
-from clementinedyke.claim_messages import CommitBatch
+from clementinedyke.claims.messages import CommitBatch
 
 _SHELL = frozenset(('trio', 'trio_asyncio', 'time', 'os', 'socket', 'asyncio'))
 _CORES = (
