--- a/bench/sizing_daemon.py
+++ b/bench/sizing_daemon.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from clementinedyke.configuration_events import RecordsChanged
+from clementinedyke.configuration.events import RecordsChanged
 from clementinedyke.daemon import Daemon
 from clementinedyke.demo import run_until_signal
 from clementinedyke.settings.core import Settings
--- a/bench/sizing_peers.py
+++ b/bench/sizing_peers.py
@@ -18,7 +18,7 @@
 
 from bench.cluster import Relay
 from clementinedyke.clock import MonotonicClock
-from clementinedyke.configuration_messages import Advert, ListAdvert
+from clementinedyke.configuration.messages import Advert, ListAdvert
 from clementinedyke.control_messages import (
     Ack,
     Member,
--- a/src/clementinedyke/__init__.py
+++ b/src/clementinedyke/__init__.py
@@ -14,7 +14,7 @@
 from clementinedyke.closing import CloserCore
 from clementinedyke.codes import ExecutionState, ResultCode
 from clementinedyke.components import Component
-from clementinedyke.configuration import ConfigurationCore
+from clementinedyke.configuration.core import ConfigurationCore
 from clementinedyke.exceptions import ClementinedykeError
 from clementinedyke.lease import LeaseCore
 from clementinedyke.membership import Membership
--- a/src/clementinedyke/callers/handler.py
+++ b/src/clementinedyke/callers/handler.py
@@ -16,7 +16,7 @@
 from clementinedyke.callers.rules import check_service_rules, check_verdict
 from clementinedyke.callers.steps import HandlerOptions, RotationSelector
 from clementinedyke.codes import ResultCode
-from clementinedyke.configuration_component import ConfigurationComponent
+from clementinedyke.configuration.component import ConfigurationComponent
 from clementinedyke.endpoints.registry import EndpointRegistry
 from clementinedyke.http.server import (
     RequestError,
--- a/src/clementinedyke/configuration_component.py
+++ b/src/clementinedyke/configuration/component.py
@@ -5,7 +5,7 @@
 from clementinedyke.clock import Clock
 from clementinedyke.codes import ResultCode
 from clementinedyke.components import Component
-from clementinedyke.configuration_events import ListChanged
+from clementinedyke.configuration.events import ListChanged
 from clementinedyke.daemons import ControlComponent, DirectorySource
 from clementinedyke.daemons.component import Change
 from clementinedyke.endpoints.registry import EndpointRegistry
--- a/src/clementinedyke/configuration.py
+++ b/src/clementinedyke/configuration/core.py
@@ -5,7 +5,7 @@
 from functools import singledispatchmethod
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.configuration_events import (
+from clementinedyke.configuration.events import (
     AdvertReceived,
     ConfigurationOptions,
     MembersSeen,
@@ -13,7 +13,7 @@
     PollAnswered,
     PollFailed,
 )
-from clementinedyke.configuration_feed import (
+from clementinedyke.configuration.feed import (
     ConfigurationAction,
     ConfigurationFeed,
 )
--- a/src/clementinedyke/configuration_events.py
+++ b/src/clementinedyke/configuration/events.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.configuration_messages import Advert, ConfigurationRow
+from clementinedyke.configuration.messages import Advert, ConfigurationRow
 from clementinedyke.control_messages import Member
 
 
--- a/src/clementinedyke/configuration_feed.py
+++ b/src/clementinedyke/configuration/feed.py
@@ -4,13 +4,13 @@
 from functools import singledispatchmethod
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.configuration_events import (
+from clementinedyke.configuration.events import (
     ConfigurationOptions,
     MembersSeen,
     Poll,
     RecordsChanged,
 )
-from clementinedyke.configuration_messages import (
+from clementinedyke.configuration.messages import (
     Advert,
     Changes,
     FetchChanges,
--- a/src/clementinedyke/control_messages.py
+++ b/src/clementinedyke/control_messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from clementinedyke.configuration_messages import (
+from clementinedyke.configuration.messages import (
     Advert,
     Changes,
     ControlMessage,
--- a/src/clementinedyke/control_options.py
+++ b/src/clementinedyke/control_options.py
@@ -2,7 +2,7 @@
 
 import time
 
-from clementinedyke.configuration_events import ConfigurationOptions
+from clementinedyke.configuration.events import ConfigurationOptions
 from clementinedyke.control_messages import Member
 from clementinedyke.daemons import ControlOptions
 from clementinedyke.membership_events import MembershipOptions
--- a/src/clementinedyke/control_report.py
+++ b/src/clementinedyke/control_report.py
@@ -1,6 +1,6 @@
 """Tells operators what a daemon knows of members and configuration."""
 
-from clementinedyke.configuration_component import ConfigurationComponent
+from clementinedyke.configuration.component import ConfigurationComponent
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.http.message import RequestError
 
--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -11,7 +11,7 @@
 from clementinedyke.authority_peers import AuthorityPeers, AuthorityTiming
 from clementinedyke.callers.port import CallerPort
 from clementinedyke.clock import MonotonicClock
-from clementinedyke.configuration_component import ConfigurationComponent
+from clementinedyke.configuration.component import ConfigurationComponent
 from clementinedyke.control_options import (
     compile_control_options,
     describe_member,
--- a/src/clementinedyke/daemon_reports.py
+++ b/src/clementinedyke/daemon_reports.py
@@ -9,7 +9,7 @@
 )
 from clementinedyke.callers import RequestOutcome
 from clementinedyke.clock import Clock
-from clementinedyke.configuration_component import ConfigurationComponent
+from clementinedyke.configuration.component import ConfigurationComponent
 from clementinedyke.control_report import ConfigurationReport, MemberReport
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.endpoints.registry import EndpointRegistry
--- a/src/clementinedyke/daemons/component.py
+++ b/src/clementinedyke/daemons/component.py
@@ -12,7 +12,7 @@
 
 from clementinedyke.clock import Clock, Milliseconds, MonotonicClock
 from clementinedyke.components import Component
-from clementinedyke.configuration_events import (
+from clementinedyke.configuration.events import (
     ListAnswered,
     ListChanged,
     Poll,
--- a/src/clementinedyke/daemons/directory_source.py
+++ b/src/clementinedyke/daemons/directory_source.py
@@ -6,9 +6,9 @@
 
 from clementinedyke.clock import Clock
 from clementinedyke.codes import ResultCode
-from clementinedyke.configuration import ConfigurationCore
-from clementinedyke.configuration_events import RecordsChanged
-from clementinedyke.configuration_messages import ConfigurationRow
+from clementinedyke.configuration.core import ConfigurationCore
+from clementinedyke.configuration.events import RecordsChanged
+from clementinedyke.configuration.messages import ConfigurationRow
 from clementinedyke.daemons.component import Change, ControlComponent
 from clementinedyke.exceptions import RecordError
 from clementinedyke.http.server import RequestError
--- a/src/clementinedyke/daemons/options.py
+++ b/src/clementinedyke/daemons/options.py
@@ -5,7 +5,7 @@
 from ipaddress import ip_address
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.configuration_events import ConfigurationOptions
+from clementinedyke.configuration.events import ConfigurationOptions
 from clementinedyke.exceptions import SettingError
 from clementinedyke.membership_events import MembershipOptions
 
--- a/src/clementinedyke/daemons/platform_reader.py
+++ b/src/clementinedyke/daemons/platform_reader.py
@@ -1,12 +1,12 @@
 """Reads of the platform that the control cores ask for."""
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.configuration_events import (
+from clementinedyke.configuration.events import (
     Poll,
     PollAnswered,
     PollFailed,
 )
-from clementinedyke.configuration_messages import ConfigurationRow
+from clementinedyke.configuration.messages import ConfigurationRow
 from clementinedyke.control_messages import Member
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
 from clementinedyke.http.client import HttpClient, HttpRequest
--- a/src/clementinedyke/gossip.py
+++ b/src/clementinedyke/gossip.py
@@ -6,8 +6,8 @@
 from msgspec.structs import replace
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.configuration import ConfigurationCore
-from clementinedyke.configuration_events import (
+from clementinedyke.configuration.core import ConfigurationCore
+from clementinedyke.configuration.events import (
     AdvertReceived,
     ConfigurationOptions,
     ListAnswered,
@@ -15,7 +15,7 @@
     PollAnswered,
     PollFailed,
 )
-from clementinedyke.configuration_messages import (
+from clementinedyke.configuration.messages import (
     Advert,
     Changes,
     FetchChanges,
--- a/src/clementinedyke/platform_lists.py
+++ b/src/clementinedyke/platform_lists.py
@@ -8,14 +8,14 @@
 from functools import singledispatchmethod
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.configuration_events import (
+from clementinedyke.configuration.events import (
     AdvertReceived,
     ConfigurationOptions,
     ListAnswered,
     ListChanged,
     ReadList,
 )
-from clementinedyke.configuration_messages import (
+from clementinedyke.configuration.messages import (
     FetchList,
     ListAdvert,
     ListContent,
--- a/src/clementinedyke/records/rows.py
+++ b/src/clementinedyke/records/rows.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.configuration_events import ConfigurationOptions
-from clementinedyke.configuration_messages import ConfigurationRow
+from clementinedyke.configuration.events import ConfigurationOptions
+from clementinedyke.configuration.messages import ConfigurationRow
 
 
 @dataclass(slots=True)
--- a/src/clementinedyke/request_path.py
+++ b/src/clementinedyke/request_path.py
@@ -15,7 +15,7 @@
 from clementinedyke.claims.component import ClaimComponent
 from clementinedyke.clock import Clock
 from clementinedyke.components import Component
-from clementinedyke.configuration_component import ConfigurationComponent
+from clementinedyke.configuration.component import ConfigurationComponent
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.demand_component import DemandComponent
 from clementinedyke.endpoint_subset import PlannedServices, find_member_share
--- a/src/clementinedyke/watchers.py
+++ b/src/clementinedyke/watchers.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.configuration_events import ConfigurationOptions
+from clementinedyke.configuration.events import ConfigurationOptions
 from clementinedyke.control_messages import Member
 
 _WEIGHT_BYTES = 8
--- a/tests/cluster_fake.py
+++ b/tests/cluster_fake.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.configuration_events import (
+from clementinedyke.configuration.events import (
     ConfigurationOptions,
     ListAnswered,
     Poll,
@@ -19,7 +19,7 @@
     PollFailed,
     ReadList,
 )
-from clementinedyke.configuration_messages import ConfigurationRow
+from clementinedyke.configuration.messages import ConfigurationRow
 from clementinedyke.control_messages import Member, Message
 from clementinedyke.gossip import ControlNode
 from clementinedyke.membership_events import (
--- a/tests/test_cluster_parts.py
+++ b/tests/test_cluster_parts.py
@@ -6,12 +6,12 @@
 import msgspec
 import pytest
 
-from clementinedyke.configuration_events import (
+from clementinedyke.configuration.events import (
     AdvertReceived,
     ConfigurationOptions,
     ListAnswered,
 )
-from clementinedyke.configuration_messages import (
+from clementinedyke.configuration.messages import (
     Advert,
     ConfigurationRow,
     ListAdvert,
