--- a/bench/authority.py
+++ b/bench/authority.py
@@ -11,9 +11,9 @@
 
 from tests.authority_world import FENCING, STEP, Mechanisms, World
 
-from clementinedyke.lease import LeaseCore
-from clementinedyke.lease_messages import LeaseRead, LeaseTick, LeaseWritten
-from clementinedyke.lease_types import Fencing, Identity
+from clementinedyke.leases.core import LeaseCore
+from clementinedyke.leases.messages import LeaseRead, LeaseTick, LeaseWritten
+from clementinedyke.leases.types import Fencing, Identity
 from clementinedyke.order_types import OrderAnswer, OrderKind
 from clementinedyke.outbox import OutboxCore
 from clementinedyke.outbox_messages import (
--- a/src/clementinedyke/__init__.py
+++ b/src/clementinedyke/__init__.py
@@ -16,7 +16,7 @@
 from clementinedyke.components import Component
 from clementinedyke.configuration.core import ConfigurationCore
 from clementinedyke.exceptions import ClementinedykeError
-from clementinedyke.lease import LeaseCore
+from clementinedyke.leases.core import LeaseCore
 from clementinedyke.membership import Membership
 from clementinedyke.outbox import OutboxCore
 from clementinedyke.quarantine import QuarantineCore, QuarantineSettings
--- a/src/clementinedyke/authority_component.py
+++ b/src/clementinedyke/authority_component.py
@@ -7,15 +7,15 @@
 
 from clementinedyke.authority_peers import AuthorityPeers, AuthorityTiming
 from clementinedyke.callers import TokenUsage
-from clementinedyke.candidates import CandidateTable
 from clementinedyke.clock import Milliseconds
 from clementinedyke.closing import CloserCore
 from clementinedyke.components import Component
 from clementinedyke.control_messages import Member
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.http.message import RequestError
-from clementinedyke.lease_component import LeaseComponent, LeasePolicy
-from clementinedyke.lease_types import Identity
+from clementinedyke.leases.candidates import CandidateTable
+from clementinedyke.leases.component import LeaseComponent, LeasePolicy
+from clementinedyke.leases.types import Identity
 from clementinedyke.records.directory import Directory
 from clementinedyke.reference_platform.hosts import HostListClient
 from clementinedyke.reference_platform.usage_reports import UsageReportClient
--- a/src/clementinedyke/authority_peers.py
+++ b/src/clementinedyke/authority_peers.py
@@ -6,7 +6,7 @@
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.closing import WINDOW_LENGTH
 from clementinedyke.http.client import Address, HttpClient
-from clementinedyke.lease_types import LeaseTiming
+from clementinedyke.leases.types import LeaseTiming
 from clementinedyke.records.directory import Directory
 from clementinedyke.reference_platform.tables import TableClient
 from clementinedyke.service_planner import PlannerSources
--- a/src/clementinedyke/authority_report.py
+++ b/src/clementinedyke/authority_report.py
@@ -8,8 +8,8 @@
 
 from clementinedyke.authority_component import AuthorityComponent
 from clementinedyke.clock import Clock
-from clementinedyke.lease import LeaseCore
-from clementinedyke.lease_types import Identity
+from clementinedyke.leases.core import LeaseCore
+from clementinedyke.leases.types import Identity
 
 
 class LeaseReport:
--- a/src/clementinedyke/capacity_wishes.py
+++ b/src/clementinedyke/capacity_wishes.py
@@ -22,7 +22,7 @@
 from clementinedyke.clock import Milliseconds
 from clementinedyke.demand import Demand
 from clementinedyke.endpoints.registry import Endpoint
-from clementinedyke.lease_types import Fencing
+from clementinedyke.leases.types import Fencing
 from clementinedyke.order_types import OrderKind
 from clementinedyke.outbox_component import OutboxComponent
 from clementinedyke.records.core import CapacityRecord
--- a/src/clementinedyke/endpoint_subset.py
+++ b/src/clementinedyke/endpoint_subset.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable, Iterable
 
-from clementinedyke.candidates import CandidateTable
 from clementinedyke.control_messages import Member
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.endpoints.registry import Endpoint
+from clementinedyke.leases.candidates import CandidateTable
 from clementinedyke.subset import (
     Place,
     RingShare,
--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -4,7 +4,6 @@
 import time
 
 from clementinedyke.application import Application
-from clementinedyke.candidates import is_candidate
 from clementinedyke.clock import BootClock, Milliseconds
 from clementinedyke.components import Component
 from clementinedyke.entry.configuration_view import ConfigurationView
@@ -34,6 +33,7 @@
 from clementinedyke.entry.usage_counter import UsageCounter
 from clementinedyke.entry.wall_time import WallTime
 from clementinedyke.entry.watch import FeedPace, TableReader, TableWatch
+from clementinedyke.leases.candidates import is_candidate
 
 #: A daemon that was not heard for so long seeks no lease. With 72 daemons
 #: they tell news every 1.2 s; one datagram in a row may be lost.
--- a/src/clementinedyke/entry/duties.py
+++ b/src/clementinedyke/entry/duties.py
@@ -20,9 +20,9 @@
 from clementinedyke.entry.usage_counter import UsageCounter
 from clementinedyke.entry.usage_duty import PartWriter, WindowCloser
 from clementinedyke.entry.wall_time import WallTime
-from clementinedyke.handover import LapseHandover
-from clementinedyke.lease_component import LeaseComponent, LeasePolicy
-from clementinedyke.lease_types import Identity, LeaseTiming
+from clementinedyke.leases.component import LeaseComponent, LeasePolicy
+from clementinedyke.leases.handover import LapseHandover
+from clementinedyke.leases.types import Identity, LeaseTiming
 
 _RENEWALS_PER_LEASE = 3
 #: Longer than the timeout of the store's client.
--- a/src/clementinedyke/entry/duty_lease.py
+++ b/src/clementinedyke/entry/duty_lease.py
@@ -4,8 +4,8 @@
 from clementinedyke.entry.duty_types import Authority
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.usage_duty import compile_fence_condition
-from clementinedyke.lease import LeaseCore
-from clementinedyke.lease_types import Fencing
+from clementinedyke.leases.core import LeaseCore
+from clementinedyke.leases.types import Fencing
 from clementinedyke.rows import Condition
 
 #: Scope of the one lease over all duties.
--- a/src/clementinedyke/entry/observation.py
+++ b/src/clementinedyke/entry/observation.py
@@ -17,7 +17,7 @@
 from clementinedyke.entry.news import NewsBoard
 from clementinedyke.entry.store_calls import StoreCallLog
 from clementinedyke.http.client import Address
-from clementinedyke.lease_component import LeaseComponent
+from clementinedyke.leases.component import LeaseComponent
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/entry/usage_duty.py
+++ b/src/clementinedyke/entry/usage_duty.py
@@ -14,7 +14,7 @@
 from clementinedyke.entry.duty_types import Authority
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.usage_counter import UsageCounter
-from clementinedyke.lease_component import FENCES_TABLE
+from clementinedyke.leases.component import FENCES_TABLE
 from clementinedyke.rows import ABSENT, Commit, Condition, Row, RowStore, Write
 
 PARTS_TABLE = 'usage_parts'
--- a/src/clementinedyke/lease_component.py
+++ b/src/clementinedyke/leases/component.py
@@ -13,9 +13,9 @@
 from clementinedyke.call_failures import TableFailure
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.components import Component
-from clementinedyke.handover import HandoverCore
-from clementinedyke.lease import LeaseCore
-from clementinedyke.lease_messages import (
+from clementinedyke.leases.core import LeaseCore
+from clementinedyke.leases.handover import HandoverCore
+from clementinedyke.leases.messages import (
     CloseOrders,
     DeathConfirmed,
     FenceRead,
@@ -33,7 +33,7 @@
     StopRequested,
     WriteLease,
 )
-from clementinedyke.lease_types import Identity, LeaseRow, LeaseTiming
+from clementinedyke.leases.types import Identity, LeaseRow, LeaseTiming
 from clementinedyke.rows import (
     ABSENT,
     Commit,
--- a/src/clementinedyke/lease.py
+++ b/src/clementinedyke/leases/core.py
@@ -3,8 +3,8 @@
 from functools import singledispatchmethod
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.lease_decision import LeaseDecision
-from clementinedyke.lease_messages import (
+from clementinedyke.leases.decision import LeaseDecision
+from clementinedyke.leases.messages import (
     DeathConfirmed,
     FenceRead,
     HostsRead,
@@ -17,7 +17,7 @@
     OrdersClosed,
     StopRequested,
 )
-from clementinedyke.lease_types import Fencing, FormerHolder
+from clementinedyke.leases.types import Fencing, FormerHolder
 
 
 class LeaseCore(LeaseDecision):
--- a/src/clementinedyke/lease_decision.py
+++ b/src/clementinedyke/leases/decision.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.handover import HandoverCore
-from clementinedyke.lease_messages import (
+from clementinedyke.leases.handover import HandoverCore
+from clementinedyke.leases.messages import (
     CloseOrders,
     LeaseAction,
     ReadFence,
@@ -14,13 +14,13 @@
     ReadLease,
     WriteLease,
 )
-from clementinedyke.lease_types import (
+from clementinedyke.leases.types import (
     FormerHolder,
     Identity,
     LeaseRow,
     LeaseTiming,
 )
-from clementinedyke.lease_view import LeaseView
+from clementinedyke.leases.view import LeaseView
 
 _NONCE_BITS = 64
 
--- a/src/clementinedyke/handover.py
+++ b/src/clementinedyke/leases/handover.py
@@ -1,7 +1,7 @@
 """Proof that former holders of a lease have ended."""
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.lease_types import FormerHolder, Identity
+from clementinedyke.leases.types import FormerHolder, Identity
 
 
 class HandoverCore:
--- a/src/clementinedyke/lease_messages.py
+++ b/src/clementinedyke/leases/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.lease_types import LeaseRow
+from clementinedyke.leases.types import LeaseRow
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/lease_row_view.py
+++ b/src/clementinedyke/leases/row_view.py
@@ -1,7 +1,7 @@
 """What a process has seen of the row of a lease."""
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.lease_types import (
+from clementinedyke.leases.types import (
     FormerHolder,
     Identity,
     LeaseRow,
--- a/src/clementinedyke/lease_view.py
+++ b/src/clementinedyke/leases/view.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.lease_row_view import RowView
-from clementinedyke.lease_types import (
+from clementinedyke.leases.row_view import RowView
+from clementinedyke.leases.types import (
     Identity,
     LeaseRow,
     LeaseTiming,
--- a/src/clementinedyke/order_book.py
+++ b/src/clementinedyke/order_book.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.lease_types import Fencing
+from clementinedyke.leases.types import Fencing
 from clementinedyke.order_types import OrderKind, OrderRow
 from clementinedyke.outbox_messages import (
     AskState,
--- a/src/clementinedyke/order_types.py
+++ b/src/clementinedyke/order_types.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from clementinedyke.lease_types import Fencing
+from clementinedyke.leases.types import Fencing
 
 
 class OrderKind(enum.Enum):
--- a/src/clementinedyke/outbox_component.py
+++ b/src/clementinedyke/outbox_component.py
@@ -8,9 +8,9 @@
 
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.components import Component
-from clementinedyke.lease import LeaseCore
-from clementinedyke.lease_component import FENCES_TABLE, TICK_INTERVAL
-from clementinedyke.lease_types import Fencing
+from clementinedyke.leases.component import FENCES_TABLE, TICK_INTERVAL
+from clementinedyke.leases.core import LeaseCore
+from clementinedyke.leases.types import Fencing
 from clementinedyke.order_connection import USER_TIMEOUT
 from clementinedyke.order_target import OrderTarget
 from clementinedyke.order_types import OrderAnswer, OrderKind, OrderRow
--- a/src/clementinedyke/outbox_messages.py
+++ b/src/clementinedyke/outbox_messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from clementinedyke.lease_types import Fencing
+from clementinedyke.leases.types import Fencing
 from clementinedyke.order_types import OrderAnswer, OrderKind, OrderRow
 
 
--- a/src/clementinedyke/service_authority.py
+++ b/src/clementinedyke/service_authority.py
@@ -8,8 +8,8 @@
 from clementinedyke.endpoints.orders import EngineOrderClient
 from clementinedyke.http.client import Address
 from clementinedyke.http.message import RequestError
-from clementinedyke.lease import LeaseCore
-from clementinedyke.lease_component import LeaseComponent
+from clementinedyke.leases.component import LeaseComponent
+from clementinedyke.leases.core import LeaseCore
 from clementinedyke.order_target import OrderTarget
 from clementinedyke.outbox_component import OutboxComponent
 from clementinedyke.reference_platform.endpoint_orders import (
--- a/src/clementinedyke/service_planner.py
+++ b/src/clementinedyke/service_planner.py
@@ -7,8 +7,8 @@
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.demand import Demand
 from clementinedyke.endpoints.registry import Endpoint
-from clementinedyke.lease import LeaseCore
-from clementinedyke.lease_types import Fencing
+from clementinedyke.leases.core import LeaseCore
+from clementinedyke.leases.types import Fencing
 from clementinedyke.order_types import OrderKind
 from clementinedyke.outbox_component import OutboxComponent
 from clementinedyke.records.core import ServiceRecord
--- a/src/clementinedyke/usage_component.py
+++ b/src/clementinedyke/usage_component.py
@@ -23,9 +23,9 @@
     WriteWindow,
 )
 from clementinedyke.components import Component
-from clementinedyke.lease import LeaseCore
-from clementinedyke.lease_component import FENCES_TABLE, TICK_INTERVAL
-from clementinedyke.lease_types import Fencing
+from clementinedyke.leases.component import FENCES_TABLE, TICK_INTERVAL
+from clementinedyke.leases.core import LeaseCore
+from clementinedyke.leases.types import Fencing
 from clementinedyke.order_connection import USER_TIMEOUT
 from clementinedyke.reference_platform.tables import (
     ABSENT,
--- a/tests/daemon_scene.py
+++ b/tests/daemon_scene.py
@@ -11,7 +11,7 @@
 from clementinedyke.daemon import Daemon
 from clementinedyke.daemons.platform_reader import RECORDS_TABLE
 from clementinedyke.http.client import Address, HttpClient, HttpRequest
-from clementinedyke.lease_types import LeaseTiming
+from clementinedyke.leases.types import LeaseTiming
 from clementinedyke.records.core import get_digest
 from clementinedyke.reference_platform.tables import Write
 from clementinedyke.settings.core import Settings
--- a/tests/lease_holder.py
+++ b/tests/lease_holder.py
@@ -15,8 +15,8 @@
 from clementinedyke.clock import MonotonicClock
 from clementinedyke.endpoints.orders import EngineOrderClient
 from clementinedyke.http.client import Address, HttpClient
-from clementinedyke.lease_component import LeaseComponent, LeasePolicy
-from clementinedyke.lease_types import Fencing, Identity, LeaseTiming
+from clementinedyke.leases.component import LeaseComponent, LeasePolicy
+from clementinedyke.leases.types import Fencing, Identity, LeaseTiming
 from clementinedyke.order_types import OrderKind
 from clementinedyke.outbox_component import OutboxComponent
 from clementinedyke.reference_platform.hosts import HostListClient
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -29,7 +29,7 @@
     World,
 )
 from clementinedyke.closing_messages import SendReport
-from clementinedyke.lease_messages import StopRequested
+from clementinedyke.leases.messages import StopRequested
 from clementinedyke.usage_messages import WorkDone
 
 EXAMPLES = int(os.environ.get('AUTHORITY_EXAMPLES', '15'))
--- a/tests/test_entry_lease.py
+++ b/tests/test_entry_lease.py
@@ -10,9 +10,9 @@
 
 from clementinedyke.clock import ManualClock
 from clementinedyke.entry.duty_lease import DutyLease
-from clementinedyke.handover import LapseHandover
-from clementinedyke.lease import LeaseCore
-from clementinedyke.lease_messages import (
+from clementinedyke.leases.core import LeaseCore
+from clementinedyke.leases.handover import LapseHandover
+from clementinedyke.leases.messages import (
     FenceRead,
     LeaseCallFailed,
     LeaseRead,
@@ -24,7 +24,7 @@
     StopRequested,
     WriteLease,
 )
-from clementinedyke.lease_types import Identity, LeaseTiming
+from clementinedyke.leases.types import Identity, LeaseTiming
 
 _DURATION = 3000
 _STEP = 100
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -2,8 +2,8 @@
 
 import random
 
-from clementinedyke.lease import LeaseCore
-from clementinedyke.lease_messages import (
+from clementinedyke.leases.core import LeaseCore
+from clementinedyke.leases.messages import (
     LeaseCallFailed,
     LeaseRead,
     LeaseTick,
@@ -12,7 +12,7 @@
     StopRequested,
     WriteLease,
 )
-from clementinedyke.lease_types import Identity, LeaseRow
+from clementinedyke.leases.types import Identity, LeaseRow
 
 
 def acquire_lease() -> tuple[LeaseCore, LeaseRow]:
