--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -22,7 +22,7 @@
 from clementinedyke.daemons.links import LinkPool
 from clementinedyke.daemons.options import ControlOptions
 from clementinedyke.daemons.server import ControlServer, bind_daemon_port
-from clementinedyke.membership_events import Publish
+from clementinedyke.members.events import Publish
 
 sys.path.insert(0, str(Path(__file__).parent.parent / 'tests'))
 
--- a/src/clementinedyke/__init__.py
+++ b/src/clementinedyke/__init__.py
@@ -17,7 +17,7 @@
 from clementinedyke.configuration.core import ConfigurationCore
 from clementinedyke.exceptions import ClementinedykeError
 from clementinedyke.leases.core import LeaseCore
-from clementinedyke.membership import Membership
+from clementinedyke.members.core import Membership
 from clementinedyke.outbox import OutboxCore
 from clementinedyke.quarantine import QuarantineCore, QuarantineSettings
 from clementinedyke.retry import RetryCore, RetryLimits
--- a/src/clementinedyke/admission/share_component.py
+++ b/src/clementinedyke/admission/share_component.py
@@ -15,7 +15,7 @@
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.daemons.component import Change
 from clementinedyke.http.message import RequestError
-from clementinedyke.membership_events import MemberChanged, PayloadChanged
+from clementinedyke.members.events import MemberChanged, PayloadChanged
 
 _INTERVAL: Milliseconds = 500
 #: Each value reaches every daemon: 330 daemons that publish 120 bytes every
--- a/src/clementinedyke/configuration/core.py
+++ b/src/clementinedyke/configuration/core.py
@@ -18,7 +18,7 @@
     ConfigurationFeed,
 )
 from clementinedyke.control_messages import Member
-from clementinedyke.membership_events import Received, Tick
+from clementinedyke.members.events import Received, Tick
 from clementinedyke.watchers import PollSchedule, select_watchers
 
 
--- a/src/clementinedyke/configuration/feed.py
+++ b/src/clementinedyke/configuration/feed.py
@@ -17,7 +17,7 @@
     Hint,
 )
 from clementinedyke.control_messages import Member
-from clementinedyke.membership_events import Send
+from clementinedyke.members.events import Send
 from clementinedyke.records.rows import Confirmation, RecordRows, Requests
 
 ConfigurationAction = Send | Poll | RecordsChanged
--- a/src/clementinedyke/control_options.py
+++ b/src/clementinedyke/control_options.py
@@ -5,7 +5,7 @@
 from clementinedyke.configuration.events import ConfigurationOptions
 from clementinedyke.control_messages import Member
 from clementinedyke.daemons import ControlOptions
-from clementinedyke.membership_events import MembershipOptions
+from clementinedyke.members.events import MembershipOptions
 from clementinedyke.settings.core import Settings
 
 _NANOSECONDS_PER_MILLISECOND = 1_000_000
--- a/src/clementinedyke/daemons/component.py
+++ b/src/clementinedyke/daemons/component.py
@@ -29,8 +29,7 @@
     bind_daemon_port,
     ignore_loop_error,
 )
-from clementinedyke.gossip import ControlNode
-from clementinedyke.membership_events import (
+from clementinedyke.members.events import (
     Leave,
     MemberChanged,
     PayloadChanged,
@@ -39,6 +38,7 @@
     Send,
     Tick,
 )
+from clementinedyke.members.gossip import ControlNode
 
 _MILLISECONDS_PER_SECOND = 1000
 #: Longest time that closing connections may hold up a stop.
--- a/src/clementinedyke/daemons/options.py
+++ b/src/clementinedyke/daemons/options.py
@@ -7,7 +7,7 @@
 from clementinedyke.clock import Milliseconds
 from clementinedyke.configuration.events import ConfigurationOptions
 from clementinedyke.exceptions import SettingError
-from clementinedyke.membership_events import MembershipOptions
+from clementinedyke.members.events import MembershipOptions
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/evidence_component.py
+++ b/src/clementinedyke/evidence_component.py
@@ -16,7 +16,7 @@
 from clementinedyke.components import Component
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.daemons.component import Change
-from clementinedyke.membership_events import PayloadChanged
+from clementinedyke.members.events import PayloadChanged
 from clementinedyke.quarantine import Evidence
 from clementinedyke.reference_platform.tables import (
     ABSENT,
--- a/src/clementinedyke/membership_answers.py
+++ b/src/clementinedyke/members/answers.py
@@ -13,10 +13,10 @@
     Sync,
     SyncMembers,
 )
-from clementinedyke.member_table import find_differing
-from clementinedyke.member_view import MemberView
-from clementinedyke.membership_events import Action, Send
-from clementinedyke.prober import Prober
+from clementinedyke.members.events import Action, Send
+from clementinedyke.members.prober import Prober
+from clementinedyke.members.table import find_differing
+from clementinedyke.members.view import MemberView
 
 
 class MembershipAnswers:
--- a/src/clementinedyke/membership.py
+++ b/src/clementinedyke/members/core.py
@@ -13,9 +13,8 @@
     News,
     Sync,
 )
-from clementinedyke.member_view import MemberView
-from clementinedyke.membership_answers import MembershipAnswers
-from clementinedyke.membership_events import (
+from clementinedyke.members.answers import MembershipAnswers
+from clementinedyke.members.events import (
     Action,
     Leave,
     MembershipOptions,
@@ -24,7 +23,8 @@
     Send,
     Tick,
 )
-from clementinedyke.prober import Prober
+from clementinedyke.members.prober import Prober
+from clementinedyke.members.view import MemberView
 
 _GOSSIP_TARGETS = 2
 #: A process that did not run for this long has missed answers.
--- a/src/clementinedyke/gossip.py
+++ b/src/clementinedyke/members/gossip.py
@@ -24,8 +24,8 @@
     ListContent,
 )
 from clementinedyke.control_messages import Ack, Member, Ping
-from clementinedyke.membership import Membership
-from clementinedyke.membership_events import (
+from clementinedyke.members.core import Membership
+from clementinedyke.members.events import (
     MemberChanged,
     MembershipOptions,
     Received,
--- a/src/clementinedyke/prober.py
+++ b/src/clementinedyke/members/prober.py
@@ -12,8 +12,8 @@
     Ping,
     PingRequest,
 )
-from clementinedyke.member_view import MemberView
-from clementinedyke.membership_events import Action, MembershipOptions, Send
+from clementinedyke.members.events import Action, MembershipOptions, Send
+from clementinedyke.members.view import MemberView
 
 
 @dataclass(slots=True)
--- a/src/clementinedyke/member_view.py
+++ b/src/clementinedyke/members/view.py
@@ -11,15 +11,15 @@
     MemberState,
     News,
 )
-from clementinedyke.member_table import MemberTable
-from clementinedyke.membership_events import (
+from clementinedyke.members.events import (
     Action,
     MemberChanged,
     MembershipOptions,
     Send,
 )
+from clementinedyke.members.rumors import RumorQueue
+from clementinedyke.members.table import MemberTable
 from clementinedyke.payloads import PayloadStore
-from clementinedyke.rumors import RumorQueue
 
 #: Each daemon passes news on this many times per doubling of the members: 1.5
 #: reaches all of 330 without the sync in all but a few of 10,000 cases.
--- a/src/clementinedyke/payloads.py
+++ b/src/clementinedyke/payloads.py
@@ -4,13 +4,13 @@
 from itertools import islice
 
 from clementinedyke.control_messages import Member, Payload
-from clementinedyke.member_table import compute_digests, get_bucket
-from clementinedyke.membership_events import (
+from clementinedyke.members.events import (
     Action,
     MembershipOptions,
     PayloadChanged,
 )
-from clementinedyke.rumors import RumorQueue
+from clementinedyke.members.rumors import RumorQueue
+from clementinedyke.members.table import compute_digests, get_bucket
 
 
 class PayloadStore:
--- a/src/clementinedyke/platform_lists.py
+++ b/src/clementinedyke/platform_lists.py
@@ -20,7 +20,7 @@
     ListAdvert,
     ListContent,
 )
-from clementinedyke.membership_events import Received, Send
+from clementinedyke.members.events import Received, Send
 
 _SHORTEST = 0.5
 _LONGEST = 1.5
--- a/tests/cluster_fake.py
+++ b/tests/cluster_fake.py
@@ -21,14 +21,14 @@
 )
 from clementinedyke.configuration.messages import ConfigurationRow
 from clementinedyke.control_messages import Member, Message
-from clementinedyke.gossip import ControlNode
-from clementinedyke.membership_events import (
+from clementinedyke.members.events import (
     Leave,
     MembershipOptions,
     Received,
     Send,
     Tick,
 )
+from clementinedyke.members.gossip import ControlNode
 
 DECODER = msgspec.msgpack.Decoder(Message)
 TICK: Milliseconds = 200
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -16,7 +16,7 @@
 from clementinedyke.clock import Milliseconds
 from clementinedyke.configuration.events import ConfigurationOptions
 from clementinedyke.configuration.messages import ConfigurationRow
-from clementinedyke.membership_events import MembershipOptions
+from clementinedyke.members.events import MembershipOptions
 from clementinedyke.records.rows import RecordRows
 from cluster_fake import FakeNetwork
 
--- a/tests/test_cluster_parts.py
+++ b/tests/test_cluster_parts.py
@@ -19,11 +19,11 @@
 from clementinedyke.control_messages import Member, Payload
 from clementinedyke.daemons import ControlOptions
 from clementinedyke.exceptions import SettingError
-from clementinedyke.membership_events import MembershipOptions, Publish
+from clementinedyke.members.events import MembershipOptions, Publish
+from clementinedyke.members.rumors import RumorQueue
 from clementinedyke.payloads import PayloadStore
 from clementinedyke.platform_lists import PlatformList, PlatformListCore
 from clementinedyke.records.rows import RecordRows
-from clementinedyke.rumors import RumorQueue
 from clementinedyke.watchers import select_watchers
 from cluster_fake import FakeNetwork
 
--- a/tests/test_daemon_port.py
+++ b/tests/test_daemon_port.py
@@ -21,7 +21,7 @@
 from clementinedyke.daemons.platform_reader import PlatformReader
 from clementinedyke.daemons.server import bind_daemon_port
 from clementinedyke.http.client import Address, HttpClient
-from clementinedyke.member_view import MemberView
+from clementinedyke.members.view import MemberView
 from clementinedyke.reference_platform.tables import Write
 from clementinedyke.standins.platform import PlatformStandin
 
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -21,7 +21,7 @@
 from clementinedyke.exceptions import AnswerLostError
 from clementinedyke.http.client import Address, HttpClient, HttpRequest
 from clementinedyke.http.connection import ServerConnection
-from clementinedyke.membership_events import Received
+from clementinedyke.members.events import Received
 from clementinedyke.operators import OperatorPort, OperatorReports
 from clementinedyke.reference_platform.tables import TableClient
 from clementinedyke.settings.core import Settings
