--- a/bench/authority.py
+++ b/bench/authority.py
@@ -14,9 +14,8 @@
 from clementinedyke.leases.core import LeaseCore
 from clementinedyke.leases.messages import LeaseRead, LeaseTick, LeaseWritten
 from clementinedyke.leases.types import Fencing, Identity
-from clementinedyke.order_types import OrderAnswer, OrderKind
-from clementinedyke.outbox import OutboxCore
-from clementinedyke.outbox_messages import (
+from clementinedyke.orders.core import OutboxCore
+from clementinedyke.orders.messages import (
     OrderAnswered,
     OrderRecorded,
     OrdersRead,
@@ -25,6 +24,7 @@
     StateRead,
     TenureBegun,
 )
+from clementinedyke.orders.types import OrderAnswer, OrderKind
 from clementinedyke.usage import PartCore
 from clementinedyke.usage_messages import PartWritten, UsageTick, WorkDone
 
--- a/src/clementinedyke/__init__.py
+++ b/src/clementinedyke/__init__.py
@@ -18,7 +18,7 @@
 from clementinedyke.exceptions import ClementinedykeError
 from clementinedyke.leases.core import LeaseCore
 from clementinedyke.members.core import Membership
-from clementinedyke.outbox import OutboxCore
+from clementinedyke.orders.core import OutboxCore
 from clementinedyke.quarantine import QuarantineCore, QuarantineSettings
 from clementinedyke.retry import RetryCore, RetryLimits
 from clementinedyke.roles import RolePlanner
--- a/src/clementinedyke/capacity_wishes.py
+++ b/src/clementinedyke/capacity_wishes.py
@@ -23,8 +23,8 @@
 from clementinedyke.demand import Demand
 from clementinedyke.endpoints.registry import Endpoint
 from clementinedyke.leases.types import Fencing
-from clementinedyke.order_types import OrderKind
-from clementinedyke.outbox_component import OutboxComponent
+from clementinedyke.orders.component import OutboxComponent
+from clementinedyke.orders.types import OrderKind
 from clementinedyke.records.core import CapacityRecord
 from clementinedyke.records.directory import Directory
 from clementinedyke.role_types import PlannerSettings
--- a/src/clementinedyke/endpoints/orders.py
+++ b/src/clementinedyke/endpoints/orders.py
@@ -5,9 +5,9 @@
 from clementinedyke.clock import Milliseconds
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
 from clementinedyke.http.client import Address, HttpRequest
-from clementinedyke.order_connection import exchange_once
-from clementinedyke.order_target import TargetState
-from clementinedyke.order_types import OrderAnswer, OrderRow
+from clementinedyke.orders.connection import exchange_once
+from clementinedyke.orders.target import TargetState
+from clementinedyke.orders.types import OrderAnswer, OrderRow
 
 _TIMEOUT: Milliseconds = 2000
 _STATUS_OK = 200
@@ -28,7 +28,7 @@
 
 
 class EngineOrderClient:
-    """Orders one engine; meets :class:`clementinedyke.order_target`."""
+    """Orders one engine; meets :class:`clementinedyke.orders.target`."""
 
     def __init__(
         self, address: Address, timeout: Milliseconds = _TIMEOUT
--- a/src/clementinedyke/order_book.py
+++ b/src/clementinedyke/orders/book.py
@@ -4,14 +4,14 @@
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.leases.types import Fencing
-from clementinedyke.order_types import OrderKind, OrderRow
-from clementinedyke.outbox_messages import (
+from clementinedyke.orders.messages import (
     AskState,
     OutboxAction,
     ReadOrders,
     RecordOrder,
     SendOrder,
 )
+from clementinedyke.orders.types import OrderKind, OrderRow
 
 RETRY_INTERVAL: Milliseconds = 500
 _DEFAULT_QUIET_WAIT: Milliseconds = 5500
--- a/src/clementinedyke/outbox_component.py
+++ b/src/clementinedyke/orders/component.py
@@ -11,11 +11,9 @@
 from clementinedyke.leases.component import FENCES_TABLE, TICK_INTERVAL
 from clementinedyke.leases.core import LeaseCore
 from clementinedyke.leases.types import Fencing
-from clementinedyke.order_connection import USER_TIMEOUT
-from clementinedyke.order_target import OrderTarget
-from clementinedyke.order_types import OrderAnswer, OrderKind, OrderRow
-from clementinedyke.outbox import OutboxCore
-from clementinedyke.outbox_messages import (
+from clementinedyke.orders.connection import USER_TIMEOUT
+from clementinedyke.orders.core import OutboxCore
+from clementinedyke.orders.messages import (
     AskState,
     OrderAnswered,
     OrderRecorded,
@@ -34,6 +32,8 @@
     TenureBegun,
     TenureEnded,
 )
+from clementinedyke.orders.target import OrderTarget
+from clementinedyke.orders.types import OrderAnswer, OrderKind, OrderRow
 from clementinedyke.reference_platform.tables import (
     Commit,
     Condition,
--- a/src/clementinedyke/outbox.py
+++ b/src/clementinedyke/orders/core.py
@@ -5,15 +5,14 @@
 import msgspec
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.order_book import (
+from clementinedyke.orders.book import (
     RETRY_INTERVAL,
     OrderBook,
     TargetEntry,
     get_subject,
     keep_row,
 )
-from clementinedyke.order_types import OrderAnswer, OrderKind
-from clementinedyke.outbox_messages import (
+from clementinedyke.orders.messages import (
     OrderAnswered,
     OrderRecorded,
     OrdersRead,
@@ -27,6 +26,7 @@
     TenureBegun,
     TenureEnded,
 )
+from clementinedyke.orders.types import OrderAnswer, OrderKind
 
 _DEFAULT_QUIET_WAIT: Milliseconds = 5500
 #: Kinds whose newest argument replaces any earlier wish.
--- a/src/clementinedyke/outbox_messages.py
+++ b/src/clementinedyke/orders/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from clementinedyke.leases.types import Fencing
-from clementinedyke.order_types import OrderAnswer, OrderKind, OrderRow
+from clementinedyke.orders.types import OrderAnswer, OrderKind, OrderRow
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/order_target.py
+++ b/src/clementinedyke/orders/target.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from clementinedyke.order_types import OrderAnswer, OrderRow
+from clementinedyke.orders.types import OrderAnswer, OrderRow
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/peer_calls.py
+++ b/src/clementinedyke/peer_calls.py
@@ -11,7 +11,7 @@
     HttpRequest,
     HttpResponse,
 )
-from clementinedyke.order_connection import exchange_once
+from clementinedyke.orders.connection import exchange_once
 
 DEFAULT_TIMEOUT: Milliseconds = 2000
 STATUS_OK = 200
--- a/src/clementinedyke/reference_platform/endpoint_orders.py
+++ b/src/clementinedyke/reference_platform/endpoint_orders.py
@@ -5,8 +5,8 @@
 from clementinedyke.call_failures import TableFailure
 from clementinedyke.clock import Milliseconds
 from clementinedyke.http.client import Address, HttpRequest
-from clementinedyke.order_target import TargetState
-from clementinedyke.order_types import OrderAnswer, OrderRow
+from clementinedyke.orders.target import TargetState
+from clementinedyke.orders.types import OrderAnswer, OrderRow
 from clementinedyke.peer_calls import (
     DEFAULT_TIMEOUT,
     STATUS_NOT_FOUND,
--- a/src/clementinedyke/service_authority.py
+++ b/src/clementinedyke/service_authority.py
@@ -10,8 +10,8 @@
 from clementinedyke.http.message import RequestError
 from clementinedyke.leases.component import LeaseComponent
 from clementinedyke.leases.core import LeaseCore
-from clementinedyke.order_target import OrderTarget
-from clementinedyke.outbox_component import OutboxComponent
+from clementinedyke.orders.component import OutboxComponent
+from clementinedyke.orders.target import OrderTarget
 from clementinedyke.reference_platform.endpoint_orders import (
     EndpointOrderClient,
 )
--- a/src/clementinedyke/service_planner.py
+++ b/src/clementinedyke/service_planner.py
@@ -9,8 +9,8 @@
 from clementinedyke.endpoints.registry import Endpoint
 from clementinedyke.leases.core import LeaseCore
 from clementinedyke.leases.types import Fencing
-from clementinedyke.order_types import OrderKind
-from clementinedyke.outbox_component import OutboxComponent
+from clementinedyke.orders.component import OutboxComponent
+from clementinedyke.orders.types import OrderKind
 from clementinedyke.records.core import ServiceRecord
 from clementinedyke.records.directory import Directory
 from clementinedyke.role_types import (
--- a/src/clementinedyke/usage_component.py
+++ b/src/clementinedyke/usage_component.py
@@ -26,7 +26,7 @@
 from clementinedyke.leases.component import FENCES_TABLE, TICK_INTERVAL
 from clementinedyke.leases.core import LeaseCore
 from clementinedyke.leases.types import Fencing
-from clementinedyke.order_connection import USER_TIMEOUT
+from clementinedyke.orders.connection import USER_TIMEOUT
 from clementinedyke.reference_platform.tables import (
     ABSENT,
     Commit,
--- a/tests/authority_world.py
+++ b/tests/authority_world.py
@@ -10,15 +10,15 @@
 from typing import Any
 
 from clementinedyke import closing_messages as cm
-from clementinedyke import order_types as ot
-from clementinedyke import outbox_messages as om
 from clementinedyke import usage_messages as um
 from clementinedyke.closing import CloserCore
 from clementinedyke.leases import messages as lm
 from clementinedyke.leases import types as lt
 from clementinedyke.leases.core import LeaseCore
 from clementinedyke.leases.handover import HandoverCore
-from clementinedyke.outbox import OutboxCore
+from clementinedyke.orders import messages as om
+from clementinedyke.orders import types as ot
+from clementinedyke.orders.core import OutboxCore
 from clementinedyke.reference_platform.tables import Condition, Conflict, Write
 from clementinedyke.standins.tables import MemoryTables
 from clementinedyke.usage import PartCore
--- a/tests/lease_holder.py
+++ b/tests/lease_holder.py
@@ -17,8 +17,8 @@
 from clementinedyke.http.client import Address, HttpClient
 from clementinedyke.leases.component import LeaseComponent, LeasePolicy
 from clementinedyke.leases.types import Fencing, Identity, LeaseTiming
-from clementinedyke.order_types import OrderKind
-from clementinedyke.outbox_component import OutboxComponent
+from clementinedyke.orders.component import OutboxComponent
+from clementinedyke.orders.types import OrderKind
 from clementinedyke.reference_platform.hosts import HostListClient
 from clementinedyke.reference_platform.tables import TableClient
 
