--- /dev/null
+++ b/src/clementinedyke/authority/__init__.py
@@ -0,0 +1,1 @@
+"""Leases, orders and usage that a daemon runs."""
--- a/src/clementinedyke/authority_component.py
+++ b/src/clementinedyke/authority/component.py
@@ -5,7 +5,8 @@
 import trio
 from absl import logging
 
-from clementinedyke.authority_peers import AuthorityPeers, AuthorityTiming
+from clementinedyke.authority.peers import AuthorityPeers, AuthorityTiming
+from clementinedyke.authority.service import ServiceAuthority
 from clementinedyke.callers import TokenUsage
 from clementinedyke.clock import Milliseconds
 from clementinedyke.closing import CloserCore
@@ -19,7 +20,6 @@
 from clementinedyke.records.directory import Directory
 from clementinedyke.reference_platform.hosts import HostListClient
 from clementinedyke.reference_platform.usage_reports import UsageReportClient
-from clementinedyke.service_authority import ServiceAuthority
 from clementinedyke.usage import PartCore
 from clementinedyke.usage_component import (
     USAGE_SCOPE,
--- a/src/clementinedyke/authority_report.py
+++ b/src/clementinedyke/authority/report.py
@@ -6,7 +6,7 @@
 from prometheus_client.core import CounterMetricFamily
 from prometheus_client.registry import Collector
 
-from clementinedyke.authority_component import AuthorityComponent
+from clementinedyke.authority.component import AuthorityComponent
 from clementinedyke.clock import Clock
 from clementinedyke.leases.core import LeaseCore
 from clementinedyke.leases.types import Identity
--- a/src/clementinedyke/service_authority.py
+++ b/src/clementinedyke/authority/service.py
@@ -2,7 +2,8 @@
 
 import trio
 
-from clementinedyke.authority_peers import AuthorityPeers
+from clementinedyke.authority.peers import AuthorityPeers
+from clementinedyke.authority.planner import ServicePlanner
 from clementinedyke.capacity_wishes import PLATFORM_PREFIX
 from clementinedyke.clock import Milliseconds
 from clementinedyke.endpoints.orders import EngineOrderClient
@@ -15,7 +16,6 @@
 from clementinedyke.reference_platform.endpoint_orders import (
     EndpointOrderClient,
 )
-from clementinedyke.service_planner import ServicePlanner
 
 _PLAN_INTERVAL: Milliseconds = 1000
 _MILLISECONDS_PER_SECOND = 1000
--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -7,8 +7,8 @@
 import trio
 
 from clementinedyke.application import Application
-from clementinedyke.authority_component import AuthorityComponent
-from clementinedyke.authority_peers import AuthorityPeers, AuthorityTiming
+from clementinedyke.authority.component import AuthorityComponent
+from clementinedyke.authority.peers import AuthorityPeers, AuthorityTiming
 from clementinedyke.callers.port import CallerPort
 from clementinedyke.clock import MonotonicClock
 from clementinedyke.configuration.component import ConfigurationComponent
--- a/src/clementinedyke/daemon_reports.py
+++ b/src/clementinedyke/daemon_reports.py
@@ -1,7 +1,7 @@
 """Registers what the components of a daemon tell operators."""
 
-from clementinedyke.authority_component import AuthorityComponent
-from clementinedyke.authority_report import (
+from clementinedyke.authority.component import AuthorityComponent
+from clementinedyke.authority.report import (
     AuthorityCollector,
     LeaseReport,
     OrderReport,
--- a/src/clementinedyke/request_path.py
+++ b/src/clementinedyke/request_path.py
@@ -5,6 +5,7 @@
 
 from clementinedyke.admission.component import AdmissionComponent
 from clementinedyke.admission.share_component import ShareComponent
+from clementinedyke.authority.planner import PlannerSources
 from clementinedyke.callers import (
     CallerHandler,
     ConnectionLimit,
@@ -25,7 +26,6 @@
 from clementinedyke.reference_platform.tables import TableClient
 from clementinedyke.retry_planner import RetryPlanner
 from clementinedyke.routing_component import RoutingComponent
-from clementinedyke.service_planner import PlannerSources
 from clementinedyke.settings.core import Settings
 
 
