--- a/bench/authority.py
+++ b/bench/authority.py
@@ -25,8 +25,8 @@
     TenureBegun,
 )
 from clementinedyke.orders.types import OrderAnswer, OrderKind
-from clementinedyke.usage import PartCore
-from clementinedyke.usage_messages import PartWritten, UsageTick, WorkDone
+from clementinedyke.usage.core import PartCore
+from clementinedyke.usage.messages import PartWritten, UsageTick, WorkDone
 
 SCOPES = 27
 CANDIDATES = 3
--- a/src/clementinedyke/__init__.py
+++ b/src/clementinedyke/__init__.py
@@ -11,7 +11,6 @@
 from clementinedyke.claims.core import ClaimCore, ClaimSettings
 from clementinedyke.claims.messages import ClaimRequested
 from clementinedyke.clock import Clock, ManualClock, MonotonicClock
-from clementinedyke.closing import CloserCore
 from clementinedyke.codes import ExecutionState, ResultCode
 from clementinedyke.components import Component
 from clementinedyke.configuration.core import ConfigurationCore
@@ -24,7 +23,8 @@
 from clementinedyke.roles import RolePlanner
 from clementinedyke.router import RouterCore
 from clementinedyke.selection import RouterSettings
-from clementinedyke.usage import PartCore
+from clementinedyke.usage.closing import CloserCore
+from clementinedyke.usage.core import PartCore
 
 __all__ = (
     'AdmissionCore',
--- a/src/clementinedyke/authority/component.py
+++ b/src/clementinedyke/authority/component.py
@@ -9,7 +9,6 @@
 from clementinedyke.authority.service import ServiceAuthority
 from clementinedyke.callers import TokenUsage
 from clementinedyke.clock import Milliseconds
-from clementinedyke.closing import CloserCore
 from clementinedyke.components import Component
 from clementinedyke.control_messages import Member
 from clementinedyke.daemons import ControlComponent
@@ -20,12 +19,13 @@
 from clementinedyke.records.directory import Directory
 from clementinedyke.reference_platform.hosts import HostListClient
 from clementinedyke.reference_platform.usage_reports import UsageReportClient
-from clementinedyke.usage import PartCore
-from clementinedyke.usage_component import (
+from clementinedyke.usage.closing import CloserCore
+from clementinedyke.usage.component import (
     USAGE_SCOPE,
     CloserComponent,
     PartComponent,
 )
+from clementinedyke.usage.core import PartCore
 
 _FOLLOW_INTERVAL: Milliseconds = 500
 _MILLISECONDS_PER_SECOND = 1000
--- a/src/clementinedyke/authority/peers.py
+++ b/src/clementinedyke/authority/peers.py
@@ -5,13 +5,13 @@
 
 from clementinedyke.authority.planner import PlannerSources
 from clementinedyke.clock import Clock, Milliseconds
-from clementinedyke.closing import WINDOW_LENGTH
 from clementinedyke.http.client import Address, HttpClient
 from clementinedyke.leases.types import LeaseTiming
 from clementinedyke.records.directory import Directory
 from clementinedyke.reference_platform.tables import TableClient
 from clementinedyke.settings.core import Settings
-from clementinedyke.usage import FLUSH_INTERVAL
+from clementinedyke.usage.closing import WINDOW_LENGTH
+from clementinedyke.usage.core import FLUSH_INTERVAL
 
 _RENEWALS_PER_LEASE = 3
 
--- a/src/clementinedyke/closing.py
+++ b/src/clementinedyke/usage/closing.py
@@ -3,7 +3,7 @@
 from functools import singledispatchmethod
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.closing_messages import (
+from clementinedyke.usage.closing_messages import (
     AskReport,
     CloserAction,
     CloserCallFailed,
@@ -18,7 +18,7 @@
     WindowWritten,
     WriteWindow,
 )
-from clementinedyke.usage_messages import WindowRow, sum_figures
+from clementinedyke.usage.messages import WindowRow, sum_figures
 
 WINDOW_LENGTH: Milliseconds = 60000
 _CALL_TIMEOUT: Milliseconds = 5000
--- a/src/clementinedyke/closing_messages.py
+++ b/src/clementinedyke/usage/closing_messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from clementinedyke.usage_messages import Figures, PartRow, WindowRow
+from clementinedyke.usage.messages import Figures, PartRow, WindowRow
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/usage_component.py
+++ b/src/clementinedyke/usage/component.py
@@ -6,22 +6,6 @@
 import trio
 
 from clementinedyke.clock import Clock, Milliseconds
-from clementinedyke.closing import CloserCore
-from clementinedyke.closing_messages import (
-    AskReport,
-    CloserAction,
-    CloserCallFailed,
-    CloserEvent,
-    CloserTick,
-    PartsRead,
-    ReadParts,
-    ReadWindow,
-    ReportRead,
-    SendReport,
-    WindowRead,
-    WindowWritten,
-    WriteWindow,
-)
 from clementinedyke.components import Component
 from clementinedyke.leases.component import FENCES_TABLE, TICK_INTERVAL
 from clementinedyke.leases.core import LeaseCore
@@ -36,8 +20,24 @@
     Write,
 )
 from clementinedyke.reference_platform.usage_reports import UsageReportClient
-from clementinedyke.usage import PartCore
-from clementinedyke.usage_messages import (
+from clementinedyke.usage.closing import CloserCore
+from clementinedyke.usage.closing_messages import (
+    AskReport,
+    CloserAction,
+    CloserCallFailed,
+    CloserEvent,
+    CloserTick,
+    PartsRead,
+    ReadParts,
+    ReadWindow,
+    ReportRead,
+    SendReport,
+    WindowRead,
+    WindowWritten,
+    WriteWindow,
+)
+from clementinedyke.usage.core import PartCore
+from clementinedyke.usage.messages import (
     Figures,
     OpenWindowRow,
     PartAction,
--- a/src/clementinedyke/usage.py
+++ b/src/clementinedyke/usage/core.py
@@ -3,7 +3,7 @@
 from functools import singledispatchmethod
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.usage_messages import (
+from clementinedyke.usage.messages import (
     Figures,
     PartAction,
     PartEvent,
--- a/tests/authority_world.py
+++ b/tests/authority_world.py
@@ -9,9 +9,6 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from clementinedyke import closing_messages as cm
-from clementinedyke import usage_messages as um
-from clementinedyke.closing import CloserCore
 from clementinedyke.leases import messages as lm
 from clementinedyke.leases import types as lt
 from clementinedyke.leases.core import LeaseCore
@@ -21,7 +18,10 @@
 from clementinedyke.orders.core import OutboxCore
 from clementinedyke.reference_platform.tables import Condition, Conflict, Write
 from clementinedyke.standins.tables import MemoryTables
-from clementinedyke.usage import PartCore
+from clementinedyke.usage import closing_messages as cm
+from clementinedyke.usage import messages as um
+from clementinedyke.usage.closing import CloserCore
+from clementinedyke.usage.core import PartCore
 
 SCOPE = 'service/chat'
 USER_TIMEOUT = 5000
--- a/tests/test_authority.py
+++ b/tests/test_authority.py
@@ -28,9 +28,9 @@
     Mechanisms,
     World,
 )
-from clementinedyke.closing_messages import SendReport
 from clementinedyke.leases.messages import StopRequested
-from clementinedyke.usage_messages import WorkDone
+from clementinedyke.usage.closing_messages import SendReport
+from clementinedyke.usage.messages import WorkDone
 
 EXAMPLES = int(os.environ.get('AUTHORITY_EXAMPLES', '15'))
 SEED = int(os.environ.get('AUTHORITY_SEED', '1'))
