--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -13,7 +13,7 @@
 from itertools import count, islice
 from typing import Any
 
-from clementinedyke.route_types import Role
+from clementinedyke.routing.types import Role
 
 STEP_BASE = 20
 STEP_PER_PROMPT_TOKEN = 0.12
--- a/bench/policy_cost_cases.py
+++ b/bench/policy_cost_cases.py
@@ -2,7 +2,6 @@
 
 import random
 
-from clementinedyke import route_events
 from clementinedyke.admission import events as admission_events
 from clementinedyke.admission.core import AdmissionCore
 from clementinedyke.admission.service import AdmissionLimits
@@ -14,8 +13,6 @@
     OffersChanged,
     ZoneOffer,
 )
-from clementinedyke.load import LoadReport
-from clementinedyke.peer_work import EndpointWork
 from clementinedyke.role_types import (
     DemandReported,
     EnginesReported,
@@ -25,15 +22,18 @@
     PlannerTicked,
 )
 from clementinedyke.roles import RolePlanner
-from clementinedyke.route_types import (
+from clementinedyke.routing import events as route_events
+from clementinedyke.routing.core import RouterCore
+from clementinedyke.routing.load import LoadReport
+from clementinedyke.routing.peer_work import EndpointWork
+from clementinedyke.routing.selection import RouterSettings
+from clementinedyke.routing.types import (
     Choice,
     Role,
     Room,
     RoutedEndpoint,
     RouteRequest,
 )
-from clementinedyke.router import RouterCore
-from clementinedyke.selection import RouterSettings
 
 HASHES = tuple(range(8))
 
--- a/bench/policy_daemons.py
+++ b/bench/policy_daemons.py
@@ -10,21 +10,22 @@
 from bench.policy_load import PREFILL_RATE
 from bench.policy_outcome import Ending, Outcome
 from bench.policy_quarantine import Guard
-from clementinedyke import retry, route_events
+from clementinedyke import retry
 from clementinedyke.admission import events as admission_events
 from clementinedyke.admission.core import AdmissionCore
 from clementinedyke.admission.service import AdmissionLimits
-from clementinedyke.load import Load, LoadEstimate
-from clementinedyke.room_report import compile_room_report
-from clementinedyke.route_types import (
+from clementinedyke.routing import events as route_events
+from clementinedyke.routing.core import RouterCore
+from clementinedyke.routing.load import Load, LoadEstimate
+from clementinedyke.routing.room_report import compile_room_report
+from clementinedyke.routing.selection import RouterSettings
+from clementinedyke.routing.types import (
     Choice,
     NoChoice,
     Role,
     RoutedEndpoint,
     RouteRequest,
 )
-from clementinedyke.router import RouterCore
-from clementinedyke.selection import RouterSettings
 
 #: Work of an output token in prompt tokens: the ratio of the engine's rates.
 OUTPUT_COST = 4
--- a/bench/policy_fleet.py
+++ b/bench/policy_fleet.py
@@ -8,7 +8,7 @@
 from bench.policy_load import PREFILL_RATE
 from clementinedyke.role_capacity import get_served_share
 from clementinedyke.role_types import ModelDemand
-from clementinedyke.route_types import Role, RoutedEndpoint
+from clementinedyke.routing.types import Role, RoutedEndpoint
 
 MAX_PROMPT_TOKENS = 16_000
 CHEAP_PRICE = 0.4
--- a/bench/policy_planners.py
+++ b/bench/policy_planners.py
@@ -4,9 +4,10 @@
 from typing import Any
 
 from bench.policy_bound import PROFILE
-from clementinedyke import capacity_types, role_types, route_events
+from clementinedyke import capacity_types, role_types
 from clementinedyke.capacity import CapacityPlanner
 from clementinedyke.roles import RolePlanner
+from clementinedyke.routing import events as route_events
 
 SECOND = 1000
 DEMAND_LAG = 2000
--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -23,9 +23,9 @@
     compile_series,
 )
 from bench.policy_planners import Planners, get_first_fleet
-from clementinedyke import route_events
-from clementinedyke.load import LoadReport
-from clementinedyke.route_types import RoutedEndpoint
+from clementinedyke.routing import events as route_events
+from clementinedyke.routing.load import LoadReport
+from clementinedyke.routing.types import RoutedEndpoint
 
 SERIES_STEP = 10_000
 SERVICES = ('chat', 'plain')
@@ -278,6 +278,6 @@
     if run.switches.own_work:
         return World(run).play()
     with mock.patch(
-        'clementinedyke.endpoint_table.LoadEstimate', UncorrectedLoad
+        'clementinedyke.routing.endpoint_table.LoadEstimate', UncorrectedLoad
     ):
         return World(run).play()
--- a/bench/sizing.py
+++ b/bench/sizing.py
@@ -17,16 +17,16 @@
 from typing import Any
 
 from bench.process_figures import read_processor_time, read_resident
-from clementinedyke.route_events import EndpointsChanged
-from clementinedyke.route_types import RoutedEndpoint
-from clementinedyke.router import RouterCore
-from clementinedyke.selection import RouterSettings
-from clementinedyke.subset import (
+from clementinedyke.routing.core import RouterCore
+from clementinedyke.routing.events import EndpointsChanged
+from clementinedyke.routing.selection import RouterSettings
+from clementinedyke.routing.subset import (
     Place,
     RingShare,
     find_share,
     select_subset,
 )
+from clementinedyke.routing.types import RoutedEndpoint
 
 #: A round of the largest subset takes 125 s; connections are opened in it.
 SETTLE_SECONDS = 40
--- a/src/clementinedyke/__init__.py
+++ b/src/clementinedyke/__init__.py
@@ -21,8 +21,8 @@
 from clementinedyke.quarantine import QuarantineCore, QuarantineSettings
 from clementinedyke.retry import RetryCore, RetryLimits
 from clementinedyke.roles import RolePlanner
-from clementinedyke.router import RouterCore
-from clementinedyke.selection import RouterSettings
+from clementinedyke.routing.core import RouterCore
+from clementinedyke.routing.selection import RouterSettings
 from clementinedyke.usage.closing import CloserCore
 from clementinedyke.usage.core import PartCore
 
--- a/src/clementinedyke/admission/component.py
+++ b/src/clementinedyke/admission/component.py
@@ -15,8 +15,8 @@
 from clementinedyke.components import Component
 from clementinedyke.http.message import RequestError
 from clementinedyke.records.directory import Directory
-from clementinedyke.room_report import compile_room_report
-from clementinedyke.router import RouterCore
+from clementinedyke.routing.core import RouterCore
+from clementinedyke.routing.room_report import compile_room_report
 
 #: Time to the start of a request whose service record sets no deadline.
 _DEFAULT_DEADLINE: Milliseconds = 10000
--- a/src/clementinedyke/admission/events.py
+++ b/src/clementinedyke/admission/events.py
@@ -5,7 +5,7 @@
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.codes import ResultCode
-from clementinedyke.route_types import Room
+from clementinedyke.routing.types import Room
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/admission/service.py
+++ b/src/clementinedyke/admission/service.py
@@ -13,7 +13,7 @@
 from clementinedyke.admission.rate_meter import RateMeter, ShareMeter
 from clementinedyke.clock import Milliseconds
 from clementinedyke.codes import ResultCode
-from clementinedyke.running_work import RunningWork
+from clementinedyke.routing.running_work import RunningWork
 
 _MILLISECONDS_PER_SECOND = 1000
 
--- a/src/clementinedyke/callers/outcome.py
+++ b/src/clementinedyke/callers/outcome.py
@@ -6,7 +6,7 @@
 from clementinedyke.clock import Milliseconds
 from clementinedyke.codes import ResultCode
 from clementinedyke.http.message import create_request_id
-from clementinedyke.route_types import RouteResult
+from clementinedyke.routing.types import RouteResult
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/callers/work.py
+++ b/src/clementinedyke/callers/work.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from clementinedyke.prefix_index import compute_block_hashes
+from clementinedyke.routing.prefix_index import compute_block_hashes
 
 #: A token is about four bytes of text.
 _BYTES_PER_TOKEN = 4
--- a/src/clementinedyke/evidence_component.py
+++ b/src/clementinedyke/evidence_component.py
@@ -25,7 +25,7 @@
     TableClient,
     Write,
 )
-from clementinedyke.routing_component import RoutingComponent
+from clementinedyke.routing.component import RoutingComponent
 
 SUSPECTS_TABLE = 'suspects'
 _TOPIC = 'suspects'
--- a/src/clementinedyke/operators/caller_outcomes.py
+++ b/src/clementinedyke/operators/caller_outcomes.py
@@ -7,7 +7,7 @@
     RequestOutcome,
     WeighedEndpoint,
 )
-from clementinedyke.route_types import RouteResult
+from clementinedyke.routing.types import RouteResult
 
 
 def describe_outcome(ended: CallerOutcome) -> RequestOutcome:
--- a/src/clementinedyke/request_path.py
+++ b/src/clementinedyke/request_path.py
@@ -19,13 +19,16 @@
 from clementinedyke.configuration.component import ConfigurationComponent
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.demand_component import DemandComponent
-from clementinedyke.endpoint_subset import PlannedServices, find_member_share
 from clementinedyke.endpoints.registry import EndpointRegistry
 from clementinedyke.evidence_component import EvidenceComponent
 from clementinedyke.http.client import HttpClient
 from clementinedyke.reference_platform.tables import TableClient
 from clementinedyke.retry_planner import RetryPlanner
-from clementinedyke.routing_component import RoutingComponent
+from clementinedyke.routing.component import RoutingComponent
+from clementinedyke.routing.endpoint_subset import (
+    PlannedServices,
+    find_member_share,
+)
 from clementinedyke.settings.core import Settings
 
 
--- a/src/clementinedyke/role_capacity.py
+++ b/src/clementinedyke/role_capacity.py
@@ -6,7 +6,7 @@
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.role_types import EngineProfile, ModelDemand
-from clementinedyke.route_types import Role
+from clementinedyke.routing.types import Role
 
 _TINY = 1e-6
 
--- a/src/clementinedyke/role_moves.py
+++ b/src/clementinedyke/role_moves.py
@@ -12,7 +12,7 @@
     PlannedEngine,
     PlannerSettings,
 )
-from clementinedyke.route_types import Role
+from clementinedyke.routing.types import Role
 
 _MILLISECONDS_PER_SECOND = 1000
 _Groups: TypeAlias = Mapping[str, Counter[Role]]
--- a/src/clementinedyke/role_types.py
+++ b/src/clementinedyke/role_types.py
@@ -5,7 +5,7 @@
 from typing import TypeAlias
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.route_types import Role
+from clementinedyke.routing.types import Role
 
 
 class EngineState(enum.Enum):
--- a/src/clementinedyke/roles.py
+++ b/src/clementinedyke/roles.py
@@ -21,7 +21,7 @@
     PlannerTicked,
     RoleOrder,
 )
-from clementinedyke.route_types import Role
+from clementinedyke.routing.types import Role
 
 
 class RolePlanner:
--- /dev/null
+++ b/src/clementinedyke/routing/__init__.py
@@ -0,0 +1,53 @@
+"""Choice of the endpoint of each request."""
+
+from clementinedyke.routing.core import (
+    RouterCore,
+)
+from clementinedyke.routing.events import (
+    CacheChanged,
+    EndpointRestarted,
+    EndpointsChanged,
+    FirstTokenReceived,
+    LoadReported,
+    PeerReported,
+    RequestCancelled,
+    RequestFailed,
+    RequestFinished,
+    RequestStarted,
+)
+from clementinedyke.routing.types import (
+    Candidate,
+    CandidateState,
+    Choice,
+    ChoiceReason,
+    NoChoice,
+    NoChoiceReason,
+    Role,
+    Room,
+    RoutedEndpoint,
+    RouteRequest,
+)
+
+__all__ = (
+    'CacheChanged',
+    'Candidate',
+    'CandidateState',
+    'Choice',
+    'ChoiceReason',
+    'EndpointRestarted',
+    'EndpointsChanged',
+    'FirstTokenReceived',
+    'LoadReported',
+    'NoChoice',
+    'NoChoiceReason',
+    'PeerReported',
+    'RequestCancelled',
+    'RequestFailed',
+    'RequestFinished',
+    'RequestStarted',
+    'Role',
+    'Room',
+    'RouteRequest',
+    'RoutedEndpoint',
+    'RouterCore',
+)
--- a/src/clementinedyke/routing_component.py
+++ b/src/clementinedyke/routing/component.py
@@ -8,26 +8,27 @@
 import msgspec
 import trio
 
-from clementinedyke import quarantine, route_events
+from clementinedyke import quarantine
 from clementinedyke.callers.context import RequestContext, SelectedEndpoint
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.codes import ResultCode
 from clementinedyke.components import Component
-from clementinedyke.endpoint_subset import EndpointSubset
 from clementinedyke.endpoints.registry import Endpoint, EndpointRegistry
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
 from clementinedyke.http.client import HttpRequest
-from clementinedyke.load import LoadReport
 from clementinedyke.role_types import EngineState, PlannedEngine
-from clementinedyke.route_types import (
+from clementinedyke.routing import events as route_events
+from clementinedyke.routing.core import RouterCore
+from clementinedyke.routing.endpoint_subset import EndpointSubset
+from clementinedyke.routing.load import LoadReport
+from clementinedyke.routing.selection import RouterSettings
+from clementinedyke.routing.subset import RingShare
+from clementinedyke.routing.types import (
     NoChoice,
     Role,
     RoutedEndpoint,
     RouteRequest,
 )
-from clementinedyke.router import RouterCore
-from clementinedyke.selection import RouterSettings
-from clementinedyke.subset import RingShare
 
 #: Endpoints that are asked at the same time, and the wait after each batch.
 #: The mean is 4.8 calls/s, so a larger subset is asked less often and the
--- a/src/clementinedyke/router.py
+++ b/src/clementinedyke/routing/core.py
@@ -4,11 +4,8 @@
 from functools import singledispatchmethod
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.endpoint_table import EndpointTable
-from clementinedyke.in_flight import InFlightTable
-from clementinedyke.peer_work import EndpointWork
-from clementinedyke.prefix_index import CacheView
-from clementinedyke.route_events import (
+from clementinedyke.routing.endpoint_table import EndpointTable
+from clementinedyke.routing.events import (
     CacheChanged,
     EndpointRestarted,
     EndpointsChanged,
@@ -20,14 +17,17 @@
     RequestFinished,
     RequestStarted,
 )
-from clementinedyke.route_types import (
+from clementinedyke.routing.in_flight import InFlightTable
+from clementinedyke.routing.peer_work import EndpointWork
+from clementinedyke.routing.prefix_index import CacheView
+from clementinedyke.routing.selection import RouterSettings, Selector
+from clementinedyke.routing.types import (
     NoChoice,
     NoChoiceReason,
     Room,
     RouteRequest,
     RouteResult,
 )
-from clementinedyke.selection import RouterSettings, Selector
 
 
 class RouterCore:
@@ -111,7 +111,7 @@
     def handle(self, event: object, now: Milliseconds) -> list[object]:
         """Take an event; the router never asks for an action.
 
-        :param event: event of :mod:`clementinedyke.route_events`.
+        :param event: event of :mod:`clementinedyke.routing.events`.
         :param now: current time.
         :raises TypeError: if the event is of another type.
         """
--- a/src/clementinedyke/endpoint_subset.py
+++ b/src/clementinedyke/routing/endpoint_subset.py
@@ -6,7 +6,7 @@
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.endpoints.registry import Endpoint
 from clementinedyke.leases.candidates import CandidateTable
-from clementinedyke.subset import (
+from clementinedyke.routing.subset import (
     Place,
     RingShare,
     count_sharers,
--- a/src/clementinedyke/endpoint_table.py
+++ b/src/clementinedyke/routing/endpoint_table.py
@@ -4,9 +4,9 @@
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.health import HealthLimits, HealthTable
-from clementinedyke.load import Load, LoadEstimate
-from clementinedyke.peer_work import EndpointWork, PeerWork
-from clementinedyke.route_types import Role, Room, RoutedEndpoint
+from clementinedyke.routing.load import Load, LoadEstimate
+from clementinedyke.routing.peer_work import EndpointWork, PeerWork
+from clementinedyke.routing.types import Role, Room, RoutedEndpoint
 
 
 class ServiceState:
--- a/src/clementinedyke/route_events.py
+++ b/src/clementinedyke/routing/events.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.load import LoadReport
-from clementinedyke.peer_work import EndpointWork
-from clementinedyke.route_types import Choice, RoutedEndpoint, RouteRequest
+from clementinedyke.routing.load import LoadReport
+from clementinedyke.routing.peer_work import EndpointWork
+from clementinedyke.routing.types import Choice, RoutedEndpoint, RouteRequest
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/in_flight.py
+++ b/src/clementinedyke/routing/in_flight.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass, replace
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.load import LoadEstimate
-from clementinedyke.route_types import Choice, RouteRequest
+from clementinedyke.routing.load import LoadEstimate
+from clementinedyke.routing.types import Choice, RouteRequest
 
 
 @dataclass(slots=True)
--- a/src/clementinedyke/peer_work.py
+++ b/src/clementinedyke/routing/peer_work.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.load import Load
+from clementinedyke.routing.load import Load
 
 #: News of a peer that are older than this are no better than load reports.
 _FRESH_TIME: Milliseconds = 1000
--- a/src/clementinedyke/room_report.py
+++ b/src/clementinedyke/routing/room_report.py
@@ -2,7 +2,7 @@
 
 from clementinedyke.admission.events import RoomReported
 from clementinedyke.clock import Milliseconds
-from clementinedyke.router import RouterCore
+from clementinedyke.routing.core import RouterCore
 
 #: Part of the endpoints' limits that customers over their share may use.
 _EXCESS_SHARE = 0.5
--- a/src/clementinedyke/running_work.py
+++ b/src/clementinedyke/routing/running_work.py
@@ -2,7 +2,7 @@
 
 import math
 
-from clementinedyke.route_types import Room
+from clementinedyke.routing.types import Room
 
 _UNKNOWN = Room(math.inf, math.inf)
 
--- a/src/clementinedyke/selection.py
+++ b/src/clementinedyke/routing/selection.py
@@ -5,11 +5,11 @@
 from dataclasses import dataclass, field
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.endpoint_table import ServiceState
 from clementinedyke.health import HealthLimits, HealthState
-from clementinedyke.load import Load
-from clementinedyke.prefix_index import BLOCK_TOKENS
-from clementinedyke.route_types import (
+from clementinedyke.routing.endpoint_table import ServiceState
+from clementinedyke.routing.load import Load
+from clementinedyke.routing.prefix_index import BLOCK_TOKENS
+from clementinedyke.routing.types import (
     Candidate,
     CandidateState,
     Choice,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -15,7 +15,7 @@
 from clementinedyke.admission.fair_queue import FairQueue, QueuedRequest
 from clementinedyke.admission.service import AdmissionLimits
 from clementinedyke.codes import ResultCode
-from clementinedyke.route_types import Room
+from clementinedyke.routing.types import Room
 
 _CUSTOMERS = ('a', 'b', 'c')
 _WEIGHTS = {'a': 1, 'b': 2, 'c': 4}
--- a/tests/test_engine_capacity.py
+++ b/tests/test_engine_capacity.py
@@ -6,7 +6,7 @@
 
 from clementinedyke.clock import MonotonicClock
 from clementinedyke.endpoints.registry import EndpointRegistry
-from clementinedyke.routing_component import RoutingComponent
+from clementinedyke.routing.component import RoutingComponent
 from clementinedyke.standins.engine import EngineCapacity, EngineStandin
 from http_tools import HOST
 
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -7,7 +7,7 @@
 
 from clementinedyke import role_types as types
 from clementinedyke.roles import RolePlanner
-from clementinedyke.route_types import Role
+from clementinedyke.routing.types import Role
 
 _MODEL = 'm'
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -11,11 +11,16 @@
     rule,
 )
 
-from clementinedyke import route_events as events
-from clementinedyke.load import LoadReport
-from clementinedyke.peer_work import EndpointWork
-from clementinedyke.prefix_index import PrefixIndex, compute_block_hashes
-from clementinedyke.route_types import (
+from clementinedyke.routing import events
+from clementinedyke.routing.core import RouterCore
+from clementinedyke.routing.load import LoadReport
+from clementinedyke.routing.peer_work import EndpointWork
+from clementinedyke.routing.prefix_index import (
+    PrefixIndex,
+    compute_block_hashes,
+)
+from clementinedyke.routing.selection import RouterSettings
+from clementinedyke.routing.types import (
     CandidateState,
     Choice,
     ChoiceReason,
@@ -24,8 +29,6 @@
     RoutedEndpoint,
     RouteRequest,
 )
-from clementinedyke.router import RouterCore
-from clementinedyke.selection import RouterSettings
 
 
 def build_endpoint(number: int, **fields) -> RoutedEndpoint:
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -5,9 +5,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from clementinedyke.endpoint_subset import EndpointSubset
 from clementinedyke.endpoints.registry import Endpoint
-from clementinedyke.subset import (
+from clementinedyke.routing.endpoint_subset import EndpointSubset
+from clementinedyke.routing.subset import (
     Place,
     RingShare,
     compute_windows,
