--- a/bench/policy_quarantine.py
+++ b/bench/policy_quarantine.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from bench.policy_load import Request
-from clementinedyke import quarantine
+from clementinedyke.quarantine import core as quarantine
 
 EVIDENCE_LAG = 300
 
--- a/src/clementinedyke/__init__.py
+++ b/src/clementinedyke/__init__.py
@@ -18,7 +18,7 @@
 from clementinedyke.leases.core import LeaseCore
 from clementinedyke.members.core import Membership
 from clementinedyke.orders.core import OutboxCore
-from clementinedyke.quarantine import QuarantineCore, QuarantineSettings
+from clementinedyke.quarantine.core import QuarantineCore, QuarantineSettings
 from clementinedyke.retry import RetryCore, RetryLimits
 from clementinedyke.roles import RolePlanner
 from clementinedyke.routing.core import RouterCore
--- a/src/clementinedyke/callers/dispatch.py
+++ b/src/clementinedyke/callers/dispatch.py
@@ -16,7 +16,7 @@
 )
 from clementinedyke.http.client import HttpRequest
 from clementinedyke.http.server import RequestError
-from clementinedyke.quarantine import Verdict
+from clementinedyke.quarantine.core import Verdict
 
 _MILLISECONDS_PER_SECOND = 1000
 #: Longest wait of a suspect for an endpoint without another suspect.
--- a/src/clementinedyke/callers/rules.py
+++ b/src/clementinedyke/callers/rules.py
@@ -3,7 +3,7 @@
 from clementinedyke.callers.context import RequestContext
 from clementinedyke.codes import ResultCode
 from clementinedyke.http.message import RequestError
-from clementinedyke.quarantine import Verdict
+from clementinedyke.quarantine.core import Verdict
 
 _HELD_RETRY_AFTER = 2000
 
--- a/src/clementinedyke/callers/steps.py
+++ b/src/clementinedyke/callers/steps.py
@@ -20,7 +20,7 @@
 from clementinedyke.clock import Clock, Milliseconds, MonotonicClock
 from clementinedyke.codes import ResultCode
 from clementinedyke.endpoints.registry import EndpointRegistry
-from clementinedyke.quarantine import Verdict
+from clementinedyke.quarantine.core import Verdict
 
 #: Calls of the registry's rotation until an endpoint not yet tried is found.
 _MAX_ROTATION = 64
--- a/src/clementinedyke/evidence_component.py
+++ b/src/clementinedyke/quarantine/component.py
@@ -17,7 +17,7 @@
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.daemons.component import Change
 from clementinedyke.members.events import PayloadChanged
-from clementinedyke.quarantine import Evidence
+from clementinedyke.quarantine.core import Evidence
 from clementinedyke.reference_platform.tables import (
     ABSENT,
     Commit,
--- a/src/clementinedyke/request_path.py
+++ b/src/clementinedyke/request_path.py
@@ -20,8 +20,8 @@
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.demand_component import DemandComponent
 from clementinedyke.endpoints.registry import EndpointRegistry
-from clementinedyke.evidence_component import EvidenceComponent
 from clementinedyke.http.client import HttpClient
+from clementinedyke.quarantine.component import EvidenceComponent
 from clementinedyke.reference_platform.tables import TableClient
 from clementinedyke.retry_planner import RetryPlanner
 from clementinedyke.routing.component import RoutingComponent
--- a/src/clementinedyke/routing/component.py
+++ b/src/clementinedyke/routing/component.py
@@ -8,7 +8,6 @@
 import msgspec
 import trio
 
-from clementinedyke import quarantine
 from clementinedyke.callers.context import RequestContext, SelectedEndpoint
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.codes import ResultCode
@@ -16,6 +15,7 @@
 from clementinedyke.endpoints.registry import Endpoint, EndpointRegistry
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
 from clementinedyke.http.client import HttpRequest
+from clementinedyke.quarantine import core as quarantine
 from clementinedyke.role_types import EngineState, PlannedEngine
 from clementinedyke.routing import events as route_events
 from clementinedyke.routing.core import RouterCore
--- a/tests/test_daemon_news.py
+++ b/tests/test_daemon_news.py
@@ -11,7 +11,7 @@
 from clementinedyke.control_messages import Payload
 from clementinedyke.demand import Demand, encode_demands, sum_demand
 from clementinedyke.digest_values import VALUE_LIMIT
-from clementinedyke.quarantine import Verdict
+from clementinedyke.quarantine.core import Verdict
 from clementinedyke.records.core import CustomerRecord, ServiceRecord
 from clementinedyke.records.directory import Directory
 from daemon_scene import CRASH, run_scene, wait_for
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -12,7 +12,7 @@
     run_state_machine_as_test,
 )
 
-from clementinedyke.quarantine import (
+from clementinedyke.quarantine.core import (
     EndpointLost,
     EndpointSeen,
     Evidence,
