--- a/bench/policy_daemons.py
+++ b/bench/policy_daemons.py
@@ -10,10 +10,10 @@
 from bench.policy_load import PREFILL_RATE
 from bench.policy_outcome import Ending, Outcome
 from bench.policy_quarantine import Guard
-from clementinedyke import retry
 from clementinedyke.admission import events as admission_events
 from clementinedyke.admission.core import AdmissionCore
 from clementinedyke.admission.service import AdmissionLimits
+from clementinedyke.retries import core as retry
 from clementinedyke.routing import events as route_events
 from clementinedyke.routing.core import RouterCore
 from clementinedyke.routing.load import Load, LoadEstimate
--- a/src/clementinedyke/__init__.py
+++ b/src/clementinedyke/__init__.py
@@ -19,7 +19,7 @@
 from clementinedyke.members.core import Membership
 from clementinedyke.orders.core import OutboxCore
 from clementinedyke.quarantine.core import QuarantineCore, QuarantineSettings
-from clementinedyke.retry import RetryCore, RetryLimits
+from clementinedyke.retries.core import RetryCore, RetryLimits
 from clementinedyke.roles import RolePlanner
 from clementinedyke.routing.core import RouterCore
 from clementinedyke.routing.selection import RouterSettings
--- a/src/clementinedyke/request_path.py
+++ b/src/clementinedyke/request_path.py
@@ -23,7 +23,7 @@
 from clementinedyke.http.client import HttpClient
 from clementinedyke.quarantine.component import EvidenceComponent
 from clementinedyke.reference_platform.tables import TableClient
-from clementinedyke.retry_planner import RetryPlanner
+from clementinedyke.retries.planner import RetryPlanner
 from clementinedyke.routing.component import RoutingComponent
 from clementinedyke.routing.endpoint_subset import (
     PlannedServices,
--- /dev/null
+++ b/src/clementinedyke/retries/__init__.py
@@ -0,0 +1,21 @@
+"""Whether and when a failed request is sent again."""
+
+from clementinedyke.retries.core import (
+    AttemptFailed,
+    AttemptSucceeded,
+    GiveUp,
+    GiveUpReason,
+    Retry,
+    RetryCore,
+    RetryLimits,
+)
+
+__all__ = (
+    'AttemptFailed',
+    'AttemptSucceeded',
+    'GiveUp',
+    'GiveUpReason',
+    'Retry',
+    'RetryCore',
+    'RetryLimits',
+)
--- a/src/clementinedyke/retry_planner.py
+++ b/src/clementinedyke/retries/planner.py
@@ -5,7 +5,7 @@
 from clementinedyke.callers.context import RequestContext
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.codes import ExecutionState, ResultCode, get_details
-from clementinedyke.retry import (
+from clementinedyke.retries.core import (
     AttemptFailed,
     AttemptSucceeded,
     Retry,
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -4,7 +4,7 @@
 
 from hypothesis import given, strategies
 
-from clementinedyke.retry import (
+from clementinedyke.retries.core import (
     AttemptFailed,
     AttemptSucceeded,
     GiveUp,
