--- a/bench/policy_cost_cases.py
+++ b/bench/policy_cost_cases.py
@@ -5,8 +5,8 @@
 from clementinedyke.admission import events as admission_events
 from clementinedyke.admission.core import AdmissionCore
 from clementinedyke.admission.service import AdmissionLimits
-from clementinedyke.capacity import CapacityPlanner
-from clementinedyke.capacity_types import (
+from clementinedyke.capacity.core import CapacityPlanner
+from clementinedyke.capacity.types import (
     CapacitySettings,
     CapacityTicked,
     NeedReported,
--- a/bench/policy_planners.py
+++ b/bench/policy_planners.py
@@ -4,8 +4,9 @@
 from typing import Any
 
 from bench.policy_bound import PROFILE
-from clementinedyke import capacity_types, role_types
-from clementinedyke.capacity import CapacityPlanner
+from clementinedyke import role_types
+from clementinedyke.capacity import types as capacity_types
+from clementinedyke.capacity.core import CapacityPlanner
 from clementinedyke.roles import RolePlanner
 from clementinedyke.routing import events as route_events
 
--- a/src/clementinedyke/__init__.py
+++ b/src/clementinedyke/__init__.py
@@ -7,7 +7,7 @@
 from clementinedyke.admission.core import AdmissionCore
 from clementinedyke.admission.service import AdmissionLimits
 from clementinedyke.application import Application
-from clementinedyke.capacity import CapacityPlanner
+from clementinedyke.capacity.core import CapacityPlanner
 from clementinedyke.claims.core import ClaimCore, ClaimSettings
 from clementinedyke.claims.messages import ClaimRequested
 from clementinedyke.clock import Clock, ManualClock, MonotonicClock
--- a/src/clementinedyke/authority/planner.py
+++ b/src/clementinedyke/authority/planner.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
-from clementinedyke.capacity_wishes import CapacityWishes
+from clementinedyke.capacity.demand import Demand
+from clementinedyke.capacity.wishes import CapacityWishes
 from clementinedyke.clock import Clock, Milliseconds
-from clementinedyke.demand import Demand
 from clementinedyke.endpoints.registry import Endpoint
 from clementinedyke.leases.core import LeaseCore
 from clementinedyke.leases.types import Fencing
--- /dev/null
+++ b/src/clementinedyke/capacity/__init__.py
@@ -0,0 +1,35 @@
+"""Engines to order and to return, and the demand for them."""
+
+from clementinedyke.capacity.core import (
+    CapacityPlanner,
+)
+from clementinedyke.capacity.types import (
+    CapacitySettings,
+    CapacityTicked,
+    EndpointsHeld,
+    EndpointState,
+    HeldEndpoint,
+    NeedReported,
+    OffersChanged,
+    OrderEndpoint,
+    OrderUnavailable,
+    PriceClass,
+    ReturnEndpoint,
+    ZoneOffer,
+)
+
+__all__ = (
+    'CapacityPlanner',
+    'CapacitySettings',
+    'CapacityTicked',
+    'EndpointState',
+    'EndpointsHeld',
+    'HeldEndpoint',
+    'NeedReported',
+    'OffersChanged',
+    'OrderEndpoint',
+    'OrderUnavailable',
+    'PriceClass',
+    'ReturnEndpoint',
+    'ZoneOffer',
+)
--- a/src/clementinedyke/capacity.py
+++ b/src/clementinedyke/capacity/core.py
@@ -5,7 +5,7 @@
 from functools import singledispatchmethod
 from typing import TypeAlias
 
-from clementinedyke.capacity_types import (
+from clementinedyke.capacity.types import (
     CapacityOrder,
     CapacitySettings,
     CapacityTicked,
@@ -49,7 +49,7 @@
     def handle(self, event: object, now: Milliseconds) -> list[CapacityOrder]:
         """Take an event and return the orders to send.
 
-        :param event: event of :mod:`clementinedyke.capacity_types`.
+        :param event: event of :mod:`clementinedyke.capacity.types`.
         :param now: current time.
         :raises TypeError: if the event is of another type.
         """
--- a/src/clementinedyke/demand_component.py
+++ b/src/clementinedyke/capacity/demand_component.py
@@ -3,16 +3,16 @@
 import trio
 
 from clementinedyke.callers import RequestContext
-from clementinedyke.clock import Clock, Milliseconds
-from clementinedyke.components import Component
-from clementinedyke.daemons import ControlComponent
-from clementinedyke.demand import (
+from clementinedyke.capacity.demand import (
     DEMAND_TOPIC,
     Demand,
     DemandMeter,
     encode_demands,
     sum_demand,
 )
+from clementinedyke.clock import Clock, Milliseconds
+from clementinedyke.components import Component
+from clementinedyke.daemons import ControlComponent
 
 _INTERVAL: Milliseconds = 2000
 #: Each value reaches every daemon: 330 daemons that publish 120 bytes every
--- a/src/clementinedyke/capacity_wishes.py
+++ b/src/clementinedyke/capacity/wishes.py
@@ -4,8 +4,9 @@
 from collections import Counter
 from collections.abc import Iterable, Sequence
 
-from clementinedyke.capacity import CapacityPlanner
-from clementinedyke.capacity_types import (
+from clementinedyke.capacity.core import CapacityPlanner
+from clementinedyke.capacity.demand import Demand
+from clementinedyke.capacity.types import (
     CapacitySettings,
     CapacityTicked,
     EndpointsHeld,
@@ -20,7 +21,6 @@
     ZoneOffer,
 )
 from clementinedyke.clock import Milliseconds
-from clementinedyke.demand import Demand
 from clementinedyke.endpoints.registry import Endpoint
 from clementinedyke.leases.types import Fencing
 from clementinedyke.orders.component import OutboxComponent
--- a/src/clementinedyke/request_path.py
+++ b/src/clementinedyke/request_path.py
@@ -13,12 +13,12 @@
 )
 from clementinedyke.callers.outcome import OutcomeObserver, UsageObserver
 from clementinedyke.callers.port import get_dispatch_limits
+from clementinedyke.capacity.demand_component import DemandComponent
 from clementinedyke.claims.component import ClaimComponent
 from clementinedyke.clock import Clock
 from clementinedyke.components import Component
 from clementinedyke.configuration.component import ConfigurationComponent
 from clementinedyke.daemons import ControlComponent
-from clementinedyke.demand_component import DemandComponent
 from clementinedyke.endpoints.registry import EndpointRegistry
 from clementinedyke.http.client import HttpClient
 from clementinedyke.quarantine.component import EvidenceComponent
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -4,8 +4,8 @@
 
 from hypothesis import given, strategies
 
-from clementinedyke import capacity_types as types
-from clementinedyke.capacity import CapacityPlanner
+from clementinedyke.capacity import types
+from clementinedyke.capacity.core import CapacityPlanner
 
 _ZONES = ('a', 'b', 'c', 'd')
 _TICK = types.CapacityTicked()
