--- a/bench/policy_bound.py
+++ b/bench/policy_bound.py
@@ -4,8 +4,8 @@
 from collections import Counter
 
 from bench.policy_load import DECODE_RATE, PREFILL_RATE, Request
-from clementinedyke.role_capacity import get_served_share
-from clementinedyke.role_types import EngineProfile, ModelDemand
+from clementinedyke.roles.capacity import get_served_share
+from clementinedyke.roles.types import EngineProfile, ModelDemand
 from clementinedyke.routing.types import Role
 
 #: Rates of the fakes: 2,048 prompt tokens or 64 streams per step; mixed steps
--- a/bench/policy_cost_cases.py
+++ b/bench/policy_cost_cases.py
@@ -13,7 +13,8 @@
     OffersChanged,
     ZoneOffer,
 )
-from clementinedyke.role_types import (
+from clementinedyke.roles.core import RolePlanner
+from clementinedyke.roles.types import (
     DemandReported,
     EnginesReported,
     ModelDemand,
@@ -21,7 +22,6 @@
     PlannerSettings,
     PlannerTicked,
 )
-from clementinedyke.roles import RolePlanner
 from clementinedyke.routing import events as route_events
 from clementinedyke.routing.core import RouterCore
 from clementinedyke.routing.load import LoadReport
--- a/bench/policy_fleet.py
+++ b/bench/policy_fleet.py
@@ -6,8 +6,8 @@
 from bench.fakes import FakeEngine, FakeService, Timeline
 from bench.policy_bound import PROFILE
 from bench.policy_load import PREFILL_RATE
-from clementinedyke.role_capacity import get_served_share
-from clementinedyke.role_types import ModelDemand
+from clementinedyke.roles.capacity import get_served_share
+from clementinedyke.roles.types import ModelDemand
 from clementinedyke.routing.types import Role, RoutedEndpoint
 
 MAX_PROMPT_TOKENS = 16_000
--- a/bench/policy_planners.py
+++ b/bench/policy_planners.py
@@ -4,10 +4,10 @@
 from typing import Any
 
 from bench.policy_bound import PROFILE
-from clementinedyke import role_types
 from clementinedyke.capacity import types as capacity_types
 from clementinedyke.capacity.core import CapacityPlanner
-from clementinedyke.roles import RolePlanner
+from clementinedyke.roles import types as role_types
+from clementinedyke.roles.core import RolePlanner
 from clementinedyke.routing import events as route_events
 
 SECOND = 1000
--- a/src/clementinedyke/__init__.py
+++ b/src/clementinedyke/__init__.py
@@ -20,7 +20,7 @@
 from clementinedyke.orders.core import OutboxCore
 from clementinedyke.quarantine.core import QuarantineCore, QuarantineSettings
 from clementinedyke.retries.core import RetryCore, RetryLimits
-from clementinedyke.roles import RolePlanner
+from clementinedyke.roles.core import RolePlanner
 from clementinedyke.routing.core import RouterCore
 from clementinedyke.routing.selection import RouterSettings
 from clementinedyke.usage.closing import CloserCore
--- a/src/clementinedyke/authority/planner.py
+++ b/src/clementinedyke/authority/planner.py
@@ -13,7 +13,8 @@
 from clementinedyke.orders.types import OrderKind
 from clementinedyke.records.core import ServiceRecord
 from clementinedyke.records.directory import Directory
-from clementinedyke.role_types import (
+from clementinedyke.roles.core import RolePlanner
+from clementinedyke.roles.types import (
     ChangeEnded,
     ChangeRole,
     DemandReported,
@@ -26,7 +27,6 @@
     PlannerTicked,
     RoleOrder,
 )
-from clementinedyke.roles import RolePlanner
 
 _CAPACITY_INTERVAL: Milliseconds = 10_000
 
--- a/src/clementinedyke/capacity/wishes.py
+++ b/src/clementinedyke/capacity/wishes.py
@@ -27,7 +27,7 @@
 from clementinedyke.orders.types import OrderKind
 from clementinedyke.records.core import CapacityRecord
 from clementinedyke.records.directory import Directory
-from clementinedyke.role_types import PlannerSettings
+from clementinedyke.roles.types import PlannerSettings
 
 #: Begins the names of targets at the endpoint interface.
 PLATFORM_PREFIX = 'platform:'
--- a/src/clementinedyke/role_capacity.py
+++ b/src/clementinedyke/roles/capacity.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.role_types import EngineProfile, ModelDemand
+from clementinedyke.roles.types import EngineProfile, ModelDemand
 from clementinedyke.routing.types import Role
 
 _TINY = 1e-6
--- a/src/clementinedyke/roles.py
+++ b/src/clementinedyke/roles/core.py
@@ -5,9 +5,9 @@
 from functools import singledispatchmethod
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.role_capacity import DemandTable
-from clementinedyke.role_moves import Move, MoveEvaluator
-from clementinedyke.role_types import (
+from clementinedyke.roles.capacity import DemandTable
+from clementinedyke.roles.moves import Move, MoveEvaluator
+from clementinedyke.roles.types import (
     ChangeEnded,
     ChangeRole,
     DemandReported,
@@ -59,7 +59,7 @@
     def handle(self, event: object, now: Milliseconds) -> list[RoleOrder]:
         """Take an event and return the orders to send.
 
-        :param event: event of :mod:`clementinedyke.role_types`.
+        :param event: event of :mod:`clementinedyke.roles.types`.
         :param now: current time.
         :raises TypeError: if the event is of another type.
         """
--- a/src/clementinedyke/role_moves.py
+++ b/src/clementinedyke/roles/moves.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from typing import TypeAlias
 
-from clementinedyke.role_capacity import get_served_share
-from clementinedyke.role_types import (
+from clementinedyke.roles.capacity import get_served_share
+from clementinedyke.roles.types import (
     EngineState,
     ModelDemand,
     PlannedEngine,
--- a/src/clementinedyke/routing/component.py
+++ b/src/clementinedyke/routing/component.py
@@ -16,7 +16,7 @@
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
 from clementinedyke.http.client import HttpRequest
 from clementinedyke.quarantine import core as quarantine
-from clementinedyke.role_types import EngineState, PlannedEngine
+from clementinedyke.roles.types import EngineState, PlannedEngine
 from clementinedyke.routing import events as route_events
 from clementinedyke.routing.core import RouterCore
 from clementinedyke.routing.endpoint_subset import EndpointSubset
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -5,8 +5,8 @@
 from hypothesis import settings, strategies
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from clementinedyke import role_types as types
-from clementinedyke.roles import RolePlanner
+from clementinedyke.roles import types
+from clementinedyke.roles.core import RolePlanner
 from clementinedyke.routing.types import Role
 
 _MODEL = 'm'
