--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -18,7 +18,7 @@
 import trio_asyncio
 
 from clementinedyke.clock import Milliseconds, MonotonicClock
-from clementinedyke.control_messages import Ack, Message, Ping
+from clementinedyke.control.messages import Ack, Message, Ping
 from clementinedyke.daemons.links import LinkPool
 from clementinedyke.daemons.options import ControlOptions
 from clementinedyke.daemons.server import ControlServer, bind_daemon_port
--- a/bench/sizing_peers.py
+++ b/bench/sizing_peers.py
@@ -19,7 +19,7 @@
 from bench.cluster import Relay
 from clementinedyke.clock import MonotonicClock
 from clementinedyke.configuration.messages import Advert, ListAdvert
-from clementinedyke.control_messages import (
+from clementinedyke.control.messages import (
     Ack,
     Member,
     Message,
--- a/src/clementinedyke/admission/share_component.py
+++ b/src/clementinedyke/admission/share_component.py
@@ -11,7 +11,7 @@
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.components import Component
 from clementinedyke.configuration.component import ConfigurationComponent
-from clementinedyke.control_messages import Payload
+from clementinedyke.control.messages import Payload
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.daemons.component import Change
 from clementinedyke.http.message import RequestError
--- a/src/clementinedyke/admission/shares.py
+++ b/src/clementinedyke/admission/shares.py
@@ -10,12 +10,12 @@
 from collections.abc import Iterable, Iterator
 
 from clementinedyke.admission.events import CustomerTokens, RemoteConsumed
-from clementinedyke.control_messages import Payload
-from clementinedyke.digest_values import (
+from clementinedyke.control.digest_values import (
     AmountCodec,
     compute_digest,
     select_largest,
 )
+from clementinedyke.control.messages import Payload
 from clementinedyke.records.directory import Directory
 
 SHARES_TOPIC = 'shares'
--- a/src/clementinedyke/authority/component.py
+++ b/src/clementinedyke/authority/component.py
@@ -10,7 +10,7 @@
 from clementinedyke.callers import TokenUsage
 from clementinedyke.clock import Milliseconds
 from clementinedyke.components import Component
-from clementinedyke.control_messages import Member
+from clementinedyke.control.messages import Member
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.http.message import RequestError
 from clementinedyke.leases.candidates import CandidateTable
--- a/src/clementinedyke/capacity/demand.py
+++ b/src/clementinedyke/capacity/demand.py
@@ -5,12 +5,12 @@
 from dataclasses import dataclass
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.control_messages import Payload
-from clementinedyke.digest_values import (
+from clementinedyke.control.digest_values import (
     AmountCodec,
     compute_digest,
     select_largest,
 )
+from clementinedyke.control.messages import Payload
 
 DEMAND_TOPIC = 'demand'
 #: Requests arrive at random; over less time the rates are mostly noise.
--- a/src/clementinedyke/configuration/component.py
+++ b/src/clementinedyke/configuration/component.py
@@ -6,12 +6,12 @@
 from clementinedyke.codes import ResultCode
 from clementinedyke.components import Component
 from clementinedyke.configuration.events import ListChanged
+from clementinedyke.control.platform_lists import PlatformList
 from clementinedyke.daemons import ControlComponent, DirectorySource
 from clementinedyke.daemons.component import Change
 from clementinedyke.endpoints.registry import EndpointRegistry
 from clementinedyke.exceptions import ProtocolError
 from clementinedyke.http.message import RequestError
-from clementinedyke.platform_lists import PlatformList
 from clementinedyke.records.directory import Directory
 
 
--- a/src/clementinedyke/configuration/core.py
+++ b/src/clementinedyke/configuration/core.py
@@ -17,9 +17,9 @@
     ConfigurationAction,
     ConfigurationFeed,
 )
-from clementinedyke.control_messages import Member
+from clementinedyke.control.messages import Member
+from clementinedyke.control.watchers import PollSchedule, select_watchers
 from clementinedyke.members.events import Received, Tick
-from clementinedyke.watchers import PollSchedule, select_watchers
 
 
 class ConfigurationCore:
--- a/src/clementinedyke/configuration/events.py
+++ b/src/clementinedyke/configuration/events.py
@@ -5,7 +5,7 @@
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.configuration.messages import Advert, ConfigurationRow
-from clementinedyke.control_messages import Member
+from clementinedyke.control.messages import Member
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/configuration/feed.py
+++ b/src/clementinedyke/configuration/feed.py
@@ -16,7 +16,7 @@
     FetchChanges,
     Hint,
 )
-from clementinedyke.control_messages import Member
+from clementinedyke.control.messages import Member
 from clementinedyke.members.events import Send
 from clementinedyke.records.rows import Confirmation, RecordRows, Requests
 
--- /dev/null
+++ b/src/clementinedyke/control/__init__.py
@@ -0,0 +1,1 @@
+"""What daemons publish to one another and report to operators."""
--- a/src/clementinedyke/daemon_reports.py
+++ b/src/clementinedyke/control/daemon_reports.py
@@ -10,7 +10,7 @@
 from clementinedyke.callers import RequestOutcome
 from clementinedyke.clock import Clock
 from clementinedyke.configuration.component import ConfigurationComponent
-from clementinedyke.control_report import ConfigurationReport, MemberReport
+from clementinedyke.control.report import ConfigurationReport, MemberReport
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.endpoints.registry import EndpointRegistry
 from clementinedyke.operators import OperatorReports
--- a/src/clementinedyke/control_options.py
+++ b/src/clementinedyke/control/options.py
@@ -3,7 +3,7 @@
 import time
 
 from clementinedyke.configuration.events import ConfigurationOptions
-from clementinedyke.control_messages import Member
+from clementinedyke.control.messages import Member
 from clementinedyke.daemons import ControlOptions
 from clementinedyke.members.events import MembershipOptions
 from clementinedyke.settings.core import Settings
--- a/src/clementinedyke/payloads.py
+++ b/src/clementinedyke/control/payloads.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator
 from itertools import islice
 
-from clementinedyke.control_messages import Member, Payload
+from clementinedyke.control.messages import Member, Payload
 from clementinedyke.members.events import (
     Action,
     MembershipOptions,
--- a/src/clementinedyke/watchers.py
+++ b/src/clementinedyke/control/watchers.py
@@ -6,7 +6,7 @@
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.configuration.events import ConfigurationOptions
-from clementinedyke.control_messages import Member
+from clementinedyke.control.messages import Member
 
 _WEIGHT_BYTES = 8
 #: Jitter keeps the watchers from polling in step.
--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -12,11 +12,11 @@
 from clementinedyke.callers.port import CallerPort
 from clementinedyke.clock import MonotonicClock
 from clementinedyke.configuration.component import ConfigurationComponent
-from clementinedyke.control_options import (
+from clementinedyke.control.daemon_reports import DaemonReports
+from clementinedyke.control.options import (
     compile_control_options,
     describe_member,
 )
-from clementinedyke.daemon_reports import DaemonReports
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.daemons.platform_reader import PlatformReader
 from clementinedyke.endpoints.registry import EndpointRegistry
--- a/src/clementinedyke/daemons/codec.py
+++ b/src/clementinedyke/daemons/codec.py
@@ -6,7 +6,7 @@
 import msgspec
 from grpclib.encoding.base import CodecBase
 
-from clementinedyke.control_messages import Message
+from clementinedyke.control.messages import Message
 from clementinedyke.exceptions import ProtocolError
 
 #: A chunk of records has 64 KiB, and the list of 600 endpoints about 80 KB.
--- a/src/clementinedyke/daemons/component.py
+++ b/src/clementinedyke/daemons/component.py
@@ -19,7 +19,7 @@
     ReadList,
     RecordsChanged,
 )
-from clementinedyke.control_messages import Member, Message
+from clementinedyke.control.messages import Member, Message
 from clementinedyke.daemons.links import LinkPool
 from clementinedyke.daemons.options import ControlOptions
 from clementinedyke.daemons.platform_reader import PlatformReader
--- a/src/clementinedyke/daemons/links.py
+++ b/src/clementinedyke/daemons/links.py
@@ -13,7 +13,7 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from clementinedyke.clock import Clock, Milliseconds
-from clementinedyke.control_messages import Message
+from clementinedyke.control.messages import Message
 from clementinedyke.daemons.codec import ControlCodec, receive_message
 from clementinedyke.daemons.options import ControlOptions
 from clementinedyke.exceptions import ProtocolError
--- a/src/clementinedyke/daemons/platform_reader.py
+++ b/src/clementinedyke/daemons/platform_reader.py
@@ -7,7 +7,7 @@
     PollFailed,
 )
 from clementinedyke.configuration.messages import ConfigurationRow
-from clementinedyke.control_messages import Member
+from clementinedyke.control.messages import Member
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
 from clementinedyke.http.client import HttpClient, HttpRequest
 from clementinedyke.reference_platform.tables import (
--- a/src/clementinedyke/daemons/server.py
+++ b/src/clementinedyke/daemons/server.py
@@ -13,7 +13,7 @@
 from grpclib.server import Server
 
 from clementinedyke.clock import Clock
-from clementinedyke.control_messages import Message
+from clementinedyke.control.messages import Message
 from clementinedyke.daemons.codec import ControlCodec
 from clementinedyke.daemons.links import (
     ADDRESS_HEADER,
--- a/src/clementinedyke/leases/candidates.py
+++ b/src/clementinedyke/leases/candidates.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from functools import partial
 
-from clementinedyke.control_messages import Member
+from clementinedyke.control.messages import Member
 
 #: With one candidate a lease would wait for the failure detector when its
 #: holder dies; more of them only add reads of the lease row.
--- a/src/clementinedyke/members/answers.py
+++ b/src/clementinedyke/members/answers.py
@@ -4,7 +4,7 @@
 from functools import singledispatchmethod
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.control_messages import (
+from clementinedyke.control.messages import (
     Ack,
     Gossip,
     News,
--- a/src/clementinedyke/members/core.py
+++ b/src/clementinedyke/members/core.py
@@ -6,7 +6,7 @@
 from functools import singledispatchmethod
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.control_messages import (
+from clementinedyke.control.messages import (
     Gossip,
     Member,
     MemberState,
--- a/src/clementinedyke/members/events.py
+++ b/src/clementinedyke/members/events.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.control_messages import Member, Message, Payload
+from clementinedyke.control.messages import Member, Message, Payload
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/members/gossip.py
+++ b/src/clementinedyke/members/gossip.py
@@ -23,7 +23,8 @@
     Hint,
     ListContent,
 )
-from clementinedyke.control_messages import Ack, Member, Ping
+from clementinedyke.control.messages import Ack, Member, Ping
+from clementinedyke.control.platform_lists import PlatformListCore
 from clementinedyke.members.core import Membership
 from clementinedyke.members.events import (
     MemberChanged,
@@ -32,7 +33,6 @@
     Send,
     Tick,
 )
-from clementinedyke.platform_lists import PlatformListCore
 
 _CONFIGURATION = (Hint, FetchChanges, Changes)
 _LISTS = (FetchList, ListContent)
--- a/src/clementinedyke/members/prober.py
+++ b/src/clementinedyke/members/prober.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.control_messages import (
+from clementinedyke.control.messages import (
     Member,
     MemberState,
     News,
--- a/src/clementinedyke/members/table.py
+++ b/src/clementinedyke/members/table.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable, Sequence
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.control_messages import Member
+from clementinedyke.control.messages import Member
 
 #: Digests in a sync: 32 * 5 bytes fit one packet, 10 members per bucket at 330.
 BUCKETS = 32
--- a/src/clementinedyke/members/view.py
+++ b/src/clementinedyke/members/view.py
@@ -5,12 +5,13 @@
 from msgspec.structs import replace
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.control_messages import (
+from clementinedyke.control.messages import (
     Gossip,
     Member,
     MemberState,
     News,
 )
+from clementinedyke.control.payloads import PayloadStore
 from clementinedyke.members.events import (
     Action,
     MemberChanged,
@@ -19,7 +20,6 @@
 )
 from clementinedyke.members.rumors import RumorQueue
 from clementinedyke.members.table import MemberTable
-from clementinedyke.payloads import PayloadStore
 
 #: Each daemon passes news on this many times per doubling of the members: 1.5
 #: reaches all of 330 without the sync in all but a few of 10,000 cases.
--- a/src/clementinedyke/routing/endpoint_subset.py
+++ b/src/clementinedyke/routing/endpoint_subset.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
-from clementinedyke.control_messages import Member
+from clementinedyke.control.messages import Member
 from clementinedyke.daemons import ControlComponent
 from clementinedyke.endpoints.registry import Endpoint
 from clementinedyke.leases.candidates import CandidateTable
--- a/tests/cluster_fake.py
+++ b/tests/cluster_fake.py
@@ -20,7 +20,7 @@
     ReadList,
 )
 from clementinedyke.configuration.messages import ConfigurationRow
-from clementinedyke.control_messages import Member, Message
+from clementinedyke.control.messages import Member, Message
 from clementinedyke.members.events import (
     Leave,
     MembershipOptions,
--- a/tests/test_cluster_parts.py
+++ b/tests/test_cluster_parts.py
@@ -16,15 +16,15 @@
     ConfigurationRow,
     ListAdvert,
 )
-from clementinedyke.control_messages import Member, Payload
+from clementinedyke.control.messages import Member, Payload
+from clementinedyke.control.payloads import PayloadStore
+from clementinedyke.control.platform_lists import PlatformList, PlatformListCore
+from clementinedyke.control.watchers import select_watchers
 from clementinedyke.daemons import ControlOptions
 from clementinedyke.exceptions import SettingError
 from clementinedyke.members.events import MembershipOptions, Publish
 from clementinedyke.members.rumors import RumorQueue
-from clementinedyke.payloads import PayloadStore
-from clementinedyke.platform_lists import PlatformList, PlatformListCore
 from clementinedyke.records.rows import RecordRows
-from clementinedyke.watchers import select_watchers
 from cluster_fake import FakeNetwork
 
 DAEMONS = 30
--- a/tests/test_daemon_authority.py
+++ b/tests/test_daemon_authority.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from clementinedyke.daemon_reports import DaemonReports
+from clementinedyke.control.daemon_reports import DaemonReports
 from clementinedyke.standins.engine import EngineStandin
 from daemon_scene import DaemonScene, run_scene, wait_for
 
--- a/tests/test_daemon_news.py
+++ b/tests/test_daemon_news.py
@@ -9,8 +9,8 @@
 from clementinedyke.admission.events import CustomerTokens, RemoteConsumed
 from clementinedyke.admission.shares import ConsumptionTotals, PeerTotals
 from clementinedyke.capacity.demand import Demand, encode_demands, sum_demand
-from clementinedyke.control_messages import Payload
-from clementinedyke.digest_values import VALUE_LIMIT
+from clementinedyke.control.digest_values import VALUE_LIMIT
+from clementinedyke.control.messages import Payload
 from clementinedyke.quarantine.core import Verdict
 from clementinedyke.records.core import CustomerRecord, ServiceRecord
 from clementinedyke.records.directory import Directory
--- a/tests/test_daemon_port.py
+++ b/tests/test_daemon_port.py
@@ -12,7 +12,7 @@
 import trustme
 
 from clementinedyke.clock import MonotonicClock
-from clementinedyke.control_messages import Member, MemberState
+from clementinedyke.control.messages import Member, MemberState
 from clementinedyke.daemons import (
     ControlComponent,
     ControlOptions,
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -14,7 +14,7 @@
 from pydantic import SecretStr
 
 from caller_tools import serve_callers
-from clementinedyke.control_messages import MemberState, Ping, PingRequest
+from clementinedyke.control.messages import MemberState, Ping, PingRequest
 from clementinedyke.daemons import ControlOptions
 from clementinedyke.daemons.codec import ControlCodec
 from clementinedyke.daemons.links import ADDRESS_HEADER, METHOD, SECRET_HEADER
