--- a/src/clementinedyke/entry/capacity_plan.py
+++ b/src/clementinedyke/entry/capacity_plan.py
@@ -70,6 +70,7 @@
         self._orders: dict[_Subject, _LastOrder] = {}
         self._unavailable: dict[tuple[str, str], Milliseconds] = {}
         self._pressed_until: dict[str, Milliseconds] = {}
+        self._begun_at: Milliseconds | None = None
         #: Standard engines are given back before the cheap ones serve.
         self.replaces_at_once = False
 
@@ -127,9 +128,16 @@
             retry_at = now + _RETRY_FAILED
         self._orders[subject] = _LastOrder(order.count, retry_at)
 
-    def forget_orders(self) -> None:
-        """Forget what was ordered; another daemon may have ordered since."""
+    def forget_orders(self, now: Milliseconds) -> None:
+        """Forget what was ordered; another daemon may have ordered since.
+
+        What the former holder knew of waits is lost with it, so that its
+        stand-ins are kept for a while.
+
+        :param now: current instant.
+        """
         self._orders.clear()
+        self._begun_at = now
 
     def _is_due(
         self,
@@ -155,9 +163,11 @@
         if offer.cheap_price is None or offer.cheap_price >= 1:
             return []
         per_zone = math.ceil(offer.maximum * self._targets.zone_share)
-        is_pressed = now < self._pressed_until.get(service, now)
         keeps_standard = self._keeps_standard(
-            offer, standing, per_zone, is_pressed=is_pressed
+            offer,
+            standing,
+            per_zone,
+            is_pressed=self._is_pressed(service, offer, now),
         )
         stand_ins = math.ceil(offer.maximum * _STAND_IN_SHARE)
         wishes = []
@@ -177,6 +187,16 @@
                 wishes.append(CapacityOrder(service, zone, False, standard))
         return wishes
 
+    def _is_pressed(
+        self, service: str, offer: ScalingOffer, now: Milliseconds
+    ) -> bool:
+        """Tell whether prompts have waited too long of late."""
+        if now < self._pressed_until.get(service, now):
+            return True
+        if self._begun_at is None:
+            return False
+        return now < self._begun_at + offer.boot_time + _PRESSURE_TIME
+
     def _keeps_standard(
         self,
         offer: ScalingOffer,
--- a/src/clementinedyke/entry/order_component.py
+++ b/src/clementinedyke/entry/order_component.py
@@ -113,7 +113,7 @@
         )
         if authority.fence != self._fence:
             self._fence = authority.fence
-            self._capacity.forget_orders()
+            self._capacity.forget_orders(now)
         endpoints = self._endpoints.list_endpoints(now)
         for service in configuration.services.values():
             if service.scaling is not None:
--- a/tests/test_entry_plans.py
+++ b/tests/test_entry_plans.py
@@ -117,6 +117,27 @@
         kept = plan.list_orders(service, fleet, 2500, 40)
         assert select_kind(kept, is_cheap=False) == [9, 9]
 
+    def test_new_holder_keeps_stand_ins(self) -> None:
+        """A holder that has just taken over knows nothing of waits yet.
+
+        On a quiet day of 64 hosts the new one gave 18 stand-ins back at once,
+        4 s before cheap engines could replace them.
+        """
+        service = create_service(maximum=15)
+        fleet = [
+            create_endpoint(f'{zone}-{number}', zone=zone, is_cheap=is_cheap)
+            for zone, is_cheap in zip(
+                ZONES, (True, True, False, False), strict=True
+            )
+            for number in range(9)
+        ]
+        plan = CapacityPlan(CapacityTargets(1, 0.3))
+        plan.forget_orders(1000)
+        first = plan.list_orders(service, fleet, 1500, 130)
+        assert not select_kind(first, is_cheap=False)
+        later = plan.list_orders(service, fleet, 30000, 40)
+        assert select_kind(later, is_cheap=False) == [0, 0]
+
     def test_satisfied(self) -> None:
         """A fleet as planned causes no calls."""
         assert not create_plan().list_orders(_SERVICE, create_fleet(3, 0), 0)
