List a confirmation that is taken too late as known red

Found on the last reading: since a feed whose answer arrives after the wait confirms the end of the wait. That holds for an answer without changes; one with a change was made when the change was, and a host that stood still gets it late. The age of the configuration, by which strict keys are refused, is then too young by up to the wait.

--- a/tests/test_entry_watch.py
+++ b/tests/test_entry_watch.py
@@ -10,7 +10,12 @@
 
 from clementinedyke.call_failures import TableFailure
 from clementinedyke.clock import ManualClock
-from clementinedyke.entry.watch import FeedAnswer, FeedPace, TableWatch
+from clementinedyke.entry.watch import (
+    FeedAnswer,
+    FeedPace,
+    StoredRow,
+    TableWatch,
+)
 
 
 class Feed:
@@ -40,6 +45,17 @@
         return Ok(FeedAnswer(revision, ()))
 
 
+class LateFeed(Feed):
+    """A store whose answer with a change arrives after the wait."""
+
+    async def follow_table(
+        self, table: str, revision: int, wait: int
+    ) -> Result[FeedAnswer, TableFailure]:
+        """Give a change that was made at any time since the call."""
+        await trio.sleep((wait + 500) / 1000)
+        return Ok(FeedAnswer(revision + 1, (StoredRow('key', 2, b''),)))
+
+
 class Reader:
     """Takes rows and forgets them."""
 
@@ -138,6 +154,15 @@
             instant - reader.confirmed[0] for instant in reader.confirmed[1:3]
         ] == ends
 
+    def test_late_change(self) -> None:
+        """A change that arrives late confirms the start of its call only.
+
+        A host that stood still gets the answer after the wait; the store
+        stopped looking when the change was made.
+        """
+        reader = follow(LateFeed(is_down=False), 1, 20)
+        assert reader.confirmed[1] == reader.confirmed[0]
+
     def test_store_away(self) -> None:
         """A store that refuses is asked less and less often, up to 1 s."""
         feed = Feed(is_down=True)
