Move the recovery from other daemons out of PeerComponent

No change of behaviour. RecoveryComponent decides when this daemon fetches the state of another one, PeerComponent fetches it, so that the decision can be tested in virtual time without sockets.

--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -24,6 +24,7 @@
     Readiness,
     get_max_connections,
 )
+from clementinedyke.entry.recovery import RecoveryComponent
 from clementinedyke.entry.request_path import (
     RequestPathContext,
     create_request_path,
@@ -86,6 +87,7 @@
                 *self._build_metrics(),
                 *self._watches,
                 self._peers,
+                self._recovery,
                 *self._duties,
                 self._sync,
                 self._readiness,
@@ -164,6 +166,12 @@
             (self._configuration, self._endpoints),
             (self._clock, self._journal, self._generator),
         )
+        self._recovery = RecoveryComponent(
+            self._peer_table,
+            (self._configuration, self._endpoints),
+            self._peers.fetch_state,
+            self._clock,
+        )
 
     def _build_requests(self) -> None:
         """Build the components that process requests of callers."""
--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -41,10 +41,6 @@
 _LIST_INTERVAL: Milliseconds = 15000
 _FIRST_LIST_INTERVAL: Milliseconds = 700
 _FIRST_LIST_COUNT = 4
-#: Time for which a daemon lags behind another one before it fetches its state.
-#: Changes normally reach all feeds within a few milliseconds of one another.
-_RECOVERY_DELAY: Milliseconds = 250
-_RECOVERY_CHECK_INTERVAL: Milliseconds = 100
 _STATE_TIMEOUT: Milliseconds = 500
 
 
@@ -85,11 +81,7 @@
 
 
 class PeerComponent(Component):
-    """Exchanges updates with other daemons and fetches missed state from them.
-
-    A daemon that the store refuses to serve gets the configuration and the
-    endpoints from a daemon that the store still serves.
-    """
+    """Exchanges updates and copies of the state with other daemons."""
 
     def __init__(
         self,
@@ -151,7 +143,27 @@
         nursery.start_soon(self._run_receiver)
         nursery.start_soon(self._run_sender)
         nursery.start_soon(self._run_discovery)
-        nursery.start_soon(self._run_recovery)
+
+    async def fetch_state(self, host: str) -> None:
+        """Fetch the state of another daemon and apply it where it is newer.
+
+        :param host: host of the other daemon, which may be unknown.
+        """
+        address = self._peers.get(host)
+        if address is None:
+            return
+        client = HttpClient(address, connect_timeout=_STATE_TIMEOUT)
+        asked_at = self._clock.get_now()
+        try:
+            async with client:
+                answer = await client.request(
+                    HttpRequest('GET', _STATE_PATH), _STATE_TIMEOUT
+                )
+            state = msgspec.msgpack.decode(answer.body, type=_SharedState)
+        except (ClementinedykeError, msgspec.MsgspecError) as error:
+            self._journal.write('state_not_lent', peer=host, reason=str(error))
+            return
+        self._apply_state(host, state, asked_at)
 
     async def _bind(self, nursery: trio.Nursery) -> bool:
         """Bind the UDP and the TCP socket to one port.
@@ -286,43 +298,6 @@
                 continue
             self._peers.setdefault(row.key, Address(peer.ip, peer.port))
 
-    async def _run_recovery(self) -> None:
-        lagging_since: Milliseconds | None = None
-        while True:
-            await trio.sleep(
-                _RECOVERY_CHECK_INTERVAL / _MILLISECONDS_PER_SECOND
-            )
-            now = self._clock.get_now()
-            peer_host = self._peer_table.select_newer_peer(
-                self._configuration.version,
-                self._endpoints.as_of_revision,
-                now,
-            )
-            if peer_host is None:
-                lagging_since = None
-                continue
-            if lagging_since is None:
-                lagging_since = now
-            if (
-                now - lagging_since >= _RECOVERY_DELAY
-                and peer_host in self._peers
-            ):
-                await self._fetch_state(peer_host, self._peers[peer_host])
-
-    async def _fetch_state(self, host: str, address: Address) -> None:
-        client = HttpClient(address, connect_timeout=_STATE_TIMEOUT)
-        asked_at = self._clock.get_now()
-        try:
-            async with client:
-                answer = await client.request(
-                    HttpRequest('GET', _STATE_PATH), _STATE_TIMEOUT
-                )
-            state = msgspec.msgpack.decode(answer.body, type=_SharedState)
-        except (ClementinedykeError, msgspec.MsgspecError) as error:
-            self._journal.write('state_not_lent', peer=host, reason=str(error))
-            return
-        self._apply_state(host, state, asked_at)
-
     def _apply_state(
         self, host: str, state: _SharedState, asked_at: Milliseconds
     ) -> None:
--- /dev/null
+++ b/src/clementinedyke/entry/recovery.py
@@ -0,0 +1,74 @@
+"""Decides when this daemon fetches the state that it missed from another."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from clementinedyke.clock import Clock, Milliseconds
+from clementinedyke.components import Component
+from clementinedyke.entry.configuration_view import ConfigurationView
+from clementinedyke.entry.endpoint_view import EndpointView
+from clementinedyke.entry.news import PeerTable
+
+_MILLISECONDS_PER_SECOND = 1000
+#: Time for which a daemon lags behind another one before it fetches its state.
+#: Changes normally reach all feeds within a few milliseconds of one another.
+_RECOVERY_DELAY: Milliseconds = 250
+_CHECK_INTERVAL: Milliseconds = 100
+
+
+class RecoveryComponent(Component):
+    """Fetches the state of a daemon that is ahead of this one.
+
+    A daemon that the store refuses to serve gets the configuration and the
+    endpoints from a daemon that the store still serves.
+    """
+
+    def __init__(
+        self,
+        peer_table: PeerTable,
+        views: tuple[ConfigurationView, EndpointView],
+        fetch_state: Callable[[str], Awaitable[None]],
+        clock: Clock,
+    ) -> None:
+        """Create the component.
+
+        :param peer_table: updates of the other daemons.
+        :param views: views of the configuration and of the endpoints.
+        :param fetch_state: fetches and applies the state of the daemon on the
+            given host; a failure is logged there.
+        :param clock: clock of the host.
+        """
+        self._peer_table = peer_table
+        self._configuration = views[0]
+        self._endpoints = views[1]
+        self._fetch_state = fetch_state
+        self._clock = clock
+        self._lagging_since: Milliseconds | None = None
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start the task.
+
+        :param nursery: nursery that runs the task.
+        """
+        nursery.start_soon(self._run)
+
+    async def _run(self) -> None:
+        while True:
+            await trio.sleep(_CHECK_INTERVAL / _MILLISECONDS_PER_SECOND)
+            host = self._select_lender(self._clock.get_now())
+            if host is not None:
+                await self._fetch_state(host)
+
+    def _select_lender(self, now: Milliseconds) -> str | None:
+        """Return the host to fetch the state from, None if not lagging."""
+        host = self._peer_table.select_newer_peer(
+            self._configuration.version, self._endpoints.as_of_revision, now
+        )
+        if host is None:
+            self._lagging_since = None
+            return None
+        if self._lagging_since is None:
+            self._lagging_since = now
+        is_due = now - self._lagging_since >= _RECOVERY_DELAY
+        return host if is_due else None
