--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -221,7 +221,7 @@
                 self._journal,
                 self._peer_table,
                 self._duties,
-                self._store_calls,
+                (self._store_calls, self._peers.lending_counts),
             ),
         )
 
--- a/src/clementinedyke/entry/observation.py
+++ b/src/clementinedyke/entry/observation.py
@@ -3,10 +3,13 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from prometheus_client.registry import Collector
+
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.components import Component
 from clementinedyke.entry.configuration_view import ConfigurationView
 from clementinedyke.entry.endpoint_view import EndpointView
+from clementinedyke.entry.event_loop import EventLoopMonitor
 from clementinedyke.entry.gateway import Gateway
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.metrics import (
@@ -15,14 +18,16 @@
     MetricsPort,
 )
 from clementinedyke.entry.news import PeerTable
-from clementinedyke.entry.store_calls import StoreCallLog
 from clementinedyke.http.client import Address
 from clementinedyke.leases.component import LeaseComponent
 
 
 @dataclass(frozen=True, slots=True)
 class ObservedParts:
-    """Components of a daemon whose values the gauges report."""
+    """Components of a daemon whose values the metrics report.
+
+    ``collectors`` keep counts of their own.
+    """
 
     clock: Clock
     configuration: ConfigurationView
@@ -30,7 +35,7 @@
     journal: Journal
     peer_table: PeerTable
     duties: Sequence[Component]
-    store_calls: StoreCallLog
+    collectors: Sequence[Collector]
 
     def get_configuration_age(self) -> Milliseconds | None:
         """Return the time in ms since the configuration was confirmed.
@@ -77,7 +82,7 @@
 def create_metrics_port(
     address: Address | None, gateway: Gateway, parts: ObservedParts
 ) -> list[Component]:
-    """Return the component that serves the metrics.
+    """Return the components that measure and serve the metrics.
 
     The list is empty if no address is configured.
 
@@ -98,6 +103,7 @@
             holds_duties=parts.holds_duties,
         )
     )
-    metrics.registry.register(parts.store_calls)
+    for collector in parts.collectors:
+        metrics.registry.register(collector)
     gateway.observe = metrics.observe
-    return [MetricsPort(address, metrics)]
+    return [EventLoopMonitor(metrics.registry), MetricsPort(address, metrics)]
--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -14,6 +14,7 @@
 from clementinedyke.entry.endpoint_view import EndpointView
 from clementinedyke.entry.endpoint_work import WorkTable
 from clementinedyke.entry.journal import Journal
+from clementinedyke.entry.lending import LendingCounts
 from clementinedyke.entry.news import PeerTable, PeerUpdate
 from clementinedyke.entry.watch import StoredRow
 from clementinedyke.exceptions import ClementinedykeError
@@ -109,6 +110,7 @@
         self._endpoints = views[1]
         self._clock = tools[0]
         self._journal = tools[1]
+        self.lending_counts = LendingCounts()
         self._generator = tools[2]
         self._peers: dict[str, Address] = {}
         self._port = identity.address.port
@@ -161,8 +163,10 @@
                 )
             state = msgspec.msgpack.decode(answer.body, type=_SharedState)
         except (ClementinedykeError, msgspec.MsgspecError) as error:
+            self.lending_counts.record_fetch('failed')
             self._journal.write('state_not_lent', peer=host, reason=str(error))
             return
+        self.lending_counts.record_fetch('done')
         self._apply_state(host, state, asked_at)
 
     async def _bind(self, nursery: trio.Nursery) -> bool:
@@ -335,9 +339,9 @@
             ],
             self._endpoints.as_of_revision,
         )
-        await response.send_response(
-            _STATUS_OK, [], msgspec.msgpack.encode(state)
-        )
+        payload = msgspec.msgpack.encode(state)
+        self.lending_counts.record_lent(len(payload))
+        await response.send_response(_STATUS_OK, [], payload)
 
 
 def _open_socket() -> trio.socket.SocketType:
