Reproduce the lending of state that fills a host's link

72 simulated daemons follow one store in virtual time while engines are replaced.

The phases of the feeds differ by the times of the store's answers.

--- /dev/null
+++ b/tests/recovery_world.py
@@ -0,0 +1,246 @@
+"""Simulation of daemons that follow one store and lend each other its state."""
+
+from dataclasses import dataclass, replace
+from random import Random
+from types import SimpleNamespace
+
+import trio
+from result import Err, Ok, Result
+from tests.entry_samples import BOUNDS, create_endpoint, create_journal
+from trio.testing import MockClock
+
+from clementinedyke.call_failures import TableFailure
+from clementinedyke.clock import ManualClock
+from clementinedyke.entry.endpoint_view import EndpointView
+from clementinedyke.entry.news import PeerTable, PeerUpdate
+from clementinedyke.entry.recovery import RecoveryComponent
+from clementinedyke.entry.watch import (
+    FeedAnswer,
+    FeedPace,
+    StoredRow,
+    TableWatch,
+)
+
+#: Smallest link of the users' sites, in bytes per ms (5 Mbit/s).
+LINK_RATE = 625
+#: Size of the state of 72 daemons and 65 endpoints, in bytes.
+STATE_SIZE = 30000
+#: Times of the store's answers, which differ with the links of the hosts.
+_ANSWER_SECONDS = (0.006, 0.066)
+_BOUNDS = replace(BOUNDS, drain_delay=3000, configuration_delay=3000)
+#: Interval of the updates of 72 daemons.
+_UPDATE_SECONDS = 1.2
+_VERSION = 1
+
+
+class TrioClock:
+    """Clock that returns the time of the trio run in milliseconds."""
+
+    def get_now(self) -> int:
+        """Return the current instant."""
+        return int(trio.current_time() * 1000)
+
+
+class SimulatedStore:
+    """Table with a change feed."""
+
+    def __init__(self) -> None:
+        """Create an empty table."""
+        self.revision = 0
+        self._history: list[StoredRow] = []
+        self._changed = trio.Event()
+
+    def put(self, key: str, content: bytes) -> None:
+        """Write a row."""
+        self.revision += 1
+        self._history.append(StoredRow(key, self.revision, content))
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def list_changes(self, revision: int) -> tuple[StoredRow, ...]:
+        """Return the rows written after a revision."""
+        return tuple(row for row in self._history if row.version > revision)
+
+    async def wait_for_change(self, revision: int, wait: int) -> None:
+        """Wait up to ``wait`` ms for a row written after a revision."""
+        with trio.move_on_after(wait / 1000):
+            while self.revision <= revision:
+                await self._changed.wait()
+
+
+@dataclass
+class StoreAccess:
+    """Access of one daemon to the store, which may refuse the daemon."""
+
+    store: SimulatedStore
+    generator: Random
+    is_refused: bool = False
+
+    async def read_table(
+        self, table: str, prefix: str = ''
+    ) -> Result[FeedAnswer, TableFailure]:
+        """Return all rows."""
+        return await self.follow_table(table, 0, 0)
+
+    async def follow_table(
+        self, table: str, revision: int, wait: int
+    ) -> Result[FeedAnswer, TableFailure]:
+        """Return the rows written after a revision, waiting for one."""
+        if not self.is_refused:
+            await self.store.wait_for_change(revision, wait)
+        answer = FeedAnswer(
+            self.store.revision, self.store.list_changes(revision)
+        )
+        await trio.sleep(self.generator.uniform(*_ANSWER_SECONDS))
+        return Err(TableFailure.NOT_DONE) if self.is_refused else Ok(answer)
+
+
+@dataclass
+class SimulatedDaemon:
+    """The parts of a daemon that follow the store, and its link.
+
+    ``link_free_at`` is the time in ms at which the link has sent all lent
+    states, ``longest_backlog`` the longest time in ms for which a request
+    would have waited behind them. ``fetches`` counts the states asked for.
+    """
+
+    host: str
+    access: StoreAccess
+    view: EndpointView
+    watch: TableWatch
+    peer_table: PeerTable
+    recovery: RecoveryComponent | None = None
+    link_free_at: float = 0
+    longest_backlog: float = 0
+    fetches: int = 0
+
+    def lend(self, now: int) -> float:
+        """Queue the state in the link; return the ms until it is sent."""
+        started_at = max(self.link_free_at, now)
+        self.link_free_at = started_at + STATE_SIZE / LINK_RATE
+        backlog = self.link_free_at - now
+        self.longest_backlog = max(self.longest_backlog, backlog)
+        return backlog
+
+
+class RecoveryWorld:
+    """Daemons of a large site, in virtual time."""
+
+    def __init__(self, daemons: int, seed: int) -> None:
+        """Create the daemons.
+
+        :param daemons: number of daemons.
+        :param seed: seed of the jitter of all daemons.
+        """
+        self.store = SimulatedStore()
+        self.clock = TrioClock()
+        self.daemons: dict[str, SimulatedDaemon] = {}
+        self._count = daemons
+        self._seed = seed
+        for number in range(daemons):
+            self._add_daemon(f'host-{number}')
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start all daemons."""
+        for number, daemon in enumerate(self.daemons.values()):
+            await daemon.watch.start(nursery)
+            await daemon.recovery.start(nursery)
+            nursery.start_soon(self._send_updates, daemon, number)
+
+    async def release(self, rounds: int) -> None:
+        """Replace engines in rounds, as the operator's releases do.
+
+        In each round four engines report at the same time that they leave,
+        and new ones start 100 and 200 ms later.
+        """
+        for number in range(rounds):
+            for engine in range(4):
+                self.store.put(f'old-{number}-{engine}', b'leaving')
+                await trio.sleep(0.0003)
+            for step in range(2):
+                await trio.sleep(0.1)
+                self.store.put(f'new-{number}-{step}', b'ready')
+            await trio.sleep(0.9)
+
+    async def fetch_state(self, asker: SimulatedDaemon, lender: str) -> None:
+        """Copy the state of another daemon, as slowly as its link sends it."""
+        asker.fetches += 1
+        source = self.daemons[lender]
+        rows = tuple(source.view.list_rows())
+        revision = source.view.as_of_revision
+        backlog = source.lend(self.clock.get_now())
+        if backlog > 500:
+            await trio.sleep(0.5)
+            return
+        await trio.sleep(backlog / 1000)
+        asker.view.replace_rows(rows, self.clock.get_now())
+        asker.view.confirm(self.clock.get_now(), revision)
+
+    async def _send_updates(self, daemon: SimulatedDaemon, number: int) -> None:
+        await trio.sleep(_UPDATE_SECONDS * number / self._count)
+        sequence = 0
+        while True:
+            sequence += 1
+            update = PeerUpdate(
+                host=daemon.host,
+                run_id=daemon.host,
+                sequence=sequence,
+                version=_VERSION,
+                configuration_age=0,
+                endpoints_revision=daemon.view.changed_revision,
+                interval=6000,
+                work={},
+                read_parts={},
+            )
+            for other in self.daemons.values():
+                other.peer_table.apply_update(update, self.clock.get_now())
+            await trio.sleep(_UPDATE_SECONDS)
+
+    def _add_daemon(self, host: str) -> None:
+        generator = Random(f'{self._seed} {host}')
+        access = StoreAccess(self.store, generator)
+        pace = FeedPace(lambda: self._count, _BOUNDS)
+        journal = create_journal(ManualClock())
+        view = EndpointView(
+            _decode_entry, _BOUNDS.drain_delay, pace.get_pause, journal
+        )
+        watch = TableWatch(
+            'servers', access, view, pace, self.clock, journal, generator
+        )
+        daemon = SimulatedDaemon(host, access, view, watch, PeerTable(host))
+        daemon.recovery = RecoveryComponent(
+            daemon.peer_table,
+            (SimpleNamespace(version=_VERSION), view),
+            lambda lender: self.fetch_state(daemon, lender),
+            self.clock,
+        )
+        self.daemons[host] = daemon
+
+
+def run_world(daemons: int, refused: int, seed: int) -> RecoveryWorld:
+    """Run six rounds of a release and return the world.
+
+    :param daemons: number of daemons.
+    :param refused: number of daemons that the store refuses from 2 s on.
+    :param seed: seed of the jitter.
+    """
+    worlds = []
+
+    async def main() -> None:
+        world = RecoveryWorld(daemons, seed)
+        worlds.append(world)
+        async with trio.open_nursery() as nursery:
+            await world.start(nursery)
+            await trio.sleep(2)
+            for daemon in tuple(world.daemons.values())[:refused]:
+                daemon.access.is_refused = True
+            await world.release(6)
+            await trio.sleep(8)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+    return worlds[0]
+
+
+def _decode_entry(endpoint_id: str, content: bytes) -> Result:
+    return Ok(create_endpoint(endpoint_id, is_leaving=content == b'leaving'))
