Fetch no state from other daemons while a feed only pauses

Cause: a feed pauses after a change, for 1.44 s with 72 daemons, but a daemon counted as lagging after 250 ms, so that most daemons asked the one that knew the newest change for its state of 30 KB. Its link of 5 Mbit/s was full for seconds, and requests waited in it.

A pausing feed gets all changes with its next call, so its daemon now asks for no state.

--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -120,7 +120,10 @@
         )
 
     def _build_views(self) -> None:
-        """Build the views of the store's tables and their watches."""
+        """Build the views of the store's tables and their watches.
+
+        The first watch is that of the configuration.
+        """
         platform = self._platform
         pace = FeedPace(self._count_active_daemons, self._settings.bounds)
         self._configuration = ConfigurationView(
@@ -169,6 +172,7 @@
         self._recovery = RecoveryComponent(
             self._peer_table,
             (self._configuration, self._endpoints),
+            (self._watches[0], self._watches[1]),
             self._peers.fetch_state,
             self._clock,
         )
--- a/src/clementinedyke/entry/news.py
+++ b/src/clementinedyke/entry/news.py
@@ -139,12 +139,14 @@
         return max(instants, default=None)
 
     def select_newer_peer(
-        self, version: int, revision: int, now: Milliseconds
+        self, version: int | None, revision: int | None, now: Milliseconds
     ) -> str | None:
         """Return the host with the newest state, None if none is newer.
 
-        :param version: version of the configuration in force at this daemon.
-        :param revision: revision up to which this daemon knows the endpoints.
+        :param version: version of the configuration in force at this daemon,
+            None to ignore versions.
+        :param revision: revision up to which this daemon knows the endpoints,
+            None to ignore revisions.
         :param now: current instant.
         """
         newer = {
@@ -181,8 +183,12 @@
                 totals.pop(endpoint_id, None)
 
 
-def _is_newer(update: PeerUpdate, version: int, revision: int) -> bool:
-    return update.version > version or update.endpoints_revision > revision
+def _is_newer(
+    update: PeerUpdate, version: int | None, revision: int | None
+) -> bool:
+    if version is not None and update.version > version:
+        return True
+    return revision is not None and update.endpoints_revision > revision
 
 
 def _get_work_lifetime(update: PeerUpdate) -> Milliseconds:
--- a/src/clementinedyke/entry/recovery.py
+++ b/src/clementinedyke/entry/recovery.py
@@ -1,6 +1,7 @@
 """Decides when this daemon fetches the state that it missed from another."""
 
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 import trio
 
@@ -12,11 +13,19 @@
 
 _MILLISECONDS_PER_SECOND = 1000
 #: Time for which a daemon lags behind another one before it fetches its state.
-#: Changes normally reach all feeds within a few milliseconds of one another.
+#: A call of the store that is waiting returns a change within milliseconds.
 _RECOVERY_DELAY: Milliseconds = 250
 _CHECK_INTERVAL: Milliseconds = 100
 
 
+class Feed(Protocol):
+    """Feed of a table of the store."""
+
+    @property
+    def is_pausing(self) -> bool:
+        """Whether the feed pauses although the store answers it."""
+
+
 class RecoveryComponent(Component):
     """Fetches the state of a daemon that is ahead of this one.
 
@@ -28,6 +37,7 @@
         self,
         peer_table: PeerTable,
         views: tuple[ConfigurationView, EndpointView],
+        feeds: tuple[Feed, Feed],
         fetch_state: Callable[[str], Awaitable[None]],
         clock: Clock,
     ) -> None:
@@ -35,6 +45,7 @@
 
         :param peer_table: updates of the other daemons.
         :param views: views of the configuration and of the endpoints.
+        :param feeds: feeds of the two views.
         :param fetch_state: fetches and applies the state of the daemon on the
             given host; a failure is logged there.
         :param clock: clock of the host.
@@ -42,6 +53,7 @@
         self._peer_table = peer_table
         self._configuration = views[0]
         self._endpoints = views[1]
+        self._feeds = feeds
         self._fetch_state = fetch_state
         self._clock = clock
         self._lagging_since: Milliseconds | None = None
@@ -61,9 +73,19 @@
                 await self._fetch_state(host)
 
     def _select_lender(self, now: Milliseconds) -> str | None:
-        """Return the host to fetch the state from, None if not lagging."""
+        """Return the host to fetch the state from, None if not lagging.
+
+        A pausing feed is not lagging: its next call returns all changes.
+        """
+        configuration_feed, endpoints_feed = self._feeds
         host = self._peer_table.select_newer_peer(
-            self._configuration.version, self._endpoints.as_of_revision, now
+            None
+            if configuration_feed.is_pausing
+            else self._configuration.version,
+            None
+            if endpoints_feed.is_pausing
+            else self._endpoints.as_of_revision,
+            now,
         )
         if host is None:
             self._lagging_since = None
--- a/src/clementinedyke/entry/watch.py
+++ b/src/clementinedyke/entry/watch.py
@@ -152,8 +152,14 @@
         self._generator = generator
         self._revision: int | None = None
         self._is_connected = False
+        self._is_pausing = False
         self._failures = 0
 
+    @property
+    def is_pausing(self) -> bool:
+        """Whether the next call is delayed because the last had changes."""
+        return self._is_pausing
+
     async def start(self, nursery: trio.Nursery) -> None:
         """Start the task.
 
@@ -199,7 +205,9 @@
         if isinstance(outcome, FeedAnswer) and outcome.rows:
             # Changes come in bursts; the next call returns the whole burst.
             pause = self._pace.get_pause()
+            self._is_pausing = True
             await trio.sleep(pause / _MILLISECONDS_PER_SECOND)
+            self._is_pausing = False
         return has_answered
 
     def _process_answer(
--- a/tests/recovery_world.py
+++ b/tests/recovery_world.py
@@ -211,6 +211,7 @@
         daemon.recovery = RecoveryComponent(
             daemon.peer_table,
             (SimpleNamespace(version=_VERSION), view),
+            (SimpleNamespace(is_pausing=False), watch),
             lambda lender: self.fetch_state(daemon, lender),
             self.clock,
         )
