Spread the fetches of state over the daemons that are ahead

Callers of one daemon waited for seconds while the store refused a part of the daemons. Cause: all daemons that fell behind asked the one with the newest state.

A daemon now takes the newer one of two daemons that it selects at random.

--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -175,6 +175,7 @@
             (self._watches[0], self._watches[1]),
             self._peers.fetch_state,
             self._clock,
+            self._generator,
         )
 
     def _build_requests(self) -> None:
--- a/src/clementinedyke/entry/news.py
+++ b/src/clementinedyke/entry/news.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from random import Random
 
 import msgspec
 
@@ -10,6 +11,9 @@
 #: The work in an update expires after this many intervals of its sender.
 _LIFETIME_IN_INTERVALS = 4
 _MIN_LIFETIME: Milliseconds = 400
+#: Number of newer daemons of which the newest is selected. A random sample
+#: keeps daemons that fell behind together from all asking the same one.
+_NEWER_SAMPLE = 2
 #: Daemons heard from within this time share the retry budget.
 _RETRY_SHARE_WINDOW: Milliseconds = 10000
 
@@ -139,15 +143,22 @@
         return max(instants, default=None)
 
     def select_newer_peer(
-        self, version: int | None, revision: int | None, now: Milliseconds
+        self,
+        version: int | None,
+        revision: int | None,
+        now: Milliseconds,
+        generator: Random,
     ) -> str | None:
-        """Return the host with the newest state, None if none is newer.
+        """Return a host with newer state, None if there is none.
+
+        It is the newer one of two hosts selected at random.
 
         :param version: version of the configuration in force at this daemon,
             None to ignore versions.
         :param revision: revision up to which this daemon knows the endpoints,
             None to ignore revisions.
         :param now: current instant.
+        :param generator: random generator for the sample.
         """
         newer = {
             host: (received.update.version, received.update.endpoints_revision)
@@ -155,7 +166,8 @@
             if now - received.received_at <= _get_work_lifetime(received.update)
             and _is_newer(received.update, version, revision)
         }
-        return max(newer, key=newer.__getitem__, default=None)
+        sample = generator.sample(tuple(newer), min(_NEWER_SAMPLE, len(newer)))
+        return max(sample, key=newer.__getitem__, default=None)
 
     def _add_work(self, update: PeerUpdate) -> None:
         self._active.add(update.host)
--- a/src/clementinedyke/entry/recovery.py
+++ b/src/clementinedyke/entry/recovery.py
@@ -1,6 +1,7 @@
 """Decides when this daemon fetches the state that it missed from another."""
 
 from collections.abc import Awaitable, Callable
+from random import Random
 from typing import Protocol
 
 import trio
@@ -40,6 +41,7 @@
         feeds: tuple[Feed, Feed],
         fetch_state: Callable[[str], Awaitable[None]],
         clock: Clock,
+        generator: Random,
     ) -> None:
         """Create the component.
 
@@ -49,6 +51,7 @@
         :param fetch_state: fetches and applies the state of the daemon on the
             given host; a failure is logged there.
         :param clock: clock of the host.
+        :param generator: random generator for the selection of daemons.
         """
         self._peer_table = peer_table
         self._configuration = views[0]
@@ -56,6 +59,7 @@
         self._feeds = feeds
         self._fetch_state = fetch_state
         self._clock = clock
+        self._generator = generator
         self._lagging_since: Milliseconds | None = None
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -86,6 +90,7 @@
             if endpoints_feed.is_pausing
             else self._endpoints.as_of_revision,
             now,
+            self._generator,
         )
         if host is None:
             self._lagging_since = None
--- a/tests/recovery_world.py
+++ b/tests/recovery_world.py
@@ -214,6 +214,7 @@
             (SimpleNamespace(is_pausing=False), watch),
             lambda lender: self.fetch_state(daemon, lender),
             self.clock,
+            generator,
         )
         self.daemons[host] = daemon
 
--- a/tests/test_entry_news.py
+++ b/tests/test_entry_news.py
@@ -1,5 +1,8 @@
 """Tests of the state updates that daemons exchange."""
 
+from collections import Counter
+from random import Random
+
 from clementinedyke.entry.news import PeerTable, PeerUpdate
 
 
@@ -85,10 +88,24 @@
         """A daemon that the store refuses must find a peer with newer state."""
         table = PeerTable('host-1')
         table.apply_update(create_update(), 0)
-        assert table.select_newer_peer(3, 50, 10) is None
-        assert table.select_newer_peer(2, 50, 10) == 'host-2'
-        assert table.select_newer_peer(3, 49, 10) == 'host-2'
-        assert table.select_newer_peer(2, 49, 60000) is None
+        generator = Random(1)
+        assert table.select_newer_peer(3, 50, 10, generator) is None
+        assert table.select_newer_peer(2, 50, 10, generator) == 'host-2'
+        assert table.select_newer_peer(3, 49, 10, generator) == 'host-2'
+        assert table.select_newer_peer(2, 49, 60000, generator) is None
+
+    def test_newer_peers_share_the_load(self) -> None:
+        """Daemons that fell behind together must not ask the same daemon."""
+        table = PeerTable('host-1')
+        for number in range(48):
+            host = f'host-{number + 2}'
+            update = create_update(host, endpoints_revision=50 + number)
+            table.apply_update(update, 0)
+        chosen = Counter(
+            table.select_newer_peer(3, 40, 10, Random(seed))
+            for seed in range(24)
+        )
+        assert max(chosen.values()) <= 4
 
     def test_confirmation(self) -> None:
         """Only updates with the same version must confirm it."""
