Limit the share of the link that lent state takes

Callers of a daemon waited while it lent its state to many others, since the requests use the same link. Cause: a daemon lent to all that asked at once, without regard to its bandwidth, and those without an answer asked again 100 ms later.

A daemon now lends one state at a time and the next one when the last has used a fifth of its link, which is read from the settings of the host; in between it answers 503 at once. Whoever gets no state asks another daemon after 250 to 1000 ms. Whoever got one can lend it on.

--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -162,6 +162,7 @@
                 settings.host,
                 self._run_id,
                 settings.peer_address,
+                settings.link_megabits,
             ),
             self._platform.store,
             self._peer_table,
--- a/src/clementinedyke/entry/host_settings.py
+++ b/src/clementinedyke/entry/host_settings.py
@@ -38,7 +38,8 @@
 
     ``peer_address`` is used for traffic between daemons. ``metrics_address``
     is None if no metrics are served. ``duties_address`` receives usage reports
-    and orders of engines, None if the platform takes none.
+    and orders of engines, None if the platform takes none. ``link_megabits``
+    is the bandwidth of the host's link in Mbit/s.
     """
 
     host: str
@@ -52,4 +53,5 @@
     duties_address: Address | None
     memory_mb: int
     max_descriptors: int
+    link_megabits: float
     bounds: ServiceBounds
--- a/src/clementinedyke/entry/lending.py
+++ b/src/clementinedyke/entry/lending.py
@@ -1,4 +1,4 @@
-"""Counts the copies of the state that daemons fetch from one another."""
+"""Limits and counts the state that daemons fetch from one another."""
 
 from collections import Counter
 from collections.abc import Iterator
@@ -6,6 +6,41 @@
 from prometheus_client.core import CounterMetricFamily
 from prometheus_client.registry import Collector
 
+from clementinedyke.clock import Milliseconds
+
+#: Bytes per millisecond in a megabit per second.
+_BYTES_PER_MILLISECOND = 125
+#: Share of a host's bandwidth that lent state may take. Requests wait in the
+#: same link.
+_LINK_SHARE = 0.2
+
+
+class LendingLimit:
+    """Limits the bandwidth that lent state takes from the requests."""
+
+    def __init__(self, link_megabits: float) -> None:
+        """Create a limit that allows one state at once.
+
+        :param link_megabits: bandwidth of the host's link in Mbit/s.
+        """
+        self._rate = link_megabits * _BYTES_PER_MILLISECOND * _LINK_SHARE
+        self._free_at = float(0)
+
+    def may_lend(self, now: Milliseconds) -> bool:
+        """Return whether a state may be sent.
+
+        :param now: current instant.
+        """
+        return now >= self._free_at
+
+    def record_lent(self, size: int, now: Milliseconds) -> None:
+        """Delay the next state until this one has used its share of the link.
+
+        :param size: length of the encoded state in bytes.
+        :param now: current instant.
+        """
+        self._free_at = now + size / self._rate
+
 
 class LendingCounts(Collector):
     """Copies of the state sent to other daemons and fetched from them."""
@@ -25,7 +60,7 @@
     def record_fetch(self, outcome: str) -> None:
         """Count an attempt to fetch the state of another daemon.
 
-        :param outcome: ``done`` or ``failed``.
+        :param outcome: ``done``, ``refused`` or ``failed``.
         """
         self._fetches[outcome] += 1
 
--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -14,11 +14,16 @@
 from clementinedyke.entry.endpoint_view import EndpointView
 from clementinedyke.entry.endpoint_work import WorkTable
 from clementinedyke.entry.journal import Journal
-from clementinedyke.entry.lending import LendingCounts
+from clementinedyke.entry.lending import LendingCounts, LendingLimit
 from clementinedyke.entry.news import PeerTable, PeerUpdate
 from clementinedyke.entry.watch import StoredRow
 from clementinedyke.exceptions import ClementinedykeError
-from clementinedyke.http.client import Address, HttpClient, HttpRequest
+from clementinedyke.http.client import (
+    Address,
+    HttpClient,
+    HttpRequest,
+    HttpResponse,
+)
 from clementinedyke.http.message import ResponseWriter, ServerRequest
 from clementinedyke.http.server import HttpServer
 from clementinedyke.rows import RowStore, Write
@@ -26,6 +31,7 @@
 DAEMONS_TABLE = 'daemons'
 _STATE_PATH = '/state'
 _STATUS_OK = 200
+_STATUS_BUSY = 503
 _MILLISECONDS_PER_SECOND = 1000
 #: Largest payload of a UDP datagram over IPv4, in bytes.
 _MAX_DATAGRAM = 65507
@@ -74,11 +80,15 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerIdentity:
-    """Host, run id and address by which other daemons know this one."""
+    """Host, run id and address by which other daemons know this one.
+
+    ``link_megabits`` is the bandwidth of the host's link in Mbit/s.
+    """
 
     host: str
     run_id: str
     address: Address
+    link_megabits: float
 
 
 class PeerComponent(Component):
@@ -111,6 +121,7 @@
         self._clock = tools[0]
         self._journal = tools[1]
         self.lending_counts = LendingCounts()
+        self._lending_limit = LendingLimit(identity.link_megabits)
         self._generator = tools[2]
         self._peers: dict[str, Address] = {}
         self._port = identity.address.port
@@ -146,28 +157,36 @@
         nursery.start_soon(self._run_sender)
         nursery.start_soon(self._run_discovery)
 
-    async def fetch_state(self, host: str) -> None:
+    async def fetch_state(self, host: str) -> bool:
         """Fetch the state of another daemon and apply it where it is newer.
 
         :param host: host of the other daemon, which may be unknown.
+        :return: False if the daemon is unknown or did not send its state.
         """
         address = self._peers.get(host)
         if address is None:
-            return
-        client = HttpClient(address, connect_timeout=_STATE_TIMEOUT)
+            return False
         asked_at = self._clock.get_now()
         try:
-            async with client:
-                answer = await client.request(
-                    HttpRequest('GET', _STATE_PATH), _STATE_TIMEOUT
-                )
+            answer = await _request_state(address)
+        except ClementinedykeError as error:
+            self._record_failed_fetch(host, error)
+            return False
+        if answer.status != _STATUS_OK:
+            self.lending_counts.record_fetch('refused')
+            return False
+        try:
             state = msgspec.msgpack.decode(answer.body, type=_SharedState)
-        except (ClementinedykeError, msgspec.MsgspecError) as error:
-            self.lending_counts.record_fetch('failed')
-            self._journal.write('state_not_lent', peer=host, reason=str(error))
-            return
+        except msgspec.MsgspecError as malformed:
+            self._record_failed_fetch(host, malformed)
+            return False
         self.lending_counts.record_fetch('done')
         self._apply_state(host, state, asked_at)
+        return True
+
+    def _record_failed_fetch(self, host: str, error: Exception) -> None:
+        self.lending_counts.record_fetch('failed')
+        self._journal.write('state_not_lent', peer=host, reason=str(error))
 
     async def _bind(self, nursery: trio.Nursery) -> bool:
         """Bind the UDP and the TCP socket to one port.
@@ -329,8 +348,17 @@
         self, request: ServerRequest, response: ResponseWriter
     ) -> None:
         now = self._clock.get_now()
+        if not self._lending_limit.may_lend(now):
+            await response.send_response(_STATUS_BUSY, [], b'')
+            return
+        payload = msgspec.msgpack.encode(self._copy_state(now))
+        self._lending_limit.record_lent(len(payload), now)
+        self.lending_counts.record_lent(len(payload))
+        await response.send_response(_STATUS_OK, [], payload)
+
+    def _copy_state(self, now: Milliseconds) -> _SharedState:
         age = self._configuration.get_age(now)
-        state = _SharedState(
+        return _SharedState(
             self._configuration.content,
             -1 if age is None else age,
             [
@@ -339,9 +367,17 @@
             ],
             self._endpoints.as_of_revision,
         )
-        payload = msgspec.msgpack.encode(state)
-        self.lending_counts.record_lent(len(payload))
-        await response.send_response(_STATUS_OK, [], payload)
+
+
+async def _request_state(address: Address) -> HttpResponse:
+    """Ask a daemon for its state.
+
+    :raises ClementinedykeError: if there is no answer.
+    """
+    async with HttpClient(address, connect_timeout=_STATE_TIMEOUT) as client:
+        return await client.request(
+            HttpRequest('GET', _STATE_PATH), _STATE_TIMEOUT
+        )
 
 
 def _open_socket() -> trio.socket.SocketType:
--- a/src/clementinedyke/entry/recovery.py
+++ b/src/clementinedyke/entry/recovery.py
@@ -17,6 +17,10 @@
 #: A call of the store that is waiting returns a change within milliseconds.
 _RECOVERY_DELAY: Milliseconds = 250
 _CHECK_INTERVAL: Milliseconds = 100
+#: Bounds of the random delay before another daemon is asked after one that
+#: did not lend its state.
+_MIN_RETRY: Milliseconds = 250
+_MAX_RETRY: Milliseconds = 1000
 
 
 class Feed(Protocol):
@@ -39,7 +43,7 @@
         peer_table: PeerTable,
         views: tuple[ConfigurationView, EndpointView],
         feeds: tuple[Feed, Feed],
-        fetch_state: Callable[[str], Awaitable[None]],
+        fetch_state: Callable[[str], Awaitable[bool]],
         clock: Clock,
         generator: Random,
     ) -> None:
@@ -49,7 +53,7 @@
         :param views: views of the configuration and of the endpoints.
         :param feeds: feeds of the two views.
         :param fetch_state: fetches and applies the state of the daemon on the
-            given host; a failure is logged there.
+            given host; returns False if that failed.
         :param clock: clock of the host.
         :param generator: random generator for the selection of daemons.
         """
@@ -73,8 +77,9 @@
         while True:
             await trio.sleep(_CHECK_INTERVAL / _MILLISECONDS_PER_SECOND)
             host = self._select_lender(self._clock.get_now())
-            if host is not None:
-                await self._fetch_state(host)
+            if host is not None and not await self._fetch_state(host):
+                delay = self._generator.randint(_MIN_RETRY, _MAX_RETRY)
+                await trio.sleep(delay / _MILLISECONDS_PER_SECOND)
 
     def _select_lender(self, now: Milliseconds) -> str | None:
         """Return the host to fetch the state from, None if not lagging.
--- a/src/clementinedyke/platform/settings_file.py
+++ b/src/clementinedyke/platform/settings_file.py
@@ -30,6 +30,8 @@
 class _Limits(BaseModel):
     memory_mb: int = Field(gt=0)
     max_fds: int = Field(gt=0)
+    #: Bandwidth of the link in Mbit/s.
+    link_mbps: float = Field(gt=0)
 
 
 class _Bounds(BaseModel):
@@ -132,6 +134,7 @@
         else Address.parse(duties.address),
         memory_mb=document.limits.memory_mb,
         max_descriptors=document.limits.max_fds,
+        link_megabits=document.limits.link_mbps,
         bounds=_convert_bounds(document.bounds),
     )
 
--- a/tests/entry_environment.py
+++ b/tests/entry_environment.py
@@ -103,7 +103,10 @@
         self.store.put('servers', endpoint.endpoint_id, entry)
 
     async def start_daemon(
-        self, host: str = 'host-1', store_port: int | None = None
+        self,
+        host: str = 'host-1',
+        store_port: int | None = None,
+        link_megabits: float = 1000,
     ) -> EntryApplication:
         """Start a daemon and wait until its ports are bound."""
         port = self._store_port if store_port is None else store_port
@@ -119,6 +122,7 @@
             duties_address=Address('127.0.0.1', self._duties_port),
             memory_mb=300,
             max_descriptors=1000,
+            link_megabits=link_megabits,
             bounds=BOUNDS,
         )
         daemon = EntryApplication(settings, create_parts(settings))
--- a/tests/recovery_world.py
+++ b/tests/recovery_world.py
@@ -12,6 +12,7 @@
 from clementinedyke.call_failures import TableFailure
 from clementinedyke.clock import ManualClock
 from clementinedyke.entry.endpoint_view import EndpointView
+from clementinedyke.entry.lending import LendingLimit
 from clementinedyke.entry.news import PeerTable, PeerUpdate
 from clementinedyke.entry.recovery import RecoveryComponent
 from clementinedyke.entry.watch import (
@@ -21,7 +22,8 @@
     TableWatch,
 )
 
-#: Smallest link of the users' sites, in bytes per ms (5 Mbit/s).
+#: Smallest link of the users' sites, in Mbit/s and in bytes per ms.
+LINK_MEGABITS = 5
 LINK_RATE = 625
 #: Size of the state of 72 daemons and 65 endpoints, in bytes.
 STATE_SIZE = 30000
@@ -109,6 +111,7 @@
     view: EndpointView
     watch: TableWatch
     peer_table: PeerTable
+    limit: LendingLimit
     recovery: RecoveryComponent | None = None
     link_free_at: float = 0
     longest_backlog: float = 0
@@ -162,19 +165,25 @@
                 self.store.put(f'new-{number}-{step}', b'ready')
             await trio.sleep(0.9)
 
-    async def fetch_state(self, asker: SimulatedDaemon, lender: str) -> None:
+    async def fetch_state(self, asker: SimulatedDaemon, lender: str) -> bool:
         """Copy the state of another daemon, as slowly as its link sends it."""
         asker.fetches += 1
         source = self.daemons[lender]
+        now = self.clock.get_now()
+        if not source.limit.may_lend(now):
+            await trio.sleep(_ANSWER_SECONDS[0])
+            return False
         rows = tuple(source.view.list_rows())
         revision = source.view.as_of_revision
-        backlog = source.lend(self.clock.get_now())
+        source.limit.record_lent(STATE_SIZE, now)
+        backlog = source.lend(now)
         if backlog > 500:
             await trio.sleep(0.5)
-            return
+            return False
         await trio.sleep(backlog / 1000)
         asker.view.replace_rows(rows, self.clock.get_now())
         asker.view.confirm(self.clock.get_now(), revision)
+        return True
 
     async def _send_updates(self, daemon: SimulatedDaemon, number: int) -> None:
         await trio.sleep(_UPDATE_SECONDS * number / self._count)
@@ -207,7 +216,14 @@
         watch = TableWatch(
             'servers', access, view, pace, self.clock, journal, generator
         )
-        daemon = SimulatedDaemon(host, access, view, watch, PeerTable(host))
+        daemon = SimulatedDaemon(
+            host,
+            access,
+            view,
+            watch,
+            PeerTable(host),
+            LendingLimit(LINK_MEGABITS),
+        )
         daemon.recovery = RecoveryComponent(
             daemon.peer_table,
             (SimpleNamespace(version=_VERSION), view),
--- a/tests/test_entry_recovery.py
+++ b/tests/test_entry_recovery.py
@@ -1,7 +1,18 @@
 """Tests of the states that many daemons fetch from one another."""
 
+import base64
+import json
+
+from tests.entry_environment import (
+    CONFIGURATION,
+    EntryEnvironment,
+    ScenarioRunner,
+)
 from tests.recovery_world import RecoveryWorld, run_world
 
+from clementinedyke.entry.lending import LendingLimit
+from clementinedyke.http.client import Address, HttpClient, HttpRequest
+
 #: Time in ms for which a request may wait in the link of its daemon. Endpoints
 #: are dropped this long before the end of the drain delay, so that requests
 #: being sent still arrive within it.
@@ -55,3 +66,38 @@
         worlds = run_worlds(refused=71)
         assert max(list_backlogs(worlds)) <= _MAX_BACKLOG
         assert all(is_up_to_date(world) for world in worlds)
+
+
+class TestLendingLimit:
+    """Guards against daemons that fill their links with lent state."""
+
+    def test_share_of_link(self) -> None:
+        """A state must use no more than a fifth of the link until the next.
+
+        A link of 5 Mbit/s sends 30000 bytes in 48 ms.
+        """
+        limit = LendingLimit(link_megabits=5)
+        assert limit.may_lend(1000)
+        limit.record_lent(30000, 1000)
+        assert not limit.may_lend(1239)
+        assert limit.may_lend(1240)
+
+    def test_busy_daemon(self) -> None:
+        """A daemon must refuse its state while the last one uses the link."""
+
+        async def scenario(env: EntryEnvironment) -> None:
+            env.store.put('op', 'config', CONFIGURATION)
+            await env.start_daemon(link_megabits=0.001)
+            await env.wait_until_served()
+            row = env.store.rows['daemons', 'host-1']
+            own = json.loads(base64.b64decode(row['value']))
+            address = Address(own['ip'], own['port'])
+            async with HttpClient(address) as client:
+                answers = [
+                    await client.request(HttpRequest('GET', '/state'), 4000)
+                    for _ in range(2)
+                ]
+            assert [answer.status for answer in answers] == [200, 503]
+            assert answers[0].body
+
+        ScenarioRunner().run(scenario)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -25,7 +25,12 @@
     'zones': {'zone-a': 'region', 'zone-b': 'region'},
     'internal_ports': [7780, 7795],
     'listen': {'front': '10.1.0.31:8368', 'ready': '10.1.0.31:8369'},
-    'limits': {'memory_mb': 300, 'max_fds': 4100, 'new_field': 1},
+    'limits': {
+        'memory_mb': 300,
+        'max_fds': 4100,
+        'link_mbps': 5,
+        'new_field': 1,
+    },
     'bounds': {
         'config_apply_ms': 2000,
         'outer_ms': 5000,
@@ -56,6 +61,7 @@
         assert settings.bounds.usage_window == 5000
         assert settings.bounds.max_key_age is None
         assert settings.peer_address == Address('10.1.0.31', 7780)
+        assert settings.link_megabits == 5
 
     def test_strict_revocation_limits_key_age(self) -> None:
         """With ``revoke_strict`` the age of key state is limited."""
