Confirm only the start of a feed call that returned changes

A host that stood still gets the store's answer after the wait of its call. If the answer had changes, the configuration counted as confirmed up to the end of the wait, 5900 ms too late in the test, although the store looked no further than the change: a key withdrawn in between could stay in use. Only an answer without changes confirms the end.

--- a/src/clementinedyke/entry/watch.py
+++ b/src/clementinedyke/entry/watch.py
@@ -195,14 +195,16 @@
         changes = await self._feed.follow_table(
             self._table, self._revision, wait
         )
-        if self._clock.get_now() >= sent_at + wait:
-            # The store checked for changes until the end of the wait.
-            sent_at += wait
         outcome = changes.unwrap() if changes.is_ok() else None
+        has_changes = isinstance(outcome, FeedAnswer) and bool(outcome.rows)
+        now = self._clock.get_now()
         if isinstance(outcome, FeedAnswer):
-            self._view.apply_rows(outcome.rows, self._clock.get_now())
+            self._view.apply_rows(outcome.rows, now)
+        if not has_changes and now >= sent_at + wait:
+            # Without changes the store checked until the end of the wait.
+            sent_at += wait
         has_answered = self._process_answer(changes, sent_at)
-        if isinstance(outcome, FeedAnswer) and outcome.rows:
+        if has_changes:
             # Changes come in bursts; the next call returns the whole burst.
             pause = self._pace.get_pause()
             self._is_pausing = True
