Reproduce requests to an engine that left during an outage of one daemon

Its feed had failed at 18.4 and 19.6 s while the store served the others. It saw the removal at 20.03 s, took the entry for one that had lapsed with the store and kept the engine until 21.30 s.

--- a/tests/recovery_world.py
+++ b/tests/recovery_world.py
@@ -54,10 +54,11 @@
 
     def put(self, key: str, content: bytes) -> None:
         """Write a row."""
-        self.revision += 1
-        self._history.append(StoredRow(key, self.revision, content))
-        self._changed.set()
-        self._changed = trio.Event()
+        self._write(key, content)
+
+    def remove(self, key: str) -> None:
+        """Delete a row."""
+        self._write(key, None)
 
     def list_changes(self, revision: int) -> tuple[StoredRow, ...]:
         """Return the rows written after a revision."""
@@ -69,6 +70,12 @@
             while self.revision <= revision:
                 await self._changed.wait()
 
+    def _write(self, key: str, content: bytes | None) -> None:
+        self.revision += 1
+        self._history.append(StoredRow(key, self.revision, content))
+        self._changed.set()
+        self._changed = trio.Event()
+
 
 @dataclass
 class StoreAccess:
@@ -103,7 +110,8 @@
 
     ``link_free_at`` is the time in ms at which the link has sent all lent
     states, ``longest_backlog`` the longest time in ms for which a request
-    would have waited behind them. ``fetches`` counts the states asked for.
+    would have waited behind them. ``fetches`` counts the states asked for,
+    which others lend if ``may_fetch`` is set.
     """
 
     host: str
@@ -116,6 +124,7 @@
     link_free_at: float = 0
     longest_backlog: float = 0
     fetches: int = 0
+    may_fetch: bool = True
 
     def lend(self, now: int) -> float:
         """Queue the state in the link; return the ms until it is sent."""
@@ -150,6 +159,12 @@
             await daemon.recovery.start(nursery)
             nursery.start_soon(self._send_updates, daemon, number)
 
+    def set_refused(self, count: int, *, is_refused: bool) -> None:
+        """Set whether the store and all lenders refuse the first daemons."""
+        for daemon in tuple(self.daemons.values())[:count]:
+            daemon.access.is_refused = is_refused
+            daemon.may_fetch = not is_refused
+
     async def release(self, rounds: int) -> None:
         """Replace engines in rounds, as the operator's releases do.
 
@@ -170,7 +185,7 @@
         asker.fetches += 1
         source = self.daemons[lender]
         now = self.clock.get_now()
-        if not source.limit.may_lend(now):
+        if not asker.may_fetch or not source.limit.may_lend(now):
             await trio.sleep(_ANSWER_SECONDS[0])
             return False
         rows = tuple(source.view.list_rows())
@@ -235,6 +250,47 @@
         self.daemons[host] = daemon
 
 
+def run_outage(refused: int, seconds: float) -> list[int]:
+    """Remove the entry of an engine while the store refuses daemons.
+
+    The entry is removed 100 ms after the outage begins.
+
+    :param refused: number of the 72 daemons that the store refuses; they get
+        no state from the others.
+    :param seconds: length of the outage.
+    :return: times in ms after the removal, up to 2 s after the outage, at
+        which the first daemon would send requests to the engine.
+    """
+    used: list[int] = []
+
+    async def record_uses(world: RecoveryWorld) -> None:
+        removed_at = world.clock.get_now()
+        view = world.daemons['host-0'].view
+        while True:
+            now = world.clock.get_now()
+            if view.list_endpoints(now):
+                used.append(now - removed_at)
+            await trio.sleep(0.02)
+
+    async def main() -> None:
+        world = RecoveryWorld(72, seed=1)
+        async with trio.open_nursery() as nursery:
+            await world.start(nursery)
+            world.store.put('engine', b'ready')
+            await trio.sleep(2)
+            world.set_refused(refused, is_refused=True)
+            await trio.sleep(0.1)
+            world.store.remove('engine')
+            nursery.start_soon(record_uses, world)
+            await trio.sleep(seconds)
+            world.set_refused(refused, is_refused=False)
+            await trio.sleep(2)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+    return used
+
+
 def run_world(daemons: int, refused: int, seed: int) -> RecoveryWorld:
     """Run six rounds of a release and return the world.
 
--- a/tests/test_entry_recovery.py
+++ b/tests/test_entry_recovery.py
@@ -8,7 +8,7 @@
     EntryEnvironment,
     ScenarioRunner,
 )
-from tests.recovery_world import RecoveryWorld, run_world
+from tests.recovery_world import RecoveryWorld, run_outage, run_world
 
 from clementinedyke.entry.lending import LendingLimit
 from clementinedyke.http.client import Address, HttpClient, HttpRequest
@@ -68,6 +68,26 @@
         assert all(is_up_to_date(world) for world in worlds)
 
 
+class TestRemovalDuringOutage:
+    """Guards against requests to an engine that left during an outage."""
+
+    def test_outage_of_one_daemon(self) -> None:
+        """A removed engine must be dropped as soon as that is known.
+
+        While the store serves other daemons, no entry lapses because of it.
+        The engine was kept as if it had, past the drain delay of 3 s.
+        """
+        assert max(run_outage(refused=1, seconds=1.8)) <= 3000
+
+    def test_outage_of_all_daemons(self) -> None:
+        """An engine whose entry may have lapsed must be kept for a while.
+
+        It is back within about 2 s of the store's return, and without it the
+        daemon had no engine at all.
+        """
+        assert max(run_outage(refused=72, seconds=4)) >= 5000
+
+
 class TestLendingLimit:
     """Guards against daemons that fill their links with lent state."""
 
