Add failing tests of a store that returns from an older copy

The stand-ins of the store can lose what was written after a copy, and the one for whole daemons bears Store-Era in all answers.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -27,11 +27,24 @@
     await response.send_json(status, document, list(headers))
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """Copy of the store's content at a revision."""
+
+    version: int
+    rows: dict[tuple[str, str], dict]
+    history: list[dict]
+
+
 class StoreStandin:
-    """Store stand-in with one revision counter and change feeds."""
+    """Store stand-in with one revision counter and change feeds.
+
+    All answers bear the era, which rises when the store returns from a copy.
+    """
 
     def __init__(self) -> None:
         """Create an empty store."""
+        self.era = 1
         self.version = 0
         self.rows: dict[tuple[str, str], dict] = {}
         self.history: list[dict] = []
@@ -56,6 +69,18 @@
         """Delete a row."""
         self._change([{'table': table, 'key': key, 'removed': True}])
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the current content."""
+        return StoreCopy(self.version, dict(self.rows), list(self.history))
+
+    def return_from(self, copy: StoreCopy) -> None:
+        """Lose all that was written after a copy was taken."""
+        self.era += 1
+        self.version = copy.version
+        self.rows = dict(copy.rows)
+        self.history = list(copy.history)
+        self._wake()
+
     def drop_history(self) -> None:
         """Drop the change history; feeds of older revisions answer 410."""
         self.history_start = self.version
@@ -67,7 +92,7 @@
         """Answer a call to the store interface."""
         self.calls.append(request.path)
         if self.refusal_status:
-            await send_document(response, self.refusal_status, {})
+            await self._answer(response, self.refusal_status, {})
             return
         if request.path == '/v1/rows-tx':
             await self._transact(json.loads(request.body), request, response)
@@ -80,13 +105,19 @@
             return
         await self._get(query, response)
 
+    async def _answer(
+        self, response: ResponseWriter, status: int, document: object
+    ) -> None:
+        era = (b'Store-Era', str(self.era).encode())
+        await send_document(response, status, document, era)
+
     async def _transact(
         self, body: dict, request: ServerRequest, response: ResponseWriter
     ) -> None:
         for item in body['expected']:
             known = self.rows.get((item['table'], item['key']), {})
             if known.get('ver', 0) != item['ver']:
-                await send_document(response, 412, {'rows': []})
+                await self._answer(response, 412, {'rows': []})
                 return
         removed = [{**item, 'removed': True} for item in body['remove']]
         self._change([*body['puts'], *removed])
@@ -96,7 +127,7 @@
             raise trio.BrokenResourceError(
                 'connection closed without an answer'
             )
-        await send_document(response, 200, {'ver': self.version, 'now_ms': 1})
+        await self._answer(response, 200, {'ver': self.version, 'now_ms': 1})
 
     async def _get(self, query: dict, response: ResponseWriter) -> None:
         rows = [
@@ -108,25 +139,28 @@
         ]
         limit = int(query.get('limit', '500'))
         page = {'rows': rows[:limit], 'has_more': len(rows) > limit}
-        await send_document(
+        await self._answer(
             response, 200, {**page, 'ver': self.version, 'now_ms': 1}
         )
 
     async def _feed(self, query: dict, response: ResponseWriter) -> None:
         after = int(query['after'])
         with trio.move_on_after(int(query['wait_ms']) / 1000):
-            while not self._list_changes(query['table'], after):
-                if after < self.history_start:
-                    break
+            while self._has_history(after) and not self._list_changes(
+                query['table'], after
+            ):
                 await self._changed.wait()
-        if after < self.history_start:
-            await send_document(response, 410, {})
+        if not self._has_history(after):
+            await self._answer(response, 410, {})
             return
         changes = self._list_changes(query['table'], after)
-        await send_document(
+        await self._answer(
             response, 200, {'rows': changes, 'ver': self.version}
         )
 
+    def _has_history(self, after: int) -> bool:
+        return self.history_start <= after <= self.version
+
     def _list_changes(self, table: str, after: int) -> list[dict]:
         return [
             row
--- a/tests/row_table.py
+++ b/tests/row_table.py
@@ -33,6 +33,15 @@
         #: Number of calls of commit, failed ones included.
         self.commit_count = 0
 
+    def copy(self) -> dict[tuple[str, str], Row]:
+        """Return a copy of all rows."""
+        return dict(self.rows)
+
+    def return_from(self, copy: dict[tuple[str, str], Row]) -> None:
+        """Lose all that was written after a copy was taken."""
+        self.rows = dict(copy)
+        self.revision = max(row.version for row in copy.values())
+
     async def commit(
         self, conditions: Sequence[Condition], writes: Sequence[Write]
     ) -> CommitResult:
--- a/tests/test_entry_lease.py
+++ b/tests/test_entry_lease.py
@@ -10,6 +10,7 @@
 
 from clementinedyke.clock import ManualClock
 from clementinedyke.entry.duty_lease import DutyLease
+from clementinedyke.entry.duty_types import Authority
 from clementinedyke.leases.core import LeaseCore
 from clementinedyke.leases.handover import ExpiryHandover
 from clementinedyke.leases.messages import (
@@ -64,6 +65,14 @@
             self.fence_version = self.revision
         return self.revision
 
+    def lose_all(self) -> None:
+        """Return from a copy that was taken before the first write."""
+        self.row = None
+        self.version = 0
+        self.fence = 0
+        self.fence_version = 0
+        self.revision = 0
+
 
 class SimulatedDaemon:
     """One run of a daemon; a restart creates another object.
@@ -271,3 +280,30 @@
             for daemon in daemons:
                 daemon.clock.advance(_STEP)
                 daemon.step()
+
+
+class TestStoreFromOlderCopy:
+    """Guards against a fence that two holders use."""
+
+    def test_fence_is_not_given_again(self) -> None:
+        """A holder must get a higher fence although the store lost the last.
+
+        The former holder is cut off from the store and doesn't know of the
+        loss.
+        """
+        store = LeaseStore()
+        former = SimulatedDaemon('host-0', 1, store)
+        following = SimulatedDaemon('host-1', 2, store)
+        former_authority = run_until_authorized(former)
+        former.is_cut = True
+        store.lose_all()
+        authority = run_until_authorized(following)
+        assert authority.fence > former_authority.fence
+
+
+def run_until_authorized(daemon: SimulatedDaemon) -> Authority:
+    """Run a daemon until it may act and return its authority."""
+    while daemon.lease.get_authority() is None:
+        daemon.clock.advance(_STEP)
+        daemon.step()
+    return daemon.lease.get_authority()
--- a/tests/test_entry_usage.py
+++ b/tests/test_entry_usage.py
@@ -114,6 +114,34 @@
         )
 
 
+class TestStoreFromOlderCopy:
+    """Guards against a second figure after the store lost writes."""
+
+    def test_window_has_one_figure(self) -> None:
+        """A window must not be reported again from what the store kept.
+
+        The store returns from a copy taken before one of two daemons wrote its
+        part, after the window was reported. A new holder sums it once more.
+        """
+        scenario = UsageScenario('host-1', 'host-2')
+        scenario.count('host-1', 'loft', 2)
+        scenario.count('host-2', 'loft', 3)
+        scenario.time.unix += _LENGTH + 1500
+        scenario.write('host-2')
+        copy = scenario.store.copy()
+        scenario.write('host-1')
+        scenario.close()
+        scenario.store.return_from(copy)
+        scenario.time.unix += _PART_DEADLINE
+        scenario.close(scenario.create_closer())
+        figures = {
+            tuple(counts.items())
+            for window, counts in scenario.reporter.reports
+            if window == 10
+        }
+        assert figures == {(('loft', 5),)}
+
+
 class TestIncompleteReports:
     """Guards against reports that omit requests a daemon has counted."""
 
--- /dev/null
+++ b/tests/test_store_copy.py
@@ -0,0 +1,99 @@
+"""Tests of a daemon whose store returns from an older copy."""
+
+import trio
+from tests.entry_environment import (
+    CONFIGURATION,
+    EntryEnvironment,
+    ScenarioRunner,
+)
+from tests.entry_samples import BOUNDS
+from tests.platform_standin import EndpointStandin, StoreStandin, serve
+
+from clementinedyke.http.message import ResponseWriter, ServerRequest
+
+#: Time in seconds after which a leaving endpoint must get no more requests.
+_DRAIN_SECONDS = BOUNDS.drain_delay / 1000 + 0.2
+_REQUESTS = 12
+
+
+class StoreGate:
+    """Access to the store that can be refused to one daemon."""
+
+    def __init__(self, store: StoreStandin) -> None:
+        """Create an open gate."""
+        self._store = store
+        self.is_closed = False
+
+    async def respond(
+        self, request: ServerRequest, response: ResponseWriter
+    ) -> None:
+        """Pass on a call, or refuse it while the gate is closed."""
+        if self.is_closed:
+            await response.send_json(503, {}, [])
+            return
+        await self._store.respond(request, response)
+
+
+async def rewrite_entry(
+    env: EntryEnvironment, endpoint: EndpointStandin
+) -> None:
+    """Write an entry several times, so that its version is high."""
+    for sequence in range(2, 6):
+        env.register(endpoint, sequence=sequence)
+        await trio.sleep(0.2)
+
+
+async def count_requests(
+    env: EntryEnvironment, endpoint: EndpointStandin
+) -> int:
+    """Return how many of several requests reach an endpoint."""
+    endpoint.received.clear()
+    for number in range(_REQUESTS):
+        await env.send_request('/read/1', f'r-{number}')
+    return len(endpoint.received)
+
+
+class TestEndpointEntries:
+    """Guards against requests to endpoints that left after the loss."""
+
+    def test_entry_with_lower_version(self) -> None:
+        """An entry must be applied although its version was higher before."""
+
+        async def scenario(env: EntryEnvironment) -> None:
+            env.store.put('op', 'config', CONFIGURATION)
+            await env.start_daemon()
+            await env.wait_until_served()
+            endpoint = env.endpoints['ledger-1']
+            copy = env.store.copy()
+            await rewrite_entry(env, endpoint)
+            env.store.return_from(copy)
+            env.register(endpoint, state='draining')
+            await trio.sleep(_DRAIN_SECONDS)
+            assert await count_requests(env, endpoint) == 0
+
+        ScenarioRunner().run(scenario)
+
+    def test_daemon_cut_off_during_loss(self) -> None:
+        """A daemon must accept newer state with a lower revision.
+
+        It was cut off from the store before the loss, and another daemon has
+        the state of the store that returned.
+        """
+
+        async def scenario(env: EntryEnvironment) -> None:
+            env.store.put('op', 'config', CONFIGURATION)
+            gate = StoreGate(env.store)
+            port = await serve(env.nursery, gate.respond)
+            await env.start_daemon('host-1', store_port=port)
+            await env.start_daemon('host-2')
+            await env.wait_until_served()
+            endpoint = env.endpoints['ledger-1']
+            copy = env.store.copy()
+            await rewrite_entry(env, endpoint)
+            gate.is_closed = True
+            env.store.return_from(copy)
+            env.store.remove('servers', 'ledger-1')
+            await trio.sleep(2 * _DRAIN_SECONDS)
+            assert await count_requests(env, endpoint) == 0
+
+        ScenarioRunner().run(scenario)
