--- a/tests/test_entry_logs.py
+++ b/tests/test_entry_logs.py
@@ -25,6 +25,7 @@
 from clementinedyke.entry.metrics import EntryMetrics, GaugeSources
 from clementinedyke.entry.ports import get_max_connections
 from clementinedyke.entry.store_calls import StoreCall, StoreCallLog
+from clementinedyke.entry.store_contact import StoreContact
 
 _ENDED = {
     'at_ms': 17,
@@ -189,8 +190,9 @@
 
     def test_failed_call(self) -> None:
         """A failed call must be logged with its name and outcome."""
-        journal = Journal(ManualClock(), 'host-1', 100, 100)
-        calls = StoreCallLog(journal)
+        clock = ManualClock()
+        journal = Journal(clock, 'host-1', 100, 100)
+        calls = StoreCallLog(StoreContact(), clock, journal)
         calls.record_call(StoreCall('rows-get', 'done', is_failure=False))
         calls.record_call(StoreCall('rows-tx', 'status_503', is_failure=True))
         lines = read_journal(journal)
@@ -198,9 +200,21 @@
         assert lines[0]['call'] == 'rows-tx'
         assert lines[0]['outcome'] == 'status_503'
 
+    def test_contact(self) -> None:
+        """Only a call that was answered must count as contact to the store."""
+        clock = ManualClock()
+        contact = StoreContact()
+        calls = StoreCallLog(contact, clock, create_journal(clock))
+        calls.record_call(StoreCall('rows-tx', 'status_503', is_failure=True))
+        assert contact.get_age(clock.get_now()) is None
+        calls.record_call(StoreCall('rows-tx', 'conflict', is_failure=False))
+        clock.advance(300)
+        assert contact.get_age(clock.get_now()) == 300
+
     def test_counts(self) -> None:
         """The metrics must count each call and outcome separately."""
-        calls = StoreCallLog(create_journal(ManualClock()))
+        clock = ManualClock()
+        calls = StoreCallLog(StoreContact(), clock, create_journal(clock))
         for outcome in ('done', 'done', 'unknown'):
             call = StoreCall('rows-tx', outcome, is_failure=outcome != 'done')
             calls.record_call(call)
