--- a/tests/test_entry_news.py
+++ b/tests/test_entry_news.py
@@ -3,6 +3,8 @@
 from collections import Counter
 from random import Random
 
+import msgspec
+
 from clementinedyke.entry.news import PeerTable, PeerUpdate
 
 
@@ -23,6 +25,20 @@
     return PeerUpdate(host=host, sequence=sequence, **given)
 
 
+class TestPeerUpdate:
+    """Guards against daemons of two builds that don't understand each other."""
+
+    def test_mixed_builds(self) -> None:
+        """Updates without the newest field or with a further one are read."""
+        update = create_update(store_age=40)
+        fields = msgspec.to_builtins(update)
+        older = msgspec.msgpack.encode(fields[:-1])
+        newer = msgspec.msgpack.encode([*fields, 'further'])
+        decoder = msgspec.msgpack.Decoder(PeerUpdate)
+        assert decoder.decode(older).store_age == -1
+        assert decoder.decode(newer) == update
+
+
 class TestPeerTable:
     """Guards against totals that differ from the daemons' actual work."""
 
