--- a/tests/entry_samples.py
+++ b/tests/entry_samples.py
@@ -1,5 +1,7 @@
 """Sample configurations, endpoints and requests for the entry tests."""
 
+import trio
+
 from clementinedyke.clock import ManualClock
 from clementinedyke.entry.catalog import (
     EngineTraits,
@@ -35,6 +37,14 @@
 ZONES = ('zone-a', 'zone-b', 'zone-c', 'zone-d')
 
 
+class TrioClock:
+    """Clock that returns the time of the trio run in milliseconds."""
+
+    def get_now(self) -> int:
+        """Return the current instant."""
+        return int(trio.current_time() * 1000)
+
+
 def create_journal(clock: ManualClock) -> Journal:
     """Return a journal that keeps its lines in memory."""
     return Journal(clock, 'host-1', lines_per_second=1000, max_queued=1000)
--- a/tests/recovery_world.py
+++ b/tests/recovery_world.py
@@ -7,7 +7,12 @@
 
 import trio
 from result import Err, Ok, Result
-from tests.entry_samples import BOUNDS, create_endpoint, create_journal
+from tests.entry_samples import (
+    BOUNDS,
+    TrioClock,
+    create_endpoint,
+    create_journal,
+)
 from trio.testing import MockClock
 
 from clementinedyke.call_failures import TableFailure
@@ -39,14 +44,6 @@
 _VERSION = 1
 
 
-class TrioClock:
-    """Clock that returns the time of the trio run in milliseconds."""
-
-    def get_now(self) -> int:
-        """Return the current instant."""
-        return int(trio.current_time() * 1000)
-
-
 class SimulatedStore:
     """Table with a change feed."""
 
--- a/tests/test_entry_watch.py
+++ b/tests/test_entry_watch.py
@@ -5,7 +5,7 @@
 
 import trio
 from result import Err, Ok, Result
-from tests.entry_samples import BOUNDS, create_journal
+from tests.entry_samples import BOUNDS, TrioClock, create_journal
 from trio.testing import MockClock
 
 from clementinedyke.call_failures import TableFailure
@@ -72,14 +72,6 @@
         return lambda *_: None
 
 
-class TrioClock:
-    """Clock that returns the time of the trio run in milliseconds."""
-
-    def get_now(self) -> int:
-        """Return the current instant."""
-        return int(trio.current_time() * 1000)
-
-
 def run_watch(feed: StubFeed, seed: int, seconds: float) -> StubView:
     """Run the watch of one of 64 daemons and return its view.
 
