--- a/tests/test_entry_usage.py
+++ b/tests/test_entry_usage.py
@@ -4,10 +4,12 @@
 from result import Err, Ok, Result
 from tests.entry_samples import create_journal
 from tests.row_table import InMemoryRowStore
+from trio.testing import MockClock
 
 from clementinedyke.call_failures import TableFailure
 from clementinedyke.clock import ManualClock
 from clementinedyke.entry.duty_types import Authority
+from clementinedyke.entry.usage_component import UsageComponent, UsageTiming
 from clementinedyke.entry.usage_counter import UsageCounter
 from clementinedyke.entry.usage_duty import (
     PARTS_TABLE,
@@ -16,7 +18,7 @@
     WindowTime,
     compile_fence_condition,
 )
-from clementinedyke.rows import Write
+from clementinedyke.rows import Condition, Row, Write
 
 _LENGTH = 5000
 _PART_DEADLINE = 8500
@@ -114,6 +116,65 @@
         )
 
 
+class SlowReads(InMemoryRowStore):
+    """Row store whose reads of single rows take 2 s."""
+
+    async def get_row(
+        self, table: str, key: str
+    ) -> Result[Row | None, TableFailure]:
+        """Return a row after 2 s."""
+        await trio.sleep(2)
+        return await super().get_row(table, key)
+
+
+class ExpiringLease:
+    """Lease of the duties that is lost after 1 s."""
+
+    def __init__(self, fence: Condition) -> None:
+        """Create a lease that is held from now on."""
+        self.fence_condition = fence
+        self._lost_at = trio.current_time() + 1
+
+    def get_authority(self) -> Authority | None:
+        """Return the authority while the lease is held."""
+        return _AUTHORITY if trio.current_time() < self._lost_at else None
+
+
+class TestLostLease:
+    """Guards against two holders that report in turn."""
+
+    def test_no_report_after_the_lease(self) -> None:
+        """A holder must not report after it lost the lease during a read.
+
+        The store answered slowly, another daemon had taken over, and its
+        reports and those of the former holder alternated.
+        """
+        scenario = UsageScenario('host-1')
+        scenario.count('host-1', 'loft', 1)
+        scenario.time.unix += _LENGTH + 1500
+        scenario.write('host-1')
+        slow = SlowReads()
+        slow.rows = scenario.store.rows
+        slow.revision = scenario.store.revision
+        scenario.store = slow
+
+        async def main() -> None:
+            component = UsageComponent(
+                ExpiringLease(scenario.fence),
+                scenario.writers['host-1'],
+                scenario.create_closer(),
+                scenario.time,
+                UsageTiming(_LENGTH, 10000, lambda: 1),
+            )
+            async with trio.open_nursery() as nursery:
+                await component.start(nursery)
+                await trio.sleep(20)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+        assert not scenario.reporter.reports
+
+
 class TestStoreFromOlderCopy:
     """Guards against a second figure after the store lost writes."""
 
