--- a/tests/recovery_world.py
+++ b/tests/recovery_world.py
@@ -177,6 +177,12 @@
             daemon.access.is_refused = is_refused
             daemon.may_fetch = not is_refused
 
+    async def remove_engine(self) -> int:
+        """Remove the entry of an engine in 100 ms; return when in ms."""
+        await trio.sleep(0.1)
+        self.store.remove('engine')
+        return self.clock.get_now()
+
     async def release(self, rounds: int) -> None:
         """Replace engines in rounds, as the operator's releases do.
 
@@ -279,18 +285,18 @@
 def run_outage(refused: int, seconds: float) -> list[int]:
     """Remove the entry of an engine while the store refuses daemons.
 
-    The entry is removed at the start of the outage.
+    The entry is removed 100 ms after the outage begins.
 
     :param refused: number of the 72 daemons that the store refuses; they get
         no state from the others.
-    :param seconds: length of the outage.
+    :param seconds: time from the removal to the end of the outage.
     :return: times in ms after the removal, up to 2 s after the outage, at
         which the first daemon would send requests to the engine.
     """
     used: list[int] = []
 
-    async def record_uses(world: RecoveryWorld) -> None:
-        removed_at = world.clock.get_now()
+    async def remove_and_record(world: RecoveryWorld) -> None:
+        removed_at = await world.remove_engine()
         view = world.daemons['host-0'].view
         while True:
             now = world.clock.get_now()
@@ -305,9 +311,8 @@
             world.store.put('engine', b'ready')
             await trio.sleep(2)
             world.set_refused(refused, is_refused=True)
-            world.store.remove('engine')
-            nursery.start_soon(record_uses, world)
-            await trio.sleep(seconds)
+            nursery.start_soon(remove_and_record, world)
+            await trio.sleep(seconds + 0.1)
             world.set_refused(refused, is_refused=False)
             await trio.sleep(2)
             nursery.cancel_scope.cancel()
