Log the fingerprint of a request at its end

The digest function of the callers' port moved to the quarantine package, so that both programs use one.

--- a/src/clementinedyke/callers/work.py
+++ b/src/clementinedyke/callers/work.py
@@ -1,10 +1,10 @@
 """Estimates the tokens that a request costs its endpoint."""
 
-import hashlib
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
+from clementinedyke.quarantine.fingerprint import compute_fingerprint
 from clementinedyke.routing.prefix_index import compute_block_hashes
 
 #: Average size of a token in text.
@@ -13,7 +13,6 @@
 _MESSAGES_KEY = b'"messages"'
 #: Cost of a request to a plain service in tokens, for fair queueing.
 _PLAIN_TOKENS = 100
-_FINGERPRINT_BYTES = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,7 +37,7 @@
     :param service: name of the service.
     :param body: body as received.
     """
-    fingerprint = compute_fingerprint(customer, service, body)
+    fingerprint = compute_fingerprint((customer, service), body)
     return Work(fingerprint, prompt_tokens=_PLAIN_TOKENS)
 
 
@@ -57,21 +56,8 @@
     output = limit if isinstance(limit, int) else _DEFAULT_OUTPUT_TOKENS
     salt = f'{customer}/{content["model"]}'.encode()
     return Work(
-        fingerprint=compute_fingerprint(customer, service, body),
+        fingerprint=compute_fingerprint((customer, service), body),
         prompt_tokens=len(prompt) // _BYTES_PER_TOKEN,
         output_tokens=max(0, output),
         block_hashes=compute_block_hashes(prompt, salt),
     )
-
-
-def compute_fingerprint(customer: str, service: str, body: bytes) -> str:
-    """Return the digest that identifies repeated requests.
-
-    :param customer: customer of the request.
-    :param service: name of the service.
-    :param body: body as received.
-    """
-    digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
-    digest.update(f'{customer}\0{service}\0'.encode())
-    digest.update(body)
-    return digest.hexdigest()
--- a/src/clementinedyke/entry/gateway.py
+++ b/src/clementinedyke/entry/gateway.py
@@ -144,6 +144,7 @@
             request=job.request.request_id,
             route=job.route.name,
             customer=job.customer,
+            fingerprint=job.fingerprint,
             code=None if code is None else int(code),
             reason=reason,
             started=job.has_started,
--- a/src/clementinedyke/entry/intake.py
+++ b/src/clementinedyke/entry/intake.py
@@ -12,6 +12,7 @@
     EntryService,
 )
 from clementinedyke.entry.configuration_view import ConfigurationView
+from clementinedyke.quarantine.fingerprint import compute_fingerprint
 
 _RETRY_AFTER_UNCONFIRMED: Milliseconds = 500
 
@@ -35,6 +36,8 @@
     may have run, ``reads`` the attempts to prefill. ``path`` lists the ids of
     the endpoints in the order of the sends, ``failures`` the reasons of failed
     sends, ``excluded`` the ids of endpoints that are not tried again.
+    ``fingerprint`` is the same for all requests with the same customer, method,
+    host, target and body.
     """
 
     request: EntryRequest
@@ -44,6 +47,7 @@
     priority: int
     received_at: Milliseconds
     deadline: Milliseconds
+    fingerprint: str = ''
     has_started: bool = False
     runs: int = 0
     sends: int = 0
@@ -160,14 +164,17 @@
         priority = route.priority
         if customer is not None and customer.priority is not None:
             priority = customer.priority
+        name = customer.name if customer else ''
+        labels = (name, request.method, request.host, request.target)
         return Job(
             request=request,
             route=route,
             service=service,
-            customer=customer.name if customer else None,
+            customer=name or None,
             priority=priority,
             received_at=now,
             deadline=now + caller_timeout,
+            fingerprint=compute_fingerprint(labels, request.body),
         )
 
     def _select_service(self, route: EntryRoute) -> str:
--- a/src/clementinedyke/quarantine/__init__.py
+++ b/src/clementinedyke/quarantine/__init__.py
@@ -12,6 +12,7 @@
     ShareEvidence,
     Verdict,
 )
+from clementinedyke.quarantine.fingerprint import compute_fingerprint
 
 __all__ = (
     'EndpointLost',
@@ -24,4 +25,5 @@
     'RequestStarted',
     'ShareEvidence',
     'Verdict',
+    'compute_fingerprint',
 )
--- a/tests/test_entry_configuration.py
+++ b/tests/test_entry_configuration.py
@@ -222,6 +222,24 @@
         view.confirm(0)
         assert isinstance(self.admit(view, 60000), Job)
 
+    def test_fingerprint_of_repeated_request(self) -> None:
+        """A repeated request is recognised, and others are told apart.
+
+        A caller that sends a request again gives it another id.
+        """
+        view = create_view(ManualClock())
+        view.apply_content(b'1')
+        view.confirm(0)
+        first = self.admit(view, 1).fingerprint
+        assert self.admit(view, 2, request_id='r-2').fingerprint == first
+        others = (
+            {'body': b'another'},
+            {'method': 'PUT'},
+            {'target': '/review/1?page=2'},
+        )
+        for fields in others:
+            assert self.admit(view, 3, **fields).fingerprint != first
+
     def test_max_key_age(self) -> None:
         """With a maximum key age, unconfirmed keys must be refused after it."""
         view = create_view(ManualClock())
