Reproduce the repeats of a request that ends its endpoints

A caller sends a request eight times through three daemons; each endpoint that runs it ends and is back 0.2 s later. The request reaches endpoints 16 times on a repeatable route and 8 times on the others, 6 are allowed.

--- /dev/null
+++ b/tests/crashing_endpoint.py
@@ -0,0 +1,90 @@
+"""Endpoint stand-in that ends when it runs a certain request."""
+
+from dataclasses import dataclass, field
+
+import trio
+from tests.entry_environment import EntryEnvironment
+from tests.platform_standin import EndpointStandin
+
+from clementinedyke.http.message import ResponseWriter, ServerRequest
+from clementinedyke.http.server import HttpServer
+
+#: Body of the request that ends each endpoint that runs it.
+FATAL_BODY = b'fatal'
+_RUN_SECONDS = 0.02
+_RESTART_SECONDS = 0.2
+
+
+@dataclass
+class CrashingEndpoint:
+    """Process of an endpoint, which starts again at its address.
+
+    Each start has another id and start time. ``arrivals`` has the ids of the
+    requests with the fatal body that reached it, over all starts, and
+    ``ends`` counts its ends.
+    """
+
+    env: EntryEnvironment
+    name: str
+    stage: str | None = None
+    arrivals: list[str] = field(default_factory=list)
+    ends: int = 0
+    _port: int = 0
+
+    async def run(
+        self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until the scenario ends, with a pause after each end."""
+        while True:
+            standin = EndpointStandin(
+                f'{self.name}.{self.ends}', self.stage, override=self._crash
+            )
+            async with trio.open_nursery() as nursery:
+                server = HttpServer(standin.respond)
+                self._port = await nursery.start(
+                    server.serve, '127.0.0.1', self._port
+                )
+                standin.port = self._port
+                self._scope = nursery.cancel_scope
+                self.env.endpoints[self.name] = standin
+                self.env.register(standin, born=1000 + self.ends)
+                task_status.started()
+                task_status = trio.TASK_STATUS_IGNORED
+            self.ends += 1
+            await trio.sleep(_RESTART_SECONDS)
+            self.env.store.remove('servers', standin.endpoint_id)
+
+    async def _crash(
+        self,
+        standin: EndpointStandin,
+        request: ServerRequest,
+        response: ResponseWriter,
+    ) -> bool:
+        """End the process if it runs the fatal request."""
+        if request.get_header(b'x-stage') == 'prefill':
+            return False
+        if request.body != FATAL_BODY:
+            await trio.sleep(_RUN_SECONDS)
+            return False
+        self.arrivals.append(request.get_header(b'x-request-id'))
+        await trio.sleep(_RUN_SECONDS)
+        self._scope.cancel()
+        await trio.sleep_forever()
+        return True
+
+
+async def start_endpoints(
+    env: EntryEnvironment, names: list[str], stage: str | None = None
+) -> list[CrashingEndpoint]:
+    """Start endpoints that end under the fatal request.
+
+    They replace the stand-ins of their service and stage.
+    """
+    for standin in list(env.endpoints.values()):
+        if standin.stage == stage:
+            env.store.remove('servers', standin.endpoint_id)
+            env.endpoints.pop(standin.endpoint_id)
+    started = [CrashingEndpoint(env, name, stage) for name in names]
+    for endpoint in started:
+        await env.nursery.start(endpoint.run)
+    return started
--- a/tests/entry_environment.py
+++ b/tests/entry_environment.py
@@ -131,9 +131,15 @@
         return daemon
 
     async def send_request(
-        self, path: str, request_id: str = 'r-1', **headers: str
+        self,
+        path: str,
+        request_id: str = 'r-1',
+        *,
+        body: bytes = b'body',
+        daemon: int = 0,
+        **headers: str,
     ) -> HttpResponse:
-        """Send a request to the first daemon and return the answer."""
+        """Send a request to a daemon and return the answer."""
         given = {
             'host': 'desk.example',
             'x-request-id': request_id,
@@ -147,9 +153,9 @@
             'POST',
             path,
             [(name.encode(), text.encode()) for name, text in given.items()],
-            b'body',
+            body,
         )
-        port = self.daemons[0].caller_port
+        port = self.daemons[daemon].caller_port
         async with HttpClient(Address('127.0.0.1', port)) as client:
             return await client.request(request, _TIMEOUT)
 
