--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -80,8 +80,8 @@
         self._work = WorkTable()
         self._peer_table = PeerTable(settings.host)
         self._build_views()
-        self._build_peers()
         self._build_requests()
+        self._build_peers()
         self._duties = create_duties(
             settings, platform, self._run_id, self._compile_duty_tools()
         )
@@ -90,6 +90,7 @@
                 self._journal,
                 *self._build_metrics(),
                 *self._watches,
+                self._suspect_component,
                 self._peers,
                 self._recovery,
                 *self._duties,
@@ -173,7 +174,7 @@
             self._peer_table,
             self._work,
             (self._configuration, self._endpoints),
-            self._store_contact,
+            (self._store_contact, self._suspect_component),
             (self._clock, self._journal, self._generator),
         )
         self._recovery = RecoveryComponent(
@@ -199,10 +200,12 @@
                 self._journal,
                 self._generator,
                 self._count_daemons,
-                self._peers.has_infrequent_updates,
+                self._has_infrequent_updates,
+                self._platform.store,
             ),
         )
         self._gateway = path.gateway
+        self._suspect_component = path.suspect_component
         self._readiness = Readiness(
             settings.ready_address, self._configuration, self._journal
         )
@@ -264,6 +267,9 @@
         """Return the hosts whose last update is at most ``age`` ms old."""
         return self._peer_table.list_hosts(age, self._clock.get_now())
 
+    def _has_infrequent_updates(self) -> bool:
+        return self._peers.has_infrequent_updates()
+
     def _count_active_daemons(self) -> int:
         return self._peer_table.count_daemons(self._clock.get_now())
 
--- a/src/clementinedyke/entry/exchange.py
+++ b/src/clementinedyke/entry/exchange.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
+import trio
 from absl import logging
 
 from clementinedyke.clock import Clock, Milliseconds
@@ -16,9 +17,11 @@
 )
 from clementinedyke.entry.intake import Job
 from clementinedyke.entry.placement import PlacementCore
+from clementinedyke.entry.suspects import Suspects
 from clementinedyke.exceptions import (
     AnswerLostError,
     ConnectionDroppedError,
+    ConnectionRefusedByPeerError,
     PeerUnavailableError,
     ProtocolError,
 )
@@ -33,7 +36,10 @@
 
 
 class EndpointAnswer:
-    """An answer whose head matches its request; the body is still unread."""
+    """An answer whose head matches its request; the body is still unread.
+
+    ``is_complete`` is set once the endpoint has run the request to its end.
+    """
 
     def __init__(
         self, head: AnswerHead, stream: ResponseStream, endpoint: EntryEndpoint
@@ -42,6 +48,7 @@
         self.head = head
         self.stream = stream
         self.endpoint = endpoint
+        self.is_complete = False
 
 
 class Exchange:
@@ -57,6 +64,7 @@
         placement: PlacementCore,
         clock: Clock,
         get_max_idle: Callable[[str], int],
+        suspects: Suspects,
     ) -> None:
         """Create the exchange.
 
@@ -65,11 +73,15 @@
         :param clock: clock of the host.
         :param get_max_idle: returns the maximum number of idle connections
             to each endpoint of the service with the given name.
+        :param suspects: told of each send and of lost answers.
         """
         self._protocol = protocol
         self._placement = placement
         self._clock = clock
         self._get_max_idle = get_max_idle
+        self._suspects = suspects
+        #: Finds out why an endpoint lost an answer.
+        self.examine: Callable[[EntryEndpoint], trio.Event] = _skip_examination
         #: By service, since its endpoints close idle connections alike.
         self._idle_limits: defaultdict[str, IdleTimeLimit] = defaultdict(
             IdleTimeLimit
@@ -92,30 +104,54 @@
             valid answer.
         """
         endpoint = options.endpoint
+        request_id = job.request.request_id
+        sent_at = self._clock.get_now()
+        answer: EndpointAnswer | None = None
         request = self._protocol.compile_request(job.request, options)
         work = self._placement.work.get_work(endpoint)
         work.running += 1
         job.path.append(endpoint.endpoint_id)
+        self._suspects.record_start(request_id, job.fingerprint, endpoint)
         try:
             async with self._get_client(endpoint).open_response(
                 request
             ) as stream:
                 head = self._read_head(job, stream, endpoint)
-                yield EndpointAnswer(head, stream, endpoint)
+                answer = EndpointAnswer(head, stream, endpoint)
+                self._record_answer(endpoint, sent_at)
+                yield answer
         except PeerUnavailableError as unreachable:
             job.failures.append(str(unreachable))
-            self._placement.work.record_unreachable(
-                endpoint, self._clock.get_now()
-            )
+            now = self._clock.get_now()
+            self._placement.work.record_unreachable(endpoint, now)
+            if isinstance(unreachable, ConnectionRefusedByPeerError):
+                self._suspects.record_refused_connection(endpoint, now)
             raise
         except ProtocolError as error:
             self._record_failure(job, endpoint, error)
             raise AnswerLostError(str(error)) from error
         except AnswerLostError as lost:
             self._record_failure(job, endpoint, lost)
+            self.record_silence(job, endpoint)
+            job.examination = self.examine(endpoint)
             raise
         finally:
             work.running -= 1
+            self._suspects.record_end(
+                request_id,
+                self._clock.get_now(),
+                is_complete=answer is not None and answer.is_complete,
+            )
+
+    def record_silence(self, job: Job, endpoint: EntryEndpoint) -> None:
+        """Record that an endpoint has not answered a request.
+
+        :param job: request that was sent to the endpoint.
+        :param endpoint: endpoint that may have ended.
+        """
+        self._suspects.record_lost_answer(
+            endpoint, job.fingerprint, self._clock.get_now()
+        )
 
     def has_connection(self, endpoint: EntryEndpoint) -> bool:
         """Return whether an idle connection to an endpoint is open.
@@ -154,6 +190,11 @@
         """Close all idle connections."""
         await self.close_stale_clients(set())
 
+    def _record_answer(
+        self, endpoint: EntryEndpoint, sent_at: Milliseconds
+    ) -> None:
+        self._suspects.record_answer(endpoint, sent_at, self._clock.get_now())
+
     def _get_client(self, endpoint: EntryEndpoint) -> HttpClient:
         client = self._clients.get(endpoint.run_id)
         if client is None:
@@ -191,3 +232,10 @@
         self._placement.record_failure(
             endpoint, job.request.request_id, self._clock.get_now()
         )
+
+
+def _skip_examination(endpoint: EntryEndpoint) -> trio.Event:
+    """Return an event that is set, for an exchange without a prober."""
+    done = trio.Event()
+    done.set()
+    return done
--- a/src/clementinedyke/entry/intake.py
+++ b/src/clementinedyke/entry/intake.py
@@ -3,6 +3,8 @@
 import random
 from dataclasses import dataclass, field
 
+import trio
+
 from clementinedyke.clock import Milliseconds
 from clementinedyke.codes import ResultCode
 from clementinedyke.entry.catalog import (
@@ -37,7 +39,8 @@
     the endpoints in the order of the sends, ``failures`` the reasons of failed
     sends, ``excluded`` the ids of endpoints that are not tried again.
     ``fingerprint`` is the same for all requests with the same customer, method,
-    host, target and body.
+    host, target and body. ``examination`` is set once it is known whether the
+    endpoint that lost the last answer has ended.
     """
 
     request: EntryRequest
@@ -57,6 +60,7 @@
     path: list[str] = field(default_factory=list)
     failures: list[str] = field(default_factory=list)
     excluded: set[str] = field(default_factory=set)
+    examination: trio.Event | None = None
 
     def get_time_left(self, now: Milliseconds) -> Milliseconds:
         """Return the milliseconds until the deadline, at least 0.
--- a/src/clementinedyke/entry/news.py
+++ b/src/clementinedyke/entry/news.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from clementinedyke.clock import Milliseconds
+from clementinedyke.quarantine.rows import SuspectRow
 
 #: The work in an update expires after this many intervals of its sender.
 _LIFETIME_IN_INTERVALS = 4
@@ -28,7 +29,9 @@
     the running requests and unread prompt tokens. ``read_parts`` maps endpoint
     ids to the prompt parts that the engine has read since the last datagram.
     ``store_age`` is the time in ms since the store last answered the sender,
-    -1 if it never has or if the sender does not tell.
+    -1 if it never has or if the sender does not tell. ``evidence`` has requests
+    under which endpoints ended, and ``suspects_revision`` is the revision of
+    the last commit of such evidence that the sender knows of.
     """
 
     host: str
@@ -41,6 +44,8 @@
     work: dict[str, tuple[int, int]]
     read_parts: dict[str, list[str]]
     store_age: int = -1
+    evidence: list[SuspectRow] = []
+    suspects_revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -17,6 +17,7 @@
 from clementinedyke.entry.lending import LendingCounts, LendingLimit
 from clementinedyke.entry.news import PeerTable, PeerUpdate
 from clementinedyke.entry.store_contact import StoreContact
+from clementinedyke.entry.suspect_component import SuspectComponent
 from clementinedyke.entry.watch import StoredRow
 from clementinedyke.exceptions import ClementinedykeError
 from clementinedyke.http.client import (
@@ -27,6 +28,8 @@
 )
 from clementinedyke.http.message import ResponseWriter, ServerRequest
 from clementinedyke.http.server import HttpServer
+from clementinedyke.quarantine.core import Evidence
+from clementinedyke.quarantine.rows import compile_evidence, compile_row
 from clementinedyke.rows import RowStore, Write
 
 DAEMONS_TABLE = 'daemons'
@@ -50,6 +53,8 @@
 _FIRST_LIST_INTERVAL: Milliseconds = 700
 _FIRST_LIST_COUNT = 4
 _STATE_TIMEOUT: Milliseconds = 500
+#: Time in which evidence is collected before it is sent.
+_EVIDENCE_DELAY: Milliseconds = 2
 
 
 class _DaemonRow(msgspec.Struct, frozen=True):
@@ -102,7 +107,7 @@
         peer_table: PeerTable,
         work: WorkTable,
         views: tuple[ConfigurationView, EndpointView],
-        contact: StoreContact,
+        shared: tuple[StoreContact, SuspectComponent],
         tools: tuple[Clock, Journal, Random],
     ) -> None:
         """Create the component.
@@ -112,7 +117,8 @@
         :param peer_table: stores the updates of other daemons.
         :param work: work of this daemon, sent to the others, and their work.
         :param views: views of the configuration and of the endpoints.
-        :param contact: answers of the store to all daemons.
+        :param shared: answers of the store to all daemons, and evidence against
+            requests; both are sent to the others and received from them.
         :param tools: clock, log and random generator for jitter.
         """
         self._identity = identity
@@ -121,7 +127,11 @@
         self._work = work
         self._configuration = views[0]
         self._endpoints = views[1]
-        self._contact = contact
+        self._contact = shared[0]
+        self._evidence = shared[1]
+        self._suspects = self._evidence.suspects
+        self._has_evidence = trio.Event()
+        self._suspects.evidence_observers.append(self._announce_evidence)
         self._clock = tools[0]
         self._journal = tools[1]
         self.lending_counts = LendingCounts()
@@ -159,6 +169,7 @@
             self._socket = _open_socket()
         nursery.start_soon(self._run_receiver)
         nursery.start_soon(self._run_sender)
+        nursery.start_soon(self._run_evidence_sender)
         nursery.start_soon(self._run_discovery)
 
     async def fetch_state(self, host: str) -> bool:
@@ -244,6 +255,11 @@
         self._work.record_remote_parts(update.read_parts, now)
         if update.store_age >= 0:
             self._contact.record_remote_answer(now - update.store_age)
+        if update.evidence:
+            self._suspects.receive_evidence(
+                tuple(map(compile_evidence, update.evidence)), now
+            )
+        self._evidence.record_revision(update.suspects_revision)
         confirmed = self._peer_table.get_confirmation_time(
             self._configuration.version, now
         )
@@ -265,6 +281,18 @@
                 idle_rounds = 0
                 await self._send_update(work)
 
+    def _announce_evidence(self, evidence: tuple[Evidence, ...]) -> None:
+        self._has_evidence.set()
+
+    async def _run_evidence_sender(self) -> None:
+        while True:
+            await self._has_evidence.wait()
+            # All requests of an ended endpoint fail within the same moment.
+            await trio.sleep(_EVIDENCE_DELAY / _MILLISECONDS_PER_SECOND)
+            self._has_evidence = trio.Event()
+            work = self._work.get_local_work(self._clock.get_now())
+            await self._send_update(work)
+
     async def _send_update(self, work: dict[str, tuple[int, int]]) -> None:
         self._sequence += 1
         now = self._clock.get_now()
@@ -281,6 +309,8 @@
             work=work,
             read_parts=self._work.pop_read_parts(),
             store_age=-1 if store_age is None else store_age,
+            evidence=list(map(compile_row, self._suspects.pop_unsent(now))),
+            suspects_revision=self._evidence.newest_revision,
         )
         payload = msgspec.msgpack.encode(update)
         for peer in tuple(self._peers.values()):
--- a/src/clementinedyke/entry/placement.py
+++ b/src/clementinedyke/entry/placement.py
@@ -134,15 +134,26 @@
         candidates = self._list_usable(service, now, excluded, None)
         return self._select_least_loaded(candidates, self._zone, now)
 
+    def list_endpoints(
+        self, service: str, stage: Stage | None = None
+    ) -> list[EntryEndpoint]:
+        """Return the endpoints of a service that are not leaving.
+
+        :param service: name of the service.
+        :param stage: stage of the engines to return, None for all endpoints.
+        """
+        return [
+            endpoint
+            for endpoint in self._endpoints.get(service, ())
+            if not endpoint.is_leaving and stage in {None, endpoint.stage}
+        ]
+
     def has_endpoints(self, service: str) -> bool:
         """Return whether a service has endpoints that are not leaving.
 
         :param service: name of the service.
         """
-        return any(
-            not endpoint.is_leaving
-            for endpoint in self._endpoints.get(service, ())
-        )
+        return bool(self.list_endpoints(service))
 
     def record_success(
         self, endpoint: EntryEndpoint, request_id: str, now: Milliseconds
@@ -202,10 +213,8 @@
         table = self._health.get(service)
         candidates = [
             endpoint
-            for endpoint in self._endpoints.get(service, ())
+            for endpoint in self.list_endpoints(service, stage)
             if endpoint.endpoint_id not in excluded
-            and not endpoint.is_leaving
-            and (stage is None or endpoint.stage is stage)
         ]
         reachable = [
             endpoint
--- a/src/clementinedyke/entry/request_path.py
+++ b/src/clementinedyke/entry/request_path.py
@@ -17,8 +17,10 @@
 from clementinedyke.entry.placement import PlacementCore
 from clementinedyke.entry.retry_budget import RetryBudgets
 from clementinedyke.entry.runners import RunnerContext
+from clementinedyke.entry.suspect_component import SuspectComponent
 from clementinedyke.entry.usage_counter import UsageCounter
 from clementinedyke.http.client import MAX_IDLE_CONNECTIONS
+from clementinedyke.rows import RowStore
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +33,7 @@
     generator: random.Random
     count_daemons: Callable[[], int]
     has_infrequent_updates: Callable[[], bool]
+    store: RowStore
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +43,7 @@
     gateway: Gateway
     placement: PlacementCore
     exchange: Exchange
+    suspect_component: SuspectComponent
 
 
 def create_request_path(
@@ -63,12 +67,17 @@
         context.generator,
         context.has_infrequent_updates,
     )
+    suspect_component = SuspectComponent(
+        context.store, context.clock, context.journal
+    )
     exchange = Exchange(
         protocol,
         placement,
         context.clock,
         partial(_get_max_idle, view, context.count_daemons),
+        suspect_component.suspects,
     )
+    exchange.examine = suspect_component.examine
     placement.has_connection = exchange.has_connection
     intake = Intake(
         view,
@@ -84,9 +93,10 @@
         context.clock,
         count_daemons=context.count_daemons,
         budgets=RetryBudgets(settings.bounds),
+        suspects=suspect_component.suspects,
     )
     gateway = Gateway(intake, runner_context, context.journal)
-    return RequestPath(gateway, placement, exchange)
+    return RequestPath(gateway, placement, exchange, suspect_component)
 
 
 def _get_max_idle(
--- a/src/clementinedyke/entry/runners.py
+++ b/src/clementinedyke/entry/runners.py
@@ -8,7 +8,7 @@
 
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.codes import ResultCode
-from clementinedyke.entry.catalog import EntryEndpoint
+from clementinedyke.entry.catalog import EntryEndpoint, Stage
 from clementinedyke.entry.endpoint_protocol import (
     EndpointProtocol,
     SendOptions,
@@ -17,10 +17,12 @@
 from clementinedyke.entry.intake import Job
 from clementinedyke.entry.placement import PlacementCore
 from clementinedyke.entry.retry_budget import RetryBudgets
+from clementinedyke.entry.suspects import Suspects
 from clementinedyke.entry.usage_counter import UsageCounter
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
 from clementinedyke.http.client import HttpResponse
 from clementinedyke.http.message import RequestError, ResponseWriter
+from clementinedyke.quarantine.core import Verdict
 
 _STATUS_SERVER_ERROR = 500
 _MILLISECONDS_PER_SECOND = 1000
@@ -34,6 +36,16 @@
 #: Retry delay for callers if there is no endpoint; ordered engines and
 #: restarted endpoints take seconds to come up.
 RETRY_AFTER_NO_ENDPOINT: Milliseconds = 600
+#: Retry delay for a request that ended its endpoints, and for one that may have
+#: done so.
+RETRY_AFTER_CONVICTED: Milliseconds = 60000
+RETRY_AFTER_HELD: Milliseconds = 2000
+#: Longest wait for the cause of a lost answer; a connection takes about 1 ms.
+_EXAMINATION_TIMEOUT: Milliseconds = 50
+#: Interval at which a suspect looks for an endpoint without other suspects, and
+#: the longest time for which it does.
+_ISOLATION_INTERVAL: Milliseconds = 25
+_ISOLATION_TIMEOUT: Milliseconds = 500
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +62,38 @@
     clock: Clock
     count_daemons: Callable[[], int]
     budgets: RetryBudgets
+    suspects: Suspects
+
+    async def wait_for_clearance(self, job: Job) -> None:
+        """Wait until a job may be sent, which it mostly may at once.
+
+        A request under which endpoints ended waits until the other daemons
+        know of it and until an endpoint runs no other such request.
+
+        :param job: job that is about to be sent.
+        :raises RequestError: if endpoints ended because of the request.
+        """
+        if job.examination is not None:
+            with trio.move_on_after(
+                _EXAMINATION_TIMEOUT / _MILLISECONDS_PER_SECOND
+            ):
+                await job.examination.wait()
+        give_up_at = self.clock.get_now() + _ISOLATION_TIMEOUT
+        wait = self._get_wait(job)
+        while wait:
+            if self.clock.get_now() >= give_up_at:
+                raise self._create_refusal(job, RETRY_AFTER_HELD)
+            await trio.sleep(wait / _MILLISECONDS_PER_SECOND)
+            wait = self._get_wait(job)
+
+    def list_excluded(self, job: Job) -> frozenset[str]:
+        """Return the ids of the endpoints that may not run a job now.
+
+        :param job: job that is about to be sent.
+        """
+        return frozenset(job.excluded) | self.suspects.list_excluded(
+            job.fingerprint, self._list_endpoints(job), self.clock.get_now()
+        )
 
     def reserve_send(self, job: Job) -> bool:
         """Count a send and return whether it may be made.
@@ -109,6 +153,7 @@
         """
         now = self.clock.get_now()
         job.failures.append(f'{endpoint.endpoint_id}: silent')
+        self.exchange.record_silence(job, endpoint)
         self.placement.work.record_timeout(endpoint, now)
         self.placement.record_failure(endpoint, job.request.request_id, now)
 
@@ -131,6 +176,42 @@
             ResultCode.NO_ENDPOINT, message, RETRY_AFTER_NO_ENDPOINT
         )
 
+    def _get_wait(self, job: Job) -> Milliseconds:
+        """Return the time to wait before a send, 0 if it may be made now.
+
+        :raises RequestError: if the request must not be sent.
+        """
+        now = self.clock.get_now()
+        verdict = self.suspects.get_verdict(job.fingerprint, now)
+        if verdict is Verdict.CLEAR:
+            return 0
+        if verdict is Verdict.CONVICTED:
+            raise self._create_refusal(job, RETRY_AFTER_CONVICTED)
+        hold_time = self.suspects.get_hold_time(job.fingerprint, now)
+        if hold_time:
+            return hold_time
+        if verdict is Verdict.HELD:
+            raise self._create_refusal(job, RETRY_AFTER_HELD)
+        untried = {
+            endpoint.endpoint_id for endpoint in self._list_endpoints(job)
+        }.difference(job.excluded)
+        is_kept_apart = untried and untried <= self.list_excluded(job)
+        return _ISOLATION_INTERVAL if is_kept_apart else 0
+
+    def _list_endpoints(self, job: Job) -> list[EntryEndpoint]:
+        """Return the endpoints that could run a job."""
+        service = job.service
+        stage = None if service.engine is None else Stage.DECODE
+        return self.placement.list_endpoints(service.name, stage)
+
+    def _create_refusal(
+        self, job: Job, retry_after: Milliseconds
+    ) -> RequestError:
+        message = 'endpoints ended while they ran this request'
+        if job.has_started:
+            return RequestError(ResultCode.ANSWER_LOST, message)
+        return RequestError(ResultCode.REQUEST_HELD, message, retry_after)
+
 
 @dataclass(slots=True)
 class _PlainRun:
@@ -170,6 +251,7 @@
 
     async def _run_attempt(self, run: _PlainRun) -> bool:
         """Make one attempt; return True if the answer was forwarded."""
+        await self._context.wait_for_clearance(run.job)
         endpoint = self._select_endpoint(run.job)
         reason = 'no endpoint has room'
         if endpoint is not None:
@@ -185,7 +267,7 @@
         return self._context.placement.select_plain(
             job.service.name,
             self._context.clock.get_now(),
-            frozenset(job.excluded),
+            self._context.list_excluded(job),
         )
 
     async def _send(self, run: _PlainRun, endpoint: EntryEndpoint) -> bool:
@@ -226,6 +308,7 @@
             # Only the endpoint itself can state that nothing ran, and an
             # unsigned answer may come from elsewhere.
             raise AnswerLostError('the answer bears no signature')
+        answer.is_complete = True
         self._record_run(run)
         self._context.usage.count_request(run.job.customer)
         self._report_health(run.job, answer)
--- a/src/clementinedyke/entry/stream_runner.py
+++ b/src/clementinedyke/entry/stream_runner.py
@@ -84,8 +84,10 @@
     async def _run_attempt(self, generation: _Generation) -> bool:
         """Make one attempt; return True if the answer was forwarded whole."""
         job = generation.job
+        await self._wait_for_clearance(generation)
         if generation.kv_cache is None and job.service.engine is not None:
             await self._prefill_prompt(generation)
+            await self._wait_for_clearance(generation)
         endpoint = self._select_endpoint(generation)
         if endpoint is None:
             raise self._create_error(generation, 'no engine has room')
@@ -93,11 +95,19 @@
             raise self._create_error(generation, 'no retry budget is left')
         return await self._send(generation, endpoint)
 
+    async def _wait_for_clearance(self, generation: _Generation) -> None:
+        try:
+            await self._context.wait_for_clearance(generation.job)
+        except RequestError as error:
+            if generation.is_head_sent:
+                raise StreamBroken(str(error)) from error
+            raise
+
     def _select_endpoint(self, generation: _Generation) -> EntryEndpoint | None:
         job = generation.job
         placement = self._context.placement
         now = self._context.clock.get_now()
-        excluded = frozenset(job.excluded)
+        excluded = self._context.list_excluded(job)
         if job.service.engine is None:
             return placement.select_plain(job.service.name, now, excluded)
         source = generation.kv_cache.endpoint if generation.kv_cache else None
@@ -353,6 +363,7 @@
         await self._forward_bytes(
             generation, answer, splitter.drain_remainder()
         )
+        answer.is_complete = True
         generation.job.runs += 1
         self._context.placement.record_success(
             answer.endpoint,
--- /dev/null
+++ b/src/clementinedyke/entry/suspect_component.py
@@ -0,0 +1,199 @@
+"""Examines lost answers, and keeps the evidence in the store."""
+
+import msgspec
+import trio
+from absl import logging
+
+from clementinedyke.clock import Clock, Milliseconds
+from clementinedyke.components import Component
+from clementinedyke.entry.catalog import EntryEndpoint
+from clementinedyke.entry.journal import Journal
+from clementinedyke.entry.suspects import Suspects
+from clementinedyke.http.client import HttpClient
+from clementinedyke.quarantine.core import Evidence
+from clementinedyke.quarantine.rows import (
+    SUSPECTS_TABLE,
+    SuspectRow,
+    compile_evidence,
+    compile_write,
+)
+from clementinedyke.rows import Commit, RowStore, Write
+
+_CONNECT_TIMEOUT: Milliseconds = 250
+#: Delay before a failed call of the store is repeated, which doubles up to the
+#: maximum.
+_MIN_RETRY: Milliseconds = 250
+_MAX_RETRY: Milliseconds = 1000
+#: Rows in a transaction; the store accepts 100.
+_MAX_WRITES = 100
+#: Rows that wait to be written while the store is away.
+_MAX_UNWRITTEN = 1000
+_MILLISECONDS_PER_SECOND = 1000
+
+
+class SuspectComponent(Component):
+    """Runs the tasks behind :class:`Suspects`.
+
+    Evidence against suspects is kept in table ``suspects``, so that it outlives
+    the daemons. Daemons read the table at their start, and when another one
+    announces a newer commit, since datagrams with evidence may be lost.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        clock: Clock,
+        journal: Journal,
+    ) -> None:
+        """Create the component.
+
+        :param store: store with table ``suspects``.
+        :param clock: clock of the host.
+        :param journal: log of reads and writes.
+        """
+        #: Evidence of this daemon.
+        self.suspects = Suspects(journal)
+        self._store = store
+        self._clock = clock
+        self._journal = journal
+        self._nursery: trio.Nursery | None = None
+        #: Examinations in progress by run id of the endpoint.
+        self._examinations: dict[str, trio.Event] = {}
+        self._unwritten: dict[str, Write] = {}
+        self._written: set[str] = set()
+        self._has_unwritten = trio.Event()
+        self._read_revision = -1
+        #: Revision of the newest commit to the table that is known.
+        self.newest_revision = 0
+        self._has_newer = trio.Event()
+        self.suspects.evidence_observers.append(self._store_evidence)
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start the tasks.
+
+        :param nursery: nursery that runs the tasks.
+        """
+        self._nursery = nursery
+        nursery.start_soon(self._run_reader)
+        nursery.start_soon(self._run_writer)
+
+    def examine(self, endpoint: EntryEndpoint) -> trio.Event:
+        """Find out whether a process listens at an endpoint's address.
+
+        The event that is returned is set when the result is known.
+
+        :param endpoint: endpoint that lost an answer.
+        """
+        done = self._examinations.get(endpoint.run_id)
+        if done is None:
+            done = trio.Event()
+            if self._nursery is None:
+                done.set()
+                return done
+            self._examinations[endpoint.run_id] = done
+            self._nursery.start_soon(self._check_listening, endpoint, done)
+        return done
+
+    def _store_evidence(self, evidence: tuple[Evidence, ...]) -> None:
+        """Write the evidence against those requests that are suspects."""
+        fingerprints = {item.fingerprint for item in evidence}
+        for fingerprint in fingerprints:
+            for item in self.suspects.list_stored_evidence(fingerprint):
+                write = compile_write(item)
+                if write.key not in self._written:
+                    self._unwritten[write.key] = write
+        while len(self._unwritten) > _MAX_UNWRITTEN:
+            dropped = self._unwritten.pop(next(iter(self._unwritten)))
+            self._journal.write('evidence_dropped', key=dropped.key)
+        if self._unwritten:
+            self._has_unwritten.set()
+
+    def record_revision(self, revision: int) -> None:
+        """Record the newest commit that another daemon knows of.
+
+        :param revision: revision of the store.
+        """
+        if revision > self.newest_revision:
+            self.newest_revision = revision
+            self._has_newer.set()
+
+    async def _check_listening(
+        self, endpoint: EntryEndpoint, done: trio.Event
+    ) -> None:
+        client = HttpClient(endpoint.address, connect_timeout=_CONNECT_TIMEOUT)
+        is_listening = await client.check_listening()
+        self._journal.write(
+            'endpoint_examined',
+            endpoint=endpoint.endpoint_id,
+            listening=is_listening,
+        )
+        if is_listening is False:
+            self.suspects.record_refused_connection(
+                endpoint, self._clock.get_now()
+            )
+        self._examinations.pop(endpoint.run_id)
+        done.set()
+
+    async def _run_writer(self) -> None:
+        delay = _MIN_RETRY
+        while True:
+            await self._has_unwritten.wait()
+            if await self._write():
+                delay = _MIN_RETRY
+                continue
+            await trio.sleep(delay / _MILLISECONDS_PER_SECOND)
+            delay = min(_MAX_RETRY, 2 * delay)
+
+    async def _write(self) -> bool:
+        writes = list(self._unwritten.values())[:_MAX_WRITES]
+        answer = await self._store.commit([], writes)
+        outcome = answer.unwrap() if answer.is_ok() else None
+        if not isinstance(outcome, Commit):
+            return False
+        for write in writes:
+            self._unwritten.pop(write.key, None)
+            self._written.add(write.key)
+        if not self._unwritten:
+            self._has_unwritten = trio.Event()
+        self.newest_revision = max(self.newest_revision, outcome.revision)
+        self._journal.write(
+            'evidence_written', rows=len(writes), revision=outcome.revision
+        )
+        return True
+
+    async def _run_reader(self) -> None:
+        delay = _MIN_RETRY
+        while True:
+            if self._read_revision >= self.newest_revision:
+                self._has_newer = trio.Event()
+                await self._has_newer.wait()
+            if await self._read():
+                delay = _MIN_RETRY
+                continue
+            await trio.sleep(delay / _MILLISECONDS_PER_SECOND)
+            delay = min(_MAX_RETRY, 2 * delay)
+
+    async def _read(self) -> bool:
+        answer = await self._store.list_rows(SUSPECTS_TABLE)
+        if answer.is_err():
+            return False
+        snapshot = answer.unwrap()
+        evidence = []
+        for row in snapshot.rows:
+            try:
+                decoded = msgspec.convert(row.value, SuspectRow)
+            except msgspec.MsgspecError as error:
+                logging.warning(
+                    'event=suspect_row_unreadable key=%s error=%s',
+                    row.key,
+                    error,
+                )
+                continue
+            evidence.append(compile_evidence(decoded))
+            self._written.add(row.key)
+        self.suspects.receive_evidence(evidence, self._clock.get_now())
+        self._read_revision = snapshot.revision
+        self._journal.write(
+            'evidence_read', rows=len(evidence), revision=snapshot.revision
+        )
+        return True
--- /dev/null
+++ b/src/clementinedyke/entry/suspects.py
@@ -0,0 +1,246 @@
+"""Decides which requests may run although endpoints ended under them."""
+
+from collections.abc import Callable, Iterable, Sequence
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.entry.catalog import EntryEndpoint
+from clementinedyke.entry.journal import Journal
+from clementinedyke.entry.lost_answers import LostAnswers
+from clementinedyke.quarantine.core import (
+    EndpointAnswered,
+    Evidence,
+    EvidenceFound,
+    EvidenceReceived,
+    QuarantineCore,
+    QuarantineSettings,
+    RequestEnded,
+    RequestStarted,
+    Verdict,
+)
+
+#: Evidence reaches the other daemons within some milliseconds. A suspect has to
+#: wait that long before it is sent again.
+_SETTLE_TIME: Milliseconds = 50
+#: Endpoints that crash and restart all day also end under harmless requests.
+#: A request is kept apart from other suspects after two ends and refused after
+#: three; until then it is retried without a delay.
+_SETTINGS = QuarantineSettings(
+    settle_time=_SETTLE_TIME, isolation_losses=2, conviction_losses=3
+)
+#: Maximum number of items of evidence in a datagram.
+_MAX_SENT_ITEMS = 40
+#: Times after its finding at which an item is sent. Datagrams are lost, and a
+#: daemon may have started just now.
+_SEND_TIMES: tuple[Milliseconds, ...] = (0, 300, 1000)
+#: Fingerprints in a log line.
+_MAX_LOGGED = 8
+
+
+class Suspects:
+    """Requests under which endpoints ended, as known to this daemon.
+
+    Endpoints are identified by their address, which a restarted one keeps, and
+    each run by its run id.
+    """
+
+    def __init__(self, journal: Journal) -> None:
+        """Create a table without evidence.
+
+        :param journal: log of ends and suspects.
+        """
+        self._journal = journal
+        self._core = QuarantineCore(_SETTINGS)
+        self._lost_answers = LostAnswers()
+        #: Instants of the next sends of each item of evidence.
+        self._unsent: dict[Evidence, list[Milliseconds]] = {}
+        #: Called with the evidence that this daemon finds.
+        self.evidence_observers: list[
+            Callable[[tuple[Evidence, ...]], None]
+        ] = []
+
+    def pop_unsent(self, now: Milliseconds) -> list[Evidence]:
+        """Return evidence to send to the other daemons now.
+
+        Each item is returned several times.
+
+        :param now: current instant.
+        """
+        due = [item for item, times in self._unsent.items() if times[0] <= now][
+            :_MAX_SENT_ITEMS
+        ]
+        for item in due:
+            self._unsent[item].pop(0)
+            if not self._unsent[item]:
+                self._unsent.pop(item)
+        return due
+
+    def get_verdict(self, fingerprint: str, now: Milliseconds) -> Verdict:
+        """Return whether a request may be sent to an endpoint.
+
+        :param fingerprint: fingerprint of the request.
+        :param now: current instant.
+        """
+        return self._core.get_verdict(fingerprint, now)
+
+    def get_hold_time(
+        self, fingerprint: str, now: Milliseconds
+    ) -> Milliseconds:
+        """Return the time in ms for which a suspect has to wait.
+
+        :param fingerprint: fingerprint of the request.
+        :param now: current instant.
+        """
+        return self._core.get_remaining_hold_time(fingerprint, now)
+
+    def list_excluded(
+        self,
+        fingerprint: str,
+        endpoints: Iterable[EntryEndpoint],
+        now: Milliseconds,
+    ) -> frozenset[str]:
+        """Return the ids of endpoints on which a request may not run now.
+
+        :param fingerprint: fingerprint of the request.
+        :param endpoints: endpoints that could run it.
+        :param now: current instant.
+        """
+        if self._core.get_verdict(fingerprint, now) is Verdict.CLEAR:
+            return frozenset()
+        listed = tuple(endpoints)
+        excluded = self._core.list_excluded_endpoints(
+            fingerprint, (str(item.address) for item in listed), now
+        )
+        return frozenset(
+            item.endpoint_id for item in listed if str(item.address) in excluded
+        )
+
+    def record_start(
+        self, request_id: str, fingerprint: str, endpoint: EntryEndpoint
+    ) -> None:
+        """Record that a request is sent to an endpoint.
+
+        :param request_id: id of the request.
+        :param fingerprint: fingerprint of the request.
+        :param endpoint: endpoint that it is sent to.
+        """
+        address = str(endpoint.address)
+        event = RequestStarted(request_id, fingerprint, address)
+        self._core.handle(event, 0)
+
+    def record_end(
+        self, request_id: str, now: Milliseconds, *, is_complete: bool
+    ) -> None:
+        """Record the end of an attempt.
+
+        :param request_id: id of the request.
+        :param now: current instant.
+        :param is_complete: whether the endpoint ran it and answered in full.
+        """
+        self._core.handle(RequestEnded(request_id, is_complete), now)
+
+    def record_lost_answer(
+        self, endpoint: EntryEndpoint, fingerprint: str, now: Milliseconds
+    ) -> None:
+        """Record a request that an endpoint has not answered.
+
+        :param endpoint: endpoint that the request was sent to.
+        :param fingerprint: fingerprint of the request.
+        :param now: current instant.
+        """
+        self._apply_found(
+            self._lost_answers.record_lost_answer(endpoint, fingerprint, now),
+            now,
+        )
+
+    def record_refused_connection(
+        self, endpoint: EntryEndpoint, now: Milliseconds
+    ) -> None:
+        """Record that nothing listens at the address of an endpoint.
+
+        :param endpoint: endpoint that the connection was for.
+        :param now: current instant.
+        """
+        self._apply_found(
+            self._lost_answers.record_refused_connection(endpoint, now), now
+        )
+
+    def record_answer(
+        self,
+        endpoint: EntryEndpoint,
+        requested_at: Milliseconds,
+        now: Milliseconds,
+    ) -> None:
+        """Record the answer of an endpoint, which shows that this run lives.
+
+        :param endpoint: endpoint that answered.
+        :param requested_at: instant at which the request was sent.
+        :param now: current instant.
+        """
+        self._apply_found(
+            self._lost_answers.record_answer(endpoint, requested_at), now
+        )
+        # The restart that this shows needs no word to the other daemons: they
+        # get answers of the endpoint too.
+        address = str(endpoint.address)
+        self._core.handle(
+            EndpointAnswered(address, endpoint.run_id, requested_at), now
+        )
+
+    def receive_evidence(
+        self, evidence: Sequence[Evidence], now: Milliseconds
+    ) -> None:
+        """Apply evidence of another daemon or from the store.
+
+        :param evidence: items, known ones included.
+        :param now: current instant.
+        """
+        self._apply(EvidenceReceived(tuple(evidence)), now)
+
+    def list_stored_evidence(self, fingerprint: str) -> list[Evidence]:
+        """Return the evidence against a suspect, which has to last.
+
+        It is empty for a fingerprint that is not a suspect.
+
+        :param fingerprint: fingerprint of a request.
+        """
+        evidence = self._core.list_evidence(fingerprint)
+        is_suspect = len(evidence) >= _SETTINGS.isolation_losses
+        return evidence if is_suspect else []
+
+    def _apply_found(
+        self, evidence: tuple[Evidence, ...], now: Milliseconds
+    ) -> None:
+        if not evidence:
+            return
+        first = evidence[0]
+        names = [item.fingerprint for item in evidence]
+        self._journal.write(
+            'endpoint_ended',
+            address=first.endpoint_id,
+            run=first.boot_id,
+            restarted=first.is_crash,
+            requests=len(names),
+            fingerprints=names[:_MAX_LOGGED],
+        )
+        self._apply(EvidenceFound(evidence), now)
+
+    def _apply(
+        self, event: EvidenceFound | EvidenceReceived, now: Milliseconds
+    ) -> None:
+        names = {item.fingerprint for item in event.evidence}
+        before = {name: self._core.get_verdict(name, now) for name in names}
+        for action in self._core.handle(event, now):
+            for item in action.evidence:
+                self._unsent[item] = [now + delay for delay in _SEND_TIMES]
+            for observer in self.evidence_observers:
+                observer(action.evidence)
+        for name, former in before.items():
+            verdict = self._core.get_verdict(name, now)
+            if verdict is not former:
+                self._journal.write(
+                    'suspect_changed',
+                    fingerprint=name,
+                    former=former.value,
+                    verdict=verdict.value,
+                    ends=len(self._core.list_evidence(name)),
+                )
--- a/src/clementinedyke/exceptions.py
+++ b/src/clementinedyke/exceptions.py
@@ -21,6 +21,10 @@
     """A peer cannot be reached; no request was sent to it."""
 
 
+class ConnectionRefusedByPeerError(PeerUnavailableError):
+    """No process listens at the address of a peer."""
+
+
 class AnswerLostError(ClementinedykeError):
     """A request was sent to a peer but no complete answer arrived.
 
--- a/src/clementinedyke/http/client.py
+++ b/src/clementinedyke/http/client.py
@@ -15,6 +15,7 @@
 from clementinedyke.exceptions import (
     AnswerLostError,
     ConnectionDroppedError,
+    ConnectionRefusedByPeerError,
     PeerUnavailableError,
     ProtocolError,
 )
@@ -312,6 +313,20 @@
             f'no complete response within {timeout} ms'
         )
 
+    async def check_listening(self) -> bool | None:
+        """Open a connection and return whether a process listens.
+
+        None if the peer did not answer in time, so that it is unknown.
+        """
+        try:
+            stream = await self._connect()
+        except ConnectionRefusedByPeerError:
+            return False
+        except PeerUnavailableError:
+            return None
+        await trio.aclose_forcefully(stream)
+        return True
+
     async def _exchange_checking_reset(
         self, connection: _Connection, request: HttpRequest
     ) -> ResponseStream:
@@ -372,7 +387,12 @@
             ):
                 return await self._open_stream()
         except (OSError, trio.TooSlowError, trio.BrokenResourceError) as error:
-            raise PeerUnavailableError(
+            failure = (
+                ConnectionRefusedByPeerError
+                if _is_refusal(error)
+                else PeerUnavailableError
+            )
+            raise failure(
                 f'{self._address} cannot be reached: {error}'
             ) from error
 
@@ -447,6 +467,18 @@
     return math.inf
 
 
+def _is_refusal(error: Exception) -> bool:
+    """Return whether no process listened at any of the peer's addresses.
+
+    trio raises a general OSError with the actual errors as its cause.
+    """
+    cause = error.__cause__
+    return isinstance(cause, BaseExceptionGroup) and all(
+        isinstance(attempt, ConnectionRefusedError)
+        for attempt in cause.exceptions
+    )
+
+
 async def _receive_event(connection: _Connection) -> h11.Event:
     try:
         event = await connection.receive_event()
--- a/src/clementinedyke/quarantine/component.py
+++ b/src/clementinedyke/quarantine/component.py
@@ -18,6 +18,12 @@
 from clementinedyke.daemons.component import Change
 from clementinedyke.members.events import PayloadChanged
 from clementinedyke.quarantine.core import Evidence
+from clementinedyke.quarantine.rows import (
+    SUSPECTS_TABLE,
+    SuspectRow,
+    compile_evidence,
+    compile_write,
+)
 from clementinedyke.reference_platform.tables import (
     ABSENT,
     Commit,
@@ -27,7 +33,6 @@
 )
 from clementinedyke.routing.component import RoutingComponent
 
-SUSPECTS_TABLE = 'suspects'
 _REVISION_TOPIC = 'suspects'
 _READ_INTERVAL: Milliseconds = 30_000
 _RETRY_INTERVAL: Milliseconds = 500
@@ -38,15 +43,6 @@
 _QUEUE_LENGTH = 10_000
 
 
-class SuspectRow(msgspec.Struct, frozen=True):
-    """Value of a row of table ``suspects``."""
-
-    endpoint_id: str
-    boot_id: str
-    fingerprint: str
-    is_crash: bool
-
-
 class EvidenceComponent(Component):
     """Writes the evidence of this daemon and reads that of the others."""
 
@@ -101,7 +97,7 @@
 
     async def _run_writer(self) -> None:
         async for evidence in self._receiver:
-            writes = [_compile_write(item) for item in evidence]
+            writes = [compile_write(item) for item in evidence]
             while not await self._write(writes):
                 await trio.sleep(_RETRY_INTERVAL / _MILLISECONDS_PER_SECOND)
 
@@ -149,24 +145,5 @@
         ]
         self._read_revision = changes.revision
         if rows:
-            self._routing.receive_evidence(tuple(map(_compile_evidence, rows)))
+            self._routing.receive_evidence(tuple(map(compile_evidence, rows)))
         return True
-
-
-def _compile_write(evidence: Evidence) -> Write:
-    # Rows are never updated, so a loss and its confirmation as a crash are
-    # two rows.
-    kind = 'crash' if evidence.is_crash else 'loss'
-    boot = f'{evidence.endpoint_id}/{evidence.boot_id}'
-    key = f'{boot}/{evidence.fingerprint}/{kind}'
-    row = SuspectRow(
-        evidence.endpoint_id,
-        evidence.boot_id,
-        evidence.fingerprint,
-        evidence.is_crash,
-    )
-    return Write(SUSPECTS_TABLE, key, row)
-
-
-def _compile_evidence(row: SuspectRow) -> Evidence:
-    return Evidence(row.endpoint_id, row.boot_id, row.fingerprint, row.is_crash)
--- a/src/clementinedyke/quarantine/core.py
+++ b/src/clementinedyke/quarantine/core.py
@@ -15,9 +15,6 @@
 
 from clementinedyke.clock import Milliseconds
 
-#: Losses of endpoints before a fingerprint can be identified as the cause.
-_MIN_LOSSES = 2
-
 
 class Verdict(enum.Enum):
     """How requests with a fingerprint are handled."""
@@ -92,6 +89,13 @@
     evidence: tuple[Evidence, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class EvidenceFound:
+    """This daemon found evidence that is not tied to running requests."""
+
+    evidence: tuple[Evidence, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class ShareEvidence:
     """Store evidence and share it with the other daemons."""
@@ -105,6 +109,7 @@
     | EndpointLost
     | EndpointAnswered
     | EvidenceReceived
+    | EvidenceFound
 )
 
 
@@ -115,11 +120,17 @@
     ``settle_time``: time in which evidence about a loss reaches all daemons.
     ``retention``: time after which evidence is deleted.
     ``max_losses``: maximum number of stored losses; the oldest is deleted.
+    ``isolation_losses``: losses after which a fingerprint is a suspect, which
+    is kept apart from the other ones.
+    ``conviction_losses``: losses after which a fingerprint can be identified
+    as the cause.
     """
 
     settle_time: Milliseconds = 1500
     retention: Milliseconds = 3600000
     max_losses: int = 1000
+    isolation_losses: int = 1
+    conviction_losses: int = 2
 
 
 @dataclass(slots=True)
@@ -154,13 +165,15 @@
         :param now: current time in milliseconds.
         """
         self._remove_expired(now)
-        losses = self._get_open_losses(fingerprint)
-        if not losses:
+        losses = [
+            self._losses[key] for key in self._get_open_loss_keys(fingerprint)
+        ]
+        if len(losses) < self._settings.isolation_losses:
             return Verdict.CLEAR
         causes = self._get_causes()
         if fingerprint not in causes:
             losses = [loss for loss in losses if not loss.fingerprints & causes]
-        if len(losses) < _MIN_LOSSES:
+        if len(losses) < self._settings.conviction_losses:
             return Verdict.SUSPECT
         if self.get_remaining_hold_time(fingerprint, now):
             return Verdict.HELD
@@ -184,7 +197,8 @@
         :param now: current time in milliseconds.
         """
         loss_times = [
-            loss.detected_at for loss in self._get_open_losses(fingerprint)
+            self._losses[key].detected_at
+            for key in self._get_open_loss_keys(fingerprint)
         ]
         if not loss_times:
             return 0
@@ -199,7 +213,8 @@
         return not any(
             started.endpoint_id == endpoint_id
             and started.fingerprint != fingerprint
-            and self._get_open_losses(started.fingerprint)
+            and len(self._get_open_loss_keys(started.fingerprint))
+            >= self._settings.isolation_losses
             for started in self._running.values()
         )
 
@@ -219,7 +234,7 @@
         """
         candidates = set(endpoint_ids)
         keys = self._get_open_loss_keys(fingerprint)
-        if not keys:
+        if len(keys) < self._settings.isolation_losses:
             return frozenset()
         excluded = {
             endpoint_id
@@ -235,6 +250,16 @@
             excluded |= candidates - assigned
         return frozenset(excluded)
 
+    def list_evidence(self, fingerprint: str) -> list[Evidence]:
+        """Return the open losses of a fingerprint.
+
+        :param fingerprint: fingerprint of a request.
+        """
+        return [
+            Evidence(*key, fingerprint, is_crash=self._losses[key].is_crash)
+            for key in self._get_open_loss_keys(fingerprint)
+        ]
+
     def handle(
         self, event: QuarantineEvent, now: Milliseconds
     ) -> list[ShareEvidence]:
@@ -309,6 +334,12 @@
                 self._causes = None
         return shared
 
+    @_apply.register
+    def _handle_found_evidence(
+        self, event: EvidenceFound, now: Milliseconds
+    ) -> list[Evidence]:
+        return self._add_all(event.evidence, now)
+
     @_apply.register
     def _handle_evidence(
         self, event: EvidenceReceived, now: Milliseconds
@@ -346,7 +377,14 @@
     ) -> set[str]:
         """Return the endpoints of a suspect, none before its turn."""
         loss = self._losses[key]
-        suspects = sorted(loss.fingerprints)
+        suspects = sorted(
+            suspect
+            for suspect in loss.fingerprints
+            # Losses count here from which this daemon knows it as cleared,
+            # since the other daemons may not know.
+            if len(self._get_all_loss_keys(suspect))
+            >= self._settings.isolation_losses
+        )
         turn, rank = divmod(suspects.index(fingerprint), len(usable))
         if now < loss.detected_at + self._settings.settle_time * (1 + turn):
             return set()
@@ -373,7 +411,9 @@
             if in_flight & causes:
                 continue
             unattributed.append(in_flight)
-            causes |= _find_sole_suspects(unattributed)
+            causes |= _find_sole_suspects(
+                unattributed, self._settings.conviction_losses
+            )
             unattributed = [
                 remaining
                 for remaining in unattributed
@@ -390,7 +430,7 @@
         losses = list(
             itertools.starmap(self._list_suspects, self._losses.items())
         )
-        repeated = _get_repeated(losses)
+        repeated = _get_repeated(losses, self._settings.conviction_losses)
         return [
             in_flight & repeated for in_flight in losses if in_flight & repeated
         ]
@@ -406,10 +446,6 @@
             if key not in self._cleared.get(fingerprint, set())
         }
 
-    def _get_open_losses(self, fingerprint: str) -> list[_Loss]:
-        keys = self._get_open_loss_keys(fingerprint)
-        return [self._losses[key] for key in keys]
-
     def _get_open_loss_keys(self, fingerprint: str) -> list[_LossKey]:
         """Return the losses that a fingerprint has not been cleared of."""
         cleared = self._cleared.get(fingerprint, set())
@@ -434,23 +470,22 @@
                 self._causes = None
 
 
-def _find_sole_suspects(losses: list[set[str]]) -> set[str]:
+def _find_sole_suspects(losses: list[set[str]], minimum: int) -> set[str]:
     """Return fingerprints that are the only repeated suspect of a loss.
 
-    If two fingerprints were in flight together in two losses, the cause cannot
-    be determined. Both remain suspects and run on different endpoints.
+    If two fingerprints were in flight together in all their losses, the cause
+    cannot be determined. Both remain suspects and run on different endpoints.
     """
-    repeated = _get_repeated(losses)
+    repeated = _get_repeated(losses, minimum)
     sole = [in_flight & repeated for in_flight in losses]
     return {min(found) for found in sole if len(found) == 1}
 
 
-def _get_repeated(losses: list[set[str]]) -> set[str]:
+def _get_repeated(losses: list[set[str]], minimum: int) -> set[str]:
+    """Return the fingerprints that are in at least ``minimum`` losses."""
     counts = Counter(itertools.chain.from_iterable(losses))
     return {
-        fingerprint
-        for fingerprint, count in counts.items()
-        if count >= _MIN_LOSSES
+        fingerprint for fingerprint, count in counts.items() if count >= minimum
     }
 
 
--- a/tests/entry_environment.py
+++ b/tests/entry_environment.py
@@ -72,6 +72,7 @@
         self.duties = DutiesStandin()
         self.endpoints: dict[str, EndpointStandin] = {}
         self.daemons: list[EntryApplication] = []
+        self._daemon_scopes: list[trio.CancelScope] = []
         self._store_port = 0
         self._duties_port = 0
 
@@ -126,10 +127,25 @@
             bounds=BOUNDS,
         )
         daemon = EntryApplication(settings, create_parts(settings))
-        await self.nursery.start(daemon.application.run)
+        await self.nursery.start(self._run_daemon, daemon)
         self.daemons.append(daemon)
         return daemon
 
+    async def stop_daemons(self) -> None:
+        """End all daemons at once, without the steps of a planned stop."""
+        for scope in self._daemon_scopes:
+            scope.cancel()
+        self.daemons.clear()
+        self._daemon_scopes.clear()
+        await trio.lowlevel.checkpoint()
+
+    async def _run_daemon(
+        self, daemon: EntryApplication, task_status: trio.TaskStatus
+    ) -> None:
+        with trio.CancelScope() as scope:
+            self._daemon_scopes.append(scope)
+            await daemon.application.run(task_status=task_status)
+
     async def send_request(
         self,
         path: str,
--- a/tests/test_entry_crashes.py
+++ b/tests/test_entry_crashes.py
@@ -12,8 +12,11 @@
     EntryEnvironment,
     ScenarioRunner,
 )
+from tests.platform_standin import EndpointStandin, serve
+from tests.store_gate import StoreGate
 
 from clementinedyke.http.client import HttpResponse
+from clementinedyke.http.message import ResponseWriter, ServerRequest
 
 _NAMES = ['one', 'two', 'three', 'four']
 #: Ends after which a request counts as one that ends its endpoints, and sends
@@ -21,6 +24,7 @@
 _ENDS = 3
 _MORE_SENDS = 3
 _ROUNDS = 8
+_OTHER_PATHS = tuple(f'/read/other-{number}' for number in range(6))
 _ROUND_SECONDS = 0.35
 
 
@@ -48,6 +52,24 @@
     return answers
 
 
+async def repeat_through(env: EntryEnvironment, daemon: int) -> None:
+    """Send the fatal request through one daemon several times."""
+    for number in range(_ROUNDS):
+        await send_fatal(env, '/read/1', number, daemon)
+        await trio.sleep(_ROUND_SECONDS)
+
+
+async def send_beside_fatal(env: EntryEnvironment, number: int) -> None:
+    """Send the fatal request together with harmless ones."""
+    daemon = number % len(env.daemons)
+    async with trio.open_nursery() as nursery:
+        for path in _OTHER_PATHS:
+            nursery.start_soon(
+                env.send_request, path, f'beside-{path}-{number}'
+            )
+        nursery.start_soon(send_fatal, env, '/read/1', number, daemon)
+
+
 def count_arrivals(endpoints: list[CrashingEndpoint]) -> int:
     """Return how often the fatal request reached an endpoint."""
     return sum(len(endpoint.arrivals) for endpoint in endpoints)
@@ -85,3 +107,99 @@
             assert answers[-1].status == 503
 
         ScenarioRunner().run(scenario)
+
+    def test_daemon_that_starts_later_refuses(self) -> None:
+        """A daemon must know the request that ended endpoints before its start.
+
+        All daemons may have been killed in between, so that no other daemon
+        can tell it.
+        """
+
+        async def scenario(env: EntryEnvironment) -> None:
+            env.store.put('op', 'config', CONFIGURATION)
+            endpoints = await start_endpoints(env, _NAMES)
+            await env.start_daemon()
+            await env.wait_until_served()
+            await repeat_fatal(env, '/read/1', endpoints)
+            await env.stop_daemons()
+            before = count_arrivals(endpoints)
+            await env.start_daemon('host-2')
+            await env.wait_until_served()
+            answer = await send_fatal(env, '/read/1', 99, 0)
+            assert answer.status == 503
+            assert count_arrivals(endpoints) == before
+
+        ScenarioRunner().run(scenario)
+
+    def test_evidence_reaches_daemon_without_store(self) -> None:
+        """A daemon that the store refuses learns of ends from the others."""
+
+        async def scenario(env: EntryEnvironment) -> None:
+            env.store.put('op', 'config', CONFIGURATION)
+            endpoints = await start_endpoints(env, _NAMES)
+            gate = StoreGate(env.store)
+            port = await serve(env.nursery, gate.respond)
+            await env.start_daemon('host-1')
+            await env.start_daemon('host-2', store_port=port)
+            await env.wait_until_served()
+            gate.is_closed = True
+            await repeat_through(env, daemon=0)
+            before = count_arrivals(endpoints)
+            answer = await send_fatal(env, '/read/1', 99, 1)
+            assert answer.status == 503
+            assert count_arrivals(endpoints) == before
+
+        ScenarioRunner().run(scenario)
+
+
+class TestHarmlessRequests:
+    """Guards against refusing requests for failures they did not cause."""
+
+    def test_requests_beside_fatal_one_are_served(self) -> None:
+        """Requests in flight at the ends must be served when sent again."""
+
+        async def scenario(env: EntryEnvironment) -> None:
+            env.store.put('op', 'config', CONFIGURATION)
+            endpoints = await start_endpoints(env, _NAMES)
+            for host in ('host-1', 'host-2'):
+                await env.start_daemon(host)
+            await env.wait_until_served()
+            for number in range(_ROUNDS):
+                await send_beside_fatal(env, number)
+                await trio.sleep(_ROUND_SECONDS)
+            assert sum(endpoint.ends for endpoint in endpoints) >= _ENDS
+            for path in _OTHER_PATHS:
+                for daemon, _ in enumerate(env.daemons):
+                    answer = await env.send_request(
+                        path, f'x-{daemon}', daemon=daemon
+                    )
+                    assert answer.status == 200
+
+        ScenarioRunner().run(scenario)
+
+    def test_lost_answers_of_running_endpoints(self) -> None:
+        """Lost answers of endpoints that go on running are no evidence."""
+
+        async def scenario(env: EntryEnvironment) -> None:
+            env.store.put('op', 'config', CONFIGURATION)
+            await env.start_daemon()
+            await env.wait_until_served()
+            for endpoint in env.endpoints.values():
+                endpoint.override = lose_answer
+            for number in range(_ROUNDS):
+                answer = await env.send_request('/read/1', f'r-{number}')
+                assert answer.status == 502
+            for endpoint in env.endpoints.values():
+                endpoint.override = None
+            answer = await env.send_request('/read/1', 'r-99')
+            assert answer.status == 200
+
+        ScenarioRunner().run(scenario)
+
+
+async def lose_answer(
+    standin: EndpointStandin, request: ServerRequest, response: ResponseWriter
+) -> bool:
+    """Run a request and close the connection without an answer."""
+    request.connection.must_close = True
+    raise trio.BrokenResourceError('connection closed without an answer')
--- a/tests/test_entry_news.py
+++ b/tests/test_entry_news.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from clementinedyke.entry.news import PeerTable, PeerUpdate
+from clementinedyke.quarantine.rows import SuspectRow
 
 
 def create_update(
@@ -29,13 +30,20 @@
     """Guards against daemons of two builds that don't understand each other."""
 
     def test_mixed_builds(self) -> None:
-        """Updates without the newest field or with a further one are read."""
-        update = create_update(store_age=40)
+        """Updates without the newer fields or with a further one are read."""
+        evidence = [
+            SuspectRow('127.0.0.1:9', 'i-1/17', 'digest', is_crash=True)
+        ]
+        update = create_update(
+            store_age=40, evidence=evidence, suspects_revision=7
+        )
         fields = msgspec.to_builtins(update)
-        older = msgspec.msgpack.encode(fields[:-1])
-        newer = msgspec.msgpack.encode([*fields, 'further'])
         decoder = msgspec.msgpack.Decoder(PeerUpdate)
-        assert decoder.decode(older).store_age == -1
+        former = decoder.decode(msgspec.msgpack.encode(fields[:-2]))
+        assert former == create_update(store_age=40)
+        oldest = decoder.decode(msgspec.msgpack.encode(fields[:-3]))
+        assert oldest == create_update()
+        newer = msgspec.msgpack.encode([*fields, 'further'])
         assert decoder.decode(newer) == update
 
 
--- a/tests/test_store_copy.py
+++ b/tests/test_store_copy.py
@@ -7,33 +7,14 @@
     ScenarioRunner,
 )
 from tests.entry_samples import BOUNDS
-from tests.platform_standin import EndpointStandin, StoreStandin, serve
-
-from clementinedyke.http.message import ResponseWriter, ServerRequest
+from tests.platform_standin import EndpointStandin, serve
+from tests.store_gate import StoreGate
 
 #: Time in seconds after which a leaving endpoint must get no more requests.
 _DRAIN_SECONDS = BOUNDS.drain_delay / 1000 + 0.2
 _REQUESTS = 12
 
 
-class StoreGate:
-    """Access to the store that can be refused to one daemon."""
-
-    def __init__(self, store: StoreStandin) -> None:
-        """Create an open gate."""
-        self._store = store
-        self.is_closed = False
-
-    async def respond(
-        self, request: ServerRequest, response: ResponseWriter
-    ) -> None:
-        """Pass on a call, or refuse it while the gate is closed."""
-        if self.is_closed:
-            await response.send_json(503, {}, [])
-            return
-        await self._store.respond(request, response)
-
-
 async def rewrite_entry(
     env: EntryEnvironment, endpoint: EndpointStandin
 ) -> None:
