--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -236,7 +236,11 @@
                 self._journal,
                 self._peer_table,
                 self._duties,
-                (self._store_calls, self._peers.lending_counts),
+                (
+                    self._store_calls,
+                    self._peers.lending_counts,
+                    self._suspect_component.counts,
+                ),
             ),
         )
 
--- a/src/clementinedyke/entry/suspect_component.py
+++ b/src/clementinedyke/entry/suspect_component.py
@@ -1,8 +1,13 @@
 """Examines lost answers, and keeps the evidence in the store."""
 
+from collections import Counter
+from collections.abc import Iterator
+
 import msgspec
 import trio
 from absl import logging
+from prometheus_client.core import CounterMetricFamily
+from prometheus_client.registry import Collector
 
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.components import Component
@@ -31,6 +36,36 @@
 _MILLISECONDS_PER_SECOND = 1000
 
 
+#: Names of the results of an examination in the metrics.
+_RESULTS = {True: 'listening', False: 'ended', None: 'unknown'}
+
+
+class ExaminationCounts(Collector):
+    """Connections made to find out why an answer was lost."""
+
+    def __init__(self) -> None:
+        """Create all counts at zero."""
+        self._results: Counter[str] = Counter()
+
+    def record_examination(self, *, is_listening: bool | None) -> None:
+        """Count an examination.
+
+        :param is_listening: whether a process listens, None if unknown.
+        """
+        self._results[_RESULTS[is_listening]] += 1
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        """Return the counts to the metrics registry."""
+        family = CounterMetricFamily(
+            'clementinedyke_entry_endpoint_examinations',
+            'Connections made to see why an answer was lost, by result.',
+            labels=('result',),
+        )
+        for result, count in self._results.items():
+            family.add_metric((result,), count)
+        yield family
+
+
 class SuspectComponent(Component):
     """Runs the tasks behind :class:`Suspects`.
 
@@ -66,6 +101,7 @@
         #: Revision of the newest commit to the table that is known.
         self.newest_revision = 0
         self._has_newer = trio.Event()
+        self.counts = ExaminationCounts()
         self.suspects.evidence_observers.append(self._store_evidence)
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -122,6 +158,7 @@
     ) -> None:
         client = HttpClient(endpoint.address, connect_timeout=_CONNECT_TIMEOUT)
         is_listening = await client.check_listening()
+        self.counts.record_examination(is_listening=is_listening)
         self._journal.write(
             'endpoint_examined',
             endpoint=endpoint.endpoint_id,
