Include method and target in the fingerprint of plain requests

The daemon of serve identified a request to a plain service by customer, service and body. A customer whose request without a body ended endpoints would have had all its requests without a body refused. The fingerprint has method and target as well.

test_plain_requests_differ_by_target failed before: 1 fingerprint for 4 requests.

--- a/src/clementinedyke/callers/routing.py
+++ b/src/clementinedyke/callers/routing.py
@@ -76,5 +76,7 @@
         customer = get_customer(directory, request)
         check_customer(directory, service, customer)
     query = f'?{request.query}' if request.query else ''
-    work = estimate_plain_work(customer or '', service.name, request.body)
-    return Route(service, customer, f'/{path}{query}', work)
+    target = f'/{path}{query}'
+    labels = (customer or '', service.name, request.method, target)
+    work = estimate_plain_work(labels, request.body)
+    return Route(service, customer, target, work)
--- a/src/clementinedyke/callers/work.py
+++ b/src/clementinedyke/callers/work.py
@@ -1,6 +1,6 @@
 """Estimates the tokens that a request costs its endpoint."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -20,7 +20,7 @@
     """Estimated tokens of a request and hashes of its content.
 
     ``block_hashes`` identify the prefix blocks of the prompt, and
-    ``fingerprint`` is the digest of customer, service and body.
+    ``fingerprint`` is the digest of customer, service, target and body.
     """
 
     fingerprint: str = ''
@@ -29,15 +29,13 @@
     block_hashes: tuple[int, ...] = ()
 
 
-def estimate_plain_work(customer: str, service: str, body: bytes) -> Work:
+def estimate_plain_work(labels: Sequence[str], body: bytes) -> Work:
     """Return the estimated work of a request to a plain service.
 
-    :param customer: customer of the request, empty if the service is open to
-        all.
-    :param service: name of the service.
+    :param labels: customer, service, method and target of the request.
     :param body: body as received.
     """
-    fingerprint = compute_fingerprint((customer, service), body)
+    fingerprint = compute_fingerprint(labels, body)
     return Work(fingerprint, prompt_tokens=_PLAIN_TOKENS)
 
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -12,6 +12,9 @@
     run_state_machine_as_test,
 )
 
+from caller_tools import KEY, StaticConfiguration
+from clementinedyke.callers.routing import select_route
+from clementinedyke.http.message import ServerRequest
 from clementinedyke.quarantine.core import (
     EndpointAnswered,
     EndpointLost,
@@ -313,6 +316,29 @@
         assert fleet.send(0, 2, _CRASHING) is Verdict.HELD
 
 
+class TestFingerprint:
+    """Guards against blaming a request for another one with the same body."""
+
+    def test_plain_requests_differ_by_target(self) -> None:
+        """Requests without a body must not share a fingerprint."""
+        directory = StaticConfiguration().get_directory()
+        targets = (
+            ('GET', '/services/desk/quotes/1', ''),
+            ('GET', '/services/desk/quotes/2', ''),
+            ('GET', '/services/desk/quotes/1', 'page=2'),
+            ('DELETE', '/services/desk/quotes/1', ''),
+        )
+        headers = [(b'authorization', f'Bearer {KEY}'.encode())]
+        fingerprints = {
+            select_route(
+                directory,
+                ServerRequest(method, path, query, headers, b''),
+            ).work.fingerprint
+            for method, path, query in targets
+        }
+        assert len(fingerprints) == len(targets)
+
+
 def retry_until_refused(fleet: Fleet, generator: Random) -> None:
     """Retry all running requests at random engines that are allowed.
 
