Ask for the authority before each usage report

The closer asks right before each report, and leaves the window to the next holder if the lease has ended.

--- a/src/clementinedyke/entry/usage_component.py
+++ b/src/clementinedyke/entry/usage_component.py
@@ -112,9 +112,7 @@
     async def _close_windows(self) -> None:
         while True:
             await trio.sleep(_CLOSE_INTERVAL_SECONDS)
-            # Host and fence to send with each call, None if not permitted now.
-            authority = self._lease.get_authority()
-            if authority is None:
+            if self._lease.get_authority() is None:
                 continue
             window_time = WindowTime(
                 self._wall_time.get_unix(),
@@ -124,5 +122,7 @@
             # A write with this condition fails once another daemon has acquired
             # the lease.
             await self._closer.close_windows(
-                window_time, authority, self._lease.fence_condition
+                window_time,
+                self._lease.get_authority,
+                self._lease.fence_condition,
             )
--- a/src/clementinedyke/entry/usage_duty.py
+++ b/src/clementinedyke/entry/usage_duty.py
@@ -203,12 +203,17 @@
         self._reported: set[int] = set()
 
     async def close_windows(
-        self, window_time: WindowTime, authority: Authority, fence: Condition
+        self,
+        window_time: WindowTime,
+        get_authority: Callable[[], Authority | None],
+        fence: Condition,
     ) -> None:
         """Report the windows whose parts are complete or past their deadline.
 
         :param window_time: current time, which decides what may be summed.
-        :param authority: holder and fence to send with the reports.
+        :param get_authority: returns the holder and the fence to send with a
+            report made now, None if this daemon may not report. It is asked
+            before each report, as the lease may end during calls of the store.
         :param fence: condition that fails once another daemon holds the
             duties.
         """
@@ -218,16 +223,22 @@
                 continue
             row = await self._get_or_write_sum(window, fence, window_time)
             if row is not None:
-                await self._report(window, row, authority)
+                await self._report(window, row, get_authority)
         self._reported = {known for known in self._reported if known >= oldest}
 
     async def _report(
-        self, window: int, row: Row, authority: Authority
+        self,
+        window: int,
+        row: Row,
+        get_authority: Callable[[], Authority | None],
     ) -> None:
         summed = msgspec.convert(row.value, WindowSum)
         if summed.is_reported or not summed.counts:
             self._reported.add(window)
             return
+        authority = get_authority()
+        if authority is None:
+            return
         answer = await self._reporter.report_usage(
             window, summed.counts, authority
         )
--- a/tests/test_entry_usage.py
+++ b/tests/test_entry_usage.py
@@ -111,7 +111,7 @@
         trio.run(
             (closer or self.closer).close_windows,
             window_time,
-            _AUTHORITY,
+            lambda: _AUTHORITY,
             self.fence,
         )
 
