Take the registration of a later run as the end of the former one

An endpoint that ends without a reset, or behind a cut, refuses no connection. Its end showed only when the daemon that lost the answer got one of the next run within 8 s. The entry of the next run in the store shows it too.

test_registered_later_run tests it; the function it calls is new.

--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -222,6 +222,7 @@
             path.placement,
             path.exchange,
             self._caller_port,
+            path.suspect_component.suspects,
             self._clock,
         )
 
--- a/src/clementinedyke/entry/lost_answers.py
+++ b/src/clementinedyke/entry/lost_answers.py
@@ -29,7 +29,7 @@
 
     A lost answer alone says little: connections break, and endpoints fail
     single requests. The run of the endpoint has ended if nothing listens at
-    its address afterwards, or if another run answers there. If the same run
+    its address afterwards, or if a later run is seen there. If the same run
     answers a later request, it has not ended.
     """
 
@@ -88,6 +88,16 @@
         own = self._runs.get(endpoint.run_id)
         if own is not None and own.changed_at <= requested_at:
             self._runs.pop(endpoint.run_id)
+        return self.record_start(endpoint)
+
+    def record_start(self, endpoint: EntryEndpoint) -> tuple[Evidence, ...]:
+        """Record that a run of an endpoint has started.
+
+        Return the evidence against the requests that earlier runs at its
+        address ran.
+
+        :param endpoint: endpoint that answered or is registered.
+        """
         evidence: list[Evidence] = []
         for run in tuple(self._runs.values()):
             former = run.endpoint
--- a/src/clementinedyke/entry/suspects.py
+++ b/src/clementinedyke/entry/suspects.py
@@ -194,6 +194,19 @@
             EndpointAnswered(address, endpoint.run_id, requested_at), now
         )
 
+    def record_endpoints(
+        self, endpoints: Iterable[EntryEndpoint], now: Milliseconds
+    ) -> None:
+        """Record the endpoints that are registered.
+
+        A later run at an address shows the end of a silent endpoint.
+
+        :param endpoints: all endpoints, leaving ones included.
+        :param now: current instant.
+        """
+        for endpoint in endpoints:
+            self._apply_found(self._lost_answers.record_start(endpoint), now)
+
     def receive_evidence(
         self, evidence: Sequence[Evidence], now: Milliseconds
     ) -> None:
--- a/src/clementinedyke/entry/sync_component.py
+++ b/src/clementinedyke/entry/sync_component.py
@@ -9,6 +9,7 @@
 from clementinedyke.entry.exchange import Exchange
 from clementinedyke.entry.placement import PlacementCore
 from clementinedyke.entry.ports import CallerPort
+from clementinedyke.entry.suspects import Suspects
 
 #: Endpoints change a few times per second at most. A request that is still
 #: placed with an outdated list is covered by the drain delay of some seconds.
@@ -25,6 +26,7 @@
         placement: PlacementCore,
         exchange: Exchange,
         caller_port: CallerPort,
+        suspects: Suspects,
         clock: Clock,
     ) -> None:
         """Create the component.
@@ -34,6 +36,7 @@
         :param placement: selects endpoints for requests.
         :param exchange: holds the connections to the endpoints.
         :param caller_port: port whose limits the configuration sets.
+        :param suspects: told of the endpoints.
         :param clock: clock of the host.
         """
         self._configuration = configuration
@@ -41,6 +44,7 @@
         self._placement = placement
         self._exchange = exchange
         self._caller_port = caller_port
+        self._suspects = suspects
         self._clock = clock
         self._version = 0
         self._revision = 0
@@ -66,10 +70,12 @@
         if configuration and configuration.version != self._version:
             self._version = configuration.version
             self._caller_port.set_bounds(configuration.bounds)
-        endpoints = self._endpoints.list_endpoints(self._clock.get_now())
+        now = self._clock.get_now()
+        endpoints = self._endpoints.list_endpoints(now)
         if self._endpoints.revision != self._revision:
             self._revision = self._endpoints.revision
             self._placement.set_endpoints(endpoints)
+            self._suspects.record_endpoints(endpoints, now)
             await self._exchange.close_stale_clients(
                 {endpoint.run_id for endpoint in endpoints}
             )
--- a/tests/test_entry_suspects.py
+++ b/tests/test_entry_suspects.py
@@ -291,6 +291,15 @@
             create_endpoint('i-2', started_at=2), 3100
         )
 
+    def test_registered_later_run(self) -> None:
+        """The end of a silent endpoint shows when its next run registers."""
+        answers = LostAnswers()
+        former = create_endpoint('i-1', started_at=1)
+        answers.record_lost_answer(former, 'digest', 10)
+        assert not answers.record_start(former)
+        later = create_endpoint('i-2', started_at=2)
+        assert len(answers.record_start(later)) == 1
+
     def test_leaving_endpoint(self) -> None:
         """An endpoint that leaves ends as planned."""
         answers = LostAnswers()
