Count endpoints that are silent until a request's deadline as suspect

A request that may run only once has no attempt time-out. If its endpoint ended behind a cut, the wait lasted until the deadline, and no lost answer was recorded, so that the request ended one endpoint after another. The wait that ends at the deadline is a lost answer now, whose cause the next run of the endpoint shows.

test_silent_ends failed before: 504 where 503 is due, for a fourth send.

--- a/src/clementinedyke/entry/exchange.py
+++ b/src/clementinedyke/entry/exchange.py
@@ -1,8 +1,9 @@
 """Sends requests to endpoints and reads the heads of their answers."""
 
 from collections import defaultdict
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager
+from dataclasses import dataclass
 
 import trio
 from absl import logging
@@ -51,6 +52,14 @@
         self.is_complete = False
 
 
+@dataclass(slots=True)
+class _Attempt:
+    """A request that is being sent; ``answer`` is set once its head is read."""
+
+    sent_at: Milliseconds
+    answer: EndpointAnswer | None = None
+
+
 class Exchange:
     """Sends requests over pooled connections.
 
@@ -104,45 +113,68 @@
             valid answer.
         """
         endpoint = options.endpoint
-        request_id = job.request.request_id
-        sent_at = self._clock.get_now()
-        answer: EndpointAnswer | None = None
         request = self._protocol.compile_request(job.request, options)
         work = self._placement.work.get_work(endpoint)
         work.running += 1
         job.path.append(endpoint.endpoint_id)
-        self._suspects.record_start(request_id, job.fingerprint, endpoint)
         try:
-            async with self._get_client(endpoint).open_response(
-                request
-            ) as stream:
-                head = self._read_head(job, stream, endpoint)
-                answer = EndpointAnswer(head, stream, endpoint)
-                self._record_answer(endpoint, sent_at)
-                yield answer
+            with self._observe_attempt(job, endpoint) as attempt:
+                async with self._get_client(endpoint).open_response(
+                    request
+                ) as stream:
+                    head = self._read_head(job, stream, endpoint)
+                    attempt.answer = EndpointAnswer(head, stream, endpoint)
+                    self._record_answer(endpoint, attempt.sent_at)
+                    yield attempt.answer
         except PeerUnavailableError as unreachable:
             job.failures.append(str(unreachable))
-            now = self._clock.get_now()
-            self._placement.work.record_unreachable(endpoint, now)
-            if isinstance(unreachable, ConnectionRefusedByPeerError):
-                self._suspects.record_refused_connection(endpoint, now)
+            self._record_unreachable(endpoint, unreachable)
             raise
         except ProtocolError as error:
             self._record_failure(job, endpoint, error)
             raise AnswerLostError(str(error)) from error
         except AnswerLostError as lost:
             self._record_failure(job, endpoint, lost)
+            raise
+        finally:
+            work.running -= 1
+
+    @contextmanager
+    def _observe_attempt(
+        self, job: Job, endpoint: EntryEndpoint
+    ) -> Iterator[_Attempt]:
+        """Tell the suspects of an attempt and how it ends."""
+        request_id = job.request.request_id
+        attempt = _Attempt(self._clock.get_now())
+        self._suspects.record_start(request_id, job.fingerprint, endpoint)
+        try:
+            yield attempt
+        except AnswerLostError:
             self.record_silence(job, endpoint)
             job.examination = self.examine(endpoint)
             raise
+        except trio.Cancelled:
+            # Before the deadline it is the caller who left, or an attempt that
+            # the runner records.
+            if self._clock.get_now() >= job.deadline:
+                self.record_silence(job, endpoint)
+            raise
         finally:
-            work.running -= 1
+            answer = attempt.answer
             self._suspects.record_end(
                 request_id,
                 self._clock.get_now(),
                 is_complete=answer is not None and answer.is_complete,
             )
 
+    def _record_unreachable(
+        self, endpoint: EntryEndpoint, error: PeerUnavailableError
+    ) -> None:
+        now = self._clock.get_now()
+        self._placement.work.record_unreachable(endpoint, now)
+        if isinstance(error, ConnectionRefusedByPeerError):
+            self._suspects.record_refused_connection(endpoint, now)
+
     def record_silence(self, job: Job, endpoint: EntryEndpoint) -> None:
         """Record that an endpoint has not answered a request.
 
--- a/tests/test_entry_crashes.py
+++ b/tests/test_entry_crashes.py
@@ -29,11 +29,15 @@
 
 
 async def send_fatal(
-    env: EntryEnvironment, path: str, number: int, daemon: int
+    env: EntryEnvironment,
+    path: str,
+    number: int,
+    daemon: int,
+    **headers: str,
 ) -> HttpResponse:
     """Send the fatal request under a new id."""
     return await env.send_request(
-        path, f'fatal-{number}', body=FATAL_BODY, daemon=daemon
+        path, f'fatal-{number}', body=FATAL_BODY, daemon=daemon, **headers
     )
 
 
@@ -108,6 +112,31 @@
 
         ScenarioRunner().run(scenario)
 
+    def test_silent_ends(self) -> None:
+        """Ends without a reset count for requests that are sent once.
+
+        The endpoint doesn't answer until the deadline, and is registered again
+        with a later start.
+        """
+
+        async def scenario(env: EntryEnvironment) -> None:
+            env.store.put('op', 'config', CONFIGURATION)
+            await env.start_daemon()
+            await env.wait_until_served()
+            env.store.remove('servers', 'ledger-2')
+            await trio.sleep(0.3)
+            endpoint = env.endpoints['ledger-1']
+            endpoint.override = stay_silent
+            for number in range(_ENDS):
+                await send_fatal(env, '/book/1', number, 0, x_deadline_ms='200')
+                env.register(endpoint, born=100 + number)
+                await trio.sleep(0.3)
+            answer = await send_fatal(env, '/book/1', 99, 0)
+            assert answer.status == 503
+            assert len(endpoint.received) == _ENDS
+
+        ScenarioRunner().run(scenario)
+
     def test_daemon_that_starts_later_refuses(self) -> None:
         """A daemon must know the request that ended endpoints before its start.
 
@@ -197,6 +226,14 @@
         ScenarioRunner().run(scenario)
 
 
+async def stay_silent(
+    standin: EndpointStandin, request: ServerRequest, response: ResponseWriter
+) -> bool:
+    """Read a request and never answer it."""
+    await trio.sleep_forever()
+    return True
+
+
 async def lose_answer(
     standin: EndpointStandin, request: ServerRequest, response: ResponseWriter
 ) -> bool:
