Read numbers from peers with one strict parser

A caller's X-Deadline-Ms, X-Token-Count or X-Prefix-Hash with byte 0xB2 ended the handling of its request with a ValueError, as did an endpoint's X-Instance-Load: str.isdigit is true for U+00B2, which int does not accept. A number of 5000 digits did the same. Ports had no upper bound. parse_decimal takes ASCII digits within a bound only, and stands in all seven places now.

The tests of TestNumbersFromPeers failed before, all but the port '-1'.

--- a/src/clementinedyke/http/client.py
+++ b/src/clementinedyke/http/client.py
@@ -12,6 +12,7 @@
 import trio
 
 from clementinedyke.clock import Milliseconds
+from clementinedyke.decimals import parse_decimal
 from clementinedyke.exceptions import (
     AnswerLostError,
     ConnectionDroppedError,
@@ -32,6 +33,7 @@
 Headers = Sequence[tuple[bytes, bytes]]
 
 _READ_SIZE = 65536
+MAX_PORT = 65535
 MAX_IDLE_CONNECTIONS = 64
 _MILLISECONDS_PER_SECOND = 1000
 DEFAULT_CONNECT_TIMEOUT: Milliseconds = 1000
@@ -65,10 +67,11 @@
         :param text: for example ``127.0.0.1:8080``.
         :raises ValueError: if the IP address or the port number is missing.
         """
-        host, _, port = text.rpartition(':')
-        if not host or not port.isdigit():
+        host, _, digits = text.rpartition(':')
+        port = parse_decimal(digits, MAX_PORT)
+        if not host or port is None:
             raise ValueError(f'address {text!r} is not of the form IP:PORT')
-        return cls(host=host, port=int(port))
+        return cls(host=host, port=port)
 
     def __str__(self) -> str:
         """Return the address as ``IP:PORT``."""
--- a/src/clementinedyke/platform/requests.py
+++ b/src/clementinedyke/platform/requests.py
@@ -4,6 +4,7 @@
 from absl import logging
 
 from clementinedyke.clock import Milliseconds
+from clementinedyke.decimals import parse_decimal
 from clementinedyke.entry.catalog import EntryRequest, PromptPart
 from clementinedyke.entry.endpoint_protocol import (
     AnswerHead,
@@ -16,6 +17,8 @@
 from clementinedyke.http.message import ServerRequest
 
 _MILLISECONDS_PER_SECOND = 1000
+#: Largest time in ms or count that is read from a header.
+_MAX_NUMBER = 10**9
 #: The endpoint at the address is not the one in X-Expect-Instance.
 _STATUS_MISDIRECTED = 421
 _REQUEST_ID = b'x-request-id'
@@ -228,9 +231,7 @@
 
 def _get_number(fields: dict[bytes, bytes], name: bytes) -> int | None:
     text = _get_text(fields, name)
-    if text is None or not text.isdigit():
-        return None
-    return int(text)
+    return None if text is None else parse_decimal(text, _MAX_NUMBER)
 
 
 def _parse_token_counts(fields: dict[bytes, bytes]) -> tuple[int, int]:
@@ -240,23 +241,27 @@
     """
     prompt, _, output = (_get_text(fields, _TOKEN_COUNTS) or '').partition(',')
     return (
-        int(prompt) if prompt.isdigit() else 0,
-        int(output) if output.isdigit() else 0,
+        parse_decimal(prompt, _MAX_NUMBER) or 0,
+        parse_decimal(output, _MAX_NUMBER) or 0,
     )
 
 
 def _parse_prompt_parts(fields: dict[bytes, bytes]) -> tuple[PromptPart, ...]:
     parts = []
     for entry in (_get_text(fields, _PROMPT_PARTS) or '').split(','):
-        part_id, _, tokens = entry.strip().partition(':')
-        if part_id and tokens.isdigit():
-            parts.append(PromptPart(part_id, int(tokens)))
+        part_id, _, text = entry.strip().partition(':')
+        tokens = parse_decimal(text, _MAX_NUMBER)
+        if part_id and tokens is not None:
+            parts.append(PromptPart(part_id, tokens))
     return tuple(parts)
 
 
 def _parse_load(fields: dict[bytes, bytes]) -> EndpointLoad | None:
-    numbers = (_get_text(fields, _LOAD) or '').split(',')
-    if len(numbers) != 3 or not all(item.isdigit() for item in numbers):
+    numbers = [
+        parse_decimal(text, _MAX_NUMBER)
+        for text in (_get_text(fields, _LOAD) or '').split(',')
+    ]
+    known = [number for number in numbers if number is not None]
+    if len(numbers) != 3 or len(known) != 3:
         return None
-    running, waiting, slots = (int(item) for item in numbers)
-    return EndpointLoad(running, waiting, slots)
+    return EndpointLoad(*known)
--- a/src/clementinedyke/platform/settings_file.py
+++ b/src/clementinedyke/platform/settings_file.py
@@ -8,9 +8,10 @@
 from pydantic import BaseModel, Field, ValidationError
 
 from clementinedyke.clock import Milliseconds
+from clementinedyke.decimals import parse_decimal
 from clementinedyke.entry.host_settings import HostSettings, ServiceBounds
 from clementinedyke.exceptions import SettingError
-from clementinedyke.http.client import Address
+from clementinedyke.http.client import MAX_PORT, Address
 
 #: Environment variable that holds the path of the settings file.
 PATH_VARIABLE = 'CLEMENTINEDYKE_SETTINGS'
@@ -91,11 +92,12 @@
     settings = decode_host_settings(document, str(path))
     if not metrics_port:
         return settings
-    if not metrics_port.isdigit():
+    port = parse_decimal(metrics_port, MAX_PORT)
+    if port is None:
         raise SettingError(
             f'{METRICS_VARIABLE} has value {metrics_port!r}; expected a port'
         )
-    address = Address(settings.ip, int(metrics_port))
+    address = Address(settings.ip, port)
     return replace(settings, metrics_address=address)
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,9 +1,14 @@
 """Tests of the adapter to the users' platform."""
 
+import json
 from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
 
 import pytest
 import trio
+from hypothesis import given
+from hypothesis import strategies as st
 from tests.entry_samples import create_endpoint
 from tests.platform_standin import StoreStandin, serve
 
@@ -14,7 +19,10 @@
 from clementinedyke.http.client import Address, HttpClient
 from clementinedyke.http.message import ServerRequest
 from clementinedyke.platform.requests import RequestTranslator
-from clementinedyke.platform.settings_file import decode_host_settings
+from clementinedyke.platform.settings_file import (
+    decode_host_settings,
+    load_host_settings,
+)
 from clementinedyke.platform.store import StoreClient
 from clementinedyke.rows import ABSENT, Commit, Condition, Conflict, Write
 
@@ -211,6 +219,77 @@
         assert headers == [(b'Retry-After', b'0.150')]
 
 
+_NUMBER_TEXTS = st.one_of(
+    st.text(st.characters(max_codepoint=255), max_size=30),
+    st.integers(0, 10**25).map(str),
+    st.sampled_from(['\xb2', '1\xb3', '-1', '1_000', '9' * 5000]),
+)
+
+
+class TestNumbersFromPeers:
+    """Guards against numbers that end the handling of a request.
+
+    Byte 0xB2 is a digit to ``str.isdigit`` and not to ``int``.
+    """
+
+    @given(text=_NUMBER_TEXTS, other=_NUMBER_TEXTS)
+    def test_request_headers(self, text: str, other: str) -> None:
+        """Any number in a caller's header is read or left out."""
+        fields = {
+            'x-request-id': 'r-1',
+            'x-deadline-ms': text,
+            'x-token-count': f'{text},{other}',
+            'x-prefix-hash': f'rules:{text},own:{other}',
+            'last-event-id': other,
+        }
+        request = ServerRequest('POST', '/a/1', '', encode_fields(fields), b'')
+        read = RequestTranslator().read_request(request)
+        assert read is not None
+        assert 0 <= (read.caller_timeout or 0) <= 10**9
+        assert 0 <= read.prompt_tokens <= 10**9
+        assert all(part.tokens <= 10**9 for part in read.prompt_parts)
+
+    @given(text=_NUMBER_TEXTS, other=_NUMBER_TEXTS)
+    def test_answer_headers(self, text: str, other: str) -> None:
+        """Any load that an endpoint reports is read or left out."""
+        fields = {'x-instance-load': f'{text},{other},8'}
+        RequestTranslator().read_head(200, encode_fields(fields))
+
+    @pytest.mark.parametrize('text', ['\xb2', '65536', '-1', '9' * 5000])
+    def test_ports(self, text: str, tmp_path: Path) -> None:
+        """A port that is none must be refused with an error that says so."""
+        with pytest.raises(ValueError, match='IP:PORT'):
+            Address.parse(f'127.0.0.1:{text}')
+        path = tmp_path / 'settings.toml'
+        path.write_text(compile_toml(_SETTINGS), encoding='utf-8')
+        assert load_host_settings(path, '9464').metrics_address is not None
+        with pytest.raises(SettingError, match='expected a port'):
+            load_host_settings(path, text)
+
+
+def compile_toml(document: dict[str, Any]) -> str:
+    """Return a document with one level of tables in TOML."""
+    tables = {
+        name: item for name, item in document.items() if isinstance(item, dict)
+    }
+    lines = [
+        f'{name} = {json.dumps(item)}'
+        for name, item in document.items()
+        if name not in tables
+    ]
+    for name, table in tables.items():
+        lines.append(f'[{name}]')
+        lines += [f'{key} = {json.dumps(item)}' for key, item in table.items()]
+    return '\n'.join(lines)
+
+
+def encode_fields(fields: dict[str, str]) -> list[tuple[bytes, bytes]]:
+    """Return header fields as bytes."""
+    return [
+        (name.encode(), text.encode('latin-1')) for name, text in fields.items()
+    ]
+
+
 def run_with_store(
     scenario: Callable[[StoreStandin, StoreClient], Awaitable[None]],
 ) -> None:
