--- a/tests/entry_environment.py
+++ b/tests/entry_environment.py
@@ -73,13 +73,13 @@
         self.endpoints: dict[str, EndpointStandin] = {}
         self.daemons: list[EntryApplication] = []
         self._daemon_scopes: list[trio.CancelScope] = []
-        self._store_port = 0
-        self._duties_port = 0
+        self.store_port = 0
+        self.duties_port = 0
 
     async def start(self) -> None:
         """Start the stand-ins with two engines and two plain services."""
-        self._store_port = await serve(self.nursery, self.store.respond)
-        self._duties_port = await serve(self.nursery, self.duties.respond)
+        self.store_port = await serve(self.nursery, self.store.respond)
+        self.duties_port = await serve(self.nursery, self.duties.respond)
         for endpoint in (
             EndpointStandin('reader', 'prefill'),
             EndpointStandin('writer', 'decode'),
@@ -110,7 +110,7 @@
         link_megabits: float = 1000,
     ) -> EntryApplication:
         """Start a daemon and wait until its ports are bound."""
-        port = self._store_port if store_port is None else store_port
+        port = self.store_port if store_port is None else store_port
         settings = HostSettings(
             host=host,
             ip='127.0.0.1',
@@ -120,7 +120,7 @@
             peer_address=Address('127.0.0.1', 0),
             metrics_address=Address('127.0.0.1', 0),
             store_address=Address('127.0.0.1', port),
-            duties_address=Address('127.0.0.1', self._duties_port),
+            duties_address=Address('127.0.0.1', self.duties_port),
             memory_mb=300,
             max_descriptors=1000,
             link_megabits=link_megabits,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,9 +1,7 @@
 """Tests of the adapter to the users' platform."""
 
-import json
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
 
 import pytest
 import trio
@@ -11,6 +9,7 @@
 from hypothesis import strategies as st
 from tests.entry_samples import create_endpoint
 from tests.platform_standin import StoreStandin, serve
+from tests.settings_document import SETTINGS, compile_toml
 
 from clementinedyke.call_failures import TableFailure
 from clementinedyke.entry.endpoint_protocol import KvCacheReference, SendOptions
@@ -26,45 +25,13 @@
 from clementinedyke.platform.store import StoreClient
 from clementinedyke.rows import ABSENT, Commit, Condition, Conflict, Write
 
-_SETTINGS = {
-    'node': 'front-a-1',
-    'ip': '10.1.0.31',
-    'zone': 'zone-a',
-    'zones': {'zone-a': 'region', 'zone-b': 'region'},
-    'internal_ports': [7780, 7795],
-    'listen': {'front': '10.1.0.31:8368', 'ready': '10.1.0.31:8369'},
-    'limits': {
-        'memory_mb': 300,
-        'max_fds': 4100,
-        'link_mbps': 5,
-        'new_field': 1,
-    },
-    'bounds': {
-        'config_apply_ms': 2000,
-        'outer_ms': 5000,
-        'drain_ms': 2000,
-        'grace_s': 8,
-        'contact_ms': 3000,
-        'lease_ms': 3000,
-        'usage_window_s': 5,
-        'usage_late_s': 10,
-        'retry_budget_ratio': 0.2,
-        'budget_window_s': 10,
-        'budget_extra': 54,
-        'revoke_strict': False,
-        'revoke_ms': 5000,
-    },
-    'platform': {'address': '10.200.1.7:8362'},
-    'cloud': {'address': '10.200.0.99:8362'},
-}
-
 
 class TestSettingsFile:
     """Guards against a daemon that starts with misread settings."""
 
     def test_seconds_become_milliseconds(self) -> None:
         """Values in seconds are converted to milliseconds."""
-        settings = decode_host_settings(_SETTINGS, 'file')
+        settings = decode_host_settings(SETTINGS, 'file')
         assert settings.bounds.stop_grace == 8000
         assert settings.bounds.usage_window == 5000
         assert settings.bounds.max_key_age is None
@@ -73,13 +40,13 @@
 
     def test_strict_revocation_limits_key_age(self) -> None:
         """With ``revoke_strict`` the age of key state is limited."""
-        bounds = {**_SETTINGS['bounds'], 'revoke_strict': True}
-        settings = decode_host_settings({**_SETTINGS, 'bounds': bounds}, 'f')
+        bounds = {**SETTINGS['bounds'], 'revoke_strict': True}
+        settings = decode_host_settings({**SETTINGS, 'bounds': bounds}, 'f')
         assert settings.bounds.max_key_age == 5000
 
     def test_missing_duties_are_accepted(self) -> None:
         """Settings without the table ``cloud`` are valid."""
-        given = {key: _SETTINGS[key] for key in _SETTINGS if key != 'cloud'}
+        given = {key: SETTINGS[key] for key in SETTINGS if key != 'cloud'}
         assert decode_host_settings(given, 'file').duties_address is None
 
     def test_error_names_invalid_field(self) -> None:
@@ -87,7 +54,7 @@
         cases = (
             (
                 'bounds.lease_ms',
-                {'bounds': {**_SETTINGS['bounds'], 'lease_ms': 0}},
+                {'bounds': {**SETTINGS['bounds'], 'lease_ms': 0}},
             ),
             ('node', {'node': ''}),
             ('limits.max_fds', {'limits': {'memory_mb': 300}}),
@@ -95,7 +62,7 @@
         )
         for name, change in cases:
             with pytest.raises(SettingError, match=name):
-                decode_host_settings({**_SETTINGS, **change}, 'file')
+                decode_host_settings({**SETTINGS, **change}, 'file')
 
 
 class TestRequestTranslator:
@@ -261,28 +228,12 @@
         with pytest.raises(ValueError, match='IP:PORT'):
             Address.parse(f'127.0.0.1:{text}')
         path = tmp_path / 'settings.toml'
-        path.write_text(compile_toml(_SETTINGS), encoding='utf-8')
+        path.write_text(compile_toml(SETTINGS), encoding='utf-8')
         assert load_host_settings(path, '9464').metrics_address is not None
         with pytest.raises(SettingError, match='expected a port'):
             load_host_settings(path, text)
 
 
-def compile_toml(document: dict[str, Any]) -> str:
-    """Return a document with one level of tables in TOML."""
-    tables = {
-        name: item for name, item in document.items() if isinstance(item, dict)
-    }
-    lines = [
-        f'{name} = {json.dumps(item)}'
-        for name, item in document.items()
-        if name not in tables
-    ]
-    for name, table in tables.items():
-        lines.append(f'[{name}]')
-        lines += [f'{key} = {json.dumps(item)}' for key, item in table.items()]
-    return '\n'.join(lines)
-
-
 def encode_fields(fields: dict[str, str]) -> list[tuple[bytes, bytes]]:
     """Return header fields as bytes."""
     return [
