Read the suspects once per announced revision

A store that returns from an older copy never reaches the revision that a daemon had announced, and each daemon would have read table suspects without a pause. One successful read answers an announcement now. Found by reading the change.

test_revision_that_the_store_has_lost failed before: 2001 reads in 10 s.

--- a/src/clementinedyke/entry/suspect_component.py
+++ b/src/clementinedyke/entry/suspect_component.py
@@ -34,8 +34,6 @@
 #: Rows that wait to be written while the store is away.
 _MAX_UNWRITTEN = 1000
 _MILLISECONDS_PER_SECOND = 1000
-
-
 #: Names of the results of an examination in the metrics.
 _RESULTS = {True: 'listening', False: 'ended', None: 'unknown'}
 
@@ -208,6 +206,7 @@
             delay = min(_MAX_RETRY, 2 * delay)
 
     async def _read(self) -> bool:
+        announced = self.newest_revision
         answer = await self._store.list_rows(SUSPECTS_TABLE)
         if answer.is_err():
             return False
@@ -226,7 +225,8 @@
             evidence.append(compile_evidence(decoded))
             self._written.add(row.key)
         self.suspects.receive_evidence(evidence, self._clock.get_now())
-        self._read_revision = snapshot.revision
+        # A store that returned from an older copy never reaches the revision.
+        self._read_revision = max(announced, snapshot.revision)
         self._journal.write(
             'evidence_read', rows=len(evidence), revision=snapshot.revision
         )
--- a/tests/test_entry_suspects.py
+++ b/tests/test_entry_suspects.py
@@ -219,6 +219,20 @@
                 await trio.sleep(1)
                 assert get_fatal_verdict(started) in _REFUSED
                 nursery.cancel_scope.cancel()
+    def test_revision_that_the_store_has_lost(self) -> None:
+        """A store that returns from an older copy must not be read for ever."""
+        store = CountingReads()
+
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                reader = await start_component(store, nursery)
+                reader.record_revision(store.revision + 100)
+                await trio.sleep(10)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+        assert store.reads == 2
+
 
         trio.run(main, clock=MockClock(autojump_threshold=0))
 
@@ -324,6 +338,21 @@
     now = TrioClock().get_now()
     endpoint = create_endpoint(f'i-{number}', started_at=number)
     suspects.record_lost_answer(endpoint, FATAL, now)
+class CountingReads(InMemoryRowStore):
+    """Row store that counts the reads of tables."""
+
+    def __init__(self) -> None:
+        """Create an empty store."""
+        super().__init__()
+        self.reads = 0
+
+    async def list_rows(self, table: str, prefix: str = '') -> object:
+        """Return rows after a moment."""
+        self.reads += 1
+        await trio.sleep(0.005)
+        return await super().list_rows(table, prefix)
+
+
     suspects.record_refused_connection(endpoint, now)
 
 
