Send evidence at once only if there is a suspect

Each end of an endpoint made each daemon that lost an answer send a datagram to all others: with 330 daemons up to 109,000 datagrams per end. Evidence of single ends goes with the regular datagrams, which costs no datagram more. Found by reading the change; test_single_end_is_not_urgent checks it.

--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -132,7 +132,7 @@
         self._evidence = shared[1]
         self._suspects = self._evidence.suspects
         self._has_evidence = trio.Event()
-        self._suspects.evidence_observers.append(self._announce_evidence)
+        self._suspects.urgent_observers.append(self._announce_evidence)
         self._clock = tools[0]
         self._journal = tools[1]
         self.lending_counts = LendingCounts()
--- a/src/clementinedyke/entry/suspects.py
+++ b/src/clementinedyke/entry/suspects.py
@@ -29,8 +29,8 @@
 )
 #: Maximum number of items of evidence in a datagram.
 _MAX_SENT_ITEMS = 40
-#: Times after its finding at which an item is sent. Datagrams are lost, and a
-#: daemon may have started just now.
+#: Earliest times of the sends of an item after its finding. Datagrams are lost,
+#: and a daemon may have started just now.
 _SEND_TIMES: tuple[Milliseconds, ...] = (0, 300, 1000)
 #: Fingerprints in a log line.
 _MAX_LOGGED = 8
@@ -61,8 +61,9 @@
         self._unsent: dict[Evidence, list[Milliseconds]] = {}
         #: Losses that this daemon found, in order, as a set.
         self._found: dict[_Loss, None] = {}
-        #: Called with the evidence that this daemon finds.
-        self.evidence_observers: list[EvidenceObserver] = []
+        #: Called with evidence against suspects that this daemon finds. Other
+        #: evidence is frequent and can wait for the next regular datagram.
+        self.urgent_observers: list[EvidenceObserver] = []
         #: Called with the evidence against suspects that this daemon stores.
         self.storage_observers: list[EvidenceObserver] = []
 
@@ -259,8 +260,9 @@
             self._unsent[item] = [now + delay for delay in _SEND_TIMES]
         while len(self._found) > _MAX_FOUND:
             self._found.pop(next(iter(self._found)))
-        for observer in self.evidence_observers:
-            observer(evidence)
+        if any(self._is_suspect(found.fingerprint) for found in evidence):
+            for observer in self.urgent_observers:
+                observer(evidence)
 
     def _store(self, fingerprints: Iterable[str], *, is_found: bool) -> None:
         """Pass on the evidence against suspects that has to last.
@@ -270,13 +272,17 @@
         others, too.
         """
         for name in fingerprints:
-            evidence = self._core.list_evidence(name)
-            if len(evidence) < _SETTINGS.isolation_losses:
+            if not self._is_suspect(name):
                 continue
+            evidence = self._core.list_evidence(name)
             own = [item for item in evidence if _get_loss(item) in self._found]
             for observer in self.storage_observers:
                 observer(evidence if is_found else own)
 
+    def _is_suspect(self, fingerprint: str) -> bool:
+        losses = self._core.list_evidence(fingerprint)
+        return len(losses) >= _SETTINGS.isolation_losses
+
 
 def _get_loss(evidence: Evidence) -> _Loss:
     return evidence.endpoint_id, evidence.boot_id, evidence.fingerprint
--- a/src/clementinedyke/quarantine/core.py
+++ b/src/clementinedyke/quarantine/core.py
@@ -91,7 +91,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EvidenceFound:
-    """This daemon found evidence that is not tied to running requests."""
+    """This daemon found evidence by other means than :class:`EndpointLost`."""
 
     evidence: tuple[Evidence, ...]
 
--- a/tests/test_entry_suspects.py
+++ b/tests/test_entry_suspects.py
@@ -19,7 +19,7 @@
 from clementinedyke.entry.lost_answers import LostAnswers
 from clementinedyke.entry.suspect_component import SuspectComponent
 from clementinedyke.entry.suspects import Suspects
-from clementinedyke.quarantine.core import Verdict
+from clementinedyke.quarantine.core import Evidence, Verdict
 
 _DAEMONS = 3
 _ENDPOINTS = 4
@@ -162,6 +162,22 @@
         fleet.share(Random(1))
         assert len(fleet.stored) == 2
 
+    def test_single_end_is_not_urgent(self) -> None:
+        """An end costs no datagrams of its own unless there is a suspect.
+
+        With 330 daemons it would be a datagram from each to each.
+        """
+        fleet = SuspectFleet(_DAEMONS, _ENDPOINTS)
+        urgent: list[Evidence] = []
+        fleet.tables[0].urgent_observers.append(urgent.extend)
+        fleet.send(0, 0, FATAL)
+        fleet.run_endpoints()
+        assert not urgent
+        fleet.send(0, 1, FATAL)
+        fleet.run_endpoints()
+        assert len(urgent) == 1
+        assert len(fleet.tables[0].pop_unsent(fleet.now)) == 2
+
     def test_one_end_changes_nothing(self) -> None:
         """Requests of an endpoint that ended must be retried at once."""
         fleet = SuspectFleet(_DAEMONS, _ENDPOINTS)
@@ -203,6 +219,20 @@
 
         trio.run(main, clock=MockClock(autojump_threshold=0))
 
+    def test_revision_that_the_store_has_lost(self) -> None:
+        """A store that returns from an older copy must not be read for ever."""
+        store = CountingReads()
+
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                reader = await start_component(store, nursery)
+                reader.record_revision(store.revision + 100)
+                await trio.sleep(10)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+        assert store.reads == 2
+
     def test_store_is_down(self) -> None:
         """Evidence found during an outage must be stored afterwards."""
         store = InMemoryRowStore()
@@ -219,20 +249,6 @@
                 await trio.sleep(1)
                 assert get_fatal_verdict(started) in _REFUSED
                 nursery.cancel_scope.cancel()
-    def test_revision_that_the_store_has_lost(self) -> None:
-        """A store that returns from an older copy must not be read for ever."""
-        store = CountingReads()
-
-        async def main() -> None:
-            async with trio.open_nursery() as nursery:
-                reader = await start_component(store, nursery)
-                reader.record_revision(store.revision + 100)
-                await trio.sleep(10)
-                nursery.cancel_scope.cancel()
-
-        trio.run(main, clock=MockClock(autojump_threshold=0))
-        assert store.reads == 2
-
 
         trio.run(main, clock=MockClock(autojump_threshold=0))
 
@@ -322,6 +338,21 @@
         assert not answers.record_refused_connection(endpoint, 20)
 
 
+class CountingReads(InMemoryRowStore):
+    """Row store that counts the reads of tables."""
+
+    def __init__(self) -> None:
+        """Create an empty store."""
+        super().__init__()
+        self.reads = 0
+
+    async def list_rows(self, table: str, prefix: str = '') -> object:
+        """Return rows after a moment."""
+        self.reads += 1
+        await trio.sleep(0.005)
+        return await super().list_rows(table, prefix)
+
+
 async def start_component(
     store: InMemoryRowStore, nursery: trio.Nursery
 ) -> SuspectComponent:
@@ -338,21 +369,6 @@
     now = TrioClock().get_now()
     endpoint = create_endpoint(f'i-{number}', started_at=number)
     suspects.record_lost_answer(endpoint, FATAL, now)
-class CountingReads(InMemoryRowStore):
-    """Row store that counts the reads of tables."""
-
-    def __init__(self) -> None:
-        """Create an empty store."""
-        super().__init__()
-        self.reads = 0
-
-    async def list_rows(self, table: str, prefix: str = '') -> object:
-        """Return rows after a moment."""
-        self.reads += 1
-        await trio.sleep(0.005)
-        return await super().list_rows(table, prefix)
-
-
     suspects.record_refused_connection(endpoint, now)
 
 
