Send evidence at the next interval also while the work is unchanged

A daemon whose work is the same as before sends a datagram at each fifth interval only: 5 s with 64 daemons, 27 s with 330. Evidence of a single end waited for that, while the request came to other daemons. Found by reading the change; test_evidence_is_sent_more_than_once checks when evidence is due.

--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -277,7 +277,8 @@
             idle_rounds += 1
             # Parts that an engine has read need no check of their own: reading
             # a prompt also changes the work.
-            if work != self._last_work or idle_rounds >= _IDLE_FACTOR:
+            has_changed = work != self._last_work or self._suspects.has_due(now)
+            if has_changed or idle_rounds >= _IDLE_FACTOR:
                 self._last_work = work
                 idle_rounds = 0
                 await self._send_update(work)
--- a/src/clementinedyke/entry/suspects.py
+++ b/src/clementinedyke/entry/suspects.py
@@ -67,6 +67,13 @@
         #: Called with the evidence against suspects that this daemon stores.
         self.storage_observers: list[EvidenceObserver] = []
 
+    def has_due(self, now: Milliseconds) -> bool:
+        """Return whether there is evidence to send to the other daemons now.
+
+        :param now: current instant.
+        """
+        return any(times[0] <= now for times in self._unsent.values())
+
     def pop_unsent(self, now: Milliseconds) -> list[Evidence]:
         """Return evidence to send to the other daemons now.
 
--- a/tests/test_entry_suspects.py
+++ b/tests/test_entry_suspects.py
@@ -192,8 +192,11 @@
         fleet.send(0, 0, FATAL)
         fleet.run_endpoints()
         table = fleet.tables[0]
+        assert table.has_due(0)
         assert table.pop_unsent(0)
+        assert not table.has_due(10)
         assert not table.pop_unsent(10)
+        assert table.has_due(400)
         assert table.pop_unsent(400)
         assert table.pop_unsent(1100)
         assert not table.pop_unsent(9000)
