Share the endpoint overrides of two test files

lose_answer and never_answer stood in test_entry_daemon and, written again, in test_entry_crashes. Both use the ones of the stand-in's module.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -272,6 +272,22 @@
             await response.end()
 
 
+async def lose_answer(
+    endpoint: EndpointStandin, request: ServerRequest, response: ResponseWriter
+) -> bool:
+    """Run a request and close the connection without an answer."""
+    endpoint.runs.append(request.get_header(b'x-request-id'))
+    raise trio.BrokenResourceError('connection closed without an answer')
+
+
+async def never_answer(
+    endpoint: EndpointStandin, request: ServerRequest, response: ResponseWriter
+) -> bool:
+    """Accept a request and never answer it."""
+    await trio.sleep_forever()
+    return True
+
+
 class DutiesStandin:
     """Accepts and records usage reports and capacity orders."""
 
--- a/tests/test_entry_crashes.py
+++ b/tests/test_entry_crashes.py
@@ -12,11 +12,10 @@
     EntryEnvironment,
     ScenarioRunner,
 )
-from tests.platform_standin import EndpointStandin, serve
+from tests.platform_standin import lose_answer, never_answer, serve
 from tests.store_gate import StoreGate
 
 from clementinedyke.http.client import HttpResponse
-from clementinedyke.http.message import ResponseWriter, ServerRequest
 
 _NAMES = ['one', 'two', 'three', 'four']
 #: Ends after which a request counts as one that ends its endpoints, and sends
@@ -126,7 +125,7 @@
             env.store.remove('servers', 'ledger-2')
             await trio.sleep(0.3)
             endpoint = env.endpoints['ledger-1']
-            endpoint.override = stay_silent
+            endpoint.override = never_answer
             for number in range(_ENDS):
                 await send_fatal(env, '/book/1', number, 0, x_deadline_ms='200')
                 env.register(endpoint, born=100 + number)
@@ -224,19 +223,3 @@
             assert answer.status == 200
 
         ScenarioRunner().run(scenario)
-
-
-async def stay_silent(
-    standin: EndpointStandin, request: ServerRequest, response: ResponseWriter
-) -> bool:
-    """Read a request and never answer it."""
-    await trio.sleep_forever()
-    return True
-
-
-async def lose_answer(
-    standin: EndpointStandin, request: ServerRequest, response: ResponseWriter
-) -> bool:
-    """Run a request and close the connection without an answer."""
-    request.connection.must_close = True
-    raise trio.BrokenResourceError('connection closed without an answer')
--- a/tests/test_entry_daemon.py
+++ b/tests/test_entry_daemon.py
@@ -11,6 +11,8 @@
 from tests.platform_standin import (
     EndpointStandin,
     StoreStandin,
+    lose_answer,
+    never_answer,
     send_document,
     serve,
 )
@@ -50,22 +52,6 @@
     return True
 
 
-async def lose_answer(
-    endpoint: EndpointStandin, request: ServerRequest, response: ResponseWriter
-) -> bool:
-    """Run a request and close the connection without an answer."""
-    endpoint.runs.append(request.get_header(b'x-request-id'))
-    raise trio.BrokenResourceError('connection closed without an answer')
-
-
-async def never_answer(
-    endpoint: EndpointStandin, request: ServerRequest, response: ResponseWriter
-) -> bool:
-    """Accept a request and never answer it."""
-    await trio.sleep_forever()
-    return True
-
-
 async def break_stream(
     endpoint: EndpointStandin, request: ServerRequest, response: ResponseWriter
 ) -> bool:
