--- a/src/clementinedyke/entry/event_stream.py
+++ b/src/clementinedyke/entry/event_stream.py
@@ -24,6 +24,11 @@
         """Id of the last complete event; None if no event had an id."""
         return self._last_id
 
+    @property
+    def pending_bytes(self) -> int:
+        """Size of the incomplete event that is buffered."""
+        return len(self._remainder)
+
     def split_events(self, received: bytes) -> bytes:
         """Return the complete events in the buffered and the new bytes.
 
--- a/src/clementinedyke/entry/exchange.py
+++ b/src/clementinedyke/entry/exchange.py
@@ -122,6 +122,7 @@
                 async with self._get_client(endpoint).open_response(
                     request
                 ) as stream:
+                    job.framing = stream.framing
                     head = self._read_head(job, stream, endpoint)
                     attempt.answer = EndpointAnswer(head, stream, endpoint)
                     self._record_answer(endpoint, attempt.sent_at)
--- a/src/clementinedyke/entry/gateway.py
+++ b/src/clementinedyke/entry/gateway.py
@@ -156,6 +156,8 @@
             first_event_ms=_get_delay(job, job.first_event_at),
             prompt=job.request.prompt_tokens,
             path=job.path,
+            framing=None if job.framing is None else job.framing.value,
+            cut_bytes=job.cut_bytes,
             failures=job.failures,
         )
 
--- a/src/clementinedyke/entry/intake.py
+++ b/src/clementinedyke/entry/intake.py
@@ -14,6 +14,7 @@
     EntryService,
 )
 from clementinedyke.entry.configuration_view import ConfigurationView
+from clementinedyke.http.client import Framing
 from clementinedyke.quarantine.fingerprint import compute_fingerprint
 
 _RETRY_AFTER_UNCONFIRMED: Milliseconds = 500
@@ -40,7 +41,9 @@
     sends, ``excluded`` the ids of endpoints that are not tried again.
     ``fingerprint`` is the same for all requests with the same customer, method,
     host, target and body. ``examination`` is set once it is known whether the
-    endpoint that lost the last answer has ended.
+    endpoint that lost the last answer has ended. ``framing`` is that of the
+    last answer. ``cut_bytes`` is the size of the incomplete event with which
+    the last stream ended.
     """
 
     request: EntryRequest
@@ -61,6 +64,8 @@
     failures: list[str] = field(default_factory=list)
     excluded: set[str] = field(default_factory=set)
     examination: trio.Event | None = None
+    framing: Framing | None = None
+    cut_bytes: int = 0
 
     def get_time_left(self, now: Milliseconds) -> Milliseconds:
         """Return the milliseconds until the deadline, at least 0.
--- a/src/clementinedyke/entry/stream_runner.py
+++ b/src/clementinedyke/entry/stream_runner.py
@@ -354,6 +354,7 @@
         while True:
             received = await answer.stream.receive_available()
             if not received:
+                generation.job.cut_bytes = splitter.pending_bytes
                 break
             events = splitter.split_events(received)
             if events:
--- a/src/clementinedyke/http/client.py
+++ b/src/clementinedyke/http/client.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 client on trio and h11 with a connection pool for one address."""
 
+import enum
 import math
 import re
 from collections.abc import AsyncIterator, Sequence
@@ -49,6 +50,8 @@
     trio.ClosedResourceError,
     h11.RemoteProtocolError,
 )
+#: Statuses of responses that never have a body.
+_BODILESS_STATUSES = frozenset((204, 304))
 #: States of the peer in which its response is complete.
 _COMPLETE_STATES = frozenset((h11.DONE, h11.MUST_CLOSE, h11.CLOSED))
 
@@ -78,6 +81,16 @@
         return f'{self.host}:{self.port}'
 
 
+class Framing(enum.Enum):
+    """How the end of a response body is marked (RFC 9112, section 6.3)."""
+
+    #: A number of bytes, which is 0 for statuses without a body.
+    LENGTH = 'length'
+    CHUNKED = 'chunked'
+    #: The end of the connection, which a peer that fails also causes.
+    CONNECTION = 'connection'
+
+
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
     """A request with its complete body."""
@@ -183,6 +196,16 @@
         """Header names in lower case and their values."""
         return list(self._head.headers)
 
+    @property
+    def framing(self) -> Framing:
+        """How the end of the body is marked."""
+        fields = dict(self._head.headers)
+        if b'transfer-encoding' in fields:
+            return Framing.CHUNKED
+        if b'content-length' in fields or self.status in _BODILESS_STATUSES:
+            return Framing.LENGTH
+        return Framing.CONNECTION
+
     async def receive_available(self) -> bytes:
         """Return the body bytes that have arrived; empty at the end.
 
