Add failing tests of answers that are cut off and look complete

A stream that ends inside an event reaches its caller with the end of a complete answer, whether its framing is a length, chunks or the end of the connection, in both programs.

--- a/tests/caller_tools.py
+++ b/tests/caller_tools.py
@@ -19,6 +19,7 @@
 from clementinedyke.codes import ResultCode
 from clementinedyke.http.client import Address, HttpClient, HttpResponse
 from clementinedyke.http.client import HttpRequest as Request
+from clementinedyke.http.socket_io import set_reset_on_close
 from clementinedyke.records.core import (
     CustomerRecord,
     KeyRecord,
@@ -29,6 +30,7 @@
 from http_tools import HOST, ServedPort, serve
 
 KEY = 'secret-of-the-customer'
+_RESET_DELAY_SECONDS = 0.05
 _RECORDS = (
     ServiceRecord(name='chat', backend='model', models=('m',)),
     ServiceRecord(name='desk', backend='plain'),
@@ -158,13 +160,20 @@
 class RawEndpoint:
     """Endpoint that sends fixed bytes for each request and then closes."""
 
-    def __init__(self, answer: bytes, keeps_open: bool = False) -> None:
+    def __init__(
+        self,
+        answer: bytes,
+        keeps_open: bool = False,
+        resets: bool = False,
+    ) -> None:
         """Create the endpoint.
 
-        With ``keeps_open`` it waits until the peer closes the connection.
+        With ``keeps_open`` it waits until the peer closes the connection, and
+        with ``resets`` the connection is reset instead of closed.
         """
         self._answer = answer
         self._keeps_open = keeps_open
+        self._resets = resets
         self.received: list[bytes] = []
         self.closed = trio.Event()
 
@@ -177,6 +186,10 @@
     async def _serve(self, stream: trio.SocketStream) -> None:
         self.received.append(bytes(await stream.receive_some(65536)))
         await stream.send_all(self._answer)
+        if self._resets:
+            # Lets the peer read the answer, which a reset would discard.
+            await trio.sleep(_RESET_DELAY_SECONDS)
+            set_reset_on_close(stream)
         if self._keeps_open:
             # A request that is given up resets its connection.
             with suppress(trio.BrokenResourceError):
--- /dev/null
+++ b/tests/test_entry_answers.py
@@ -0,0 +1,193 @@
+"""Tests of answers that are framed in different ways and broken off."""
+
+import pytest
+import trio
+from tests.caller_tools import RawEndpoint
+from tests.entry_environment import (
+    CONFIGURATION,
+    EntryEnvironment,
+    ScenarioRunner,
+)
+from tests.platform_standin import EndpointStandin
+
+from clementinedyke.exceptions import AnswerLostError
+from clementinedyke.http.client import HttpResponse
+
+_SIGNATURE = b'X-Server-Signature: signed\r\n'
+_EVENT_TYPE = b'Content-Type: text/event-stream\r\n'
+_EVENTS = b''.join(b'id: %d\ndata: x\n\n' % number for number in (1, 2, 3))
+#: Ends inside the third event.
+_CUT_EVENTS = _EVENTS[:-4]
+_FRAMINGS = ('length', 'chunked', 'connection')
+
+
+def compile_answer(
+    framing: str, body: bytes, status: int = 200, headers: bytes = b''
+) -> bytes:
+    """Return an answer whose framing says that its body is complete."""
+    head = b'HTTP/1.1 %d Status\r\n%b%b' % (status, _SIGNATURE, headers)
+    if framing == 'length':
+        return b'%bContent-Length: %d\r\n\r\n%b' % (head, len(body), body)
+    if framing == 'chunked':
+        chunks = b'%x\r\n%b\r\n0\r\n\r\n' % (len(body), body)
+        return b'%bTransfer-Encoding: chunked\r\n\r\n%b' % (head, chunks)
+    return b'%b\r\n%b' % (head, body)
+
+
+async def start_raw(
+    env: EntryEnvironment, endpoint: RawEndpoint, stage: str | None
+) -> None:
+    """Start an endpoint and register it instead of those of its stage."""
+    for standin in list(env.endpoints.values()):
+        if standin.stage == stage:
+            env.store.remove('servers', standin.endpoint_id)
+    port = await endpoint.start(env.nursery)
+    env.register(EndpointStandin('raw', stage, port=port))
+    await trio.sleep(0.2)
+
+
+async def open_environment(env: EntryEnvironment) -> None:
+    """Start a daemon with the usual configuration."""
+    env.store.put('op', 'config', CONFIGURATION)
+    await env.start_daemon()
+    await env.wait_until_served()
+
+
+def send_through(
+    endpoint: RawEndpoint, stage: str | None, path: str
+) -> HttpResponse | None:
+    """Send a request to an endpoint; return None if its answer is lost."""
+    answers: list[HttpResponse | None] = []
+
+    async def scenario(env: EntryEnvironment) -> None:
+        await open_environment(env)
+        await start_raw(env, endpoint, stage)
+        try:
+            answers.append(await env.send_request(path))
+        except AnswerLostError:
+            answers.append(None)
+
+    ScenarioRunner().run(scenario)
+    return answers[0]
+
+
+class TestCutStreams:
+    """Guards against streams that are cut off and look complete.
+
+    An engine crashed in the middle of an answer that ends with its
+    connection, and the caller got the cut event and the end of the answer.
+    """
+
+    @pytest.mark.parametrize('resets', [False, True])
+    @pytest.mark.parametrize('framing', _FRAMINGS)
+    def test_cut_event_is_not_the_end(self, framing: str, resets: bool) -> None:
+        """A stream that ends inside an event must not look complete."""
+        answer = compile_answer(framing, _CUT_EVENTS, headers=_EVENT_TYPE)
+        endpoint = RawEndpoint(answer, resets=resets)
+        assert send_through(endpoint, 'decode', '/ask/1') is None
+
+    @pytest.mark.parametrize('framing', _FRAMINGS)
+    def test_resume_after_cut_event(self, framing: str) -> None:
+        """Another engine goes on after the last complete event."""
+        answer = compile_answer(framing, _CUT_EVENTS, headers=_EVENT_TYPE)
+        endpoint = RawEndpoint(answer)
+
+        async def scenario(env: EntryEnvironment) -> None:
+            await open_environment(env)
+            await start_raw(env, endpoint, 'decode')
+            env.register(env.endpoints['writer'])
+            await trio.sleep(0.2)
+            bodies = [
+                (await env.send_request('/resumable/1', f'r-{number}')).body
+                for number in range(4)
+            ]
+            assert all(body == _EVENTS for body in bodies)
+            assert endpoint.received
+
+        ScenarioRunner().run(scenario)
+
+    @pytest.mark.parametrize('framing', _FRAMINGS)
+    def test_whole_stream(self, framing: str) -> None:
+        """A stream that ends after an event is complete in each framing."""
+        answer = compile_answer(framing, _EVENTS, headers=_EVENT_TYPE)
+        received = send_through(RawEndpoint(answer), 'decode', '/ask/1')
+        assert received is not None
+        assert (received.status, received.body) == (200, _EVENTS)
+
+    def test_reset_after_an_event(self) -> None:
+        """A stream that is reset after an event is cut off."""
+        answer = compile_answer('connection', _EVENTS, headers=_EVENT_TYPE)
+        endpoint = RawEndpoint(answer, resets=True)
+        assert send_through(endpoint, 'decode', '/ask/1') is None
+
+
+class TestCutAnswers:
+    """Guards against other answers that are cut off and look complete."""
+
+    @pytest.mark.parametrize(
+        ('path', 'stage'), [('/book/1', None), ('/ask/1', 'decode')]
+    )
+    @pytest.mark.parametrize('framing', _FRAMINGS)
+    def test_whole_failure(
+        self, framing: str, path: str, stage: str | None
+    ) -> None:
+        """The failure of an endpoint is forwarded in each framing."""
+        answer = compile_answer(framing, b'failed', 500)
+        received = send_through(RawEndpoint(answer), stage, path)
+        assert received is not None
+        assert (received.status, received.body) == (500, b'failed')
+
+    @pytest.mark.parametrize(
+        ('path', 'stage'), [('/book/1', None), ('/ask/1', 'decode')]
+    )
+    @pytest.mark.parametrize('status', [200, 500])
+    def test_reset(self, status: int, path: str, stage: str | None) -> None:
+        """An answer that is reset before its end has an unknown outcome."""
+        answer = compile_answer('connection', b'part', status)
+        endpoint = RawEndpoint(answer, resets=True)
+        received = send_through(endpoint, stage, path)
+        assert received is not None
+        assert received.status == 502
+        assert b'part' not in received.body
+
+    @pytest.mark.parametrize('framing', _FRAMINGS)
+    def test_whole_answer(self, framing: str) -> None:
+        """An answer of a plain service is complete in each framing."""
+        answer = compile_answer(framing, b'booked')
+        received = send_through(RawEndpoint(answer), None, '/book/1')
+        assert received is not None
+        assert (received.status, received.body) == (200, b'booked')
+
+    def test_cut_answer_of_repeatable_request(self) -> None:
+        """Another endpoint is asked after an answer that was reset."""
+        answer = compile_answer('connection', b'part')
+        endpoint = RawEndpoint(answer, resets=True)
+
+        async def scenario(env: EntryEnvironment) -> None:
+            await open_environment(env)
+            await start_raw(env, endpoint, None)
+            env.register(env.endpoints['ledger-1'])
+            await trio.sleep(0.2)
+            bodies = [
+                (await env.send_request('/read/1', f'r-{number}')).body
+                for number in range(4)
+            ]
+            assert all(body == b'ledger-1' for body in bodies)
+            assert endpoint.received
+
+        ScenarioRunner().run(scenario)
+
+    @pytest.mark.parametrize('framing', _FRAMINGS)
+    def test_cut_prefill(self, framing: str) -> None:
+        """The decode engine gets no handle from an answer that was cut."""
+        answer = compile_answer(framing, b'{"handle":"h-1","tok')
+
+        async def scenario(env: EntryEnvironment) -> None:
+            await open_environment(env)
+            await start_raw(env, RawEndpoint(answer), 'prefill')
+            received = await env.send_request('/ask/1')
+            assert (received.status, received.body) == (200, _EVENTS)
+            sent = env.endpoints['writer'].received[0]
+            assert sent.get_header(b'x-kv-source') is None
+
+        ScenarioRunner().run(scenario)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -129,6 +129,49 @@
         """
         trio.run(self._check_truncated)
 
+    async def _check_cut(self, answer: bytes) -> None:
+        async with trio.open_nursery() as nursery:
+            port = await RawEndpoint(answer).start(nursery)
+            async with serve_callers([port]) as caller_port:
+                with pytest.raises(AnswerLostError):
+                    await caller_port.chat(stream=True)
+                await _wait_for_outcome(caller_port)
+                assert caller_port.codes == [4000]
+            nursery.cancel_scope.cancel()
+
+    @pytest.mark.parametrize(
+        'answer',
+        [
+            b'%b\r\n%b' % (_HEAD, _EVENT),
+            b'%b\r\n%b' % (_HEAD, _EVENT[:-4]),
+            b'%b%x\r\n%b\r\n0\r\n\r\n'
+            % (_CHUNKED_HEAD, len(_EVENT) - 4, _EVENT[:-4]),
+            b'%bContent-Length: %d\r\n\r\n%b'
+            % (_HEAD, len(_EVENT) - 4, _EVENT[:-4]),
+        ],
+        ids=['no-done', 'connection', 'chunked', 'length'],
+    )
+    def test_cut_stream_looks_cut(self, answer: bytes) -> None:
+        """A stream that was cut off must not look complete to its caller.
+
+        Its framing may say that it is: an engine that fails also closes a
+        connection whose end is the end of the answer.
+        """
+        trio.run(self._check_cut, answer)
+
+    async def _check_cut_json(self) -> None:
+        answer = b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n'
+        async with trio.open_nursery() as nursery:
+            port = await RawEndpoint(b'%b{"choices":[{' % answer).start(nursery)
+            async with serve_callers([port]) as caller_port:
+                with pytest.raises(AnswerLostError):
+                    await caller_port.chat()
+            nursery.cancel_scope.cancel()
+
+    def test_cut_json_looks_cut(self) -> None:
+        """A whole answer of an engine that was cut off must not look whole."""
+        trio.run(self._check_cut_json)
+
     async def _check_usage(self) -> None:
         engine = EngineStandin('m')
         async with trio.open_nursery() as nursery:
