Treat a stream that ends inside an event as broken off

Callers saw a status 200 with the signature of the engine and the final chunk after half an event: an answer that looked complete and was not.

Cause: the daemon took the end of the body for the end of the stream and forwarded the bytes after the last complete event. If an answer has neither a length nor chunks, the body also ends when the engine crashes.

Such a stream is now lost like one whose connection breaks: another engine goes on after the last complete event if the route allows it, and otherwise the connection to the caller is reset. The check is on the events, so it holds for each framing.

--- a/src/clementinedyke/entry/event_stream.py
+++ b/src/clementinedyke/entry/event_stream.py
@@ -44,8 +44,6 @@
             self._last_id = int(event_id)
         return events
 
-    def drain_remainder(self) -> bytes:
-        """Return and clear the bytes after the last complete event."""
-        remainder = self._remainder
+    def drop_incomplete(self) -> None:
+        """Drop the incomplete event that is buffered."""
         self._remainder = b''
-        return remainder
--- a/src/clementinedyke/entry/stream_runner.py
+++ b/src/clementinedyke/entry/stream_runner.py
@@ -272,7 +272,7 @@
         job.runs += 1
         # A KV cache can be fetched only once, even by a run that failed.
         generation.kv_cache = None
-        generation.splitter.drain_remainder()
+        generation.splitter.drop_incomplete()
         may_resume = (
             job.route.is_repeatable and job.runs < job.route.max_attempts
         )
@@ -354,16 +354,17 @@
         while True:
             received = await answer.stream.receive_available()
             if not received:
-                generation.job.cut_bytes = splitter.pending_bytes
                 break
             events = splitter.split_events(received)
             if events:
                 generation.scope.deadline = math.inf
                 await self._forward_bytes(generation, answer, events)
+        generation.job.cut_bytes = splitter.pending_bytes
+        if splitter.pending_bytes:
+            raise AnswerLostError('the stream ended inside an event')
         generation.scope.deadline = math.inf
-        await self._forward_bytes(
-            generation, answer, splitter.drain_remainder()
-        )
+        if not generation.is_head_sent:
+            await self._forward_bytes(generation, answer, b'')
         answer.is_complete = True
         generation.job.runs += 1
         self._context.placement.record_success(
--- a/tests/test_entry_streams.py
+++ b/tests/test_entry_streams.py
@@ -34,7 +34,7 @@
         splitter = EventSplitter()
         splitter.split_events(b'id: 1\ndata: a\n\nid: 2\nda')
         assert splitter.last_id == 1
-        splitter.drain_remainder()
+        splitter.drop_incomplete()
         assert (
             splitter.split_events(b'id: 2\ndata: b\n\n')
             == b'id: 2\ndata: b\n\n'
