Treat answers that are cut off as broken in the daemon of serve

The counter of the tokens now also tells whether the body is whole: a stream ends after an event. If only the end of the connection marks the end, an engine's stream has to end with the final event of the chat protocol, and an answer in JSON has to be complete JSON.

--- a/src/clementinedyke/callers/relay.py
+++ b/src/clementinedyke/callers/relay.py
@@ -3,14 +3,11 @@
 from collections.abc import Callable
 
 from clementinedyke.callers.context import RequestContext
-from clementinedyke.callers.tokens import (
-    NullTokenCounter,
-    TokenCounter,
-    create_token_counter,
-)
+from clementinedyke.callers.tokens import create_token_counter
 from clementinedyke.callers.validation import strip_headers
 from clementinedyke.codes import ResultCode
-from clementinedyke.http.client import Headers, ResponseStream
+from clementinedyke.exceptions import AnswerLostError
+from clementinedyke.http.client import Framing, Headers, ResponseStream
 from clementinedyke.http.server import compile_result_headers
 
 _CONTENT_LENGTH = b'content-length'
@@ -40,15 +37,15 @@
         self._upstream = upstream
         self._record_first_byte = record_first_byte
         self._max_buffered_bytes = max_buffered_bytes
-        self._counter: TokenCounter = NullTokenCounter()
-        if context.route.is_model:
-            self._counter = create_token_counter(upstream.headers)
+        self._is_model = context.route.is_model
+        self._counter = create_token_counter(
+            upstream.headers, is_model=self._is_model
+        )
 
     async def run(self) -> None:
         """Relay the complete response.
 
-        :raises AnswerLostError: if the response breaks off because the endpoint
-            closes the connection before its end.
+        :raises AnswerLostError: if the response breaks off before its end.
         """
         try:
             await self._relay()
@@ -67,6 +64,7 @@
         )
         self._count_sent(first)
         await self._relay_rest()
+        self._check_end()
         await self._downstream.end()
 
     async def _relay_rest(self) -> None:
@@ -77,17 +75,28 @@
             await self._downstream.send_chunk(chunk)
             self._count_sent(chunk)
 
+    def _check_end(self) -> None:
+        """Check that the body has ended where a whole one does.
+
+        :raises AnswerLostError: if it was cut off.
+        """
+        is_delimited = self._upstream.framing is not Framing.CONNECTION
+        if not self._counter.is_complete(is_delimited=is_delimited):
+            raise AnswerLostError('the answer was cut off')
+
     def _is_buffered(self) -> bool:
         length = dict(self._upstream.headers).get(_CONTENT_LENGTH)
         return length is not None and int(length) <= self._max_buffered_bytes
 
     async def _send_buffered(self, first: bytes) -> None:
         body = first + await self._upstream.receive_body()
+        self._counter.add(body)
+        self._check_end()
         headers = self._compile_headers()
         await self._downstream.send_head(
             self._upstream.status, headers, body, is_complete=True
         )
-        self._count_sent(body)
+        self._outcome.body_bytes += len(body)
 
     def _compile_headers(self) -> Headers:
         upstream_headers = self._upstream.headers
@@ -104,7 +113,9 @@
         self._counter.add(sent)
 
     def _record_result(self) -> None:
-        tokens = self._counter.get_tokens()
         self._outcome.chunks = self._upstream.chunk_count
+        if not self._is_model:
+            return
+        tokens = self._counter.get_tokens()
         self._outcome.prompt_tokens = tokens.prompt_tokens
         self._outcome.completion_tokens = tokens.completion_tokens
--- a/src/clementinedyke/callers/tokens.py
+++ b/src/clementinedyke/callers/tokens.py
@@ -7,11 +7,14 @@
 from clementinedyke.http.client import Headers
 
 _EVENT_STREAM = b'text/event-stream'
+_JSON = b'application/json'
 #: Size of the end of a stream that is searched for the usage event.
 _TAIL_BYTES = 4096
 #: Longer JSON responses are not decoded and count as 0 tokens.
 _MAX_JSON_BYTES = 4194304
 _DATA_PREFIX = b'data:'
+_EVENT_ENDS = (b'\n\n', b'\r\n\r\n')
+_FINAL_EVENTS = (b'data: [DONE]\n\n', b'data: [DONE]\r\n\r\n')
 #: JSON escapes quotation marks inside strings, so that these bytes always are
 #: a key.
 _CONTENT_KEY = b'"content":'
@@ -38,6 +41,12 @@
     def get_tokens(self) -> Tokens:
         """Return the tokens of the bytes processed so far."""
 
+    def is_complete(self, *, is_delimited: bool) -> bool:
+        """Return whether the bytes processed so far are a whole body.
+
+        ``is_delimited`` is whether the framing of the body marked its end.
+        """
+
 
 class NullTokenCounter:
     """Counter of responses without tokens, those of plain services."""
@@ -52,12 +61,23 @@
         """Return zero tokens."""
         return Tokens()
 
+    def is_complete(self, *, is_delimited: bool) -> bool:
+        """Return true, since nothing is known of the body.
+
+        :param is_delimited: whether the framing of the body marked its end.
+        """
+        return True
+
 
 class JsonTokenCounter:
     """Counter of a response that is one JSON object."""
 
-    def __init__(self) -> None:
-        """Create an empty buffer."""
+    def __init__(self, is_declared: bool = True) -> None:
+        """Create an empty buffer.
+
+        :param is_declared: whether the response declares its type as JSON.
+        """
+        self._is_declared = is_declared
         self._parts: list[bytes] = []
         self._size = 0
 
@@ -74,6 +94,20 @@
         """Return the reported usage, or 0 if the JSON is incomplete."""
         return _parse_usage(b''.join(self._parts)) or Tokens()
 
+    def is_complete(self, *, is_delimited: bool) -> bool:
+        """Return whether the framing marked the end or the JSON is complete.
+
+        :param is_delimited: whether the framing of the body marked its end.
+        """
+        is_too_long = self._size > _MAX_JSON_BYTES
+        if is_delimited or is_too_long or not self._is_declared:
+            return True
+        try:
+            msgspec.json.decode(b''.join(self._parts))
+        except msgspec.MsgspecError:
+            return False
+        return True
+
 
 class EventTokenCounter:
     """Counter of a stream of server-sent events.
@@ -84,8 +118,13 @@
     high.
     """
 
-    def __init__(self) -> None:
-        """Create a counter of 0 events."""
+    def __init__(self, has_final_event: bool = True) -> None:
+        """Create a counter of 0 events.
+
+        :param has_final_event: whether a whole stream ends with the final
+            event of the chat protocol.
+        """
+        self._has_final_event = has_final_event
         self._tail = b''
         self._content_events = 0
         self._role_events = 0
@@ -110,16 +149,31 @@
             completion_tokens=max(0, self._content_events - self._role_events)
         )
 
+    def is_complete(self, *, is_delimited: bool) -> bool:
+        """Return whether the stream ended after an event.
+
+        Without a mark of its end, that event must be the final one if the
+        protocol has one: an engine that fails closes the connection, too.
+
+        :param is_delimited: whether the framing of the body marked its end.
+        """
+        if is_delimited or not self._has_final_event:
+            return not self._tail or self._tail.endswith(_EVENT_ENDS)
+        return self._tail.endswith(_FINAL_EVENTS)
+
 
-def create_token_counter(headers: Headers) -> TokenCounter:
-    """Return the counter for the content type of an engine's response.
+def create_token_counter(headers: Headers, *, is_model: bool) -> TokenCounter:
+    """Return the counter for the content type of a response.
 
     :param headers: headers of the response, names in lower case.
+    :param is_model: whether an engine sent it, not a plain service.
     """
     content_type = dict(headers).get(b'content-type', b'')
     if content_type.startswith(_EVENT_STREAM):
-        return EventTokenCounter()
-    return JsonTokenCounter()
+        return EventTokenCounter(has_final_event=is_model)
+    if not is_model:
+        return NullTokenCounter()
+    return JsonTokenCounter(content_type.startswith(_JSON))
 
 
 def _parse_usage(text: bytes) -> Tokens | None:
