Examine an endpoint whose answer ended with the connection

Callers of an engine that crashed after a complete event got a short stream that looked complete.

Cause: an answer without length and chunks ends with its connection, and the kernel closes the connections of a killed process, too.

The daemon now connects to the endpoint after the end of such an answer. If nothing listens there and the endpoint was not leaving, the answer counts as lost: a repeatable request or a resumable stream goes on at another endpoint, others end with an unknown outcome. The examination is the one that lost answers already had.

Evidence: four cases of TestEndedEndpoints in tests/test_entry_answers.py failed before (test_stream_of_killed_engine and three of test_answer_of_killed_endpoint) and pass now.

--- /dev/null
+++ b/src/clementinedyke/entry/examination.py
@@ -0,0 +1,29 @@
+"""Result of a connection made to see whether an endpoint still runs."""
+
+import trio
+
+
+class Examination:
+    """Examination of an endpoint, which may be in progress.
+
+    ``is_listening`` is whether a process listens at the endpoint's address,
+    None while this is unknown.
+    """
+
+    def __init__(self) -> None:
+        """Create an examination in progress."""
+        self.is_listening: bool | None = None
+        self._done = trio.Event()
+
+    def finish(self, *, is_listening: bool | None) -> None:
+        """Set the result.
+
+        :param is_listening: whether a process listens, None if the endpoint
+            did not answer.
+        """
+        self.is_listening = is_listening
+        self._done.set()
+
+    async def wait(self) -> None:
+        """Wait until the examination is finished."""
+        await self._done.wait()
--- a/src/clementinedyke/entry/exchange.py
+++ b/src/clementinedyke/entry/exchange.py
@@ -16,6 +16,7 @@
     KvCacheReference,
     SendOptions,
 )
+from clementinedyke.entry.examination import Examination
 from clementinedyke.entry.intake import Job
 from clementinedyke.entry.placement import PlacementCore
 from clementinedyke.entry.suspects import Suspects
@@ -26,12 +27,15 @@
     PeerUnavailableError,
     ProtocolError,
 )
-from clementinedyke.http.client import HttpClient, ResponseStream
+from clementinedyke.http.client import Framing, HttpClient, ResponseStream
 from clementinedyke.http.idle_time_limit import IdleTimeLimit
 
 #: The round trip to an endpoint takes about 1 ms, and TCP sends a lost SYN
 #: again only after 1 s, so a longer wait would rarely succeed.
 _CONNECT_TIMEOUT: Milliseconds = 250
+#: Longest wait for the result of an examination; a connection takes about 1 ms.
+EXAMINATION_TIMEOUT: Milliseconds = 50
+_MILLISECONDS_PER_SECOND = 1000
 #: Timeout of a request that frees a KV cache.
 _RELEASE_TIMEOUT: Milliseconds = 500
 
@@ -90,7 +94,7 @@
         self._get_max_idle = get_max_idle
         self._suspects = suspects
         #: Finds out why an endpoint lost an answer.
-        self.examine: Callable[[EntryEndpoint], trio.Event] = _skip_examination
+        self.examine: Callable[[EntryEndpoint], Examination] = _skip_examination
         #: By service, since its endpoints close idle connections alike.
         self._idle_limits: defaultdict[str, IdleTimeLimit] = defaultdict(
             IdleTimeLimit
@@ -186,6 +190,25 @@
             endpoint, job.fingerprint, self._clock.get_now()
         )
 
+    async def check_end(self, answer: EndpointAnswer) -> None:
+        """Check whether an answer whose body has ended is complete.
+
+        The end of a connection may be the end of its endpoint: the kernel
+        closes the connections of a killed process. Endpoints that are leaving
+        end as planned.
+
+        :param answer: answer whose body was received.
+        :raises AnswerLostError: if the endpoint ended.
+        """
+        is_delimited = answer.stream.framing is not Framing.CONNECTION
+        if is_delimited or not self._placement.is_staying(answer.endpoint):
+            return
+        examination = self.examine(answer.endpoint)
+        with trio.move_on_after(EXAMINATION_TIMEOUT / _MILLISECONDS_PER_SECOND):
+            await examination.wait()
+        if examination.is_listening is False:
+            raise AnswerLostError('the endpoint ended with its answer')
+
     def has_connection(self, endpoint: EntryEndpoint) -> bool:
         """Return whether an idle connection to an endpoint is open.
 
@@ -267,8 +290,8 @@
         )
 
 
-def _skip_examination(endpoint: EntryEndpoint) -> trio.Event:
-    """Return an event that is set, for an exchange without a prober."""
-    done = trio.Event()
-    done.set()
-    return done
+def _skip_examination(endpoint: EntryEndpoint) -> Examination:
+    """Return a result that is unknown, for an exchange without a prober."""
+    examination = Examination()
+    examination.finish(is_listening=None)
+    return examination
--- a/src/clementinedyke/entry/intake.py
+++ b/src/clementinedyke/entry/intake.py
@@ -3,8 +3,6 @@
 import random
 from dataclasses import dataclass, field
 
-import trio
-
 from clementinedyke.clock import Milliseconds
 from clementinedyke.codes import ResultCode
 from clementinedyke.entry.catalog import (
@@ -14,6 +12,7 @@
     EntryService,
 )
 from clementinedyke.entry.configuration_view import ConfigurationView
+from clementinedyke.entry.examination import Examination
 from clementinedyke.http.client import Framing
 from clementinedyke.quarantine.fingerprint import compute_fingerprint
 
@@ -40,8 +39,8 @@
     the endpoints in the order of the sends, ``failures`` the reasons of failed
     sends, ``excluded`` the ids of endpoints that are not tried again.
     ``fingerprint`` is the same for all requests with the same customer, method,
-    host, target and body. ``examination`` is set once it is known whether the
-    endpoint that lost the last answer has ended. ``framing`` is that of the
+    host, target and body. ``examination`` is that of the endpoint that lost the
+    last answer. ``framing`` is that of the
     last answer. ``cut_bytes`` is the size of the incomplete event with which
     the last stream ended.
     """
@@ -63,7 +62,7 @@
     path: list[str] = field(default_factory=list)
     failures: list[str] = field(default_factory=list)
     excluded: set[str] = field(default_factory=set)
-    examination: trio.Event | None = None
+    examination: Examination | None = None
     framing: Framing | None = None
     cut_bytes: int = 0
 
--- a/src/clementinedyke/entry/runners.py
+++ b/src/clementinedyke/entry/runners.py
@@ -13,7 +13,11 @@
     EndpointProtocol,
     SendOptions,
 )
-from clementinedyke.entry.exchange import EndpointAnswer, Exchange
+from clementinedyke.entry.exchange import (
+    EXAMINATION_TIMEOUT,
+    EndpointAnswer,
+    Exchange,
+)
 from clementinedyke.entry.intake import Job
 from clementinedyke.entry.placement import PlacementCore
 from clementinedyke.entry.retry_budget import RetryBudgets
@@ -40,8 +44,6 @@
 #: done so.
 RETRY_AFTER_CONVICTED: Milliseconds = 60000
 RETRY_AFTER_HELD: Milliseconds = 2000
-#: Longest wait for the cause of a lost answer; a connection takes about 1 ms.
-_EXAMINATION_TIMEOUT: Milliseconds = 50
 #: Interval at which a suspect looks for an endpoint without other suspects, and
 #: the longest time for which it does.
 _ISOLATION_INTERVAL: Milliseconds = 25
@@ -75,7 +77,7 @@
         """
         if job.examination is not None:
             with trio.move_on_after(
-                _EXAMINATION_TIMEOUT / _MILLISECONDS_PER_SECOND
+                EXAMINATION_TIMEOUT / _MILLISECONDS_PER_SECOND
             ):
                 await job.examination.wait()
         give_up_at = self.clock.get_now() + _ISOLATION_TIMEOUT
@@ -308,6 +310,7 @@
             # Only the endpoint itself can state that nothing ran, and an
             # unsigned answer may come from elsewhere.
             raise AnswerLostError('the answer bears no signature')
+        await self._context.exchange.check_end(answer)
         answer.is_complete = True
         self._record_run(run)
         self._context.usage.count_request(run.job.customer)
--- a/src/clementinedyke/entry/stream_runner.py
+++ b/src/clementinedyke/entry/stream_runner.py
@@ -329,6 +329,7 @@
         """Forward an error answer of an engine unless the job may run again."""
         generation.scope.deadline = math.inf
         body = await answer.stream.receive_body()
+        await self._context.exchange.check_end(answer)
         job = generation.job
         now = self._context.clock.get_now()
         self._context.placement.record_failure(
@@ -362,6 +363,7 @@
         generation.job.cut_bytes = splitter.pending_bytes
         if splitter.pending_bytes:
             raise AnswerLostError('the stream ended inside an event')
+        await self._context.exchange.check_end(answer)
         generation.scope.deadline = math.inf
         if not generation.is_head_sent:
             await self._forward_bytes(generation, answer, b'')
--- a/src/clementinedyke/entry/suspect_component.py
+++ b/src/clementinedyke/entry/suspect_component.py
@@ -12,6 +12,7 @@
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.components import Component
 from clementinedyke.entry.catalog import EntryEndpoint
+from clementinedyke.entry.examination import Examination
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.suspects import Suspects
 from clementinedyke.http.client import HttpClient
@@ -91,7 +92,7 @@
         self._journal = journal
         self._nursery: trio.Nursery | None = None
         #: Examinations in progress by run id of the endpoint.
-        self._examinations: dict[str, trio.Event] = {}
+        self._examinations: dict[str, Examination] = {}
         self._unwritten: dict[str, Write] = {}
         self._written: set[str] = set()
         self._has_unwritten = trio.Event()
@@ -111,22 +112,22 @@
         nursery.start_soon(self._run_reader)
         nursery.start_soon(self._run_writer)
 
-    def examine(self, endpoint: EntryEndpoint) -> trio.Event:
+    def examine(self, endpoint: EntryEndpoint) -> Examination:
         """Find out whether a process listens at an endpoint's address.
 
-        The event that is returned is set when the result is known.
-
-        :param endpoint: endpoint that lost an answer.
+        :param endpoint: endpoint that may have ended.
         """
-        done = self._examinations.get(endpoint.run_id)
-        if done is None:
-            done = trio.Event()
+        examination = self._examinations.get(endpoint.run_id)
+        if examination is None:
+            examination = Examination()
             if self._nursery is None:
-                done.set()
-                return done
-            self._examinations[endpoint.run_id] = done
-            self._nursery.start_soon(self._check_listening, endpoint, done)
-        return done
+                examination.finish(is_listening=None)
+                return examination
+            self._examinations[endpoint.run_id] = examination
+            self._nursery.start_soon(
+                self._check_listening, endpoint, examination
+            )
+        return examination
 
     def _store_evidence(self, evidence: Sequence[Evidence]) -> None:
         for item in evidence:
@@ -149,7 +150,7 @@
             self._has_newer.set()
 
     async def _check_listening(
-        self, endpoint: EntryEndpoint, done: trio.Event
+        self, endpoint: EntryEndpoint, examination: Examination
     ) -> None:
         client = HttpClient(endpoint.address, connect_timeout=_CONNECT_TIMEOUT)
         is_listening = await client.check_listening()
@@ -164,7 +165,7 @@
                 endpoint, self._clock.get_now()
             )
         self._examinations.pop(endpoint.run_id)
-        done.set()
+        examination.finish(is_listening=is_listening)
 
     async def _run_writer(self) -> None:
         delay = _MIN_RETRY
--- a/tests/caller_tools.py
+++ b/tests/caller_tools.py
@@ -165,27 +165,45 @@
         answer: bytes,
         keeps_open: bool = False,
         resets: bool = False,
+        ends: bool = False,
+        delay_seconds: float = 0,
     ) -> None:
         """Create the endpoint.
 
         With ``keeps_open`` it waits until the peer closes the connection, and
-        with ``resets`` the connection is reset instead of closed.
+        with ``resets`` the connection is reset instead of closed. With
+        ``ends`` it accepts no further connection. It answers after a delay.
         """
         self._answer = answer
         self._keeps_open = keeps_open
         self._resets = resets
+        self._ends = ends
+        self._delay_seconds = delay_seconds
+        self._accept_scope = trio.CancelScope()
         self.received: list[bytes] = []
         self.closed = trio.Event()
 
     async def start(self, nursery: trio.Nursery) -> int:
         """Start the endpoint in a nursery and return its port."""
         listeners = await trio.open_tcp_listeners(0, host=HOST)
-        nursery.start_soon(trio.serve_listeners, self._serve, listeners)
+        nursery.start_soon(self._accept, listeners, nursery)
         return int(listeners[0].socket.getsockname()[1])
 
+    async def _accept(
+        self, listeners: list[trio.SocketListener], nursery: trio.Nursery
+    ) -> None:
+        with self._accept_scope:
+            await trio.serve_listeners(
+                self._serve, listeners, handler_nursery=nursery
+            )
+
     async def _serve(self, stream: trio.SocketStream) -> None:
         self.received.append(bytes(await stream.receive_some(65536)))
+        await trio.sleep(self._delay_seconds)
         await stream.send_all(self._answer)
+        if self._ends:
+            self._accept_scope.cancel()
+            await trio.sleep(0)
         if self._resets:
             # Lets the peer read the answer, which a reset would discard.
             await trio.sleep(_RESET_DELAY_SECONDS)
--- a/tests/test_entry_answers.py
+++ b/tests/test_entry_answers.py
@@ -36,14 +36,18 @@
 
 async def start_raw(
     env: EntryEnvironment, endpoint: RawEndpoint, stage: str | None
-) -> None:
-    """Start an endpoint and register it instead of those of its stage."""
+) -> int:
+    """Start an endpoint and register it instead of those of its stage.
+
+    Return its port.
+    """
     for standin in list(env.endpoints.values()):
         if standin.stage == stage:
             env.store.remove('servers', standin.endpoint_id)
     port = await endpoint.start(env.nursery)
     env.register(EndpointStandin('raw', stage, port=port))
     await trio.sleep(0.2)
+    return port
 
 
 async def open_environment(env: EntryEnvironment) -> None:
@@ -121,6 +125,64 @@
         assert send_through(endpoint, 'decode', '/ask/1') is None
 
 
+class TestEndedEndpoints:
+    """Guards against answers of endpoints that ended before their last byte.
+
+    The kernel closes the connections of a killed process, mostly after a
+    complete event. Callers got a short answer that looked complete.
+    """
+
+    def test_stream_of_killed_engine(self) -> None:
+        """A stream that ends with its engine must not look complete."""
+        answer = compile_answer('connection', _EVENTS, headers=_EVENT_TYPE)
+        endpoint = RawEndpoint(answer, ends=True)
+        assert send_through(endpoint, 'decode', '/ask/1') is None
+
+    @pytest.mark.parametrize(
+        ('path', 'stage'), [('/book/1', None), ('/ask/1', 'decode')]
+    )
+    @pytest.mark.parametrize('status', [200, 500])
+    def test_answer_of_killed_endpoint(
+        self, status: int, path: str, stage: str | None
+    ) -> None:
+        """An answer that ends with its endpoint has an unknown outcome."""
+        answer = compile_answer('connection', b'part', status)
+        endpoint = RawEndpoint(answer, ends=True)
+        received = send_through(endpoint, stage, path)
+        assert received is not None
+        assert received.status == 502
+
+    @pytest.mark.parametrize('framing', ['length', 'chunked'])
+    def test_delimited_answer(self, framing: str) -> None:
+        """An answer with a marked end is complete when its endpoint ends."""
+        answer = compile_answer(framing, b'booked')
+        endpoint = RawEndpoint(answer, ends=True)
+        received = send_through(endpoint, None, '/book/1')
+        assert received is not None
+        assert (received.status, received.body) == (200, b'booked')
+
+    def test_leaving_endpoint(self) -> None:
+        """An endpoint that was leaving has answered in full before its end."""
+        answer = compile_answer('connection', b'booked')
+        received: list[HttpResponse] = []
+
+        async def scenario(env: EntryEnvironment) -> None:
+            await open_environment(env)
+            endpoint = RawEndpoint(answer, ends=True, delay_seconds=0.4)
+            port = await start_raw(env, endpoint, None)
+            standin = EndpointStandin('raw', port=port)
+
+            async def leave() -> None:
+                await trio.sleep(0.1)
+                env.register(standin, state='draining')
+
+            env.nursery.start_soon(leave)
+            received.append(await env.send_request('/book/1'))
+
+        ScenarioRunner().run(scenario)
+        assert (received[0].status, received[0].body) == (200, b'booked')
+
+
 class TestCutAnswers:
     """Guards against other answers that are cut off and look complete."""
 
