--- a/src/clementinedyke/entry/catalog.py
+++ b/src/clementinedyke/entry/catalog.py
@@ -143,7 +143,8 @@
 
     ``slots`` is the number of requests that it runs concurrently.
     ``started_at`` is in Unix milliseconds and distinguishes runs under the
-    same id; 0 if the endpoint does not report it.
+    same id; 0 if the endpoint does not report it. ``version`` is that of its
+    software, empty if it does not report it.
     """
 
     endpoint_id: str
@@ -155,6 +156,7 @@
     stage: Stage | None = None
     is_cheap: bool = False
     started_at: int = 0
+    version: str = ''
 
     @property
     def run_id(self) -> str:
@@ -177,7 +179,9 @@
     ``forwarded_headers`` are passed to the endpoint unchanged.
     ``caller_timeout`` is how long the caller waits for an answer, None if it
     sets no limit. ``prompt_parts`` are in prompt order; the last one belongs
-    to this request or its session only.
+    to this request or its session only. ``last_event_id`` is set if the caller
+    takes a stream up again, and ``resumed_request`` is the id of the request
+    that brought the first event of that stream, if the caller tells it.
     """
 
     request_id: str
@@ -193,3 +197,4 @@
     output_tokens: int = 0
     prompt_parts: tuple[PromptPart, ...] = field(default=())
     last_event_id: int | None = None
+    resumed_request: str | None = None
--- a/src/clementinedyke/entry/endpoint_view.py
+++ b/src/clementinedyke/entry/endpoint_view.py
@@ -5,7 +5,7 @@
 from result import Result
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.entry.catalog import EntryEndpoint
+from clementinedyke.entry.catalog import EntryEndpoint, Stage
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.store_contact import StoreContact
 from clementinedyke.entry.watch import StoredRow
@@ -160,10 +160,7 @@
         known = self._endpoints.get(endpoint.endpoint_id)
         self._endpoints[endpoint.endpoint_id] = endpoint
         self.revision += 1
-        if known is None or (known.is_leaving, known.stage) != (
-            endpoint.is_leaving,
-            endpoint.stage,
-        ):
+        if known is None or _get_logged(known) != _get_logged(endpoint):
             self._journal.write(
                 'endpoint_changed',
                 endpoint=endpoint.endpoint_id,
@@ -172,6 +169,7 @@
                 leaving=endpoint.is_leaving,
                 cheap=endpoint.is_cheap,
                 stage=endpoint.stage.value if endpoint.stage else None,
+                version=endpoint.version,
             )
 
     def _handle_removal(self, endpoint_id: str, now: Milliseconds) -> None:
@@ -197,3 +195,8 @@
             self._journal.write(
                 'endpoint_gone', endpoint=endpoint_id, reason=reason
             )
+
+
+def _get_logged(endpoint: EntryEndpoint) -> tuple[bool, Stage | None, str]:
+    """Return what is logged when it changes."""
+    return endpoint.is_leaving, endpoint.stage, endpoint.version
--- a/src/clementinedyke/entry/exchange.py
+++ b/src/clementinedyke/entry/exchange.py
@@ -121,6 +121,7 @@
         work = self._placement.work.get_work(endpoint)
         work.running += 1
         job.path.append(endpoint.endpoint_id)
+        job.versions.append(endpoint.version)
         try:
             with self._observe_attempt(job, endpoint) as attempt:
                 async with self._get_client(endpoint).open_response(
--- a/src/clementinedyke/entry/intake.py
+++ b/src/clementinedyke/entry/intake.py
@@ -36,13 +36,13 @@
     true as soon as an endpoint may have begun to run the request. ``sends``
     counts the attempts except failed connects, ``runs`` those that an endpoint
     may have run, ``reads`` the attempts to prefill. ``path`` lists the ids of
-    the endpoints in the order of the sends, ``failures`` the reasons of failed
-    sends, ``excluded`` the ids of endpoints that are not tried again.
-    ``fingerprint`` is the same for all requests with the same customer, method,
-    host, target and body. ``examination`` is that of the endpoint that lost the
-    last answer. ``framing`` is that of the
-    last answer. ``cut_bytes`` is the size of the incomplete event with which
-    the last stream ended.
+    the endpoints in the order of the sends, ``versions`` their software
+    versions, ``failures`` the reasons of failed sends, ``excluded`` the ids of
+    endpoints that are not tried again. ``fingerprint`` is the same for all
+    requests with the same customer, method, host, target and body.
+    ``examination`` is that of the endpoint that lost the last answer.
+    ``framing`` is that of the last answer, and ``cut_bytes`` the size of the
+    incomplete event with which the last stream ended.
     """
 
     request: EntryRequest
@@ -60,6 +60,7 @@
     read_at: Milliseconds | None = None
     first_event_at: Milliseconds | None = None
     path: list[str] = field(default_factory=list)
+    versions: list[str] = field(default_factory=list)
     failures: list[str] = field(default_factory=list)
     excluded: set[str] = field(default_factory=set)
     examination: Examination | None = None
--- a/src/clementinedyke/platform/endpoint_document.py
+++ b/src/clementinedyke/platform/endpoint_document.py
@@ -20,6 +20,8 @@
     zone: str
     slots: int
     state: str
+    #: Version of the software, not of the weights of its models.
+    version: str = ''
     stage: str | None = None
     #: Whether the engine is of the cheap price class, which the platform may
     #: reclaim.
@@ -62,4 +64,5 @@
         stage=None if entry.stage is None else _STAGES[entry.stage],
         is_cheap=entry.spot,
         started_at=entry.born,
+        version=entry.version,
     )
--- a/src/clementinedyke/platform/requests.py
+++ b/src/clementinedyke/platform/requests.py
@@ -29,6 +29,7 @@
 #: same part send the same id.
 _PROMPT_PARTS = b'x-prefix-hash'
 _LAST_EVENT = b'last-event-id'
+_RESUMED_REQUEST = b'resumes'
 _SIGNATURE = b'x-server-signature'
 _LOAD = b'x-instance-load'
 _NOT_EXECUTED = b'x-not-executed'
@@ -114,6 +115,7 @@
             output_tokens=output_tokens,
             prompt_parts=_parse_prompt_parts(fields),
             last_event_id=_get_number(fields, _LAST_EVENT),
+            resumed_request=_get_text(fields, _RESUMED_REQUEST) or None,
         )
 
     def compile_request(
