--- a/tests/entry_environment.py
+++ b/tests/entry_environment.py
@@ -139,6 +139,10 @@
         self._daemon_scopes.clear()
         await trio.lowlevel.checkpoint()
 
+    def stop_daemon(self, number: int) -> None:
+        """End one daemon at once; the others keep their numbers."""
+        self._daemon_scopes[number].cancel()
+
     async def _run_daemon(
         self, daemon: EntryApplication, task_status: trio.TaskStatus
     ) -> None:
