Resume a stream only at engines of the version that began it

Callers got one answer with events of two software versions, whose output does not fit together: an engine crashed during a release and the daemon went on with the stream at the least loaded decode engine.

Cause: the software version of an engine was no part of its selection. The job now keeps the version of the engine that brought the first event. Only engines of that version may go on; if none is registered, the answer is broken off at once. A run without events binds nothing.

--- a/src/clementinedyke/entry/intake.py
+++ b/src/clementinedyke/entry/intake.py
@@ -42,7 +42,9 @@
     requests with the same customer, method, host, target and body.
     ``examination`` is that of the endpoint that lost the last answer.
     ``framing`` is that of the last answer, and ``cut_bytes`` the size of the
-    incomplete event with which the last stream ended.
+    incomplete event with which the last stream ended. ``version`` is the
+    software version of the engine that brought the first event of the stream;
+    only engines of this version may go on with it.
     """
 
     request: EntryRequest
@@ -66,6 +68,7 @@
     examination: Examination | None = None
     framing: Framing | None = None
     cut_bytes: int = 0
+    version: str | None = None
 
     def get_time_left(self, now: Milliseconds) -> Milliseconds:
         """Return the milliseconds until the deadline, at least 0.
--- a/src/clementinedyke/entry/placement.py
+++ b/src/clementinedyke/entry/placement.py
@@ -148,12 +148,32 @@
             if not endpoint.is_leaving and stage in {None, endpoint.stage}
         ]
 
-    def has_endpoints(self, service: str) -> bool:
+    def has_endpoints(self, service: str, version: str | None = None) -> bool:
         """Return whether a service has endpoints that are not leaving.
 
         :param service: name of the service.
+        :param version: software version that they must have, None for any.
         """
-        return bool(self.list_endpoints(service))
+        return any(
+            version in {None, endpoint.version}
+            for endpoint in self.list_endpoints(service)
+        )
+
+    def list_other_versions(
+        self, service: str, version: str | None
+    ) -> frozenset[str]:
+        """Return the ids of the endpoints of all other software versions.
+
+        :param service: name of the service.
+        :param version: software version, None to return no endpoint.
+        """
+        if version is None:
+            return _NO_ENDPOINTS
+        return frozenset(
+            endpoint.endpoint_id
+            for endpoint in self.list_endpoints(service)
+            if endpoint.version != version
+        )
 
     def is_staying(self, endpoint: EntryEndpoint) -> bool:
         """Return whether a run of an endpoint is registered and not leaving.
--- a/src/clementinedyke/entry/runners.py
+++ b/src/clementinedyke/entry/runners.py
@@ -94,9 +94,18 @@
         :param job: job that is about to be sent.
         """
         return frozenset(job.excluded) | self.suspects.list_excluded(
-            job.fingerprint, self._list_endpoints(job), self.clock.get_now()
+            job.fingerprint, self.list_endpoints(job), self.clock.get_now()
         )
 
+    def list_endpoints(self, job: Job) -> list[EntryEndpoint]:
+        """Return the endpoints that could run a job.
+
+        :param job: job that is about to be sent.
+        """
+        service = job.service
+        stage = None if service.engine is None else Stage.DECODE
+        return self.placement.list_endpoints(service.name, stage)
+
     def reserve_send(self, job: Job) -> bool:
         """Count a send and return whether it may be made.
 
@@ -170,7 +179,7 @@
         """
         if job.has_started:
             return RequestError(ResultCode.ANSWER_LOST, message)
-        if self.placement.has_endpoints(job.service.name):
+        if self.placement.has_endpoints(job.service.name, job.version):
             return RequestError(
                 ResultCode.QUEUE_FULL, message, RETRY_AFTER_FULL
             )
@@ -195,17 +204,11 @@
         if verdict is Verdict.HELD:
             raise self._create_refusal(job, RETRY_AFTER_HELD)
         untried = {
-            endpoint.endpoint_id for endpoint in self._list_endpoints(job)
+            endpoint.endpoint_id for endpoint in self.list_endpoints(job)
         }.difference(job.excluded)
         is_kept_apart = untried and untried <= self.list_excluded(job)
         return _ISOLATION_INTERVAL if is_kept_apart else 0
 
-    def _list_endpoints(self, job: Job) -> list[EntryEndpoint]:
-        """Return the endpoints that could run a job."""
-        service = job.service
-        stage = None if service.engine is None else Stage.DECODE
-        return self.placement.list_endpoints(service.name, stage)
-
     def _create_refusal(
         self, job: Job, retry_after: Milliseconds
     ) -> RequestError:
--- a/src/clementinedyke/entry/stream_runner.py
+++ b/src/clementinedyke/entry/stream_runner.py
@@ -85,6 +85,7 @@
         """Make one attempt; return True if the answer was forwarded whole."""
         job = generation.job
         await self._wait_for_clearance(generation)
+        self._check_version(generation)
         if generation.kv_cache is None and job.service.engine is not None:
             await self._prefill_prompt(generation)
             await self._wait_for_clearance(generation)
@@ -95,6 +96,21 @@
             raise self._create_error(generation, 'no retry budget is left')
         return await self._send(generation, endpoint)
 
+    def _check_version(self, generation: _Generation) -> None:
+        """Check that an engine may go on with a stream that has begun.
+
+        :raises RequestError: if there is none and no head was sent.
+        :raises StreamBroken: if there is none and the head was sent.
+        """
+        version = generation.job.version
+        endpoints = self._context.list_endpoints(generation.job)
+        if version is not None and all(
+            endpoint.version != version for endpoint in endpoints
+        ):
+            raise self._create_error(
+                generation, f'no engine of software version {version}'
+            )
+
     async def _wait_for_clearance(self, generation: _Generation) -> None:
         try:
             await self._context.wait_for_clearance(generation.job)
@@ -107,7 +123,9 @@
         job = generation.job
         placement = self._context.placement
         now = self._context.clock.get_now()
-        excluded = self._context.list_excluded(job)
+        excluded = self._context.list_excluded(
+            job
+        ) | placement.list_other_versions(job.service.name, job.version)
         if job.service.engine is None:
             return placement.select_plain(job.service.name, now, excluded)
         source = generation.kv_cache.endpoint if generation.kv_cache else None
@@ -383,8 +401,10 @@
             await generation.response.send_chunk(chunk)
             return
         generation.is_head_sent = True
-        generation.job.first_event_at = self._context.clock.get_now()
-        self._context.usage.count_request(generation.job.customer)
+        job = generation.job
+        job.first_event_at = self._context.clock.get_now()
+        job.version = answer.endpoint.version
+        self._context.usage.count_request(job.customer)
         await generation.response.send_head(
             answer.head.status, answer.head.forwarded_headers, chunk
         )
