Tell the version of a stream to keepers and ask them at a resumption

Callers got streams with events of two software versions over their tries: the request that takes a stream up reaches another daemon, which sent it to any engine.

Cause: the version that began a stream was known nowhere. The daemon now announces it, before the caller gets the first event, to up to three daemons that any other one can name from the id in Resumes: those whose ids are closest by XOR, in different availability zones, one in its own zone. So it survives the daemon that began the stream, and needs no list of streams. It is forgotten 5 s after the longer one of the timeout of the route and that of the caller.

The daemon that a caller comes back to asks them if it does not know the stream itself. If nobody knows it, it goes on only if the service had engines of one version alone for as long as the stream may be old; otherwise the request is refused with the new code 3012 as not run. The socket for the other daemons moved to a class of its own, PeerNetwork.

--- a/src/clementinedyke/codes.py
+++ b/src/clementinedyke/codes.py
@@ -54,6 +54,7 @@
     STORE_UNAVAILABLE = 3009
     STORE_UNREACHABLE = 3010
     REQUEST_HELD = 3011
+    VERSION_UNKNOWN = 3012
     ANSWER_LOST = 4000
     ENDPOINT_TIMEOUT = 4001
     CLAIM_PENDING = 4002
@@ -218,6 +219,11 @@
             _NOT_RUN,
             'The request may have crashed an endpoint that is being examined.',
         ),
+        ResultCode.VERSION_UNKNOWN: CodeDetails(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _NOT_RUN,
+            'The software version that began the stream is not known.',
+        ),
         ResultCode.ANSWER_LOST: CodeDetails(
             HTTPStatus.BAD_GATEWAY,
             _UNKNOWN,
--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -41,10 +41,10 @@
 #: 72 daemons each sends an update every 1.2 s; one lost datagram is tolerated.
 _MAX_CANDIDATE_UPDATE_AGE: Milliseconds = 2500
 #: A daemon of the largest site completes about 10 requests per second and
-#: logs one line for each. Lines have up to 700 bytes, so this limit keeps the
-#: log below 140 KB/s.
+#: logs one line for each. Lines have up to 1000 bytes, so this limit keeps the
+#: log below 200 KB/s.
 _LOG_LINES_PER_SECOND = 200
-#: Log lines queued for standard output: 10 s at the full rate, up to 1.4 MB.
+#: Log lines queued for standard output: 10 s at the full rate, up to 2 MB.
 _MAX_QUEUED_LINES = 2000
 
 
@@ -168,15 +168,17 @@
                 settings.host,
                 self._run_id,
                 settings.peer_address,
+                settings.availability_zone,
                 settings.link_megabits,
             ),
-            self._platform.store,
+            (self._network, self._platform.store),
             self._peer_table,
             self._work,
             (self._configuration, self._endpoints),
             (self._store_contact, self._suspect_component),
             (self._clock, self._journal, self._generator),
         )
+        self._versions.list_active = self._peers.list_active
         self._recovery = RecoveryComponent(
             self._peer_table,
             (self._configuration, self._endpoints),
@@ -202,8 +204,11 @@
                 self._count_daemons,
                 self._has_infrequent_updates,
                 self._platform.store,
+                self._endpoints,
             ),
         )
+        self._network = path.network
+        self._versions = path.versions
         self._gateway = path.gateway
         self._suspect_component = path.suspect_component
         self._readiness = Readiness(
@@ -222,7 +227,10 @@
             path.placement,
             path.exchange,
             self._caller_port,
-            path.suspect_component.suspects,
+            (
+                path.suspect_component.suspects.record_endpoints,
+                self._versions.history.record_endpoints,
+            ),
             self._clock,
         )
 
@@ -241,6 +249,7 @@
                     self._store_calls,
                     self._peers.lending_counts,
                     self._suspect_component.counts,
+                    self._versions.counts,
                 ),
             ),
         )
--- a/src/clementinedyke/entry/catalog.py
+++ b/src/clementinedyke/entry/catalog.py
@@ -198,3 +198,10 @@
     prompt_parts: tuple[PromptPart, ...] = field(default=())
     last_event_id: int | None = None
     resumed_request: str | None = None
+
+    @property
+    def resumes_stream(self) -> bool:
+        """Whether the caller has events of the stream already."""
+        if self.resumed_request is not None:
+            return self.last_event_id is not None
+        return bool(self.last_event_id)
--- a/src/clementinedyke/entry/endpoint_view.py
+++ b/src/clementinedyke/entry/endpoint_view.py
@@ -68,6 +68,13 @@
         """Last instant at which the entries were complete, None if never."""
         return self._confirmed_at
 
+    def get_age(self, now: Milliseconds) -> Milliseconds | None:
+        """Return the ms since the entries were complete, None if never.
+
+        :param now: current instant.
+        """
+        return None if self._confirmed_at is None else now - self._confirmed_at
+
     def list_rows(self) -> list[StoredRow]:
         """Return the entries present in the store, for other daemons.
 
--- a/src/clementinedyke/entry/observation.py
+++ b/src/clementinedyke/entry/observation.py
@@ -49,8 +49,7 @@
 
         None if they have not been confirmed yet.
         """
-        confirmed = self.endpoints.confirmed_at
-        return None if confirmed is None else self.clock.get_now() - confirmed
+        return self.endpoints.get_age(self.clock.get_now())
 
     def get_version(self) -> int:
         """Return the version of the configuration in force."""
--- /dev/null
+++ b/src/clementinedyke/entry/peer_network.py
@@ -0,0 +1,122 @@
+"""UDP socket for the other daemons, and their addresses."""
+
+import socket
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+
+import trio
+
+from clementinedyke.entry.journal import Journal
+from clementinedyke.entry.stream_messages import MESSAGE_PREFIX
+from clementinedyke.http.client import Address
+
+#: Largest payload of a UDP datagram over IPv4, in bytes.
+_MAX_DATAGRAM = 65507
+
+
+class PeerNetwork:
+    """Sends datagrams to the other daemons and receives theirs."""
+
+    def __init__(self, journal: Journal) -> None:
+        """Create a network without known daemons.
+
+        :param journal: log of failed sends.
+        """
+        self._journal = journal
+        self._addresses: dict[str, Address] = {}
+        self._zones: dict[str, str] = {}
+        self._socket = _open_socket()
+        #: Processes messages of other daemons about streams.
+        self.receive_message: Callable[[bytes, Address], Awaitable[None]] = (
+            _ignore_message
+        )
+
+    @property
+    def addresses(self) -> Mapping[str, Address]:
+        """Addresses of all daemons ever listed or heard from, by host."""
+        return self._addresses
+
+    def get_zone(self, host: str) -> str:
+        """Return the availability zone of a daemon, empty if unknown.
+
+        :param host: host of the daemon.
+        """
+        return self._zones.get(host, '')
+
+    def record_listed(self, host: str, address: Address, zone: str) -> None:
+        """Record a daemon that is listed in the store.
+
+        The address of its last datagram takes precedence.
+
+        :param host: host of the daemon.
+        :param address: address in the list.
+        :param zone: availability zone of the host.
+        """
+        self._addresses.setdefault(host, address)
+        self._zones[host] = zone
+
+    def record_sender(self, host: str, address: Address) -> None:
+        """Record the address from which a daemon sent a datagram.
+
+        :param host: host of the daemon.
+        :param address: sender of the datagram.
+        """
+        self._addresses[host] = address
+
+    async def bind(self, address: Address) -> int:
+        """Bind the socket and return its port.
+
+        :param address: IP address and port; port 0 selects a free one.
+        :raises OSError: if the port is in use.
+        """
+        await self._socket.bind((address.host, address.port))
+        return int(self._socket.getsockname()[1])
+
+    def reopen(self) -> None:
+        """Replace the socket by one that is not bound."""
+        self.close()
+        self._socket = _open_socket()
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._socket.close()
+
+    async def send(self, payload: bytes, addresses: Iterable[Address]) -> None:
+        """Send a datagram to other daemons; it may be lost.
+
+        :param payload: bytes of the datagram.
+        :param addresses: addresses of the daemons.
+        """
+        for peer in addresses:
+            try:
+                await self._socket.sendto(payload, (peer.host, peer.port))
+            except OSError as error:
+                self._journal.write(
+                    'news_error', peer=str(peer), error=str(error)
+                )
+
+    async def receive(self) -> tuple[bytes, Address]:
+        """Return the next state update and its sender.
+
+        Messages about streams that come before it are processed.
+
+        :raises trio.ClosedResourceError: if the socket is closed.
+        """
+        while True:
+            try:
+                datagram, sender = await self._socket.recvfrom(_MAX_DATAGRAM)
+            except OSError as error:
+                # ICMP error from an unreachable peer; others can still send.
+                self._journal.write('news_error', error=str(error))
+                continue
+            address = Address(sender[0], sender[1])
+            if not datagram.startswith(MESSAGE_PREFIX):
+                return datagram, address
+            await self.receive_message(datagram, address)
+
+
+async def _ignore_message(datagram: bytes, sender: Address) -> None:
+    """Drop a message that arrives before its receiver is set."""
+
+
+def _open_socket() -> trio.socket.SocketType:
+    return trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -1,6 +1,5 @@
 """Discovers the other daemons and exchanges updates and state with them."""
 
-import socket
 from collections.abc import Sequence
 from dataclasses import dataclass
 from random import Random
@@ -17,6 +16,7 @@
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.lending import LendingCounts, LendingLimit
 from clementinedyke.entry.news import PeerTable, PeerUpdate
+from clementinedyke.entry.peer_network import PeerNetwork
 from clementinedyke.entry.store_contact import StoreContact
 from clementinedyke.entry.suspect_component import SuspectComponent
 from clementinedyke.entry.watch import StoredRow
@@ -38,8 +38,6 @@
 _STATUS_OK = 200
 _STATUS_BUSY = 503
 _MILLISECONDS_PER_SECOND = 1000
-#: Largest payload of a UDP datagram over IPv4, in bytes.
-_MAX_DATAGRAM = 65507
 #: Limit on the datagrams that a daemon sends per second in total; with more
 #: daemons each one gets updates less often.
 _DATAGRAMS_PER_SECOND = 60
@@ -48,6 +46,10 @@
 _MAX_FREQUENT_INTERVAL: Milliseconds = 250
 #: Unchanged work is sent only once per this many intervals.
 _IDLE_FACTOR = 5
+#: A daemon is active if its last update is younger than this many idle
+#: intervals, and than a minimum that covers lost datagrams.
+_ACTIVE_INTERVALS = 3
+_MIN_ACTIVE_AGE: Milliseconds = 1500
 #: Interval between reads of the list of daemons. New daemons announce
 #: themselves by their updates, so the list only finds those that were missed.
 _LIST_INTERVAL: Milliseconds = 15000
@@ -63,6 +65,7 @@
 
     ip: str
     port: int
+    zone: str = ''
 
 
 class _SharedRow(msgspec.Struct, frozen=True, array_like=True):
@@ -87,7 +90,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerIdentity:
-    """Host, run id and address by which other daemons know this one.
+    """Host, run id, address and zone by which other daemons know this one.
 
     ``link_megabits`` is the bandwidth of the host's link in Mbit/s.
     """
@@ -95,6 +98,7 @@
     host: str
     run_id: str
     address: Address
+    availability_zone: str
     link_megabits: float
 
 
@@ -104,7 +108,7 @@
     def __init__(
         self,
         identity: PeerIdentity,
-        store: RowStore,
+        connections: tuple[PeerNetwork, RowStore],
         peer_table: PeerTable,
         work: WorkTable,
         views: tuple[ConfigurationView, EndpointView],
@@ -114,7 +118,8 @@
         """Create the component.
 
         :param identity: identity of this daemon.
-        :param store: store with the table of daemons.
+        :param connections: socket for the other daemons, and the store with
+            their table.
         :param peer_table: stores the updates of other daemons.
         :param work: work of this daemon, sent to the others, and their work.
         :param views: views of the configuration and of the endpoints.
@@ -123,7 +128,7 @@
         :param tools: clock, log and random generator for jitter.
         """
         self._identity = identity
-        self._store = store
+        self._store = connections[1]
         self._peer_table = peer_table
         self._work = work
         self._configuration = views[0]
@@ -138,17 +143,16 @@
         self.lending_counts = LendingCounts()
         self._lending_limit = LendingLimit(identity.link_megabits)
         self._generator = tools[2]
-        self._peers: dict[str, Address] = {}
+        self._network = connections[0]
         self._port = identity.address.port
         self._sequence = 0
         self._last_work: dict[str, tuple[int, int]] = {}
-        self._socket = _open_socket()
         self._server = HttpServer(self._respond)
 
     @property
     def interval(self) -> Milliseconds:
         """Time between two datagrams to a daemon while the work changes."""
-        spread = len(self._peers) * _MILLISECONDS_PER_SECOND
+        spread = len(self._network.addresses) * _MILLISECONDS_PER_SECOND
         return max(_MIN_INTERVAL, spread // _DATAGRAMS_PER_SECOND)
 
     def has_infrequent_updates(self) -> bool:
@@ -158,7 +162,14 @@
     @property
     def daemon_count(self) -> int:
         """Number of daemons ever listed or heard from, this one included."""
-        return 1 + len(self._peers)
+        return 1 + len(self._network.addresses)
+
+    def list_active(self) -> frozenset[str]:
+        """Return the hosts of daemons that sent an update recently."""
+        age = max(
+            _MIN_ACTIVE_AGE, _ACTIVE_INTERVALS * _IDLE_FACTOR * self.interval
+        )
+        return self._peer_table.list_hosts(age, self._clock.get_now())
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Bind both sockets and start the tasks.
@@ -166,8 +177,7 @@
         :param nursery: nursery that runs the tasks.
         """
         while not await self._bind(nursery):
-            self._socket.close()
-            self._socket = _open_socket()
+            self._network.reopen()
         nursery.start_soon(self._run_receiver)
         nursery.start_soon(self._run_sender)
         nursery.start_soon(self._run_evidence_sender)
@@ -179,7 +189,7 @@
         :param host: host of the other daemon, which may be unknown.
         :return: False if the daemon is unknown or did not send its state.
         """
-        address = self._peers.get(host)
+        address = self._network.addresses.get(host)
         if address is None:
             return False
         asked_at = self._clock.get_now()
@@ -213,8 +223,7 @@
         :return: False if the selected port is in use for TCP.
         """
         host = self._identity.address.host
-        await self._socket.bind((host, self._identity.address.port))
-        self._port = int(self._socket.getsockname()[1])
+        self._port = await self._network.bind(self._identity.address)
         try:
             await nursery.start(self._server.serve, host, self._port)
         except OSError as error:
@@ -226,30 +235,29 @@
 
     async def stop(self) -> None:
         """Close the UDP socket."""
-        self._socket.close()
+        self._network.close()
 
     async def _run_receiver(self) -> None:
         while True:
             try:
-                datagram, sender = await self._socket.recvfrom(_MAX_DATAGRAM)
-            except OSError as error:
-                # ICMP error from an unreachable peer; others can still send.
-                self._journal.write('news_error', error=str(error))
-                continue
+                datagram, sender = await self._network.receive()
             except trio.ClosedResourceError:
                 return
-            try:
-                update = msgspec.msgpack.decode(datagram, type=PeerUpdate)
-            except msgspec.MsgspecError as malformed:
-                self._journal.write('news_unreadable', error=str(malformed))
-                continue
-            self._apply_update(update, Address(sender[0], sender[1]))
+            self._receive(datagram, sender)
+
+    def _receive(self, datagram: bytes, sender: Address) -> None:
+        try:
+            update = msgspec.msgpack.decode(datagram, type=PeerUpdate)
+        except msgspec.MsgspecError as malformed:
+            self._journal.write('news_unreadable', error=str(malformed))
+            return
+        self._apply_update(update, sender)
 
     def _apply_update(self, update: PeerUpdate, sender: Address) -> None:
         now = self._clock.get_now()
         if not self._peer_table.apply_update(update, now):
             return
-        self._peers[update.host] = sender
+        self._network.record_sender(update.host, sender)
         self._work.set_remote_work(
             self._peer_table.running, self._peer_table.tokens
         )
@@ -314,18 +322,16 @@
             evidence=list(map(compile_row, self._suspects.pop_unsent(now))),
             suspects_revision=self._evidence.newest_revision,
         )
-        payload = msgspec.msgpack.encode(update)
-        for peer in tuple(self._peers.values()):
-            try:
-                await self._socket.sendto(payload, (peer.host, peer.port))
-            except OSError as error:
-                self._journal.write(
-                    'news_error', peer=str(peer), error=str(error)
-                )
+        await self._network.send(
+            msgspec.msgpack.encode(update),
+            tuple(self._network.addresses.values()),
+        )
 
     async def _run_discovery(self) -> None:
         identity = self._identity
-        own = _DaemonRow(identity.address.host, self._port)
+        own = _DaemonRow(
+            identity.address.host, self._port, identity.availability_zone
+        )
         is_listed = False
         rounds = 0
         while True:
@@ -360,7 +366,9 @@
                     error,
                 )
                 continue
-            self._peers.setdefault(row.key, Address(peer.ip, peer.port))
+            self._network.record_listed(
+                row.key, Address(peer.ip, peer.port), peer.zone
+            )
 
     def _apply_state(
         self, host: str, state: _SharedState, asked_at: Milliseconds
@@ -419,7 +427,3 @@
         return await client.request(
             HttpRequest('GET', _STATE_PATH), _STATE_TIMEOUT
         )
-
-
-def _open_socket() -> trio.socket.SocketType:
-    return trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
--- a/src/clementinedyke/entry/placement.py
+++ b/src/clementinedyke/entry/placement.py
@@ -148,16 +148,12 @@
             if not endpoint.is_leaving and stage in {None, endpoint.stage}
         ]
 
-    def has_endpoints(self, service: str, version: str | None = None) -> bool:
+    def has_endpoints(self, service: str) -> bool:
         """Return whether a service has endpoints that are not leaving.
 
         :param service: name of the service.
-        :param version: software version that they must have, None for any.
         """
-        return any(
-            version in {None, endpoint.version}
-            for endpoint in self.list_endpoints(service)
-        )
+        return bool(self.list_endpoints(service))
 
     def list_other_versions(
         self, service: str, version: str | None
--- a/src/clementinedyke/entry/request_path.py
+++ b/src/clementinedyke/entry/request_path.py
@@ -8,17 +8,20 @@
 from clementinedyke.clock import Clock
 from clementinedyke.entry.configuration_view import ConfigurationView
 from clementinedyke.entry.endpoint_protocol import EndpointProtocol
+from clementinedyke.entry.endpoint_view import EndpointView
 from clementinedyke.entry.endpoint_work import WorkTable
 from clementinedyke.entry.exchange import Exchange
 from clementinedyke.entry.gateway import Gateway
 from clementinedyke.entry.host_settings import HostSettings
 from clementinedyke.entry.intake import Intake
 from clementinedyke.entry.journal import Journal
+from clementinedyke.entry.peer_network import PeerNetwork
 from clementinedyke.entry.placement import PlacementCore
 from clementinedyke.entry.retry_budget import RetryBudgets
 from clementinedyke.entry.runners import RunnerContext
 from clementinedyke.entry.suspect_component import SuspectComponent
 from clementinedyke.entry.usage_counter import UsageCounter
+from clementinedyke.entry.version_component import VersionComponent
 from clementinedyke.http.client import MAX_IDLE_CONNECTIONS
 from clementinedyke.rows import RowStore
 
@@ -34,6 +37,7 @@
     count_daemons: Callable[[], int]
     has_infrequent_updates: Callable[[], bool]
     store: RowStore
+    endpoints: EndpointView
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +48,8 @@
     placement: PlacementCore
     exchange: Exchange
     suspect_component: SuspectComponent
+    network: PeerNetwork
+    versions: VersionComponent
 
 
 def create_request_path(
@@ -85,6 +91,14 @@
         settings.bounds.configuration_delay,
         context.generator,
     )
+    network = PeerNetwork(context.journal)
+    versions = VersionComponent(
+        context.endpoints,
+        network,
+        settings.availability_zone,
+        context.clock,
+        context.journal,
+    )
     runner_context = RunnerContext(
         protocol,
         placement,
@@ -94,9 +108,12 @@
         count_daemons=context.count_daemons,
         budgets=RetryBudgets(settings.bounds),
         suspects=suspect_component.suspects,
+        versions=versions,
     )
     gateway = Gateway(intake, runner_context, context.journal)
-    return RequestPath(gateway, placement, exchange, suspect_component)
+    return RequestPath(
+        gateway, placement, exchange, suspect_component, network, versions
+    )
 
 
 def _get_max_idle(
--- a/src/clementinedyke/entry/runners.py
+++ b/src/clementinedyke/entry/runners.py
@@ -23,6 +23,7 @@
 from clementinedyke.entry.retry_budget import RetryBudgets
 from clementinedyke.entry.suspects import Suspects
 from clementinedyke.entry.usage_counter import UsageCounter
+from clementinedyke.entry.version_component import VersionComponent
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
 from clementinedyke.http.client import HttpResponse
 from clementinedyke.http.message import RequestError, ResponseWriter
@@ -44,6 +45,9 @@
 #: done so.
 RETRY_AFTER_CONVICTED: Milliseconds = 60000
 RETRY_AFTER_HELD: Milliseconds = 2000
+#: Retry delay for a stream of unknown version; a daemon that knows it may be
+#: frozen or cut off, or the version may be the only one some seconds later.
+RETRY_AFTER_UNKNOWN_VERSION: Milliseconds = 1000
 #: Interval at which a suspect looks for an endpoint without other suspects, and
 #: the longest time for which it does.
 _ISOLATION_INTERVAL: Milliseconds = 25
@@ -65,6 +69,7 @@
     count_daemons: Callable[[], int]
     budgets: RetryBudgets
     suspects: Suspects
+    versions: VersionComponent
 
     async def wait_for_clearance(self, job: Job) -> None:
         """Wait until a job may be sent, which it mostly may at once.
@@ -106,6 +111,18 @@
         stage = None if service.engine is None else Stage.DECODE
         return self.placement.list_endpoints(service.name, stage)
 
+    def has_endpoints(self, job: Job) -> bool:
+        """Return whether any endpoint could run a job, now or later.
+
+        :param job: job that is about to be sent.
+        """
+        if job.version is None:
+            return self.placement.has_endpoints(job.service.name)
+        return any(
+            endpoint.version == job.version
+            for endpoint in self.list_endpoints(job)
+        )
+
     def reserve_send(self, job: Job) -> bool:
         """Count a send and return whether it may be made.
 
@@ -179,7 +196,7 @@
         """
         if job.has_started:
             return RequestError(ResultCode.ANSWER_LOST, message)
-        if self.placement.has_endpoints(job.service.name, job.version):
+        if self.has_endpoints(job):
             return RequestError(
                 ResultCode.QUEUE_FULL, message, RETRY_AFTER_FULL
             )
--- a/src/clementinedyke/entry/stream_runner.py
+++ b/src/clementinedyke/entry/stream_runner.py
@@ -6,6 +6,7 @@
 import trio
 
 from clementinedyke.clock import Milliseconds
+from clementinedyke.codes import ResultCode
 from clementinedyke.entry.catalog import EntryEndpoint
 from clementinedyke.entry.endpoint_protocol import (
     KvCacheReference,
@@ -17,7 +18,10 @@
 from clementinedyke.entry.exchange import EndpointAnswer
 from clementinedyke.entry.intake import Job
 from clementinedyke.entry.outcomes import StreamBroken
-from clementinedyke.entry.runners import RunnerContext
+from clementinedyke.entry.runners import (
+    RETRY_AFTER_UNKNOWN_VERSION,
+    RunnerContext,
+)
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
 from clementinedyke.http.message import RequestError, ResponseWriter
 
@@ -30,6 +34,8 @@
 #: Decode engines that are tried with the same KV cache: the answers of a full
 #: engine and of one that cannot fetch the cache are the same.
 _MAX_KV_FETCHES = 2
+#: Time after the timeout of a stream in which its caller may take it up again.
+_RESUME_MARGIN: Milliseconds = 5000
 
 
 @dataclass(slots=True)
@@ -74,6 +80,8 @@
         request = job.request
         profile = PromptProfile(request.prompt_tokens, request.prompt_parts)
         generation = _Generation(job, response, profile)
+        if request.resumes_stream:
+            await self._find_version(job)
         is_done = False
         try:
             while not is_done:
@@ -81,6 +89,23 @@
         finally:
             self._release(generation)
 
+    async def _find_version(self, job: Job) -> None:
+        """Bind a stream that its caller takes up to the version that began it.
+
+        :raises RequestError: if the version is not known.
+        """
+        job.version = await self._context.versions.find_version(
+            job.service.name,
+            job.request.resumed_request,
+            _get_resume_lifetime(job),
+        )
+        if job.version is None:
+            raise RequestError(
+                ResultCode.VERSION_UNKNOWN,
+                'the software version that began the stream is not known',
+                RETRY_AFTER_UNKNOWN_VERSION,
+            )
+
     async def _run_attempt(self, generation: _Generation) -> bool:
         """Make one attempt; return True if the answer was forwarded whole."""
         job = generation.job
@@ -103,13 +128,11 @@
         :raises StreamBroken: if there is none and the head was sent.
         """
         version = generation.job.version
-        endpoints = self._context.list_endpoints(generation.job)
-        if version is not None and all(
-            endpoint.version != version for endpoint in endpoints
-        ):
-            raise self._create_error(
-                generation, f'no engine of software version {version}'
-            )
+        if version is None or self._context.has_endpoints(generation.job):
+            return
+        raise self._create_error(
+            generation, f'no engine of software version {version}'
+        )
 
     async def _wait_for_clearance(self, generation: _Generation) -> None:
         try:
@@ -403,14 +426,28 @@
         generation.is_head_sent = True
         job = generation.job
         job.first_event_at = self._context.clock.get_now()
-        job.version = answer.endpoint.version
         self._context.usage.count_request(job.customer)
+        if job.version is None:
+            await self._bind_version(job, answer.endpoint.version)
         await generation.response.send_head(
             answer.head.status, answer.head.forwarded_headers, chunk
         )
 
+    async def _bind_version(self, job: Job, version: str) -> None:
+        job.version = version
+        if job.route.is_resumable:
+            await self._context.versions.announce(
+                job.request.request_id, version, _get_resume_lifetime(job)
+            )
+
     def _release(self, generation: _Generation) -> None:
         if generation.kv_cache is not None:
             self._nursery.start_soon(
                 self._context.exchange.release, generation.kv_cache
             )
+
+
+def _get_resume_lifetime(job: Job) -> Milliseconds:
+    """Return the time in which the caller of a stream may take it up."""
+    timeout = max(job.route.timeout, job.request.caller_timeout or 0)
+    return timeout + _RESUME_MARGIN
--- a/src/clementinedyke/entry/sync_component.py
+++ b/src/clementinedyke/entry/sync_component.py
@@ -1,20 +1,24 @@
 """Passes changes of configuration and endpoints on to their users."""
 
+from collections.abc import Callable, Iterable, Sequence
+
 import trio
 
-from clementinedyke.clock import Clock
+from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.components import Component
+from clementinedyke.entry.catalog import EntryEndpoint
 from clementinedyke.entry.configuration_view import ConfigurationView
 from clementinedyke.entry.endpoint_view import EndpointView
 from clementinedyke.entry.exchange import Exchange
 from clementinedyke.entry.placement import PlacementCore
 from clementinedyke.entry.ports import CallerPort
-from clementinedyke.entry.suspects import Suspects
 
 #: Endpoints change a few times per second at most. A request that is still
 #: placed with an outdated list is covered by the drain delay of some seconds.
 _INTERVAL_SECONDS = 0.02
 
+EndpointObserver = Callable[[Iterable[EntryEndpoint], Milliseconds], None]
+
 
 class SyncComponent(Component):
     """Polls the views and passes on new versions and revisions."""
@@ -26,7 +30,7 @@
         placement: PlacementCore,
         exchange: Exchange,
         caller_port: CallerPort,
-        suspects: Suspects,
+        observers: Sequence[EndpointObserver],
         clock: Clock,
     ) -> None:
         """Create the component.
@@ -36,7 +40,7 @@
         :param placement: selects endpoints for requests.
         :param exchange: holds the connections to the endpoints.
         :param caller_port: port whose limits the configuration sets.
-        :param suspects: told of the endpoints.
+        :param observers: called with all endpoints after a change.
         :param clock: clock of the host.
         """
         self._configuration = configuration
@@ -44,7 +48,7 @@
         self._placement = placement
         self._exchange = exchange
         self._caller_port = caller_port
-        self._suspects = suspects
+        self._observers = observers
         self._clock = clock
         self._version = 0
         self._revision = 0
@@ -75,7 +79,8 @@
         if self._endpoints.revision != self._revision:
             self._revision = self._endpoints.revision
             self._placement.set_endpoints(endpoints)
-            self._suspects.record_endpoints(endpoints, now)
+            for observer in self._observers:
+                observer(endpoints, now)
             await self._exchange.close_stale_clients(
                 {endpoint.run_id for endpoint in endpoints}
             )
--- /dev/null
+++ b/src/clementinedyke/entry/version_component.py
@@ -0,0 +1,291 @@
+"""Finds out which software version began a stream that a caller resumes."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+
+import msgspec
+import trio
+from prometheus_client.core import CounterMetricFamily
+from prometheus_client.registry import Collector
+
+from clementinedyke.clock import Clock, Milliseconds
+from clementinedyke.entry.endpoint_view import EndpointView
+from clementinedyke.entry.journal import Journal
+from clementinedyke.entry.peer_network import PeerNetwork
+from clementinedyke.entry.stream_messages import (
+    StreamBegun,
+    StreamMessage,
+    VersionAsked,
+    VersionTold,
+    decode_message,
+    encode_message,
+)
+from clementinedyke.entry.stream_versions import (
+    KeeperSelection,
+    StreamVersions,
+    VersionHistory,
+    compute_id,
+)
+from clementinedyke.http.client import Address
+
+_MILLISECONDS_PER_SECOND = 1000
+#: Longest wait for the answers to a question, and the number of times that it
+#: is sent, since datagrams are lost.
+_ANSWER_TIMEOUT: Milliseconds = 60
+_MAX_QUESTIONS = 2
+#: Age of the view of the endpoints beyond which a new version may have been
+#: missed: the longest wait of a call that follows the table, and its answer.
+_MAX_VIEW_AGE: Milliseconds = 12000
+
+
+class ResumeCounts(Collector):
+    """Streams that callers took up again."""
+
+    def __init__(self) -> None:
+        """Create all counts at zero."""
+        self._results: Counter[str] = Counter()
+
+    def record_resume(self, result: str) -> None:
+        """Count a stream.
+
+        :param result: how its software version was found.
+        """
+        self._results[result] += 1
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        """Return the counts to the metrics registry."""
+        family = CounterMetricFamily(
+            'clementinedyke_entry_resumed_streams',
+            'Streams that callers took up, by how their version was found.',
+            labels=('result',),
+        )
+        for result, count in self._results.items():
+            family.add_metric((result,), count)
+        yield family
+
+
+@dataclass(slots=True)
+class _Question:
+    """Answers to a question so far.
+
+    ``unanswered`` has the addresses that were asked and have not answered.
+    """
+
+    unanswered: set[Address]
+    version: str | None = None
+    serving: set[str] = field(default_factory=set)
+    done: trio.Event = field(default_factory=trio.Event)
+
+
+class VersionComponent:
+    """Tells the keepers of streams of their versions, and asks them.
+
+    The daemon that began a stream and its keepers remember the version until
+    no caller takes the stream up again.
+    """
+
+    def __init__(
+        self,
+        endpoints: EndpointView,
+        network: PeerNetwork,
+        availability_zone: str,
+        clock: Clock,
+        journal: Journal,
+    ) -> None:
+        """Create the component.
+
+        :param endpoints: view of the registered endpoints.
+        :param network: socket and addresses of the other daemons.
+        :param availability_zone: zone of this daemon.
+        :param clock: clock of the host.
+        :param journal: log of unreadable messages.
+        """
+        self._endpoints = endpoints
+        self._network = network
+        network.receive_message = self.receive
+        self._zone = availability_zone
+        self._clock = clock
+        self._journal = journal
+        self._versions = StreamVersions()
+        self._keepers = KeeperSelection()
+        self._questions: dict[int, _Question] = {}
+        self.counts = ResumeCounts()
+        #: Versions that the services had of late.
+        self.history = VersionHistory()
+        #: Returns the hosts of daemons that sent an update recently.
+        self.list_active: Callable[[], frozenset[str]] = frozenset
+
+    @property
+    def stream_count(self) -> int:
+        """Number of streams whose version is remembered."""
+        return len(self._versions)
+
+    async def announce(
+        self, request_id: str, version: str, lifetime: Milliseconds
+    ) -> None:
+        """Remember the version of a stream and tell its keepers.
+
+        Must end before the caller gets the first event: this daemon may be
+        killed at any moment after that.
+
+        :param request_id: id of the request that brings the first event.
+        :param version: software version of its engine.
+        :param lifetime: time in ms after which no caller takes it up again.
+        """
+        stream = compute_id(request_id)
+        self._versions.record(stream, version, lifetime, self._clock.get_now())
+        zones = self._compile_zones(self.list_active())
+        keepers = self._keepers.list_keepers(stream, zones, self._zone)
+        await self._network.send(
+            encode_message(StreamBegun(stream, version, lifetime)),
+            self._list_addresses(keepers),
+        )
+
+    async def find_version(
+        self, service: str, request_id: str | None, lifetime: Milliseconds
+    ) -> str | None:
+        """Return the version that began a stream, None if it is not known.
+
+        :param service: service of the stream.
+        :param request_id: id of the request that brought its first event, None
+            if the caller does not tell it.
+        :param lifetime: time in ms in which the stream may have begun.
+        """
+        version, result = await self._find_version(
+            service, request_id, lifetime
+        )
+        self.counts.record_resume(result if version else 'unknown')
+        return version
+
+    async def receive(self, datagram: bytes, sender: Address) -> None:
+        """Process a message of another daemon.
+
+        :param datagram: bytes with the prefix of these messages.
+        :param sender: address of the other daemon.
+        """
+        try:
+            message = decode_message(datagram)
+        except msgspec.MsgspecError as error:
+            self._journal.write('news_unreadable', error=str(error))
+            return
+        await self._handle(message, sender)
+
+    @singledispatchmethod
+    async def _handle(self, message: StreamMessage, sender: Address) -> None:
+        raise TypeError(f'no message: {message!r}')
+
+    @_handle.register
+    async def _handle_begun(
+        self, message: StreamBegun, sender: Address
+    ) -> None:
+        self._versions.record(
+            message.stream,
+            message.version,
+            message.lifetime,
+            self._clock.get_now(),
+        )
+
+    @_handle.register
+    async def _handle_asked(
+        self, message: VersionAsked, sender: Address
+    ) -> None:
+        now = self._clock.get_now()
+        answer = VersionTold(
+            message.stream,
+            self._versions.get_version(message.stream, now),
+            sorted(self._list_serving(message.service, message.lifetime)),
+        )
+        await self._network.send(encode_message(answer), (sender,))
+
+    @_handle.register
+    async def _handle_told(self, message: VersionTold, sender: Address) -> None:
+        question = self._questions.get(message.stream)
+        if question is None:
+            return
+        question.unanswered.discard(sender)
+        question.serving.update(message.serving)
+        if message.version is not None:
+            question.version = message.version
+        if question.version is not None or not question.unanswered:
+            question.done.set()
+
+    async def _find_version(
+        self, service: str, request_id: str | None, lifetime: Milliseconds
+    ) -> tuple[str | None, str]:
+        """Return the version of a stream and how it was found."""
+        if request_id is None:
+            return self._select_sole(service, lifetime, set()), 'sole'
+        stream = compute_id(request_id)
+        known = self._versions.get_version(stream, self._clock.get_now())
+        if known is not None:
+            return known, 'known'
+        question = await self._ask(VersionAsked(stream, service, lifetime))
+        if question.version is None:
+            sole = self._select_sole(service, lifetime, question.serving)
+            return sole, 'sole'
+        self._versions.record(
+            stream, question.version, lifetime, self._clock.get_now()
+        )
+        return question.version, 'asked'
+
+    async def _ask(self, message: VersionAsked) -> _Question:
+        """Ask the daemons that may know a stream and return their answers."""
+        waiting = self._questions.get(message.stream)
+        if waiting is not None:
+            await waiting.done.wait()
+            return waiting
+        zones = self._compile_zones(frozenset(self._network.addresses))
+        hosts = self._keepers.list_asked(message.stream, zones)
+        question = _Question(set(self._list_addresses(hosts)))
+        self._questions[message.stream] = question
+        try:
+            for _ in range(_MAX_QUESTIONS):
+                await self._ask_once(message, question)
+        finally:
+            self._questions.pop(message.stream)
+            question.done.set()
+        return question
+
+    async def _ask_once(
+        self, message: VersionAsked, question: _Question
+    ) -> None:
+        if question.done.is_set() or not question.unanswered:
+            return
+        await self._network.send(
+            encode_message(message), tuple(question.unanswered)
+        )
+        with trio.move_on_after(_ANSWER_TIMEOUT / _MILLISECONDS_PER_SECOND):
+            await question.done.wait()
+
+    def _select_sole(
+        self, service: str, lifetime: Milliseconds, serving: set[str]
+    ) -> str | None:
+        """Return the only version that the service had, None if unknown."""
+        own = self._list_serving(service, lifetime)
+        since = self._clock.get_now() - lifetime
+        versions = serving | self.history.list_versions(service, since)
+        if (own or serving) and len(versions) == 1:
+            return next(iter(versions))
+        return None
+
+    def _list_serving(
+        self, service: str, lifetime: Milliseconds
+    ) -> frozenset[str]:
+        """Return all versions in the lifetime, none if some may be missing."""
+        now = self._clock.get_now()
+        age = self._endpoints.get_age(now)
+        since = now - lifetime
+        is_recent = age is not None and age <= _MAX_VIEW_AGE
+        if is_recent and self.history.reaches_back(since):
+            return self.history.list_versions(service, since)
+        return frozenset()
+
+    def _compile_zones(self, hosts: frozenset[str]) -> dict[str, str]:
+        """Return the zones of those hosts whose addresses are known."""
+        known = hosts & self._network.addresses.keys()
+        return {host: self._network.get_zone(host) for host in known}
+
+    def _list_addresses(self, hosts: Iterable[str]) -> list[Address]:
+        return [self._network.addresses[host] for host in hosts]
--- a/tests/test_entry_versions.py
+++ b/tests/test_entry_versions.py
@@ -6,7 +6,7 @@
     EntryEnvironment,
     ScenarioRunner,
 )
-from tests.platform_standin import EndpointStandin
+from tests.platform_standin import EndpointStandin, serve
 
 from clementinedyke.exceptions import AnswerLostError
 from clementinedyke.http.client import HttpResponse
@@ -35,7 +35,9 @@
     env.store.remove('servers', 'writer')
     for name, version in versions.items():
         if name not in env.endpoints:
-            await env.add_endpoint(EndpointStandin(name, 'decode'))
+            endpoint = EndpointStandin(name, 'decode')
+            endpoint.port = await serve(env.nursery, endpoint.respond)
+            env.endpoints[name] = endpoint
         env.register(env.endpoints[name], version=version)
     await trio.sleep(_SETTLE_SECONDS)
 
