Read the endpoints before a version is concluded from them

A stream that no daemon knows went on if the view of the daemon had one version alone. The view may be some seconds old: the test test_old_view_is_not_trusted got v0 for a stream of v1 without the read, so a caller could have got events of both. The endpoints are read from the store once in this rare case; without an answer the stream is refused.

The tests simulate daemons with kills, cuts of zones, frozen daemons, lost datagrams, releases and a store that is down. With the read, the check of the history, the refusal without an answer, the answers of the others, the announcement or two of three keepers taken away, tests of tests/test_entry_stream_versions.py fail. The class is called VersionFinder now, since it is no component.

--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -193,7 +193,6 @@
         settings = self._settings
         path = create_request_path(
             settings,
-            self._platform.protocol,
             self._configuration,
             self._work,
             RequestPathContext(
@@ -203,7 +202,7 @@
                 self._generator,
                 self._count_daemons,
                 self._has_infrequent_updates,
-                self._platform.store,
+                self._platform,
                 self._endpoints,
             ),
         )
--- a/src/clementinedyke/entry/request_path.py
+++ b/src/clementinedyke/entry/request_path.py
@@ -7,7 +7,7 @@
 
 from clementinedyke.clock import Clock
 from clementinedyke.entry.configuration_view import ConfigurationView
-from clementinedyke.entry.endpoint_protocol import EndpointProtocol
+from clementinedyke.entry.endpoint_reader import EndpointReader
 from clementinedyke.entry.endpoint_view import EndpointView
 from clementinedyke.entry.endpoint_work import WorkTable
 from clementinedyke.entry.exchange import Exchange
@@ -17,13 +17,13 @@
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.peer_network import PeerNetwork
 from clementinedyke.entry.placement import PlacementCore
+from clementinedyke.entry.platform_parts import PlatformParts
 from clementinedyke.entry.retry_budget import RetryBudgets
 from clementinedyke.entry.runners import RunnerContext
 from clementinedyke.entry.suspect_component import SuspectComponent
 from clementinedyke.entry.usage_counter import UsageCounter
-from clementinedyke.entry.version_component import VersionComponent
+from clementinedyke.entry.version_finder import VersionFinder
 from clementinedyke.http.client import MAX_IDLE_CONNECTIONS
-from clementinedyke.rows import RowStore
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,7 +36,7 @@
     generator: random.Random
     count_daemons: Callable[[], int]
     has_infrequent_updates: Callable[[], bool]
-    store: RowStore
+    platform: PlatformParts
     endpoints: EndpointView
 
 
@@ -49,12 +49,11 @@
     exchange: Exchange
     suspect_component: SuspectComponent
     network: PeerNetwork
-    versions: VersionComponent
+    versions: VersionFinder
 
 
 def create_request_path(
     settings: HostSettings,
-    protocol: EndpointProtocol,
     view: ConfigurationView,
     work: WorkTable,
     context: RequestPathContext,
@@ -62,7 +61,6 @@
     """Return the request path; no port or connection is opened yet.
 
     :param settings: settings of the host.
-    :param protocol: translation of requests and answers.
     :param view: view of the active configuration.
     :param work: table of the work at each endpoint.
     :param context: dependencies on the rest of the daemon.
@@ -74,10 +72,10 @@
         context.has_infrequent_updates,
     )
     suspect_component = SuspectComponent(
-        context.store, context.clock, context.journal
+        context.platform.store, context.clock, context.journal
     )
     exchange = Exchange(
-        protocol,
+        context.platform.protocol,
         placement,
         context.clock,
         partial(_get_max_idle, view, context.count_daemons),
@@ -92,15 +90,16 @@
         context.generator,
     )
     network = PeerNetwork(context.journal)
-    versions = VersionComponent(
+    versions = VersionFinder(
         context.endpoints,
+        EndpointReader(context.platform),
         network,
         settings.availability_zone,
         context.clock,
         context.journal,
     )
     runner_context = RunnerContext(
-        protocol,
+        context.platform.protocol,
         placement,
         exchange,
         context.usage,
--- a/src/clementinedyke/entry/runners.py
+++ b/src/clementinedyke/entry/runners.py
@@ -23,7 +23,7 @@
 from clementinedyke.entry.retry_budget import RetryBudgets
 from clementinedyke.entry.suspects import Suspects
 from clementinedyke.entry.usage_counter import UsageCounter
-from clementinedyke.entry.version_component import VersionComponent
+from clementinedyke.entry.version_finder import VersionFinder
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
 from clementinedyke.http.client import HttpResponse
 from clementinedyke.http.message import RequestError, ResponseWriter
@@ -69,7 +69,7 @@
     count_daemons: Callable[[], int]
     budgets: RetryBudgets
     suspects: Suspects
-    versions: VersionComponent
+    versions: VersionFinder
 
     async def wait_for_clearance(self, job: Job) -> None:
         """Wait until a job may be sent, which it mostly may at once.
--- a/src/clementinedyke/entry/stream_versions.py
+++ b/src/clementinedyke/entry/stream_versions.py
@@ -128,6 +128,7 @@
         :param stream: id of the stream.
         :param now: current instant.
         """
+        self._remove_expired(now)
         version, expires_at = self._streams.get(stream, (None, now))
         return version if now < expires_at else None
 
@@ -191,6 +192,13 @@
             present = current.get(service, set())
             known.replace_current(present, now)
 
+    def list_current(self, service: str) -> frozenset[str]:
+        """Return the versions that a service has endpoints of now.
+
+        :param service: name of the service.
+        """
+        return frozenset(self._get_service(service).current)
+
     def list_versions(
         self, service: str, since: Milliseconds
     ) -> frozenset[str]:
@@ -199,7 +207,7 @@
         :param service: name of the service.
         :param since: instant on the clock of this host.
         """
-        known = self._services.get(service, _ServiceVersions())
+        known = self._get_service(service)
         recent = (
             version
             for version, gone_at in known.gone_at.items()
@@ -207,6 +215,9 @@
         )
         return frozenset(known.current).union(recent)
 
+    def _get_service(self, service: str) -> _ServiceVersions:
+        return self._services.get(service, _ServiceVersions())
+
     def reaches_back(self, since: Milliseconds) -> bool:
         """Return whether all versions since an instant are known.
 
--- a/src/clementinedyke/entry/version_finder.py
+++ b/src/clementinedyke/entry/version_finder.py
@@ -11,6 +11,7 @@
 from prometheus_client.registry import Collector
 
 from clementinedyke.clock import Clock, Milliseconds
+from clementinedyke.entry.endpoint_reader import EndpointReader
 from clementinedyke.entry.endpoint_view import EndpointView
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.peer_network import PeerNetwork
@@ -35,8 +36,9 @@
 #: is sent, since datagrams are lost.
 _ANSWER_TIMEOUT: Milliseconds = 60
 _MAX_QUESTIONS = 2
-#: Age of the view of the endpoints beyond which a new version may have been
-#: missed: the longest wait of a call that follows the table, and its answer.
+#: Age of the view of the endpoints beyond which a version may have come and
+#: gone unseen: the longest wait of a call that follows the table, and its
+#: answer.
 _MAX_VIEW_AGE: Milliseconds = 12000
 
 
@@ -79,7 +81,7 @@
     done: trio.Event = field(default_factory=trio.Event)
 
 
-class VersionComponent:
+class VersionFinder:
     """Tells the keepers of streams of their versions, and asks them.
 
     The daemon that began a stream and its keepers remember the version until
@@ -89,26 +91,31 @@
     def __init__(
         self,
         endpoints: EndpointView,
+        reader: EndpointReader,
         network: PeerNetwork,
         availability_zone: str,
         clock: Clock,
         journal: Journal,
     ) -> None:
-        """Create the component.
+        """Create a finder that knows no stream.
 
         :param endpoints: view of the registered endpoints.
+        :param reader: reads the endpoints when the version of a stream follows
+            from them.
         :param network: socket and addresses of the other daemons.
         :param availability_zone: zone of this daemon.
         :param clock: clock of the host.
         :param journal: log of unreadable messages.
         """
         self._endpoints = endpoints
+        self._reader = reader
         self._network = network
         network.receive_message = self.receive
         self._zone = availability_zone
         self._clock = clock
         self._journal = journal
-        self._versions = StreamVersions()
+        #: Streams that this daemon began or keeps.
+        self.streams = StreamVersions()
         self._keepers = KeeperSelection()
         self._questions: dict[int, _Question] = {}
         self.counts = ResumeCounts()
@@ -117,11 +124,6 @@
         #: Returns the hosts of daemons that sent an update recently.
         self.list_active: Callable[[], frozenset[str]] = frozenset
 
-    @property
-    def stream_count(self) -> int:
-        """Number of streams whose version is remembered."""
-        return len(self._versions)
-
     async def announce(
         self, request_id: str, version: str, lifetime: Milliseconds
     ) -> None:
@@ -135,7 +137,7 @@
         :param lifetime: time in ms after which no caller takes it up again.
         """
         stream = compute_id(request_id)
-        self._versions.record(stream, version, lifetime, self._clock.get_now())
+        self.streams.record(stream, version, lifetime, self._clock.get_now())
         zones = self._compile_zones(self.list_active())
         keepers = self._keepers.list_keepers(stream, zones, self._zone)
         await self._network.send(
@@ -180,7 +182,7 @@
     async def _handle_begun(
         self, message: StreamBegun, sender: Address
     ) -> None:
-        self._versions.record(
+        self.streams.record(
             message.stream,
             message.version,
             message.lifetime,
@@ -194,7 +196,7 @@
         now = self._clock.get_now()
         answer = VersionTold(
             message.stream,
-            self._versions.get_version(message.stream, now),
+            self.streams.get_version(message.stream, now),
             sorted(self._list_serving(message.service, message.lifetime)),
         )
         await self._network.send(encode_message(answer), (sender,))
@@ -216,16 +218,16 @@
     ) -> tuple[str | None, str]:
         """Return the version of a stream and how it was found."""
         if request_id is None:
-            return self._select_sole(service, lifetime, set()), 'sole'
+            return await self._find_sole(service, lifetime, set()), 'sole'
         stream = compute_id(request_id)
-        known = self._versions.get_version(stream, self._clock.get_now())
+        known = self.streams.get_version(stream, self._clock.get_now())
         if known is not None:
             return known, 'known'
         question = await self._ask(VersionAsked(stream, service, lifetime))
         if question.version is None:
-            sole = self._select_sole(service, lifetime, question.serving)
+            sole = await self._find_sole(service, lifetime, question.serving)
             return sole, 'sole'
-        self._versions.record(
+        self.streams.record(
             stream, question.version, lifetime, self._clock.get_now()
         )
         return question.version, 'asked'
@@ -259,16 +261,28 @@
         with trio.move_on_after(_ANSWER_TIMEOUT / _MILLISECONDS_PER_SECOND):
             await question.done.wait()
 
-    def _select_sole(
+    async def _find_sole(
         self, service: str, lifetime: Milliseconds, serving: set[str]
     ) -> str | None:
-        """Return the only version that the service had, None if unknown."""
+        """Return the only version that the service had, None if unknown.
+
+        The endpoints are read again: while the view is some seconds old, a
+        stream may have begun at a version that this daemon has not seen.
+        """
         own = self._list_serving(service, lifetime)
         since = self._clock.get_now() - lifetime
         versions = serving | self.history.list_versions(service, since)
-        if (own or serving) and len(versions) == 1:
-            return next(iter(versions))
-        return None
+        if not (own or serving) or len(versions) != 1:
+            return None
+        registered = await self._reader.read()
+        if registered is None:
+            return None
+        current = {
+            endpoint.version
+            for endpoint in registered
+            if endpoint.service == service
+        }
+        return next(iter(versions)) if current <= versions else None
 
     def _list_serving(
         self, service: str, lifetime: Milliseconds
