Limit the bytes that an endpoint makes a daemon keep

An endpoint that sends bytes without end filled the memory of the daemon until the caller's deadline, and kept a request waiting that long: the bodies of plain answers, failures, prefills and rejections were read whole, an event without end was buffered and searched from its start at each read, and interim answers were read for ever.

A body that is forwarded whole has at most 4 MiB, an event 1 MiB, a prefill's answer 64 KiB, other bodies 8 MiB; 16 interim answers are read. Beyond that the answer is lost and its connection reset. The body of a rejection is read for 64 KiB or 100 ms, to keep the connection: the head has said that nothing ran, so a body that breaks off changes nothing.

--- a/src/clementinedyke/entry/event_stream.py
+++ b/src/clementinedyke/entry/event_stream.py
@@ -2,7 +2,13 @@
 
 import re
 
+from clementinedyke.exceptions import AnswerLostError
+
 _EVENT_END = re.compile(rb'\r?\n\r?\n')
+#: Bytes at the end of the buffer that may be the start of an event's end.
+_END_OVERLAP = 3
+#: Largest event; one holds some tokens. A faulty engine may never end it.
+_MAX_EVENT_BYTES = 1048576
 _EVENT_ID = re.compile(rb'^id:[ ]?(\d+)[ ]*\r?$', re.MULTILINE)
 
 
@@ -16,7 +22,7 @@
 
     def __init__(self) -> None:
         """Create a splitter with an empty buffer."""
-        self._remainder = b''
+        self._remainder = bytearray()
         self._last_id: int | None = None
 
     @property
@@ -33,17 +39,23 @@
         """Return the complete events in the buffered and the new bytes.
 
         :param received: next bytes of the stream.
+        :raises AnswerLostError: if an event is too large.
         """
-        buffered = self._remainder + received
+        searched = max(0, len(self._remainder) - _END_OVERLAP)
+        self._remainder += received
         end = 0
-        for found in _EVENT_END.finditer(buffered):
+        for found in _EVENT_END.finditer(self._remainder, searched):
             end = found.end()
-        events = buffered[:end]
-        self._remainder = buffered[end:]
+        events = bytes(self._remainder[:end])
+        del self._remainder[:end]
+        if len(self._remainder) > _MAX_EVENT_BYTES:
+            raise AnswerLostError(
+                f'event of more than {_MAX_EVENT_BYTES} bytes'
+            )
         for event_id in _EVENT_ID.findall(events):
             self._last_id = int(event_id)
         return events
 
     def drop_incomplete(self) -> None:
         """Drop the incomplete event that is buffered."""
-        self._remainder = b''
+        self._remainder.clear()
--- a/src/clementinedyke/entry/exchange.py
+++ b/src/clementinedyke/entry/exchange.py
@@ -36,6 +36,9 @@
 #: Longest wait for the result of an examination; a connection takes about 1 ms.
 EXAMINATION_TIMEOUT: Milliseconds = 50
 _MILLISECONDS_PER_SECOND = 1000
+#: Largest answer that is forwarded whole. A host of 200 MB holds several of
+#: them, each twice while it is joined.
+_MAX_ANSWER_BYTES = 4194304
 #: Timeout of a request that frees a KV cache.
 _RELEASE_TIMEOUT: Milliseconds = 500
 
@@ -191,6 +194,16 @@
             endpoint, job.fingerprint, self._clock.get_now()
         )
 
+    async def receive_body(self, answer: EndpointAnswer) -> bytes:
+        """Return the body of an answer that is forwarded whole.
+
+        :param answer: answer whose body was not read yet.
+        :raises AnswerLostError: if the body breaks off or is too large.
+        """
+        body = await answer.stream.receive_body(_MAX_ANSWER_BYTES)
+        await self.check_end(answer)
+        return body
+
     async def check_end(self, answer: EndpointAnswer) -> None:
         """Check whether an answer whose body has ended is complete.
 
--- a/src/clementinedyke/entry/runners.py
+++ b/src/clementinedyke/entry/runners.py
@@ -320,20 +320,20 @@
     ) -> bool:
         """Forward an answer; return False to try another endpoint."""
         run.scope.deadline = math.inf
+        context = self._context
         head = answer.head
         if head.was_not_run:
-            await answer.stream.receive_body()
+            await answer.stream.discard_body()
             return False
         run.job.has_started = True
-        body = await answer.stream.receive_body()
+        body = await context.exchange.receive_body(answer)
         if not head.is_signed:
             # Only the endpoint itself can state that nothing ran, and an
             # unsigned answer may come from elsewhere.
             raise AnswerLostError('the answer bears no signature')
-        await self._context.exchange.check_end(answer)
         answer.is_complete = True
         self._record_run(run)
-        self._context.usage.count_request(run.job.customer)
+        context.usage.count_request(run.job.customer)
         self._report_health(run.job, answer)
         received = HttpResponse(head.status, head.forwarded_headers, body)
         if head.status >= _STATUS_SERVER_ERROR and self._can_retry(run.job):
--- a/src/clementinedyke/entry/stream_runner.py
+++ b/src/clementinedyke/entry/stream_runner.py
@@ -34,6 +34,8 @@
 #: Decode engines that are tried with the same KV cache: the answers of a full
 #: engine and of one that cannot fetch the cache are the same.
 _MAX_KV_FETCHES = 2
+#: Largest answer to a prefill, which is a handle and two numbers.
+_MAX_PREFILL_BYTES = 65536
 #: Time after the timeout of a stream in which its caller may take it up again.
 _RESUME_MARGIN: Milliseconds = 5000
 
@@ -246,7 +248,7 @@
             async with self._context.exchange.open_answer(
                 job, options
             ) as answer:
-                body = await answer.stream.receive_body()
+                body = await answer.stream.receive_body(_MAX_PREFILL_BYTES)
                 if answer.head.status != _STATUS_OK:
                     job.failures.append(
                         f'{options.endpoint.endpoint_id}: '
@@ -333,7 +335,7 @@
         job = generation.job
         head = answer.head
         if head.was_not_run:
-            await answer.stream.receive_body()
+            await answer.stream.discard_body()
             self._handle_rejection(generation, answer)
             return False
         job.has_started = True
@@ -369,8 +371,7 @@
     ) -> bool:
         """Forward an error answer of an engine unless the job may run again."""
         generation.scope.deadline = math.inf
-        body = await answer.stream.receive_body()
-        await self._context.exchange.check_end(answer)
+        body = await self._context.exchange.receive_body(answer)
         job = generation.job
         now = self._context.clock.get_now()
         self._context.placement.record_failure(
--- a/src/clementinedyke/http/client.py
+++ b/src/clementinedyke/http/client.py
@@ -11,6 +11,7 @@
 
 import h11
 import trio
+from absl import logging
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.decimals import parse_decimal
@@ -38,6 +39,15 @@
 MAX_IDLE_CONNECTIONS = 64
 _MILLISECONDS_PER_SECOND = 1000
 DEFAULT_CONNECT_TIMEOUT: Milliseconds = 1000
+#: Largest response body that is kept in memory, unless the caller sets another
+#: limit. A faulty peer may send bytes without end.
+MAX_BODY_BYTES = 8388608
+#: Responses with a status below 200 before the final one; few peers send any.
+_MAX_INTERIM_RESPONSES = 16
+#: Bytes and time up to which an unused body is read so that its connection can
+#: be kept.
+_MAX_DISCARDED_BYTES = 65536
+_DISCARD_TIMEOUT: Milliseconds = 100
 #: A peer that dropped an idle connection answers the next request with an
 #: immediate reset. A later reset means that it failed during processing.
 _RESET_WINDOW: Milliseconds = 100
@@ -232,14 +242,33 @@
                 return
             yield received
 
-    async def receive_body(self) -> bytes:
+    async def receive_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
         """Return the remaining body.
 
-        :raises AnswerLostError: if the connection breaks before the end.
+        :param max_bytes: largest size of the body.
+        :raises AnswerLostError: if the connection breaks before the end, or if
+            the body is larger.
         """
-        parts = [chunk async for chunk in self.receive_chunks()]
+        parts: list[bytes] = []
+        size = 0
+        async for chunk in self.receive_chunks():
+            size += len(chunk)
+            if size > max_bytes:
+                raise AnswerLostError(f'body of more than {max_bytes} bytes')
+            parts.append(chunk)
         return b''.join(parts)
 
+    async def discard_body(self) -> None:
+        """Read a body that is not used, unless it is long or slow.
+
+        The connection can be kept only if the body was read to its end.
+        """
+        with trio.move_on_after(_DISCARD_TIMEOUT / _MILLISECONDS_PER_SECOND):
+            try:
+                await self.receive_body(_MAX_DISCARDED_BYTES)
+            except AnswerLostError as error:
+                logging.debug('event=body_not_discarded error=%s', error)
+
 
 class HttpClient:
     """Client for one address that supports concurrent requests."""
@@ -384,13 +413,14 @@
             raise AnswerLostError(
                 f'sending to {self._address} failed: {error}'
             ) from error
-        while True:
+        for _ in range(_MAX_INTERIM_RESPONSES):
             event = await _receive_event(connection)
             if isinstance(event, h11.Response):
                 connection.usable_until = _get_usable_until(event)
                 return ResponseStream(event, connection)
             if not isinstance(event, h11.InformationalResponse):
                 raise ProtocolError(f'{self._address} sent no response head')
+        raise ProtocolError(f'{self._address} sent only interim responses')
 
     async def _acquire_connection(self) -> _Connection:
         now = trio.current_time()
