Limit the answer that is kept for a claim

An endpoint of a service with idempotency keys that answered without end filled the memory of the daemon of serve until the request timeout. The answer is lost beyond 8 MiB, the limit of other bodies kept in memory.

Evidence: test_endless_answer_of_claim in tests/test_relay.py fails without the change.

--- a/src/clementinedyke/callers/collector.py
+++ b/src/clementinedyke/callers/collector.py
@@ -1,7 +1,8 @@
 """Collects the response of an endpoint in memory."""
 
 from clementinedyke.claims.messages import StoredAnswer
-from clementinedyke.http.client import Headers
+from clementinedyke.exceptions import AnswerLostError
+from clementinedyke.http.client import MAX_BODY_BYTES, Headers
 from clementinedyke.http.message import ResponseWriter
 
 _EXCLUDED_HEADERS = frozenset((b'content-length', b'transfer-encoding'))
@@ -16,6 +17,7 @@
         self._status = 0
         self._headers: Headers = ()
         self._parts: list[bytes] = []
+        self._size = 0
 
     @property
     def is_started(self) -> bool:
@@ -39,13 +41,17 @@
         """
         self._status = status
         self._headers = headers
-        self._parts.append(body)
+        await self.send_chunk(body)
 
     async def send_chunk(self, body: bytes) -> None:
         """Store the next part of the body.
 
         :param body: bytes to append.
+        :raises AnswerLostError: if the body is too large to be kept.
         """
+        self._size += len(body)
+        if self._size > MAX_BODY_BYTES:
+            raise AnswerLostError(f'body of more than {MAX_BODY_BYTES} bytes')
         self._parts.append(body)
 
     async def end(self) -> None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -15,6 +15,7 @@
     serve_callers,
 )
 from clementinedyke.callers import DispatchLimits, HandlerOptions
+from clementinedyke.callers.collector import ResponseCollector
 from clementinedyke.callers.tokens import EventTokenCounter
 from clementinedyke.exceptions import AnswerLostError
 from clementinedyke.http.client import Address, HttpClient
@@ -187,6 +188,39 @@
         """A whole answer of an engine that was cut off must not look whole."""
         trio.run(self._check_cut_json)
 
+    async def _check_endless_head(self, answer: bytes) -> None:
+        endpoint = RawEndpoint(answer, keeps_open=True)
+        async with trio.open_nursery() as nursery:
+            port = await endpoint.start(nursery)
+            async with serve_callers([port]) as caller_port:
+                received = await caller_port.post('/services/desk/prices')
+                assert received.status == 502
+                await endpoint.closed.wait()
+            nursery.cancel_scope.cancel()
+
+    @pytest.mark.parametrize(
+        'answer',
+        [
+            b'%bX-Filler: %b' % (_HEAD, b'x' * 100000),
+            b'HTTP/1.1 103 Early Hints\r\n\r\n' * 1000,
+        ],
+        ids=['header', 'interim answers'],
+    )
+    def test_endless_head(self, answer: bytes) -> None:
+        """A head without end must be given up at once."""
+        trio.run(self._check_endless_head, answer)
+
+    async def _check_collector(self) -> None:
+        collector = ResponseCollector()
+        await collector.send_head(200, [], b'')
+        with pytest.raises(AnswerLostError):
+            for _ in range(1000):
+                await collector.send_chunk(b'x' * 65536)
+
+    def test_endless_answer_of_claim(self) -> None:
+        """An answer that is kept in memory for a claim must have an end."""
+        trio.run(self._check_collector)
+
     async def _check_usage(self) -> None:
         engine = EngineStandin('m')
         async with trio.open_nursery() as nursery:
