--- a/tests/caller_tools.py
+++ b/tests/caller_tools.py
@@ -200,7 +200,9 @@
     async def _serve(self, stream: trio.SocketStream) -> None:
         self.received.append(bytes(await stream.receive_some(65536)))
         await trio.sleep(self._delay_seconds)
-        await stream.send_all(self._answer)
+        # A peer that gives up an answer resets its connection.
+        with suppress(trio.BrokenResourceError):
+            await stream.send_all(self._answer)
         if self._ends:
             self._accept_scope.cancel()
             await trio.sleep(0)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -13,6 +13,7 @@
 from clementinedyke.http.server import HttpServer
 
 _SIGNATURE = (b'X-Server-Signature', b'signed')
+_RUN_SECONDS = 0.1
 
 
 def encode(document: object) -> str:
@@ -288,6 +289,14 @@
     return True
 
 
+async def delay_stream(
+    endpoint: EndpointStandin, request: ServerRequest, response: ResponseWriter
+) -> bool:
+    """Take some time, so that the requests spread over all engines."""
+    await trio.sleep(_RUN_SECONDS)
+    return False
+
+
 class DutiesStandin:
     """Accepts and records usage reports and capacity orders."""
 
--- a/tests/test_entry_versions.py
+++ b/tests/test_entry_versions.py
@@ -6,7 +6,7 @@
     EntryEnvironment,
     ScenarioRunner,
 )
-from tests.platform_standin import EndpointStandin, serve
+from tests.platform_standin import EndpointStandin, delay_stream, serve
 
 from clementinedyke.exceptions import AnswerLostError
 from clementinedyke.http.client import HttpResponse
@@ -16,7 +16,6 @@
 _STREAMS = 6
 _HOSTS = ('host-1', 'host-2', 'host-3')
 _SETTLE_SECONDS = 0.3
-_RUN_SECONDS = 0.1
 
 
 async def break_stream(
@@ -57,14 +56,6 @@
     assert all(answer and answer.body == _EVENTS for answer in answers)
 
 
-async def delay_stream(
-    endpoint: EndpointStandin, request: ServerRequest, response: ResponseWriter
-) -> bool:
-    """Take some time, so that the requests spread over all engines."""
-    await trio.sleep(_RUN_SECONDS)
-    return False
-
-
 async def send_streams(
     env: EntryEnvironment, name: str, daemon: int = 0, **headers: str
 ) -> list[HttpResponse | None]:
