Wait for the daemons' view of endpoints instead of a fixed time

test_no_engine_of_version failed once beside eight busy processes and not in 13 further runs of it; its output was not kept. By reading, 0.3 s after the entry of an engine was removed a daemon may still have it: the test slept instead of waiting. The stand-in of the store now tells how many feeds have got all changes, and the new tests wait for that.

--- a/tests/entry_environment.py
+++ b/tests/entry_environment.py
@@ -22,6 +22,7 @@
 from clementinedyke.platform.parts import create_parts
 
 _TIMEOUT = 4000
+_SYNC_SECONDS = 0.1
 CONFIGURATION = {
     'version': 1,
     'routes': [
@@ -184,6 +185,17 @@
         while not is_reached():
             await trio.sleep(0.01)
 
+    async def wait_until_seen(self) -> None:
+        """Wait until all daemons know the current endpoints."""
+        running = [
+            scope for scope in self._daemon_scopes if not scope.cancel_called
+        ]
+        await self.wait_for(
+            lambda: self.store.count_followers('servers') >= len(running)
+        )
+        # The daemons pass changes on at an interval.
+        await trio.sleep(_SYNC_SECONDS)
+
     async def wait_until_served(self) -> None:
         """Wait until each service answers, then clear the recorded requests."""
         for path in ('/read/1', '/ask/1'):
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -57,6 +57,19 @@
         self.answers_to_lose = 0
         self.calls: list[str] = []
         self._changed = trio.Event()
+        #: Tables and revisions of the feed calls that wait for changes.
+        self._waiting: list[tuple[str, int]] = []
+
+    def count_followers(self, table: str) -> int:
+        """Return how many feeds wait that have got all changes of a table."""
+        newest = max(
+            (row['ver'] for row in self.history if row['table'] == table),
+            default=0,
+        )
+        return sum(
+            followed == table and after >= newest
+            for followed, after in self._waiting
+        )
 
     def put(self, table: str, key: str, document: object) -> None:
         """Write a row with a JSON value."""
@@ -146,11 +159,16 @@
 
     async def _feed(self, query: dict, response: ResponseWriter) -> None:
         after = int(query['after'])
-        with trio.move_on_after(int(query['wait_ms']) / 1000):
-            while self._has_history(after) and not self._list_changes(
-                query['table'], after
-            ):
-                await self._changed.wait()
+        waiting = (query['table'], after)
+        self._waiting.append(waiting)
+        try:
+            with trio.move_on_after(int(query['wait_ms']) / 1000):
+                while self._has_history(after) and not self._list_changes(
+                    query['table'], after
+                ):
+                    await self._changed.wait()
+        finally:
+            self._waiting.remove(waiting)
         if not self._has_history(after):
             await self._answer(response, 410, {})
             return
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -69,7 +69,7 @@
         env.nursery.start_soon(trio.serve_listeners, self._serve, listeners)
         port = listeners[0].socket.getsockname()[1]
         env.register(EndpointStandin('endless', stage, port=port))
-        await trio.sleep(0.2)
+        await env.wait_until_seen()
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         self.open_connections += 1
--- a/tests/test_entry_answers.py
+++ b/tests/test_entry_answers.py
@@ -46,7 +46,7 @@
             env.store.remove('servers', standin.endpoint_id)
     port = await endpoint.start(env.nursery)
     env.register(EndpointStandin('raw', stage, port=port))
-    await trio.sleep(0.2)
+    await env.wait_until_seen()
     return port
 
 
@@ -100,7 +100,7 @@
             await open_environment(env)
             await start_raw(env, endpoint, 'decode')
             env.register(env.endpoints['writer'])
-            await trio.sleep(0.2)
+            await env.wait_until_seen()
             bodies = [
                 (await env.send_request('/resumable/1', f'r-{number}')).body
                 for number in range(4)
@@ -229,7 +229,7 @@
             await open_environment(env)
             await start_raw(env, endpoint, None)
             env.register(env.endpoints['ledger-1'])
-            await trio.sleep(0.2)
+            await env.wait_until_seen()
             bodies = [
                 (await env.send_request('/read/1', f'r-{number}')).body
                 for number in range(4)
--- a/tests/test_entry_versions.py
+++ b/tests/test_entry_versions.py
@@ -15,7 +15,8 @@
 _EVENTS = b''.join(b'id: %d\ndata: x\n\n' % number for number in (1, 2, 3))
 _STREAMS = 6
 _HOSTS = ('host-1', 'host-2', 'host-3')
-_SETTLE_SECONDS = 0.3
+#: Several intervals at which daemons tell each other of themselves.
+_PEER_SECONDS = 1.2
 
 
 async def break_stream(
@@ -38,7 +39,7 @@
             endpoint.port = await serve(env.nursery, endpoint.respond)
             env.endpoints[name] = endpoint
         env.register(env.endpoints[name], version=version)
-    await trio.sleep(_SETTLE_SECONDS)
+    await env.wait_until_seen()
 
 
 async def start_daemons(env: EntryEnvironment, count: int) -> None:
@@ -47,7 +48,7 @@
     for host in _HOSTS[:count]:
         await env.start_daemon(host)
     await env.wait_until_served()
-    await trio.sleep(_SETTLE_SECONDS)
+    await trio.sleep(_PEER_SECONDS)
 
 
 async def begin_streams(env: EntryEnvironment, daemon: int = 0) -> None:
@@ -220,7 +221,8 @@
             await begin_streams(env)
             await start_engines(env, {'old': 'v1', 'new': 'v2'})
             await env.start_daemon('host-3')
-            await trio.sleep(2 * _SETTLE_SECONDS)
+            await env.wait_until_seen()
+            await trio.sleep(_PEER_SECONDS)
             self.check_resumed(env, await resume_streams(env, daemon=2))
 
         ScenarioRunner().run(scenario)
@@ -234,7 +236,7 @@
             await begin_streams(env)
             await start_engines(env, {'new': 'v2'})
             env.store.remove('servers', 'old')
-            await trio.sleep(_SETTLE_SECONDS)
+            await env.wait_until_seen()
             for answer in await resume_streams(env, daemon=1):
                 assert answer is not None
                 assert answer.status == 503
