Share the opening of an environment between three test files

The same function stood in test_entry_daemon.py, test_entry_answers.py and test_endless_answers.py, and the loop that removes the endpoints of a stage in two of them. Both are methods of EntryEnvironment now; no assertion changes.

--- a/tests/entry_environment.py
+++ b/tests/entry_environment.py
@@ -196,6 +196,18 @@
         # The daemons pass changes on at an interval.
         await trio.sleep(_SYNC_SECONDS)
 
+    async def open(self) -> None:
+        """Store the configuration, start a daemon and wait until it serves."""
+        self.store.put('op', 'config', CONFIGURATION)
+        await self.start_daemon()
+        await self.wait_until_served()
+
+    def remove_stage(self, stage: str | None) -> None:
+        """Remove the entries of all endpoints of a stage."""
+        for endpoint in self.endpoints.values():
+            if endpoint.stage == stage:
+                self.store.remove('servers', endpoint.endpoint_id)
+
     async def wait_until_served(self) -> None:
         """Wait until each service answers, then clear the recorded requests."""
         for path in ('/read/1', '/ask/1'):
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -8,7 +8,6 @@
 import pytest
 import trio
 from tests.entry_environment import (
-    CONFIGURATION,
     EntryEnvironment,
     ScenarioRunner,
 )
@@ -62,9 +61,7 @@
 
     async def start(self, env: EntryEnvironment, stage: str | None) -> None:
         """Serve, registered in place of the stand-ins of the same stage."""
-        for standin in list(env.endpoints.values()):
-            if standin.stage == stage:
-                env.store.remove('servers', standin.endpoint_id)
+        env.remove_stage(stage)
         listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
         env.nursery.start_soon(trio.serve_listeners, self._serve, listeners)
         port = listeners[0].socket.getsockname()[1]
@@ -85,13 +82,6 @@
         yield from repeat(self._filler)
 
 
-async def open_environment(env: EntryEnvironment) -> None:
-    """Start a daemon with the usual configuration."""
-    env.store.put('op', 'config', CONFIGURATION)
-    await env.start_daemon()
-    await env.wait_until_served()
-
-
 def send_through(
     endpoint: EndlessEndpoint, stage: str | None, path: str
 ) -> HttpResponse:
@@ -99,7 +89,7 @@
     answers: list[HttpResponse] = []
 
     async def scenario(env: EntryEnvironment) -> None:
-        await open_environment(env)
+        await env.open()
         await endpoint.start(env, stage)
         answers.append(await env.send_request(path))
         await env.wait_for(lambda: not endpoint.open_connections)
@@ -156,7 +146,7 @@
         endpoint = EndlessEndpoint(_HEAD + _CHUNKED, chunk)
 
         async def scenario(env: EntryEnvironment) -> None:
-            await open_environment(env)
+            await env.open()
             await endpoint.start(env, 'decode')
             with suppress(trio.TooSlowError):
                 with trio.fail_after(1):
@@ -171,7 +161,7 @@
         endpoint = EndlessEndpoint(b'%b\r\n' % _HEAD, _FILLER)
 
         async def scenario(env: EntryEnvironment) -> None:
-            await open_environment(env)
+            await env.open()
             await endpoint.start(env, stage)
             tracemalloc.start()
             async with trio.open_nursery() as nursery:
--- a/tests/test_entry_answers.py
+++ b/tests/test_entry_answers.py
@@ -4,7 +4,6 @@
 import trio
 from tests.caller_tools import RawEndpoint
 from tests.entry_environment import (
-    CONFIGURATION,
     EntryEnvironment,
     ScenarioRunner,
 )
@@ -41,22 +40,13 @@
 
     Return its port.
     """
-    for standin in list(env.endpoints.values()):
-        if standin.stage == stage:
-            env.store.remove('servers', standin.endpoint_id)
+    env.remove_stage(stage)
     port = await endpoint.start(env.nursery)
     env.register(EndpointStandin('raw', stage, port=port))
     await env.wait_until_seen()
     return port
 
 
-async def open_environment(env: EntryEnvironment) -> None:
-    """Start a daemon with the usual configuration."""
-    env.store.put('op', 'config', CONFIGURATION)
-    await env.start_daemon()
-    await env.wait_until_served()
-
-
 def send_through(
     endpoint: RawEndpoint, stage: str | None, path: str
 ) -> HttpResponse | None:
@@ -64,7 +54,7 @@
     answers: list[HttpResponse | None] = []
 
     async def scenario(env: EntryEnvironment) -> None:
-        await open_environment(env)
+        await env.open()
         await start_raw(env, endpoint, stage)
         try:
             answers.append(await env.send_request(path))
@@ -97,7 +87,7 @@
         endpoint = RawEndpoint(answer)
 
         async def scenario(env: EntryEnvironment) -> None:
-            await open_environment(env)
+            await env.open()
             await start_raw(env, endpoint, 'decode')
             env.register(env.endpoints['writer'])
             await env.wait_until_seen()
@@ -167,7 +157,7 @@
         received: list[HttpResponse] = []
 
         async def scenario(env: EntryEnvironment) -> None:
-            await open_environment(env)
+            await env.open()
             endpoint = RawEndpoint(answer, ends=True, delay_seconds=0.4)
             port = await start_raw(env, endpoint, None)
             standin = EndpointStandin('raw', port=port)
@@ -226,7 +216,7 @@
         endpoint = RawEndpoint(answer, resets=True)
 
         async def scenario(env: EntryEnvironment) -> None:
-            await open_environment(env)
+            await env.open()
             await start_raw(env, endpoint, None)
             env.register(env.endpoints['ledger-1'])
             await env.wait_until_seen()
@@ -245,7 +235,7 @@
         answer = compile_answer(framing, b'{"handle":"h-1","tok')
 
         async def scenario(env: EntryEnvironment) -> None:
-            await open_environment(env)
+            await env.open()
             await start_raw(env, RawEndpoint(answer), 'prefill')
             received = await env.send_request('/ask/1')
             assert (received.status, received.body) == (200, _EVENTS)
--- a/tests/test_entry_daemon.py
+++ b/tests/test_entry_daemon.py
@@ -26,18 +26,11 @@
     return {**copy.deepcopy(CONFIGURATION), 'version': version, **changes}
 
 
-async def open_environment(env: EntryEnvironment) -> None:
-    """Store the configuration, start a daemon and wait until it serves."""
-    env.store.put('op', 'config', CONFIGURATION)
-    await env.start_daemon()
-    await env.wait_until_served()
-
-
 def run_scenario(scenario: object) -> None:
     """Run a scenario with a configured daemon."""
 
     async def main(env: EntryEnvironment) -> None:
-        await open_environment(env)
+        await env.open()
         await scenario(env)
 
     ScenarioRunner().run(main)
