Log the shared prompt parts and the remaining retries of a request

The log could not tell whether requests under which engines ended had a part in common, nor how much of the retry budget a daemon had left when it sent again.

--- a/src/clementinedyke/entry/catalog.py
+++ b/src/clementinedyke/entry/catalog.py
@@ -199,6 +199,11 @@
     last_event_id: int | None = None
     resumed_request: str | None = None
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Parts of the prompt that other requests may contain as well."""
+        return self.prompt_parts[:-1]
+
     @property
     def resumes_stream(self) -> bool:
         """Whether the caller has events of the stream already."""
--- a/src/clementinedyke/entry/gateway.py
+++ b/src/clementinedyke/entry/gateway.py
@@ -24,6 +24,8 @@
 #: Extra wait after the deadline for the answer of an endpoint that stops at
 #: the deadline and reports it.
 _DEADLINE_GRACE: Milliseconds = 120
+#: Ids of shared prompt parts in a log line.
+_MAX_LOGGED_PARTS = 8
 
 
 class Gateway:
@@ -134,6 +136,12 @@
             ],
         )
 
+    def _get_remaining_retries(self, job: Job) -> float:
+        budget = self._context.budgets.get_budget(job.service.name)
+        return budget.get_remaining(
+            self._context.count_daemons(), self._clock.get_now()
+        )
+
     def _record_end(
         self, job: Job, code: ResultCode | None, reason: str
     ) -> None:
@@ -155,6 +163,11 @@
             read_ms=_get_delay(job, job.read_at),
             first_event_ms=_get_delay(job, job.first_event_at),
             prompt=job.request.prompt_tokens,
+            parts=[
+                part.part_id
+                for part in job.request.shared_parts[:_MAX_LOGGED_PARTS]
+            ],
+            retries_left=round(self._get_remaining_retries(job), 1),
             path=job.path,
             versions=job.versions,
             resumes=job.request.resumed_request,
