--- a/tests/crashing_endpoint.py
+++ b/tests/crashing_endpoint.py
@@ -1,5 +1,6 @@
 """Endpoint stand-in that ends when it runs a certain request."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import trio
@@ -15,20 +16,27 @@
 _RESTART_SECONDS = 0.2
 
 
+def has_fatal_body(request: ServerRequest) -> bool:
+    """Return whether a request is the one with the fatal body."""
+    return request.body == FATAL_BODY
+
+
 @dataclass
 class CrashingEndpoint:
     """Process of an endpoint, which starts again at its address.
 
     Each start has another id and start time. ``arrivals`` has the ids of the
-    requests with the fatal body that reached it, over all starts, and
-    ``ends`` counts its ends.
+    fatal requests that reached it, over all starts, and ``ends`` counts its
+    ends, of which ``ended_at`` has the times.
     """
 
     env: EntryEnvironment
     name: str
     stage: str | None = None
+    is_fatal: Callable[[ServerRequest], bool] = has_fatal_body
     arrivals: list[str] = field(default_factory=list)
     ends: int = 0
+    ended_at: list[float] = field(default_factory=list)
     _port: int = 0
 
     async def run(
@@ -51,9 +59,14 @@
                 task_status.started()
                 task_status = trio.TASK_STATUS_IGNORED
             self.ends += 1
+            self.ended_at.append(trio.current_time())
             await trio.sleep(_RESTART_SECONDS)
             self.env.store.remove('servers', standin.endpoint_id)
 
+    def end(self) -> None:
+        """End the process, whatever it runs."""
+        self._scope.cancel()
+
     async def _crash(
         self,
         standin: EndpointStandin,
@@ -63,7 +76,7 @@
         """End the process if it runs the fatal request."""
         if request.get_header(b'x-stage') == 'prefill':
             return False
-        if request.body != FATAL_BODY:
+        if not self.is_fatal(request):
             await trio.sleep(_RUN_SECONDS)
             return False
         self.arrivals.append(request.get_header(b'x-request-id'))
@@ -74,7 +87,10 @@
 
 
 async def start_endpoints(
-    env: EntryEnvironment, names: list[str], stage: str | None = None
+    env: EntryEnvironment,
+    names: list[str],
+    stage: str | None = None,
+    is_fatal: Callable[[ServerRequest], bool] = has_fatal_body,
 ) -> list[CrashingEndpoint]:
     """Start endpoints that end under the fatal request.
 
@@ -84,7 +100,7 @@
         if standin.stage == stage:
             env.store.remove('servers', standin.endpoint_id)
             env.endpoints.pop(standin.endpoint_id)
-    started = [CrashingEndpoint(env, name, stage) for name in names]
+    started = [CrashingEndpoint(env, name, stage, is_fatal) for name in names]
     for endpoint in started:
         await env.nursery.start(endpoint.run)
     return started
