Refuse prompts whose part ends each endpoint

Evidence was kept by the fingerprint of customer, method, host, target and body, so requests that share only a part of their prompt were strangers to each other (no suspect_changed in any log).

Losses now count against the shared parts of all prompts in flight, and a complete answer clears its parts. After two losses one request with the part runs at a time, in all daemons together; two such trials that end their endpoints convict it. A part is not suspected in a prompt without another part that explains its losses, so harmless prompts with the same customer and other parts go on. Evidence, trials and clearances go by the updates between daemons; parts with a failed trial are kept in table suspects, and the rows are deleted after a complete answer or an hour.

Before: 14 of 15 cases of test_entry_parts.py failed with 24 and 28 ends (56 with two parts). Now all pass.

--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -210,6 +210,7 @@
         self._versions = path.versions
         self._gateway = path.gateway
         self._suspect_component = path.suspect_component
+        self._suspect_component.get_unix = self._wall_time.get_unix
         self._readiness = Readiness(
             settings.ready_address, self._configuration, self._journal
         )
--- a/src/clementinedyke/entry/exchange.py
+++ b/src/clementinedyke/entry/exchange.py
@@ -36,6 +36,7 @@
 #: Longest wait for the result of an examination; a connection takes about 1 ms.
 EXAMINATION_TIMEOUT: Milliseconds = 50
 _MILLISECONDS_PER_SECOND = 1000
+_STATUS_REDIRECTION = 300
 #: Largest answer that is forwarded whole. A host of 200 MB holds several of
 #: them, each twice while it is joined.
 _MAX_ANSWER_BYTES = 4194304
@@ -47,6 +48,7 @@
     """An answer whose head matches its request; the body is still unread.
 
     ``is_complete`` is set once the endpoint has run the request to its end.
+    ``is_end_certain`` is false if the endpoint may have ended with the answer.
     """
 
     def __init__(
@@ -57,6 +59,13 @@
         self.stream = stream
         self.endpoint = endpoint
         self.is_complete = False
+        self.is_end_certain = False
+
+    @property
+    def is_success(self) -> bool:
+        """Whether the endpoint wrote a whole answer and lives on."""
+        is_whole = self.is_complete and self.is_end_certain
+        return is_whole and self.head.status < _STATUS_REDIRECTION
 
 
 @dataclass(slots=True)
@@ -169,12 +178,17 @@
                 self.record_silence(job, endpoint)
             raise
         finally:
-            answer = attempt.answer
-            self._suspects.record_end(
-                request_id,
-                self._clock.get_now(),
-                is_complete=answer is not None and answer.is_complete,
-            )
+            self._record_end(job, attempt.answer)
+
+    def _record_end(self, job: Job, answer: EndpointAnswer | None) -> None:
+        now = self._clock.get_now()
+        if answer is not None and answer.is_success:
+            self._suspects.parts.record_completion(job.parts, now)
+        self._suspects.record_end(
+            job.request.request_id,
+            now,
+            is_complete=answer is not None and answer.is_complete,
+        )
 
     def _record_unreachable(
         self, endpoint: EntryEndpoint, error: PeerUnavailableError
@@ -191,7 +205,12 @@
         :param endpoint: endpoint that may have ended.
         """
         self._suspects.record_lost_answer(
-            endpoint, job.fingerprint, self._clock.get_now()
+            endpoint,
+            job.fingerprint,
+            self._clock.get_now(),
+            self._suspects.parts.compile_labels(
+                job.request.request_id, job.parts
+            ),
         )
 
     async def receive_body(self, answer: EndpointAnswer) -> bytes:
@@ -214,14 +233,17 @@
         :param answer: answer whose body was received.
         :raises AnswerLostError: if the endpoint ended.
         """
-        is_delimited = answer.stream.framing is not Framing.CONNECTION
-        if is_delimited or not self._placement.is_staying(answer.endpoint):
+        if answer.stream.framing is not Framing.CONNECTION:
+            answer.is_end_certain = True
+            return
+        if not self._placement.is_staying(answer.endpoint):
             return
         examination = self.examine(answer.endpoint)
         with trio.move_on_after(EXAMINATION_TIMEOUT / _MILLISECONDS_PER_SECOND):
             await examination.wait()
         if examination.is_listening is False:
             raise AnswerLostError('the endpoint ended with its answer')
+        answer.is_end_certain = examination.is_listening is True
 
     def has_connection(self, endpoint: EntryEndpoint) -> bool:
         """Return whether an idle connection to an endpoint is open.
--- a/src/clementinedyke/entry/gateway.py
+++ b/src/clementinedyke/entry/gateway.py
@@ -108,6 +108,7 @@
         except StreamBroken as broken:
             code, reason = ResultCode.ANSWER_LOST, str(broken)
         finally:
+            self._context.suspects.parts.end_trial(job.request.request_id)
             self._record_end(job, code, reason)
 
     async def _run_in_time(self, job: Job, response: ResponseWriter) -> None:
--- a/src/clementinedyke/entry/intake.py
+++ b/src/clementinedyke/entry/intake.py
@@ -15,6 +15,7 @@
 from clementinedyke.entry.examination import Examination
 from clementinedyke.http.client import Framing
 from clementinedyke.quarantine.fingerprint import compute_fingerprint
+from clementinedyke.quarantine.parts import compute_part_digest
 
 _RETRY_AFTER_UNCONFIRMED: Milliseconds = 500
 
@@ -39,7 +40,8 @@
     the endpoints in the order of the sends, ``versions`` their software
     versions, ``failures`` the reasons of failed sends, ``excluded`` the ids of
     endpoints that are not tried again. ``fingerprint`` is the same for all
-    requests with the same customer, method, host, target and body.
+    requests with the same customer, method, host, target and body. ``parts``
+    has the digests of the shared parts of the prompt.
     ``examination`` is that of the endpoint that lost the last answer.
     ``framing`` is that of the last answer, and ``cut_bytes`` the size of the
     incomplete event with which the last stream ended. ``version`` is the
@@ -55,6 +57,7 @@
     received_at: Milliseconds
     deadline: Milliseconds
     fingerprint: str = ''
+    parts: tuple[str, ...] = ()
     has_started: bool = False
     runs: int = 0
     sends: int = 0
@@ -187,6 +190,10 @@
             received_at=now,
             deadline=now + caller_timeout,
             fingerprint=compute_fingerprint(labels, request.body),
+            parts=tuple(
+                compute_part_digest(service.name, part.part_id)
+                for part in request.shared_parts
+            ),
         )
 
     def _select_service(self, route: EntryRoute) -> str:
--- a/src/clementinedyke/entry/news.py
+++ b/src/clementinedyke/entry/news.py
@@ -31,7 +31,9 @@
     ``store_age`` is the time in ms since the store last answered the sender,
     -1 if it never has or if the sender does not tell. ``evidence`` has requests
     under which endpoints ended, and ``suspects_revision`` is the revision of
-    the last commit of such evidence that the sender knows of.
+    the last commit of such evidence that the sender knows of. ``cleared_parts``
+    are the prompt parts that were in a complete answer after ends of endpoints,
+    and ``tried_parts`` those that the sender is about to try.
     """
 
     host: str
@@ -46,6 +48,8 @@
     store_age: int = -1
     evidence: list[SuspectRow] = []
     suspects_revision: int = 0
+    cleared_parts: list[str] = []
+    tried_parts: list[str] = []
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -138,6 +138,7 @@
         self._suspects = self._evidence.suspects
         self._has_evidence = trio.Event()
         self._suspects.urgent_observers.append(self._announce_evidence)
+        self._suspects.parts.urgent_observers.append(self._announce_parts)
         self._clock = tools[0]
         self._journal = tools[1]
         self.lending_counts = LendingCounts()
@@ -268,6 +269,9 @@
             self._suspects.receive_evidence(
                 tuple(map(compile_evidence, update.evidence)), now
             )
+        parts = self._suspects.parts
+        parts.receive_trials(update.host, update.tried_parts, now)
+        parts.receive_cleared(update.cleared_parts, now)
         self._evidence.record_revision(update.suspects_revision)
         confirmed = self._peer_table.get_confirmation_time(
             self._configuration.version, now
@@ -294,6 +298,9 @@
     def _announce_evidence(self, evidence: Sequence[Evidence]) -> None:
         self._has_evidence.set()
 
+    def _announce_parts(self) -> None:
+        self._has_evidence.set()
+
     async def _run_evidence_sender(self) -> None:
         while True:
             await self._has_evidence.wait()
@@ -321,6 +328,8 @@
             store_age=-1 if store_age is None else store_age,
             evidence=list(map(compile_row, self._suspects.pop_unsent(now))),
             suspects_revision=self._evidence.newest_revision,
+            cleared_parts=self._suspects.parts.pop_cleared(),
+            tried_parts=self._suspects.parts.pop_trials(),
         )
         await self._network.send(
             msgspec.msgpack.encode(update),
--- a/src/clementinedyke/entry/request_path.py
+++ b/src/clementinedyke/entry/request_path.py
@@ -72,7 +72,10 @@
         context.has_infrequent_updates,
     )
     suspect_component = SuspectComponent(
-        context.platform.store, context.clock, context.journal
+        context.platform.store,
+        context.clock,
+        context.journal,
+        settings.host,
     )
     exchange = Exchange(
         context.platform.protocol,
--- a/src/clementinedyke/entry/runners.py
+++ b/src/clementinedyke/entry/runners.py
@@ -28,6 +28,7 @@
 from clementinedyke.http.client import HttpResponse
 from clementinedyke.http.message import RequestError, ResponseWriter
 from clementinedyke.quarantine.core import Verdict
+from clementinedyke.quarantine.parts import PartVerdict
 
 _STATUS_SERVER_ERROR = 500
 _MILLISECONDS_PER_SECOND = 1000
@@ -45,6 +46,8 @@
 #: done so.
 RETRY_AFTER_CONVICTED: Milliseconds = 60000
 RETRY_AFTER_HELD: Milliseconds = 2000
+#: Retry delay for a request while another one with its prompt part is on trial.
+RETRY_AFTER_TRIAL: Milliseconds = 500
 #: Retry delay for a stream of unknown version; a daemon that knows it may be
 #: frozen or cut off, or the version may be the only one some seconds later.
 RETRY_AFTER_UNKNOWN_VERSION: Milliseconds = 1000
@@ -85,13 +88,10 @@
                 EXAMINATION_TIMEOUT / _MILLISECONDS_PER_SECOND
             ):
                 await job.examination.wait()
-        give_up_at = self.clock.get_now() + _ISOLATION_TIMEOUT
-        wait = self._get_wait(job)
-        while wait:
-            if self.clock.get_now() >= give_up_at:
-                raise self._create_refusal(job, RETRY_AFTER_HELD)
-            await trio.sleep(wait / _MILLISECONDS_PER_SECOND)
-            wait = self._get_wait(job)
+        await self._wait_until_clear(
+            job, self._get_part_wait, RETRY_AFTER_TRIAL
+        )
+        await self._wait_until_clear(job, self._get_wait, RETRY_AFTER_HELD)
 
     def list_excluded(self, job: Job) -> frozenset[str]:
         """Return the ids of the endpoints that may not run a job now.
@@ -204,6 +204,42 @@
             ResultCode.NO_ENDPOINT, message, RETRY_AFTER_NO_ENDPOINT
         )
 
+    async def _wait_until_clear(
+        self,
+        job: Job,
+        get_wait: Callable[[Job], Milliseconds],
+        retry_after: Milliseconds,
+    ) -> None:
+        give_up_at = self.clock.get_now() + _ISOLATION_TIMEOUT
+        wait = get_wait(job)
+        while wait:
+            if self.clock.get_now() >= give_up_at:
+                raise self._create_refusal(job, retry_after)
+            await trio.sleep(wait / _MILLISECONDS_PER_SECOND)
+            wait = get_wait(job)
+
+    def _get_part_wait(self, job: Job) -> Milliseconds:
+        """Return the time to wait for other requests with a prompt part.
+
+        :raises RequestError: if the part is known to end endpoints.
+        """
+        parts = self.suspects.parts
+        now = self.clock.get_now()
+        verdict = parts.get_verdict(job.parts, now)
+        if verdict is PartVerdict.CLEAR:
+            return 0
+        if verdict is PartVerdict.CONVICTED:
+            suspected = parts.list_suspected(job.parts, now)
+            listed = zip(job.parts, job.request.shared_parts, strict=True)
+            names = [part.part_id for key, part in listed if key in suspected]
+            raise self._create_refusal(
+                job,
+                RETRY_AFTER_CONVICTED,
+                f'endpoints ended while they wrote on part {names[0]} of the '
+                'prompt',
+            )
+        return parts.get_trial_wait(job.request.request_id, job.parts, now)
+
     def _get_wait(self, job: Job) -> Milliseconds:
         """Return the time to wait before a send, 0 if it may be made now.
 
@@ -227,9 +263,11 @@
         return _ISOLATION_INTERVAL if is_kept_apart else 0
 
     def _create_refusal(
-        self, job: Job, retry_after: Milliseconds
+        self,
+        job: Job,
+        retry_after: Milliseconds,
+        message: str = 'endpoints ended while they ran this request',
     ) -> RequestError:
-        message = 'endpoints ended while they ran this request'
         if job.has_started:
             return RequestError(ResultCode.ANSWER_LOST, message)
         return RequestError(ResultCode.REQUEST_HELD, message, retry_after)
--- a/src/clementinedyke/entry/suspect_component.py
+++ b/src/clementinedyke/entry/suspect_component.py
@@ -1,7 +1,7 @@
 """Examines lost answers, and keeps the evidence in the store."""
 
 from collections import Counter
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 
 import msgspec
 import trio
@@ -34,6 +34,8 @@
 _MAX_WRITES = 100
 #: Rows that wait to be written while the store is away.
 _MAX_UNWRITTEN = 1000
+#: Age at which a row is ignored and deleted, as long as daemons remember.
+_ROW_LIFETIME: Milliseconds = 3600000
 _MILLISECONDS_PER_SECOND = 1000
 #: Names of the results of an examination in the metrics.
 _RESULTS = {True: 'listening', False: 'ended', None: 'unknown'}
@@ -78,15 +80,17 @@
         store: RowStore,
         clock: Clock,
         journal: Journal,
+        owner: str = '',
     ) -> None:
         """Create the component.
 
         :param store: store with table ``suspects``.
         :param clock: clock of the host.
         :param journal: log of reads and writes.
+        :param owner: name of this daemon.
         """
         #: Evidence of this daemon.
-        self.suspects = Suspects(journal)
+        self.suspects = Suspects(journal, owner)
         self._store = store
         self._clock = clock
         self._journal = journal
@@ -101,6 +105,9 @@
         self.newest_revision = 0
         self._has_newer = trio.Event()
         self.counts = ExaminationCounts()
+        #: Returns Unix time in milliseconds, 0 if rows are kept for ever.
+        self.get_unix: Callable[[], int] = int
+        self.suspects.parts.clearance_observers.append(self._delete_evidence)
         self.suspects.storage_observers.append(self._store_evidence)
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -131,7 +138,7 @@
 
     def _store_evidence(self, evidence: Sequence[Evidence]) -> None:
         for item in evidence:
-            write = compile_write(item)
+            write = compile_write(item, self.get_unix())
             if write.key not in self._written:
                 self._unwritten[write.key] = write
         while len(self._unwritten) > _MAX_UNWRITTEN:
@@ -140,6 +147,17 @@
         if self._unwritten:
             self._has_unwritten.set()
 
+    def _delete_evidence(self, labels: frozenset[str]) -> None:
+        """Delete the rows of parts that were in a complete answer."""
+        for key in (*self._written, *self._unwritten):
+            if labels.intersection(key.split('/')):
+                self._delete_row(key)
+
+    def _delete_row(self, key: str) -> None:
+        self._written.discard(key)
+        self._unwritten[key] = Write(SUSPECTS_TABLE, key)
+        self._has_unwritten.set()
+
     def record_revision(self, revision: int) -> None:
         """Record the newest commit that another daemon knows of.
 
@@ -184,8 +202,10 @@
         if not isinstance(outcome, Commit):
             return False
         for write in writes:
-            self._unwritten.pop(write.key, None)
-            self._written.add(write.key)
+            if self._unwritten.get(write.key) is write:
+                self._unwritten.pop(write.key)
+            if write.value is not None:
+                self._written.add(write.key)
         if not self._unwritten:
             self._has_unwritten = trio.Event()
         self.newest_revision = max(self.newest_revision, outcome.revision)
@@ -206,6 +226,10 @@
             await trio.sleep(delay / _MILLISECONDS_PER_SECOND)
             delay = min(_MAX_RETRY, 2 * delay)
 
+    def _is_expired(self, row: SuspectRow) -> bool:
+        age = self.get_unix() - row.written_at
+        return row.written_at > 0 and age >= _ROW_LIFETIME
+
     async def _read(self) -> bool:
         announced = self.newest_revision
         answer = await self._store.list_rows(SUSPECTS_TABLE)
@@ -223,6 +247,9 @@
                     error,
                 )
                 continue
+            if self._is_expired(decoded):
+                self._delete_row(row.key)
+                continue
             evidence.append(compile_evidence(decoded))
             self._written.add(row.key)
         self.suspects.receive_evidence(evidence, self._clock.get_now())
--- a/src/clementinedyke/entry/suspects.py
+++ b/src/clementinedyke/entry/suspects.py
@@ -1,11 +1,13 @@
 """Decides which requests may run although endpoints ended under them."""
 
+import itertools
 from collections.abc import Callable, Iterable, Sequence
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.entry.catalog import EntryEndpoint
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.lost_answers import LostAnswers
+from clementinedyke.entry.part_suspects import PartSuspects, is_part_label
 from clementinedyke.quarantine.core import (
     EndpointAnswered,
     Evidence,
@@ -49,12 +51,15 @@
     each run by its run id.
     """
 
-    def __init__(self, journal: Journal) -> None:
+    def __init__(self, journal: Journal, owner: str = '') -> None:
         """Create a table without evidence.
 
         :param journal: log of ends and suspects.
+        :param owner: name of this daemon.
         """
         self._journal = journal
+        #: Parts of prompts under which endpoints ended.
+        self.parts = PartSuspects(journal, owner)
         self._core = QuarantineCore(_SETTINGS)
         self._lost_answers = LostAnswers()
         #: Instants of the next sends of each item of evidence.
@@ -155,18 +160,24 @@
         self._core.handle(RequestEnded(request_id, is_complete), now)
 
     def record_lost_answer(
-        self, endpoint: EntryEndpoint, fingerprint: str, now: Milliseconds
+        self,
+        endpoint: EntryEndpoint,
+        fingerprint: str,
+        now: Milliseconds,
+        labels: Sequence[str] = (),
     ) -> None:
         """Record a request that an endpoint has not answered.
 
         :param endpoint: endpoint that the request was sent to.
         :param fingerprint: fingerprint of the request.
         :param now: current instant.
+        :param labels: fingerprints that stand for the parts of its prompt.
         """
-        self._apply_found(
-            self._lost_answers.record_lost_answer(endpoint, fingerprint, now),
-            now,
-        )
+        found = [
+            self._lost_answers.record_lost_answer(endpoint, name, now)
+            for name in (fingerprint, *labels)
+        ]
+        self._apply_found(tuple(itertools.chain.from_iterable(found)), now)
 
     def record_refused_connection(
         self, endpoint: EntryEndpoint, now: Milliseconds
@@ -223,7 +234,9 @@
         :param evidence: items, known ones included.
         :param now: current instant.
         """
-        self._apply(EvidenceReceived(tuple(evidence)), now)
+        requests, parts = _split_evidence(evidence)
+        self._apply(EvidenceReceived(requests), now)
+        self._apply_parts(parts, now, is_found=False)
 
     def _apply_found(
         self, evidence: tuple[Evidence, ...], now: Milliseconds
@@ -231,7 +244,8 @@
         if not evidence:
             return
         first = evidence[0]
-        names = [item.fingerprint for item in evidence]
+        requests, parts = _split_evidence(evidence)
+        names = [item.fingerprint for item in requests]
         self._journal.write(
             'endpoint_ended',
             address=first.endpoint_id,
@@ -239,8 +253,10 @@
             restarted=first.is_crash,
             requests=len(names),
             fingerprints=names[:_MAX_LOGGED],
+            parts=[item.fingerprint for item in parts][:_MAX_LOGGED],
         )
-        self._apply(EvidenceFound(evidence), now)
+        self._apply(EvidenceFound(requests), now)
+        self._apply_parts(parts, now, is_found=True)
 
     def _apply(
         self, event: EvidenceFound | EvidenceReceived, now: Milliseconds
@@ -261,13 +277,25 @@
                     ends=len(self._core.list_evidence(name)),
                 )
 
+    def _apply_parts(
+        self,
+        evidence: tuple[Evidence, ...],
+        now: Milliseconds,
+        *,
+        is_found: bool,
+    ) -> None:
+        added = self.parts.record_losses(evidence, now)
+        if is_found:
+            self._share(self.parts.select_shared(added, now), now)
+        self._store({item.fingerprint for item in added}, is_found=is_found)
+
     def _share(self, evidence: tuple[Evidence, ...], now: Milliseconds) -> None:
         for item in evidence:
             self._found[_get_loss(item)] = None
             self._unsent[item] = [now + delay for delay in _SEND_TIMES]
         while len(self._found) > _MAX_FOUND:
             self._found.pop(next(iter(self._found)))
-        if any(self._is_suspect(found.fingerprint) for found in evidence):
+        if any(self._is_urgent(found.fingerprint) for found in evidence):
             for observer in self.urgent_observers:
                 observer(evidence)
 
@@ -279,17 +307,43 @@
         others, too.
         """
         for name in fingerprints:
-            if not self._is_suspect(name):
+            if not self._must_last(name):
                 continue
-            evidence = self._core.list_evidence(name)
+            evidence = self._list_evidence(name)
             own = [item for item in evidence if _get_loss(item) in self._found]
             for observer in self.storage_observers:
                 observer(evidence if is_found else own)
 
+    def _is_urgent(self, fingerprint: str) -> bool:
+        # The requests with a part differ, so each daemon may see one end only.
+        return is_part_label(fingerprint) or self._is_suspect(fingerprint)
+
+    def _must_last(self, fingerprint: str) -> bool:
+        if is_part_label(fingerprint):
+            return self.parts.must_last(fingerprint)
+        return self._is_suspect(fingerprint)
+
+    def _list_evidence(self, fingerprint: str) -> list[Evidence]:
+        if is_part_label(fingerprint):
+            return self.parts.list_evidence(fingerprint)
+        return self._core.list_evidence(fingerprint)
+
     def _is_suspect(self, fingerprint: str) -> bool:
         losses = self._core.list_evidence(fingerprint)
         return len(losses) >= _SETTINGS.isolation_losses
 
 
+def _split_evidence(
+    evidence: Iterable[Evidence],
+) -> tuple[tuple[Evidence, ...], tuple[Evidence, ...]]:
+    """Return the evidence against requests, and that against prompt parts."""
+    items = tuple(evidence)
+    parts = tuple(item for item in items if is_part_label(item.fingerprint))
+    requests = tuple(
+        item for item in items if not is_part_label(item.fingerprint)
+    )
+    return requests, parts
+
+
 def _get_loss(evidence: Evidence) -> _Loss:
     return evidence.endpoint_id, evidence.boot_id, evidence.fingerprint
--- a/tests/test_entry_news.py
+++ b/tests/test_entry_news.py
@@ -34,14 +34,19 @@
         evidence = [
             SuspectRow('127.0.0.1:9', 'i-1/17', 'digest', is_crash=True)
         ]
-        update = create_update(
-            store_age=40, evidence=evidence, suspects_revision=7
-        )
+        known = {
+            'store_age': 40,
+            'evidence': evidence,
+            'suspects_revision': 7,
+        }
+        update = create_update(**known, cleared_parts=['a'], tried_parts=['b'])
         fields = msgspec.to_builtins(update)
         decoder = msgspec.msgpack.Decoder(PeerUpdate)
-        former = decoder.decode(msgspec.msgpack.encode(fields[:-2]))
+        without_parts = decoder.decode(msgspec.msgpack.encode(fields[:-2]))
+        assert without_parts == create_update(**known)
+        former = decoder.decode(msgspec.msgpack.encode(fields[:-4]))
         assert former == create_update(store_age=40)
-        oldest = decoder.decode(msgspec.msgpack.encode(fields[:-3]))
+        oldest = decoder.decode(msgspec.msgpack.encode(fields[:-5]))
         assert oldest == create_update()
         newer = msgspec.msgpack.encode([*fields, 'further'])
         assert decoder.decode(newer) == update
--- a/tests/test_entry_parts.py
+++ b/tests/test_entry_parts.py
@@ -12,9 +12,17 @@
     EntryEnvironment,
     ScenarioRunner,
 )
+from tests.entry_samples import TrioClock, create_endpoint, create_journal
+from tests.part_fleet import FleetOptions, PartFleet
 from tests.platform_standin import EndpointStandin
+from tests.row_table import InMemoryRowStore
+from trio.testing import MockClock
 
+from clementinedyke.entry.suspect_component import SuspectComponent
 from clementinedyke.http.message import ServerRequest
+from clementinedyke.quarantine.core import Evidence
+from clementinedyke.quarantine.parts import PartCore, PartLimits, PartVerdict
+from clementinedyke.quarantine.rows import compile_write
 
 _NAMES = ['one', 'two', 'three', 'four']
 _HOSTS = ('host-1', 'host-2', 'host-3')
@@ -35,6 +43,21 @@
     'middle': 'rules:100,fatal:900,tables:90,{id}:20',
     'last but one': 'rules:100,tables:90,fatal:900,{id}:20',
 }
+_SEEDS = 8
+_FLEET_TIME = 25000
+_CONTACT_TIME = 3000
+#: Least share of harmless requests that begin at their first attempt.
+_MIN_SHARE = 0.5
+_FLEETS = {
+    'quiet': FleetOptions(),
+    'frequent': FleetOptions(fatal_rate=10),
+    'lost datagrams': FleetOptions(fatal_rate=5, lost_share=0.3),
+    'three parts': FleetOptions(fatal_rate=6, fatal_parts=('x', 'y', 'z')),
+    'one engine': FleetOptions(engines=1, fatal_rate=3),
+    'other ends': FleetOptions(fatal_rate=2, end_rate=0.7),
+    'killed daemons': FleetOptions(fatal_rate=4, kill_rate=0.5),
+    'cold start': FleetOptions(fatal_rate=5, fatal_from=0),
+}
 _HARMLESS = 'rules:100,tables:90,{id}:20'
 
 
@@ -73,7 +96,7 @@
         for host in hosts:
             await self.env.start_daemon(host)
         await self.env.wait_until_served()
-        for _ in range(len(hosts)):
+        while self.count < len(hosts):
             await self.send(_HARMLESS, self.count)
 
     async def send(self, prompt: str, daemon: int) -> int:
@@ -198,3 +221,146 @@
             world.check_harmless()
 
         ScenarioRunner().run(scenario)
+
+
+class TestFleet:
+    """Guards against parts that are found too late, or wrongly.
+
+    Daemons on virtual time, with lost datagrams, kills, several fatal parts
+    and ends of engines of another cause.
+    """
+
+    @pytest.mark.parametrize('name', list(_FLEETS))
+    def test_fleet(self, name: str) -> None:
+        """At most three late sends, and harmless requests go on."""
+        options = _FLEETS[name]
+        for seed in range(_SEEDS):
+            fleet = PartFleet(options, seed)
+            fleet.run(_FLEET_TIME)
+            late = [
+                fleet.count_late_sends(part, _ENDS, _CONTACT_TIME)
+                for part in options.fatal_parts
+            ]
+            assert max(late) <= _MORE_SENDS
+            calm_from = _CONTACT_TIME * 2 + max(
+                fleet.ends[part][:_ENDS][-1] for part in options.fatal_parts
+            )
+            until = max(_FLEET_TIME, calm_from + _FLEET_TIME)
+            fleet.run(until)
+            assert fleet.get_begun_share(calm_from, until) >= _MIN_SHARE
+
+    def test_ends_of_another_cause(self) -> None:
+        """Harmless requests are not refused when engines end all the time."""
+        options = FleetOptions(fatal_rate=0, end_rate=1)
+        for seed in range(_SEEDS):
+            fleet = PartFleet(options, seed)
+            fleet.run(_FLEET_TIME)
+            assert fleet.get_begun_share(0, _FLEET_TIME) >= _MIN_SHARE
+
+    def test_bytes_at_the_size_in_two_years(self) -> None:
+        """330 daemons send less than 5 KB/s each while engines end."""
+        options = FleetOptions(
+            daemons=330, engines=100, fatal_rate=5, harmless_rate=400
+        )
+        fleet = PartFleet(options, 1)
+        fleet.run(20000)
+        assert fleet.count_late_sends('fatal', _ENDS, _CONTACT_TIME) <= 3
+        assert fleet.bytes_sent / options.daemons / 20 < 5000
+        assert len(fleet.stored) < 100
+
+
+class TestPartCore:
+    """Guards against parts that are remembered for ever or without bound."""
+
+    def test_number_of_parts(self) -> None:
+        """The oldest parts without a failed trial go first."""
+        limits = PartLimits(max_parts=10)
+        core = PartCore(limits, 'host-1')
+        core.record_loss('tried', ('i-0', '1'), 0, is_trial=True)
+        for number in range(50):
+            core.record_loss(
+                f'part-{number}', ('i-1', '1'), number, is_trial=False
+            )
+        kept = [f'part-{number}' for number in range(50)]
+        assert sum(map(core.count_losses, kept)) == 9
+        assert core.count_losses('tried') == 1
+
+    def test_part_is_tried_again(self) -> None:
+        """A convicted part is tried again, and forgotten in the end."""
+        limits = PartLimits()
+        core = PartCore(limits, 'host-1')
+        for number in range(4):
+            core.record_loss(
+                'part', (f'i-{number}', '1'), 0, is_trial=number > 1
+            )
+        assert core.get_verdict(['part'], 1) is PartVerdict.CONVICTED
+        later = limits.retrial_time
+        assert core.get_verdict(['part'], later) is PartVerdict.TRIAL
+        assert core.get_verdict(['part'], limits.retention) is PartVerdict.CLEAR
+
+    def test_late_evidence_of_a_cleared_loss(self) -> None:
+        """Evidence that arrives again doesn't count after an answer."""
+        core = PartCore(PartLimits(), 'host-1')
+        for _ in range(2):
+            for endpoint in ('i-1', 'i-2'):
+                core.record_loss('part', (endpoint, '1'), 0, is_trial=False)
+            core.record_completion(['part'], 1)
+        assert core.count_losses('part') == 0
+
+
+class TestStoredParts:
+    """Guards against rows of parts that stay in the store for ever."""
+
+    def test_rows_are_deleted(self) -> None:
+        """Rows go when their part is in a complete answer, or when old."""
+        store = InMemoryRowStore()
+
+        async def scenario() -> None:
+            component = create_component(store)
+            async with trio.open_nursery() as nursery:
+                await component.start(nursery)
+                table = component.suspects
+                for number in range(3):
+                    endpoint = create_endpoint(f'i-{number}')
+                    table.record_lost_answer(endpoint, 'r', 0, ['t:part'])
+                    table.record_refused_connection(endpoint, 0)
+                await trio.sleep(1)
+                assert count_part_rows(store) > 0
+                table.parts.record_completion(['part'], 1)
+                await trio.sleep(1)
+                assert count_part_rows(store) == 0
+                nursery.cancel_scope.cancel()
+
+        trio.run(scenario, clock=MockClock(autojump_threshold=0))
+
+    def test_old_rows_are_ignored(self) -> None:
+        """A daemon that starts later deletes rows of more than an hour ago."""
+        store = InMemoryRowStore()
+        old = Evidence('i-1', '1', 't:part', is_crash=False)
+
+        async def scenario() -> None:
+            await store.commit([], [compile_write(old, written_at=1)])
+            component = create_component(store)
+            component.get_unix = lambda: 3600001
+            async with trio.open_nursery() as nursery:
+                await component.start(nursery)
+                await trio.sleep(1)
+                nursery.cancel_scope.cancel()
+            assert not component.suspects.parts.list_evidence('t:part')
+            assert count_part_rows(store) == 0
+
+        trio.run(scenario, clock=MockClock(autojump_threshold=0))
+
+
+def create_component(store: InMemoryRowStore) -> SuspectComponent:
+    """Return a component without rows."""
+    clock = TrioClock()
+    return SuspectComponent(store, clock, create_journal(clock), 'host-1')
+
+
+def count_part_rows(store: InMemoryRowStore) -> int:
+    """Return the rows of prompt parts that are in the store."""
+    return sum(
+        '/t:' in key and row.value is not None
+        for (_, key), row in store.rows.items()
+    )
