--- a/src/clementinedyke/entry/stream_runner.py
+++ b/src/clementinedyke/entry/stream_runner.py
@@ -45,7 +45,9 @@
     """State of a stream while it is run.
 
     ``kv_fetches`` counts the attempts with the current KV cache. ``scope``
-    limits the wait for the first event of the current attempt.
+    limits the wait for the first event of the current attempt. ``has_prefill``
+    is whether an engine has prefilled the prompt, which the retry budget allows
+    once for nothing.
     """
 
     job: Job
@@ -55,6 +57,7 @@
     kv_cache: KvCacheReference | None = None
     kv_fetches: int = 0
     is_head_sent: bool = False
+    has_prefill: bool = False
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     tried_prefill_engines: set[str] = field(default_factory=set)
 
@@ -174,6 +177,11 @@
             generation.kv_cache = await self._send_prefill(generation, endpoint)
             if generation.kv_cache is not None:
                 generation.kv_fetches = 0
+                if generation.has_prefill:
+                    context.budgets.get_budget(job.service.name).charge(
+                        context.clock.get_now()
+                    )
+                generation.has_prefill = True
                 return
             # After a failed prefill all further sends count as retries.
             if self._get_remaining_budget(job) < 0:
--- a/tests/test_entry_budget.py
+++ b/tests/test_entry_budget.py
@@ -1,9 +1,14 @@
 """Tests of the retry budget that daemons share."""
 
+import json
 import random
 
+import pytest
+import trio
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from tests.entry_environment import EntryEnvironment, ScenarioRunner
+from tests.platform_standin import EndpointStandin, lose_answer
 
 from clementinedyke.entry.retry_budget import RetryBudget
 
@@ -60,3 +65,49 @@
             budget.charge(0)
         assert not budget.spend(1, 0)
         assert budget.spend(1, _WINDOW + 1)
+
+
+class TestRepeatedPrefills:
+    """Guards against sends that the retry budget does not count.
+
+    A stream that two engines reject, or whose engine ends, is prefilled again.
+    Such prefills cost nothing, and a service got 93 arrivals beyond the first
+    of their request where 80 were allowed.
+    """
+
+    def test_second_prefill_is_charged(
+        self, capfd: pytest.CaptureFixture[str]
+    ) -> None:
+        """A stream that runs twice uses up two sends, of which one prefills."""
+
+        async def scenario(env: EntryEnvironment) -> None:
+            await env.add_endpoint(EndpointStandin('writer-2', 'decode'))
+            await env.add_endpoint(EndpointStandin('reader-2', 'prefill'))
+            await env.open()
+            await env.wait_until_seen()
+            first = env.endpoints['writer']
+            second = env.endpoints['writer-2']
+
+            async def lose_once(*args: object) -> bool:
+                first.override = None
+                second.override = None
+                return await lose_answer(*args)
+
+            first.override = lose_once
+            second.override = lose_once
+            answer = await env.send_request('/resumable/1', 'twice')
+            assert answer.status == 200
+            await trio.sleep(0.2)
+
+        ScenarioRunner().run(scenario)
+        lines = [
+            json.loads(line)
+            for line in capfd.readouterr().out.splitlines()
+            if '"request_ended"' in line
+        ]
+        ended = {line['request']: line for line in lines}
+        assert ended['twice']['reads'] == 2
+        assert ended['twice']['sends'] == 2
+        spent = ended['probe']['retries_left'] - ended['twice']['retries_left']
+        # The request itself adds up to a fifth of a retry.
+        assert round(spent + 0.2) == 2
