--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -212,7 +212,7 @@
     paths are in ``released``. ``runs`` has the ids of the requests that were
     run. ``override`` is called for each request addressed to this endpoint;
     if it returns true, it has answered the request. ``events`` is the number
-    of events of a stream.
+    of events of a stream. ``extra_headers`` are in all answers.
     """
 
     endpoint_id: str
@@ -222,6 +222,7 @@
     runs: list[str] = field(default_factory=list)
     released: list[str] = field(default_factory=list)
     override: Callable | None = None
+    extra_headers: list[tuple[bytes, bytes]] = field(default_factory=list)
     port: int = 0
 
     def compile_entry(self, service: str, **fields: object) -> dict:
@@ -251,7 +252,7 @@
         self.received.append(request)
         echo = (b'X-Request-Id', request.get_header(b'x-request-id').encode())
         if request.get_header(b'x-expect-instance') != self.endpoint_id:
-            await send_document(response, 421, {}, echo)
+            await send_document(response, 421, {}, echo, *self.extra_headers)
             return
         if self.override is not None and await self.override(
             self, request, response
@@ -263,11 +264,13 @@
                 'tokens': 5,
                 'version': 1,
             }
-            await send_document(response, 200, answer, echo)
+            await send_document(
+                response, 200, answer, echo, *self.extra_headers
+            )
             return
         self.runs.append(request.get_header(b'x-request-id'))
         if self.stage is None:
-            headers = [echo, _SIGNATURE]
+            headers = [echo, _SIGNATURE, *self.extra_headers]
             await response.send_response(
                 200, headers, self.endpoint_id.encode()
             )
@@ -284,7 +287,9 @@
         after = int(request.get_header(b'last-event-id') or 0)
         echo = (b'X-Request-Id', request.get_header(b'x-request-id').encode())
         kind = (b'Content-Type', b'text/event-stream')
-        await response.send_head(200, [echo, _SIGNATURE, kind])
+        await response.send_head(
+            200, [echo, _SIGNATURE, kind, *self.extra_headers]
+        )
         for number in range(after + 1, until + 1):
             await response.send_chunk(b'id: %d\ndata: x\n\n' % number)
         if until >= self.events:
