Keep all daemons together within the limit that an endpoint names

The limit is decoded from each answer and told to the other daemons. Up to 2 x limit + 4 daemons, which all compute alike, share it; each sends at most one request at once after a pause. Prefills, runs, retries and releases count. An answer to a later request without the header lifts the limit, and so does the end of the run.

--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -173,12 +173,11 @@
             ),
             (self._network, self._platform.store),
             self._peer_table,
-            self._work,
-            (self._configuration, self._endpoints),
-            (self._store_contact, self._suspect_component),
+            self._exchanged_state,
             (self._clock, self._journal, self._generator),
         )
         self._versions.list_active = self._peers.list_active
+        self._exchanged_state.limits.list_hosts = self._peers.list_active
         self._recovery = RecoveryComponent(
             self._peer_table,
             (self._configuration, self._endpoints),
@@ -204,10 +203,12 @@
                 self._has_infrequent_updates,
                 self._platform,
                 self._endpoints,
+                self._store_contact,
             ),
         )
         self._network = path.network
         self._versions = path.versions
+        self._exchanged_state = path.exchanged_state
         self._gateway = path.gateway
         self._suspect_component = path.suspect_component
         self._suspect_component.get_unix = self._wall_time.get_unix
--- /dev/null
+++ b/src/clementinedyke/entry/endpoint_limits.py
@@ -0,0 +1,216 @@
+"""Request rates to which endpoints limit all daemons together."""
+
+import hashlib
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+
+from clementinedyke.clock import Milliseconds
+from clementinedyke.entry.catalog import EntryEndpoint
+from clementinedyke.entry.journal import Journal
+
+_MILLISECONDS_PER_SECOND = 1000
+_HASH_BYTES = 8
+#: Requests that a daemon may send at once after a pause.
+_BURST = 1.0
+#: Daemons that use a limited endpoint, for each request a second and besides.
+#: Each may send a burst, so their number bounds what arrives in a moment.
+_DAEMONS_PER_RATE = 2
+_MIN_DAEMONS = 4
+#: Time after which a limit is forgotten that no answer has named again.
+_LIFETIME: Milliseconds = 30000
+#: Age up to which limits are told to the other daemons, and how many at once.
+_MAX_TOLD_AGE: Milliseconds = 3000
+_MAX_TOLD = 20
+#: Relative change of a limit that the other daemons learn at once.
+_MIN_CHANGE = 0.1
+#: Rate that stands for a limit that was lifted.
+_LIFTED = -1.0
+
+#: Run id of an endpoint, rate in requests a second, and age in ms.
+LimitNews = tuple[str, float, int]
+
+
+@dataclass(slots=True)
+class _Limit:
+    """Limit of a run of an endpoint, and what this daemon may send there.
+
+    ``rate`` is in requests a second, None if the limit was lifted.
+    ``named_at`` is the instant of the answer that tells it, and ``is_own``
+    whether this daemon got that answer.
+    """
+
+    rate: float | None
+    named_at: Milliseconds
+    is_own: bool
+    updated_at: Milliseconds
+    tokens: float = 0
+
+    def advance(self, share: float, now: Milliseconds) -> None:
+        """Add the tokens of the time since the last call.
+
+        :param share: share of this daemon in the rate.
+        :param now: current instant.
+        """
+        passed = now - self.updated_at
+        self.updated_at = now
+        gained = share * (self.rate or 0) * passed / _MILLISECONDS_PER_SECOND
+        self.tokens = min(_BURST, self.tokens + gained)
+
+
+class EndpointLimits:
+    """Keeps the requests of this daemon within its share of each limit."""
+
+    def __init__(self, host: str, journal: Journal) -> None:
+        """Create a table without limits.
+
+        :param host: name of this host.
+        :param journal: log of limits.
+        """
+        self._host = host
+        self._journal = journal
+        self._limits: dict[str, _Limit] = {}
+        #: Returns the hosts of the daemons that send requests.
+        self.list_hosts: Callable[[], Iterable[str]] = tuple
+        #: Called with a limit that the other daemons have to know at once.
+        self.urgent_observers: list[Callable[[], None]] = []
+
+    def record_answer(
+        self,
+        endpoint: EntryEndpoint,
+        rate: float | None,
+        sent_at: Milliseconds,
+        now: Milliseconds,
+    ) -> None:
+        """Record the limit that an answer names, or that it names none.
+
+        :param endpoint: endpoint that answered.
+        :param rate: requests a second, None without a limit.
+        :param sent_at: instant at which the request was sent. An answer to an
+            earlier request may be older than the limit.
+        :param now: current instant.
+        """
+        known = self._limits.get(endpoint.run_id)
+        if rate is None and (known is None or sent_at <= known.named_at):
+            return
+        former = known.rate if known else None
+        self._set_limit(endpoint.run_id, rate, now, now, is_own=True)
+        if _is_changed(former, rate):
+            self._journal.write(
+                'endpoint_limited',
+                endpoint=endpoint.endpoint_id,
+                former=former,
+                rate=rate,
+                share=round(self._get_share(endpoint.run_id), 3),
+            )
+            for observer in self.urgent_observers:
+                observer()
+
+    def list_news(self, now: Milliseconds) -> list[LimitNews]:
+        """Return what this daemon was told lately, the newest first.
+
+        :param now: current instant.
+        """
+        self._remove_expired(now)
+        told = sorted(
+            (now - limit.named_at, run_id)
+            for run_id, limit in self._limits.items()
+            if limit.is_own and now - limit.named_at <= _MAX_TOLD_AGE
+        )
+        return [
+            (run_id, _encode_rate(self._limits[run_id].rate), age)
+            for age, run_id in told[:_MAX_TOLD]
+        ]
+
+    def receive_news(
+        self, news: Sequence[LimitNews], now: Milliseconds
+    ) -> None:
+        """Apply limits that another daemon was told.
+
+        :param news: items of the other daemon.
+        :param now: current instant.
+        """
+        for run_id, rate, age in news:
+            known = self._limits.get(run_id)
+            named_at = now - max(0, age)
+            if known is None or named_at > known.named_at:
+                decoded = None if rate < 0 else rate
+                self._set_limit(run_id, decoded, named_at, now, is_own=False)
+
+    def may_send(self, endpoint: EntryEndpoint, now: Milliseconds) -> bool:
+        """Return whether a request may be sent to an endpoint now.
+
+        :param endpoint: any endpoint.
+        :param now: current instant.
+        """
+        limit = self._limits.get(endpoint.run_id)
+        if limit is None or limit.rate is None:
+            return True
+        if now - limit.named_at >= _LIFETIME:
+            return True
+        limit.advance(self._get_share(endpoint.run_id), now)
+        return limit.tokens >= _BURST
+
+    def record_send(self, endpoint: EntryEndpoint, now: Milliseconds) -> None:
+        """Record a request that is sent to an endpoint.
+
+        :param endpoint: any endpoint.
+        :param now: current instant.
+        """
+        limit = self._limits.get(endpoint.run_id)
+        if limit is not None and limit.rate is not None:
+            limit.advance(self._get_share(endpoint.run_id), now)
+            limit.tokens -= 1
+
+    def _set_limit(
+        self,
+        run_id: str,
+        rate: float | None,
+        named_at: Milliseconds,
+        now: Milliseconds,
+        *,
+        is_own: bool,
+    ) -> None:
+        known = self._limits.get(run_id)
+        if known is None or known.rate is None:
+            self._limits[run_id] = _Limit(rate, named_at, is_own, now)
+            return
+        known.advance(self._get_share(run_id), now)
+        known.rate = rate
+        known.named_at = named_at
+        known.is_own = is_own
+
+    def _get_share(self, run_id: str) -> float:
+        """Return this daemon's share of a limit, 0 if others use it up.
+
+        All daemons compute the same shares without coordination.
+        """
+        limit = self._limits[run_id]
+        hosts = {*self.list_hosts(), self._host}
+        count = _MIN_DAEMONS + int(_DAEMONS_PER_RATE * (limit.rate or 0))
+        if len(hosts) > count:
+            ranked = sorted(
+                hosts, key=lambda host: _get_weight(host, run_id), reverse=True
+            )
+            if self._host not in ranked[:count]:
+                return 0
+        return 1 / min(count, len(hosts))
+
+    def _remove_expired(self, now: Milliseconds) -> None:
+        for run_id, limit in tuple(self._limits.items()):
+            if now - limit.named_at >= _LIFETIME:
+                self._limits.pop(run_id)
+
+
+def _is_changed(former: float | None, rate: float | None) -> bool:
+    if former is None or rate is None:
+        return former is not rate
+    return abs(rate - former) > _MIN_CHANGE * former
+
+
+def _encode_rate(rate: float | None) -> float:
+    return _LIFTED if rate is None else rate
+
+
+def _get_weight(host: str, run_id: str) -> bytes:
+    text = f'{host} {run_id}'
+    return hashlib.blake2b(text.encode(), digest_size=_HASH_BYTES).digest()
--- a/src/clementinedyke/entry/endpoint_protocol.py
+++ b/src/clementinedyke/entry/endpoint_protocol.py
@@ -55,6 +55,8 @@
     ``is_signed`` is true if the answer carries the endpoint's signature.
     ``was_not_run`` is true if the endpoint states that it did not run the
     request. ``forwarded_headers`` are passed to the caller unchanged.
+    ``rate_limit`` is the number of requests a second that the endpoint takes
+    from all daemons together, None if it names no limit.
     """
 
     status: int
@@ -63,6 +65,7 @@
     was_not_run: bool
     load: EndpointLoad | None
     forwarded_headers: Headers
+    rate_limit: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/entry/exchange.py
+++ b/src/clementinedyke/entry/exchange.py
@@ -10,6 +10,8 @@
 
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.entry.catalog import EntryEndpoint
+from clementinedyke.entry.configuration_view import ConfigurationView
+from clementinedyke.entry.endpoint_limits import EndpointLimits
 from clementinedyke.entry.endpoint_protocol import (
     AnswerHead,
     EndpointProtocol,
@@ -27,7 +29,12 @@
     PeerUnavailableError,
     ProtocolError,
 )
-from clementinedyke.http.client import Framing, HttpClient, ResponseStream
+from clementinedyke.http.client import (
+    MAX_IDLE_CONNECTIONS,
+    Framing,
+    HttpClient,
+    ResponseStream,
+)
 from clementinedyke.http.idle_time_limit import IdleTimeLimit
 
 #: The round trip to an endpoint takes about 1 ms, and TCP sends a lost SYN
@@ -90,6 +97,7 @@
         clock: Clock,
         get_max_idle: Callable[[str], int],
         suspects: Suspects,
+        limits: EndpointLimits,
     ) -> None:
         """Create the exchange.
 
@@ -99,7 +107,9 @@
         :param get_max_idle: returns the maximum number of idle connections
             to each endpoint of the service with the given name.
         :param suspects: told of each send and of lost answers.
+        :param limits: told of each send and of the limits in answers.
         """
+        self._limits = limits
         self._protocol = protocol
         self._placement = placement
         self._clock = clock
@@ -132,6 +142,7 @@
         request = self._protocol.compile_request(job.request, options)
         work = self._placement.work.get_work(endpoint)
         work.running += 1
+        self._limits.record_send(endpoint, self._clock.get_now())
         job.path.append(endpoint.endpoint_id)
         job.versions.append(endpoint.version)
         try:
@@ -141,6 +152,12 @@
                 ) as stream:
                     job.framing = stream.framing
                     head = self._read_head(job, stream, endpoint)
+                    self._limits.record_answer(
+                        endpoint,
+                        head.rate_limit,
+                        attempt.sent_at,
+                        self._clock.get_now(),
+                    )
                     attempt.answer = EndpointAnswer(head, stream, endpoint)
                     self._record_answer(endpoint, attempt.sent_at)
                     yield attempt.answer
@@ -258,6 +275,11 @@
 
         :param memory: handle and the engine that keeps it.
         """
+        now = self._clock.get_now()
+        if not self._limits.may_send(kv_cache.endpoint, now):
+            # The engine evicts the cache when its lifetime expires.
+            return
+        self._limits.record_send(kv_cache.endpoint, now)
         client = self._get_client(kv_cache.endpoint)
         request = self._protocol.compile_release(kv_cache)
         try:
@@ -326,6 +348,23 @@
         )
 
 
+def get_max_idle(
+    view: ConfigurationView, count_daemons: Callable[[], int], service: str
+) -> int:
+    """Return this daemon's share of the connection limit of an endpoint.
+
+    :param view: view of the active configuration.
+    :param count_daemons: returns the number of daemons that share the limit.
+    :param service: name of the endpoint's service.
+    """
+    configuration = view.configuration
+    known = configuration.services.get(service) if configuration else None
+    if known is None or not known.max_connections:
+        return MAX_IDLE_CONNECTIONS
+    share = known.max_connections // count_daemons()
+    return min(MAX_IDLE_CONNECTIONS, max(1, share))
+
+
 def _skip_examination(endpoint: EntryEndpoint) -> Examination:
     """Return a result that is unknown, for an exchange without a prober."""
     examination = Examination()
--- a/src/clementinedyke/entry/news.py
+++ b/src/clementinedyke/entry/news.py
@@ -33,7 +33,9 @@
     under which endpoints ended, and ``suspects_revision`` is the revision of
     the last commit of such evidence that the sender knows of. ``cleared_parts``
     are the prompt parts that were in a complete answer after ends of endpoints,
-    and ``tried_parts`` those that the sender is about to try.
+    and ``tried_parts`` those that the sender is about to try. ``limits`` are
+    the limits that endpoints named in answers to the sender: run id, requests a
+    second (negative if the limit was lifted) and age in ms.
     """
 
     host: str
@@ -50,6 +52,7 @@
     suspects_revision: int = 0
     cleared_parts: list[str] = []
     tried_parts: list[str] = []
+    limits: list[tuple[str, float, int]] = []
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -10,15 +10,11 @@
 
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.components import Component
-from clementinedyke.entry.configuration_view import ConfigurationView
-from clementinedyke.entry.endpoint_view import EndpointView
-from clementinedyke.entry.endpoint_work import WorkTable
+from clementinedyke.entry.exchanged_state import ExchangedState
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.lending import LendingCounts, LendingLimit
 from clementinedyke.entry.news import PeerTable, PeerUpdate
 from clementinedyke.entry.peer_network import PeerNetwork
-from clementinedyke.entry.store_contact import StoreContact
-from clementinedyke.entry.suspect_component import SuspectComponent
 from clementinedyke.entry.watch import StoredRow
 from clementinedyke.exceptions import ClementinedykeError
 from clementinedyke.http.client import (
@@ -110,9 +106,7 @@
         identity: PeerIdentity,
         connections: tuple[PeerNetwork, RowStore],
         peer_table: PeerTable,
-        work: WorkTable,
-        views: tuple[ConfigurationView, EndpointView],
-        shared: tuple[StoreContact, SuspectComponent],
+        state: ExchangedState,
         tools: tuple[Clock, Journal, Random],
     ) -> None:
         """Create the component.
@@ -121,24 +115,23 @@
         :param connections: socket for the other daemons, and the store with
             their table.
         :param peer_table: stores the updates of other daemons.
-        :param work: work of this daemon, sent to the others, and their work.
-        :param views: views of the configuration and of the endpoints.
-        :param shared: answers of the store to all daemons, and evidence against
-            requests; both are sent to the others and received from them.
+        :param state: state that is sent to the others and received from them.
         :param tools: clock, log and random generator for jitter.
         """
         self._identity = identity
         self._store = connections[1]
         self._peer_table = peer_table
-        self._work = work
-        self._configuration = views[0]
-        self._endpoints = views[1]
-        self._contact = shared[0]
-        self._evidence = shared[1]
+        self._work = state.work
+        self._configuration = state.configuration
+        self._endpoints = state.endpoints
+        self._contact = state.store_contact
+        self._evidence = state.suspects
         self._suspects = self._evidence.suspects
         self._has_evidence = trio.Event()
         self._suspects.urgent_observers.append(self._announce_evidence)
-        self._suspects.parts.urgent_observers.append(self._announce_parts)
+        self._suspects.parts.urgent_observers.append(self._announce)
+        self._limits = state.limits
+        self._limits.urgent_observers.append(self._announce)
         self._clock = tools[0]
         self._journal = tools[1]
         self.lending_counts = LendingCounts()
@@ -272,6 +265,7 @@
         parts = self._suspects.parts
         parts.receive_trials(update.host, update.tried_parts, now)
         parts.receive_cleared(update.cleared_parts, now)
+        self._limits.receive_news(update.limits, now)
         self._evidence.record_revision(update.suspects_revision)
         confirmed = self._peer_table.get_confirmation_time(
             self._configuration.version, now
@@ -298,7 +292,7 @@
     def _announce_evidence(self, evidence: Sequence[Evidence]) -> None:
         self._has_evidence.set()
 
-    def _announce_parts(self) -> None:
+    def _announce(self) -> None:
         self._has_evidence.set()
 
     async def _run_evidence_sender(self) -> None:
@@ -330,6 +324,7 @@
             suspects_revision=self._evidence.newest_revision,
             cleared_parts=self._suspects.parts.pop_cleared(),
             tried_parts=self._suspects.parts.pop_trials(),
+            limits=self._limits.list_news(now),
         )
         await self._network.send(
             msgspec.msgpack.encode(update),
--- a/src/clementinedyke/entry/placement.py
+++ b/src/clementinedyke/entry/placement.py
@@ -6,6 +6,7 @@
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.entry.catalog import EntryEndpoint, Stage
+from clementinedyke.entry.endpoint_limits import EndpointLimits
 from clementinedyke.entry.endpoint_work import PromptProfile, WorkTable
 from clementinedyke.health import HealthLimits, HealthState, HealthTable
 
@@ -35,6 +36,7 @@
         work: WorkTable,
         generator: random.Random,
         has_infrequent_updates: Callable[[], bool],
+        limits: EndpointLimits | None = None,
     ) -> None:
         """Create a core without endpoints.
 
@@ -44,7 +46,9 @@
         :param has_infrequent_updates: returns whether other daemons send
             state updates so rarely that all daemons would select the same
             endpoint in between.
+        :param limits: limits that endpoints have named, None to ignore them.
         """
+        self._limits = limits
         self._zone = availability_zone
         self._work = work
         self._generator = generator
@@ -241,6 +245,7 @@
             endpoint
             for endpoint in self.list_endpoints(service, stage)
             if endpoint.endpoint_id not in excluded
+            and (self._limits is None or self._limits.may_send(endpoint, now))
         ]
         reachable = [
             endpoint
--- a/src/clementinedyke/entry/request_path.py
+++ b/src/clementinedyke/entry/request_path.py
@@ -7,10 +7,12 @@
 
 from clementinedyke.clock import Clock
 from clementinedyke.entry.configuration_view import ConfigurationView
+from clementinedyke.entry.endpoint_limits import EndpointLimits
 from clementinedyke.entry.endpoint_reader import EndpointReader
 from clementinedyke.entry.endpoint_view import EndpointView
 from clementinedyke.entry.endpoint_work import WorkTable
-from clementinedyke.entry.exchange import Exchange
+from clementinedyke.entry.exchange import Exchange, get_max_idle
+from clementinedyke.entry.exchanged_state import ExchangedState
 from clementinedyke.entry.gateway import Gateway
 from clementinedyke.entry.host_settings import HostSettings
 from clementinedyke.entry.intake import Intake
@@ -20,10 +22,10 @@
 from clementinedyke.entry.platform_parts import PlatformParts
 from clementinedyke.entry.retry_budget import RetryBudgets
 from clementinedyke.entry.runners import RunnerContext
+from clementinedyke.entry.store_contact import StoreContact
 from clementinedyke.entry.suspect_component import SuspectComponent
 from clementinedyke.entry.usage_counter import UsageCounter
 from clementinedyke.entry.version_finder import VersionFinder
-from clementinedyke.http.client import MAX_IDLE_CONNECTIONS
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +40,7 @@
     has_infrequent_updates: Callable[[], bool]
     platform: PlatformParts
     endpoints: EndpointView
+    store_contact: StoreContact
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +53,7 @@
     suspect_component: SuspectComponent
     network: PeerNetwork
     versions: VersionFinder
+    exchanged_state: ExchangedState
 
 
 def create_request_path(
@@ -65,11 +69,13 @@
     :param work: table of the work at each endpoint.
     :param context: dependencies on the rest of the daemon.
     """
+    limits = EndpointLimits(settings.host, context.journal)
     placement = PlacementCore(
         settings.availability_zone,
         work,
         context.generator,
         context.has_infrequent_updates,
+        limits,
     )
     suspect_component = SuspectComponent(
         context.platform.store,
@@ -81,8 +87,9 @@
         context.platform.protocol,
         placement,
         context.clock,
-        partial(_get_max_idle, view, context.count_daemons),
+        partial(get_max_idle, view, context.count_daemons),
         suspect_component.suspects,
+        limits,
     )
     exchange.examine = suspect_component.examine
     placement.has_connection = exchange.has_connection
@@ -114,17 +121,18 @@
     )
     gateway = Gateway(intake, runner_context, context.journal)
     return RequestPath(
-        gateway, placement, exchange, suspect_component, network, versions
+        gateway,
+        placement,
+        exchange,
+        suspect_component,
+        network,
+        versions,
+        ExchangedState(
+            work=work,
+            configuration=view,
+            endpoints=context.endpoints,
+            store_contact=context.store_contact,
+            suspects=suspect_component,
+            limits=limits,
+        ),
     )
-
-
-def _get_max_idle(
-    view: ConfigurationView, count_daemons: Callable[[], int], service: str
-) -> int:
-    """Return this daemon's share of the connection limit of an endpoint."""
-    configuration = view.configuration
-    known = configuration.services.get(service) if configuration else None
-    if known is None or not known.max_connections:
-        return MAX_IDLE_CONNECTIONS
-    share = known.max_connections // count_daemons()
-    return min(MAX_IDLE_CONNECTIONS, max(1, share))
--- a/src/clementinedyke/platform/requests.py
+++ b/src/clementinedyke/platform/requests.py
@@ -1,5 +1,7 @@
 """Translates HTTP messages to and from the types of package ``entry``."""
 
+import math
+
 import msgspec
 from absl import logging
 
@@ -33,6 +35,7 @@
 _SIGNATURE = b'x-server-signature'
 _LOAD = b'x-instance-load'
 _NOT_EXECUTED = b'x-not-executed'
+_RATE_LIMIT = b'server-limit'
 #: Request headers that are not forwarded: hop-by-hop headers, and headers that
 #: only the daemon may set, so that callers can't forge them.
 _UNFORWARDED_HEADERS = frozenset(
@@ -180,6 +183,7 @@
             forwarded_headers=[
                 pair for pair in headers if pair[0] not in _HOP_BY_HOP_HEADERS
             ],
+            rate_limit=_parse_rate(_get_text(fields, _RATE_LIMIT)),
         )
 
     def read_prefill(self, body: bytes) -> PrefillAnswer | None:
@@ -236,6 +240,18 @@
     return None if text is None else parse_decimal(text, _MAX_NUMBER)
 
 
+def _parse_rate(text: str | None) -> float | None:
+    """Return a rate in requests a second, None if it is missing or invalid."""
+    if text is None:
+        return None
+    whole, point, fraction = text.partition('.')
+    number = parse_decimal(f'{whole or 0}{fraction}', _MAX_NUMBER)
+    if number is None or not (whole or fraction):
+        logging.warning('event=rate_limit_unreadable text=%r', text)
+        return None
+    return number / math.pow(10, len(fraction))
+
+
 def _parse_token_counts(fields: dict[bytes, bytes]) -> tuple[int, int]:
     """Return the prompt's tokens and the maximum of generated tokens.
 
