Test the shares of a limit on virtual time, and spread their start

They begin at different times now. 24 cases with a fifth of the news lost and with kills stay within the limit.

--- a/src/clementinedyke/entry/endpoint_limits.py
+++ b/src/clementinedyke/entry/endpoint_limits.py
@@ -172,7 +172,11 @@
     ) -> None:
         known = self._limits.get(run_id)
         if known is None or known.rate is None:
-            self._limits[run_id] = _Limit(rate, named_at, is_own, now)
+            # The daemons begin at different times, so that the endpoint gets
+            # requests from the start and not all at once.
+            weight = int.from_bytes(_get_weight(self._host, run_id), 'big')
+            tokens = _BURST * weight / (1 << 8 * _HASH_BYTES)
+            self._limits[run_id] = _Limit(rate, named_at, is_own, now, tokens)
             return
         known.advance(self._get_share(run_id), now)
         known.rate = rate
--- a/tests/test_entry_limits.py
+++ b/tests/test_entry_limits.py
@@ -1,7 +1,9 @@
 """Tests of endpoints that limit the requests of all daemons together."""
 
 import itertools
+from random import Random
 
+import msgspec
 import pytest
 import trio
 from tests.entry_environment import (
@@ -9,8 +11,11 @@
     EntryEnvironment,
     ScenarioRunner,
 )
+from tests.entry_samples import create_endpoint, create_journal
 from tests.platform_standin import EndpointStandin
 
+from clementinedyke.clock import ManualClock
+from clementinedyke.entry.endpoint_limits import EndpointLimits
 from clementinedyke.http.message import ResponseWriter, ServerRequest
 
 _HOSTS = ('host-1', 'host-2', 'host-3')
@@ -21,6 +26,15 @@
 _SPREAD_SECONDS = 0.5
 _SECONDS = 5
 _INTERVAL = 0.04
+#: Times in ms of the fleet on virtual time.
+_WINDOW = 4000
+_STEP = 20
+_NEWS_INTERVAL = 100
+_CONTACT_TIME = 3000
+_FLEET_TIME = 15000
+_TOLD_MARGIN = 500
+#: Daemons that try to send in each step.
+_SENDERS = 20
 
 
 class LimitingEndpoint:
@@ -156,3 +170,95 @@
             assert limited.count_most(since) > 0.3 / _INTERVAL
 
         ScenarioRunner().run(scenario)
+
+
+class LimitedFleet:
+    """Daemons on virtual time that send all they may to one endpoint."""
+
+    def __init__(self, daemons: int, rate: float, seed: int) -> None:
+        """Create daemons of which none knows the limit."""
+        self.now = 0
+        self.rate = rate
+        self.generator = Random(seed)
+        self.endpoint = create_endpoint('i-1')
+        self.hosts = [f'host-{number}' for number in range(daemons)]
+        self.tables = [self._create_table(host) for host in self.hosts]
+        #: Instant at which each daemon was first told by an answer.
+        self.told_at: dict[int, int] = {}
+        self.arrivals: list[int] = []
+        self.sends = 0
+
+    def run(self, until: int, lost_share: float, kill_every: int = 0) -> None:
+        """Send requests in steps of 20 ms; news arrive after each step."""
+        while self.now < until:
+            self.now += _STEP
+            if kill_every and self.now % kill_every == 0:
+                self._kill()
+            for number in self.generator.sample(
+                range(len(self.hosts)), min(len(self.hosts), _SENDERS)
+            ):
+                self._send(number)
+            if self.now % _NEWS_INTERVAL == 0:
+                self._share(lost_share)
+
+    def count_most(self) -> int:
+        """Return the most arrivals in a window from daemons that were told."""
+        counts = [
+            sum(begin <= moment < begin + _WINDOW for moment in self.arrivals)
+            for begin in self.arrivals
+        ]
+        return max(counts, default=0)
+
+    def _create_table(self, host: str) -> EndpointLimits:
+        table = EndpointLimits(host, create_journal(ManualClock()))
+        table.list_hosts = lambda: self.hosts
+        return table
+
+    def _kill(self) -> None:
+        number = self.generator.randrange(len(self.hosts))
+        self.tables[number] = self._create_table(self.hosts[number])
+        self.told_at.pop(number, None)
+
+    def _send(self, number: int) -> None:
+        table = self.tables[number]
+        if not table.may_send(self.endpoint, self.now):
+            return
+        table.record_send(self.endpoint, self.now)
+        self.sends += 1
+        told_at = self.told_at.setdefault(number, self.now)
+        if self.now >= _CONTACT_TIME and self.now - told_at >= _TOLD_MARGIN:
+            self.arrivals.append(self.now)
+        table.record_answer(self.endpoint, self.rate, self.now, self.now)
+
+    def _share(self, lost_share: float) -> None:
+        for sender, table in enumerate(self.tables):
+            news = table.list_news(self.now)
+            for receiver, other in enumerate(self.tables):
+                if receiver != sender and self.generator.random() >= lost_share:
+                    other.receive_news(news, self.now)
+
+
+class TestFleet:
+    """Guards against shares of a limit that add up to more than the limit."""
+
+    @pytest.mark.parametrize('rate', [0.25, 1, 3.5, 20])
+    @pytest.mark.parametrize('daemons', [1, 7, 72])
+    @pytest.mark.parametrize('kill_every', [0, 2000])
+    def test_sum_of_shares(
+        self, daemons: int, rate: float, kill_every: int
+    ) -> None:
+        """No window has more than is allowed, and the limit is made use of."""
+        fleet = LimitedFleet(daemons, rate, seed=1)
+        fleet.run(_FLEET_TIME, lost_share=0.2, kill_every=kill_every)
+        allowed = 1.5 * rate * _WINDOW / 1000 + 5
+        assert fleet.count_most() <= allowed
+        assert fleet.sends > rate * _FLEET_TIME / 1000 / 2
+
+    def test_news_at_the_size_in_two_years(self) -> None:
+        """What a daemon tells of limits stays small with 600 of them."""
+        table = EndpointLimits('host-1', create_journal(ManualClock()))
+        for number in range(600):
+            endpoint = create_endpoint(f'i-{number}')
+            table.record_answer(endpoint, 2.5, 0, number)
+        assert len(msgspec.msgpack.encode(table.list_news(600))) < 1000
+        assert not table.list_news(60000)
