List serve's missing protection against crashing messages as known red

A chat whose first message crashes each engine is not recognised by the daemon of serve when the last message differs: all engines go down and other chats get 503. The entry daemon's detection is not wired there yet.

--- a/tests/test_processes_engines.py
+++ b/tests/test_processes_engines.py
@@ -91,6 +91,27 @@
         assert {answer.status for answer in answers} == {200}
 
 
+class TestCrashingPart:
+    """Guards against engines that crash all day under one message of prompts.
+
+    The chats with it differ in their last message, so that no two are alike.
+    """
+
+    def test_message_is_refused(self, deployment: Deployment) -> None:
+        """At most eight engines crash, and other chats are answered."""
+        before = deployment.count_crashes()
+        for number in range(16):
+            daemon = deployment.daemons[number % 2]
+            daemon.chat(
+                messages=[
+                    {'role': 'system', 'content': f'{MARKER} in a part'},
+                    {'role': 'user', 'content': f'question {number}'},
+                ]
+            )
+            assert daemon.chat(f'beside {number}').status == 200
+        assert deployment.count_crashes() - before <= 8
+
+
 def _are_all_refusing(daemons: list[DaemonProcess], crashing_text: str) -> bool:
     """Send the request to daemons and return whether all refuse it."""
     codes = [daemon.chat(crashing_text).code for daemon in daemons]
