Never forget a limit while its endpoint is used, and compute shares rarely

A limit that no answer had named for 30 s was dropped by all daemons at once, so an endpoint that takes nothing would have got a request of each (read, not seen). Now it is probed at 0.1 requests a second by all together. The share of a limit sorts the hosts and is computed twice a second instead of at each choice of an endpoint.

--- a/src/clementinedyke/entry/endpoint_limits.py
+++ b/src/clementinedyke/entry/endpoint_limits.py
@@ -16,8 +16,13 @@
 #: Each may send a burst, so their number bounds what arrives in a moment.
 _DAEMONS_PER_RATE = 2
 _MIN_DAEMONS = 4
+#: Lowest rate in requests a second at which an endpoint is used, so that an
+#: answer tells when its limit is lifted.
+_MIN_RATE = 0.1
 #: Time after which a limit is forgotten that no answer has named again.
-_LIFETIME: Milliseconds = 30000
+_LIFETIME: Milliseconds = 600000
+#: Time for which the share of a limit is not computed again.
+_SHARE_LIFETIME: Milliseconds = 500
 #: Age up to which limits are told to the other daemons, and how many at once.
 _MAX_TOLD_AGE: Milliseconds = 3000
 _MAX_TOLD = 20
@@ -44,16 +49,18 @@
     is_own: bool
     updated_at: Milliseconds
     tokens: float = 0
+    share: float = 0
+    share_from: Milliseconds | None = None
 
-    def advance(self, share: float, now: Milliseconds) -> None:
+    def advance(self, now: Milliseconds) -> None:
         """Add the tokens of the time since the last call.
 
-        :param share: share of this daemon in the rate.
         :param now: current instant.
         """
         passed = now - self.updated_at
         self.updated_at = now
-        gained = share * (self.rate or 0) * passed / _MILLISECONDS_PER_SECOND
+        rate = max(_MIN_RATE, self.rate or 0)
+        gained = self.share * rate * passed / _MILLISECONDS_PER_SECOND
         self.tokens = min(_BURST, self.tokens + gained)
 
 
@@ -100,7 +107,7 @@
                 endpoint=endpoint.endpoint_id,
                 former=former,
                 rate=rate,
-                share=round(self._get_share(endpoint.run_id), 3),
+                share=round(self._limits[endpoint.run_id].share, 3),
             )
             for observer in self.urgent_observers:
                 observer()
@@ -145,9 +152,7 @@
         limit = self._limits.get(endpoint.run_id)
         if limit is None or limit.rate is None:
             return True
-        if now - limit.named_at >= _LIFETIME:
-            return True
-        limit.advance(self._get_share(endpoint.run_id), now)
+        self._advance(endpoint.run_id, limit, now)
         return limit.tokens >= _BURST
 
     def record_send(self, endpoint: EntryEndpoint, now: Milliseconds) -> None:
@@ -158,7 +163,7 @@
         """
         limit = self._limits.get(endpoint.run_id)
         if limit is not None and limit.rate is not None:
-            limit.advance(self._get_share(endpoint.run_id), now)
+            self._advance(endpoint.run_id, limit, now)
             limit.tokens -= 1
 
     def _set_limit(
@@ -176,19 +181,27 @@
             # requests from the start and not all at once.
             weight = int.from_bytes(_get_weight(self._host, run_id), 'big')
             tokens = _BURST * weight / (1 << 8 * _HASH_BYTES)
-            self._limits[run_id] = _Limit(rate, named_at, is_own, now, tokens)
+            added = _Limit(rate, named_at, is_own, now, tokens)
+            self._limits[run_id] = added
+            self._advance(run_id, added, now)
             return
-        known.advance(self._get_share(run_id), now)
+        self._advance(run_id, known, now)
         known.rate = rate
         known.named_at = named_at
         known.is_own = is_own
 
-    def _get_share(self, run_id: str) -> float:
+    def _advance(self, run_id: str, limit: _Limit, now: Milliseconds) -> None:
+        limit.advance(now)
+        computed_at = limit.share_from
+        if computed_at is None or now - computed_at >= _SHARE_LIFETIME:
+            limit.share = self._compute_share(run_id, limit)
+            limit.share_from = now
+
+    def _compute_share(self, run_id: str, limit: _Limit) -> float:
         """Return this daemon's share of a limit, 0 if others use it up.
 
         All daemons compute the same shares without coordination.
         """
-        limit = self._limits[run_id]
         hosts = {*self.list_hosts(), self._host}
         count = _MIN_DAEMONS + int(_DAEMONS_PER_RATE * (limit.rate or 0))
         if len(hosts) > count:
