--- a/tests/test_entry_parts.py
+++ b/tests/test_entry_parts.py
@@ -298,6 +298,31 @@
         assert core.get_verdict(['part'], later) is PartVerdict.TRIAL
         assert core.get_verdict(['part'], limits.retention) is PartVerdict.CLEAR
 
+    def test_other_part_explains_losses(self) -> None:
+        """A part beside a fatal one in all its losses is not suspected."""
+        core = PartCore(PartLimits(), 'host-1')
+        for number in range(3):
+            key = (f'i-{number}', '1')
+            core.record_loss('fatal', key, 0, is_trial=False)
+            if number:
+                core.record_loss('beside', key, 0, is_trial=False)
+        assert core.get_verdict(['beside'], 1) is PartVerdict.CLEAR
+        assert core.get_verdict(['fatal'], 1) is PartVerdict.TRIAL
+        assert core.get_verdict(['beside', 'fatal'], 1) is PartVerdict.TRIAL
+
+    def test_one_trial_at_a_time(self) -> None:
+        """A part is not tried by two requests, nor by two daemons at once."""
+        limits = PartLimits()
+        core = PartCore(limits, 'host-2')
+        assert core.reserve_trial('r-1', ['part'], 0)
+        assert not core.reserve_trial('r-2', ['part'], 0)
+        core.receive_trial('host-1', ['part'], 1)
+        assert core.get_settle_time('r-1', 2) is None
+        core.end_trial('r-1')
+        assert not core.reserve_trial('r-1', ['part'], limits.trial_lifetime)
+        later = limits.trial_lifetime + 2
+        assert core.reserve_trial('r-1', ['part'], later)
+
     def test_late_evidence_of_a_cleared_loss(self) -> None:
         """Evidence that arrives again doesn't count after an answer."""
         core = PartCore(PartLimits(), 'host-1')
