--- a/tests/test_processes_engines.py
+++ b/tests/test_processes_engines.py
@@ -41,8 +41,8 @@
         return sum(engine.get_report()['crashes'] for engine in self.engines)
 
 
-@pytest.fixture(scope='module')
-def deployment() -> Iterator[Deployment]:
+@contextmanager
+def run_deployment() -> Iterator[Deployment]:
     """Run two daemons and five engines."""
     flags = ('--crash-marker', MARKER, '--crash-downtime', '0.3')
     engines = [
@@ -55,6 +55,13 @@
         yield Deployment(fleet, fleet.standins, daemons)
 
 
+@pytest.fixture(scope='module')
+def deployment() -> Iterator[Deployment]:
+    """Run a deployment that several tests use."""
+    with run_deployment() as running:
+        yield running
+
+
 class TestCrashingRequest:
     """Guards against one request that crashes engine after engine."""
 
@@ -97,19 +104,19 @@
     The chats with it differ in their last message, so that no two are alike.
     """
 
-    def test_message_is_refused(self, deployment: Deployment) -> None:
+    def test_message_is_refused(self) -> None:
         """At most eight engines crash, and other chats are answered."""
-        before = deployment.count_crashes()
-        for number in range(16):
-            daemon = deployment.daemons[number % 2]
-            daemon.chat(
-                messages=[
-                    {'role': 'system', 'content': f'{MARKER} in a part'},
-                    {'role': 'user', 'content': f'question {number}'},
-                ]
-            )
-            assert daemon.chat(f'beside {number}').status == 200
-        assert deployment.count_crashes() - before <= 8
+        with run_deployment() as running:
+            for number in range(16):
+                daemon = running.daemons[number % 2]
+                daemon.chat(
+                    messages=[
+                        {'role': 'system', 'content': f'{MARKER} in a part'},
+                        {'role': 'user', 'content': f'question {number}'},
+                    ]
+                )
+                assert daemon.chat(f'beside {number}').status == 200
+            assert running.count_crashes() <= 8
 
 
 def _are_all_refusing(daemons: list[DaemonProcess], crashing_text: str) -> bool:
