--- a/src/clementinedyke/entry/gateway.py
+++ b/src/clementinedyke/entry/gateway.py
@@ -137,12 +137,6 @@
             ],
         )
 
-    def _get_remaining_retries(self, job: Job) -> float:
-        budget = self._context.budgets.get_budget(job.service.name)
-        return budget.get_remaining(
-            self._context.count_daemons(), self._clock.get_now()
-        )
-
     def _record_end(
         self, job: Job, code: ResultCode | None, reason: str
     ) -> None:
@@ -168,7 +162,7 @@
                 part.part_id
                 for part in job.request.shared_parts[:_MAX_LOGGED_PARTS]
             ],
-            retries_left=round(self._get_remaining_retries(job), 1),
+            retries_left=round(self._context.get_remaining_retries(job), 1),
             path=job.path,
             versions=job.versions,
             resumes=job.request.resumed_request,
--- a/src/clementinedyke/entry/runners.py
+++ b/src/clementinedyke/entry/runners.py
@@ -153,11 +153,16 @@
         """
         if not job.route.is_repeatable or runs >= job.route.max_attempts:
             return False
+        return self.get_remaining_retries(job) >= 1
+
+    def get_remaining_retries(self, job: Job) -> float:
+        """Return the retries that this daemon may make of a job's service.
+
+        :param job: any job.
+        :return: remaining retries, negative if overdrawn.
+        """
         budget = self.budgets.get_budget(job.service.name)
-        return (
-            budget.get_remaining(self.count_daemons(), self.clock.get_now())
-            >= 1
-        )
+        return budget.get_remaining(self.count_daemons(), self.clock.get_now())
 
     def create_attempt_scope(self, job: Job) -> trio.CancelScope:
         """Return a scope that times out if an endpoint does not answer.
--- a/src/clementinedyke/entry/stream_runner.py
+++ b/src/clementinedyke/entry/stream_runner.py
@@ -184,20 +184,15 @@
                 generation.has_prefill = True
                 return
             # After a failed prefill all further sends count as retries.
-            if self._get_remaining_budget(job) < 0:
+            if context.get_remaining_retries(job) < 0:
                 raise self._create_error(generation, 'no retry budget is left')
 
     def _may_prefill(self, generation: _Generation) -> bool:
         """Return whether an engine may be asked to prefill the prompt."""
         is_first = not generation.tried_prefill_engines
-        return is_first or self._get_remaining_budget(generation.job) >= 1
-
-    def _get_remaining_budget(self, job: Job) -> float:
-        context = self._context
-        budget = context.budgets.get_budget(job.service.name)
-        return budget.get_remaining(
-            context.count_daemons(), context.clock.get_now()
-        )
+        if is_first:
+            return True
+        return self._context.get_remaining_retries(generation.job) >= 1
 
     def _record_failed_prefill(
         self, ticket: PrefillTicket, job: Job, limit: Milliseconds
