Tell that a limit was lifted for a while only

Each later answer of the endpoint counted as news of its own, so all daemons would have told of up to 20 endpoints in each update for ever: some 40 KB/s a daemon with 330 of them (calculated). Only the answer that lifts the limit is told now, for 12 s instead of 3, so that two updates carry it at that size. test_lifted_limit_is_told_for_a_while fails without the change.

--- a/src/clementinedyke/entry/endpoint_limits.py
+++ b/src/clementinedyke/entry/endpoint_limits.py
@@ -24,7 +24,8 @@
 #: Time for which the share of a limit is not computed again.
 _SHARE_LIFETIME: Milliseconds = 500
 #: Age up to which limits are told to the other daemons, and how many at once.
-_MAX_TOLD_AGE: Milliseconds = 3000
+#: With 330 daemons each sends an update every 5.5 s, and some are lost.
+_MAX_TOLD_AGE: Milliseconds = 12000
 _MAX_TOLD = 20
 #: Relative change of a limit that the other daemons learn at once.
 _MIN_CHANGE = 0.1
@@ -97,9 +98,11 @@
         :param now: current instant.
         """
         known = self._limits.get(endpoint.run_id)
-        if rate is None and (known is None or sent_at <= known.named_at):
-            return
         former = known.rate if known else None
+        if rate is None and (
+            known is None or former is None or sent_at <= known.named_at
+        ):
+            return
         self._set_limit(endpoint.run_id, rate, now, now, is_own=True)
         if _is_changed(former, rate):
             self._journal.write(
--- a/tests/test_entry_limits.py
+++ b/tests/test_entry_limits.py
@@ -254,6 +254,22 @@
         assert fleet.count_most() <= allowed
         assert fleet.sends > rate * _FLEET_TIME / 1000 / 2
 
+    def test_lifted_limit_is_told_for_a_while(self) -> None:
+        """An endpoint that once named a limit is not told of for ever.
+
+        Each answer without a limit counted as news, so that all daemons told
+        of all endpoints that had ever named one.
+        """
+        table = EndpointLimits('host-1', create_journal(ManualClock()))
+        endpoint = create_endpoint('i-1')
+        table.record_answer(endpoint, 2.5, 0, 1)
+        table.record_answer(endpoint, None, 2, 3)
+        assert table.list_news(4) == [(endpoint.run_id, -1, 1)]
+        for now in range(1000, 60000, 1000):
+            table.record_answer(endpoint, None, now - 1, now)
+        assert not table.list_news(60000)
+        assert table.may_send(endpoint, 60000)
+
     def test_news_at_the_size_in_two_years(self) -> None:
         """What a daemon tells of limits stays small with 600 of them."""
         table = EndpointLimits('host-1', create_journal(ManualClock()))
