Reword comments on limits and prompt parts

share_from is share_computed_at; the age of rows is that of evidence in memory instead of a second copy of the number. No change of behaviour.

--- a/src/clementinedyke/entry/endpoint_limits.py
+++ b/src/clementinedyke/entry/endpoint_limits.py
@@ -42,7 +42,9 @@
 
     ``rate`` is in requests a second, None if the limit was lifted.
     ``named_at`` is the instant of the answer that tells it, and ``is_own``
-    whether this daemon got that answer.
+    whether this daemon got that answer. ``tokens`` are the requests that this
+    daemon may send now, and ``share`` is its part of the rate, computed at
+    ``share_computed_at``.
     """
 
     rate: float | None
@@ -51,7 +53,7 @@
     updated_at: Milliseconds
     tokens: float = 0
     share: float = 0
-    share_from: Milliseconds | None = None
+    share_computed_at: Milliseconds | None = None
 
     def advance(self, now: Milliseconds) -> None:
         """Add the tokens of the time since the last call.
@@ -195,10 +197,10 @@
 
     def _advance(self, run_id: str, limit: _Limit, now: Milliseconds) -> None:
         limit.advance(now)
-        computed_at = limit.share_from
+        computed_at = limit.share_computed_at
         if computed_at is None or now - computed_at >= _SHARE_LIFETIME:
             limit.share = self._compute_share(run_id, limit)
-            limit.share_from = now
+            limit.share_computed_at = now
 
     def _compute_share(self, run_id: str, limit: _Limit) -> float:
         """Return this daemon's share of a limit, 0 if others use it up.
--- a/src/clementinedyke/entry/suspect_component.py
+++ b/src/clementinedyke/entry/suspect_component.py
@@ -16,7 +16,7 @@
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.suspects import Suspects
 from clementinedyke.http.client import HttpClient
-from clementinedyke.quarantine.core import Evidence
+from clementinedyke.quarantine.core import Evidence, QuarantineSettings
 from clementinedyke.quarantine.rows import (
     SUSPECTS_TABLE,
     SuspectRow,
@@ -34,8 +34,8 @@
 _MAX_WRITES = 100
 #: Rows that wait to be written while the store is away.
 _MAX_UNWRITTEN = 1000
-#: Age at which a row is ignored and deleted, as long as daemons remember.
-_ROW_LIFETIME: Milliseconds = 3600000
+#: Age at which a row is ignored and deleted. Daemons forget evidence then too.
+_ROW_LIFETIME: Milliseconds = QuarantineSettings().retention
 _MILLISECONDS_PER_SECOND = 1000
 #: Names of the results of an examination in the metrics.
 _RESULTS = {True: 'listening', False: 'ended', None: 'unknown'}
--- a/src/clementinedyke/platform/requests.py
+++ b/src/clementinedyke/platform/requests.py
@@ -244,7 +244,7 @@
     """Return a rate in requests a second, None if it is missing or invalid."""
     if text is None:
         return None
-    whole, point, fraction = text.partition('.')
+    whole, _, fraction = text.partition('.')
     number = parse_decimal(f'{whole or 0}{fraction}', _MAX_NUMBER)
     if number is None or not (whole or fraction):
         logging.warning('event=rate_limit_unreadable text=%r', text)
--- a/src/clementinedyke/quarantine/parts.py
+++ b/src/clementinedyke/quarantine/parts.py
@@ -250,10 +250,9 @@
     def reserve_trial(
         self, request_id: str, parts: Sequence[str], now: Milliseconds
     ) -> bool:
-        """Reserve a trial and return whether it has begun to settle.
+        """Reserve a trial; return False if a part is already being tried.
 
-        False if another request is on trial with one of the parts. A new
-        reservation has to be told to the other daemons.
+        The other daemons have to be told of a new reservation.
 
         :param request_id: id of the request.
         :param parts: suspected parts of the request.
@@ -408,8 +407,9 @@
     ) -> bool:
         suspected = self._records[part]
         is_proven = self.is_proven(part, now)
-        # Two parts with the same losses are tried one after the other, unless
-        # there is reason to believe that it is not this one.
+        # Parts with equal losses do not explain each other: prompts with either
+        # would all run. One known from complete answers is explained all the
+        # same, since it is unlikely to be the cause.
         return any(
             other not in parts
             and suspected.is_explained_by(record)
@@ -431,7 +431,7 @@
         record.losses.clear()
         while len(record.cleared) > _MAX_CLEARED:
             record.cleared.pop(next(iter(record.cleared)))
-        # A trial of a part that is cleared needs not be waited for.
+        # There is no need to wait for a trial of a part that is cleared.
         for owner, trial in tuple(self._other_trials.items()):
             if part in trial.parts:
                 self._other_trials.pop(owner)
