--- a/tests/test_daemon_authority.py
+++ b/tests/test_daemon_authority.py
@@ -77,18 +77,29 @@
                 lambda: cluster.get('orders', key)['outcome'] == 'done'
             )
 
+            # The store has the outcome before its answer reaches the daemon.
+            await wait_for(
+                lambda: (
+                    self._get_outcome(daemon.reports, row['order_id']) == 'done'
+                )
+            )
             self._check_reports(daemon.reports, row['order_id'])
             await wait_for(lambda: list_endpoint_orders(cluster))
             assert list_endpoint_orders(cluster) == ['zone-a/standard/3']
 
+    def _get_outcome(self, reports: DaemonReports, order_id: str) -> str:
+        """Return the outcome of an order in the daemon's status."""
+        orders = reports.compile_status()['orders']
+        outcomes = {row['order_id']: row['outcome'] for row in orders}
+        return outcomes[order_id]
+
     def _check_reports(self, reports: DaemonReports, order_id: str) -> None:
         """Check that status and metrics show the lease and the order."""
         status = reports.compile_status()
         leases = {lease['scope']: lease for lease in status['leases']}
         assert leases[SCOPE]['held']
         assert leases[SCOPE]['holder']['host'] == 'host-0'
-        outcomes = {row['order_id']: row['outcome'] for row in status['orders']}
-        assert outcomes[order_id] == 'done'
+        assert self._get_outcome(reports, order_id) == 'done'
         assert status['usage']['part_window'] > 0
         metrics = reports.metrics.render().decode()
         done = 'clementinedyke_orders_total{event="done",service="chat"}'
