Log how long a feed waited and a configuration was unconfirmed

The log of a late change could not tell a call that hung from one that was refused, nor a change that was late in the store from one that was late here.

--- a/src/clementinedyke/entry/configuration_view.py
+++ b/src/clementinedyke/entry/configuration_view.py
@@ -111,14 +111,15 @@
         """
         for row in rows:
             if row.key == self._key and row.content is not None:
-                self.apply_content(row.content)
+                self.apply_content(row.content, now)
 
-    def apply_content(self, content: bytes) -> None:
+    def apply_content(self, content: bytes, now: Milliseconds) -> None:
         """Put a version in force if it is newer than the current one.
 
         Content that can't be decoded is logged and ignored.
 
         :param content: raw content of the configuration's row.
+        :param now: current instant.
         """
         if content == self._content:
             return
@@ -139,6 +140,7 @@
             'configuration_in_force',
             version=configuration.version,
             routes=len(configuration.routes),
+            unconfirmed_ms=self.get_age(now),
         )
 
     def confirm(self, as_of: Milliseconds, revision: int = 0) -> None:
--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -379,7 +379,9 @@
     ) -> None:
         former = self._configuration.version
         if state.configuration:
-            self._configuration.apply_content(state.configuration)
+            self._configuration.apply_content(
+                state.configuration, self._clock.get_now()
+            )
         if state.configuration_age >= 0:
             self._configuration.confirm(asked_at - state.configuration_age)
         if state.endpoints_revision > self._endpoints.as_of_revision:
--- a/src/clementinedyke/entry/watch.py
+++ b/src/clementinedyke/entry/watch.py
@@ -219,10 +219,20 @@
         sent_at: Milliseconds,
     ) -> bool:
         if answer.is_err():
-            self._view.record_failure(self._clock.get_now())
-            self._set_connected(is_connected=False)
+            now = self._clock.get_now()
+            self._view.record_failure(now)
+            if self._is_connected:
+                self._is_connected = False
+                self._journal.write(
+                    'store_lost',
+                    table=self._table,
+                    reason=answer.unwrap_err().value,
+                    waited_ms=now - sent_at,
+                )
             return False
-        self._set_connected(is_connected=True)
+        if not self._is_connected:
+            self._is_connected = True
+            self._journal.write('store_regained', table=self._table)
         outcome = answer.unwrap()
         if isinstance(outcome, HistoryLost):
             self._journal.write('feed_history_lost', table=self._table)
@@ -231,10 +241,3 @@
         self._revision = outcome.revision
         self._view.confirm(sent_at, outcome.revision)
         return True
-
-    def _set_connected(self, *, is_connected: bool) -> None:
-        if is_connected == self._is_connected:
-            return
-        self._is_connected = is_connected
-        event = 'store_regained' if is_connected else 'store_lost'
-        self._journal.write(event, table=self._table)
--- a/tests/test_entry_configuration.py
+++ b/tests/test_entry_configuration.py
@@ -92,7 +92,7 @@
         return Ok(configuration)
 
     view = ConfigurationView('config', decode, create_journal(ManualClock()))
-    view.apply_content(b'1')
+    view.apply_content(b'1', 0)
     return view
 
 
@@ -195,7 +195,7 @@
     def test_unknown_key(self) -> None:
         """An unknown key must be denied only by a recently confirmed view."""
         view = create_view(ManualClock())
-        view.apply_content(b'1')
+        view.apply_content(b'1', 0)
         view.confirm(0)
         fresh = self.admit(view, 100, key='other')
         stale = self.admit(view, 60000, key='other')
@@ -205,7 +205,7 @@
     def test_unknown_route(self) -> None:
         """A route that may just have been added must not be answered 404."""
         view = create_view(ManualClock())
-        view.apply_content(b'1')
+        view.apply_content(b'1', 0)
         view.confirm(0)
         assert (
             self.admit(view, 100, path='/new/').code is ResultCode.ROUTE_UNKNOWN
@@ -218,7 +218,7 @@
     def test_store_unavailable(self) -> None:
         """Known customers must be served while the store is unavailable."""
         view = create_view(ManualClock())
-        view.apply_content(b'1')
+        view.apply_content(b'1', 0)
         view.confirm(0)
         assert isinstance(self.admit(view, 60000), Job)
 
@@ -228,7 +228,7 @@
         A caller that sends a request again gives it another id.
         """
         view = create_view(ManualClock())
-        view.apply_content(b'1')
+        view.apply_content(b'1', 0)
         view.confirm(0)
         first = self.admit(view, 1).fingerprint
         assert self.admit(view, 2, request_id='r-2').fingerprint == first
@@ -243,7 +243,7 @@
     def test_max_key_age(self) -> None:
         """With a maximum key age, unconfirmed keys must be refused after it."""
         view = create_view(ManualClock())
-        view.apply_content(b'1')
+        view.apply_content(b'1', 0)
         view.confirm(0)
         intake = Intake(view, 5000, 2000, random.Random(1))
         assert isinstance(intake.admit(create_request(), 4000), Job)
@@ -254,7 +254,7 @@
     def test_deadline(self) -> None:
         """The shorter time-out of caller and route must set the deadline."""
         view = create_view(ManualClock())
-        view.apply_content(b'1')
+        view.apply_content(b'1', 0)
         view.confirm(0)
         assert self.admit(view, 100, caller_timeout=2000).deadline == 2100
         assert self.admit(view, 100, caller_timeout=60000).deadline == 6100
