Notice that a caller has left before each send

Requests reached engines up to 2.4 s after their callers had left. A daemon that stood still finds the answer of a prefill engine and the close of the caller waiting together; if the task of the request ran first, it sent the request on without a pause in which it could be cancelled.

The task now yields once before it selects the endpoint of each send, so that the task that watches the caller runs in between.

--- a/src/clementinedyke/entry/runners.py
+++ b/src/clementinedyke/entry/runners.py
@@ -83,6 +83,7 @@
         :param job: job that is about to be sent.
         :raises RequestError: if endpoints ended because of the request.
         """
+        await self.notice_departure()
         if job.examination is not None:
             with trio.move_on_after(
                 EXAMINATION_TIMEOUT / _MILLISECONDS_PER_SECOND
@@ -93,6 +94,15 @@
         )
         await self._wait_until_clear(job, self._get_wait, RETRY_AFTER_HELD)
 
+    async def notice_departure(self) -> None:
+        """Let the task that watches the caller's connection run.
+
+        The close of the caller may have arrived together with the answer of
+        an endpoint. The endpoint of the next send is selected afterwards, so
+        that requests of one moment don't all select the same.
+        """
+        await trio.lowlevel.checkpoint()
+
     def list_excluded(self, job: Job) -> frozenset[str]:
         """Return the ids of the endpoints that may not run a job now.
 
--- a/src/clementinedyke/entry/stream_runner.py
+++ b/src/clementinedyke/entry/stream_runner.py
@@ -164,6 +164,7 @@
         job = generation.job
         context = self._context
         for _ in range(_MAX_PREFILLS):
+            await context.notice_departure()
             endpoint = context.placement.select_prefill(
                 job.service.name,
                 generation.profile,
