--- a/tests/test_silent_connections.py
+++ b/tests/test_silent_connections.py
@@ -4,20 +4,37 @@
 
 import pytest
 import trio
-from tests.entry_environment import EntryEnvironment, ScenarioRunner
+from tests.entry_environment import (
+    CONFIGURATION,
+    EntryEnvironment,
+    ScenarioRunner,
+)
 from tests.entry_samples import BOUNDS, TrioClock, create_journal
 from tests.link import Link
+from tests.platform_standin import EndpointStandin
 
 from clementinedyke.clock import ManualClock
+from clementinedyke.entry.endpoint_view import EndpointView
+from clementinedyke.entry.store_calls import StoreCallLog
+from clementinedyke.entry.store_contact import StoreContact
 from clementinedyke.entry.watch import FeedPace, StoredRow, TableWatch
 from clementinedyke.exceptions import AnswerLostError
 from clementinedyke.http.client import Address, HttpClient, HttpRequest
+from clementinedyke.platform.endpoint_document import decode_endpoint
 from clementinedyke.platform.store import StoreClient
 
 #: Time after a silence began in which the daemon has to know of it: the bounds
 #: of configuration and drains hold again from then on.
 _TOLERANCE_SECONDS = 3
 _TABLES = ('op', 'servers')
+#: Endpoint that leaves, by route.
+_LEAVING = {
+    'read': 'ledger-1',
+    'book': 'ledger-1',
+    'ask': 'writer',
+    'resumable': 'writer',
+}
+_REQUESTS = 8
 #: A call on a new connection takes some milliseconds.
 _PROMPT_SECONDS = 0.5
 
@@ -118,6 +135,106 @@
         assert seen[0] < _PROMPT_SECONDS
 
 
+class TestRemovedEntry:
+    """Guards against taking a silent connection for an outage of the store."""
+
+    def test_is_not_held(self) -> None:
+        """An endpoint whose entry is removed in a silence is dropped at once.
+
+        It was kept for another 1.7 s, as if its entry had lapsed while the
+        store was down for all daemons.
+        """
+        kept: list[str] = []
+
+        async def scenario(env: EntryEnvironment) -> None:
+            link = Link(Address('127.0.0.1', env.store_port))
+            await link.start(env.nursery)
+            view = await start_endpoint_watch(env, link)
+            await env.wait_for(lambda: env.store.count_followers('servers'))
+            link.hang_open()
+            silent_since = trio.current_time()
+            env.store.remove('servers', 'writer')
+            await trio.sleep_until(silent_since + _TOLERANCE_SECONDS)
+            now = TrioClock().get_now()
+            kept.extend(
+                endpoint.endpoint_id for endpoint in view.list_endpoints(now)
+            )
+
+        ScenarioRunner().run(scenario)
+        assert kept
+        assert 'writer' not in kept
+
+
+async def start_endpoint_watch(
+    env: EntryEnvironment, link: Link
+) -> EndpointView:
+    """Start the watch of the endpoints of a daemon without other calls."""
+    clock = TrioClock()
+    journal = create_journal(ManualClock())
+    contact = StoreContact()
+    view = EndpointView(
+        decode_endpoint, BOUNDS.drain_delay, lambda: 20, contact, journal
+    )
+    store = StoreClient(HttpClient(Address('127.0.0.1', link.port)))
+    store.record_call = StoreCallLog(contact, clock, journal).record_call
+    watch = TableWatch(
+        'servers',
+        store,
+        view,
+        FeedPace(lambda: 7, BOUNDS),
+        clock,
+        journal,
+        Random(1),
+    )
+    await watch.start(env.nursery)
+    return view
+
+
+class TestLeavingEndpoint:
+    """Guards against requests to endpoints that left during a silence."""
+
+    @pytest.mark.parametrize('is_removed', [False, True])
+    @pytest.mark.parametrize('route', ['read', 'book', 'ask', 'resumable'])
+    def test_no_request_reaches_it(
+        self, route: str, *, is_removed: bool
+    ) -> None:
+        """No request reaches an endpoint that left while feeds were silent.
+
+        Callers hold the daemon to its bounds from 3 s after the silence began.
+        """
+        reached: list[str] = []
+
+        async def scenario(env: EntryEnvironment) -> None:
+            link = await open_silent_daemon(env)
+            leaving = env.endpoints[_LEAVING[route]]
+            link.hang_open()
+            silent_since = trio.current_time()
+            if is_removed:
+                env.store.remove('servers', leaving.endpoint_id)
+            else:
+                env.register(leaving, state='draining')
+            await trio.sleep_until(silent_since + _TOLERANCE_SECONDS)
+            leaving.received.clear()
+            for number in range(_REQUESTS):
+                answer = await env.send_request(f'/{route}/1', f'late-{number}')
+                assert answer.status == 200
+            reached.extend(request.path for request in leaving.received)
+
+        ScenarioRunner().run(scenario)
+        assert not reached
+
+
+async def open_silent_daemon(env: EntryEnvironment) -> Link:
+    """Start a daemon that reaches the store over a link; return the link."""
+    await env.add_endpoint(EndpointStandin('writer-2', 'decode'))
+    link = Link(Address('127.0.0.1', env.store_port))
+    await link.start(env.nursery)
+    env.store.put('op', 'config', CONFIGURATION)
+    await env.start_daemon(store_port=link.port)
+    await env.wait_until_served()
+    return link
+
+
 class TestSilentEndpoint:
     """Guards against requests that wait on a dead connection."""
 
