Take a single failed call of a feed for a broken connection

Requests reached an endpoint for 1.7 s after the daemon saw that its entry was removed: a feed that had gone silent counted as an outage of the store, after which missing entries are kept for a while. The store answers on a new connection at once, so only a failure of the repeated call counts as one.

Removed during a silence, the endpoint was still used 3 s after it began (TestRemovedEntry); now it is dropped with the first answer.

--- a/src/clementinedyke/entry/watch.py
+++ b/src/clementinedyke/entry/watch.py
@@ -220,7 +220,10 @@
     ) -> bool:
         if answer.is_err():
             now = self._clock.get_now()
-            self._view.record_failure(now)
+            if self._failures:
+                # A single failure may be that of a kept connection, while the
+                # store answers on new ones.
+                self._view.record_failure(now)
             if self._is_connected:
                 self._is_connected = False
                 self._journal.write(
