Add failing tests of daemons that lose their links to all endpoints

Such daemons serve less than two thirds of what the others serve when one, two or all three daemons of a zone are cut off, whether their connections hang, are reset or live on while new ones are refused.

--- a/tests/entry_environment.py
+++ b/tests/entry_environment.py
@@ -1,9 +1,12 @@
 """Test environment: entry daemons and platform stand-ins in one process."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import trio
+from result import Ok, Result
 from tests.entry_samples import BOUNDS
+from tests.link import Link
 from tests.platform_standin import (
     DutiesStandin,
     EndpointStandin,
@@ -12,7 +15,9 @@
 )
 
 from clementinedyke.entry.application import EntryApplication
+from clementinedyke.entry.catalog import EntryEndpoint
 from clementinedyke.entry.host_settings import HostSettings
+from clementinedyke.entry.platform_parts import PlatformParts
 from clementinedyke.http.client import (
     Address,
     HttpClient,
@@ -63,6 +68,58 @@
 }
 
 
+class EndpointLinks:
+    """Links of one daemon to all endpoints, which are cut together."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        """Create an instance without links."""
+        self._nursery = nursery
+        self._links: dict[str, Link] = {}
+
+    @property
+    def accepted(self) -> int:
+        """Connections that the daemon has opened over its links."""
+        return sum(link.accepted for link in self._links.values())
+
+    async def add(self, endpoint: EndpointStandin) -> None:
+        """Open a link to an endpoint."""
+        link = Link(Address('127.0.0.1', endpoint.port))
+        await link.start(self._nursery)
+        self._links[endpoint.endpoint_id] = link
+
+    def cut(self, mode: str) -> None:
+        """Cut the daemon off from all endpoints.
+
+        :param mode: open connections ``hang``, are ``reset``, or live on while
+            new ones are refused (``refuse``).
+        """
+        for link in self._links.values():
+            if mode == 'hang':
+                link.hang_open()
+                link.hang_new()
+                continue
+            link.refuse_new()
+            if mode == 'reset':
+                link.reset_open()
+
+    def heal(self) -> None:
+        """End the cut."""
+        for link in self._links.values():
+            link.heal()
+
+    def replace_addresses(self, parts: PlatformParts) -> PlatformParts:
+        """Return parts that decode entries with the addresses of the links."""
+
+        def decode(key: str, content: bytes) -> Result[EntryEndpoint, str]:
+            decoded = parts.decode_endpoint(key, content)
+            if decoded.is_err() or key not in self._links:
+                return decoded
+            address = Address('127.0.0.1', self._links[key].port)
+            return Ok(replace(decoded.unwrap(), address=address))
+
+        return replace(parts, decode_endpoint=decode)
+
+
 class EntryEnvironment:
     """Stand-ins for store, duties and endpoints, and daemons that use them."""
 
@@ -109,13 +166,15 @@
         host: str = 'host-1',
         store_port: int | None = None,
         link_megabits: float = 1000,
+        zone: str = 'zone-a',
+        links: EndpointLinks | None = None,
     ) -> EntryApplication:
         """Start a daemon and wait until its ports are bound."""
         port = self.store_port if store_port is None else store_port
         settings = HostSettings(
             host=host,
             ip='127.0.0.1',
-            availability_zone='zone-a',
+            availability_zone=zone,
             caller_address=Address('127.0.0.1', 0),
             ready_address=Address('127.0.0.1', 0),
             peer_address=Address('127.0.0.1', 0),
@@ -127,11 +186,21 @@
             link_megabits=link_megabits,
             bounds=BOUNDS,
         )
-        daemon = EntryApplication(settings, create_parts(settings))
+        parts = create_parts(settings)
+        if links is not None:
+            parts = links.replace_addresses(parts)
+        daemon = EntryApplication(settings, parts)
         await self.nursery.start(self._run_daemon, daemon)
         self.daemons.append(daemon)
         return daemon
 
+    async def open_links(self) -> EndpointLinks:
+        """Return links of a daemon to all endpoints of today."""
+        links = EndpointLinks(self.nursery)
+        for endpoint in self.endpoints.values():
+            await links.add(endpoint)
+        return links
+
     async def stop_daemons(self) -> None:
         """End all daemons at once, without the steps of a planned stop."""
         for scope in self._daemon_scopes:
--- /dev/null
+++ b/tests/test_lost_links.py
@@ -0,0 +1,259 @@
+"""Tests of daemons that are cut off from all endpoints, but not from others."""
+
+from collections import Counter
+from collections.abc import Sequence
+
+import pytest
+import trio
+from tests.entry_environment import (
+    CONFIGURATION,
+    EndpointLinks,
+    EntryEnvironment,
+    ScenarioRunner,
+)
+from tests.platform_standin import (
+    EndpointStandin,
+    delay_stream,
+    never_answer,
+)
+
+from clementinedyke.exceptions import AnswerLostError
+
+_MODES = ('hang', 'reset', 'refuse')
+_ROUTES = ('read', 'book', 'ask', 'resumable')
+#: Time after the cut from which on its callers have to be served.
+_CONTACT_SECONDS = 3
+_REQUESTS = 9
+_CUTS = 4
+#: Share of the requests that callers at hosts without links must get served,
+#: in relation to the others.
+_MIN_SHARE = 2 / 3
+_STOP_SECONDS = 0.5
+_LIMIT_SECONDS = 40
+
+
+class Zones:
+    """Daemons in two zones, each with links of its own to the endpoints."""
+
+    def __init__(self, env: EntryEnvironment) -> None:
+        """Create an instance without daemons."""
+        self.env = env
+        self.links: list[EndpointLinks] = []
+        self._number = 0
+
+    async def start(self, daemons: Sequence[str]) -> None:
+        """Start a daemon in each of the given zones and wait for them."""
+        env = self.env
+        for endpoint in (
+            EndpointStandin('writer-2', 'decode'),
+            EndpointStandin('reader-2', 'prefill'),
+            EndpointStandin('ledger-3'),
+        ):
+            await env.add_endpoint(endpoint)
+        env.store.put('op', 'config', CONFIGURATION)
+        for number, zone in enumerate(daemons):
+            links = await env.open_links()
+            self.links.append(links)
+            await env.start_daemon(f'host-{number}', zone=zone, links=links)
+        for daemon, _ in enumerate(daemons):
+            await self.count_served(daemon)
+        await trio.sleep(1)
+        for used in env.endpoints.values():
+            used.received.clear()
+            used.runs.clear()
+
+    def delay_answers(self) -> None:
+        """Let all endpoints take a while for each request."""
+        for endpoint in self.env.endpoints.values():
+            endpoint.override = delay_stream
+
+    async def book_often(self, statuses: Counter, cut_mode: str) -> None:
+        """Book 60 times in 3 s; cut host 0 after 1 s, kill host 1 at 2.2 s."""
+        async with trio.open_nursery() as nursery:
+            for number in range(60):
+                nursery.start_soon(self.send, 0, 'book', statuses)
+                await trio.sleep(0.05)
+                if number == 20:
+                    self.links[0].cut(cut_mode)
+                if number == 45:
+                    self.env.stop_daemon(1)
+
+    async def cut_briefly(self, mode: str) -> None:
+        """Cut host 0 off while it runs two kinds of repeatable request."""
+        async with trio.open_nursery() as nursery:
+            for route in ('read', 'read', 'read', 'resumable', 'resumable'):
+                nursery.start_soon(self.send, 0, route, Counter())
+            await trio.sleep(0.05)
+            self.links[0].cut(mode)
+        await trio.sleep(1)
+        self.links[0].heal()
+        await trio.sleep(1.5)
+
+    async def count_served(self, daemon: int, requests: int = 1) -> Counter:
+        """Send requests on all routes and return the answers by status."""
+        statuses: Counter = Counter()
+        async with trio.open_nursery() as nursery:
+            for _ in range(requests):
+                for route in _ROUTES:
+                    nursery.start_soon(self.send, daemon, route, statuses)
+        return statuses
+
+    async def send(self, daemon: int, route: str, statuses: Counter) -> None:
+        """Send a request and count the status of its answer, 0 if it fails."""
+        self._number += 1
+        request_id = f'{route}-{self._number}'
+        try:
+            answer = await self.env.send_request(
+                f'/{route}/1', request_id, daemon=daemon
+            )
+        except AnswerLostError:
+            statuses[0] += 1
+            return
+        statuses[answer.status] += 1
+        if answer.status in {429, 503}:
+            for endpoint in self.env.endpoints.values():
+                assert request_id not in endpoint.runs
+
+
+def run_zones(scenario: object, daemons: Sequence[str]) -> None:
+    """Run a scenario with daemons in the given zones."""
+
+    async def main(env: EntryEnvironment) -> None:
+        zones = Zones(env)
+        await zones.start(daemons)
+        await scenario(zones)
+
+    ScenarioRunner(_LIMIT_SECONDS).run(main)
+
+
+class TestServedCallers:
+    """Guards against callers who are refused because their host lost its links.
+
+    Daemons that were partitioned from all endpoints served 0 of 34 requests,
+    the others 125 of 125.
+    """
+
+    @pytest.mark.parametrize('mode', _MODES)
+    @pytest.mark.parametrize('cut', [(0,), (0, 1), (0, 1, 2)])
+    def test_share(self, mode: str, cut: tuple[int, ...]) -> None:
+        """One, most or all daemons of a zone are cut off."""
+
+        async def scenario(zones: Zones) -> None:
+            zones.delay_answers()
+            for daemon in cut:
+                zones.links[daemon].cut(mode)
+            await trio.sleep(_CONTACT_SECONDS)
+            others = await zones.count_served(3, _REQUESTS)
+            for daemon in cut:
+                served = await zones.count_served(daemon, _REQUESTS)
+                assert served[200] >= _MIN_SHARE * others[200]
+
+        run_zones(scenario, ['zone-a', 'zone-a', 'zone-a', 'zone-b'])
+
+    @pytest.mark.parametrize('mode', _MODES)
+    def test_healed(self, mode: str) -> None:
+        """A healed daemon uses its own links again."""
+
+        async def scenario(zones: Zones) -> None:
+            links = zones.links[0]
+            links.cut(mode)
+            await trio.sleep(_CONTACT_SECONDS)
+            links.heal()
+            await trio.sleep(_CONTACT_SECONDS)
+            before = zones.links[1].accepted
+            served = await zones.count_served(0, _REQUESTS)
+            assert served == {200: _REQUESTS * len(_ROUTES)}
+            assert zones.links[1].accepted == before
+
+        run_zones(scenario, ['zone-a', 'zone-a'])
+
+
+class TestWholeZoneHealthy:
+    """Guards against requests that other daemons forward without need."""
+
+    def test_endpoint_down(self) -> None:
+        """A daemon that reaches other endpoints uses its own links."""
+
+        async def scenario(zones: Zones) -> None:
+            env = zones.env
+            env.endpoints['ledger-1'].override = never_answer
+            before = zones.links[1].accepted
+            await zones.count_served(0, _REQUESTS)
+            assert zones.links[1].accepted == before
+
+        run_zones(scenario, ['zone-a', 'zone-a'])
+
+
+class TestAtMostOnce:
+    """Guards against requests that run twice on their way over a daemon."""
+
+    @pytest.mark.parametrize('mode', _MODES)
+    def test_killed_and_cut(self, mode: str) -> None:
+        """No booking runs twice while links are cut and daemons killed."""
+        runs: Counter = Counter()
+
+        async def scenario(zones: Zones) -> None:
+            zones.delay_answers()
+            statuses: Counter = Counter()
+            await zones.book_often(statuses, mode)
+            for used in zones.env.endpoints.values():
+                runs.update(used.runs)
+            assert statuses[200] > 20
+
+        run_zones(scenario, ['zone-a', 'zone-a', 'zone-a'])
+        assert max(runs.values()) == 1
+
+
+class TestCallerLeaves:
+    """Guards against work for callers who left a daemon without links."""
+
+    @pytest.mark.parametrize('route', _ROUTES)
+    def test_endpoint_stops(self, route: str) -> None:
+        """The endpoint is told that the caller has left."""
+        stopped: list[str] = []
+
+        async def wait(
+            endpoint: EndpointStandin, request: object, response: object
+        ) -> bool:
+            if request.get_header(b'x-stage') == 'prefill':
+                return False
+            try:
+                await trio.sleep_forever()
+            finally:
+                stopped.append(endpoint.endpoint_id)
+
+        async def scenario(zones: Zones) -> None:
+            zones.links[0].cut('reset')
+            await trio.sleep(_CONTACT_SECONDS)
+            for endpoint in zones.env.endpoints.values():
+                endpoint.override = wait
+                endpoint.received.clear()
+            with trio.move_on_after(1):
+                await zones.env.send_request(f'/{route}/1', 'left', daemon=0)
+            await trio.sleep(_STOP_SECONDS)
+            assert stopped
+
+        run_zones(scenario, ['zone-a', 'zone-a'])
+
+
+class TestInnocentRequest:
+    """Guards against requests that are blamed for the loss of links."""
+
+    @pytest.mark.parametrize('mode', ['reset', 'refuse'])
+    def test_no_conviction(self, mode: str) -> None:
+        """Repeated requests are served although connections were refused.
+
+        A refused connection counted as the end of its endpoint, and the
+        requests that it ran as the cause.
+        """
+
+        async def scenario(zones: Zones) -> None:
+            zones.delay_answers()
+            for _ in range(_CUTS):
+                await zones.cut_briefly(mode)
+            await trio.sleep(_CONTACT_SECONDS)
+            for daemon in range(3):
+                served = await zones.count_served(daemon, 2)
+                assert served == {200: 2 * len(_ROUTES)}
+
+        run_zones(scenario, ['zone-a', 'zone-a', 'zone-a'])
