Reach endpoints through other daemons if the host's links are lost

Requests in flight when connections were reset were convicted of ending their endpoints, since each refused connection counted as the end of an endpoint.

A daemon whose connection fails, or that gets no answer for 1 s, connects to up to four endpoints. If none accepts, its links count as lost, and it sends each request through a daemon that reaches the endpoints, over that daemon's pooled connections, until a connection of its own succeeds (tried every 0.5 s). The daemon that got the request from its caller still decides everything: placement, retries, budget, limits, usage and what is told to the caller. The other one forwards a request at most once, to the run of an endpoint that it knows and that is not leaving, tells whether it was sent, and passes on how the answer's end was marked and that it broke off. Orders take no such way, as they would come from another host. A refused connection is confirmed through another daemon before it counts as the end of an endpoint.

--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -90,6 +90,7 @@
                 self._journal,
                 *self._build_metrics(),
                 *self._watches,
+                self._links.monitor,
                 self._suspect_component,
                 self._peers,
                 self._recovery,
@@ -178,6 +179,9 @@
         )
         self._versions.list_active = self._peers.list_active
         self._exchanged_state.limits.list_hosts = self._peers.list_active
+        self._links.relays.list_relays = self._peers.list_relays
+        self._links.monitor.announce = self._peers.announce
+        self._readiness.announce = self._peers.announce
         self._recovery = RecoveryComponent(
             self._peer_table,
             (self._configuration, self._endpoints),
@@ -208,6 +212,7 @@
         )
         self._network = path.network
         self._versions = path.versions
+        self._links = path.links
         self._exchanged_state = path.exchanged_state
         self._gateway = path.gateway
         self._suspect_component = path.suspect_component
@@ -222,11 +227,13 @@
             settings.bounds.stop_grace,
             get_max_connections(settings),
         )
+        path.links.relay_port.is_draining = self._readiness.get_draining
+        self._caller_port.drain_relays = path.links.relay_port.drain
         self._sync = SyncComponent(
             self._configuration,
             self._endpoints,
             path.placement,
-            path.exchange,
+            path.links.transport,
             self._caller_port,
             (
                 path.suspect_component.suspects.record_endpoints,
@@ -250,6 +257,7 @@
                     self._store_calls,
                     self._peers.lending_counts,
                     self._suspect_component.counts,
+                    self._links.relay_port.counts,
                     self._versions.counts,
                 ),
             ),
@@ -271,7 +279,7 @@
         )
 
     def _is_lease_candidate(self, scope: str) -> bool:
-        if self._readiness.is_draining:
+        if self._readiness.is_draining or self._links.path.is_lost:
             return False
         active = self._peer_table.list_hosts(
             _MAX_CANDIDATE_UPDATE_AGE, self._clock.get_now()
--- a/src/clementinedyke/entry/exchange.py
+++ b/src/clementinedyke/entry/exchange.py
@@ -1,6 +1,5 @@
 """Sends requests to endpoints and reads the heads of their answers."""
 
-from collections import defaultdict
 from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass
@@ -10,7 +9,6 @@
 
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.entry.catalog import EntryEndpoint
-from clementinedyke.entry.configuration_view import ConfigurationView
 from clementinedyke.entry.endpoint_limits import EndpointLimits
 from clementinedyke.entry.endpoint_protocol import (
     AnswerHead,
@@ -18,6 +16,7 @@
     KvCacheReference,
     SendOptions,
 )
+from clementinedyke.entry.endpoint_transport import EndpointTransport
 from clementinedyke.entry.examination import Examination
 from clementinedyke.entry.intake import Job
 from clementinedyke.entry.placement import PlacementCore
@@ -29,17 +28,8 @@
     PeerUnavailableError,
     ProtocolError,
 )
-from clementinedyke.http.client import (
-    MAX_IDLE_CONNECTIONS,
-    Framing,
-    HttpClient,
-    ResponseStream,
-)
-from clementinedyke.http.idle_time_limit import IdleTimeLimit
+from clementinedyke.http.client import Framing, HttpRequest, ResponseStream
 
-#: The round trip to an endpoint takes about 1 ms, and TCP sends a lost SYN
-#: again only after 1 s, so a longer wait would rarely succeed.
-_CONNECT_TIMEOUT: Milliseconds = 250
 #: Longest wait for the result of an examination; a connection takes about 1 ms.
 EXAMINATION_TIMEOUT: Milliseconds = 50
 _MILLISECONDS_PER_SECOND = 1000
@@ -47,6 +37,7 @@
 #: Largest answer that is forwarded whole. A host of 200 MB holds several of
 #: them, each twice while it is joined.
 _MAX_ANSWER_BYTES = 4194304
+_MAX_RELEASE_BYTES = 65536
 #: Timeout of a request that frees a KV cache.
 _RELEASE_TIMEOUT: Milliseconds = 500
 
@@ -95,7 +86,7 @@
         protocol: EndpointProtocol,
         placement: PlacementCore,
         clock: Clock,
-        get_max_idle: Callable[[str], int],
+        transport: EndpointTransport,
         suspects: Suspects,
         limits: EndpointLimits,
     ) -> None:
@@ -104,8 +95,7 @@
         :param protocol: translation of requests and answers.
         :param placement: core that is updated with load and failures.
         :param clock: clock of the host.
-        :param get_max_idle: returns the maximum number of idle connections
-            to each endpoint of the service with the given name.
+        :param transport: connections to the endpoints.
         :param suspects: told of each send and of lost answers.
         :param limits: told of each send and of the limits in answers.
         """
@@ -113,15 +103,10 @@
         self._protocol = protocol
         self._placement = placement
         self._clock = clock
-        self._get_max_idle = get_max_idle
+        self._transport = transport
         self._suspects = suspects
         #: Finds out why an endpoint lost an answer.
         self.examine: Callable[[EntryEndpoint], Examination] = _skip_examination
-        #: By service, since its endpoints close idle connections alike.
-        self._idle_limits: defaultdict[str, IdleTimeLimit] = defaultdict(
-            IdleTimeLimit
-        )
-        self._clients: dict[str, HttpClient] = {}
 
     @asynccontextmanager
     async def open_answer(
@@ -147,8 +132,8 @@
         job.versions.append(endpoint.version)
         try:
             with self._observe_attempt(job, endpoint) as attempt:
-                async with self._get_client(endpoint).open_response(
-                    request
+                async with self._transport.open_response(
+                    endpoint, request
                 ) as stream:
                     job.framing = stream.framing
                     head = self._read_head(job, stream, endpoint)
@@ -213,7 +198,7 @@
         now = self._clock.get_now()
         self._placement.work.record_unreachable(endpoint, now)
         if isinstance(error, ConnectionRefusedByPeerError):
-            self._suspects.record_refused_connection(endpoint, now)
+            self.examine(endpoint)
 
     def record_silence(self, job: Job, endpoint: EntryEndpoint) -> None:
         """Record that an endpoint has not answered a request.
@@ -262,14 +247,6 @@
             raise AnswerLostError('the endpoint ended with its answer')
         answer.is_end_certain = examination.is_listening is True
 
-    def has_connection(self, endpoint: EntryEndpoint) -> bool:
-        """Return whether an idle connection to an endpoint is open.
-
-        :param endpoint: endpoint to look up.
-        """
-        client = self._clients.get(endpoint.run_id)
-        return client is not None and client.has_idle
-
     async def release(self, kv_cache: KvCacheReference) -> None:
         """Free a KV cache that no engine will fetch.
 
@@ -280,10 +257,9 @@
             # The engine evicts the cache when its lifetime expires.
             return
         self._limits.record_send(kv_cache.endpoint, now)
-        client = self._get_client(kv_cache.endpoint)
         request = self._protocol.compile_release(kv_cache)
         try:
-            await client.request(request, _RELEASE_TIMEOUT)
+            await self._send_release(kv_cache.endpoint, request)
         except (PeerUnavailableError, AnswerLostError, ProtocolError) as error:
             # The engine evicts the cache when its lifetime expires.
             logging.info(
@@ -292,35 +268,22 @@
                 error,
             )
 
-    async def close_stale_clients(self, current_runs: set[str]) -> None:
-        """Close the connections to endpoints that no longer exist.
-
-        :param current_runs: run ids of the endpoints that still exist.
-        """
-        for run_id in set(self._clients) - current_runs:
-            await self._clients.pop(run_id).close()
-
-    async def close(self) -> None:
-        """Close all idle connections."""
-        await self.close_stale_clients(set())
+    async def _send_release(
+        self, endpoint: EntryEndpoint, request: HttpRequest
+    ) -> None:
+        with trio.move_on_after(_RELEASE_TIMEOUT / _MILLISECONDS_PER_SECOND):
+            async with self._transport.open_response(
+                endpoint, request
+            ) as stream:
+                await stream.receive_body(_MAX_RELEASE_BYTES)
+                return
+        raise AnswerLostError(f'no answer within {_RELEASE_TIMEOUT} ms')
 
     def _record_answer(
         self, endpoint: EntryEndpoint, sent_at: Milliseconds
     ) -> None:
         self._suspects.record_answer(endpoint, sent_at, self._clock.get_now())
 
-    def _get_client(self, endpoint: EntryEndpoint) -> HttpClient:
-        client = self._clients.get(endpoint.run_id)
-        if client is None:
-            client = HttpClient(
-                endpoint.address,
-                connect_timeout=_CONNECT_TIMEOUT,
-                max_idle=self._get_max_idle(endpoint.service),
-                idle_limit=self._idle_limits[endpoint.service],
-            )
-            self._clients[endpoint.run_id] = client
-        return client
-
     def _read_head(
         self, job: Job, stream: ResponseStream, endpoint: EntryEndpoint
     ) -> AnswerHead:
@@ -348,23 +311,6 @@
         )
 
 
-def get_max_idle(
-    view: ConfigurationView, count_daemons: Callable[[], int], service: str
-) -> int:
-    """Return this daemon's share of the connection limit of an endpoint.
-
-    :param view: view of the active configuration.
-    :param count_daemons: returns the number of daemons that share the limit.
-    :param service: name of the endpoint's service.
-    """
-    configuration = view.configuration
-    known = configuration.services.get(service) if configuration else None
-    if known is None or not known.max_connections:
-        return MAX_IDLE_CONNECTIONS
-    share = known.max_connections // count_daemons()
-    return min(MAX_IDLE_CONNECTIONS, max(1, share))
-
-
 def _skip_examination(endpoint: EntryEndpoint) -> Examination:
     """Return a result that is unknown, for an exchange without a prober."""
     examination = Examination()
--- a/src/clementinedyke/entry/exchanged_state.py
+++ b/src/clementinedyke/entry/exchanged_state.py
@@ -6,6 +6,7 @@
 from clementinedyke.entry.endpoint_limits import EndpointLimits
 from clementinedyke.entry.endpoint_view import EndpointView
 from clementinedyke.entry.endpoint_work import WorkTable
+from clementinedyke.entry.relay_port import RelayPort
 from clementinedyke.entry.store_contact import StoreContact
 from clementinedyke.entry.suspect_component import SuspectComponent
 
@@ -17,7 +18,8 @@
     ``work`` is that of all endpoints. ``configuration`` and ``endpoints`` are
     views of the store, and ``store_contact`` tells when it answered.
     ``suspects`` has the evidence against requests and prompt parts, and
-    ``limits`` those that endpoints have named.
+    ``limits`` those that endpoints have named. ``relay_port`` forwards requests
+    of daemons that lost their links.
     """
 
     work: WorkTable
@@ -26,3 +28,4 @@
     store_contact: StoreContact
     suspects: SuspectComponent
     limits: EndpointLimits
+    relay_port: RelayPort
--- a/src/clementinedyke/entry/news.py
+++ b/src/clementinedyke/entry/news.py
@@ -35,7 +35,8 @@
     are the prompt parts that were in a complete answer after ends of endpoints,
     and ``tried_parts`` those that the sender is about to try. ``limits`` are
     the limits that endpoints named in answers to the sender: run id, requests a
-    second (negative if the limit was lifted) and age in ms.
+    second (negative if the limit was lifted) and age in ms. ``can_relay`` is
+    whether the sender forwards requests of daemons that lost their links.
     """
 
     host: str
@@ -53,6 +54,7 @@
     cleared_parts: list[str] = []
     tried_parts: list[str] = []
     limits: list[tuple[str, float, int]] = []
+    can_relay: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,6 +142,20 @@
         }
         return frozenset(hosts | {self._host})
 
+    def list_relays(
+        self, age: Milliseconds, now: Milliseconds
+    ) -> frozenset[str]:
+        """Return the other hosts that lately said that they forward requests.
+
+        :param age: greatest age of an update, in milliseconds.
+        :param now: current instant.
+        """
+        return frozenset(
+            host
+            for host, received in self._updates.items()
+            if received.update.can_relay and now - received.received_at <= age
+        )
+
     def get_confirmation_time(
         self, version: int, now: Milliseconds
     ) -> Milliseconds | None:
--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -15,6 +15,7 @@
 from clementinedyke.entry.lending import LendingCounts, LendingLimit
 from clementinedyke.entry.news import PeerTable, PeerUpdate
 from clementinedyke.entry.peer_network import PeerNetwork
+from clementinedyke.entry.relay_messages import RELAY_PATH
 from clementinedyke.entry.watch import StoredRow
 from clementinedyke.exceptions import ClementinedykeError
 from clementinedyke.http.client import (
@@ -129,9 +130,10 @@
         self._suspects = self._evidence.suspects
         self._has_evidence = trio.Event()
         self._suspects.urgent_observers.append(self._announce_evidence)
-        self._suspects.parts.urgent_observers.append(self._announce)
+        self._suspects.parts.urgent_observers.append(self.announce)
         self._limits = state.limits
-        self._limits.urgent_observers.append(self._announce)
+        self._relay_port = state.relay_port
+        self._limits.urgent_observers.append(self.announce)
         self._clock = tools[0]
         self._journal = tools[1]
         self.lending_counts = LendingCounts()
@@ -160,10 +162,15 @@
 
     def list_active(self) -> frozenset[str]:
         """Return the hosts of daemons that sent an update recently."""
-        age = max(
-            _MIN_ACTIVE_AGE, _ACTIVE_INTERVALS * _IDLE_FACTOR * self.interval
+        return self._peer_table.list_hosts(
+            _get_active_age(self.interval), self._clock.get_now()
+        )
+
+    def list_relays(self) -> frozenset[str]:
+        """Return the hosts of active daemons that forward requests."""
+        return self._peer_table.list_relays(
+            _get_active_age(self.interval), self._clock.get_now()
         )
-        return self._peer_table.list_hosts(age, self._clock.get_now())
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Bind both sockets and start the tasks.
@@ -292,7 +299,8 @@
     def _announce_evidence(self, evidence: Sequence[Evidence]) -> None:
         self._has_evidence.set()
 
-    def _announce(self) -> None:
+    def announce(self) -> None:
+        """Send an update without waiting for the next interval."""
         self._has_evidence.set()
 
     async def _run_evidence_sender(self) -> None:
@@ -325,6 +333,7 @@
             cleared_parts=self._suspects.parts.pop_cleared(),
             tried_parts=self._suspects.parts.pop_trials(),
             limits=self._limits.list_news(now),
+            can_relay=self._relay_port.is_willing,
         )
         await self._network.send(
             msgspec.msgpack.encode(update),
@@ -402,6 +411,9 @@
     async def _respond(
         self, request: ServerRequest, response: ResponseWriter
     ) -> None:
+        if request.path == RELAY_PATH:
+            await self._relay_port.respond(request, response)
+            return
         now = self._clock.get_now()
         if not self._lending_limit.may_lend(now):
             await response.send_response(_STATUS_BUSY, [], b'')
@@ -424,6 +436,10 @@
         )
 
 
+def _get_active_age(interval: Milliseconds) -> Milliseconds:
+    return max(_MIN_ACTIVE_AGE, _ACTIVE_INTERVALS * _IDLE_FACTOR * interval)
+
+
 async def _request_state(address: Address) -> HttpResponse:
     """Ask a daemon for its state.
 
--- a/src/clementinedyke/entry/ports.py
+++ b/src/clementinedyke/entry/ports.py
@@ -1,5 +1,6 @@
 """Caller port and readiness port of the daemon."""
 
+from collections.abc import Awaitable, Callable
 from functools import partial
 from http import HTTPStatus
 
@@ -60,6 +61,10 @@
         limits = ConnectionLimits(max_connections=max_connections)
         self._server = HttpServer(self._respond, limits)
         self._limits = limits
+        #: Waits up to a number of ms for the requests of other daemons.
+        self.drain_relays: Callable[[Milliseconds], Awaitable[None]] = (
+            _skip_relays
+        )
         #: Bound TCP port; 0 before the start.
         self.bound_port = 0
 
@@ -95,6 +100,7 @@
         left = self._stop_grace - _BALANCER_REMOVAL_TIME - _SHUTDOWN_RESERVE
         with trio.move_on_after(max(0, left) / _MILLISECONDS_PER_SECOND):
             await self._server.drain()
+            await self.drain_relays(left)
 
     async def _respond(
         self, request: ServerRequest, response: ResponseWriter
@@ -104,6 +110,10 @@
         await self._gateway.respond(request, response)
 
 
+async def _skip_relays(timeout: Milliseconds) -> None:
+    """Do nothing; a port whose daemon forwards no requests."""
+
+
 class Readiness(Component):
     """Answers the readiness probes of the load balancer."""
 
@@ -122,16 +132,23 @@
         self._journal = journal
         self._server = HttpServer(self._respond)
         self.is_draining = False
+        #: Tells the other daemons that this one is draining.
+        self.announce: Callable[[], None] = _ignore_drain
 
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should send callers to this host."""
         return not self.is_draining and self._view.configuration is not None
 
+    def get_draining(self) -> bool:
+        """Return whether the daemon is about to stop."""
+        return self.is_draining
+
     def start_draining(self) -> None:
         """Report not ready from now on."""
         self.is_draining = True
         self._journal.write('daemon_leaving')
+        self.announce()
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Bind the port.
@@ -151,6 +168,10 @@
         await response.send_json(status, {'ready': self.is_ready})
 
 
+def _ignore_drain() -> None:
+    """Do nothing; readiness of a daemon without others."""
+
+
 def get_max_connections(settings: HostSettings) -> int:
     """Return the maximum number of caller connections of the process.
 
--- /dev/null
+++ b/src/clementinedyke/entry/relay_client.py
@@ -0,0 +1,211 @@
+"""Reaches endpoints through other daemons."""
+
+import hashlib
+from collections.abc import Callable, Collection
+from contextlib import AsyncExitStack
+from random import Random
+
+import msgspec
+
+from clementinedyke.clock import Clock, Milliseconds
+from clementinedyke.entry.catalog import EntryEndpoint
+from clementinedyke.entry.peer_network import PeerNetwork
+from clementinedyke.entry.relay_messages import (
+    FAILURE_HEADER,
+    FRAMING_HEADER,
+    RELAY_PATH,
+    RelayedRequest,
+    RelayFailure,
+    create_exception,
+)
+from clementinedyke.exceptions import (
+    AnswerLostError,
+    PeerUnavailableError,
+    ProtocolError,
+)
+from clementinedyke.http.client import (
+    Address,
+    Framing,
+    HttpClient,
+    HttpRequest,
+    ResponseStream,
+)
+
+#: Daemons that are asked in turn until one forwards a request.
+_MAX_DAEMONS = 3
+#: Daemons that share the requests of one daemon. Each has open connections, so
+#: their number must not grow with that of all daemons.
+_POOL_SIZE = 4
+_CONNECT_TIMEOUT: Milliseconds = 250
+#: Time for which a daemon that forwards no requests is not asked again.
+_AVOIDANCE: Milliseconds = 1000
+_CHECK_TIMEOUT: Milliseconds = 500
+_MAX_FAILURE_BYTES = 4096
+_HASH_BYTES = 8
+
+
+class NoRelayError(PeerUnavailableError):
+    """No other daemon forwards requests; nothing was sent."""
+
+
+class RelayClient:
+    """Sends requests to endpoints through daemons that reach them."""
+
+    def __init__(
+        self, network: PeerNetwork, zone: str, clock: Clock, generator: Random
+    ) -> None:
+        """Create a client without connections.
+
+        :param network: addresses and zones of the other daemons.
+        :param zone: availability zone of this host.
+        :param clock: clock of the host.
+        :param generator: random generator that spreads the requests.
+        """
+        self._network = network
+        self._zone = zone
+        self._clock = clock
+        self._generator = generator
+        self._salt = generator.randbytes(_HASH_BYTES)
+        self._clients: dict[Address, HttpClient] = {}
+        self._avoided_until: dict[str, Milliseconds] = {}
+        #: Returns the hosts whose daemons forward requests.
+        self.list_relays: Callable[[], Collection[str]] = tuple
+
+    async def enter_response(
+        self,
+        stack: AsyncExitStack,
+        endpoint: EntryEndpoint,
+        request: HttpRequest,
+    ) -> ResponseStream:
+        """Send a request and return the stream of its answer.
+
+        :param stack: closes the connection at its end.
+        :param endpoint: endpoint to reach.
+        :param request: request with its complete body.
+        :raises NoRelayError: if no daemon forwards the request.
+        :raises PeerUnavailableError: if the request was not sent.
+        :raises AnswerLostError: if the request may have run.
+        :raises ProtocolError: if the endpoint sent no valid answer.
+        """
+        relayed = RelayedRequest(
+            endpoint.run_id,
+            request.method,
+            request.target,
+            list(request.headers),
+            request.body,
+        )
+        stream = await self._enter(stack, relayed)
+        fields = dict(stream.headers)
+        stream.framing = Framing(fields[FRAMING_HEADER].decode('latin-1'))
+        stream.headers = [
+            pair for pair in stream.headers if pair[0] != FRAMING_HEADER
+        ]
+        return stream
+
+    async def check_listening(self, endpoint: EntryEndpoint) -> bool | None:
+        """Return whether a process listens at an endpoint.
+
+        None if the endpoint did not answer the daemon that was asked.
+
+        :param endpoint: endpoint to examine.
+        :raises PeerUnavailableError: if no daemon could be asked.
+        :raises AnswerLostError: if the daemon did not answer.
+        :raises ProtocolError: if its answer is invalid.
+        """
+        async with AsyncExitStack() as stack:
+            stream = await self._enter(
+                stack, RelayedRequest(endpoint.run_id, '')
+            )
+            body = await stream.receive_body(_MAX_FAILURE_BYTES)
+        try:
+            return msgspec.msgpack.decode(body, type=bool | None)
+        except msgspec.MsgspecError as error:
+            raise ProtocolError(f'result of a check: {error}') from error
+
+    async def close(self) -> None:
+        """Close all idle connections."""
+        for client in self._clients.values():
+            await client.close()
+
+    async def _enter(
+        self, stack: AsyncExitStack, relayed: RelayedRequest
+    ) -> ResponseStream:
+        request = HttpRequest(
+            'POST', RELAY_PATH, body=msgspec.msgpack.encode(relayed)
+        )
+        for host in self._select_hosts():
+            stream = await self._try_host(stack, host, request)
+            if stream is not None:
+                return stream
+            avoided_until = self._clock.get_now() + _AVOIDANCE
+            self._avoided_until[host] = avoided_until
+        raise NoRelayError('no other daemon forwards requests')
+
+    async def _try_host(
+        self, stack: AsyncExitStack, host: str, request: HttpRequest
+    ) -> ResponseStream | None:
+        """Return the answer, None if the daemon didn't forward the request."""
+        client = self._get_client(self._network.addresses[host])
+        async with AsyncExitStack() as attempt:
+            try:
+                stream = await attempt.enter_async_context(
+                    client.open_response(request)
+                )
+            except PeerUnavailableError:
+                return None
+            failure = await _read_failure(stream)
+            if failure is RelayFailure.UNWILLING:
+                return None
+            if failure is not None:
+                raise create_exception(failure, f'by {host}: {failure.value}')
+            stack.push_async_exit(attempt.pop_all())
+            return stream
+
+    def _get_client(self, address: Address) -> HttpClient:
+        client = self._clients.get(address)
+        if client is None:
+            client = HttpClient(address, connect_timeout=_CONNECT_TIMEOUT)
+            self._clients[address] = client
+        return client
+
+    def _select_hosts(self) -> list[str]:
+        """Return the daemons to ask, those of this zone first."""
+        now = self._clock.get_now()
+        known = [
+            host
+            for host in self.list_relays()
+            if self._avoided_until.get(host, now) <= now
+            and host in self._network.addresses
+        ]
+        known.sort(key=self._get_rank)
+        near = [host for host in known if self._is_near(host)]
+        pool = near[:_POOL_SIZE] or known[:_POOL_SIZE]
+        self._generator.shuffle(pool)
+        others = [host for host in known if host not in pool]
+        return [*pool, *others][:_MAX_DAEMONS]
+
+    def _is_near(self, host: str) -> bool:
+        return self._network.get_zone(host) == self._zone
+
+    def _get_rank(self, host: str) -> bytes:
+        return hashlib.blake2b(
+            host.encode(), digest_size=_HASH_BYTES, salt=self._salt
+        ).digest()
+
+
+async def _read_failure(stream: ResponseStream) -> RelayFailure | None:
+    """Return the failure that a daemon reports, None for an answer.
+
+    :raises AnswerLostError: if the answer is not one of a daemon.
+    """
+    fields = dict(stream.headers)
+    name = fields.get(FAILURE_HEADER)
+    if name is None and FRAMING_HEADER in fields:
+        return None
+    await stream.discard_body()
+    try:
+        return RelayFailure((name or b'').decode('latin-1'))
+    except ValueError as error:
+        raise AnswerLostError(
+            f'a daemon answered {stream.status} without forwarding'
+        ) from error
--- a/src/clementinedyke/entry/request_path.py
+++ b/src/clementinedyke/entry/request_path.py
@@ -3,7 +3,6 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
-from functools import partial
 
 from clementinedyke.clock import Clock
 from clementinedyke.entry.configuration_view import ConfigurationView
@@ -11,12 +10,13 @@
 from clementinedyke.entry.endpoint_reader import EndpointReader
 from clementinedyke.entry.endpoint_view import EndpointView
 from clementinedyke.entry.endpoint_work import WorkTable
-from clementinedyke.entry.exchange import Exchange, get_max_idle
+from clementinedyke.entry.exchange import Exchange
 from clementinedyke.entry.exchanged_state import ExchangedState
 from clementinedyke.entry.gateway import Gateway
 from clementinedyke.entry.host_settings import HostSettings
 from clementinedyke.entry.intake import Intake
 from clementinedyke.entry.journal import Journal
+from clementinedyke.entry.links import Links, create_links
 from clementinedyke.entry.peer_network import PeerNetwork
 from clementinedyke.entry.placement import PlacementCore
 from clementinedyke.entry.platform_parts import PlatformParts
@@ -49,7 +49,7 @@
 
     gateway: Gateway
     placement: PlacementCore
-    exchange: Exchange
+    links: Links
     suspect_component: SuspectComponent
     network: PeerNetwork
     versions: VersionFinder
@@ -83,23 +83,31 @@
         context.journal,
         settings.host,
     )
+    network = PeerNetwork(context.journal)
+    links = create_links(
+        settings.availability_zone,
+        (view, context.endpoints),
+        context.count_daemons,
+        network,
+        (context.clock, context.journal, context.generator),
+    )
+    suspect_component.check_listening = links.transport.check_listening
     exchange = Exchange(
         context.platform.protocol,
         placement,
         context.clock,
-        partial(get_max_idle, view, context.count_daemons),
+        links.transport,
         suspect_component.suspects,
         limits,
     )
     exchange.examine = suspect_component.examine
-    placement.has_connection = exchange.has_connection
+    placement.has_connection = links.transport.has_connection
     intake = Intake(
         view,
         settings.bounds.max_key_age,
         settings.bounds.configuration_delay,
         context.generator,
     )
-    network = PeerNetwork(context.journal)
     versions = VersionFinder(
         context.endpoints,
         EndpointReader(context.platform),
@@ -123,7 +131,7 @@
     return RequestPath(
         gateway,
         placement,
-        exchange,
+        links,
         suspect_component,
         network,
         versions,
@@ -134,5 +142,6 @@
             store_contact=context.store_contact,
             suspects=suspect_component,
             limits=limits,
+            relay_port=links.relay_port,
         ),
     )
--- a/src/clementinedyke/entry/suspect_component.py
+++ b/src/clementinedyke/entry/suspect_component.py
@@ -12,10 +12,10 @@
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.components import Component
 from clementinedyke.entry.catalog import EntryEndpoint
+from clementinedyke.entry.endpoint_connections import check_listening
 from clementinedyke.entry.examination import Examination
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.suspects import Suspects
-from clementinedyke.http.client import HttpClient
 from clementinedyke.quarantine.core import Evidence, QuarantineSettings
 from clementinedyke.quarantine.rows import (
     SUSPECTS_TABLE,
@@ -25,7 +25,6 @@
 )
 from clementinedyke.rows import Commit, RowStore, Write
 
-_CONNECT_TIMEOUT: Milliseconds = 250
 #: Delay before a failed call of the store is repeated, which doubles up to the
 #: maximum.
 _MIN_RETRY: Milliseconds = 250
@@ -105,6 +104,8 @@
         self.newest_revision = 0
         self._has_newer = trio.Event()
         self.counts = ExaminationCounts()
+        #: Returns whether a process listens at an endpoint, None if unknown.
+        self.check_listening = check_listening
         #: Returns Unix time in milliseconds, 0 if rows are kept for ever.
         self.get_unix: Callable[[], int] = int
         self.suspects.parts.clearance_observers.append(self._delete_evidence)
@@ -170,8 +171,7 @@
     async def _check_listening(
         self, endpoint: EntryEndpoint, examination: Examination
     ) -> None:
-        client = HttpClient(endpoint.address, connect_timeout=_CONNECT_TIMEOUT)
-        is_listening = await client.check_listening()
+        is_listening = await self.check_listening(endpoint)
         self.counts.record_examination(is_listening=is_listening)
         self._journal.write(
             'endpoint_examined',
--- a/src/clementinedyke/entry/sync_component.py
+++ b/src/clementinedyke/entry/sync_component.py
@@ -8,8 +8,8 @@
 from clementinedyke.components import Component
 from clementinedyke.entry.catalog import EntryEndpoint
 from clementinedyke.entry.configuration_view import ConfigurationView
+from clementinedyke.entry.endpoint_transport import EndpointTransport
 from clementinedyke.entry.endpoint_view import EndpointView
-from clementinedyke.entry.exchange import Exchange
 from clementinedyke.entry.placement import PlacementCore
 from clementinedyke.entry.ports import CallerPort
 
@@ -28,7 +28,7 @@
         configuration: ConfigurationView,
         endpoints: EndpointView,
         placement: PlacementCore,
-        exchange: Exchange,
+        transport: EndpointTransport,
         caller_port: CallerPort,
         observers: Sequence[EndpointObserver],
         clock: Clock,
@@ -38,7 +38,7 @@
         :param configuration: view of the configuration in force.
         :param endpoints: view of the registered endpoints.
         :param placement: selects endpoints for requests.
-        :param exchange: holds the connections to the endpoints.
+        :param transport: holds the connections to the endpoints.
         :param caller_port: port whose limits the configuration sets.
         :param observers: called with all endpoints after a change.
         :param clock: clock of the host.
@@ -46,7 +46,7 @@
         self._configuration = configuration
         self._endpoints = endpoints
         self._placement = placement
-        self._exchange = exchange
+        self._transport = transport
         self._caller_port = caller_port
         self._observers = observers
         self._clock = clock
@@ -62,7 +62,7 @@
 
     async def stop(self) -> None:
         """Close the connections to endpoints."""
-        await self._exchange.close()
+        await self._transport.close()
 
     async def _run(self) -> None:
         while True:
@@ -81,6 +81,6 @@
             self._placement.set_endpoints(endpoints)
             for observer in self._observers:
                 observer(endpoints, now)
-            await self._exchange.close_stale_clients(
+            await self._transport.close_stale(
                 {endpoint.run_id for endpoint in endpoints}
             )
--- a/src/clementinedyke/http/client.py
+++ b/src/clementinedyke/http/client.py
@@ -3,7 +3,7 @@
 import enum
 import math
 import re
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Mapping, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from ssl import SSLContext
@@ -197,30 +197,19 @@
 
     def __init__(self, head: h11.Response, connection: _Connection) -> None:
         """Create the stream; called by :class:`HttpClient` only."""
-        self._head = head
         self._connection = connection
+        self._status = int(head.status_code)
+        #: Header names in lower case and their values.
+        self.headers: Headers = list(head.headers)
+        #: How the end of the body is marked.
+        self.framing = _get_framing(self._status, dict(self.headers))
         #: Number of body chunks received so far, as the peer sent them.
         self.chunk_count = 0
 
     @property
     def status(self) -> int:
         """HTTP status code."""
-        return int(self._head.status_code)
-
-    @property
-    def headers(self) -> Headers:
-        """Header names in lower case and their values."""
-        return list(self._head.headers)
-
-    @property
-    def framing(self) -> Framing:
-        """How the end of the body is marked."""
-        fields = dict(self._head.headers)
-        if b'transfer-encoding' in fields:
-            return Framing.CHUNKED
-        if b'content-length' in fields or self.status in _BODILESS_STATUSES:
-            return Framing.LENGTH
-        return Framing.CONNECTION
+        return self._status
 
     async def receive_available(self) -> bytes:
         """Return the body bytes that have arrived; empty at the end.
@@ -500,6 +489,14 @@
         await trio.aclose_forcefully(connection.stream)
 
 
+def _get_framing(status: int, fields: Mapping[bytes, bytes]) -> Framing:
+    if b'transfer-encoding' in fields:
+        return Framing.CHUNKED
+    if b'content-length' in fields or status in _BODILESS_STATUSES:
+        return Framing.LENGTH
+    return Framing.CONNECTION
+
+
 def _get_now() -> Milliseconds:
     return int(trio.current_time() * _MILLISECONDS_PER_SECOND)
 
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -144,6 +144,7 @@
                 zones.links[daemon].cut(mode)
             await trio.sleep(_CONTACT_SECONDS)
             others = await zones.count_served(3, _REQUESTS)
+            assert others == {200: _REQUESTS * len(_ROUTES)}
             for daemon in cut:
                 served = await zones.count_served(daemon, _REQUESTS)
                 assert served[200] >= _MIN_SHARE * others[200]
