Ask daemons that stay silent last

A daemon without links sent a third of its requests through a frozen daemon until that one's updates expired, 1.5 s with 7 daemons and more with many. One that leaves a request unanswered for 1 s is asked last for 5 s.

test_processes_links.py cuts the links of one of four processes, freezes a second one, kills a third one, drains an endpoint and changes the configuration meanwhile: no booking runs twice, refusals are true, at least two thirds of the requests are served.

--- a/src/clementinedyke/entry/relay_client.py
+++ b/src/clementinedyke/entry/relay_client.py
@@ -1,11 +1,12 @@
 """Reaches endpoints through other daemons."""
 
 import hashlib
-from collections.abc import Callable, Collection
-from contextlib import AsyncExitStack
+from collections.abc import Callable, Collection, Iterator
+from contextlib import AsyncExitStack, contextmanager
 from random import Random
 
 import msgspec
+import trio
 
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.entry.catalog import EntryEndpoint
@@ -37,8 +38,11 @@
 #: their number must not grow with that of all daemons.
 _POOL_SIZE = 4
 _CONNECT_TIMEOUT: Milliseconds = 250
-#: Time for which a daemon that forwards no requests is not asked again.
+#: Time for which a daemon that forwards no requests is asked last.
 _AVOIDANCE: Milliseconds = 1000
+#: The same for one that answers nothing for a while; it may be frozen.
+_SILENT_AVOIDANCE: Milliseconds = 5000
+_SILENCE: Milliseconds = 1000
 _CHECK_TIMEOUT: Milliseconds = 500
 _MAX_FAILURE_BYTES = 4096
 _HASH_BYTES = 8
@@ -137,8 +141,7 @@
             stream = await self._try_host(stack, host, request)
             if stream is not None:
                 return stream
-            avoided_until = self._clock.get_now() + _AVOIDANCE
-            self._avoided_until[host] = avoided_until
+            self._avoid(host, _AVOIDANCE)
         raise NoRelayError('no other daemon forwards requests')
 
     async def _try_host(
@@ -148,9 +151,10 @@
         client = self._get_client(self._network.addresses[host])
         async with AsyncExitStack() as attempt:
             try:
-                stream = await attempt.enter_async_context(
-                    client.open_response(request)
-                )
+                with self._observe_silence(host):
+                    stream = await attempt.enter_async_context(
+                        client.open_response(request)
+                    )
             except PeerUnavailableError:
                 return None
             failure = await _read_failure(stream)
@@ -161,6 +165,23 @@
             stack.push_async_exit(attempt.pop_all())
             return stream
 
+    @contextmanager
+    def _observe_silence(self, host: str) -> Iterator[None]:
+        """Avoid a daemon if it leaves a request unanswered for a while."""
+        asked_at = self._clock.get_now()
+        try:
+            yield
+        except (AnswerLostError, trio.Cancelled):
+            if self._clock.get_now() - asked_at >= _SILENCE:
+                self._avoid(host, _SILENT_AVOIDANCE)
+            raise
+
+    def _avoid(self, host: str, duration: Milliseconds) -> None:
+        self._avoided_until[host] = self._clock.get_now() + duration
+
+    def _is_avoided(self, host: str) -> bool:
+        return self._avoided_until.get(host, 0) > self._clock.get_now()
+
     def _get_client(self, address: Address) -> HttpClient:
         client = self._clients.get(address)
         if client is None:
@@ -170,22 +191,18 @@
 
     def _select_hosts(self) -> list[str]:
         """Return the daemons to ask, those of this zone first."""
-        now = self._clock.get_now()
-        known = [
-            host
-            for host in self.list_relays()
-            if self._avoided_until.get(host, now) <= now
-            and host in self._network.addresses
-        ]
-        known.sort(key=self._get_rank)
-        near = [host for host in known if self._is_near(host)]
-        pool = near[:_POOL_SIZE] or known[:_POOL_SIZE]
-        self._generator.shuffle(pool)
-        others = [host for host in known if host not in pool]
-        return [*pool, *others][:_MAX_DAEMONS]
-
-    def _is_near(self, host: str) -> bool:
-        return self._network.get_zone(host) == self._zone
+        groups: dict[tuple[bool, bool], list[str]] = {}
+        for host in sorted(self.list_relays(), key=self._get_rank):
+            if host in self._network.addresses:
+                is_far = self._network.get_zone(host) != self._zone
+                group = (self._is_avoided(host), is_far)
+                groups.setdefault(group, []).append(host)
+        selected: list[str] = []
+        for _, hosts in sorted(groups.items()):
+            pool = hosts[:_POOL_SIZE]
+            self._generator.shuffle(pool)
+            selected += pool
+        return selected[:_MAX_DAEMONS]
 
     def _get_rank(self, host: str) -> bytes:
         return hashlib.blake2b(
--- a/tests/entry_environment.py
+++ b/tests/entry_environment.py
@@ -81,6 +81,11 @@
         """Connections that the daemon has opened over its links."""
         return sum(link.accepted for link in self._links.values())
 
+    def get_port(self, endpoint_id: str) -> int | None:
+        """Return the port of the link to an endpoint, None if none is open."""
+        link = self._links.get(endpoint_id)
+        return link.port if link else None
+
     async def add(self, endpoint: EndpointStandin) -> None:
         """Open a link to an endpoint."""
         link = Link(Address('127.0.0.1', endpoint.port))
--- a/tests/entry_processes.py
+++ b/tests/entry_processes.py
@@ -38,8 +38,14 @@
         self._path = folder / f'host-{number}.toml'
         self._process: subprocess.Popen[bytes] | None = None
 
-    def start(self, env: EntryEnvironment) -> None:
-        """Start the daemon."""
+    def start(
+        self, env: EntryEnvironment, store_port: int | None = None
+    ) -> None:
+        """Start the daemon.
+
+        :param store_port: port of the store, None for that of the environment.
+        """
+        port = env.store_port if store_port is None else store_port
         document = {
             **SETTINGS,
             'node': f'host-{self._number}',
@@ -48,15 +54,16 @@
                 'front': f'{self.ip}:{_CALLER_PORT}',
                 'ready': f'{self.ip}:{_CALLER_PORT + 1}',
             },
-            'platform': {'address': f'127.0.0.1:{env.store_port}'},
+            'platform': {'address': f'127.0.0.1:{port}'},
             'cloud': {'address': f'127.0.0.1:{env.duties_port}'},
         }
         self._path.write_text(compile_toml(document), encoding='utf-8')
-        self._process = subprocess.Popen(
-            [sys.executable, str(_ROOT / 'deploy' / 'daemon.py')],
-            env={**os.environ, 'CLEMENTINEDYKE_SETTINGS': str(self._path)},
-            stdout=subprocess.DEVNULL,
-        )
+        with self._path.with_suffix('.log').open('ab') as log:
+            self._process = subprocess.Popen(
+                [sys.executable, str(_ROOT / 'deploy' / 'daemon.py')],
+                env={**os.environ, 'CLEMENTINEDYKE_SETTINGS': str(self._path)},
+                stdout=log,
+            )
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the daemon."""
--- a/tests/link.py
+++ b/tests/link.py
@@ -16,6 +16,7 @@
 _DROP_ALL = struct.pack('HBBI', 6, 0, 0, 0)
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _READ_SIZE = 65536
+_BACKLOG = 64
 
 
 class Link:
@@ -67,6 +68,8 @@
             self._accepting.cancel()
             self._listener.close()
             self._accepting = None
+            # Without a listener the kernel could give the port away.
+            self._bind()
 
     def accept_new(self) -> None:
         """Accept new connections again."""
@@ -75,11 +78,9 @@
             _set_filter(self._listener, is_dropping=False)
         if self._accepting is not None:
             return
-        self._listener = socket.socket()
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind(('127.0.0.1', self.port))
-        self._listener.listen(64)
-        self.port = self._listener.getsockname()[1]
+        if self._listener is None:
+            self._bind()
+        self._listener.listen(_BACKLOG)
         self._accepting = trio.CancelScope()
         self._nursery.start_soon(self._accept, self._accepting, self._listener)
 
@@ -93,6 +94,12 @@
         self._changed.set()
         self._changed = trio.Event()
 
+    def _bind(self) -> None:
+        self._listener = socket.socket()
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind(('127.0.0.1', self.port))
+        self.port = self._listener.getsockname()[1]
+
     async def _accept(
         self, scope: trio.CancelScope, listener: socket.socket
     ) -> None:
