--- a/src/clementinedyke/entry/relay_client.py
+++ b/src/clementinedyke/entry/relay_client.py
@@ -37,7 +37,9 @@
 #: Daemons that share the requests of one daemon. Each has open connections, so
 #: their number must not grow with that of all daemons.
 _POOL_SIZE = 4
-_CONNECT_TIMEOUT: Milliseconds = 250
+#: Longer than to an endpoint: a daemon accepts between its other tasks, and
+#: there may be only one that forwards.
+_CONNECT_TIMEOUT: Milliseconds = 500
 #: Time for which a daemon that forwards no requests is asked last.
 _AVOIDANCE: Milliseconds = 1000
 #: The same for one that answers nothing for a while; it may be frozen.
--- a/tests/test_entry_limits.py
+++ b/tests/test_entry_limits.py
@@ -12,17 +12,13 @@
     ScenarioRunner,
 )
 from tests.entry_samples import create_endpoint, create_journal
+from tests.limiting_endpoint import ALLOWED, LimitingEndpoint
 from tests.platform_standin import EndpointStandin
 
 from clementinedyke.clock import ManualClock
 from clementinedyke.entry.endpoint_limits import EndpointLimits
-from clementinedyke.http.message import ResponseWriter, ServerRequest
 
 _HOSTS = ('host-1', 'host-2', 'host-3')
-_RATE = 1
-_WINDOW_SECONDS = 4
-#: Requests that a limited endpoint may get in a window.
-_ALLOWED = 1.5 * _RATE * _WINDOW_SECONDS + 5
 _SPREAD_SECONDS = 0.5
 _SECONDS = 5
 _INTERVAL = 0.04
@@ -37,44 +33,6 @@
 _SENDERS = 20
 
 
-class LimitingEndpoint:
-    """Records the arrivals at an endpoint that names a limit while in need."""
-
-    def __init__(self, standin: EndpointStandin) -> None:
-        """Make a stand-in name the limit in all its answers."""
-        self.standin = standin
-        self.arrivals: list[float] = []
-        standin.override = self._record
-        standin.extra_headers = [(b'Server-Limit', str(float(_RATE)).encode())]
-
-    def lift(self) -> None:
-        """Name no limit any more."""
-        self.standin.extra_headers = []
-
-    async def _record(
-        self,
-        standin: EndpointStandin,
-        request: ServerRequest,
-        response: ResponseWriter,
-    ) -> bool:
-        self.arrivals.append(trio.current_time())
-        return False
-
-    def count_most(self, since: float) -> int:
-        """Return the most arrivals in a window that begins later."""
-        later = [moment for moment in self.arrivals if moment >= since]
-        return max(
-            (
-                sum(
-                    begin <= moment < begin + _WINDOW_SECONDS
-                    for moment in later
-                )
-                for begin in later
-            ),
-            default=0,
-        )
-
-
 async def send_steadily(
     env: EntryEnvironment, path: str, seconds: float
 ) -> list[int]:
@@ -130,7 +88,7 @@
             since = trio.current_time() + _SPREAD_SECONDS
             statuses = await send_steadily(env, path, _SECONDS)
             for endpoint in limited:
-                assert endpoint.count_most(since) <= _ALLOWED
+                assert endpoint.count_most(since) <= ALLOWED
             assert statuses.count(200) > 0.9 * len(statuses)
 
         ScenarioRunner().run(scenario)
@@ -148,7 +106,7 @@
             limited = LimitingEndpoint(env.endpoints['ledger-1'])
             since = trio.current_time() + _SPREAD_SECONDS
             statuses = await send_steadily(env, '/book/1', 2 * _SECONDS)
-            assert 0 < limited.count_most(since) <= _ALLOWED
+            assert 0 < limited.count_most(since) <= ALLOWED
             assert set(statuses) == {200, 429}
 
         ScenarioRunner().run(scenario)
--- a/tests/test_entry_news.py
+++ b/tests/test_entry_news.py
@@ -40,16 +40,19 @@
             'suspects_revision': 7,
         }
         parts = {'cleared_parts': ['a'], 'tried_parts': ['b']}
-        update = create_update(**known, **parts, limits=[('i-1/17', 0.5, 40)])
+        limits = {'limits': [('i-1/17', 0.5, 40)]}
+        update = create_update(**known, **parts, **limits, can_relay=True)
         fields = msgspec.to_builtins(update)
         decoder = msgspec.msgpack.Decoder(PeerUpdate)
-        without_limits = decoder.decode(msgspec.msgpack.encode(fields[:-1]))
+        without_relays = decoder.decode(msgspec.msgpack.encode(fields[:-1]))
+        assert without_relays == create_update(**known, **parts, **limits)
+        without_limits = decoder.decode(msgspec.msgpack.encode(fields[:-2]))
         assert without_limits == create_update(**known, **parts)
-        without_parts = decoder.decode(msgspec.msgpack.encode(fields[:-3]))
+        without_parts = decoder.decode(msgspec.msgpack.encode(fields[:-4]))
         assert without_parts == create_update(**known)
-        former = decoder.decode(msgspec.msgpack.encode(fields[:-5]))
+        former = decoder.decode(msgspec.msgpack.encode(fields[:-6]))
         assert former == create_update(store_age=40)
-        oldest = decoder.decode(msgspec.msgpack.encode(fields[:-6]))
+        oldest = decoder.decode(msgspec.msgpack.encode(fields[:-7]))
         assert oldest == create_update()
         newer = msgspec.msgpack.encode([*fields, 'further'])
         assert decoder.decode(newer) == update
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -11,6 +11,7 @@
     EntryEnvironment,
     ScenarioRunner,
 )
+from tests.limiting_endpoint import ALLOWED, LimitingEndpoint
 from tests.platform_standin import (
     EndpointStandin,
     delay_stream,
@@ -30,6 +31,10 @@
 _MIN_SHARE = 2 / 3
 _STOP_SECONDS = 0.5
 _LIMIT_SECONDS = 40
+_LIMIT_ROUNDS = 100
+_LIMIT_GAP_SECONDS = 0.08
+#: Time after which all usage has been reported.
+_REPORT_SECONDS = 5
 
 
 class Zones:
@@ -40,6 +45,8 @@
         self.env = env
         self.links: list[EndpointLinks] = []
         self._number = 0
+        #: Requests that were answered with success so far.
+        self.served = 0
 
     async def start(self, daemons: Sequence[str]) -> None:
         """Start a daemon in each of the given zones and wait for them."""
@@ -78,6 +85,18 @@
                 if number == 45:
                     self.env.stop_daemon(1)
 
+    async def send_steadily(
+        self, daemons: Sequence[int], route: str
+    ) -> Counter:
+        """Send requests to daemons for 8 s and return answers by status."""
+        statuses: Counter = Counter()
+        async with trio.open_nursery() as nursery:
+            for _ in range(_LIMIT_ROUNDS):
+                for daemon in daemons:
+                    nursery.start_soon(self.send, daemon, route, statuses)
+                await trio.sleep(_LIMIT_GAP_SECONDS)
+        return statuses
+
     async def cut_briefly(self, mode: str) -> None:
         """Cut host 0 off while it runs two kinds of repeatable request."""
         async with trio.open_nursery() as nursery:
@@ -110,6 +129,7 @@
             statuses[0] += 1
             return
         statuses[answer.status] += 1
+        self.served += answer.status == 200
         if answer.status in {429, 503}:
             for endpoint in self.env.endpoints.values():
                 assert request_id not in endpoint.runs
@@ -258,3 +278,111 @@
                 assert served == {200: 2 * len(_ROUTES)}
 
         run_zones(scenario, ['zone-a', 'zone-a', 'zone-a'])
+
+
+class TestNamedLimit:
+    """Guards against limits of endpoints that forwarded requests exceed."""
+
+    def test_sum_of_all_daemons(self) -> None:
+        """An endpoint gets what it takes, also over other daemons."""
+        most: list[int] = []
+
+        async def scenario(zones: Zones) -> None:
+            limiting = LimitingEndpoint(zones.env.endpoints['ledger-1'])
+            zones.links[0].cut('reset')
+            named_at = trio.current_time()
+            await zones.send_steadily((0, 1, 2), 'read')
+            most.append(limiting.count_most(named_at + _CONTACT_SECONDS))
+
+        run_zones(scenario, ['zone-a', 'zone-a', 'zone-a'])
+        assert most[0] <= ALLOWED
+
+
+class TestUsage:
+    """Guards against requests that are counted twice or not at all."""
+
+    def test_each_request_counts_once(self) -> None:
+        """Requests that another daemon forwards count once."""
+
+        async def scenario(zones: Zones) -> None:
+            zones.links[0].cut('reset')
+            await trio.sleep(_CONTACT_SECONDS)
+            await zones.count_served(0, _REQUESTS)
+            await zones.count_served(1, _REQUESTS)
+            await trio.sleep(_REPORT_SECONDS)
+            calls = zones.env.duties.calls
+            reports = [body for path, body in calls if path == '/usage']
+            reported = [body['counts'].get('loft', 0) for body in reports]
+            assert sum(reported) == zones.served
+
+        run_zones(scenario, ['zone-a', 'zone-a'])
+
+
+class TestStoppedRelay:
+    """Guards against answers that another daemon breaks off."""
+
+    def test_planned_stop(self) -> None:
+        """A daemon that stops as planned ends the requests that it forwards."""
+        statuses: Counter = Counter()
+
+        async def scenario(zones: Zones) -> None:
+            zones.delay_answers()
+            zones.links[0].cut('reset')
+            await trio.sleep(_CONTACT_SECONDS)
+            zones.env.nursery.start_soon(request_stop_later, zones.env, 1)
+            statuses.update(await zones.send_steadily((0,), 'book'))
+
+        run_zones(scenario, ['zone-a', 'zone-a', 'zone-a'])
+        assert statuses == {200: _LIMIT_ROUNDS}
+
+    @pytest.mark.parametrize('route', ['ask', 'resumable'])
+    def test_killed(self, route: str) -> None:
+        """A stream whose relay is killed goes on at another or is broken off.
+
+        The end of the connection between the daemons must not look like the
+        end of the stream.
+        """
+        bodies: list[bytes] = []
+        paused: list[str] = []
+
+        async def pause(
+            endpoint: EndpointStandin, request: object, response: object
+        ) -> bool:
+            if request.get_header(b'x-stage') == 'prefill' or paused:
+                return False
+            paused.append(endpoint.endpoint_id)
+            await endpoint.stream(request, response, 2)
+            await trio.sleep_forever()
+            return True
+
+        async def scenario(zones: Zones) -> None:
+            zones.links[0].cut('reset')
+            await trio.sleep(_CONTACT_SECONDS)
+            for endpoint in zones.env.endpoints.values():
+                endpoint.override = pause
+            zones.env.nursery.start_soon(stop_later, zones.env, 1)
+            try:
+                answer = await zones.env.send_request(
+                    f'/{route}/1', 'cut-1', daemon=0
+                )
+            except AnswerLostError:
+                return
+            bodies.append(answer.body)
+
+        run_zones(scenario, ['zone-a', 'zone-a', 'zone-b'])
+        whole = b''.join(
+            b'id: %d\ndata: x\n\n' % number for number in (1, 2, 3)
+        )
+        assert bodies == ([whole] if route == 'resumable' else [])
+
+
+async def request_stop_later(env: EntryEnvironment, daemon: int) -> None:
+    """Stop a daemon as planned after a while."""
+    await trio.sleep(_STOP_SECONDS)
+    env.daemons[daemon].application.request_stop()
+
+
+async def stop_later(env: EntryEnvironment, daemon: int) -> None:
+    """End a daemon at once after a while."""
+    await trio.sleep(_STOP_SECONDS)
+    env.stop_daemon(daemon)
