Count listed daemons as active until all had time to send an update

Callers of streams that began in a daemon's first moments were refused (3012) at all other daemons after it ended: it told no keeper, since it knew only daemons that it had heard from. Its share of a named limit was the whole limit for the same reason. Daemons in the list of the store count from the start until updates of all active ones have arrived; the metric clementinedyke_entry_begun_streams tells how many keepers were told.

--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -135,6 +135,7 @@
         self._relay_port = state.relay_port
         self._limits.urgent_observers.append(self.announce)
         self._clock = tools[0]
+        self._started_at = self._clock.get_now()
         self._journal = tools[1]
         self.lending_counts = LendingCounts()
         self._lending_limit = LendingLimit(identity.link_megabits)
@@ -161,10 +162,18 @@
         return 1 + len(self._network.addresses)
 
     def list_active(self) -> frozenset[str]:
-        """Return the hosts of daemons that sent an update recently."""
-        return self._peer_table.list_hosts(
-            _get_active_age(self.interval), self._clock.get_now()
-        )
+        """Return the hosts of daemons that sent an update recently.
+
+        Until all others have had the time to send one, they are the listed
+        daemons too: some of these may have ended, but a daemon that counts
+        only itself tells nobody of its streams and takes whole limits.
+        """
+        now = self._clock.get_now()
+        age = _get_active_age(self.interval)
+        active = self._peer_table.list_hosts(age, now)
+        if now - self._started_at <= age:
+            return active | self._network.addresses.keys()
+        return active
 
     def list_relays(self) -> frozenset[str]:
         """Return the hosts of active daemons that forward requests."""
--- a/src/clementinedyke/entry/version_finder.py
+++ b/src/clementinedyke/entry/version_finder.py
@@ -43,11 +43,19 @@
 
 
 class ResumeCounts(Collector):
-    """Streams that callers took up again."""
+    """Streams that began here, and those that callers took up again."""
 
     def __init__(self) -> None:
         """Create all counts at zero."""
         self._results: Counter[str] = Counter()
+        self._keepers: Counter[int] = Counter()
+
+    def record_begun(self, keepers: int) -> None:
+        """Count a stream that began.
+
+        :param keepers: number of daemons that were told of its version.
+        """
+        self._keepers[keepers] += 1
 
     def record_resume(self, result: str) -> None:
         """Count a stream.
@@ -66,6 +74,14 @@
         for result, count in self._results.items():
             family.add_metric((result,), count)
         yield family
+        begun = CounterMetricFamily(
+            'clementinedyke_entry_begun_streams',
+            'Streams that began, by the daemons told of their version.',
+            labels=('keepers',),
+        )
+        for keepers, streams in self._keepers.items():
+            begun.add_metric((str(keepers),), streams)
+        yield begun
 
 
 @dataclass(slots=True)
@@ -140,6 +156,7 @@
         self.streams.record(stream, version, lifetime, self._clock.get_now())
         zones = self._compile_zones(self.list_active())
         keepers = self._keepers.list_keepers(stream, zones, self._zone)
+        self.counts.record_begun(len(keepers))
         await self._network.send(
             encode_message(StreamBegun(stream, version, lifetime)),
             self._list_addresses(keepers),
