--- a/src/clementinedyke/entry/exchange.py
+++ b/src/clementinedyke/entry/exchange.py
@@ -135,7 +135,7 @@
                 async with self._transport.open_response(
                     endpoint, request
                 ) as stream:
-                    job.framing = stream.framing
+                    _record_way(job, stream)
                     head = self._read_head(job, stream, endpoint)
                     self._limits.record_answer(
                         endpoint,
@@ -311,6 +311,13 @@
         )
 
 
+def _record_way(job: Job, stream: ResponseStream) -> None:
+    """Keep for the log how an answer came."""
+    job.framing = stream.framing
+    if stream.relay is not None:
+        job.relays.append(stream.relay)
+
+
 def _skip_examination(endpoint: EntryEndpoint) -> Examination:
     """Return a result that is unknown, for an exchange without a prober."""
     examination = Examination()
--- a/src/clementinedyke/entry/gateway.py
+++ b/src/clementinedyke/entry/gateway.py
@@ -170,6 +170,7 @@
             framing=None if job.framing is None else job.framing.value,
             cut_bytes=job.cut_bytes,
             failures=job.failures,
+            relays=job.relays,
         )
 
 
--- a/src/clementinedyke/entry/intake.py
+++ b/src/clementinedyke/entry/intake.py
@@ -38,8 +38,9 @@
     counts the attempts except failed connects, ``runs`` those that an endpoint
     may have run, ``reads`` the attempts to prefill. ``path`` lists the ids of
     the endpoints in the order of the sends, ``versions`` their software
-    versions, ``failures`` the reasons of failed sends, ``excluded`` the ids of
-    endpoints that are not tried again. ``fingerprint`` is the same for all
+    versions, ``failures`` the reasons of failed sends, ``relays`` the hosts of
+    daemons that forwarded answers, ``excluded`` the ids of endpoints that are
+    not tried again. ``fingerprint`` is the same for all
     requests with the same customer, method, host, target and body. ``parts``
     has the digests of the shared parts of the prompt.
     ``examination`` is that of the endpoint that lost the last answer.
@@ -67,6 +68,7 @@
     path: list[str] = field(default_factory=list)
     versions: list[str] = field(default_factory=list)
     failures: list[str] = field(default_factory=list)
+    relays: list[str] = field(default_factory=list)
     excluded: set[str] = field(default_factory=set)
     examination: Examination | None = None
     framing: Framing | None = None
--- a/src/clementinedyke/entry/relay_client.py
+++ b/src/clementinedyke/entry/relay_client.py
@@ -164,6 +164,7 @@
                 return None
             if failure is not None:
                 raise create_exception(failure, f'by {host}: {failure.value}')
+            stream.relay = host
             stack.push_async_exit(attempt.pop_all())
             return stream
 
--- a/src/clementinedyke/http/client.py
+++ b/src/clementinedyke/http/client.py
@@ -203,6 +203,8 @@
         self.headers: Headers = list(head.headers)
         #: How the end of the body is marked.
         self.framing = _get_framing(self._status, dict(self.headers))
+        #: Host that forwarded the response, None if it came directly.
+        self.relay: str | None = None
         #: Number of body chunks received so far, as the peer sent them.
         self.chunk_count = 0
 
