Obey endpoints that leave or ask for a pause in their answers

Cause: Server-Leaving and Retry-After of endpoints were passed on and not read. Ruled out: the view of the store's entries; it marks leaving endpoints at once, but these endpoints leave without telling the store.

Change: the adapter decodes both headers. Departures and pauses are cores without input or output; departures act through the view of the endpoints, so that plans, forwarded requests and placing treat such a run like one whose entry says that it leaves, and are told to the other daemons in a new last field of the update. A run is barred until its next run is listed, until it answers a later request without the header, or for ten minutes: a leaving endpoint exits within seconds, and one that lives on must not be lost for good. A pause concerns the daemon that was asked. Code 3013 if all pause.

--- a/src/clementinedyke/codes.py
+++ b/src/clementinedyke/codes.py
@@ -55,6 +55,7 @@
     STORE_UNREACHABLE = 3010
     REQUEST_HELD = 3011
     VERSION_UNKNOWN = 3012
+    ENDPOINTS_PAUSED = 3013
     ANSWER_LOST = 4000
     ENDPOINT_TIMEOUT = 4001
     CLAIM_PENDING = 4002
@@ -224,6 +225,11 @@
             _NOT_RUN,
             'The software version that began the stream is not known.',
         ),
+        ResultCode.ENDPOINTS_PAUSED: CodeDetails(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _NOT_RUN,
+            'All endpoints of the service asked for a pause.',
+        ),
         ResultCode.ANSWER_LOST: CodeDetails(
             HTTPStatus.BAD_GATEWAY,
             _UNKNOWN,
--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -178,7 +178,9 @@
             (self._clock, self._journal, self._generator),
         )
         self._versions.list_active = self._peers.list_active
-        self._exchanged_state.limits.list_hosts = self._peers.list_active
+        self._exchanged_state.notices.limits.list_hosts = (
+            self._peers.list_active
+        )
         self._links.relays.list_relays = self._peers.list_relays
         self._links.monitor.announce = self._peers.announce
         self._readiness.announce = self._peers.announce
@@ -273,6 +275,7 @@
             configuration=self._configuration,
             endpoints=self._endpoints,
             work=self._work,
+            pauses=self._exchanged_state.notices.pauses,
             is_candidate=self._is_lease_candidate,
             count_daemons=self._count_daemons,
             list_hosts=self._list_hosts,
--- a/src/clementinedyke/entry/duties.py
+++ b/src/clementinedyke/entry/duties.py
@@ -9,6 +9,7 @@
 from clementinedyke.entry.capacity_plan import CapacityPlan, CapacityTargets
 from clementinedyke.entry.configuration_view import ConfigurationView
 from clementinedyke.entry.duty_lease import DUTIES_SCOPE, DutyLease
+from clementinedyke.entry.endpoint_pauses import EndpointPauses
 from clementinedyke.entry.endpoint_view import EndpointView
 from clementinedyke.entry.endpoint_work import WorkTable
 from clementinedyke.entry.host_settings import HostSettings
@@ -56,6 +57,7 @@
     configuration: ConfigurationView
     endpoints: EndpointView
     work: WorkTable
+    pauses: EndpointPauses
     is_candidate: Callable[[str], bool]
     count_daemons: Callable[[], int]
     list_hosts: Callable[[Milliseconds], frozenset[str]]
@@ -149,7 +151,7 @@
         (dependencies.configuration, dependencies.endpoints),
         (CapacityPlan(_CAPACITY_TARGETS), StagePlan(_DECODE_SHARE)),
         duties,
-        dependencies.work,
+        (dependencies.work, dependencies.pauses),
         dependencies.clock,
         dependencies.journal,
     )
--- a/src/clementinedyke/entry/endpoint_limits.py
+++ b/src/clementinedyke/entry/endpoint_limits.py
@@ -7,6 +7,7 @@
 from clementinedyke.clock import Milliseconds
 from clementinedyke.entry.catalog import EntryEndpoint
 from clementinedyke.entry.journal import Journal
+from clementinedyke.entry.news import MAX_TOLD, MAX_TOLD_AGE
 
 _MILLISECONDS_PER_SECOND = 1000
 _HASH_BYTES = 8
@@ -23,10 +24,6 @@
 _LIFETIME: Milliseconds = 600000
 #: Time for which the share of a limit is not computed again.
 _SHARE_LIFETIME: Milliseconds = 500
-#: Age up to which limits are told to the other daemons, and how many at once.
-#: With 330 daemons each sends an update every 5.5 s, and some are lost.
-_MAX_TOLD_AGE: Milliseconds = 12000
-_MAX_TOLD = 20
 #: Relative change of a limit that the other daemons learn at once.
 _MIN_CHANGE = 0.1
 #: Rate that stands for a limit that was lifted.
@@ -126,11 +123,11 @@
         told = sorted(
             (now - limit.named_at, run_id)
             for run_id, limit in self._limits.items()
-            if limit.is_own and now - limit.named_at <= _MAX_TOLD_AGE
+            if limit.is_own and now - limit.named_at <= MAX_TOLD_AGE
         )
         return [
             (run_id, _encode_rate(self._limits[run_id].rate), age)
-            for age, run_id in told[:_MAX_TOLD]
+            for age, run_id in told[:MAX_TOLD]
         ]
 
     def receive_news(
--- a/src/clementinedyke/entry/endpoint_protocol.py
+++ b/src/clementinedyke/entry/endpoint_protocol.py
@@ -57,6 +57,9 @@
     request. ``forwarded_headers`` are passed to the caller unchanged.
     ``rate_limit`` is the number of requests a second that the endpoint takes
     from all daemons together, None if it names no limit.
+    ``is_leaving`` is true if the endpoint says that it leaves.
+    ``requested_pause`` is the time in ms for which it wants no requests of this
+    daemon, None if it asks for none.
     """
 
     status: int
@@ -66,6 +69,8 @@
     load: EndpointLoad | None
     forwarded_headers: Headers
     rate_limit: float | None = None
+    is_leaving: bool = False
+    requested_pause: Milliseconds | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/entry/endpoint_view.py
+++ b/src/clementinedyke/entry/endpoint_view.py
@@ -1,11 +1,13 @@
 """View of the endpoints, decoded from their entries in the store."""
 
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from result import Result
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.entry.catalog import EntryEndpoint, Stage
+from clementinedyke.entry.departures import Departures
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.store_contact import StoreContact
 from clementinedyke.entry.watch import StoredRow
@@ -25,7 +27,9 @@
     """Endpoints known from the store, leaving ones included.
 
     An endpoint whose entry disappears shortly after the store failed for all
-    daemons is kept for a limited time, because it may still be running.
+    daemons is kept for a limited time, because it may still be running. An
+    endpoint that says in an answer that it leaves counts as leaving, also while
+    its entry says otherwise.
     """
 
     def __init__(
@@ -50,6 +54,8 @@
         self._drain_delay = drain_delay
         self._get_lag = get_lag
         self._contact = contact
+        #: Runs that said in an answer that they leave.
+        self.departures = Departures(journal)
         self._journal = journal
         self._endpoints: dict[str, EntryEndpoint] = {}
         self._rows: dict[str, StoredRow] = {}
@@ -60,8 +66,12 @@
         self.as_of_revision = 0
         #: Store revision of the last change seen, removals included.
         self.changed_revision = 0
-        #: Incremented with each change of the view.
-        self.revision = 0
+        self._changes = 0
+
+    @property
+    def revision(self) -> int:
+        """Number that rises with each change of the view."""
+        return self._changes + self.departures.revision
 
     @property
     def confirmed_at(self) -> Milliseconds | None:
@@ -97,7 +107,12 @@
         for endpoint_id, until in tuple(self._held_until.items()):
             if now >= until:
                 self._drop(endpoint_id, 'lapsed')
-        return list(self._endpoints.values())
+        return [
+            replace(endpoint, is_leaving=True)
+            if self.departures.is_leaving(endpoint, now)
+            else endpoint
+            for endpoint in self._endpoints.values()
+        ]
 
     def replace_rows(
         self, rows: tuple[StoredRow, ...], now: Milliseconds
@@ -166,7 +181,7 @@
         self._held_until.pop(endpoint.endpoint_id, None)
         known = self._endpoints.get(endpoint.endpoint_id)
         self._endpoints[endpoint.endpoint_id] = endpoint
-        self.revision += 1
+        self._changes += 1
         if known is None or _get_logged(known) != _get_logged(endpoint):
             self._journal.write(
                 'endpoint_changed',
@@ -180,15 +195,19 @@
             )
 
     def _handle_removal(self, endpoint_id: str, now: Milliseconds) -> None:
-        if endpoint_id not in self._endpoints:
+        endpoint = self._endpoints.get(endpoint_id)
+        if endpoint is None:
             return
+        is_leaving = endpoint.is_leaving or self.departures.is_leaving(
+            endpoint, now
+        )
         failed_at = self._store_failed_at
         may_have_expired = (
             failed_at is not None
             and now - failed_at < _EXPIRY_WINDOW
             and self._contact.was_silent(_EXPIRY_WINDOW, now)
         )
-        if may_have_expired and not self._endpoints[endpoint_id].is_leaving:
+        if may_have_expired and not is_leaving:
             hold = self._drain_delay - self._get_lag() - _HOLD_MARGIN
             self._held_until.setdefault(endpoint_id, now + max(0, hold))
             return
@@ -198,7 +217,7 @@
         self._held_until.pop(endpoint_id, None)
         self._rows.pop(endpoint_id, None)
         if self._endpoints.pop(endpoint_id, None) is not None:
-            self.revision += 1
+            self._changes += 1
             self._journal.write(
                 'endpoint_gone', endpoint=endpoint_id, reason=reason
             )
--- a/src/clementinedyke/entry/exchange.py
+++ b/src/clementinedyke/entry/exchange.py
@@ -9,7 +9,7 @@
 
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.entry.catalog import EntryEndpoint
-from clementinedyke.entry.endpoint_limits import EndpointLimits
+from clementinedyke.entry.endpoint_notices import EndpointNotices
 from clementinedyke.entry.endpoint_protocol import (
     AnswerHead,
     EndpointProtocol,
@@ -88,7 +88,7 @@
         clock: Clock,
         transport: EndpointTransport,
         suspects: Suspects,
-        limits: EndpointLimits,
+        notices: EndpointNotices,
     ) -> None:
         """Create the exchange.
 
@@ -97,9 +97,9 @@
         :param clock: clock of the host.
         :param transport: connections to the endpoints.
         :param suspects: told of each send and of lost answers.
-        :param limits: told of each send and of the limits in answers.
+        :param notices: told of each send and of the heads of answers.
         """
-        self._limits = limits
+        self._notices = notices
         self._protocol = protocol
         self._placement = placement
         self._clock = clock
@@ -127,7 +127,7 @@
         request = self._protocol.compile_request(job.request, options)
         work = self._placement.work.get_work(endpoint)
         work.running += 1
-        self._limits.record_send(endpoint, self._clock.get_now())
+        self._notices.limits.record_send(endpoint, self._clock.get_now())
         job.path.append(endpoint.endpoint_id)
         job.versions.append(endpoint.version)
         try:
@@ -137,11 +137,8 @@
                 ) as stream:
                     _record_way(job, stream)
                     head = self._read_head(job, stream, endpoint)
-                    self._limits.record_answer(
-                        endpoint,
-                        head.rate_limit,
-                        attempt.sent_at,
-                        self._clock.get_now(),
+                    self._notices.record_answer(
+                        endpoint, head, attempt.sent_at, self._clock.get_now()
                     )
                     attempt.answer = EndpointAnswer(head, stream, endpoint)
                     self._record_answer(endpoint, attempt.sent_at)
@@ -253,10 +250,10 @@
         :param memory: handle and the engine that keeps it.
         """
         now = self._clock.get_now()
-        if not self._limits.may_send(kv_cache.endpoint, now):
+        if not self._notices.may_send(kv_cache.endpoint, now):
             # The engine evicts the cache when its lifetime expires.
             return
-        self._limits.record_send(kv_cache.endpoint, now)
+        self._notices.limits.record_send(kv_cache.endpoint, now)
         request = self._protocol.compile_release(kv_cache)
         try:
             await self._send_release(kv_cache.endpoint, request)
@@ -271,10 +268,14 @@
     async def _send_release(
         self, endpoint: EntryEndpoint, request: HttpRequest
     ) -> None:
+        sent_at = self._clock.get_now()
         with trio.move_on_after(_RELEASE_TIMEOUT / _MILLISECONDS_PER_SECOND):
             async with self._transport.open_response(
                 endpoint, request
             ) as stream:
+                now = self._clock.get_now()
+                head = self._protocol.read_head(stream.status, stream.headers)
+                self._notices.record_answer(endpoint, head, sent_at, now)
                 await stream.receive_body(_MAX_RELEASE_BYTES)
                 return
         raise AnswerLostError(f'no answer within {_RELEASE_TIMEOUT} ms')
--- a/src/clementinedyke/entry/exchanged_state.py
+++ b/src/clementinedyke/entry/exchanged_state.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from clementinedyke.entry.configuration_view import ConfigurationView
-from clementinedyke.entry.endpoint_limits import EndpointLimits
+from clementinedyke.entry.endpoint_notices import EndpointNotices
 from clementinedyke.entry.endpoint_view import EndpointView
 from clementinedyke.entry.endpoint_work import WorkTable
 from clementinedyke.entry.relay_port import RelayPort
@@ -18,7 +18,7 @@
     ``work`` is that of all endpoints. ``configuration`` and ``endpoints`` are
     views of the store, and ``store_contact`` tells when it answered.
     ``suspects`` has the evidence against requests and prompt parts, and
-    ``limits`` those that endpoints have named. ``relay_port`` forwards requests
+    ``notices`` what endpoints said in answers. ``relay_port`` forwards requests
     of daemons that lost their links.
     """
 
@@ -27,5 +27,5 @@
     endpoints: EndpointView
     store_contact: StoreContact
     suspects: SuspectComponent
-    limits: EndpointLimits
+    notices: EndpointNotices
     relay_port: RelayPort
--- a/src/clementinedyke/entry/links.py
+++ b/src/clementinedyke/entry/links.py
@@ -13,13 +13,15 @@
     EndpointConnections,
     get_max_idle,
 )
+from clementinedyke.entry.endpoint_notices import EndpointNotices
+from clementinedyke.entry.endpoint_protocol import EndpointProtocol
 from clementinedyke.entry.endpoint_transport import EndpointTransport
 from clementinedyke.entry.endpoint_view import EndpointView
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.path_monitor import PathMonitor
 from clementinedyke.entry.peer_network import PeerNetwork
 from clementinedyke.entry.relay_client import RelayClient
-from clementinedyke.entry.relay_port import RelayPort
+from clementinedyke.entry.relay_port import AnswerReader, RelayPort
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +41,7 @@
     count_daemons: Callable[[], int],
     network: PeerNetwork,
     tools: tuple[Clock, Journal, Random],
+    notices: tuple[EndpointNotices, EndpointProtocol],
 ) -> Links:
     """Return the parts; no connection is opened yet.
 
@@ -48,6 +51,7 @@
         on connections to endpoints.
     :param network: addresses and zones of the other daemons.
     :param tools: clock, log and random generator for samples.
+    :param notices: what endpoints ask for, and the decoder of their answers.
     """
     clock, journal, generator = tools
     configuration, endpoints = views
@@ -62,7 +66,13 @@
         path,
         monitor,
         relays,
-        RelayPort(connections, path, monitor, list_endpoints),
+        RelayPort(
+            connections,
+            path,
+            monitor,
+            list_endpoints,
+            AnswerReader(*notices, clock),
+        ),
         EndpointTransport(connections, path, monitor, relays, clock),
     )
 
--- a/src/clementinedyke/entry/news.py
+++ b/src/clementinedyke/entry/news.py
@@ -15,6 +15,11 @@
 #: Number of newer daemons of which the newest is selected. A random sample
 #: keeps daemons that fell behind together from all asking the same one.
 _NEWER_SAMPLE = 2
+#: Age up to which notices of endpoints are told to the other daemons, and how
+#: many at once. With 330 daemons each sends an update every 5.5 s, and some are
+#: lost.
+MAX_TOLD_AGE: Milliseconds = 12000
+MAX_TOLD = 20
 #: Daemons heard from within this time share the retry budget.
 _RETRY_SHARE_WINDOW: Milliseconds = 10000
 
@@ -37,6 +42,8 @@
     the limits that endpoints named in answers to the sender: run id, requests a
     second (negative if the limit was lifted) and age in ms. ``can_relay`` is
     whether the sender forwards requests of daemons that lost their links.
+    ``departures`` are the runs of endpoints that told the sender that they
+    leave, with the age in ms of what they said.
     """
 
     host: str
@@ -55,6 +62,7 @@
     tried_parts: list[str] = []
     limits: list[tuple[str, float, int]] = []
     can_relay: bool = False
+    departures: list[tuple[str, int]] = []
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/entry/order_component.py
+++ b/src/clementinedyke/entry/order_component.py
@@ -18,6 +18,7 @@
     OrderOutcome,
     StageOrder,
 )
+from clementinedyke.entry.endpoint_pauses import EndpointPauses
 from clementinedyke.entry.endpoint_view import EndpointView
 from clementinedyke.entry.endpoint_work import WorkTable
 from clementinedyke.entry.journal import Journal
@@ -61,7 +62,7 @@
         views: tuple[ConfigurationView, EndpointView],
         plans: tuple[CapacityPlan, StagePlan],
         sender: OrderSender,
-        work: WorkTable,
+        state: tuple[WorkTable, EndpointPauses],
         clock: Clock,
         journal: Journal,
     ) -> None:
@@ -71,7 +72,7 @@
         :param views: views of the configuration and of the endpoints.
         :param plans: capacity plan and stage plan.
         :param sender: client of the platform and of the engines.
-        :param work: outstanding work of the engines.
+        :param state: outstanding work of the engines, and their pauses.
         :param clock: clock of the host.
         :param journal: log of orders.
         """
@@ -81,7 +82,8 @@
         self._capacity = plans[0]
         self._stages = plans[1]
         self._sender = sender
-        self._work = work
+        self._work = state[0]
+        self._pauses = state[1]
         self._clock = clock
         self._journal = journal
         self._fence = 0
@@ -152,6 +154,8 @@
     ) -> None:
         now = self._clock.get_now()
         for wanted in self._stages.list_orders(service.name, endpoints, now):
+            if self._pauses.is_paused(wanted.endpoint, self._clock.get_now()):
+                continue
             state = await self._sender.get_engine_state(wanted.endpoint)
             authority = self._lease.get_authority()
             if authority is None:
--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -131,7 +131,9 @@
         self._has_evidence = trio.Event()
         self._suspects.urgent_observers.append(self._announce_evidence)
         self._suspects.parts.urgent_observers.append(self.announce)
-        self._limits = state.limits
+        self._limits = state.notices.limits
+        self._departures = state.notices.departures
+        self._departures.urgent_observers.append(self.announce)
         self._relay_port = state.relay_port
         self._limits.urgent_observers.append(self.announce)
         self._clock = tools[0]
@@ -282,6 +284,7 @@
         parts.receive_trials(update.host, update.tried_parts, now)
         parts.receive_cleared(update.cleared_parts, now)
         self._limits.receive_news(update.limits, now)
+        self._departures.receive_news(update.departures, now)
         self._evidence.record_revision(update.suspects_revision)
         confirmed = self._peer_table.get_confirmation_time(
             self._configuration.version, now
@@ -343,6 +346,7 @@
             tried_parts=self._suspects.parts.pop_trials(),
             limits=self._limits.list_news(now),
             can_relay=self._relay_port.is_willing,
+            departures=self._departures.list_news(now),
         )
         await self._network.send(
             msgspec.msgpack.encode(update),
--- a/src/clementinedyke/entry/placement.py
+++ b/src/clementinedyke/entry/placement.py
@@ -6,7 +6,7 @@
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.entry.catalog import EntryEndpoint, Stage
-from clementinedyke.entry.endpoint_limits import EndpointLimits
+from clementinedyke.entry.endpoint_notices import EndpointNotices
 from clementinedyke.entry.endpoint_work import PromptProfile, WorkTable
 from clementinedyke.health import HealthLimits, HealthState, HealthTable
 
@@ -36,7 +36,7 @@
         work: WorkTable,
         generator: random.Random,
         has_infrequent_updates: Callable[[], bool],
-        limits: EndpointLimits | None = None,
+        notices: EndpointNotices | None = None,
     ) -> None:
         """Create a core without endpoints.
 
@@ -46,9 +46,9 @@
         :param has_infrequent_updates: returns whether other daemons send
             state updates so rarely that all daemons would select the same
             endpoint in between.
-        :param limits: limits that endpoints have named, None to ignore them.
+        :param notices: what endpoints ask for, None to ignore it.
         """
-        self._limits = limits
+        self._notices = notices
         self._zone = availability_zone
         self._work = work
         self._generator = generator
@@ -159,6 +159,19 @@
         """
         return bool(self.list_endpoints(service))
 
+    def get_pause(
+        self, endpoints: Iterable[EntryEndpoint], now: Milliseconds
+    ) -> Milliseconds:
+        """Return the time until one of some endpoints takes requests.
+
+        :param endpoints: endpoints that could run a request.
+        :param now: current instant.
+        :return: milliseconds, 0 unless all of them asked for a pause.
+        """
+        if self._notices is None:
+            return 0
+        return self._notices.pauses.get_wait(endpoints, now)
+
     def list_other_versions(
         self, service: str, version: str | None
     ) -> frozenset[str]:
@@ -245,7 +258,7 @@
             endpoint
             for endpoint in self.list_endpoints(service, stage)
             if endpoint.endpoint_id not in excluded
-            and (self._limits is None or self._limits.may_send(endpoint, now))
+            and (self._notices is None or self._notices.may_send(endpoint, now))
         ]
         reachable = [
             endpoint
--- a/src/clementinedyke/entry/request_path.py
+++ b/src/clementinedyke/entry/request_path.py
@@ -6,7 +6,7 @@
 
 from clementinedyke.clock import Clock
 from clementinedyke.entry.configuration_view import ConfigurationView
-from clementinedyke.entry.endpoint_limits import EndpointLimits
+from clementinedyke.entry.endpoint_notices import EndpointNotices
 from clementinedyke.entry.endpoint_reader import EndpointReader
 from clementinedyke.entry.endpoint_view import EndpointView
 from clementinedyke.entry.endpoint_work import WorkTable
@@ -69,13 +69,15 @@
     :param work: table of the work at each endpoint.
     :param context: dependencies on the rest of the daemon.
     """
-    limits = EndpointLimits(settings.host, context.journal)
+    notices = EndpointNotices(
+        settings.host, context.endpoints.departures, context.journal
+    )
     placement = PlacementCore(
         settings.availability_zone,
         work,
         context.generator,
         context.has_infrequent_updates,
-        limits,
+        notices,
     )
     suspect_component = SuspectComponent(
         context.platform.store,
@@ -90,6 +92,7 @@
         context.count_daemons,
         network,
         (context.clock, context.journal, context.generator),
+        (notices, context.platform.protocol),
     )
     suspect_component.check_listening = links.transport.check_listening
     exchange = Exchange(
@@ -98,7 +101,7 @@
         context.clock,
         links.transport,
         suspect_component.suspects,
-        limits,
+        notices,
     )
     exchange.examine = suspect_component.examine
     placement.has_connection = links.transport.has_connection
@@ -126,6 +129,7 @@
         budgets=RetryBudgets(settings.bounds),
         suspects=suspect_component.suspects,
         versions=versions,
+        generator=context.generator,
     )
     gateway = Gateway(intake, runner_context, context.journal)
     return RequestPath(
@@ -141,7 +145,7 @@
             endpoints=context.endpoints,
             store_contact=context.store_contact,
             suspects=suspect_component,
-            limits=limits,
+            notices=notices,
             relay_port=links.relay_port,
         ),
     )
--- a/src/clementinedyke/entry/runners.py
+++ b/src/clementinedyke/entry/runners.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from random import Random
 
 import trio
 
@@ -51,6 +52,10 @@
 #: Retry delay for a stream of unknown version; a daemon that knows it may be
 #: frozen or cut off, or the version may be the only one some seconds later.
 RETRY_AFTER_UNKNOWN_VERSION: Milliseconds = 1000
+#: Callers that were refused because all endpoints pause return within this
+#: time, or this share of the pause, after its end.
+_MIN_RETURN_TIME: Milliseconds = 300
+_RETURN_SHARE = 0.5
 #: Interval at which a suspect looks for an endpoint without other suspects, and
 #: the longest time for which it does.
 _ISOLATION_INTERVAL: Milliseconds = 25
@@ -73,6 +78,7 @@
     budgets: RetryBudgets
     suspects: Suspects
     versions: VersionFinder
+    generator: Random
 
     async def wait_for_clearance(self, job: Job) -> None:
         """Wait until a job may be sent, which it mostly may at once.
@@ -211,6 +217,15 @@
         """
         if job.has_started:
             return RequestError(ResultCode.ANSWER_LOST, message)
+        pause = self.placement.get_pause(
+            self.list_endpoints(job), self.clock.get_now()
+        )
+        if pause:
+            return RequestError(
+                ResultCode.ENDPOINTS_PAUSED,
+                'all endpoints asked for a pause',
+                pause + self._get_return_delay(pause),
+            )
         if self.has_endpoints(job):
             return RequestError(
                 ResultCode.QUEUE_FULL, message, RETRY_AFTER_FULL
@@ -219,6 +234,11 @@
             ResultCode.NO_ENDPOINT, message, RETRY_AFTER_NO_ENDPOINT
         )
 
+    def _get_return_delay(self, pause: Milliseconds) -> Milliseconds:
+        """Return a random delay so that callers don't return together."""
+        longest = max(_MIN_RETURN_TIME, int(pause * _RETURN_SHARE))
+        return self.generator.randint(0, longest)
+
     async def _wait_until_clear(
         self,
         job: Job,
--- a/src/clementinedyke/platform/requests.py
+++ b/src/clementinedyke/platform/requests.py
@@ -21,8 +21,14 @@
 _MILLISECONDS_PER_SECOND = 1000
 #: Largest time in ms or count that is read from a header.
 _MAX_NUMBER = 10**9
+_FRACTION_DIGITS = 6
+#: Unreadable headers of endpoints are logged once in this time, since each
+#: answer may have one.
+_WARNING_INTERVAL_SECONDS = 5
+_MAX_LOGGED_TEXT = 40
 #: The endpoint at the address is not the one in X-Expect-Instance.
 _STATUS_MISDIRECTED = 421
+_STATUS_UNAVAILABLE = 503
 _REQUEST_ID = b'x-request-id'
 _API_KEY = b'x-key'
 _DEADLINE = b'x-deadline-ms'
@@ -36,6 +42,8 @@
 _LOAD = b'x-instance-load'
 _NOT_EXECUTED = b'x-not-executed'
 _RATE_LIMIT = b'server-limit'
+_LEAVING = b'server-leaving'
+_RETRY_AFTER = b'retry-after'
 #: Request headers that are not forwarded: hop-by-hop headers, and headers that
 #: only the daemon may set, so that callers can't forge them.
 _UNFORWARDED_HEADERS = frozenset(
@@ -183,7 +191,11 @@
             forwarded_headers=[
                 pair for pair in headers if pair[0] not in _HOP_BY_HOP_HEADERS
             ],
-            rate_limit=_parse_rate(_get_text(fields, _RATE_LIMIT)),
+            rate_limit=_parse_fraction(_get_text(fields, _RATE_LIMIT)),
+            # A 421 is of another endpoint that has the address now.
+            is_leaving=status != _STATUS_MISDIRECTED
+            and _get_text(fields, _LEAVING) == '1',
+            requested_pause=_parse_pause(status, fields),
         )
 
     def read_prefill(self, body: bytes) -> PrefillAnswer | None:
@@ -240,16 +252,39 @@
     return None if text is None else parse_decimal(text, _MAX_NUMBER)
 
 
-def _parse_rate(text: str | None) -> float | None:
-    """Return a rate in requests a second, None if it is missing or invalid."""
+def _parse_fraction(text: str | None) -> float | None:
+    """Return a decimal fraction, None if it is missing or invalid."""
     if text is None:
         return None
     whole, _, fraction = text.partition('.')
-    number = parse_decimal(f'{whole or 0}{fraction}', _MAX_NUMBER)
-    if number is None or not (whole or fraction):
-        logging.warning('event=rate_limit_unreadable text=%r', text)
+    # Six digits are enough for rates and times; more would exceed the bound.
+    kept = fraction[:_FRACTION_DIGITS]
+    numbers = [
+        parse_decimal(part or '0', _MAX_NUMBER) for part in (whole, kept)
+    ]
+    known = [number for number in numbers if number is not None]
+    if len(known) != 2 or not (whole or fraction):
+        logging.log_every_n_seconds(
+            logging.WARNING,
+            'event=answer_header_unreadable text=%r',
+            _WARNING_INTERVAL_SECONDS,
+            text[:_MAX_LOGGED_TEXT],
+        )
+        return None
+    return known[0] + known[1] / math.pow(10, len(kept))
+
+
+def _parse_pause(
+    status: int, fields: dict[bytes, bytes]
+) -> Milliseconds | None:
+    """Return the pause in ms for which a 503 asks, None without one.
+
+    Retry-After has seconds, and fractions are allowed.
+    """
+    if status != _STATUS_UNAVAILABLE:
         return None
-    return number / math.pow(10, len(fraction))
+    seconds = _parse_fraction(_get_text(fields, _RETRY_AFTER))
+    return None if seconds is None else int(seconds * _MILLISECONDS_PER_SECOND)
 
 
 def _parse_token_counts(fields: dict[bytes, bytes]) -> tuple[int, int]:
