Let a few daemons of each zone read the store for the others

Cause: each daemon follows both feeds by itself, so that the calls to the platform grow with the number of daemons.

Ruled out: longer waits alone; the age of the configuration decides whether unknown keys are denied, and each change ends the calls of all daemons.

PeerUpdate has a further last field, the zone of a daemon that takes such messages.

--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -10,6 +10,7 @@
 from clementinedyke.entry.duties import DutyDependencies, create_duties
 from clementinedyke.entry.endpoint_view import EndpointView
 from clementinedyke.entry.endpoint_work import WorkTable
+from clementinedyke.entry.feeds import Feeds
 from clementinedyke.entry.host_settings import HostSettings
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.news import PeerTable
@@ -34,7 +35,6 @@
 from clementinedyke.entry.sync_component import SyncComponent
 from clementinedyke.entry.usage_counter import UsageCounter
 from clementinedyke.entry.wall_time import WallTime
-from clementinedyke.entry.watch import FeedPace, TableView, TableWatch
 from clementinedyke.leases.candidates import is_candidate
 
 #: Daemons that sent no update within this time are not lease candidates. With
@@ -82,6 +82,12 @@
         self._build_views()
         self._build_requests()
         self._build_peers()
+        self._feed_exchange = self._feeds.create_exchange(
+            self._network,
+            self._store_contact,
+            self._list_zones,
+            self._readiness.get_draining,
+        )
         self._duties = create_duties(
             settings, platform, self._run_id, self._compile_duty_tools()
         )
@@ -89,10 +95,11 @@
             [
                 self._journal,
                 *self._build_metrics(),
-                *self._watches,
+                *self._feeds.watches.values(),
                 self._links.monitor,
                 self._suspect_component,
                 self._peers,
+                self._feed_exchange,
                 self._recovery,
                 *self._duties,
                 self._sync,
@@ -126,12 +133,14 @@
         )
 
     def _build_views(self) -> None:
-        """Build the views of the store's tables and their watches.
-
-        The first watch is that of the configuration.
-        """
+        """Build the views of the store's tables and their watches."""
         platform = self._platform
-        pace = FeedPace(self._count_active_daemons, self._settings.bounds)
+        self._feeds = Feeds(
+            self._settings,
+            self._count_active_daemons,
+            self._clock,
+            self._journal,
+        )
         self._configuration = ConfigurationView(
             platform.configuration_key,
             platform.decode_configuration,
@@ -140,26 +149,16 @@
         self._endpoints = EndpointView(
             platform.decode_endpoint,
             self._settings.bounds.drain_delay,
-            pace.get_pause,
+            self._feeds.pace.get_pause,
             self._store_contact,
             self._journal,
         )
-        views: dict[str, TableView] = {
-            platform.configuration_table: self._configuration,
-            platform.endpoints_table: self._endpoints,
-        }
-        self._watches = [
-            TableWatch(
-                table,
-                platform.store,
-                view,
-                pace,
-                self._clock,
-                self._journal,
-                self._generator,
-            )
-            for table, view in views.items()
-        ]
+        self._feeds.add_watches(
+            platform,
+            self._configuration,
+            self._endpoints,
+            self._generator,
+        )
 
     def _build_peers(self) -> None:
         """Build the component that exchanges state with the other daemons."""
@@ -181,13 +180,16 @@
         self._exchanged_state.notices.limits.list_hosts = (
             self._peers.list_active
         )
-        self._links.relays.list_relays = self._peers.list_relays
+        self._links.relays.list_relays = self._list_relays
         self._links.monitor.announce = self._peers.announce
         self._readiness.announce = self._peers.announce
         self._recovery = RecoveryComponent(
             self._peer_table,
             (self._configuration, self._endpoints),
-            (self._watches[0], self._watches[1]),
+            (
+                self._feeds.watches[self._platform.configuration_table],
+                self._feeds.watches[self._platform.endpoints_table],
+            ),
             self._peers.fetch_state,
             self._clock,
             self._generator,
@@ -260,6 +262,7 @@
                     self._peers.lending_counts,
                     self._suspect_component.counts,
                     self._links.relay_port.counts,
+                    self._feed_exchange.counts,
                     self._versions.counts,
                 ),
             ),
@@ -289,6 +292,16 @@
         )
         return is_candidate(scope, self._settings.host, active)
 
+    def _list_relays(self) -> frozenset[str]:
+        return self._peer_table.list_relays(
+            self._peers.active_age, self._clock.get_now()
+        )
+
+    def _list_zones(self) -> dict[str, list[str]]:
+        return self._peer_table.list_zones(
+            self._peers.active_age, self._clock.get_now()
+        )
+
     def _list_hosts(self, age: int) -> frozenset[str]:
         """Return the hosts whose last update is at most ``age`` ms old."""
         return self._peer_table.list_hosts(age, self._clock.get_now())
--- a/src/clementinedyke/entry/endpoint_view.py
+++ b/src/clementinedyke/entry/endpoint_view.py
@@ -136,8 +136,10 @@
         """
         for row in rows:
             self.changed_revision = max(self.changed_revision, row.version)
+            known = self._rows.get(row.key)
             if row.content is None:
-                self._handle_removal(row.key, now)
+                if known is None or known.version <= row.version:
+                    self._handle_removal(row.key, now)
             else:
                 self._apply_entry(row, row.content, now)
 
@@ -156,7 +158,7 @@
 
         :param now: current instant.
         """
-        self._store_failed_at = now
+        self._store_failed_at = max(now, self._store_failed_at or now)
 
     def _apply_entry(
         self, row: StoredRow, content: bytes, now: Milliseconds
--- a/src/clementinedyke/entry/news.py
+++ b/src/clementinedyke/entry/news.py
@@ -43,7 +43,8 @@
     second (negative if the limit was lifted) and age in ms. ``can_relay`` is
     whether the sender forwards requests of daemons that lost their links.
     ``departures`` are the runs of endpoints that told the sender that they
-    leave, with the age in ms of what they said.
+    leave, with the age in ms of what they said. ``zone`` is the availability
+    zone of a sender that takes news of the store's feeds, else empty.
     """
 
     host: str
@@ -63,6 +64,7 @@
     limits: list[tuple[str, float, int]] = []
     can_relay: bool = False
     departures: list[tuple[str, int]] = []
+    zone: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -164,6 +166,21 @@
             if received.update.can_relay and now - received.received_at <= age
         )
 
+    def list_zones(
+        self, age: Milliseconds, now: Milliseconds
+    ) -> dict[str, list[str]]:
+        """Return the other hosts that take news of feeds, by zone.
+
+        :param age: greatest age of an update, in milliseconds.
+        :param now: current instant.
+        """
+        zones: dict[str, list[str]] = {}
+        for host, received in self._updates.items():
+            zone = received.update.zone
+            if zone and now - received.received_at <= age:
+                zones.setdefault(zone, []).append(host)
+        return zones
+
     def get_confirmation_time(
         self, version: int, now: Milliseconds
     ) -> Milliseconds | None:
--- a/src/clementinedyke/entry/peer_network.py
+++ b/src/clementinedyke/entry/peer_network.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from clementinedyke.entry.feed_messages import FEED_PREFIX
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.stream_messages import MESSAGE_PREFIX
 from clementinedyke.http.client import Address
@@ -29,6 +30,10 @@
         self.receive_message: Callable[[bytes, Address], Awaitable[None]] = (
             _ignore_message
         )
+        #: Processes changes of the store that other daemons have read.
+        self.receive_feed_news: Callable[[bytes], Awaitable[None]] = (
+            _ignore_feed_news
+        )
 
     @property
     def addresses(self) -> Mapping[str, Address]:
@@ -97,7 +102,7 @@
     async def receive(self) -> tuple[bytes, Address]:
         """Return the next state update and its sender.
 
-        Messages about streams that come before it are processed.
+        Messages about streams and feeds that come before it are processed.
 
         :raises trio.ClosedResourceError: if the socket is closed.
         """
@@ -109,14 +114,21 @@
                 self._journal.write('news_error', error=str(error))
                 continue
             address = Address(sender[0], sender[1])
-            if not datagram.startswith(MESSAGE_PREFIX):
+            if datagram.startswith(FEED_PREFIX):
+                await self.receive_feed_news(datagram)
+            elif datagram.startswith(MESSAGE_PREFIX):
+                await self.receive_message(datagram, address)
+            else:
                 return datagram, address
-            await self.receive_message(datagram, address)
 
 
 async def _ignore_message(datagram: bytes, sender: Address) -> None:
     """Drop a message that arrives before its receiver is set."""
 
 
+async def _ignore_feed_news(datagram: bytes) -> None:
+    """Drop a message that arrives before its receiver is set."""
+
+
 def _open_socket() -> trio.socket.SocketType:
     return trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -154,6 +154,13 @@
         spread = len(self._network.addresses) * _MILLISECONDS_PER_SECOND
         return max(_MIN_INTERVAL, spread // _DATAGRAMS_PER_SECOND)
 
+    @property
+    def active_age(self) -> Milliseconds:
+        """Age in ms of its last update up to which a daemon is active."""
+        return max(
+            _MIN_ACTIVE_AGE, _ACTIVE_INTERVALS * _IDLE_FACTOR * self.interval
+        )
+
     def has_infrequent_updates(self) -> bool:
         """Return whether many requests are placed between two datagrams."""
         return self.interval > _MAX_FREQUENT_INTERVAL
@@ -171,18 +178,12 @@
         only itself tells nobody of its streams and takes whole limits.
         """
         now = self._clock.get_now()
-        age = _get_active_age(self.interval)
+        age = self.active_age
         active = self._peer_table.list_hosts(age, now)
         if now - self._started_at <= age:
             return active | self._network.addresses.keys()
         return active
 
-    def list_relays(self) -> frozenset[str]:
-        """Return the hosts of active daemons that forward requests."""
-        return self._peer_table.list_relays(
-            _get_active_age(self.interval), self._clock.get_now()
-        )
-
     async def start(self, nursery: trio.Nursery) -> None:
         """Bind both sockets and start the tasks.
 
@@ -347,6 +348,7 @@
             limits=self._limits.list_news(now),
             can_relay=self._relay_port.is_willing,
             departures=self._departures.list_news(now),
+            zone=self._identity.availability_zone,
         )
         await self._network.send(
             msgspec.msgpack.encode(update),
@@ -449,10 +451,6 @@
         )
 
 
-def _get_active_age(interval: Milliseconds) -> Milliseconds:
-    return max(_MIN_ACTIVE_AGE, _ACTIVE_INTERVALS * _IDLE_FACTOR * interval)
-
-
 async def _request_state(address: Address) -> HttpResponse:
     """Ask a daemon for its state.
 
--- a/src/clementinedyke/entry/watch.py
+++ b/src/clementinedyke/entry/watch.py
@@ -11,6 +11,7 @@
 from clementinedyke.call_failures import TableFailure
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.components import Component
+from clementinedyke.entry.feed_messages import NewsRow, TableNews
 from clementinedyke.entry.host_settings import ServiceBounds
 from clementinedyke.entry.journal import Journal
 
@@ -28,6 +29,11 @@
 _MIN_WAIT: Milliseconds = 3000
 _MAX_WAIT: Milliseconds = 10000
 _PAUSE_PER_DAEMON: Milliseconds = 20
+#: Delay before a daemon that missed a change reads it from the store. A reader
+#: may send the change once more, and datagrams overtake each other.
+_GAP_DELAY: Milliseconds = 120
+#: Interval at which a daemon checks whether others still read for it.
+_FOLLOW_INTERVAL_SECONDS = 0.1
 #: A feed may use up to 1/n of a guaranteed delay.
 _DELAY_DIVISOR = 2
 
@@ -88,7 +94,7 @@
         """Record that the store did not answer."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class FeedPace:
     """Wait time of a feed's calls and the pause between calls.
 
@@ -97,11 +103,13 @@
     calls, which cost money. The store reports each change to every daemon, so
     the wait and the pause grow with the number of daemons. Each is limited to
     half of the guarantee that it delays: the wait by ``max_key_age``, the pause
-    by ``drain_delay`` and ``configuration_delay``.
+    by ``drain_delay`` and ``configuration_delay``. Daemons that read for others
+    (``reads_for_others``) tell one another of changes and always wait long.
     """
 
     count_daemons: Callable[[], int]
     bounds: ServiceBounds
+    reads_for_others: Callable[[], bool] = bool
 
     def get_wait(self) -> Milliseconds:
         """Return the longest wait of a call, in milliseconds."""
@@ -111,6 +119,8 @@
         limit = _MAX_WAIT
         if self.bounds.max_key_age is not None:
             limit = min(limit, self.bounds.max_key_age // _DELAY_DIVISOR)
+        if self.reads_for_others():
+            return limit
         return min(limit, max(_MIN_WAIT, daemons * _WAIT_PER_DAEMON))
 
     def get_pause(self) -> Milliseconds:
@@ -154,12 +164,30 @@
         self._is_connected = False
         self._is_pausing = False
         self._failures = 0
+        self._failed_at: Milliseconds | None = None
+        self._changed_revision = 0
+        self._confirmed_at: Milliseconds = 0
+        self._behind_since: Milliseconds | None = None
+        #: Returns whether another daemon reads the table for this one.
+        self.is_followed: Callable[[], bool] = bool
+        #: Called with the changes in each answer of the store.
+        self.publish: Callable[[TableNews], None] = _discard_news
 
     @property
     def is_pausing(self) -> bool:
         """Whether the next call is delayed because the last had changes."""
         return self._is_pausing
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether two or more calls in a row have failed."""
+        return self._failures > 1
+
+    @property
+    def failed_at(self) -> Milliseconds | None:
+        """Instant of the last failure that the view was told of."""
+        return self._failed_at
+
     async def start(self, nursery: trio.Nursery) -> None:
         """Start the task.
 
@@ -167,8 +195,60 @@
         """
         nursery.start_soon(self._run)
 
+    def compile_news(self, now: Milliseconds) -> TableNews | None:
+        """Return the known revision and when it was confirmed.
+
+        None before the table was read, and while it has to be read again.
+
+        :param now: current instant.
+        """
+        if self._revision is None:
+            return None
+        return TableNews(
+            self._table,
+            min(self._changed_revision, self._revision),
+            self._revision,
+            max(0, now - self._confirmed_at),
+        )
+
+    def apply_news(self, news: TableNews, now: Milliseconds) -> bool:
+        """Apply what another daemon has read; return whether it was new.
+
+        News that begin after the known revision are not applied: the changes
+        in between are missing, and this daemon reads them itself.
+
+        :param news: changes of this table.
+        :param now: current instant.
+        """
+        if self._revision is None or news.revision < self._revision:
+            return False
+        if news.after > self._revision:
+            if self._behind_since is None:
+                self._behind_since = now
+            return False
+        self._behind_since = None
+        is_new = news.revision > self._revision
+        if is_new:
+            rows = tuple(
+                StoredRow(row.key, row.version, row.content)
+                for row in news.rows
+            )
+            self._apply_changes(rows, news.after, news.revision, now)
+        self._confirm(now - max(0, news.age), news.revision)
+        return is_new
+
+    def record_failure(self, instant: Milliseconds) -> None:
+        """Tell the view that the feed failed at another daemon.
+
+        :param instant: instant of the failure, on the clock of this host.
+        """
+        self._view.record_failure(instant)
+
     async def _run(self) -> None:
         while True:
+            if self._may_follow():
+                await trio.sleep(_FOLLOW_INTERVAL_SECONDS)
+                continue
             if await self._step():
                 self._failures = 0
                 continue
@@ -187,19 +267,14 @@
                     answer.unwrap().rows, self._clock.get_now()
                 )
             return self._process_answer(answer, sent_at)
-        # A change ends the calls of all daemons at the same time. With equal
-        # waits the next calls would end together too, and no daemon would get
-        # a confirmation in between.
-        max_wait = self._pace.get_wait()
-        wait = self._generator.randint(max_wait // 2, max_wait)
-        changes = await self._feed.follow_table(
-            self._table, self._revision, wait
-        )
+        wait = self._select_wait()
+        after = self._revision
+        changes = await self._feed.follow_table(self._table, after, wait)
         outcome = changes.unwrap() if changes.is_ok() else None
         has_changes = isinstance(outcome, FeedAnswer) and bool(outcome.rows)
         now = self._clock.get_now()
         if isinstance(outcome, FeedAnswer):
-            self._view.apply_rows(outcome.rows, now)
+            self._process_changes(outcome, after, now)
         if not has_changes and now >= sent_at + wait:
             # Without changes the store checked until the end of the wait.
             sent_at += wait
@@ -212,6 +287,66 @@
             self._is_pausing = False
         return has_answered
 
+    def _may_follow(self) -> bool:
+        """Return whether this daemon need not call the store."""
+        if self._revision is None or not self.is_followed():
+            return False
+        behind = self._behind_since
+        now = self._clock.get_now()
+        return behind is None or now - behind < _GAP_DELAY
+
+    def _select_wait(self) -> Milliseconds:
+        """Return for how long the next call may wait for changes.
+
+        A change ends the calls of all daemons at the same time. With equal
+        waits the next calls would end together too, and no daemon would get a
+        confirmation in between.
+        """
+        if self._behind_since is not None:
+            return 0
+        longest = self._pace.get_wait()
+        return self._generator.randint(longest // 2, longest)
+
+    def _process_changes(
+        self, answer: FeedAnswer, after: int, now: Milliseconds
+    ) -> None:
+        self._behind_since = None
+        if self._revision is not None and answer.revision < self._revision:
+            # Other daemons have told newer changes during the call.
+            return
+        self._apply_changes(answer.rows, after, answer.revision, now)
+        if answer.rows:
+            rows = [
+                NewsRow(row.key, row.version, row.content)
+                for row in answer.rows
+            ]
+            self.publish(
+                TableNews(self._table, after, answer.revision, 0, rows)
+            )
+
+    def _apply_changes(
+        self,
+        rows: tuple[StoredRow, ...],
+        after: int,
+        revision: int,
+        now: Milliseconds,
+    ) -> None:
+        """Apply the changes between two revisions that are not known yet.
+
+        A removal that is applied twice would drop a row written in between.
+        """
+        known = self._revision or 0
+        if after < known:
+            rows = tuple(row for row in rows if row.version > known)
+        self._view.apply_rows(rows, now)
+        self._revision = max(known, revision)
+        changed = revision if rows else after
+        self._changed_revision = max(self._changed_revision, changed)
+
+    def _confirm(self, as_of: Milliseconds, revision: int) -> None:
+        self._confirmed_at = max(self._confirmed_at, as_of)
+        self._view.confirm(as_of, revision)
+
     def _process_answer(
         self,
         answer: Result[FeedAnswer, TableFailure]
@@ -223,6 +358,7 @@
             if self._failures:
                 # A single failure may be that of a kept connection, while the
                 # store answers on new ones.
+                self._failed_at = now
                 self._view.record_failure(now)
             if self._is_connected:
                 self._is_connected = False
@@ -241,6 +377,13 @@
             self._journal.write('feed_history_lost', table=self._table)
             self._revision = None
             return True
-        self._revision = outcome.revision
-        self._view.confirm(sent_at, outcome.revision)
+        if self._revision is None:
+            self._revision = outcome.revision
+            # Removals before the read are not known.
+            self._changed_revision = outcome.revision
+        self._confirm(sent_at, outcome.revision)
         return True
+
+
+def _discard_news(news: TableNews) -> None:
+    """Do nothing; default callback of a watch without followers."""
--- a/tests/recovery_world.py
+++ b/tests/recovery_world.py
@@ -41,6 +41,8 @@
 _UPDATE_SECONDS = 1.2
 #: Interval at which a daemon writes its usage.
 _USAGE_SECONDS = 4
+#: Time beyond its wait after which a feed call without an answer fails.
+_CALL_TIMEOUT_SECONDS = 0.7
 _VERSION = 1
 
 
@@ -86,6 +88,8 @@
     generator: Random
     contact: StoreContact
     is_refused: bool = False
+    is_cut: bool = False
+    calls: int = 0
 
     async def read_table(
         self, table: str, prefix: str = ''
@@ -96,7 +100,14 @@
     async def follow_table(
         self, table: str, revision: int, wait: int
     ) -> Result[FeedAnswer, TableFailure]:
-        """Return the rows written after a revision, waiting for one."""
+        """Return the rows written after a revision, waiting for one.
+
+        A daemon that is cut off gets no answer until the call times out.
+        """
+        self.calls += 1
+        if self.is_cut:
+            await trio.sleep(wait / 1000 + _CALL_TIMEOUT_SECONDS)
+            return Err(TableFailure.UNKNOWN)
         if not self.is_refused:
             await self.store.wait_for_change(revision, wait)
         answer = FeedAnswer(
--- a/tests/test_entry_news.py
+++ b/tests/test_entry_news.py
@@ -41,18 +41,30 @@
         }
         parts = {'cleared_parts': ['a'], 'tried_parts': ['b']}
         limits = {'limits': [('i-1/17', 0.5, 40)]}
-        update = create_update(**known, **parts, **limits, can_relay=True)
+        departures = {'departures': [('i-1/17', 30)]}
+        relays = {'can_relay': True}
+        update = create_update(
+            **known, **parts, **limits, **relays, **departures, zone='zone-a'
+        )
         fields = msgspec.to_builtins(update)
         decoder = msgspec.msgpack.Decoder(PeerUpdate)
-        without_relays = decoder.decode(msgspec.msgpack.encode(fields[:-1]))
+        without_zone = decoder.decode(msgspec.msgpack.encode(fields[:-1]))
+        assert without_zone == create_update(
+            **known, **parts, **limits, **relays, **departures
+        )
+        without_departures = decoder.decode(msgspec.msgpack.encode(fields[:-2]))
+        assert without_departures == create_update(
+            **known, **parts, **limits, **relays
+        )
+        without_relays = decoder.decode(msgspec.msgpack.encode(fields[:-3]))
         assert without_relays == create_update(**known, **parts, **limits)
-        without_limits = decoder.decode(msgspec.msgpack.encode(fields[:-2]))
+        without_limits = decoder.decode(msgspec.msgpack.encode(fields[:-4]))
         assert without_limits == create_update(**known, **parts)
-        without_parts = decoder.decode(msgspec.msgpack.encode(fields[:-4]))
+        without_parts = decoder.decode(msgspec.msgpack.encode(fields[:-6]))
         assert without_parts == create_update(**known)
-        former = decoder.decode(msgspec.msgpack.encode(fields[:-6]))
+        former = decoder.decode(msgspec.msgpack.encode(fields[:-8]))
         assert former == create_update(store_age=40)
-        oldest = decoder.decode(msgspec.msgpack.encode(fields[:-7]))
+        oldest = decoder.decode(msgspec.msgpack.encode(fields[:-9]))
         assert oldest == create_update()
         newer = msgspec.msgpack.encode([*fields, 'further'])
         assert decoder.decode(newer) == update
