Read the list of daemons less often where others read for a daemon

Change: two successful reads at the start; a daemon that is listed later reads this one's row and sends it an update. Then each 15 s, or 60 s where others read the store for the daemon. A read that fails is repeated after 0.7 s and does not count.

--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -88,6 +88,7 @@
             self._list_zones,
             self._readiness.get_draining,
         )
+        self._peers.is_followed = self._feed_exchange.is_followed
         self._duties = create_duties(
             settings, platform, self._run_id, self._compile_duty_tools()
         )
--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -1,6 +1,6 @@
 """Discovers the other daemons and exchanges updates and state with them."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -50,8 +50,13 @@
 #: Interval between reads of the list of daemons. New daemons announce
 #: themselves by their updates, so the list only finds those that were missed.
 _LIST_INTERVAL: Milliseconds = 15000
+#: The same for a daemon that others read the store for: it would hear from a
+#: new daemon through all others, and calls grow with the number of daemons.
+_FOLLOWED_LIST_INTERVAL: Milliseconds = 60000
 _FIRST_LIST_INTERVAL: Milliseconds = 700
-_FIRST_LIST_COUNT = 4
+#: Successful reads at the short interval. A daemon that is listed later reads
+#: this one's row, and sends it an update.
+_FIRST_LIST_COUNT = 2
 _STATE_TIMEOUT: Milliseconds = 500
 #: Time in which evidence is collected before it is sent.
 _EVIDENCE_DELAY: Milliseconds = 2
@@ -147,6 +152,8 @@
         self._sequence = 0
         self._last_work: dict[str, tuple[int, int]] = {}
         self._server = HttpServer(self._respond)
+        #: Returns whether another daemon reads the store for this one.
+        self.is_followed: Callable[[], bool] = bool
 
     @property
     def interval(self) -> Milliseconds:
@@ -368,20 +375,22 @@
                     [], [Write(DAEMONS_TABLE, identity.host, own)]
                 )
                 is_listed = written.is_ok()
-            await self._read_daemon_list()
-            rounds += 1
-            wait = (
-                _LIST_INTERVAL
-                if rounds > _FIRST_LIST_COUNT
-                else _FIRST_LIST_INTERVAL
-            )
+            rounds += await self._read_daemon_list()
+            wait = _FIRST_LIST_INTERVAL
+            if is_listed and rounds >= _FIRST_LIST_COUNT:
+                wait = (
+                    _FOLLOWED_LIST_INTERVAL
+                    if self.is_followed()
+                    else _LIST_INTERVAL
+                )
             jitter = self._generator.random() * wait / 4
             await trio.sleep((wait + jitter) / _MILLISECONDS_PER_SECOND)
 
-    async def _read_daemon_list(self) -> None:
+    async def _read_daemon_list(self) -> bool:
+        """Read the list of daemons; return whether the store answered."""
         answer = await self._store.list_rows(DAEMONS_TABLE)
         if answer.is_err():
-            return
+            return False
         for row in answer.unwrap().rows:
             if row.key == self._identity.host:
                 continue
@@ -397,6 +406,7 @@
             self._network.record_listed(
                 row.key, Address(peer.ip, peer.port), peer.zone
             )
+        return True
 
     def _apply_state(
         self, host: str, state: _SharedState, asked_at: Milliseconds
