--- a/src/clementinedyke/entry/usage_duty.py
+++ b/src/clementinedyke/entry/usage_duty.py
@@ -376,6 +376,16 @@
             self._cleared.add(window)
             await self._delete_parts(rows)
             return row
+        return await self._sum_parts(window, fence, window_time, rows)
+
+    async def _sum_parts(
+        self,
+        window: int,
+        fence: Condition,
+        window_time: WindowTime,
+        rows: list[Row],
+    ) -> Row | None:
+        """Return the row with the sum of a window's parts, None if not now."""
         listed = _decode_parts(rows)
         written = {part.host for part in listed if part.is_final}
         # A daemon last heard from before the window started has no part in it.
