--- a/tests/entry_processes.py
+++ b/tests/entry_processes.py
@@ -37,6 +37,8 @@
         self._number = number
         self._path = folder / f'host-{number}.toml'
         self._process: subprocess.Popen[bytes] | None = None
+        #: Folder of the build that is started.
+        self.root = _ROOT
 
     def start(
         self, env: EntryEnvironment, store_port: int | None = None
@@ -60,8 +62,12 @@
         self._path.write_text(compile_toml(document), encoding='utf-8')
         with self._path.with_suffix('.log').open('ab') as log:
             self._process = subprocess.Popen(
-                [sys.executable, str(_ROOT / 'deploy' / 'daemon.py')],
-                env={**os.environ, 'CLEMENTINEDYKE_SETTINGS': str(self._path)},
+                [sys.executable, str(self.root / 'deploy' / 'daemon.py')],
+                env={
+                    **os.environ,
+                    'CLEMENTINEDYKE_SETTINGS': str(self._path),
+                    'PYTHONPATH': str(self.root / 'src'),
+                },
                 stdout=log,
             )
 
@@ -70,6 +76,12 @@
         if self._process is not None:
             self._process.send_signal(number)
 
+    def stop(self) -> None:
+        """Stop the daemon as planned and wait for its end."""
+        if self._process is not None:
+            self._process.terminate()
+            self._process.wait(_TIMEOUT_SECONDS)
+
     def kill(self) -> None:
         """Kill the daemon and wait for its end."""
         if self._process is not None:
