--- a/tests/feed_world.py
+++ b/tests/feed_world.py
@@ -27,6 +27,8 @@
 _TABLE = 'servers'
 _DATAGRAM_SECONDS = (0.0005, 0.003)
 _POLL_SECONDS = 0.02
+#: Time after which a change counts as never seen.
+_LONGEST_CHANGE_SECONDS = 10
 
 
 @dataclass
@@ -145,10 +147,12 @@
         """Remove an entry; return the ms until no daemon would use it."""
         self.store.remove(endpoint_id)
         removed_at = self.clock.get_now()
-        while any(
-            endpoint_id in daemon.list_ids() for daemon in self.daemons.values()
-        ):
-            await trio.sleep(_POLL_SECONDS)
+        with trio.move_on_after(_LONGEST_CHANGE_SECONDS):
+            while any(
+                endpoint_id in daemon.list_ids()
+                for daemon in self.daemons.values()
+            ):
+                await trio.sleep(_POLL_SECONDS)
         return self.clock.get_now() - removed_at
 
     async def _run_daemon(self, daemon: FeedDaemon) -> None:
--- a/tests/recovery_world.py
+++ b/tests/recovery_world.py
@@ -25,6 +25,7 @@
 from clementinedyke.entry.watch import (
     FeedAnswer,
     FeedPace,
+    HistoryLost,
     StoredRow,
     TableWatch,
 )
@@ -63,6 +64,15 @@
         """Delete a row."""
         self._write(key, None)
 
+    def return_to(self, revision: int) -> None:
+        """Lose all that was written after a revision."""
+        self.revision = revision
+        self._history = [
+            row for row in self._history if row.version <= revision
+        ]
+        self._changed.set()
+        self._changed = trio.Event()
+
     def list_changes(self, revision: int) -> tuple[StoredRow, ...]:
         """Return the rows written after a revision."""
         return tuple(row for row in self._history if row.version > revision)
@@ -70,7 +80,7 @@
     async def wait_for_change(self, revision: int, wait: int) -> None:
         """Wait up to ``wait`` ms for a row written after a revision."""
         with trio.move_on_after(wait / 1000):
-            while self.revision <= revision:
+            while self.revision == revision:
                 await self._changed.wait()
 
     def _write(self, key: str, content: bytes | None) -> None:
@@ -99,7 +109,7 @@
 
     async def follow_table(
         self, table: str, revision: int, wait: int
-    ) -> Result[FeedAnswer, TableFailure]:
+    ) -> Result[FeedAnswer | HistoryLost, TableFailure]:
         """Return the rows written after a revision, waiting for one.
 
         A daemon that is cut off gets no answer until the call times out.
@@ -110,6 +120,8 @@
             return Err(TableFailure.UNKNOWN)
         if not self.is_refused:
             await self.store.wait_for_change(revision, wait)
+        if revision > self.store.revision:
+            return Ok(HistoryLost())
         answer = FeedAnswer(
             self.store.revision, self.store.list_changes(revision)
         )
--- a/tests/test_entry_feeds.py
+++ b/tests/test_entry_feeds.py
@@ -163,6 +163,31 @@
         run_feed_world(72, scenario, seed=seed)
 
 
+class TestOlderCopy:
+    """Guards against daemons that follow a store that went back in vain.
+
+    They knew a higher revision than the readers, and ignored all changes
+    until the store had reached it again.
+    """
+
+    @pytest.mark.parametrize('seed', _SEEDS)
+    def test_change_after_the_return(self, seed: int) -> None:
+        """A change in the store that returned reaches all daemons in time."""
+
+        async def scenario(world: FeedWorld) -> None:
+            copied = world.store.revision
+            for number in range(20):
+                world.store.put(f'lost-{number}', b'ready')
+            await trio.sleep(5)
+            world.store.return_to(copied)
+            await trio.sleep(DRAIN_DELAY / 1000)
+            assert await world.measure_change('i-3') < DRAIN_DELAY
+            ids = [item.list_ids() for item in world.daemons.values()]
+            assert all(known == ids[0] for known in ids)
+
+        run_feed_world(30, scenario, seed=seed)
+
+
 class TestReaderElection:
     """Guards against zones without a reader, or with many for long."""
 
