Read a table again if the store returned from an older copy

Cause: a daemon that follows readers makes no calls, so that no 410 tells it that the store returned from an older copy; news with a lower revision were dropped. Change: an answer of the store to another daemon that is newer than what this one has learned, and has a lower revision, makes it read the table.

--- a/src/clementinedyke/entry/watch.py
+++ b/src/clementinedyke/entry/watch.py
@@ -32,6 +32,9 @@
 #: Delay before a daemon that missed a change reads it from the store. A reader
 #: may send the change once more, and datagrams overtake each other.
 _GAP_DELAY: Milliseconds = 120
+#: Time that a message may take. A later one makes its answer look newer than it
+#: is, which costs a needless read of the table.
+_MAX_MESSAGE_DELAY: Milliseconds = 300
 #: Interval at which a daemon checks whether others still read for it.
 _FOLLOW_INTERVAL_SECONDS = 0.1
 #: A feed may use up to 1/n of a guaranteed delay.
@@ -167,6 +170,8 @@
         self._failed_at: Milliseconds | None = None
         self._changed_revision = 0
         self._confirmed_at: Milliseconds = 0
+        #: Instant at which the known revision was learned.
+        self._learned_at: Milliseconds = 0
         self._behind_since: Milliseconds | None = None
         #: Returns whether another daemon reads the table for this one.
         self.is_followed: Callable[[], bool] = bool
@@ -220,7 +225,10 @@
         :param news: changes of this table.
         :param now: current instant.
         """
-        if self._revision is None or news.revision < self._revision:
+        if self._revision is None:
+            return False
+        if news.revision < self._revision:
+            self._check_return(now - max(0, news.age))
             return False
         if news.after > self._revision:
             if self._behind_since is None:
@@ -237,6 +245,18 @@
         self._confirm(now - max(0, news.age), news.revision)
         return is_new
 
+    def _check_return(self, as_of: Milliseconds) -> None:
+        """Read the table again if the store has gone back.
+
+        Its revision was lower when it last answered another daemon than the
+        one that this daemon had learned before.
+
+        :param as_of: instant of that answer.
+        """
+        if as_of - self._learned_at > _MAX_MESSAGE_DELAY:
+            self._journal.write('feed_went_back', table=self._table)
+            self._revision = None
+
     def record_failure(self, instant: Milliseconds) -> None:
         """Tell the view that the feed failed at another daemon.
 
@@ -336,6 +356,8 @@
         A removal that is applied twice would drop a row written in between.
         """
         known = self._revision or 0
+        if revision > known:
+            self._learned_at = now
         if after < known:
             rows = tuple(row for row in rows if row.version > known)
         self._view.apply_rows(rows, now)
@@ -379,6 +401,7 @@
             return True
         if self._revision is None:
             self._revision = outcome.revision
+            self._learned_at = self._clock.get_now()
             # Removals before the read are not known.
             self._changed_revision = outcome.revision
         self._confirm(sent_at, outcome.revision)
