Let endpoints of tests start again at ports that nobody else gets

Cause: a stand-in that crashes listens again at its former port after 0.2 s. Change: ports below those that the kernel assigns, another start for each process.

--- a/tests/crashing_endpoint.py
+++ b/tests/crashing_endpoint.py
@@ -1,5 +1,8 @@
 """Endpoint stand-in that ends when it runs a certain request."""
 
+import itertools
+import os
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -12,6 +15,13 @@
 
 #: Body of the request that ends each endpoint that runs it.
 FATAL_BODY = b'fatal'
+_HOST = '127.0.0.1'
+#: Ports below those that the kernel gives to connections and to listeners
+#: without a port. Such a port may be taken before the endpoint starts again.
+FIRST_PORT = 10000
+_PORT_COUNT = 20000
+#: Suites that run at the same time begin at different ports.
+_numbers = itertools.count(os.getpid() * 89)
 _RUN_SECONDS = 0.02
 _RESTART_SECONDS = 0.2
 
@@ -49,9 +59,7 @@
             )
             async with trio.open_nursery() as nursery:
                 server = HttpServer(standin.respond)
-                self._port = await nursery.start(
-                    server.serve, '127.0.0.1', self._port
-                )
+                self._port = await self._listen(nursery, server)
                 standin.port = self._port
                 self._scope = nursery.cancel_scope
                 self.env.endpoints[self.name] = standin
@@ -63,6 +71,17 @@
             await trio.sleep(_RESTART_SECONDS)
             self.env.store.remove('servers', standin.endpoint_id)
 
+    async def _listen(self, nursery: trio.Nursery, server: HttpServer) -> int:
+        """Listen at the former port, or at one that stays free meanwhile."""
+        if self._port:
+            return await nursery.start(server.serve, _HOST, self._port)
+        while True:
+            port = FIRST_PORT + next(_numbers) % _PORT_COUNT
+            try:
+                return await nursery.start(server.serve, _HOST, port)
+            except OSError as error:
+                sys.stderr.write(f'port {port}: {error}\n')
+
     def end(self) -> None:
         """End the process, whatever it runs."""
         self._scope.cancel()
--- a/tests/test_entry_crashes.py
+++ b/tests/test_entry_crashes.py
@@ -1,5 +1,7 @@
 """Tests of requests that end the endpoints that run them."""
 
+from pathlib import Path
+
 import pytest
 import trio
 from tests.crashing_endpoint import (
@@ -223,3 +225,22 @@
             assert answer.status == 200
 
         ScenarioRunner().run(scenario)
+
+
+class TestCrashingEndpoint:
+    """Guards against stand-ins that cannot start again at their address.
+
+    Another process had got the port of an endpoint that was down for 0.2 s.
+    """
+
+    def test_port_is_not_given_to_others(self) -> None:
+        """The port is not one that the kernel assigns by itself."""
+        limits = Path('/proc/sys/net/ipv4/ip_local_port_range').read_text()
+        ports: list[int] = []
+
+        async def scenario(env: EntryEnvironment) -> None:
+            started = await start_endpoints(env, ['one', 'two'])
+            ports.extend(env.endpoints[item.name].port for item in started)
+
+        ScenarioRunner().run(scenario)
+        assert max(ports) < int(limits.split()[0])
