Add tests of harmless requests beside several fatal prompt parts

Two causes, each shown on virtual time:

- A prompt with a new part under which endpoints end also reserves the trial of the parts that it shares with harmless prompts.
Several such prompts hold it nearly all the time, for up to their deadline each.
- Failed trials of two fatal parts together convict the part beside both, if no answer with it is known yet.

The new cases fail on this source.

--- a/tests/part_fleet.py
+++ b/tests/part_fleet.py
@@ -25,10 +25,7 @@
 _DATAGRAMS_PER_SECOND = 60
 _GIVE_UP = 500
 _EXAMINATION = 3
-#: Engines end this long after they begin to write on a fatal part, at the most.
-_END_DELAY = 100
-_RUN_TIME = (150, 900)
-_RESTART_TIME = (2500, 4500)
+_MIN_END_DELAY = 20
 _ROW_LATENCY = 20
 #: Header of an IP packet with UDP, in bytes.
 _HEADER_BYTES = 28
@@ -61,6 +58,12 @@
     #: Instant from which requests with fatal parts come.
     fatal_from: int = 5000
     kill_rate: float = 0
+    #: Engines end this long after they begin to write on a fatal part, at the
+    #: most.
+    end_delay: int = 100
+    #: Least and greatest time of a harmless answer, and of a restart.
+    run_time: tuple[int, int] = (150, 900)
+    restart_time: tuple[int, int] = (2500, 4500)
 
 
 @dataclass
@@ -278,12 +281,14 @@
         for part in fatal:
             self.sends[part].append(self.now)
         if fatal:
-            delay = self.generator.randrange(20, _END_DELAY)
+            delay = self.generator.randrange(
+                _MIN_END_DELAY, self.options.end_delay
+            )
             self._schedule(delay, lambda: self._crash(attempt, fatal.pop()))
             return
         self.outcomes.append((self.now, True))
         self._schedule(
-            self.generator.randrange(*_RUN_TIME),
+            self.generator.randrange(*self.options.run_time),
             lambda: self._complete(request_id, table),
         )
 
@@ -321,7 +326,7 @@
         for table in owners.values():
             self._schedule(_EXAMINATION, partial(self._examine, table, target))
         self._starts[engine] += 1
-        restart = self.generator.randrange(*_RESTART_TIME)
+        restart = self.generator.randrange(*self.options.restart_time)
         self._up_from[engine] = self.now + restart
 
     def _kill_any(self) -> None:
--- a/tests/test_entry_parts.py
+++ b/tests/test_entry_parts.py
@@ -4,6 +4,8 @@
 their customer and their other parts.
 """
 
+from dataclasses import replace
+
 import pytest
 import trio
 from tests.crashing_endpoint import CrashingEndpoint, start_endpoints
@@ -58,6 +60,41 @@
     'killed daemons': FleetOptions(fatal_rate=4, kill_rate=0.5),
     'cold start': FleetOptions(fatal_rate=5, fatal_from=0),
 }
+#: Fleets with several fatal parts at a high rate, and seeds with which harmless
+#: requests were refused for seconds.
+_BUSY = FleetOptions(
+    daemons=3,
+    engines=4,
+    fatal_rate=20,
+    harmless_rate=10,
+    fatal_parts=('x', 'y'),
+    fatal_from=3000,
+    run_time=(25, 60),
+    restart_time=(200, 400),
+)
+_BUSY_FLEETS = {
+    'nothing known': (replace(_BUSY, fatal_from=300), (55, 60, 72)),
+    'slow ends': (
+        replace(_BUSY, run_time=(800, 1500), end_delay=2500),
+        (28, 31, 65),
+    ),
+    'slow ends of many engines': (
+        replace(
+            _BUSY,
+            daemons=7,
+            engines=8,
+            harmless_rate=20,
+            fatal_parts=('x', 'y', 'z'),
+            run_time=(800, 1500),
+            restart_time=(2200, 4400),
+            end_delay=1500,
+        ),
+        (58, 69, 93),
+    ),
+}
+_BUSY_TIME = 8000
+#: Time from the first fatal request on in which all parts become suspected.
+_FIRST_TIME = 1500
 _HARMLESS = 'rules:100,tables:90,{id}:20'
 
 
@@ -257,6 +294,27 @@
             fleet.run(_FLEET_TIME)
             assert fleet.get_begun_share(0, _FLEET_TIME) >= _MIN_SHARE
 
+    @pytest.mark.parametrize('name', list(_BUSY_FLEETS))
+    def test_fatal_parts_at_a_high_rate(self, name: str) -> None:
+        """Harmless requests go on while several parts are found.
+
+        They shared a part with the fatal prompts, which held its trial most of
+        the time; and several fatal parts together convicted the shared one.
+        """
+        options, seeds = _BUSY_FLEETS[name]
+        for seed in seeds:
+            fleet = PartFleet(options, seed)
+            until = options.fatal_from + _BUSY_TIME
+            fleet.run(until)
+            late = [
+                fleet.count_late_sends(part, _ENDS, _CONTACT_TIME)
+                for part in options.fatal_parts
+            ]
+            assert max(late) <= _MORE_SENDS
+            since = options.fatal_from + _FIRST_TIME
+            share = fleet.get_begun_share(since, until)
+            assert share >= _MIN_SHARE
+
     def test_bytes_at_the_size_in_two_years(self) -> None:
         """330 daemons send less than 5 KB/s each while engines end."""
         options = FleetOptions(
@@ -323,6 +381,33 @@
         later = limits.trial_lifetime + 2
         assert core.reserve_trial('r-1', ['part'], later)
 
+    def test_harmless_request_beside_a_trial(self) -> None:
+        """A part known from answers is tried beside a suspected new one."""
+        core = PartCore(PartLimits(), 'host-2')
+        core.record_completion(['rules'], 0)
+        for number in range(5):
+            key = (f'i-{number}', '1')
+            core.record_loss('rules', key, 1, is_trial=False)
+            core.record_loss('new', key, 1, is_trial=False)
+        assert core.list_suspected(['rules', 'new'], 1) == ('rules', 'new')
+        assert core.reserve_trial('r-1', ['rules', 'new'], 1)
+        core.receive_trial('host-1', ['rules', 'new'], 1)
+        assert core.reserve_trial('r-2', ['rules'], 2)
+        assert core.get_settle_time('r-2', 100) == 0
+        assert not core.reserve_trial('r-3', ['rules'], 100)
+        core.receive_trial('host-1', ['rules'], 101)
+        assert core.get_settle_time('r-2', 102) is None
+
+    def test_several_parts_beside_a_shared_one(self) -> None:
+        """Trials of two fatal parts do not convict the part beside both."""
+        core = PartCore(PartLimits(), 'host-1')
+        for number, part in enumerate(('x', 'x', 'y', 'x')):
+            key = (f'i-{number}', '1')
+            for name in ('rules', part):
+                core.record_loss(name, key, 0, is_trial=True)
+        assert core.get_verdict(['rules'], 1) is PartVerdict.TRIAL
+        assert core.get_verdict(['rules', 'x'], 1) is PartVerdict.CONVICTED
+
     def test_late_evidence_of_a_cleared_loss(self) -> None:
         """Evidence that arrives again doesn't count after an answer."""
         core = PartCore(PartLimits(), 'host-1')
