Order what the store tells by its era

Entries written again had lower versions than the known ones and were ignored, a fence was given to two holders, a window was summed again from what the copy had kept, and evidence against suspects was gone.

Change: the adapter puts the era of each answer above the store's number, so all comparisons order by the era. Conditions on a version of an earlier era fail without a call, and changes after such a revision count as lost. Fences are taken above the era, a row of an earlier era names no holder, and the first holder of an era waits for a whole lease. Final parts of usage bear the era of their first write, and a window with parts of an earlier era is left out. A daemon that sees a later era writes its evidence again.

A store without the header stays in era 0, where all numbers are as before.

New cases: two losses in a row, a copy that names an earlier holder, cut off or not, late answers, unreadable eras, windows after the return.

--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -222,6 +222,8 @@
         self._gateway = path.gateway
         self._suspect_component = path.suspect_component
         self._suspect_component.get_unix = self._wall_time.get_unix
+        watch = self._feeds.watches[self._platform.endpoints_table]
+        watch.return_observers.append(self._suspect_component.record_return)
         self._readiness = Readiness(
             settings.ready_address, self._configuration, self._journal
         )
--- a/src/clementinedyke/entry/duty_lease.py
+++ b/src/clementinedyke/entry/duty_lease.py
@@ -7,6 +7,7 @@
 from clementinedyke.leases.core import LeaseCore
 from clementinedyke.leases.types import Fencing
 from clementinedyke.rows import Condition
+from clementinedyke.store_revision import is_first_fence
 
 #: Scope of the lease that covers all duties.
 DUTIES_SCOPE = 'duties'
@@ -88,10 +89,19 @@
                 fence=self._core.fence,
             )
         if version and version != self._fence_version:
-            self._authorized_from = now
-            if self._core.fence > 1:
-                self._authorized_from = max(
-                    now + _CALL_ARRIVAL_TIME,
-                    self._last_authorized_at + self._reacquire_delay,
-                )
+            self._authorized_from = self._get_first_instant(now)
         self._fence_version = version
+
+    def _get_first_instant(self, now: Milliseconds) -> Milliseconds:
+        """Return the instant from which a new tenure may act."""
+        fence = self._core.fence
+        if fence == 1:
+            return now
+        if is_first_fence(fence):
+            # The former holder may not know that the store has returned from a
+            # copy, and acts until its lease ends.
+            return now + self._reacquire_delay + _CALL_ARRIVAL_TIME
+        return max(
+            now + _CALL_ARRIVAL_TIME,
+            self._last_authorized_at + self._reacquire_delay,
+        )
--- a/src/clementinedyke/entry/order_component.py
+++ b/src/clementinedyke/entry/order_component.py
@@ -23,6 +23,7 @@
 from clementinedyke.entry.endpoint_work import WorkTable
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.stage_plan import StagePlan
+from clementinedyke.store_revision import is_first_fence
 
 _INTERVAL_SECONDS = 0.25
 #: Time after the start in which no orders are sent. Endpoints register within
@@ -110,7 +111,8 @@
         if now < self._started_at + _DISCOVERY_TIME:
             return
         self._capacity.releases_standard_at_once = (
-            authority.fence == 1 and now < self._started_at + _FIRST_START_TIME
+            is_first_fence(authority.fence)
+            and now < self._started_at + _FIRST_START_TIME
         )
         if authority.fence != self._fence:
             self._fence = authority.fence
--- a/src/clementinedyke/entry/suspect_component.py
+++ b/src/clementinedyke/entry/suspect_component.py
@@ -97,7 +97,8 @@
         #: Examinations in progress by run id of the endpoint.
         self._examinations: dict[str, Examination] = {}
         self._unwritten: dict[str, Write] = {}
-        self._written: set[str] = set()
+        #: Rows in the store by key, None if another daemon wrote them.
+        self._written: dict[str, Write | None] = {}
         self._has_unwritten = trio.Event()
         self._read_revision = -1
         #: Revision of the newest commit to the table that is known.
@@ -155,7 +156,7 @@
                 self._delete_row(key)
 
     def _delete_row(self, key: str) -> None:
-        self._written.discard(key)
+        self._written.pop(key, None)
         self._unwritten[key] = Write(SUSPECTS_TABLE, key)
         self._has_unwritten.set()
 
@@ -168,6 +169,17 @@
             self.newest_revision = revision
             self._has_newer.set()
 
+    def record_return(self) -> None:
+        """Write again what this daemon has written.
+
+        For a store that returned from a copy that may lack it.
+        """
+        for key, write in self._written.items():
+            if write is not None:
+                self._unwritten.setdefault(key, write)
+        if self._unwritten:
+            self._has_unwritten.set()
+
     async def _check_listening(
         self, endpoint: EntryEndpoint, examination: Examination
     ) -> None:
@@ -205,7 +217,7 @@
             if self._unwritten.get(write.key) is write:
                 self._unwritten.pop(write.key)
             if write.value is not None:
-                self._written.add(write.key)
+                self._written[write.key] = write
         if not self._unwritten:
             self._has_unwritten = trio.Event()
         self.newest_revision = max(self.newest_revision, outcome.revision)
@@ -251,7 +263,7 @@
                 self._delete_row(row.key)
                 continue
             evidence.append(compile_evidence(decoded))
-            self._written.add(row.key)
+            self._written.setdefault(row.key)
         self.suspects.receive_evidence(evidence, self._clock.get_now())
         # A store that returned from an older copy never reaches the revision.
         self._read_revision = max(announced, snapshot.revision)
--- a/src/clementinedyke/entry/usage_duty.py
+++ b/src/clementinedyke/entry/usage_duty.py
@@ -21,6 +21,7 @@
 from clementinedyke.entry.usage_counter import UsageCounter
 from clementinedyke.leases.component import FENCES_TABLE
 from clementinedyke.rows import ABSENT, Commit, Condition, Row, RowStore, Write
+from clementinedyke.store_revision import get_era
 
 PARTS_TABLE = 'usage_parts'
 WINDOWS_TABLE = 'usage_windows'
@@ -47,12 +48,14 @@
 class UsagePart(msgspec.Struct, frozen=True):
     """Counts of one run of a daemon in a window.
 
-    ``is_final`` is set once the window has ended.
+    ``is_final`` is set once the window has ended. A final part has the ``era``
+    of the store in which the part was first written, None if unknown.
     """
 
     host: str
     counts: dict[str, int]
     is_final: bool
+    era: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,10 +144,17 @@
         self._host = host
         self._written: dict[int, UsagePart] = {}
         self._versions: dict[int, int] = {}
+        #: Era of the first write of each window.
+        self._eras: dict[int, int] = {}
+        #: Era of the last write of any window.
+        self._era: int | None = None
 
     async def write_parts(self) -> None:
         """Write the parts that have changed since they were last written."""
         rows = self.list_unwritten()
+        if any(row.part.is_final and row.part.era is None for row in rows):
+            await self._read_era()
+            rows = self.list_unwritten()
         if len(rows) > 1:
             version = await self.commit(rows)
             if version is not None:
@@ -168,15 +178,18 @@
         counted = self._counter.list_windows()
         self._written = _select_windows(self._written, counted)
         self._versions = _select_windows(self._versions, counted)
+        self._eras = _select_windows(self._eras, counted)
         current = counted[-1]
         rows = []
         for window in counted:
+            is_final = window < current
             part = UsagePart(
                 self._host,
                 self._counter.get_counts(window),
-                is_final=window < current,
+                is_final=is_final,
+                era=self._eras.get(window, self._era) if is_final else None,
             )
-            if part != self._written.get(window):
+            if not _is_same_count(part, self._written.get(window)):
                 version = self._versions.get(window, ABSENT)
                 rows.append(PartRow(window, self._run_id, part, version))
         return rows
@@ -238,6 +251,8 @@
         """
         known = self._versions.get(window, ABSENT)
         self._versions[window] = max(known, version)
+        self._era = get_era(version)
+        self._eras.setdefault(window, self._era)
 
     def record_written(self, window: int, part: UsagePart) -> None:
         """Record the part of a window that is in the store.
@@ -247,6 +262,12 @@
         """
         self._written[window] = part
 
+    async def _read_era(self) -> None:
+        """Learn the era, if a window ended before anything was written."""
+        answer = await self._store.list_rows(PARTS_TABLE, self._run_id)
+        if answer.is_ok():
+            self._era = get_era(answer.unwrap().revision)
+
     async def _write(self, row: PartRow) -> None:
         version = await self.commit((row,))
         if version is not None:
@@ -376,6 +397,13 @@
             self._cleared.add(window)
             await self._delete_parts(rows)
             return row
+        era = get_era(parts.unwrap().revision)
+        if any(_is_of_era_before(era, part) for part in _decode_parts(rows)):
+            # The store may have lost the sum of the window, with which it was
+            # reported. A missed report does less harm than a second figure.
+            self._journal.write('usage_window_left_out', window=window)
+            self._reported.add(window)
+            return None
         return await self._sum_parts(window, fence, window_time, rows)
 
     async def _sum_parts(
@@ -473,6 +501,18 @@
     }
 
 
+def _is_same_count(part: UsagePart, other: UsagePart | None) -> bool:
+    return (
+        other is not None
+        and part.counts == other.counts
+        and part.is_final == other.is_final
+    )
+
+
+def _is_of_era_before(era: int, part: UsagePart) -> bool:
+    return part.era is not None and part.era < era
+
+
 def _decode_parts(rows: Iterable[Row]) -> list[UsagePart]:
     parts = []
     for row in rows:
--- a/src/clementinedyke/entry/usage_messages.py
+++ b/src/clementinedyke/entry/usage_messages.py
@@ -12,6 +12,7 @@
 
     ``version`` is the version of its row as known to the sender, 0 if it has
     none. ``sequence`` is repeated in the message that the part was written.
+    ``era`` is that of :class:`~clementinedyke.entry.usage_duty.UsagePart`.
     """
 
     window: int
@@ -19,6 +20,7 @@
     is_final: bool
     version: int
     sequence: int
+    era: int | None = None
 
 
 class UsageShares(msgspec.Struct, frozen=True, array_like=True, tag=1):
--- a/src/clementinedyke/entry/usage_sharing.py
+++ b/src/clementinedyke/entry/usage_sharing.py
@@ -80,7 +80,10 @@
     def compile_row(self) -> PartRow:
         """Return the row that is to be written."""
         part = UsagePart(
-            self.host, self.shared.counts, is_final=self.shared.is_final
+            self.host,
+            self.shared.counts,
+            is_final=self.shared.is_final,
+            era=self.shared.era,
         )
         return PartRow(self.shared.window, self.run_id, part, self.version)
 
@@ -254,6 +257,7 @@
             row.part.is_final,
             row.version,
             known.sequence,
+            row.part.era,
         )
 
     async def _write_collected(self) -> None:
--- a/src/clementinedyke/entry/watch.py
+++ b/src/clementinedyke/entry/watch.py
@@ -14,6 +14,7 @@
 from clementinedyke.entry.feed_messages import NewsRow, TableNews
 from clementinedyke.entry.host_settings import ServiceBounds
 from clementinedyke.entry.journal import Journal
+from clementinedyke.store_revision import get_era
 
 _MILLISECONDS_PER_SECOND = 1000
 #: Bounds of the random delay before a failed call is repeated. All daemons lose
@@ -173,6 +174,10 @@
         #: Instant at which the known revision was learned.
         self._learned_at: Milliseconds = 0
         self._behind_since: Milliseconds | None = None
+        #: Era of the store at the last read of the table, None before.
+        self._era: int | None = None
+        #: Called when the store has returned from an older copy.
+        self.return_observers: list[Callable[[], None]] = []
         #: Returns whether another daemon reads the table for this one.
         self.is_followed: Callable[[], bool] = bool
         #: Called with the changes in each answer of the store.
@@ -257,6 +262,13 @@
             self._journal.write('feed_went_back', table=self._table)
             self._revision = None
 
+    def _update_era(self, era: int) -> None:
+        if self._era is not None and era > self._era:
+            self._journal.write('store_returned', table=self._table, era=era)
+            for observer in self.return_observers:
+                observer()
+        self._era = era
+
     def record_failure(self, instant: Milliseconds) -> None:
         """Tell the view that the feed failed at another daemon.
 
@@ -404,6 +416,7 @@
             self._learned_at = self._clock.get_now()
             # Removals before the read are not known.
             self._changed_revision = outcome.revision
+            self._update_era(get_era(outcome.revision))
         self._confirm(sent_at, outcome.revision)
         return True
 
--- a/src/clementinedyke/leases/component.py
+++ b/src/clementinedyke/leases/component.py
@@ -41,6 +41,7 @@
     RowStore,
     Write,
 )
+from clementinedyke.store_revision import get_era
 
 LEASES_TABLE = 'leases'
 FENCES_TABLE = 'fences'
@@ -251,13 +252,16 @@
                 return await self._close_orders(scope)
 
     async def _read_lease(self, scope: str) -> LeaseEvent:
-        answer = await self._tables.get_row(LEASES_TABLE, scope)
+        # The revision of a list tells the era also if the row is absent.
+        answer = await self._tables.list_rows(LEASES_TABLE, scope)
         if answer.is_err():
             return LeaseCallFailed()
-        row = answer.unwrap()
-        if row is None:
-            return LeaseRead(None, ABSENT)
-        return LeaseRead(msgspec.convert(row.value, LeaseRow), row.version)
+        era = get_era(answer.unwrap().revision)
+        for row in answer.unwrap().rows:
+            if row.key == scope:
+                lease = msgspec.convert(row.value, LeaseRow)
+                return LeaseRead(lease, row.version, era)
+        return LeaseRead(None, ABSENT, era)
 
     async def _read_fence(self, scope: str) -> LeaseEvent:
         answer = await self._tables.get_row(FENCES_TABLE, scope)
--- a/src/clementinedyke/leases/core.py
+++ b/src/clementinedyke/leases/core.py
@@ -2,6 +2,8 @@
 
 from functools import singledispatchmethod
 
+import msgspec
+
 from clementinedyke.clock import Milliseconds
 from clementinedyke.leases.decision import LeaseDecision
 from clementinedyke.leases.messages import (
@@ -18,6 +20,7 @@
     StopRequested,
 )
 from clementinedyke.leases.types import Fencing, FormerHolder
+from clementinedyke.store_revision import get_fence_era
 
 
 class LeaseCore(LeaseDecision):
@@ -73,7 +76,12 @@
     ) -> list[LeaseAction]:
         self._call_until = now
         self._next_read = now + self._timing.renew_interval
-        self._update_row(event.row, event.version, now)
+        self._era = event.era
+        row = event.row
+        if row is not None and get_fence_era(row.fence) < event.era:
+            # The store may have lost a later holder than the one in the row.
+            row = msgspec.structs.replace(row, holder=None)
+        self._update_row(row, event.version, now)
         return self._select_write(now)
 
     @handle.register
--- a/src/clementinedyke/leases/decision.py
+++ b/src/clementinedyke/leases/decision.py
@@ -21,6 +21,7 @@
     LeaseTiming,
 )
 from clementinedyke.leases.view import LeaseView
+from clementinedyke.store_revision import compile_fence
 
 _NONCE_BITS = 64
 
@@ -53,6 +54,8 @@
         self._call_until: Milliseconds = 0
         self._next_read: Milliseconds = 0
         self._next_hosts: Milliseconds = 0
+        #: Era of the store at the last read.
+        self._era = 0
         self._is_candidate = False
         self._is_stopping = False
         self._is_released = False
@@ -151,7 +154,7 @@
     def _acquire(self, now: Milliseconds) -> list[LeaseAction]:
         successor = LeaseRow(
             holder=self._view.identity,
-            fence=self.fence + 1,
+            fence=compile_fence(self._era, self.fence),
             count=0,
             duration=self._timing.duration,
             nonce='',
--- a/src/clementinedyke/leases/messages.py
+++ b/src/clementinedyke/leases/messages.py
@@ -15,10 +15,14 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseRead:
-    """The lease row was read; ``row`` None and version 0 if it is absent."""
+    """The lease row was read; ``row`` None and version 0 if it is absent.
+
+    ``era`` is that of the store, which rises when it returns from a copy.
+    """
 
     row: LeaseRow | None
     version: int
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/platform/store.py
+++ b/src/clementinedyke/platform/store.py
@@ -3,6 +3,7 @@
 import base64
 import binascii
 from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote
 
@@ -14,8 +15,8 @@
 from clementinedyke.clock import Milliseconds
 from clementinedyke.entry.store_calls import StoreCall
 from clementinedyke.entry.watch import FeedAnswer, HistoryLost, StoredRow
-from clementinedyke.http.client import HttpClient, HttpRequest
-from clementinedyke.peer_calls import STATUS_OK, CallResult, call_pooled
+from clementinedyke.http.client import HttpClient, HttpRequest, HttpResponse
+from clementinedyke.peer_calls import STATUS_OK, call_pooled
 from clementinedyke.rows import (
     Commit,
     CommitResult,
@@ -25,6 +26,11 @@
     Snapshot,
     Write,
 )
+from clementinedyke.store_revision import (
+    compile_revision,
+    get_era,
+    get_number,
+)
 
 _STATUS_CONDITION_FAILED = 412
 _STATUS_HISTORY_LOST = 410
@@ -36,6 +42,9 @@
     _STATUS_HISTORY_LOST: 'history_lost',
 }
 _JSON_TYPE = (b'Content-Type', b'application/json')
+#: Header of all answers with the number of times that the store has returned
+#: from an older copy.
+_ERA_HEADER = b'store-era'
 #: The store answers within 6 ms when idle, and within 400 ms when it is slow
 #: (60 times).
 _CALL_TIMEOUT: Milliseconds = 1500
@@ -65,10 +74,20 @@
     ver: int
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """An answer of the store and the era in which it was given."""
+
+    response: HttpResponse
+    era: int
+
+
 class StoreClient:
     """Reads, writes and watches tables over a pooled HTTP client.
 
-    The ``part`` of each row's address in the store is always empty.
+    The ``part`` of each row's address in the store is always empty. Revisions
+    and versions bear the era of the answer that told them. Answers of an era
+    before the newest known one are failures: what they tell is no longer true.
     """
 
     def __init__(self, client: HttpClient) -> None:
@@ -77,6 +96,8 @@
         :param client: HTTP client of the store's address.
         """
         self._client = client
+        #: Newest era that an answer bore, 0 if none did.
+        self._era = 0
         #: Called after each call to the store.
         self.record_call: Callable[[StoreCall], None] = _discard_call
 
@@ -88,6 +109,8 @@
         :param conditions: row versions that must be current.
         :param writes: new row values, stored as JSON; None deletes the row.
         """
+        if any(0 < item.version < self._first_revision for item in conditions):
+            return Ok(Conflict([]))
         body = msgspec.json.encode(_compile_transaction(conditions, writes))
         answer = await self._call(
             HttpRequest('POST', '/v1/rows-tx', [_JSON_TYPE], body),
@@ -95,7 +118,8 @@
         )
         if answer.is_err():
             return Err(answer.unwrap_err())
-        response = answer.unwrap()
+        era = answer.unwrap().era
+        response = answer.unwrap().response
         if response.status == _STATUS_CONDITION_FAILED:
             return Ok(Conflict([]))
         if response.status != STATUS_OK:
@@ -105,7 +129,7 @@
         except msgspec.MsgspecError as error:
             logging.warning('event=store_answer_unreadable error=%s', error)
             return Err(TableFailure.UNKNOWN)
-        return Ok(Commit(decoded.ver))
+        return Ok(Commit(compile_revision(era, decoded.ver)))
 
     async def get_row(
         self, table: str, key: str
@@ -153,6 +177,7 @@
         """
         rows: list[StoredRow] = []
         start = prefix
+        revision: int | None = None
         while True:
             end = f'&to={_quote(_get_successor(prefix))}' if prefix else ''
             answer = await self._read_page(
@@ -161,6 +186,10 @@
             if answer.is_err():
                 return Err(answer.unwrap_err())
             page = answer.unwrap()
+            if revision is not None and get_era(revision) != get_era(page.ver):
+                # The store returned from a copy between two pages.
+                return Err(TableFailure.NOT_DONE)
+            revision = page.ver
             rows += [_convert_row(row) for row in page.rows]
             if not page.has_more or not page.rows:
                 return Ok(FeedAnswer(page.ver, tuple(rows)))
@@ -172,17 +201,22 @@
         """Long-poll for the changes of a table after a revision.
 
         Returns no rows if nothing changes during the wait, and HistoryLost if
-        the store has discarded changes after the revision.
+        the store has discarded changes after the revision, or has returned from
+        a copy since: rows with numbers given out again may be missing then.
 
         :param table: table name.
         :param revision: last revision that the caller has.
         :param wait: maximum wait of the store in milliseconds.
         """
-        target = f'/v1/rows-feed?table={table}&after={revision}&wait_ms={wait}'
+        number = get_number(revision)
+        target = f'/v1/rows-feed?table={table}&after={number}&wait_ms={wait}'
         answer = await self._call(
             HttpRequest('GET', target), wait + _FEED_TIMEOUT_MARGIN
         )
-        if answer.is_ok() and answer.unwrap().status == _STATUS_HISTORY_LOST:
+        if answer.is_ok() and (
+            answer.unwrap().response.status == _STATUS_HISTORY_LOST
+            or (revision and answer.unwrap().era != get_era(revision))
+        ):
             return Ok(HistoryLost())
         page = _decode_page(answer)
         if page.is_err():
@@ -200,7 +234,7 @@
 
     async def _call(
         self, request: HttpRequest, timeout: Milliseconds
-    ) -> CallResult:
+    ) -> Result[_Answer, TableFailure]:
         answer = await call_pooled(self._client, request, timeout)
         if answer.is_err():
             outcome = answer.unwrap_err().value
@@ -214,7 +248,27 @@
                 is_failure=outcome not in _OUTCOMES.values(),
             )
         )
-        return answer
+        if answer.is_err():
+            return Err(answer.unwrap_err())
+        era = self._read_era(answer.unwrap())
+        if era < self._era:
+            return Err(TableFailure.UNKNOWN)
+        self._era = era
+        return Ok(_Answer(answer.unwrap(), era))
+
+    @property
+    def _first_revision(self) -> int:
+        """Least revision of the newest known era."""
+        return compile_revision(self._era, 0)
+
+    def _read_era(self, response: HttpResponse) -> int:
+        """Return the era of an answer, the last known one if it tells none."""
+        for name, text in response.headers:
+            if name.lower() == _ERA_HEADER:
+                if text.isdigit():
+                    return int(text)
+                logging.warning('event=store_era_unreadable text=%r', text)
+        return self._era
 
 
 def _discard_call(ended: StoreCall) -> None:
@@ -226,7 +280,10 @@
 ) -> dict[str, Any]:
     return {
         'expected': [
-            {**_compile_row_id(item.table, item.key), 'ver': item.version}
+            {
+                **_compile_row_id(item.table, item.key),
+                'ver': get_number(item.version),
+            }
             for item in conditions
         ],
         'puts': [
@@ -253,17 +310,25 @@
     return base64.b64encode(msgspec.json.encode(value)).decode('ascii')
 
 
-def _decode_page(answer: CallResult) -> Result[_WirePage, TableFailure]:
+def _decode_page(
+    answer: Result[_Answer, TableFailure],
+) -> Result[_WirePage, TableFailure]:
+    """Return the rows of an answer, whose versions bear its era."""
     if answer.is_err():
         return Err(answer.unwrap_err())
-    response = answer.unwrap()
+    era = answer.unwrap().era
+    response = answer.unwrap().response
     if response.status != STATUS_OK:
         return Err(TableFailure.NOT_DONE)
     try:
-        return Ok(msgspec.json.decode(response.body, type=_WirePage))
+        page = msgspec.json.decode(response.body, type=_WirePage)
     except msgspec.MsgspecError as error:
         logging.warning('event=store_answer_unreadable error=%s', error)
         return Err(TableFailure.NOT_DONE)
+    page.ver = compile_revision(era, page.ver)
+    for row in page.rows:
+        row.ver = compile_revision(era, row.ver)
+    return Ok(page)
 
 
 def _convert_row(row: _WireRow) -> StoredRow:
--- a/tests/row_table.py
+++ b/tests/row_table.py
@@ -15,6 +15,7 @@
     Snapshot,
     Write,
 )
+from clementinedyke.store_revision import compile_revision, get_number
 
 #: Conditions and writes of one commit.
 _MAX_ENTRIES = 100
@@ -31,6 +32,7 @@
     def __init__(self) -> None:
         """Create an empty store."""
         self.rows: dict[tuple[str, str], Row] = {}
+        self.era = 0
         self.revision = 0
         self.is_down = False
         self.answers_to_lose = 0
@@ -44,9 +46,19 @@
         return dict(self.rows)
 
     def return_from(self, copy: dict[tuple[str, str], Row]) -> None:
-        """Lose all that was written after a copy was taken."""
-        self.rows = dict(copy)
-        self.revision = max(row.version for row in copy.values())
+        """Lose all that was written after a copy was taken.
+
+        Rows and revisions bear the new era from now on.
+        """
+        self.era += 1
+        self.rows = {
+            place: msgspec.structs.replace(
+                row,
+                version=compile_revision(self.era, get_number(row.version)),
+            )
+            for place, row in copy.items()
+        }
+        self.revision = max(row.version for row in self.rows.values())
 
     async def commit(
         self, conditions: Sequence[Condition], writes: Sequence[Write]
--- a/tests/test_entry_lease.py
+++ b/tests/test_entry_lease.py
@@ -3,6 +3,7 @@
 import random
 
 import msgspec
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -26,6 +27,11 @@
     WriteLease,
 )
 from clementinedyke.leases.types import Identity, LeaseTiming
+from clementinedyke.store_revision import (
+    compile_fence,
+    compile_revision,
+    get_number,
+)
 
 _DURATION = 3000
 _STEP = 100
@@ -45,8 +51,12 @@
     Both rows take their versions from one revision counter.
     """
 
-    def __init__(self) -> None:
-        """Create a store in which neither row exists."""
+    def __init__(self, era: int = 0) -> None:
+        """Create a store in which neither row exists.
+
+        :param era: era in its answers.
+        """
+        self.era = era
         self.row = None
         self.version = 0
         self.fence = 0
@@ -59,11 +69,20 @@
             return None
         self.revision += 1
         self.row = action.row
-        self.version = self.revision
+        self.version = compile_revision(self.era, self.revision)
         if action.raises_fence:
             self.fence = action.row.fence
-            self.fence_version = self.revision
-        return self.revision
+            self.fence_version = self.version
+        return self.version
+
+    def return_from_copy(self) -> None:
+        """Begin an era in which both rows have the versions of a copy."""
+        self.era += 1
+        for name in ('version', 'fence_version'):
+            version = getattr(self, name)
+            if version:
+                number = get_number(version)
+                setattr(self, name, compile_revision(self.era, number))
 
 
 class SimulatedDaemon:
@@ -115,7 +134,7 @@
         if self.is_cut:
             return LeaseCallFailed()
         if isinstance(action, ReadLease):
-            return LeaseRead(self.store.row, self.store.version)
+            return LeaseRead(self.store.row, self.store.version, self.store.era)
         if isinstance(action, ReadFence):
             return FenceRead(self.store.fence, self.store.fence_version)
         if isinstance(action, WriteLease):
@@ -283,13 +302,50 @@
         The former holder is cut off from the store and doesn't know of the
         loss.
         """
-        former = SimulatedDaemon('host-0', 1, LeaseStore())
+        former = SimulatedDaemon('host-0', 1, LeaseStore(era=1))
         former_authority = run_until_authorized(former)
-        store_without_rows = LeaseStore()
+        store_without_rows = LeaseStore(era=2)
         following = SimulatedDaemon('host-1', 2, store_without_rows)
         authority = run_until_authorized(following)
         assert authority.fence > former_authority.fence
 
+    def test_two_losses(self) -> None:
+        """Fences rise although the store loses each holder's tenure."""
+        fences = []
+        for era in range(1, 4):
+            daemon = SimulatedDaemon('host-0', era, LeaseStore(era))
+            fences.append(run_until_authorized(daemon).fence)
+        assert fences == sorted(set(fences))
+
+    @pytest.mark.parametrize('former_is_cut', [False, True])
+    def test_row_of_an_earlier_holder(self, *, former_is_cut: bool) -> None:
+        """The holder in a copy must not go on with its fence.
+
+        The store may have lost a later holder, which acted with a higher one.
+        A new holder acts only when the lease of the former one has ended.
+        """
+        store = LeaseStore(era=1)
+        former = SimulatedDaemon('host-0', 1, store)
+        former_fence = run_until_authorized(former).fence
+        following = SimulatedDaemon('host-1', 2, store)
+        following.clock.advance(former.clock.get_now())
+        former.is_cut = former_is_cut
+        store.return_from_copy()
+        authorities = set()
+        for _ in range(3 * _DURATION // _STEP):
+            held = []
+            for daemon in (former, following):
+                daemon.clock.advance(_STEP)
+                daemon.step()
+                authority = daemon.lease.get_authority()
+                if authority is not None:
+                    held.append(authority)
+            assert len(held) <= 1
+            authorities.update(held)
+        newest = max(authorities, key=lambda item: item.fence)
+        assert newest.fence > compile_fence(1, former_fence)
+        assert newest.holder == 'host-1' or not former_is_cut
+
 
 def run_until_authorized(daemon: SimulatedDaemon) -> Authority:
     """Run a daemon until it may act and return its authority."""
--- a/tests/test_entry_usage.py
+++ b/tests/test_entry_usage.py
@@ -85,10 +85,17 @@
             )
             for host, counter in self.counters.items()
         }
-        trio.run(self.store.commit, [], [Write('fences', 'duties', 1)])
-        self.fence = compile_fence_condition('duties', 1)
+        self.raise_fence()
         self.closer = self.create_closer()
 
+    def raise_fence(self) -> None:
+        """Give the duties to a new holder."""
+        written = trio.run(
+            self.store.commit, [], [Write('fences', 'duties', 1)]
+        )
+        revision = written.unwrap().revision
+        self.fence = compile_fence_condition('duties', revision)
+
     def create_closer(self) -> WindowCloser:
         """Return the closer of a new holder."""
         return WindowCloser(
@@ -245,6 +252,8 @@
         scenario.write('host-1')
         scenario.close()
         scenario.store.return_from(copy)
+        scenario.raise_fence()
+        scenario.write('host-1', 'host-2')
         scenario.time.unix += _PART_DEADLINE
         scenario.close(scenario.create_closer())
         figures = {
@@ -254,6 +263,23 @@
         }
         assert figures == {(('loft', 5),)}
 
+    def test_windows_after_the_return(self) -> None:
+        """Windows that begin after the store returned are reported."""
+        scenario = UsageScenario('host-1', 'host-2')
+        scenario.count('host-1', 'loft', 2)
+        scenario.write('host-1', 'host-2')
+        scenario.store.return_from(scenario.store.copy())
+        scenario.raise_fence()
+        for _ in range(2):
+            scenario.time.unix += _LENGTH
+            scenario.count('host-1', 'loft', 3)
+            scenario.write('host-1', 'host-2')
+            scenario.time.unix += _LENGTH + 1500
+            scenario.write('host-1', 'host-2')
+            scenario.close()
+        windows = dict(scenario.reporter.reports)
+        assert windows[max(windows)] == {'loft': 3}
+
 
 class TestIncompleteReports:
     """Guards against reports that omit requests a daemon has counted."""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -328,6 +328,58 @@
 
         run_with_store(scenario)
 
+    def test_store_returns_from_copy(self) -> None:
+        """Numbers that are given out again don't pass for the former ones.
+
+        A condition on a version of the former era fails, and changes after one
+        of its revisions count as lost, although the store would accept both.
+        """
+
+        async def scenario(standin: StoreStandin, client: StoreClient) -> None:
+            copy = standin.copy()
+            standin.put('t', 'a', 1)
+            before = (await client.list_rows('t')).unwrap()
+            standin.return_from(copy)
+            standin.put('t', 'a', 2)
+            lost = (
+                await client.follow_table('t', before.revision, 50)
+            ).unwrap()
+            assert isinstance(lost, HistoryLost)
+            condition = Condition('t', 'a', before.rows[0].version)
+            outcome = await client.commit([condition], [Write('t', 'a', 3)])
+            assert isinstance(outcome.unwrap(), Conflict)
+            after = (await client.list_rows('t')).unwrap()
+            assert after.rows[0].value == 2
+            assert after.revision > before.revision
+            assert after.rows[0].version > before.rows[0].version
+
+        run_with_store(scenario)
+
+    def test_late_answer_of_former_era(self) -> None:
+        """An answer of an era that has ended is a failed call."""
+
+        async def scenario(standin: StoreStandin, client: StoreClient) -> None:
+            standin.era = 3
+            assert (await client.list_rows('t')).is_ok()
+            standin.era = 2
+            assert (await client.list_rows('t')).is_err()
+            late = await client.commit([], [Write('t', 'a', 1)])
+            assert late.unwrap_err() is TableFailure.UNKNOWN
+
+        run_with_store(scenario)
+
+    @pytest.mark.parametrize('era', ['', 'two', '-1'])
+    def test_era_is_unreadable(self, era: str) -> None:
+        """An unreadable era leaves the last known one in force."""
+
+        async def scenario(standin: StoreStandin, client: StoreClient) -> None:
+            standin.era = 2
+            known = (await client.list_rows('t')).unwrap()
+            standin.era = era
+            assert (await client.list_rows('t')).unwrap() == known
+
+        run_with_store(scenario)
+
     def test_invalid_value_keeps_other_rows(self) -> None:
         """A value that is not base64 does not hide the other rows."""
 
