Bound the era that the store tells

An era of 4300 digits or above 2^23 raised an error in the call or when its revision was sent on. Such a header counts as unreadable now. Its case failed before.

--- a/src/clementinedyke/platform/store.py
+++ b/src/clementinedyke/platform/store.py
@@ -27,6 +27,7 @@
     Write,
 )
 from clementinedyke.store_revision import (
+    MAX_ERA,
     compile_revision,
     get_era,
     get_number,
@@ -45,6 +46,7 @@
 #: Header of all answers with the number of times that the store has returned
 #: from an older copy.
 _ERA_HEADER = b'store-era'
+_MAX_ERA_DIGITS = len(str(MAX_ERA))
 #: The store answers within 6 ms when idle, and within 400 ms when it is slow
 #: (60 times).
 _CALL_TIMEOUT: Milliseconds = 1500
@@ -265,7 +267,8 @@
         """Return the era of an answer, the last known one if it tells none."""
         for name, text in response.headers:
             if name.lower() == _ERA_HEADER:
-                if text.isdigit():
+                is_short = len(text) <= _MAX_ERA_DIGITS
+                if text.isdigit() and is_short and int(text) <= MAX_ERA:
                     return int(text)
                 logging.warning('event=store_era_unreadable text=%r', text)
         return self._era
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -368,9 +368,13 @@
 
         run_with_store(scenario)
 
-    @pytest.mark.parametrize('era', ['', 'two', '-1'])
+    @pytest.mark.parametrize('era', ['', 'two', '-1', '8388608', '9' * 5000])
     def test_era_is_unreadable(self, era: str) -> None:
-        """An unreadable era leaves the last known one in force."""
+        """An unreadable era leaves the last known one in force.
+
+        A higher one than revisions can bear would end the daemon when it sends
+        them on.
+        """
 
         async def scenario(standin: StoreStandin, client: StoreClient) -> None:
             standin.era = 2
