--- a/src/clementinedyke/__init__.py
+++ b/src/clementinedyke/__init__.py
@@ -34,8 +34,8 @@
     from clementinedyke.usage.closing import CloserCore
     from clementinedyke.usage.core import PartCore
 
-#: Module of each name. They are loaded when they are used first: an entry daemon
-#: needs few of them, and would spend a quarter of its start on the others.
+#: Module of each name. They are loaded when they are used first: an entry
+#: daemon needs few of them, and would spend a quarter of its start on the rest.
 _MODULES = {
     'AdmissionCore': 'clementinedyke.admission.core',
     'AdmissionLimits': 'clementinedyke.admission.service',
--- a/src/clementinedyke/store_revision.py
+++ b/src/clementinedyke/store_revision.py
@@ -8,8 +8,10 @@
 #: they last 34 years within one era.
 _NUMBER_BITS = 40
 _NUMBER_MASK = (1 << _NUMBER_BITS) - 1
-#: Highest era. Revisions are sent as signed integers of 64 bits.
-MAX_ERA = (1 << (63 - _NUMBER_BITS)) - 1
+#: Bits of a revision; they are sent as signed integers of 64 bits.
+_REVISION_BITS = 63
+#: Highest era that a revision can bear.
+MAX_ERA = (1 << (_REVISION_BITS - _NUMBER_BITS)) - 1
 #: Bits of a fence below those of its era. At one tenure in 3 s they last 36
 #: days within one era.
 _TENURE_BITS = 20
