--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -2,6 +2,7 @@
 
 import ast
 import inspect
+import pkgutil
 import subprocess
 import sys
 
@@ -128,6 +129,30 @@
             'usage',
         }
 
+    def test_each_module_can_be_loaded_first(self) -> None:
+        """No module depends on another one having been loaded before.
+
+        Packages that use each other once loaded only because the package itself
+        loaded all of them, in an order that worked.
+        """
+        script = (
+            'import importlib, sys\n'
+            'for name in sys.argv[1:]:\n'
+            '    for known in list(sys.modules):\n'
+            '        if known.partition(".")[0] == "clementinedyke":\n'
+            '            sys.modules.pop(known)\n'
+            '    importlib.import_module(name)\n'
+        )
+        names = [
+            module.name
+            for module in pkgutil.walk_packages(
+                library.__path__, 'clementinedyke.'
+            )
+            if not module.name.endswith('__main__')
+        ]
+        assert len(names) > 200
+        subprocess.run([sys.executable, '-c', script, *names], check=True)
+
     def test_unknown_name(self) -> None:
         """A name that is not re-exported is refused as of any module."""
         with pytest.raises(AttributeError, match='no_such_name'):
