--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -22,7 +22,7 @@
     lease that it had never held, longer than the grace time.
     """
 
-    @pytest.mark.parametrize('mode', ['hang', 'refuse'])
+    @pytest.mark.parametrize('mode', ['sound', 'hang', 'refuse'])
     def test_stop_ends_within_grace(
         self, mode: str, capfd: pytest.CaptureFixture[str]
     ) -> None:
@@ -39,7 +39,7 @@
             if mode == 'hang':
                 link.hang_open()
                 link.hang_new()
-            else:
+            elif mode == 'refuse':
                 link.refuse_new()
                 link.reset_open()
             await trio.sleep(0.5)
