Keep one piece of code where the last changes had two

- One protocol of the datagram socket for feeds and usage, and one table of receivers by first byte for feeds, usage and streams.
- One selection of what other daemons are told of limits and departures.
- Heads of answers that are only read for what endpoints ask are read in one place, for forwarded requests and for releases.
- Readers of a zone are listed in one place; a reader's zone and the time it was heard are kept together.
- The latest start at each address is derived when the list of endpoints is compiled.
It was recomputed for each new entry, so the first read of a table took time quadratic in the endpoints.
- The parts of a window are decoded once, and a part without an era is stored as by the build before.
- The expiry of departures is in one place; the type-only imports in the configuration package are not needed since control loads it first.

The tests of messages of former builds compare all fields now, and not only the first byte and the length.

--- a/src/clementinedyke/configuration/core.py
+++ b/src/clementinedyke/configuration/core.py
@@ -3,7 +3,6 @@
 import random
 from collections.abc import Iterable, Iterator
 from functools import singledispatchmethod
-from typing import TYPE_CHECKING
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.configuration.events import (
@@ -18,12 +17,10 @@
     ConfigurationAction,
     ConfigurationFeed,
 )
+from clementinedyke.control.messages import Member
 from clementinedyke.control.watchers import PollSchedule, select_watchers
 from clementinedyke.members.events import Received, Tick
 
-if TYPE_CHECKING:
-    from clementinedyke.control.messages import Member
-
 
 class ConfigurationCore:
     """Replicates the records and tracks when the store last confirmed them.
@@ -33,7 +30,7 @@
 
     def __init__(
         self,
-        own: 'Member',
+        own: Member,
         random_source: random.Random,
         options: ConfigurationOptions,
     ) -> None:
--- a/src/clementinedyke/configuration/events.py
+++ b/src/clementinedyke/configuration/events.py
@@ -2,13 +2,10 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.configuration.messages import Advert, ConfigurationRow
-
-if TYPE_CHECKING:
-    from clementinedyke.control.messages import Member
+from clementinedyke.control.messages import Member
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,8 +43,8 @@
 class MembersUpdated:
     """The living members, and the neighbours that are sent hints."""
 
-    living: 'Sequence[Member]'
-    neighbours: 'Sequence[Member]'
+    living: Sequence[Member]
+    neighbours: Sequence[Member]
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/entry/departures.py
+++ b/src/clementinedyke/entry/departures.py
@@ -6,7 +6,7 @@
 from clementinedyke.clock import Milliseconds
 from clementinedyke.entry.catalog import EntryEndpoint
 from clementinedyke.entry.journal import Journal
-from clementinedyke.entry.news import MAX_TOLD, MAX_TOLD_AGE
+from clementinedyke.entry.news import select_told
 
 #: Time after its last such answer in which a run gets no requests. A leaving
 #: endpoint exits within seconds; one that lives on is tried again after this.
@@ -78,12 +78,7 @@
         :param now: current instant.
         """
         known = self._departures.get(endpoint.run_id)
-        if known is None:
-            return False
-        if now - known.said_at < _LIFETIME:
-            return True
-        self._remove(endpoint.run_id, 'forgotten')
-        return False
+        return known is not None and now - known.said_at < _LIFETIME
 
     def remove_expired(self, now: Milliseconds) -> None:
         """Forget departures whose lifetime has passed.
@@ -99,12 +94,12 @@
 
         :param now: current instant.
         """
-        told = sorted(
-            (now - departure.said_at, run_id)
+        said_at = {
+            run_id: departure.said_at
             for run_id, departure in self._departures.items()
-            if departure.is_own and now - departure.said_at <= MAX_TOLD_AGE
-        )
-        return [(run_id, age) for age, run_id in told[:MAX_TOLD]]
+            if departure.is_own
+        }
+        return select_told(said_at, now)
 
     def receive_news(
         self, news: Sequence[DepartureNews], now: Milliseconds
--- a/src/clementinedyke/entry/duties.py
+++ b/src/clementinedyke/entry/duties.py
@@ -135,7 +135,7 @@
         dependencies.journal,
     )
     sharing.select_collector = dependencies.select_collector
-    dependencies.network.receive_usage = sharing.receive
+    dependencies.network.add_receiver(sharing.prefix, sharing.receive)
     return sharing
 
 
--- a/src/clementinedyke/entry/endpoint_limits.py
+++ b/src/clementinedyke/entry/endpoint_limits.py
@@ -7,7 +7,7 @@
 from clementinedyke.clock import Milliseconds
 from clementinedyke.entry.catalog import EntryEndpoint
 from clementinedyke.entry.journal import Journal
-from clementinedyke.entry.news import MAX_TOLD, MAX_TOLD_AGE
+from clementinedyke.entry.news import select_told
 
 _MILLISECONDS_PER_SECOND = 1000
 _HASH_BYTES = 8
@@ -120,14 +120,14 @@
         :param now: current instant.
         """
         self._remove_expired(now)
-        told = sorted(
-            (now - limit.named_at, run_id)
+        named_at = {
+            run_id: limit.named_at
             for run_id, limit in self._limits.items()
-            if limit.is_own and now - limit.named_at <= MAX_TOLD_AGE
-        )
+            if limit.is_own
+        }
         return [
             (run_id, _encode_rate(self._limits[run_id].rate), age)
-            for age, run_id in told[:MAX_TOLD]
+            for run_id, age in select_told(named_at, now)
         ]
 
     def receive_news(
--- a/src/clementinedyke/entry/endpoint_notices.py
+++ b/src/clementinedyke/entry/endpoint_notices.py
@@ -1,12 +1,15 @@
 """What endpoints ask of this daemon in the heads of their answers."""
 
-from clementinedyke.clock import Milliseconds
+from dataclasses import dataclass
+
+from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.entry.catalog import EntryEndpoint
 from clementinedyke.entry.departures import Departures
 from clementinedyke.entry.endpoint_limits import EndpointLimits
 from clementinedyke.entry.endpoint_pauses import EndpointPauses
-from clementinedyke.entry.endpoint_protocol import AnswerHead
+from clementinedyke.entry.endpoint_protocol import AnswerHead, EndpointProtocol
 from clementinedyke.entry.journal import Journal
+from clementinedyke.http.client import ResponseStream
 
 
 class EndpointNotices:
@@ -58,3 +61,35 @@
         if self.pauses.is_paused(endpoint, now):
             return False
         return self.limits.may_send(endpoint, now)
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerReader:
+    """Reads what endpoints ask for in answers that mean nothing else here."""
+
+    notices: EndpointNotices
+    protocol: EndpointProtocol
+    clock: Clock
+
+    def is_paused(self, endpoint: EntryEndpoint) -> bool:
+        """Return whether an endpoint wants no requests of this daemon now.
+
+        :param endpoint: any endpoint.
+        """
+        return self.notices.pauses.is_paused(endpoint, self.clock.get_now())
+
+    def read(
+        self,
+        endpoint: EntryEndpoint,
+        stream: ResponseStream,
+        sent_at: Milliseconds,
+    ) -> None:
+        """Record what the head of an answer asks for.
+
+        :param endpoint: endpoint that answered.
+        :param stream: answer whose head was received.
+        :param sent_at: instant at which the request was sent.
+        """
+        head = self.protocol.read_head(stream.status, stream.headers)
+        now = self.clock.get_now()
+        self.notices.record_answer(endpoint, head, sent_at, now)
--- a/src/clementinedyke/entry/endpoint_view.py
+++ b/src/clementinedyke/entry/endpoint_view.py
@@ -61,8 +61,6 @@
         self._endpoints: dict[str, EntryEndpoint] = {}
         self._rows: dict[str, StoredRow] = {}
         self._held_until: dict[str, Milliseconds] = {}
-        #: Latest start of an endpoint at each address.
-        self._newest_starts: dict[Address, Milliseconds] = {}
         self._store_failed_at: Milliseconds | None = None
         self._confirmed_at: Milliseconds | None = None
         #: Store revision up to which all changes are known.
@@ -117,13 +115,7 @@
         self.departures.remove_expired(now)
         if self._listed_revision != self.revision:
             self._listed_revision = self.revision
-            self._listed = [
-                replace(endpoint, is_leaving=True)
-                if self.departures.is_leaving(endpoint, now)
-                else endpoint
-                for endpoint in self._endpoints.values()
-                if not self._is_replaced(endpoint)
-            ]
+            self._listed = self._compile_list(now)
         return self._listed.copy()
 
     def replace_rows(
@@ -191,28 +183,28 @@
         )
         self._handle_removal(row.key, now)
 
-    def _is_replaced(self, endpoint: EntryEndpoint) -> bool:
-        """Return whether a later endpoint has the address of one.
+    def _compile_list(self, now: Milliseconds) -> list[EntryEndpoint]:
+        """Return all endpoints, except those whose address a later one has.
 
         Entries of endpoints that ended are back for a while if the store
         returns from an older copy.
         """
-        newest = self._newest_starts.get(endpoint.address, 0)
-        return endpoint.started_at < newest
-
-    def _update_newest_starts(self) -> None:
-        starts: dict[Address, Milliseconds] = {}
-        for endpoint in self._endpoints.values():
-            known = starts.get(endpoint.address, endpoint.started_at)
-            starts[endpoint.address] = max(known, endpoint.started_at)
-        self._newest_starts = starts
+        newest: dict[Address, Milliseconds] = {}
+        for item in self._endpoints.values():
+            known = newest.get(item.address, item.started_at)
+            newest[item.address] = max(known, item.started_at)
+        return [
+            replace(endpoint, is_leaving=True)
+            if self.departures.is_leaving(endpoint, now)
+            else endpoint
+            for endpoint in self._endpoints.values()
+            if endpoint.started_at == newest[endpoint.address]
+        ]
 
     def _set_endpoint(self, endpoint: EntryEndpoint) -> None:
         self._held_until.pop(endpoint.endpoint_id, None)
         known = self._endpoints.get(endpoint.endpoint_id)
         self._endpoints[endpoint.endpoint_id] = endpoint
-        if known is None or _get_run(known) != _get_run(endpoint):
-            self._update_newest_starts()
         self._changes += 1
         if known is None or _get_logged(known) != _get_logged(endpoint):
             self._journal.write(
@@ -249,18 +241,12 @@
         self._held_until.pop(endpoint_id, None)
         self._rows.pop(endpoint_id, None)
         if self._endpoints.pop(endpoint_id, None) is not None:
-            self._update_newest_starts()
             self._changes += 1
             self._journal.write(
                 'endpoint_gone', endpoint=endpoint_id, reason=reason
             )
 
 
-def _get_run(endpoint: EntryEndpoint) -> tuple[Address, Milliseconds]:
-    """Return what distinguishes the runs of an endpoint."""
-    return endpoint.address, endpoint.started_at
-
-
 def _get_logged(endpoint: EntryEndpoint) -> tuple[bool, Stage | None, str]:
     """Return what is logged when it changes."""
     return endpoint.is_leaving, endpoint.stage, endpoint.version
--- a/src/clementinedyke/entry/exchange.py
+++ b/src/clementinedyke/entry/exchange.py
@@ -9,7 +9,7 @@
 
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.entry.catalog import EntryEndpoint
-from clementinedyke.entry.endpoint_notices import EndpointNotices
+from clementinedyke.entry.endpoint_notices import AnswerReader, EndpointNotices
 from clementinedyke.entry.endpoint_protocol import (
     AnswerHead,
     EndpointProtocol,
@@ -269,13 +269,12 @@
         self, endpoint: EntryEndpoint, request: HttpRequest
     ) -> None:
         sent_at = self._clock.get_now()
+        answers = AnswerReader(self._notices, self._protocol, self._clock)
         with trio.move_on_after(_RELEASE_TIMEOUT / _MILLISECONDS_PER_SECOND):
             async with self._transport.open_response(
                 endpoint, request
             ) as stream:
-                now = self._clock.get_now()
-                head = self._protocol.read_head(stream.status, stream.headers)
-                self._notices.record_answer(endpoint, head, sent_at, now)
+                answers.read(endpoint, stream, sent_at)
                 await stream.receive_body(_MAX_RELEASE_BYTES)
                 return
         raise AnswerLostError(f'no answer within {_RELEASE_TIMEOUT} ms')
--- a/src/clementinedyke/entry/feed_exchange.py
+++ b/src/clementinedyke/entry/feed_exchange.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import Protocol
 
 import trio
@@ -23,6 +23,7 @@
 )
 from clementinedyke.entry.feed_readers import HEARTBEAT, ReaderElection
 from clementinedyke.entry.journal import Journal
+from clementinedyke.entry.peer_network import DatagramNetwork
 from clementinedyke.entry.store_contact import StoreContact
 from clementinedyke.http.client import Address
 
@@ -35,17 +36,6 @@
 _GREETING_INTERVAL = 8
 
 
-class FeedNetwork(Protocol):
-    """Socket for the other daemons."""
-
-    @property
-    def addresses(self) -> Mapping[str, Address]:
-        """Addresses of the other daemons by host."""
-
-    async def send(self, payload: bytes, addresses: Iterable[Address]) -> None:
-        """Send a datagram to other daemons; it may be lost."""
-
-
 class FollowedTable(Protocol):
     """Feed of a table that other daemons may read for this one."""
 
@@ -101,7 +91,7 @@
         self,
         host: str,
         zone: str,
-        network: FeedNetwork,
+        network: DatagramNetwork,
         tables: Mapping[str, FollowedTable],
         contact: StoreContact,
         clock: Clock,
@@ -171,10 +161,11 @@
         if self._election.is_reader:
             self._queue(news, is_own=True)
 
-    async def receive(self, datagram: bytes) -> None:
+    async def receive(self, datagram: bytes, sender: Address) -> None:
         """Process a message of a reader.
 
         :param datagram: bytes with the prefix of these messages.
+        :param sender: address of the reader, which the message names by host.
         """
         try:
             message = decode_news(datagram)
--- a/src/clementinedyke/entry/feed_readers.py
+++ b/src/clementinedyke/entry/feed_readers.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from clementinedyke.clock import Milliseconds
 
@@ -22,6 +23,12 @@
 _HASH_BYTES = 8
 
 
+@dataclass(frozen=True, slots=True)
+class _Reader:
+    zone: str
+    heard_at: Milliseconds
+
+
 class ReaderElection:
     """Decides whether this daemon reads for its zone, and who else does.
 
@@ -38,8 +45,8 @@
         """
         self._host = host
         self._zone = zone
-        self._heard_at: dict[str, Milliseconds] = {}
-        self._zones: dict[str, str] = {}
+        #: Other readers by host, as last heard.
+        self._readers: dict[str, _Reader] = {}
         self._short_since: Milliseconds | None = None
         self._is_reader = False
 
@@ -55,15 +62,14 @@
         :param zone: its availability zone.
         :param now: current instant.
         """
-        self._heard_at[host] = now
-        self._zones[host] = zone
+        self._readers[host] = _Reader(zone, now)
 
     def record_end(self, host: str) -> None:
         """Record that a daemon no longer reads for others.
 
         :param host: host of the daemon.
         """
-        self._heard_at.pop(host, None)
+        self._readers.pop(host, None)
 
     def list_readers(self, now: Milliseconds) -> set[str]:
         """Return the hosts of all other readers, of any zone.
@@ -72,8 +78,8 @@
         """
         return {
             host
-            for host, heard_at in self._heard_at.items()
-            if now - heard_at < _SILENCE
+            for host, reader in self._readers.items()
+            if now - reader.heard_at < _SILENCE
         }
 
     def has_reader(self, now: Milliseconds) -> bool:
@@ -81,20 +87,14 @@
 
         :param now: current instant.
         """
-        return any(
-            self._zones[host] == self._zone for host in self.list_readers(now)
-        )
+        return bool(self._list_zone_readers(now))
 
     def select_first(self, now: Milliseconds) -> str | None:
         """Return the reader of this zone with the best rank, None without one.
 
         :param now: current instant.
         """
-        readers = {
-            host
-            for host in self.list_readers(now)
-            if self._zones[host] == self._zone
-        }
+        readers = self._list_zone_readers(now)
         if self._is_reader:
             readers.add(self._host)
         return min(readers, key=_get_rank, default=None)
@@ -128,11 +128,7 @@
         :param may_read: whether the store answers this daemon and it stays.
         """
         others = set(members) - {self._host}
-        live = {
-            host
-            for host in self.list_readers(now)
-            if self._zones[host] == self._zone
-        }
+        live = self._list_zone_readers(now)
         if not may_read or not others or daemons < _MIN_DAEMONS:
             self._is_reader = False
             self._short_since = None
@@ -148,6 +144,14 @@
             self._is_reader = self._may_take_over(others - live, now)
         return self._is_reader
 
+    def _list_zone_readers(self, now: Milliseconds) -> set[str]:
+        """Return the hosts of the other readers of this zone."""
+        return {
+            host
+            for host in self.list_readers(now)
+            if self._readers[host].zone == self._zone
+        }
+
     def _may_take_over(self, others: set[str], now: Milliseconds) -> bool:
         if self._short_since is None:
             self._short_since = now
--- a/src/clementinedyke/entry/feeds.py
+++ b/src/clementinedyke/entry/feeds.py
@@ -6,6 +6,7 @@
 
 from clementinedyke.clock import Clock
 from clementinedyke.entry.feed_exchange import FeedExchange
+from clementinedyke.entry.feed_messages import FEED_PREFIX
 from clementinedyke.entry.host_settings import HostSettings
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.peer_network import PeerNetwork
@@ -83,7 +84,7 @@
         )
         exchange.list_zones = list_zones
         exchange.is_draining = is_draining
-        network.receive_feed_news = exchange.receive
+        network.add_receiver(FEED_PREFIX, exchange.receive)
         self.pace.reads_for_others = exchange.is_reader
         for watch in self.watches.values():
             watch.is_followed = exchange.is_followed
--- a/src/clementinedyke/entry/links.py
+++ b/src/clementinedyke/entry/links.py
@@ -13,7 +13,7 @@
     EndpointConnections,
     get_max_idle,
 )
-from clementinedyke.entry.endpoint_notices import EndpointNotices
+from clementinedyke.entry.endpoint_notices import AnswerReader, EndpointNotices
 from clementinedyke.entry.endpoint_protocol import EndpointProtocol
 from clementinedyke.entry.endpoint_transport import EndpointTransport
 from clementinedyke.entry.endpoint_view import EndpointView
@@ -21,7 +21,7 @@
 from clementinedyke.entry.path_monitor import PathMonitor
 from clementinedyke.entry.peer_network import PeerNetwork
 from clementinedyke.entry.relay_client import RelayClient
-from clementinedyke.entry.relay_port import AnswerReader, RelayPort
+from clementinedyke.entry.relay_port import RelayPort
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/entry/news.py
+++ b/src/clementinedyke/entry/news.py
@@ -18,8 +18,8 @@
 #: Age up to which notices of endpoints are told to the other daemons, and how
 #: many at once. With 330 daemons each sends an update every 5.5 s, and some are
 #: lost.
-MAX_TOLD_AGE: Milliseconds = 12000
-MAX_TOLD = 20
+_MAX_TOLD_AGE: Milliseconds = 12000
+_MAX_TOLD = 20
 #: Daemons heard from within this time share the retry budget.
 _RETRY_SHARE_WINDOW: Milliseconds = 10000
 
@@ -251,6 +251,25 @@
                 totals.pop(endpoint_id, None)
 
 
+def select_told(
+    said_at: Mapping[str, Milliseconds], now: Milliseconds
+) -> list[tuple[str, Milliseconds]]:
+    """Return the notices of endpoints that other daemons are told.
+
+    :param said_at: instant of the notice of each run to this daemon.
+    :param now: current instant.
+    :return: run ids and ages in ms, the newest first.
+    """
+    ages = sorted(
+        (now - instant, run_id) for run_id, instant in said_at.items()
+    )
+    return [
+        (run_id, age)
+        for age, run_id in ages[:_MAX_TOLD]
+        if age <= _MAX_TOLD_AGE
+    ]
+
+
 def _is_newer(
     update: PeerUpdate, version: int | None, revision: int | None
 ) -> bool:
--- a/src/clementinedyke/entry/peer_network.py
+++ b/src/clementinedyke/entry/peer_network.py
@@ -2,18 +2,30 @@
 
 import socket
 from collections.abc import Awaitable, Callable, Iterable, Mapping
+from typing import Protocol, TypeAlias
 
 import trio
 
-from clementinedyke.entry.feed_messages import FEED_PREFIX
 from clementinedyke.entry.journal import Journal
-from clementinedyke.entry.stream_messages import MESSAGE_PREFIX
-from clementinedyke.entry.usage_messages import USAGE_PREFIX
 from clementinedyke.http.client import Address
 
 #: Largest payload of a UDP datagram over IPv4, in bytes.
 _MAX_DATAGRAM = 65507
 
+#: Processes a datagram of another daemon, and its sender.
+Receiver: TypeAlias = Callable[[bytes, Address], Awaitable[None]]
+
+
+class DatagramNetwork(Protocol):
+    """Socket for the other daemons."""
+
+    @property
+    def addresses(self) -> Mapping[str, Address]:
+        """Addresses of the other daemons by host."""
+
+    async def send(self, payload: bytes, addresses: Iterable[Address]) -> None:
+        """Send a datagram to other daemons; it may be lost."""
+
 
 class PeerNetwork:
     """Sends datagrams to the other daemons and receives theirs."""
@@ -27,18 +39,8 @@
         self._addresses: dict[str, Address] = {}
         self._zones: dict[str, str] = {}
         self._socket = _open_socket()
-        #: Processes messages of other daemons about streams.
-        self.receive_message: Callable[[bytes, Address], Awaitable[None]] = (
-            _ignore_message
-        )
-        #: Processes counts of other daemons.
-        self.receive_usage: Callable[[bytes, Address], Awaitable[None]] = (
-            _ignore_message
-        )
-        #: Processes changes of the store that other daemons have read.
-        self.receive_feed_news: Callable[[bytes], Awaitable[None]] = (
-            _ignore_feed_news
-        )
+        #: Receivers of the datagrams that are no state updates, by first byte.
+        self._receivers: dict[bytes, Receiver] = {}
 
     @property
     def addresses(self) -> Mapping[str, Address]:
@@ -52,6 +54,14 @@
         """
         return self._zones.get(host, '')
 
+    def add_receiver(self, prefix: bytes, receiver: Receiver) -> None:
+        """Have datagrams with a first byte processed.
+
+        :param prefix: first byte, with which no state update begins.
+        :param receiver: processes the datagrams.
+        """
+        self._receivers[prefix] = receiver
+
     def record_listed(self, host: str, address: Address, zone: str) -> None:
         """Record a daemon that is listed in the store.
 
@@ -107,7 +117,7 @@
     async def receive(self) -> tuple[bytes, Address]:
         """Return the next state update and its sender.
 
-        Messages about streams and feeds that come before it are processed.
+        Other datagrams that come before it are passed to their receivers.
 
         :raises trio.ClosedResourceError: if the socket is closed.
         """
@@ -119,22 +129,10 @@
                 self._journal.write('news_error', error=str(error))
                 continue
             address = Address(sender[0], sender[1])
-            if datagram.startswith(FEED_PREFIX):
-                await self.receive_feed_news(datagram)
-            elif datagram.startswith(USAGE_PREFIX):
-                await self.receive_usage(datagram, address)
-            elif datagram.startswith(MESSAGE_PREFIX):
-                await self.receive_message(datagram, address)
-            else:
+            receiver = self._receivers.get(datagram[:1])
+            if receiver is None:
                 return datagram, address
-
-
-async def _ignore_message(datagram: bytes, sender: Address) -> None:
-    """Drop a message that arrives before its receiver is set."""
-
-
-async def _ignore_feed_news(datagram: bytes) -> None:
-    """Drop a message that arrives before its receiver is set."""
+            await receiver(datagram, address)
 
 
 def _open_socket() -> trio.socket.SocketType:
--- a/src/clementinedyke/entry/relay_port.py
+++ b/src/clementinedyke/entry/relay_port.py
@@ -2,22 +2,20 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass
 
 import msgspec
 import trio
 from prometheus_client.core import CounterMetricFamily
 from prometheus_client.registry import Collector
 
-from clementinedyke.clock import Clock, Milliseconds
+from clementinedyke.clock import Milliseconds
 from clementinedyke.entry.catalog import EntryEndpoint
 from clementinedyke.entry.direct_path import DirectPath
 from clementinedyke.entry.endpoint_connections import (
     EndpointConnections,
     check_listening,
 )
-from clementinedyke.entry.endpoint_notices import EndpointNotices
-from clementinedyke.entry.endpoint_protocol import EndpointProtocol
+from clementinedyke.entry.endpoint_notices import AnswerReader
 from clementinedyke.entry.path_monitor import PathMonitor
 from clementinedyke.entry.relay_messages import (
     FAILURE_HEADER,
@@ -98,38 +96,6 @@
         yield family
 
 
-@dataclass(frozen=True, slots=True)
-class AnswerReader:
-    """Reads what endpoints ask for in the answers that are forwarded."""
-
-    notices: EndpointNotices
-    protocol: EndpointProtocol
-    clock: Clock
-
-    def is_paused(self, endpoint: EntryEndpoint) -> bool:
-        """Return whether an endpoint wants no requests of this daemon now.
-
-        :param endpoint: any endpoint.
-        """
-        return self.notices.pauses.is_paused(endpoint, self.clock.get_now())
-
-    def read(
-        self,
-        endpoint: EntryEndpoint,
-        stream: ResponseStream,
-        sent_at: Milliseconds,
-    ) -> None:
-        """Record what the head of an answer asks for.
-
-        :param endpoint: endpoint that answered.
-        :param stream: answer whose head was received.
-        :param sent_at: instant at which the request was sent.
-        """
-        head = self.protocol.read_head(stream.status, stream.headers)
-        now = self.clock.get_now()
-        self.notices.record_answer(endpoint, head, sent_at, now)
-
-
 class RelayPort:
     """Answers the requests of other daemons for endpoints.
 
--- a/src/clementinedyke/entry/stage_plan.py
+++ b/src/clementinedyke/entry/stage_plan.py
@@ -13,8 +13,6 @@
 #: that changes its stage is unavailable for seconds, and its entry in the store
 #: is updated with a delay.
 _ORDER_TIMEOUT: Milliseconds = 8000
-
-
 #: Slots on decode for each engine of the service. Engines with few slots are
 #: full long before their steps grow longer, and reject streams then.
 _DECODE_SLOTS_PER_ENGINE = 3
--- a/src/clementinedyke/entry/usage_duty.py
+++ b/src/clementinedyke/entry/usage_duty.py
@@ -20,7 +20,15 @@
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.usage_counter import UsageCounter
 from clementinedyke.leases.component import FENCES_TABLE
-from clementinedyke.rows import ABSENT, Commit, Condition, Row, RowStore, Write
+from clementinedyke.rows import (
+    ABSENT,
+    Commit,
+    Condition,
+    Row,
+    RowStore,
+    Snapshot,
+    Write,
+)
 from clementinedyke.store_revision import get_era
 
 PARTS_TABLE = 'usage_parts'
@@ -45,7 +53,7 @@
     is_reported: bool = False
 
 
-class UsagePart(msgspec.Struct, frozen=True):
+class UsagePart(msgspec.Struct, frozen=True, omit_defaults=True):
     """Counts of one run of a daemon in a window.
 
     ``is_final`` is set once the window has ended. A final part has the ``era``
@@ -391,30 +399,31 @@
         parts = await self._store.list_rows(PARTS_TABLE, f'{window}/')
         if parts.is_err():
             return None
-        rows = parts.unwrap().rows
         if row is not None:
             # Its writer may have ended before it had deleted all parts.
             self._cleared.add(window)
-            await self._delete_parts(rows)
+            await self._delete_parts(parts.unwrap().rows)
             return row
-        era = get_era(parts.unwrap().revision)
-        if any(_is_of_era_before(era, part) for part in _decode_parts(rows)):
-            # The store may have lost the sum of the window, with which it was
-            # reported. A missed report does less harm than a second figure.
-            self._journal.write('usage_window_left_out', window=window)
-            self._reported.add(window)
-            return None
-        return await self._sum_parts(window, fence, window_time, rows)
+        return await self._sum_window(
+            window, fence, window_time, parts.unwrap()
+        )
 
-    async def _sum_parts(
+    async def _sum_window(
         self,
         window: int,
         fence: Condition,
         window_time: WindowTime,
-        rows: list[Row],
+        parts: Snapshot,
     ) -> Row | None:
         """Return the row with the sum of a window's parts, None if not now."""
-        listed = _decode_parts(rows)
+        listed = _decode_parts(parts.rows)
+        era = get_era(parts.revision)
+        if any(part.era is not None and part.era < era for part in listed):
+            # The store may have lost the sum of the window, with which it was
+            # reported. A missed report does less harm than a second figure.
+            self._journal.write('usage_window_left_out', window=window)
+            self._reported.add(window)
+            return None
         written = {part.host for part in listed if part.is_final}
         # A daemon last heard from before the window started has no part in it.
         awaited = self._list_hosts(window_time.get_age(window))
@@ -423,7 +432,7 @@
         summed = WindowSum(_sum_parts(listed))
         if not summed.counts:
             return Row(str(window), ABSENT, msgspec.to_builtins(summed))
-        return await self._write_sum(window, fence, summed, rows)
+        return await self._write_sum(window, fence, summed, parts.rows)
 
     async def _write_sum(
         self, window: int, fence: Condition, summed: WindowSum, parts: list[Row]
@@ -509,10 +518,6 @@
     )
 
 
-def _is_of_era_before(era: int, part: UsagePart) -> bool:
-    return part.era is not None and part.era < era
-
-
 def _decode_parts(rows: Iterable[Row]) -> list[UsagePart]:
     parts = []
     for row in rows:
--- a/src/clementinedyke/entry/usage_sharing.py
+++ b/src/clementinedyke/entry/usage_sharing.py
@@ -3,14 +3,15 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
-from typing import Protocol
 
 import msgspec
 
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.entry.journal import Journal
+from clementinedyke.entry.peer_network import DatagramNetwork
 from clementinedyke.entry.usage_duty import PartRow, PartWriter, UsagePart
 from clementinedyke.entry.usage_messages import (
+    USAGE_PREFIX,
     SharedPart,
     UsageMessage,
     UsageShares,
@@ -43,17 +44,6 @@
 _MAX_COLLECTED = 1000
 
 
-class UsageNetwork(Protocol):
-    """Socket for the other daemons."""
-
-    @property
-    def addresses(self) -> Mapping[str, Address]:
-        """Addresses of the other daemons by host."""
-
-    async def send(self, payload: bytes, addresses: Iterable[Address]) -> None:
-        """Send a datagram to other daemons; it may be lost."""
-
-
 @dataclass(slots=True)
 class _CollectedPart:
     """Part of another daemon; ``is_written`` once it is in the store."""
@@ -115,12 +105,15 @@
     collector has not confirmed in time is written by its own daemon.
     """
 
+    #: First byte of the datagrams that are received.
+    prefix = USAGE_PREFIX
+
     def __init__(
         self,
         host: str,
         run_id: str,
         writer: PartWriter,
-        network: UsageNetwork,
+        network: DatagramNetwork,
         clock: Clock,
         journal: Journal,
     ) -> None:
@@ -164,7 +157,7 @@
     async def flush(self) -> None:
         """Write all parts at once, those of other daemons included."""
         await self._write_own()
-        await self._commit(self._list_unwritten())
+        await self._commit(self._list_uncommitted())
 
     async def receive(self, datagram: bytes, sender: Address) -> None:
         """Process a message of another daemon.
@@ -270,11 +263,11 @@
         if not is_due:
             return
         self._collected_at = now
-        if not await self._commit(self._list_unwritten(), own):
+        if not await self._commit(self._list_uncommitted(), own):
             await self._writer.write_parts()
         self._remove_old()
 
-    def _list_unwritten(self) -> list[_CollectedPart]:
+    def _list_uncommitted(self) -> list[_CollectedPart]:
         return [
             item
             for item in self._shared.collected.values()
--- a/src/clementinedyke/entry/version_finder.py
+++ b/src/clementinedyke/entry/version_finder.py
@@ -16,6 +16,7 @@
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.peer_network import PeerNetwork
 from clementinedyke.entry.stream_messages import (
+    MESSAGE_PREFIX,
     StreamBegun,
     StreamMessage,
     VersionAsked,
@@ -126,7 +127,7 @@
         self._endpoints = endpoints
         self._reader = reader
         self._network = network
-        network.receive_message = self.receive
+        network.add_receiver(MESSAGE_PREFIX, self.receive)
         self._zone = availability_zone
         self._clock = clock
         self._journal = journal
--- a/src/clementinedyke/platform/store.py
+++ b/src/clementinedyke/platform/store.py
@@ -111,7 +111,9 @@
         :param conditions: row versions that must be current.
         :param writes: new row values, stored as JSON; None deletes the row.
         """
-        if any(0 < item.version < self._first_revision for item in conditions):
+        oldest = compile_revision(self._era, 0)
+        if any(0 < item.version < oldest for item in conditions):
+            # The row of an earlier era no longer exists at that version.
             return Ok(Conflict([]))
         body = msgspec.json.encode(_compile_transaction(conditions, writes))
         answer = await self._call(
@@ -258,11 +260,6 @@
         self._era = era
         return Ok(_Answer(answer.unwrap(), era))
 
-    @property
-    def _first_revision(self) -> int:
-        """Least revision of the newest known era."""
-        return compile_revision(self._era, 0)
-
     def _read_era(self, response: HttpResponse) -> int:
         """Return the era of an answer, the last known one if it tells none."""
         for name, text in response.headers:
--- a/tests/feed_world.py
+++ b/tests/feed_world.py
@@ -170,7 +170,7 @@
         await trio.sleep(delay + self.faults.delays.get(sender, 0))
         daemon = self.daemons.get(receiver)
         if daemon is not None:
-            await daemon.exchange.receive(payload)
+            await daemon.exchange.receive(payload, Address(sender, 1))
 
     def _list_zones(self, host: str) -> dict[str, list[str]]:
         zones: dict[str, list[str]] = {}
--- a/tests/test_message_formats.py
+++ b/tests/test_message_formats.py
@@ -6,6 +6,7 @@
 import pytest
 
 from clementinedyke.entry.feed_messages import (
+    FEED_PREFIX,
     FeedNews,
     NewsRow,
     TableNews,
@@ -171,7 +172,7 @@
         assert msgspec.msgpack.decode(payload, type=type(message)) == message
         fields = msgspec.msgpack.decode(payload)
         present = msgspec.msgpack.decode(msgspec.msgpack.encode(message))
-        assert present[: len(fields)] == fields
+        assert extends(present, fields)
 
     @pytest.mark.parametrize('name', list(_STREAMS))
     def test_streams(self, name: str) -> None:
@@ -194,7 +195,11 @@
         message, encode, decode, first = _SHARED[name]
         payload = bytes.fromhex(first)
         assert decode(payload) == message
-        _check_fields_appended(encode(message), payload)
+        present = encode(message)
+        start = 2 if payload.startswith(FEED_PREFIX) else 1
+        assert present[:start] == payload[:start]
+        fields = msgspec.msgpack.decode(payload[start:])
+        assert extends(msgspec.msgpack.decode(present[start:]), fields)
 
     def test_further_fields_are_ignored(self) -> None:
         """A message of a later build with more fields is read."""
@@ -203,7 +208,10 @@
         assert msgspec.msgpack.decode(later, type=PeerUpdate) == _UPDATE
 
 
-def _check_fields_appended(present: bytes, former: bytes) -> None:
-    """Check that a message has the fields of a former one, or more of them."""
-    assert present[0] == former[0]
-    assert len(present) >= len(former)
+def extends(present: object, former: object) -> bool:
+    """Return whether arrays have the fields of former ones, or more."""
+    if isinstance(former, list):
+        return len(present) >= len(former) and all(
+            map(extends, present, former)
+        )
+    return present == former
--- a/tests/version_fleet.py
+++ b/tests/version_fleet.py
@@ -9,6 +9,7 @@
 
 from clementinedyke.clock import ManualClock
 from clementinedyke.entry.catalog import EntryEndpoint
+from clementinedyke.entry.peer_network import Receiver
 from clementinedyke.entry.stream_versions import compute_id
 from clementinedyke.entry.version_finder import VersionFinder
 from clementinedyke.http.client import Address
@@ -50,7 +51,7 @@
         self.is_frozen = False
         self.has_store = True
         self.confirmed_at: int | None = None
-        self.receive_message = self._ignore
+        self.receive_message: Receiver = self._ignore
         self.versions = VersionFinder(
             self,
             self,
@@ -108,6 +109,10 @@
             self.fleet.store.list_endpoints(), now
         )
 
+    def add_receiver(self, prefix: bytes, receiver: Receiver) -> None:
+        """Have all datagrams processed; the fleet has one kind of them."""
+        self.receive_message = receiver
+
     async def _ignore(self, payload: bytes, sender: Address) -> None:
         """Drop a datagram that comes before the daemon has started."""
 
