Forget the departure of a run when it is asked for after its lifetime

The daemon itself calls remove_expired() before it compiles its list, so that no caller saw a difference.

--- a/src/clementinedyke/entry/departures.py
+++ b/src/clementinedyke/entry/departures.py
@@ -78,7 +78,12 @@
         :param now: current instant.
         """
         known = self._departures.get(endpoint.run_id)
-        return known is not None and now - known.said_at < _LIFETIME
+        if known is None:
+            return False
+        if now - known.said_at < _LIFETIME:
+            return True
+        self._remove(endpoint.run_id, 'forgotten')
+        return False
 
     def remove_expired(self, now: Milliseconds) -> None:
         """Forget departures whose lifetime has passed.
