End a planned stop within the grace time when the store is lost

Cause: a stop waited up to 15 s until the store had confirmed that the lease row names this run no longer, also at daemons that had never held the lease and for whom there is nothing to release.

Change: the lease core decides by what it knows itself whether a stop has anything left to release, so that a daemon without a lease, a listing or an unanswered write stops without a call. The holder waits 400 ms for its release and leaves the rest to the expiry, the last usage parts have 700 ms; together they stay within the 1.2 s that the caller port leaves. The task of a lease wakes up when a stop is requested.

Tests: test_entry_stop.py [hang] and [refuse] failed before (known red) and pass.

--- a/src/clementinedyke/entry/duties.py
+++ b/src/clementinedyke/entry/duties.py
@@ -30,6 +30,9 @@
 _RENEWALS_PER_LEASE = 3
 #: Longer than the timeout of the store client.
 _CALL_TIMEOUT: Milliseconds = 1600
+#: With the time for the last usage parts it stays within what the caller port
+#: leaves of the stop grace.
+_RELEASE_TIMEOUT: Milliseconds = 400
 #: Upper bound of the ratio between the clock rates of two hosts.
 _DRIFT_FACTOR = 1.1
 #: Effectively never: the platform has no host list to read.
@@ -162,7 +165,9 @@
         dependencies.clock,
         dependencies.generator,
         is_candidate=dependencies.is_candidate,
-        policy=LeasePolicy(timing, ExpiryHandover(identity, 0, 0)),
+        policy=LeasePolicy(
+            timing, ExpiryHandover(identity, 0, 0), _RELEASE_TIMEOUT
+        ),
     )
 
 
--- a/src/clementinedyke/entry/usage_component.py
+++ b/src/clementinedyke/entry/usage_component.py
@@ -25,6 +25,8 @@
 _PART_INTERVAL_SECONDS_PER_DAEMON = 0.06
 _MAX_PART_INTERVAL_SECONDS: float = 4
 _CLOSE_INTERVAL_SECONDS = 0.5
+#: Longest time that a stop waits for the last counts to be written.
+_FLUSH_TIMEOUT_SECONDS = 0.7
 #: A report is sent this long before it is due even if parts are missing, since
 #: another daemon may need up to 4 s to take over the duties.
 _REPORT_MARGIN: Milliseconds = 4000
@@ -101,7 +103,7 @@
 
     async def stop(self) -> None:
         """Write the counts that have not been written yet."""
-        with trio.move_on_after(_MIN_PART_INTERVAL_SECONDS):
+        with trio.move_on_after(_FLUSH_TIMEOUT_SECONDS):
             await self._sharing.flush()
 
     async def _write_parts(self) -> None:
--- a/src/clementinedyke/leases/component.py
+++ b/src/clementinedyke/leases/component.py
@@ -50,10 +50,10 @@
 #: Interval for scopes that this daemon neither holds nor is a candidate for:
 #: with 27 scopes the short interval used several percent of a CPU core.
 _IDLE_INTERVAL: Milliseconds = 1000
+#: Interval at which a stop looks whether the leases are released.
+_RELEASE_POLL: Milliseconds = 20
 #: Maximum age of the host list that the scopes of a daemon share.
 _HOSTS_INTERVAL: Milliseconds = 9000
-#: Time limit for releasing the leases during a stop.
-_DRAIN_LIMIT: Milliseconds = 15000
 _MILLISECONDS_PER_SECOND = 1000
 
 
@@ -69,11 +69,13 @@
     """Durations of leases and a handover core that all scopes share.
 
     ``timing`` None selects the default durations; ``handover`` None gives each
-    scope its own :class:`HandoverCore`.
+    scope its own :class:`HandoverCore`. ``release_timeout`` is the longest time
+    that a stop waits for the leases to be released.
     """
 
     timing: LeaseTiming | None = None
     handover: HandoverCore | None = None
+    release_timeout: Milliseconds = 15000
 
 
 class HostList(Protocol):
@@ -120,6 +122,7 @@
         self._pending: dict[str, list[LeaseEvent]] = {}
         self._deaths: set[str] = set()
         self._nursery: trio.Nursery | None = None
+        self._wakes: dict[str, trio.Event] = {}
         self._changes = 0
 
     @property
@@ -145,6 +148,7 @@
                 self._policy.handover,
             )
             self._sources[scope] = []
+            self._wakes[scope] = trio.Event()
             self._pending[scope] = [
                 DeathConfirmed(incarnation)
                 for incarnation in sorted(self._deaths)
@@ -161,12 +165,13 @@
         :param scope: scope that was added before.
         """
         core = self._cores[scope]
-        self._pending[scope].append(StopRequested())
+        self._request_stop(scope)
         while not core.is_released:
-            await trio.sleep(TICK_INTERVAL / _MILLISECONDS_PER_SECOND)
+            await trio.sleep(_RELEASE_POLL / _MILLISECONDS_PER_SECOND)
         self._cores.pop(scope)
         self._sources.pop(scope)
         self._pending.pop(scope)
+        self._wakes.pop(scope)
 
     def add_order_source(self, scope: str, source: OrderSource) -> None:
         """Register a source of orders to close before the lease is given up.
@@ -200,12 +205,30 @@
         """Do nothing: stop() releases the leases after their users drained."""
 
     async def stop(self) -> None:
-        """Release all leases, waiting no longer than the drain limit."""
-        for pending in self._pending.values():
-            pending.append(StopRequested())
-        with trio.move_on_after(_DRAIN_LIMIT / _MILLISECONDS_PER_SECOND):
-            while not all(core.is_released for core in self._cores.values()):
-                await trio.sleep(TICK_INTERVAL / _MILLISECONDS_PER_SECOND)
+        """Release all leases, waiting no longer than the release timeout.
+
+        A lease that is still held then is free for others when it expires.
+        """
+        for scope in self._cores:
+            self._request_stop(scope)
+        timeout = self._policy.release_timeout / _MILLISECONDS_PER_SECOND
+        with trio.move_on_after(timeout):
+            while self._list_unreleased():
+                await trio.sleep(_RELEASE_POLL / _MILLISECONDS_PER_SECOND)
+        left = self._list_unreleased()
+        if left:
+            logging.warning(
+                'event=leases_not_released scopes=%s', ','.join(left)
+            )
+
+    def _request_stop(self, scope: str) -> None:
+        self._pending[scope].append(StopRequested())
+        self._wakes[scope].set()
+
+    def _list_unreleased(self) -> list[str]:
+        return [
+            scope for scope, core in self._cores.items() if not core.is_released
+        ]
 
     async def _run_scope(self, scope: str) -> None:
         core = self._cores[scope]
@@ -228,7 +251,17 @@
             was_held = is_held
             is_active = is_held or tick.is_candidate
             wait = TICK_INTERVAL if is_active else _IDLE_INTERVAL
-            await trio.sleep(wait / _MILLISECONDS_PER_SECOND)
+            await self._wait_for_stop(scope, wait)
+
+    async def _wait_for_stop(self, scope: str, timeout: Milliseconds) -> None:
+        """Sleep until the timeout, less if a stop is requested meanwhile."""
+        wake = self._wakes[scope]
+        if wake.is_set():
+            # Later ticks of a stop wait for calls of the store.
+            await trio.sleep(_RELEASE_POLL / _MILLISECONDS_PER_SECOND)
+            return
+        with trio.move_on_after(timeout / _MILLISECONDS_PER_SECOND):
+            await wake.wait()
 
     async def _handle_event(
         self, scope: str, core: LeaseCore, event: LeaseEvent
--- a/src/clementinedyke/leases/core.py
+++ b/src/clementinedyke/leases/core.py
@@ -66,6 +66,7 @@
         self._is_candidate = event.is_candidate
         if self._view.expire(now):
             return self._close_orders()
+        self._update_released(now)
         if now < self._call_until or self._is_released:
             return []
         return [*self._select_hosts_call(now), *self._select_call(now)]
@@ -96,6 +97,7 @@
         self._update_row(row, event.revision, now)
         if row.count == 0:
             self._view.update_fence(row.fence, event.revision)
+        self._update_released(now)
         return []
 
     @handle.register
@@ -139,6 +141,7 @@
         if self._is_stopping or not self.is_held(now):
             self._has_open_orders = False
         self._next_read = now
+        self._update_released(now)
         return []
 
     @handle.register
@@ -147,4 +150,5 @@
     ) -> list[LeaseAction]:
         self._is_stopping = True
         self._next_read = now
+        self._update_released(now)
         return self._close_orders()
--- a/src/clementinedyke/leases/decision.py
+++ b/src/clementinedyke/leases/decision.py
@@ -89,6 +89,17 @@
         """
         return not self._has_sent_release and self._view.is_held(now)
 
+    def _update_released(self, now: Milliseconds) -> None:
+        """Note whether a stop has nothing left to release.
+
+        Needs no call of the store: each row and write that names this run of
+        the process is known here.
+        """
+        if not self._is_stopping or self._has_open_orders:
+            return
+        names_own = self._view.is_own or self._view.lists_own
+        self._is_released = not names_own and self._view.is_settled(now)
+
     def _close_orders(self) -> list[LeaseAction]:
         return [CloseOrders()] if self._has_open_orders else []
 
@@ -126,7 +137,7 @@
         if self._view.lists_own:
             return self._rewrite(self._view.list_others(), now)
         if self._is_stopping:
-            self._is_released = self._view.is_settled(now)
+            self._update_released(now)
             return []
         if self._is_candidate and self._view.is_free(now):
             return self._acquire(now)
