Accept whole numbers in settings in each form, as before

The change to msgspec refused 300.0 and "300" for a whole number, which the file of another deployment may have. The new test fails on the parent for both.

--- a/src/clementinedyke/platform/settings_file.py
+++ b/src/clementinedyke/platform/settings_file.py
@@ -118,7 +118,7 @@
     :raises SettingError: if a field is invalid; names the first such field.
     """
     try:
-        return _convert(msgspec.convert(document, _SettingsFile))
+        return _convert(msgspec.convert(document, _SettingsFile, strict=False))
     except msgspec.ValidationError as error:
         raise SettingError(
             f'settings file {source}: {_describe_error(error)}'
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -49,6 +49,13 @@
         given = {key: SETTINGS[key] for key in SETTINGS if key != 'cloud'}
         assert decode_host_settings(given, 'file').duties_address is None
 
+    @pytest.mark.parametrize('memory', [300, 300.0, '300'])
+    def test_forms_of_whole_number(self, memory: object) -> None:
+        """Numbers are accepted in each form that TOML has for them."""
+        limits = {**SETTINGS['limits'], 'memory_mb': memory}
+        changed = {**SETTINGS, 'limits': limits}
+        assert decode_host_settings(changed, 'file').memory_mb == 300
+
     def test_error_names_invalid_field(self) -> None:
         """The error names the invalid field or value."""
         cases = (
