Tell daemons that start later of the endpoints that leave

Cause, found by reading for the operators' case of a server that had left and was in use again after a restart: daemons tell one another of an endpoint that said that it leaves for 12 s. A daemon that starts, or starts again, after that does not know it, and sends it requests while its entry says ready.

Change: while a run of another daemon is new, for 12 s, updates have all departures that this daemon was told, at most 20 as before. Ages are told, so that they lapse at all daemons at the same time.

Test: test_daemon_that_starts_later, which fails without the change of list_news (it has no such parameter there).

--- a/src/clementinedyke/entry/departures.py
+++ b/src/clementinedyke/entry/departures.py
@@ -96,16 +96,22 @@
             if now - departure.said_at >= _LIFETIME:
                 self._remove(run_id, 'forgotten')
 
-    def list_news(self, now: Milliseconds) -> list[DepartureNews]:
+    def list_news(
+        self, now: Milliseconds, *, has_new_daemon: bool = False
+    ) -> list[DepartureNews]:
         """Return what this daemon was told lately, the newest first.
 
         :param now: current instant.
+        :param has_new_daemon: whether a daemon that started lately has to be
+            told what the others have known for longer.
         """
         said_at = {
             run_id: departure.said_at
             for run_id, departure in self._departures.items()
             if departure.is_own
         }
+        if has_new_daemon:
+            return select_told(said_at, now, _LIFETIME)
         return select_told(said_at, now)
 
     def receive_news(
--- a/src/clementinedyke/entry/news.py
+++ b/src/clementinedyke/entry/news.py
@@ -86,6 +86,8 @@
         self._active: set[str] = set()
         self._running: dict[str, int] = {}
         self._tokens: dict[str, int] = {}
+        #: Instant of the first update of the newest run of another daemon.
+        self._new_run_at: Milliseconds | None = None
         #: Version whose confirmations by all daemons were looked at.
         self._confirmed_version = 0
 
@@ -108,9 +110,10 @@
         if update.host == self._host:
             return False
         known = self._updates.get(update.host)
-        if known is not None and known.update.run_id == update.run_id:
-            if known.update.sequence >= update.sequence:
-                return False
+        if known is None or known.update.run_id != update.run_id:
+            self._new_run_at = now
+        elif known.update.sequence >= update.sequence:
+            return False
         self._remove_work(update.host)
         self._updates[update.host] = _ReceivedUpdate(update, now)
         self._add_work(update)
@@ -139,6 +142,16 @@
             if now - received.received_at < _RETRY_SHARE_WINDOW
         )
 
+    def has_new_daemon(self, now: Milliseconds) -> bool:
+        """Return whether another daemon has started lately.
+
+        It does not know what the others were told before.
+
+        :param now: current instant.
+        """
+        started_at = self._new_run_at
+        return started_at is not None and now - started_at <= _MAX_TOLD_AGE
+
     def list_hosts(
         self, age: Milliseconds, now: Milliseconds
     ) -> frozenset[str]:
@@ -259,22 +272,21 @@
 
 
 def select_told(
-    said_at: Mapping[str, Milliseconds], now: Milliseconds
+    said_at: Mapping[str, Milliseconds],
+    now: Milliseconds,
+    max_age: Milliseconds = _MAX_TOLD_AGE,
 ) -> list[tuple[str, Milliseconds]]:
     """Return the notices of endpoints that other daemons are told.
 
     :param said_at: instant of the notice of each run to this daemon.
     :param now: current instant.
+    :param max_age: greatest age of a notice, in ms.
     :return: run ids and ages in ms, the newest first.
     """
     ages = sorted(
         (now - instant, run_id) for run_id, instant in said_at.items()
     )
-    return [
-        (run_id, age)
-        for age, run_id in ages[:_MAX_TOLD]
-        if age <= _MAX_TOLD_AGE
-    ]
+    return [(run_id, age) for age, run_id in ages[:_MAX_TOLD] if age <= max_age]
 
 
 def _is_newer(
--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -354,7 +354,9 @@
             tried_parts=self._suspects.parts.pop_trials(),
             limits=self._limits.list_news(now),
             can_relay=self._relay_port.is_willing,
-            departures=self._departures.list_news(now),
+            departures=self._departures.list_news(
+                now, has_new_daemon=self._peer_table.has_new_daemon(now)
+            ),
             zone=self._identity.availability_zone,
         )
         await self._network.send(
--- a/tests/test_entry_notices.py
+++ b/tests/test_entry_notices.py
@@ -19,11 +19,13 @@
     list_statuses,
 )
 from tests.platform_standin import EndpointStandin
+from tests.test_entry_news import create_update
 
 from clementinedyke.clock import ManualClock
 from clementinedyke.entry.catalog import EntryEndpoint
 from clementinedyke.entry.departures import Departures
 from clementinedyke.entry.endpoint_pauses import EndpointPauses
+from clementinedyke.entry.news import PeerTable
 from clementinedyke.platform.requests import RequestTranslator
 
 _ALL = (0, 1, 2, 3)
@@ -342,6 +344,31 @@
         assert not fleet.daemons[1].list_news(100)
         assert not fleet.daemons[0].list_news(13000)
 
+    def test_daemon_that_starts_later(self) -> None:
+        """A daemon that starts minutes later must not try a leaving run.
+
+        Daemons tell one another of a departure for seconds only, while the run
+        may be listed as ready for as long as it lives.
+        """
+        journal = create_journal(ManualClock())
+        told, started = Departures(journal), Departures(journal)
+        endpoint = create_endpoint('i-1')
+        told.record_answer(endpoint, 0, 5, is_leaving=True)
+        table = PeerTable('host-1')
+        table.apply_update(create_update('host-2'), 0)
+        table.apply_update(create_update('host-2', sequence=2), 200000)
+        assert not table.has_new_daemon(200000)
+        restarted = create_update('host-2', run_id='host-2.2')
+        table.apply_update(restarted, 200100)
+        news = told.list_news(
+            200200, has_new_daemon=table.has_new_daemon(200200)
+        )
+        started.receive_news(news, 200200)
+        assert started.is_leaving(endpoint, 200200)
+        assert started.is_leaving(endpoint, 600004)
+        assert not started.is_leaving(endpoint, 600005)
+        assert not table.has_new_daemon(213000)
+
     def test_earlier_request_does_not_lift(self) -> None:
         """An answer to a request sent before does not admit the run again."""
         departures = Departures(create_journal(ManualClock()))
