Let a check of the links go on when the request that asked for it ends

Cause: PathMonitor ran a check in the task of the request that found no check in progress. A caller who left ended it without a result, and all other requests that waited took the links for sound: they went on to wait on links that are cut instead of going through another daemon.

Change: checks run in the nursery of the monitor. is_lost(), a coroutine beside a property of the same name, is check_is_lost() now.

--- a/src/clementinedyke/entry/endpoint_transport.py
+++ b/src/clementinedyke/entry/endpoint_transport.py
@@ -78,7 +78,7 @@
             is_listening = await check_listening(endpoint)
             if is_listening:
                 return True
-        is_lost = await self._monitor.is_lost()
+        is_lost = await self._monitor.check_is_lost()
         if is_listening is None and not is_lost:
             return None
         try:
@@ -117,7 +117,7 @@
             try:
                 return await self._enter_direct(stack, endpoint, request)
             except PeerUnavailableError:
-                if not await self._monitor.is_lost():
+                if not await self._monitor.check_is_lost():
                     raise
         try:
             return await self._relays.enter_response(stack, endpoint, request)
--- a/src/clementinedyke/entry/path_monitor.py
+++ b/src/clementinedyke/entry/path_monitor.py
@@ -31,6 +31,7 @@
         self._path = path
         self._list_endpoints = list_endpoints
         self._clock = clock
+        self._nursery: trio.Nursery | None = None
         self._check_done: trio.Event | None = None
         #: Called after the links were lost or regained.
         self.announce: Callable[[], None] = _ignore_change
@@ -40,29 +41,30 @@
 
         :param nursery: nursery that runs the task.
         """
+        self._nursery = nursery
         nursery.start_soon(self._run)
 
-    async def is_lost(self) -> bool:
+    async def check_is_lost(self) -> bool:
         """Check the links and return whether they are lost.
 
-        A check that is in progress is waited for.
+        A check that is in progress is waited for. It goes on when a task that
+        waits for it is cancelled.
         """
-        done = self._check_done
-        if done is None:
-            await self._check()
-        else:
-            await done.wait()
+        if self._nursery is None:
+            return self._path.is_lost
+        if self._check_done is None:
+            self._check_done = trio.Event()
+            self._nursery.start_soon(self._check, self._check_done)
+        await self._check_done.wait()
         return self._path.is_lost
 
     async def _run(self) -> None:
         while True:
             await trio.sleep(_INTERVAL_SECONDS)
             if self._path.is_check_due(self._clock.get_now()):
-                await self.is_lost()
+                await self.check_is_lost()
 
-    async def _check(self) -> None:
-        done = trio.Event()
-        self._check_done = done
+    async def _check(self, done: trio.Event) -> None:
         results: list[bool | None] = []
         selected = self._path.select_endpoints(self._list_endpoints())
         was_lost = self._path.is_lost
--- a/src/clementinedyke/entry/relay_port.py
+++ b/src/clementinedyke/entry/relay_port.py
@@ -233,14 +233,14 @@
 
     async def _explain(self, failure: RelayFailure) -> RelayFailure:
         """Return why nothing was sent: an endpoint, or links of this host."""
-        is_lost = await self._monitor.is_lost()
+        is_lost = await self._monitor.check_is_lost()
         return RelayFailure.UNWILLING if is_lost else failure
 
     async def _send_check(
         self, endpoint: EntryEndpoint, response: ResponseWriter
     ) -> None:
         is_listening = await check_listening(endpoint)
-        if not is_listening and await self._monitor.is_lost():
+        if not is_listening and await self._monitor.check_is_lost():
             await self._fail(response, RelayFailure.UNWILLING, 'links lost')
             return
         await response.send_response(
