Answer requests that have just been accepted when a server drains

Operators of similar systems saw it in planned stops under load, and it can happen here: of 20 connections with a request that the kernel had accepted and the server had not, 19 were reset when the listener was closed (test_planned_stop.py test_new_connections[False], run before the fix). Load balancers send connections until they notice the stop; the entry daemon waits 2.6 s for them, so that only direct callers and slow balancers met it.

Change: a drain first takes over the connections that wait at the listeners, for at most 0.5 s, and closes no connection on which bytes have arrived that were not read yet. The tests of kept and of idle connections passed before.

--- a/src/clementinedyke/http/connection.py
+++ b/src/clementinedyke/http/connection.py
@@ -20,6 +20,7 @@
 from clementinedyke.http.reader import RequestReader
 from clementinedyke.http.socket_io import (
     get_transport,
+    has_input,
     receive_some,
     send_all,
     set_reset_on_close,
@@ -94,8 +95,12 @@
         await self._close()
 
     def close_if_idle(self) -> None:
-        """Close the connection if it is waiting for the next request."""
-        self._reader.stop_waiting()
+        """Close the connection if it is waiting for the next request.
+
+        A request that has arrived and was not read yet is served.
+        """
+        if not has_input(get_transport(self._stream)):
+            self._reader.stop_waiting()
 
     def close_if_stalled(self, now: float) -> None:
         """Close the connection if a write exceeds the write timeout.
--- a/src/clementinedyke/http/server.py
+++ b/src/clementinedyke/http/server.py
@@ -21,6 +21,7 @@
     create_request_id,
     write_error,
 )
+from clementinedyke.http.socket_io import has_input
 
 __all__ = (
     'ConnectionInfo',
@@ -43,6 +44,8 @@
 #: further connections are closed without a response.
 _MAX_REFUSALS = 64
 _REFUSED_RETRY_AFTER: Milliseconds = 1000
+#: Longest time in which a drain takes over connections that wait.
+_ACCEPT_SECONDS = 0.5
 
 
 class HttpServer:
@@ -67,6 +70,7 @@
         self._refusals = 0
         self._is_draining = False
         self._accept_scopes: list[trio.CancelScope] = []
+        self._listeners: list[trio.SocketListener] = []
         self._drained = trio.Event()
 
     @property
@@ -97,6 +101,7 @@
         :param task_status: receives the bound port once the server listens.
         """
         listeners = await trio.open_tcp_listeners(port, host=host)
+        self._listeners += listeners
         bound = int(listeners[0].socket.getsockname()[1])
         task_status.started(bound)
         async with trio.open_nursery() as nursery:
@@ -150,6 +155,11 @@
         have ``Connection: close``. Returns when no connection is left and has
         no timeout of its own.
         """
+        # The kernel resets connections that it has accepted for a listener
+        # that is closed before it has taken them over.
+        with trio.move_on_after(_ACCEPT_SECONDS):
+            while any(map(has_input, self._listeners)):
+                await trio.lowlevel.checkpoint()
         self._is_draining = True
         for scope in self._accept_scopes:
             scope.cancel()
--- a/src/clementinedyke/http/socket_io.py
+++ b/src/clementinedyke/http/socket_io.py
@@ -8,6 +8,7 @@
 """
 
 import os
+import select
 import socket
 import struct
 
@@ -75,6 +76,19 @@
         raise trio.BrokenResourceError(str(error)) from error
 
 
+def has_input(source: trio.SocketStream | trio.SocketListener) -> bool:
+    """Return whether bytes, an end or a connection wait to be taken.
+
+    :param source: stream or listener; closed ones have no input.
+    """
+    descriptor = source.socket.fileno()
+    if descriptor < 0:
+        return False
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def get_transport(stream: trio.abc.Stream) -> trio.SocketStream:
     """Return the TCP connection below a stream.
 
