--- a/src/clementinedyke/entry/news.py
+++ b/src/clementinedyke/entry/news.py
@@ -201,8 +201,8 @@
     ) -> Milliseconds | None:
         """Return when the store last confirmed a version to another daemon.
 
-        Only the last update is looked at, but when the version is another one
-        than in the last call: others may have known it before this daemon.
+        Looks at the last update only, and at those of all daemons when the
+        version has changed since the last call: others may have known it first.
 
         :param version: version in force at this daemon.
         :param host: host whose update was applied last.
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -14,6 +14,7 @@
 from tests.entry_samples import BOUNDS
 from tests.link import Link
 
+from clementinedyke.entry.application import EntryApplication
 from clementinedyke.http.client import Address
 from clementinedyke.leases.core import LeaseCore
 from clementinedyke.leases.messages import (
@@ -51,6 +52,16 @@
         link.reset_open()
 
 
+async def stop_in_grace(
+    daemon: EntryApplication, capfd: pytest.CaptureFixture[str]
+) -> None:
+    """Stop a daemon a moment later; fail unless it ends in the grace time."""
+    await trio.sleep(0.5)
+    daemon.application.request_stop()
+    with trio.fail_after(BOUNDS.stop_grace / 1000):
+        await wait_until_printed('"daemon_stopped"', capfd)
+
+
 class TestStopWithoutStore:
     """Guards against daemons that are killed in the end of a planned stop.
 
@@ -73,10 +84,7 @@
             cut_off = await env.start_daemon('host-2', store_port=link.port)
             await env.wait_until_served()
             await lose_store(link, mode)
-            await trio.sleep(0.5)
-            cut_off.application.request_stop()
-            with trio.fail_after(BOUNDS.stop_grace / 1000):
-                await wait_until_printed('"daemon_stopped"', capfd)
+            await stop_in_grace(cut_off, capfd)
 
         ScenarioRunner().run(scenario)
 
@@ -94,10 +102,7 @@
             await env.wait_until_served()
             await wait_until_printed('"duties_gained"', capfd)
             await lose_store(link, mode)
-            await trio.sleep(0.5)
-            holder.application.request_stop()
-            with trio.fail_after(BOUNDS.stop_grace / 1000):
-                await wait_until_printed('"daemon_stopped"', capfd)
+            await stop_in_grace(holder, capfd)
             row = env.store.rows['leases', 'duties']['value']
             lease = msgspec.json.decode(base64.b64decode(row))
             assert (lease['holder'] is None) == (mode == 'sound')
