--- a/tests/recovery_world.py
+++ b/tests/recovery_world.py
@@ -1,7 +1,7 @@
 """Simulation of daemons that follow one store and lend each other its state."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from random import Random
 from types import SimpleNamespace
 
@@ -42,8 +42,10 @@
 _UPDATE_SECONDS = 1.2
 #: Interval at which a daemon writes its usage.
 _USAGE_SECONDS = 4
-#: Time beyond its wait after which a feed call without an answer fails.
-_CALL_TIMEOUT_SECONDS = 0.7
+#: Time after which keep-alive probes break a connection that went silent, and
+#: after which a new one is given up.
+_SILENCE_SECONDS = 2
+_CONNECT_SECONDS = 1
 _VERSION = 1
 
 
@@ -90,9 +92,41 @@
         self._changed = trio.Event()
 
 
+class Gate:
+    """Holds the tasks of a daemon that stands still."""
+
+    def __init__(self) -> None:
+        """Create an open gate."""
+        self._opened: trio.Event | None = None
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the daemon stands still."""
+        return self._opened is not None
+
+    def close(self) -> None:
+        """Let the daemon stand still."""
+        self._opened = trio.Event()
+
+    def open(self) -> None:
+        """Let the daemon go on."""
+        if self._opened is not None:
+            self._opened.set()
+            self._opened = None
+
+    async def wait(self) -> None:
+        """Wait until the daemon goes on."""
+        while self._opened is not None:
+            await self._opened.wait()
+
+
 @dataclass
 class StoreAccess:
-    """Access of one daemon to the store, which may refuse the daemon."""
+    """Access of one daemon to the store, which may refuse the daemon.
+
+    ``gate`` is closed while the daemon stands still: the store answers it, but
+    it reads the answers later.
+    """
 
     store: SimulatedStore
     generator: Random
@@ -100,6 +134,22 @@
     is_refused: bool = False
     is_cut: bool = False
     calls: int = 0
+    gate: Gate = field(default_factory=Gate)
+    #: Calls in progress, and those whose answers get lost.
+    _running: set[trio.CancelScope] = field(default_factory=set)
+    _lost: set[trio.CancelScope] = field(default_factory=set)
+    _has_silent_connection: bool = False
+
+    def silence(self) -> None:
+        """Let the kept connection go silent while new ones work."""
+        self._has_silent_connection = not self._running
+        for scope in self._running:
+            self._lose(scope)
+
+    def cut(self) -> None:
+        """Lose all packets, those of new connections too."""
+        self.silence()
+        self.is_cut = True
 
     async def read_table(
         self, table: str, prefix: str = ''
@@ -110,14 +160,32 @@
     async def follow_table(
         self, table: str, revision: int, wait: int
     ) -> Result[FeedAnswer | HistoryLost, TableFailure]:
-        """Return the rows written after a revision, waiting for one.
-
-        A daemon that is cut off gets no answer until the call times out.
-        """
+        """Return the rows written after a revision, waiting for one."""
         self.calls += 1
+        answer: Result = Err(TableFailure.UNKNOWN)
+        with trio.CancelScope() as scope:
+            self._running.add(scope)
+            if self._has_silent_connection:
+                self._has_silent_connection = False
+                self._lose(scope)
+            answer = await self._call(scope, revision, wait)
+        self._running.discard(scope)
+        self._lost.discard(scope)
+        await self.gate.wait()
+        if answer.is_ok():
+            self.contact.record_answer(TrioClock().get_now())
+        return answer
+
+    def _lose(self, scope: trio.CancelScope) -> None:
+        self._lost.add(scope)
+        scope.deadline = trio.current_time() + _SILENCE_SECONDS
+
+    async def _call(
+        self, scope: trio.CancelScope, revision: int, wait: int
+    ) -> Result[FeedAnswer | HistoryLost, TableFailure]:
         if self.is_cut:
-            await trio.sleep(wait / 1000 + _CALL_TIMEOUT_SECONDS)
-            return Err(TableFailure.UNKNOWN)
+            await trio.sleep(_CONNECT_SECONDS)
+            return Err(TableFailure.NOT_DONE)
         if not self.is_refused:
             await self.store.wait_for_change(revision, wait)
         if revision > self.store.revision:
@@ -126,9 +194,10 @@
             self.store.revision, self.store.list_changes(revision)
         )
         await trio.sleep(self.generator.uniform(*_ANSWER_SECONDS))
+        if scope in self._lost:
+            await trio.sleep_forever()
         if self.is_refused:
             return Err(TableFailure.NOT_DONE)
-        self.contact.record_answer(TrioClock().get_now())
         return Ok(answer)
 
 
--- a/tests/test_entry_feeds.py
+++ b/tests/test_entry_feeds.py
@@ -135,7 +135,7 @@
 
         async def scenario(world: FeedWorld) -> None:
             for reader in world.list_readers(_ZONE):
-                reader.access.is_cut = True
+                reader.access.cut()
             assert await world.measure_change('i-0') < DRAIN_DELAY
 
         run_feed_world(daemons, scenario, seed=seed)
