--- a/tests/configuration_world.py
+++ b/tests/configuration_world.py
@@ -88,7 +88,8 @@
 
     async def send(self, payload: bytes, addresses: Iterable[Address]) -> None:
         """Send a datagram, which may be lost."""
-        await self._world.daemons[self._host].gate.wait()
+        gate = self._world.daemons[self._host].gate
+        await gate.wait()
         for address in addresses:
             self._world.send(self._host, address.host, payload)
 
@@ -159,7 +160,9 @@
             if other.zone != daemon.zone:
                 self.cut_pair(daemon, other)
 
-    def cut_pair(self, first: ConfiguredDaemon, second: ConfiguredDaemon) -> None:
+    def cut_pair(
+        self, first: ConfiguredDaemon, second: ConfiguredDaemon
+    ) -> None:
         """Lose all packets between two daemons."""
         self.cuts |= {(first.host, second.host), (second.host, first.host)}
 
