Let readers that have replaced others hear of those of the other zones

Each reader told the daemons of best rank in the other zones of itself. Where these no longer read, because others had taken over, no reader of one zone knew those of another: changes were no longer passed on between zones, and each zone took its own readers for the only candidates for the duties.

A daemon that is told of a reader of another zone passes that on to the readers of its own zone, which answer with their messages. Cost: one datagram for each reader of the zone in 2 s, only where the daemon of best rank does not read.

--- a/src/clementinedyke/entry/feed_exchange.py
+++ b/src/clementinedyke/entry/feed_exchange.py
@@ -172,9 +172,33 @@
         except ValueError as error:
             self._journal.write('news_unreadable', error=str(error))
             return
-        if message.host != self._host:
-            self.counts.record_message('received')
-            self._apply(message)
+        if message.host == self._host:
+            return
+        self.counts.record_message('received')
+        self._apply(message)
+        if self._is_greeting(message, sender):
+            await self._forward(datagram)
+
+    def _is_greeting(self, message: FeedNews, sender: Address) -> bool:
+        """Return whether a reader takes this daemon for one of its zone.
+
+        Only what comes from the reader itself is passed on, so that two daemons
+        that take each other for readers don't send it to and fro.
+        """
+        is_direct = self._network.addresses.get(message.host) == sender
+        is_far = message.is_reader and message.zone != self._zone
+        return is_direct and is_far and not self._election.is_reader
+
+    async def _forward(self, datagram: bytes) -> None:
+        """Pass a greeting on to the readers of this zone.
+
+        Readers that have replaced others would not hear of one another.
+        """
+        known = self._network.addresses
+        hosts = self._list_zone_readers(self._clock.get_now())
+        addresses = [known[host] for host in hosts if host in known]
+        self.counts.record_message('sent', len(addresses))
+        await self._network.send(datagram, addresses)
 
     def _apply(self, message: FeedNews) -> None:
         now = self._clock.get_now()
--- a/tests/test_entry_feeds.py
+++ b/tests/test_entry_feeds.py
@@ -163,6 +163,39 @@
         run_feed_world(72, scenario, seed=seed)
 
 
+class TestReplacedReaders:
+    """Guards against readers that never hear of those of the other zones.
+
+    Each told the daemons of best rank of itself. Where these had been replaced,
+    no changes were passed on between the zones any more.
+    """
+
+    @pytest.mark.parametrize('seed', _SEEDS)
+    @pytest.mark.parametrize('daemons', [30, 72])
+    def test_readers_of_all_zones(self, daemons: int, seed: int) -> None:
+        """Readers know all others after all readers were replaced."""
+
+        async def scenario(world: FeedWorld) -> None:
+            former = [
+                daemon for daemon in world.daemons.values() if daemon.is_reader
+            ]
+            for daemon in former:
+                daemon.access.cut()
+            await trio.sleep(8)
+            for daemon in former:
+                daemon.access.is_cut = False
+            await trio.sleep(8)
+            readers = [
+                daemon for daemon in world.daemons.values() if daemon.is_reader
+            ]
+            hosts = {daemon.host for daemon in readers}
+            assert hosts.isdisjoint(daemon.host for daemon in former)
+            for daemon in readers:
+                assert daemon.exchange.list_readers() == hosts
+
+        run_feed_world(daemons, scenario, seed=seed)
+
+
 class TestOlderCopy:
     """Guards against daemons that follow a store that went back in vain.
 
