Rely on daemons that read the store only while it confirms them

If all daemons that read the store for the others were cut off from it, their messages went on, and daemons that reached the store got a version up to 3.7 s after its acknowledgement; 2 or 3 s are allowed.

A message of a reader showed that it ran, not that the store answered it. A daemon now looks at the age of the confirmation in these messages, and reads by itself when there would otherwise be no time left for it within the bound. The calls of all readers end one after the other, every 500 ms, so that confirmations are young as long as any reader reaches the store.

--- a/src/clementinedyke/entry/feed_exchange.py
+++ b/src/clementinedyke/entry/feed_exchange.py
@@ -25,6 +25,7 @@
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.peer_network import DatagramNetwork
 from clementinedyke.entry.store_contact import StoreContact
+from clementinedyke.entry.watch import ReaderTurn
 from clementinedyke.http.client import Address
 
 _MILLISECONDS_PER_SECOND = 1000
@@ -142,6 +143,16 @@
         """Return whether this daemon reads the store for others."""
         return self._election.is_reader
 
+    def get_turn(self) -> ReaderTurn | None:
+        """Return the place of this daemon among all readers.
+
+        None if it reads for itself only.
+        """
+        if not self._election.is_reader:
+            return None
+        readers = sorted(self.list_readers())
+        return ReaderTurn(readers.index(self._host), len(readers))
+
     def list_readers(self) -> frozenset[str]:
         """Return the hosts of all readers, this one included if it is one."""
         readers = self._election.list_readers(self._clock.get_now())
@@ -156,7 +167,7 @@
     def publish(self, news: TableNews) -> None:
         """Pass on what the store has answered, if this daemon is a reader.
 
-        :param news: changes of a table.
+        :param news: changes of a table, or a confirmation without rows.
         """
         if self._election.is_reader:
             self._queue(news, is_own=True)
--- a/src/clementinedyke/entry/feeds.py
+++ b/src/clementinedyke/entry/feeds.py
@@ -85,7 +85,7 @@
         exchange.list_zones = list_zones
         exchange.is_draining = is_draining
         network.add_receiver(FEED_PREFIX, exchange.receive)
-        self.pace.reads_for_others = exchange.is_reader
+        self.pace.get_turn = exchange.get_turn
         for watch in self.watches.values():
             watch.is_followed = exchange.is_followed
             watch.publish = exchange.publish
--- a/src/clementinedyke/entry/watch.py
+++ b/src/clementinedyke/entry/watch.py
@@ -41,6 +41,17 @@
 _FOLLOW_INTERVAL: Milliseconds = 250
 #: A feed may use up to 1/n of a guaranteed delay.
 _DELAY_DIVISOR = 2
+#: Interval at which the readers together confirm a table: their calls end one
+#: after the other. Each confirmation is one call to the store.
+_CONFIRMATION_INTERVAL: Milliseconds = 500
+#: A reader that begins a call just before its turn leaves out that turn.
+_MIN_READER_WAIT: Milliseconds = 100
+#: Time in which a daemon that no longer relies on readers connects to the store
+#: and reads from it.
+_OWN_READ_TIME: Milliseconds = 500
+#: Time from an answer of the store to a reader until all daemons have heard of
+#: it, with the interval between two such answers and one heartbeat of a reader.
+_CONFIRMATION_LAG: Milliseconds = 900
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,6 +110,18 @@
         """Record that the store did not answer."""
 
 
+def _get_no_turn() -> None:
+    """Return no turn; default of a daemon that reads for itself only."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReaderTurn:
+    """Place of a daemon among those that read for others, and their number."""
+
+    place: int
+    readers: int
+
+
 @dataclass(slots=True)
 class FeedPace:
     """Wait time of a feed's calls and the pause between calls.
@@ -109,30 +132,71 @@
     the wait and the pause grow with the number of daemons. Each is limited to
     half of the guarantee that it delays: the wait by ``max_key_age``, the pause
     by ``drain_delay`` and ``configuration_delay``. Daemons that read for others
-    (``reads_for_others``) tell one another of changes and always wait long.
+    have a turn (``get_turn``) and end their calls one after the other.
     """
 
     count_daemons: Callable[[], int]
     bounds: ServiceBounds
-    reads_for_others: Callable[[], bool] = bool
+    get_turn: Callable[[], ReaderTurn | None] = _get_no_turn
 
     def get_wait(self) -> Milliseconds:
         """Return the longest wait of a call, in milliseconds."""
         daemons = self.count_daemons()
         if daemons == 1:
             return _SINGLE_DAEMON_WAIT
-        limit = _MAX_WAIT
-        if self.bounds.max_key_age is not None:
-            limit = min(limit, self.bounds.max_key_age // _DELAY_DIVISOR)
-        if self.reads_for_others():
-            return limit
-        return min(limit, max(_MIN_WAIT, daemons * _WAIT_PER_DAEMON))
+        return min(
+            self._get_longest_wait(), max(_MIN_WAIT, daemons * _WAIT_PER_DAEMON)
+        )
+
+    def select_wait(
+        self, unchanged_time: Milliseconds, generator: Random
+    ) -> Milliseconds:
+        """Return for how long the next call may wait for changes, in ms.
+
+        A change ends the calls of all daemons at the same time. With equal
+        waits the next calls would end together too, and no daemon would get a
+        confirmation in between.
+
+        :param unchanged_time: time in ms since the last change, by which the
+            readers agree on their turns.
+        :param generator: random generator for daemons without a turn.
+        """
+        turn = self.get_turn()
+        if turn is None:
+            longest = self.get_wait()
+            return generator.randint(longest // 2, longest)
+        period = turn.readers * _CONFIRMATION_INTERVAL
+        offset = (turn.place + 1) * _CONFIRMATION_INTERVAL
+        wait = (offset - unchanged_time) % period
+        if wait < _MIN_READER_WAIT:
+            wait += period
+        return min(wait, self._get_longest_wait())
 
     def get_pause(self) -> Milliseconds:
-        """Return the pause after a call that returned changes, in ms."""
-        delay = min(self.bounds.drain_delay, self.bounds.configuration_delay)
+        """Return the pause after a call that returned changes, in ms.
+
+        It leaves time for a confirmation before daemons stop relying on
+        readers.
+        """
+        delay = self._get_shortest_delay()
         pause = self.count_daemons() * _PAUSE_PER_DAEMON
-        return min(delay // _DELAY_DIVISOR, pause)
+        limit = self.get_max_news_age() - _CONFIRMATION_LAG
+        return min(delay // _DELAY_DIVISOR, max(0, limit), pause)
+
+    def get_max_news_age(self) -> Milliseconds:
+        """Return the age of a confirmation up to which others are relied on.
+
+        Readers may have lost the store without noticing it yet.
+        """
+        return max(0, self._get_shortest_delay() - _OWN_READ_TIME)
+
+    def _get_longest_wait(self) -> Milliseconds:
+        if self.bounds.max_key_age is None:
+            return _MAX_WAIT
+        return min(_MAX_WAIT, self.bounds.max_key_age // _DELAY_DIVISOR)
+
+    def _get_shortest_delay(self) -> Milliseconds:
+        return min(self.bounds.drain_delay, self.bounds.configuration_delay)
 
 
 class TableWatch(Component):
@@ -174,6 +238,9 @@
         self._confirmed_at: Milliseconds = 0
         #: Instant at which the known revision was learned.
         self._learned_at: Milliseconds = 0
+        #: Instant at which the last changed rows were learned.
+        self._changed_at: Milliseconds = 0
+        self._is_unconfirmed = False
         self._behind_since: Milliseconds | None = None
         self._gap = ChangeSignal()
         #: Era of the store at the last read of the table, None before.
@@ -298,7 +365,9 @@
 
         A missed change ends the wait after its delay.
         """
-        await self._gap.wait(_FOLLOW_INTERVAL)
+        expires_at = self._confirmed_at + self._pace.get_max_news_age()
+        left = expires_at + 1 - self._clock.get_now()
+        await self._gap.wait(max(0, min(left, _FOLLOW_INTERVAL)))
         if self._behind_since is not None:
             await trio.sleep(_GAP_DELAY / _MILLISECONDS_PER_SECOND)
 
@@ -324,6 +393,8 @@
             # Without changes the store checked until the end of the wait.
             sent_at += wait
         has_answered = self._process_answer(changes, sent_at)
+        if has_answered and not has_changes:
+            self._publish_confirmation()
         if has_changes:
             # Changes come in bursts; the next call returns the whole burst.
             pause = self._pace.get_pause()
@@ -336,21 +407,34 @@
         """Return whether this daemon need not call the store."""
         if self._revision is None or not self.is_followed():
             return False
-        behind = self._behind_since
         now = self._clock.get_now()
+        if not self._is_confirmed(now):
+            return False
+        behind = self._behind_since
         return behind is None or now - behind < _GAP_DELAY
 
-    def _select_wait(self) -> Milliseconds:
-        """Return for how long the next call may wait for changes.
+    def _is_confirmed(self, now: Milliseconds) -> bool:
+        """Return whether the readers have reached the store lately."""
+        age = now - self._confirmed_at
+        is_unconfirmed = age > self._pace.get_max_news_age()
+        if is_unconfirmed and not self._is_unconfirmed:
+            self._journal.write(
+                'feed_unconfirmed', table=self._table, age_ms=age
+            )
+        self._is_unconfirmed = is_unconfirmed
+        return not is_unconfirmed
 
-        A change ends the calls of all daemons at the same time. With equal
-        waits the next calls would end together too, and no daemon would get a
-        confirmation in between.
-        """
+    def _select_wait(self) -> Milliseconds:
+        """Return for how long the next call may wait for changes."""
         if self._behind_since is not None:
             return 0
-        longest = self._pace.get_wait()
-        return self._generator.randint(longest // 2, longest)
+        now = self._clock.get_now()
+        return self._pace.select_wait(now - self._changed_at, self._generator)
+
+    def _publish_confirmation(self) -> None:
+        news = self.compile_news(self._clock.get_now())
+        if news is not None:
+            self.publish(news)
 
     def _process_changes(
         self, answer: FeedAnswer, after: int, now: Milliseconds
@@ -387,6 +471,8 @@
             rows = tuple(row for row in rows if row.version > known)
         self._view.apply_rows(rows, now)
         self._revision = max(known, revision)
+        if rows:
+            self._changed_at = now
         changed = revision if rows else after
         self._changed_revision = max(self._changed_revision, changed)
 
@@ -427,6 +513,7 @@
         if self._revision is None:
             self._revision = outcome.revision
             self._learned_at = self._clock.get_now()
+            self._changed_at = self._learned_at
             # Removals before the read are not known.
             self._changed_revision = outcome.revision
             self._update_era(get_era(outcome.revision))
--- a/tests/configuration_world.py
+++ b/tests/configuration_world.py
@@ -171,6 +171,13 @@
         daemon.has_fault = True
         daemon.access.silence()
 
+    def heal(self) -> None:
+        """End all faults but those of daemons that have ended."""
+        self.cuts.clear()
+        for daemon in self.daemons.values():
+            daemon.access.is_cut = False
+            daemon.gate.open()
+
     def write_version(self) -> int:
         """Accept the next version, as the store does, and return it."""
         self.version += 1
@@ -293,7 +300,7 @@
             journal,
         )
         exchange.list_zones = partial(self._list_zones, host)
-        pace.reads_for_others = exchange.is_reader
+        pace.get_turn = exchange.get_turn
         watch.is_followed = exchange.is_followed
         watch.publish = exchange.publish
         peer_table = PeerTable(host)
--- a/tests/feed_world.py
+++ b/tests/feed_world.py
@@ -201,7 +201,7 @@
             journal,
         )
         exchange.list_zones = lambda: self._list_zones(host)
-        pace.reads_for_others = exchange.is_reader
+        pace.get_turn = exchange.get_turn
         watch.is_followed = exchange.is_followed
         watch.publish = exchange.publish
         self.daemons[host] = FeedDaemon(
--- a/tests/test_late_versions.py
+++ b/tests/test_late_versions.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from random import Random
 
 import pytest
 import trio
@@ -177,3 +178,68 @@
             assert await world.measure_version(version) < world.bound
 
         run_configuration_world(18, scenario)
+
+
+class FaultSchedule:
+    """Random faults of readers and other daemons while versions are written.
+
+    Daemons stand still and go on, are cut off and reached again, or end. Some
+    daemons never have a fault of their own: the bound holds for these.
+    """
+
+    def __init__(self, world: ConfigurationWorld, seed: int) -> None:
+        """Create a schedule.
+
+        :param world: daemons.
+        :param seed: seed of the choices.
+        """
+        self._world = world
+        self._random = Random(seed)
+        hosts = sorted(world.daemons)
+        self._spared = set(self._random.sample(hosts, len(hosts) // 4))
+        #: Delays in ms of all versions.
+        self.delays: list[int] = []
+
+    async def run(self, versions: int) -> None:
+        """Write versions, one to 2 s apart, while faults come and go."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._strike)
+            for _ in range(versions):
+                await trio.sleep(self._random.choice((0.05, 0.4, 1, 2)))
+                version = self._world.write_version()
+                self.delays.append(await self._world.measure_version(version))
+            nursery.cancel_scope.cancel()
+
+    async def _strike(self) -> None:
+        while True:
+            await trio.sleep(self._random.choice((0, 0.1, 0.7, 1.5)))
+            daemons = [
+                daemon
+                for daemon in self._world.daemons.values()
+                if daemon.host not in self._spared
+            ]
+            readers = [daemon for daemon in daemons if daemon.is_reader]
+            pool = readers or daemons
+            if not pool:
+                return
+            fault = self._random.choice(_FAULTS)
+            count = self._random.randint(1, len(pool))
+            for daemon in self._random.sample(pool, count):
+                fault(self._world, daemon)
+            await trio.sleep(self._random.choice((0.3, 1, 3)))
+            self._world.heal()
+
+
+class TestRandomFaults:
+    """Guards against late versions when faults of readers come in series."""
+
+    @pytest.mark.parametrize('seed', range(12))
+    def test_versions_in_time(self, seed: int) -> None:
+        """Each version is in force in time where the store is reached."""
+
+        async def scenario(world: ConfigurationWorld) -> None:
+            schedule = FaultSchedule(world, seed)
+            await schedule.run(8)
+            assert max(schedule.delays) < world.bound
+
+        run_configuration_world(24, scenario, seed=seed)
