--- a/src/clementinedyke/callers/tokens.py
+++ b/src/clementinedyke/callers/tokens.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from clementinedyke.decoding import decode_json
+from clementinedyke.exceptions import ProtocolError
 from clementinedyke.http.client import Headers
 
 _EVENT_STREAM = b'text/event-stream'
@@ -103,8 +105,8 @@
         if is_delimited or is_too_long or not self._is_declared:
             return True
         try:
-            msgspec.json.decode(b''.join(self._parts))
-        except msgspec.MsgspecError:
+            decode_json(b''.join(self._parts), object)
+        except ProtocolError:
             return False
         return True
 
@@ -178,6 +180,6 @@
 
 def _parse_usage(text: bytes) -> Tokens | None:
     try:
-        return msgspec.json.decode(text, type=_ChatResponse).usage
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return decode_json(text, _ChatResponse).usage
+    except ProtocolError:
         return None
--- a/src/clementinedyke/claims/store.py
+++ b/src/clementinedyke/claims/store.py
@@ -4,9 +4,12 @@
 from typing import Any
 
 import msgspec
+from absl import logging
 
 from clementinedyke.call_failures import TableFailure
 from clementinedyke.claims import messages as msg
+from clementinedyke.decoding import convert_document
+from clementinedyke.exceptions import ProtocolError
 from clementinedyke.reference_platform.objects import ObjectClient
 from clementinedyke.reference_platform.tables import (
     ABSENT,
@@ -106,7 +109,12 @@
 
     async def _decode(self, content: Any) -> msg.ClaimRow | None:
         """Return the row, or None if its answer cannot be read."""
-        wire = msgspec.convert(content, _WireRow)
+        try:
+            wire = convert_document(content, _WireRow)
+            state = msg.ClaimState(wire.state)
+        except (ProtocolError, ValueError) as error:
+            logging.warning('event=claim_unreadable error=%s', error)
+            return None
         answer = None
         if wire.answer is not None:
             body = await self._read_body(wire.answer)
@@ -114,12 +122,15 @@
                 return None
             headers = tuple(wire.answer.headers)
             answer = msg.StoredAnswer(wire.answer.status, headers, body)
-        state = msg.ClaimState(wire.state)
         return msg.ClaimRow(wire.digest, wire.nonce, state, answer)
 
     async def _read_body(self, answer: _WireAnswer) -> bytes | None:
         if not answer.object_key:
-            return base64.b64decode(answer.body)
+            try:
+                return base64.b64decode(answer.body)
+            except ValueError as error:
+                logging.warning('event=claim_unreadable error=%s', error)
+                return None
         stored = await self._object_store.get_object(answer.object_key)
         return None if stored.is_err() else stored.unwrap()
 
--- a/src/clementinedyke/daemons/codec.py
+++ b/src/clementinedyke/daemons/codec.py
@@ -7,6 +7,7 @@
 from grpclib.encoding.base import CodecBase
 
 from clementinedyke.control.messages import Message
+from clementinedyke.decoding import apply_decoder
 from clementinedyke.exceptions import ProtocolError
 
 #: Largest accepted message. The largest regular ones are a chunk of records
@@ -37,12 +38,7 @@
         :param message_type: ignored; the tag of the message names its type.
         :raises ProtocolError: if the bytes are not a known message type.
         """
-        try:
-            return _DECODER.decode(data)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            raise ProtocolError(
-                f'control message cannot be decoded: {error}'
-            ) from error
+        return apply_decoder(_DECODER, data)
 
 
 async def receive_message(stream: Any, codec: ControlCodec) -> Any:
--- a/src/clementinedyke/endpoints/orders.py
+++ b/src/clementinedyke/endpoints/orders.py
@@ -1,9 +1,15 @@
 """Client of an engine's order interface over HTTP."""
 
 import msgspec
+from absl import logging
 
 from clementinedyke.clock import Milliseconds
-from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
+from clementinedyke.decoding import decode_json
+from clementinedyke.exceptions import (
+    AnswerLostError,
+    PeerUnavailableError,
+    ProtocolError,
+)
 from clementinedyke.http.client import Address, HttpRequest
 from clementinedyke.orders.connection import exchange_once
 from clementinedyke.orders.target import TargetState
@@ -78,7 +84,11 @@
             return None
         if response.status != _STATUS_OK:
             return None
-        state = msgspec.json.decode(response.body, type=_StateBody)
+        try:
+            state = decode_json(response.body, _StateBody)
+        except ProtocolError as error:
+            logging.warning('event=engine_state_unreadable error=%s', error)
+            return None
         return TargetState(state.last_order, state.changing)
 
 
--- a/src/clementinedyke/endpoints/registry.py
+++ b/src/clementinedyke/endpoints/registry.py
@@ -4,8 +4,10 @@
 from typing import Literal
 
 import msgspec
+from absl import logging
 
 from clementinedyke.components import Component
+from clementinedyke.decoding import decode_json
 from clementinedyke.exceptions import ProtocolError
 from clementinedyke.http.client import Address, HttpClient
 
@@ -67,16 +69,23 @@
     def replace(self, content: bytes) -> None:
         """Replace all endpoints and notify the observers of a change.
 
+        Malformed entries are left out.
+
         :param content: JSON list of endpoints from the platform.
-        :raises ProtocolError: if the content is not a valid list.
+        :raises ProtocolError: if the content is not a list.
         """
         try:
-            listed = msgspec.json.decode(content, type=list[Endpoint])
-        except msgspec.MsgspecError as error:
+            entries = decode_json(content, list[msgspec.Raw])
+        except ProtocolError as error:
             raise ProtocolError(
                 f'invalid list of endpoints from the platform: {error}'
             ) from error
-        endpoints = {endpoint.endpoint_id: endpoint for endpoint in listed}
+        listed = map(_decode_entry, entries)
+        endpoints = {
+            endpoint.endpoint_id: endpoint
+            for endpoint in listed
+            if endpoint is not None
+        }
         if endpoints == self._endpoints:
             return
         self._endpoints = endpoints
@@ -93,3 +102,14 @@
         for address in list(self._clients):
             if address not in listed:
                 self._clients.pop(address)
+
+
+def _decode_entry(content: msgspec.Raw) -> Endpoint | None:
+    """Return an entry of the list, None if it names no endpoint to use."""
+    try:
+        endpoint = decode_json(bytes(content), Endpoint)
+        Address.parse(endpoint.address)
+    except (ProtocolError, ValueError) as error:
+        logging.warning('event=endpoint_entry_unreadable error=%s', error)
+        return None
+    return endpoint
--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -154,6 +154,7 @@
             self._store_contact,
             self._journal,
         )
+        self._endpoints.get_services = self._configuration.get_services
         self._feeds.add_watches(
             platform,
             self._configuration,
--- a/src/clementinedyke/entry/configuration_view.py
+++ b/src/clementinedyke/entry/configuration_view.py
@@ -1,6 +1,6 @@
 """The configuration in force at this daemon and when it was last confirmed."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 
 from result import Result
@@ -24,6 +24,7 @@
     configuration: EntryConfiguration
     routes: Mapping[str, tuple[EntryRoute, ...]]
     customers: Mapping[str, EntryCustomer]
+    services: frozenset[str]
 
 
 class ConfigurationView:
@@ -55,6 +56,10 @@
         """Number of the version in force, 0 before the first one."""
         return self._index.configuration.version if self._index else 0
 
+    def get_services(self) -> Collection[str] | None:
+        """Return the names of the services, None before the first version."""
+        return self._index.services if self._index else None
+
     @property
     def content(self) -> bytes:
         """Raw content of the version in force, for other daemons."""
@@ -179,6 +184,7 @@
             for customer in configuration.customers or ()
             for key in customer.keys
         },
+        frozenset(configuration.services),
     )
 
 
--- a/src/clementinedyke/entry/endpoint_view.py
+++ b/src/clementinedyke/entry/endpoint_view.py
@@ -1,6 +1,6 @@
 """View of the endpoints, decoded from their entries in the store."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import replace
 
 from result import Result
@@ -71,7 +71,9 @@
         #: Endpoints as listed at a revision of the view: the list is asked for
         #: dozens of times a second, and there may be hundreds.
         self._listed: list[EntryEndpoint] = []
-        self._listed_revision = -1
+        self._listed_state: tuple[int, Collection[str] | None] = (-1, None)
+        #: Returns the services of the configuration in force, None without one.
+        self.get_services: Callable[[], Collection[str] | None] = _get_nothing
         #: Called when the endpoints change, or begin to be kept for a while.
         self.change_observers: list[Callable[[], None]] = []
         self.departures.change_observers.append(self._notify_change)
@@ -121,8 +123,9 @@
             if now >= until:
                 self._drop(endpoint_id, 'lapsed')
         self.departures.remove_expired(now)
-        if self._listed_revision != self.revision:
-            self._listed_revision = self.revision
+        state = (self.revision, self.get_services())
+        if self._listed_state != state:
+            self._listed_state = state
             self._listed = self._compile_list(now)
         return self._listed.copy()
 
@@ -195,18 +198,21 @@
         """Return all endpoints, except those whose address a later one has.
 
         Entries of endpoints that ended are back for a while if the store
-        returns from an older copy.
+        returns from an older copy. An entry of a service that the configuration
+        does not name may be anybody's and takes no address away.
         """
         newest: dict[Address, Milliseconds] = {}
+        services = self.get_services()
         for item in self._endpoints.values():
-            known = newest.get(item.address, item.started_at)
-            newest[item.address] = max(known, item.started_at)
+            if services is None or item.service in services:
+                known = newest.get(item.address, item.started_at)
+                newest[item.address] = max(known, item.started_at)
         return [
             replace(endpoint, is_leaving=True)
             if self.departures.is_leaving(endpoint, now)
             else endpoint
             for endpoint in self._endpoints.values()
-            if endpoint.started_at == newest[endpoint.address]
+            if endpoint.started_at >= newest.get(endpoint.address, 0)
         ]
 
     def _set_endpoint(self, endpoint: EntryEndpoint) -> None:
@@ -262,6 +268,10 @@
             observer()
 
 
+def _get_nothing() -> None:
+    """Return None; default of a view without a configuration."""
+
+
 def _get_logged(endpoint: EntryEndpoint) -> tuple[bool, Stage | None, str]:
     """Return what is logged when it changes."""
     return endpoint.is_leaving, endpoint.stage, endpoint.version
--- a/src/clementinedyke/entry/event_stream.py
+++ b/src/clementinedyke/entry/event_stream.py
@@ -9,7 +9,7 @@
 _END_OVERLAP = 3
 #: Largest event; one holds some tokens. A faulty engine may never end it.
 _MAX_EVENT_BYTES = 1048576
-_EVENT_ID = re.compile(rb'^id:[ ]?(\d+)[ ]*\r?$', re.MULTILINE)
+_EVENT_ID = re.compile(rb'^id:[ ]?(\d{1,18})[ ]*\r?$', re.MULTILINE)
 
 
 class EventSplitter:
--- a/src/clementinedyke/entry/feed_exchange.py
+++ b/src/clementinedyke/entry/feed_exchange.py
@@ -26,6 +26,7 @@
 from clementinedyke.entry.peer_network import DatagramNetwork
 from clementinedyke.entry.store_contact import StoreContact
 from clementinedyke.entry.watch import ReaderTurn
+from clementinedyke.exceptions import ProtocolError
 from clementinedyke.http.client import Address
 
 _MILLISECONDS_PER_SECOND = 1000
@@ -180,7 +181,7 @@
         """
         try:
             message = decode_news(datagram)
-        except ValueError as error:
+        except ProtocolError as error:
             self._journal.write('news_unreadable', error=str(error))
             return
         if message.host == self._host:
--- a/src/clementinedyke/entry/feed_messages.py
+++ b/src/clementinedyke/entry/feed_messages.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+from clementinedyke.decoding import decode_msgpack
+from clementinedyke.exceptions import ProtocolError
+
 #: First byte of these datagrams. It begins an extension type of MessagePack, as
 #: no other datagram between daemons does.
 FEED_PREFIX = b'\xc7'
@@ -72,7 +75,7 @@
     """Return the message in a datagram.
 
     :param datagram: bytes that begin with the prefix.
-    :raises ValueError: if it is malformed.
+    :raises ProtocolError: if it is malformed.
     """
     kind = datagram[1:2]
     payload = datagram[2:]
@@ -82,7 +85,7 @@
                 payload, _MAX_MESSAGE_BYTES
             )
         except zlib.error as error:
-            raise ValueError(f'feed news: {error}') from error
+            raise ProtocolError(f'feed news: {error}') from error
     elif kind != _PLAIN:
-        raise ValueError(f'feed news of unknown kind {kind!r}')
-    return msgspec.msgpack.decode(payload, type=FeedNews)
+        raise ProtocolError(f'feed news of unknown kind {kind!r}')
+    return decode_msgpack(payload, FeedNews)
--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -10,6 +10,7 @@
 
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.components import Component
+from clementinedyke.decoding import decode_msgpack
 from clementinedyke.entry.exchanged_state import ExchangedState
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.lending import LendingCounts, LendingLimit
@@ -17,7 +18,7 @@
 from clementinedyke.entry.peer_network import PeerNetwork
 from clementinedyke.entry.relay_messages import RELAY_PATH
 from clementinedyke.entry.watch import StoredRow
-from clementinedyke.exceptions import ClementinedykeError
+from clementinedyke.exceptions import ClementinedykeError, ProtocolError
 from clementinedyke.http.client import (
     Address,
     HttpClient,
@@ -28,7 +29,7 @@
 from clementinedyke.http.server import HttpServer
 from clementinedyke.quarantine.core import Evidence
 from clementinedyke.quarantine.rows import compile_evidence, compile_row
-from clementinedyke.rows import RowStore, Write
+from clementinedyke.rows import RowStore, Write, convert_row
 
 DAEMONS_TABLE = 'daemons'
 _STATE_PATH = '/state'
@@ -222,8 +223,8 @@
             self.lending_counts.record_fetch('refused')
             return False
         try:
-            state = msgspec.msgpack.decode(answer.body, type=_SharedState)
-        except msgspec.MsgspecError as malformed:
+            state = decode_msgpack(answer.body, _SharedState)
+        except ProtocolError as malformed:
             self._record_failed_fetch(host, malformed)
             return False
         self.lending_counts.record_fetch('done')
@@ -267,8 +268,8 @@
 
     def _receive(self, datagram: bytes, sender: Address) -> None:
         try:
-            update = msgspec.msgpack.decode(datagram, type=PeerUpdate)
-        except msgspec.MsgspecError as malformed:
+            update = decode_msgpack(datagram, PeerUpdate)
+        except ProtocolError as malformed:
             self._journal.write('news_unreadable', error=str(malformed))
             return
         self._apply_update(update, sender)
@@ -396,18 +397,18 @@
         for row in answer.unwrap().rows:
             if row.key == self._identity.host:
                 continue
-            try:
-                peer = msgspec.convert(row.value, _DaemonRow)
-            except msgspec.MsgspecError as error:
+            peer = convert_row(DAEMONS_TABLE, row, _DaemonRow)
+            if peer is None:
+                continue
+            address = Address(peer.ip, peer.port)
+            if address.is_reachable:
+                self._network.record_listed(row.key, address, peer.zone)
+            else:
                 logging.warning(
-                    'event=daemon_row_unreadable key=%s error=%s',
+                    'event=daemon_row_unreadable key=%r address=%r',
                     row.key,
-                    error,
+                    str(address),
                 )
-                continue
-            self._network.record_listed(
-                row.key, Address(peer.ip, peer.port), peer.zone
-            )
         return True
 
     def _apply_state(
--- a/src/clementinedyke/entry/relay_client.py
+++ b/src/clementinedyke/entry/relay_client.py
@@ -4,11 +4,13 @@
 from collections.abc import Callable, Collection, Iterator
 from contextlib import AsyncExitStack, contextmanager
 from random import Random
+from typing import cast
 
 import msgspec
 import trio
 
 from clementinedyke.clock import Clock, Milliseconds
+from clementinedyke.decoding import decode_msgpack
 from clementinedyke.entry.catalog import EntryEndpoint
 from clementinedyke.entry.peer_network import PeerNetwork
 from clementinedyke.entry.relay_messages import (
@@ -124,8 +126,8 @@
             )
             body = await stream.receive_body(_MAX_FAILURE_BYTES)
         try:
-            return msgspec.msgpack.decode(body, type=bool | None)
-        except msgspec.MsgspecError as error:
+            return decode_msgpack(body, cast('type[bool | None]', bool | None))
+        except ProtocolError as error:
             raise ProtocolError(f'result of a check: {error}') from error
 
     async def close(self) -> None:
--- a/src/clementinedyke/entry/relay_port.py
+++ b/src/clementinedyke/entry/relay_port.py
@@ -9,6 +9,7 @@
 from prometheus_client.registry import Collector
 
 from clementinedyke.clock import Milliseconds
+from clementinedyke.decoding import decode_msgpack
 from clementinedyke.entry.catalog import EntryEndpoint
 from clementinedyke.entry.direct_path import DirectPath
 from clementinedyke.entry.endpoint_connections import (
@@ -145,8 +146,8 @@
         # If the daemon has given up, its close arrived with the request.
         await trio.lowlevel.checkpoint()
         try:
-            relayed = msgspec.msgpack.decode(request.body, type=RelayedRequest)
-        except msgspec.MsgspecError as error:
+            relayed = decode_msgpack(request.body, RelayedRequest)
+        except ProtocolError as error:
             await self._fail(response, RelayFailure.UNWILLING, str(error))
             return
         endpoint = self._find_endpoint(relayed.run_id)
--- a/src/clementinedyke/entry/stream_messages.py
+++ b/src/clementinedyke/entry/stream_messages.py
@@ -1,7 +1,11 @@
 """Datagrams in which daemons tell each other the versions of streams."""
 
+from typing import cast
+
 import msgspec
 
+from clementinedyke.decoding import decode_msgpack
+
 #: First byte of these datagrams, with which no MessagePack value begins; state
 #: updates are MessagePack without a prefix.
 MESSAGE_PREFIX = b'\xc1'
@@ -57,8 +61,9 @@
     """Return the message in a datagram.
 
     :param datagram: bytes that begin with the prefix.
-    :raises msgspec.MsgspecError: if it is malformed.
+    :raises ProtocolError: if it is malformed.
     """
-    return msgspec.msgpack.decode(
-        datagram.removeprefix(MESSAGE_PREFIX), type=StreamMessage
+    return decode_msgpack(
+        datagram.removeprefix(MESSAGE_PREFIX),
+        cast('type[StreamMessage]', StreamMessage),
     )
--- a/src/clementinedyke/entry/suspect_component.py
+++ b/src/clementinedyke/entry/suspect_component.py
@@ -3,9 +3,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterator, Sequence
 
-import msgspec
 import trio
-from absl import logging
 from prometheus_client.core import CounterMetricFamily
 from prometheus_client.registry import Collector
 
@@ -23,7 +21,7 @@
     compile_evidence,
     compile_write,
 )
-from clementinedyke.rows import Commit, RowStore, Write
+from clementinedyke.rows import Commit, RowStore, Write, convert_row
 
 #: Delay before a failed call of the store is repeated, which doubles up to the
 #: maximum.
@@ -250,14 +248,8 @@
         snapshot = answer.unwrap()
         evidence = []
         for row in snapshot.rows:
-            try:
-                decoded = msgspec.convert(row.value, SuspectRow)
-            except msgspec.MsgspecError as error:
-                logging.warning(
-                    'event=suspect_row_unreadable key=%s error=%s',
-                    row.key,
-                    error,
-                )
+            decoded = convert_row(SUSPECTS_TABLE, row, SuspectRow)
+            if decoded is None:
                 continue
             if self._is_expired(decoded):
                 self._delete_row(row.key)
--- a/src/clementinedyke/entry/usage_duty.py
+++ b/src/clementinedyke/entry/usage_duty.py
@@ -11,7 +11,6 @@
 from typing import Protocol, TypeVar
 
 import msgspec
-from absl import logging
 from result import Result
 
 from clementinedyke.call_failures import TableFailure
@@ -28,6 +27,7 @@
     RowStore,
     Snapshot,
     Write,
+    convert_row,
 )
 from clementinedyke.store_revision import get_era
 
@@ -291,7 +291,9 @@
         """Adopt the stored part and its version after a failed write."""
         if row is not None:
             self._versions[window] = row.version
-            self._written[window] = msgspec.convert(row.value, UsagePart)
+            stored = convert_row(PARTS_TABLE, row, UsagePart)
+            if stored is not None:
+                self._written[window] = stored
         elif window in self._versions:
             # The row was deleted when the window was summed: the sum covers
             # the counts written before and cannot include newer ones.
@@ -362,8 +364,8 @@
         row: Row,
         get_authority: Callable[[], Authority | None],
     ) -> None:
-        summed = msgspec.convert(row.value, WindowSum)
-        if summed.is_reported or not summed.counts:
+        summed = convert_row(WINDOWS_TABLE, row, WindowSum)
+        if summed is None or summed.is_reported or not summed.counts:
             self._reported.add(window)
             return
         authority = get_authority()
@@ -519,15 +521,8 @@
 
 
 def _decode_parts(rows: Iterable[Row]) -> list[UsagePart]:
-    parts = []
-    for row in rows:
-        try:
-            parts.append(msgspec.convert(row.value, UsagePart))
-        except msgspec.MsgspecError as error:
-            logging.warning(
-                'event=usage_part_unreadable key=%s error=%s', row.key, error
-            )
-    return parts
+    found = (convert_row(PARTS_TABLE, row, UsagePart) for row in rows)
+    return [part for part in found if part is not None]
 
 
 def _sum_parts(parts: list[UsagePart]) -> dict[str, int]:
--- a/src/clementinedyke/entry/usage_messages.py
+++ b/src/clementinedyke/entry/usage_messages.py
@@ -1,7 +1,11 @@
 """Datagrams in which daemons pass on usage and learn that it was written."""
 
+from typing import cast
+
 import msgspec
 
+from clementinedyke.decoding import decode_msgpack
+
 #: First byte of these datagrams. Like that of the feeds it begins an extension
 #: type of MessagePack.
 USAGE_PREFIX = b'\xc8'
@@ -61,8 +65,9 @@
     """Return the message in a datagram.
 
     :param datagram: bytes that begin with the prefix.
-    :raises msgspec.MsgspecError: if it is malformed.
+    :raises ProtocolError: if it is malformed.
     """
-    return msgspec.msgpack.decode(
-        datagram.removeprefix(USAGE_PREFIX), type=UsageMessage
+    return decode_msgpack(
+        datagram.removeprefix(USAGE_PREFIX),
+        cast('type[UsageMessage]', UsageMessage),
     )
--- a/src/clementinedyke/entry/usage_sharing.py
+++ b/src/clementinedyke/entry/usage_sharing.py
@@ -4,8 +4,6 @@
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 
-import msgspec
-
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.peer_network import DatagramNetwork
@@ -20,6 +18,7 @@
     decode_usage,
     encode_usage,
 )
+from clementinedyke.exceptions import ProtocolError
 from clementinedyke.http.client import Address
 from clementinedyke.rows import ABSENT
 
@@ -167,7 +166,7 @@
         """
         try:
             message = decode_usage(datagram)
-        except msgspec.MsgspecError as error:
+        except ProtocolError as error:
             self._journal.write('news_unreadable', error=str(error))
             return
         self._handle(message)
--- a/src/clementinedyke/entry/version_finder.py
+++ b/src/clementinedyke/entry/version_finder.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 
-import msgspec
 import trio
 from prometheus_client.core import CounterMetricFamily
 from prometheus_client.registry import Collector
@@ -30,6 +29,7 @@
     VersionHistory,
     compute_id,
 )
+from clementinedyke.exceptions import ProtocolError
 from clementinedyke.http.client import Address
 
 _MILLISECONDS_PER_SECOND = 1000
@@ -187,7 +187,7 @@
         """
         try:
             message = decode_message(datagram)
-        except msgspec.MsgspecError as error:
+        except ProtocolError as error:
             self._journal.write('news_unreadable', error=str(error))
             return
         await self._handle(message, sender)
--- a/src/clementinedyke/http/client.py
+++ b/src/clementinedyke/http/client.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client on trio and h11 with a connection pool for one address."""
 
 import enum
+import ipaddress
 import math
 import re
 from collections.abc import AsyncIterator, Mapping, Sequence
@@ -55,6 +56,8 @@
 #: Idle connections are discarded this long before the timeout that the peer
 #: announced, so that no request is sent while the peer closes.
 _KEEP_ALIVE_MARGIN_SECONDS = 0.5
+#: Longest announced timeout in seconds that is looked at.
+_MAX_KEEP_ALIVE = 10**9
 #: A connection breaks if its peer's host sends no packet for this long: open
 #: connections may go silent for good while new ones work. The limit leaves
 #: time to learn a change over a new connection within 3 s, and peers may
@@ -79,6 +82,16 @@
     host: str
     port: int
 
+    @property
+    def is_reachable(self) -> bool:
+        """Whether a host can have this address: an IP address and a port."""
+        try:
+            parsed = ipaddress.ip_address(self.host)
+        except ValueError:
+            return False
+        is_of_host = not (parsed.is_unspecified or parsed.is_multicast)
+        return is_of_host and 0 < self.port <= MAX_PORT
+
     @classmethod
     def parse(cls, text: str) -> 'Address':
         """Parse an address of the form ``IP:PORT``.
@@ -524,8 +537,10 @@
     for name, content in head.headers:
         found = _KEEP_ALIVE.search(content) if name == b'keep-alive' else None
         if found is not None:
-            timeout = int(found.group(1)) - _KEEP_ALIVE_MARGIN_SECONDS
-            return trio.current_time() + timeout
+            seconds = parse_decimal(found.group(1).decode(), _MAX_KEEP_ALIVE)
+            if seconds is not None:
+                timeout = seconds - _KEEP_ALIVE_MARGIN_SECONDS
+                return trio.current_time() + timeout
     return math.inf
 
 
--- a/src/clementinedyke/leases/component.py
+++ b/src/clementinedyke/leases/component.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-import msgspec
 import trio
 from absl import logging
 from result import Result
@@ -40,6 +39,7 @@
     Condition,
     RowStore,
     Write,
+    convert_row,
 )
 from clementinedyke.store_revision import get_era
 
@@ -292,16 +292,20 @@
         era = get_era(answer.unwrap().revision)
         for row in answer.unwrap().rows:
             if row.key == scope:
-                lease = msgspec.convert(row.value, LeaseRow)
+                lease = convert_row(LEASES_TABLE, row, LeaseRow)
+                if lease is None:
+                    # Nobody can tell whether it is held.
+                    return LeaseCallFailed()
                 return LeaseRead(lease, row.version, era)
         return LeaseRead(None, ABSENT, era)
 
     async def _read_fence(self, scope: str) -> LeaseEvent:
         answer = await self._tables.get_row(FENCES_TABLE, scope)
         row = None if answer.is_err() else answer.unwrap()
-        if row is None:
+        fence = convert_row(FENCES_TABLE, row, int)
+        if row is None or fence is None:
             return LeaseCallFailed()
-        return FenceRead(int(row.value), row.version)
+        return FenceRead(fence, row.version)
 
     async def _write_lease(self, scope: str, action: WriteLease) -> LeaseEvent:
         writes = [Write(LEASES_TABLE, scope, action.row)]
--- a/src/clementinedyke/orders/component.py
+++ b/src/clementinedyke/orders/component.py
@@ -10,7 +10,6 @@
 from collections import Counter
 from collections.abc import Callable
 
-import msgspec
 import trio
 
 from clementinedyke.clock import Clock, Milliseconds
@@ -47,6 +46,7 @@
     TableClient,
     Write,
 )
+from clementinedyke.rows import convert_row
 
 #: Interval between ticks of a core without the lease.
 _IDLE_INTERVAL: Milliseconds = 1000
@@ -198,14 +198,17 @@
         answer = await self._tables.list_rows(ORDERS_TABLE, prefix)
         if answer.is_err():
             return OrdersRead(None)
+        found = (
+            (row, convert_row(ORDERS_TABLE, row, OrderRow))
+            for row in answer.unwrap().rows
+        )
+        # The target of an unreadable row gets no orders: recording one needs
+        # the version of the row.
         return OrdersRead(
             tuple(
-                StoredOrder(
-                    row.key.removeprefix(prefix),
-                    msgspec.convert(row.value, OrderRow),
-                    row.version,
-                )
-                for row in answer.unwrap().rows
+                StoredOrder(row.key.removeprefix(prefix), order, row.version)
+                for row, order in found
+                if order is not None
             )
         )
 
--- a/src/clementinedyke/peer_calls.py
+++ b/src/clementinedyke/peer_calls.py
@@ -4,7 +4,11 @@
 
 from clementinedyke.call_failures import TableFailure
 from clementinedyke.clock import Milliseconds
-from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
+from clementinedyke.exceptions import (
+    AnswerLostError,
+    PeerUnavailableError,
+    ProtocolError,
+)
 from clementinedyke.http.client import (
     Address,
     HttpClient,
@@ -35,7 +39,7 @@
         return Ok(await client.request(request, timeout))
     except PeerUnavailableError:
         return Err(TableFailure.NOT_DONE)
-    except AnswerLostError:
+    except (AnswerLostError, ProtocolError):
         return Err(TableFailure.UNKNOWN)
 
 
@@ -54,5 +58,5 @@
         return Ok(await exchange_once(address, request, timeout))
     except PeerUnavailableError:
         return Err(TableFailure.NOT_DONE)
-    except AnswerLostError:
+    except (AnswerLostError, ProtocolError):
         return Err(TableFailure.UNKNOWN)
--- a/src/clementinedyke/platform/configuration_document.py
+++ b/src/clementinedyke/platform/configuration_document.py
@@ -1,8 +1,12 @@
 """JSON document of the operator's configuration in the store."""
 
+import sys
+from typing import Annotated
+
 import msgspec
 from result import Err, Ok, Result
 
+from clementinedyke.decoding import decode_json
 from clementinedyke.entry.catalog import (
     EngineTraits,
     EntryConfiguration,
@@ -14,6 +18,7 @@
     ScalingOptions,
     ServiceShare,
 )
+from clementinedyke.exceptions import ProtocolError
 
 #: Table and key of the row with the current configuration.
 CONFIGURATION_TABLE = 'op'
@@ -26,6 +31,14 @@
 }
 
 
+#: Longest time that the document may name, in ms and in s.
+_MAX_DURATION = 10**9
+_MAX_VERSION = 1 << sys.float_info.mant_dig
+
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_DURATION)]
+_Duration = Annotated[float, msgspec.Meta(ge=0, le=_MAX_DURATION)]
+
+
 class _Share(msgspec.Struct):
     service: str
     weight: float
@@ -36,7 +49,7 @@
     host: str
     prefix: str
     kind: str
-    timeout_ms: float
+    timeout_ms: _Duration
     priority: int = 0
     service: str = ''
     traffic_split: list[_Share] | None = None
@@ -48,14 +61,14 @@
 
 
 class _Engine(msgspec.Struct):
-    slots: int
+    slots: _Count
 
 
 class _Scaling(msgspec.Struct):
     #: Both bounds apply per zone to the sum of cheap and standard engines.
-    min: int
-    max: int
-    boot_s: float = 0
+    min: _Count
+    max: _Count
+    boot_s: _Duration = 0
     #: Fraction of the price of a standard engine, not an amount of money.
     spot_price: float | None = None
     zone_prices: dict[str, float] = msgspec.field(default_factory=dict)
@@ -63,16 +76,16 @@
 
 class _Service(msgspec.Struct):
     name: str
-    max_connections: int = 0
+    max_connections: _Count = 0
     engine: _Engine | None = None
     scaling: _Scaling | None = None
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
+    max_header_bytes: _Count
+    max_body_bytes: _Count
+    header_timeout_ms: _Duration
+    idle_timeout_ms: _Duration
 
 
 class _Tenant(msgspec.Struct):
@@ -82,7 +95,7 @@
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: Annotated[int, msgspec.Meta(ge=0, le=_MAX_VERSION)]
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
@@ -97,9 +110,9 @@
     :param content: raw JSON content of the row.
     """
     try:
-        document = msgspec.json.decode(content, type=_Configuration)
+        document = decode_json(content, _Configuration)
         return Ok(_convert(document))
-    except (msgspec.MsgspecError, KeyError, ValueError) as error:
+    except (ProtocolError, KeyError, ValueError) as error:
         return Err(f'{type(error).__name__}: {error}')
 
 
@@ -130,6 +143,8 @@
 
 def _convert_route(route: _Route) -> EntryRoute:
     shares = route.traffic_split or [_Share(route.service, 1)]
+    if all(share.weight <= 0 for share in shares):
+        raise ValueError(f'route {route.name!r} gives no service a weight')
     return EntryRoute(
         name=route.name,
         host=route.host.lower(),
--- a/src/clementinedyke/platform/duties.py
+++ b/src/clementinedyke/platform/duties.py
@@ -1,7 +1,9 @@
 """Client for the calls that only the holder of the duties lease may make."""
 
+import sys
 from collections.abc import Mapping
 from http import HTTPStatus
+from typing import Annotated
 
 import msgspec
 from absl import logging
@@ -9,6 +11,7 @@
 
 from clementinedyke.call_failures import TableFailure
 from clementinedyke.clock import Milliseconds
+from clementinedyke.decoding import decode_json
 from clementinedyke.entry.catalog import EntryEndpoint, Stage
 from clementinedyke.entry.duty_types import (
     Authority,
@@ -17,6 +20,7 @@
     OrderOutcome,
     StageOrder,
 )
+from clementinedyke.exceptions import ProtocolError
 from clementinedyke.http.client import Address, Headers, HttpRequest
 from clementinedyke.peer_calls import STATUS_OK, call_unpooled
 
@@ -55,13 +59,17 @@
     expected: int
 
 
+#: Numbers in orders have at most 63 bits.
+_Sequence = Annotated[int, msgspec.Meta(ge=0, le=sys.maxsize)]
+
+
 class _Report(msgspec.Struct):
     stage: str
     #: Whether the engine carries out an order; running requests don't count.
     busy: bool
     #: Number of orders accepted. The field of the same name in the engine's
     #: store entry counts heartbeats instead.
-    sequence: int
+    sequence: _Sequence
 
 
 class DutyClient:
@@ -156,9 +164,9 @@
         if answer.is_err() or answer.unwrap().status != STATUS_OK:
             return None
         try:
-            report = msgspec.json.decode(answer.unwrap().body, type=_Report)
+            report = decode_json(answer.unwrap().body, _Report)
             stage = Stage(report.stage)
-        except (msgspec.MsgspecError, ValueError) as error:
+        except (ProtocolError, ValueError) as error:
             logging.warning('event=engine_report_unreadable error=%s', error)
             return None
         return EngineState(stage, report.busy, report.sequence)
--- a/src/clementinedyke/platform/endpoint_document.py
+++ b/src/clementinedyke/platform/endpoint_document.py
@@ -1,9 +1,15 @@
 """JSON entries with which endpoints register themselves in the store."""
 
+import re
+import sys
+from typing import Annotated
+
 import msgspec
 from result import Err, Ok, Result
 
+from clementinedyke.decoding import decode_json
 from clementinedyke.entry.catalog import EntryEndpoint, Stage
+from clementinedyke.exceptions import ProtocolError
 from clementinedyke.http.client import Address
 
 #: Table of the entries. The row key is the endpoint's id, which the entry
@@ -11,14 +17,22 @@
 ENDPOINTS_TABLE = 'servers'
 _LEAVING_BY_STATE = {'ready': False, 'draining': True}
 _STAGES = {'prefill': Stage.PREFILL, 'decode': Stage.DECODE}
-_MAX_PORT = 65535
+#: Entries may come from other writers. Requests that an endpoint runs at a
+#: time, far above those of any engine.
+_MAX_SLOTS = 1_000_000
+#: Latest start time, which a JSON number holds exactly.
+_MAX_START = 1 << sys.float_info.mant_dig
+#: The id is sent in a header.
+_ENDPOINT_ID = re.compile('[!-~]+')
+
+_Name = Annotated[str, msgspec.Meta(min_length=1)]
 
 
 class _Entry(msgspec.Struct):
-    service: str
+    service: _Name
     address: str
-    zone: str
-    slots: int
+    zone: _Name
+    slots: Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
     state: str
     #: Version of the software, not of the weights of its models.
     version: str = ''
@@ -27,7 +41,7 @@
     #: reclaim.
     spot: bool = False
     #: Start time in Unix milliseconds; distinguishes runs that reuse an id.
-    born: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=_MAX_START)] = 0
 
 
 def decode_endpoint(
@@ -41,19 +55,18 @@
     :param content: raw JSON content of the row.
     """
     try:
-        entry = msgspec.json.decode(content, type=_Entry)
+        entry = decode_json(content, _Entry)
         return Ok(_convert(endpoint_id, entry))
-    except (msgspec.MsgspecError, KeyError, ValueError) as error:
+    except (ProtocolError, KeyError, ValueError) as error:
         return Err(f'{type(error).__name__}: {error}')
 
 
 def _convert(endpoint_id: str, entry: _Entry) -> EntryEndpoint:
     address = Address.parse(entry.address)
-    if not 0 < address.port <= _MAX_PORT or entry.slots <= 0:
-        raise ValueError(
-            f'address {entry.address} (port must be 1 to 65535) or '
-            f'slots {entry.slots} (must be positive) out of range'
-        )
+    if not address.is_reachable:
+        raise ValueError(f'address {entry.address} is not one of a host')
+    if not _ENDPOINT_ID.fullmatch(endpoint_id):
+        raise ValueError(f'id {endpoint_id!r} cannot be sent in a header')
     return EntryEndpoint(
         endpoint_id=endpoint_id,
         service=entry.service,
--- a/src/clementinedyke/platform/requests.py
+++ b/src/clementinedyke/platform/requests.py
@@ -1,12 +1,14 @@
 """Translates HTTP messages to and from the types of package ``entry``."""
 
 import math
+import re
 
 import msgspec
 from absl import logging
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.decimals import parse_decimal
+from clementinedyke.decoding import decode_json
 from clementinedyke.entry.catalog import EntryRequest, PromptPart
 from clementinedyke.entry.endpoint_protocol import (
     AnswerHead,
@@ -15,6 +17,7 @@
     PrefillAnswer,
     SendOptions,
 )
+from clementinedyke.exceptions import ProtocolError
 from clementinedyke.http.client import Headers, HttpRequest
 from clementinedyke.http.message import ServerRequest
 
@@ -36,6 +39,8 @@
 #: Parts of the prompt as ``id:tokens``, separated by commas; requests with the
 #: same part send the same id.
 _PROMPT_PARTS = b'x-prefix-hash'
+#: Handles are sent in a header and in a path.
+_HANDLE = re.compile('[!-~]{1,200}')
 _LAST_EVENT = b'last-event-id'
 _RESUMED_REQUEST = b'resumes'
 _SIGNATURE = b'x-server-signature'
@@ -204,10 +209,16 @@
         :param body: complete body.
         """
         try:
-            answer = msgspec.json.decode(body, type=_PrefillBody)
-        except msgspec.MsgspecError as error:
+            answer = decode_json(body, _PrefillBody)
+        except ProtocolError as error:
             logging.warning('event=prefill_answer_unreadable error=%s', error)
             return None
+        if not _HANDLE.fullmatch(answer.handle):
+            logging.warning(
+                'event=prefill_answer_unreadable handle=%r',
+                answer.handle[:_MAX_LOGGED_TEXT],
+            )
+            return None
         return PrefillAnswer(answer.handle, answer.tokens)
 
     def compile_refusal_headers(
--- a/src/clementinedyke/platform/store.py
+++ b/src/clementinedyke/platform/store.py
@@ -1,7 +1,6 @@
 """Client of the platform's row store."""
 
 import base64
-import binascii
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -15,8 +14,15 @@
 from clementinedyke.clock import Milliseconds
 from clementinedyke.entry.store_calls import StoreCall
 from clementinedyke.entry.watch import FeedAnswer, HistoryLost, StoredRow
+from clementinedyke.exceptions import ProtocolError
 from clementinedyke.http.client import HttpClient, HttpRequest, HttpResponse
 from clementinedyke.peer_calls import STATUS_OK, call_pooled
+from clementinedyke.platform.store_answers import (
+    StorePage,
+    decode_commit,
+    decode_page,
+    decode_values,
+)
 from clementinedyke.rows import (
     Commit,
     CommitResult,
@@ -56,26 +62,6 @@
 _PAGE_ROWS = 500
 
 
-class _WireRow(msgspec.Struct):
-    key: str
-    #: Revision that wrote the row, from one counter for all tables.
-    ver: int
-    #: Base64; absent if the row was deleted.
-    value: str = ''
-    #: Set in feed answers if the row was deleted.
-    removed: bool = False
-
-
-class _WirePage(msgspec.Struct):
-    ver: int
-    rows: list[_WireRow]
-    has_more: bool = False
-
-
-class _WireCommit(msgspec.Struct):
-    ver: int
-
-
 @dataclass(frozen=True, slots=True)
 class _Answer:
     """An answer of the store and the era in which it was given."""
@@ -129,11 +115,10 @@
         if response.status != STATUS_OK:
             return Err(TableFailure.NOT_DONE)
         try:
-            decoded = msgspec.json.decode(response.body, type=_WireCommit)
-        except msgspec.MsgspecError as error:
+            return Ok(Commit(decode_commit(response.body, era)))
+        except ProtocolError as error:
             logging.warning('event=store_answer_unreadable error=%s', error)
             return Err(TableFailure.UNKNOWN)
-        return Ok(Commit(compile_revision(era, decoded.ver)))
 
     async def get_row(
         self, table: str, key: str
@@ -149,7 +134,7 @@
         answer = await self._read_page(table, target)
         if answer.is_err():
             return Err(answer.unwrap_err())
-        rows = _decode_values(answer.unwrap().rows)
+        rows = decode_values(answer.unwrap().rows)
         return Ok(rows[0] if rows else None)
 
     async def list_rows(
@@ -164,12 +149,8 @@
         if answer.is_err():
             return Err(answer.unwrap_err())
         feed = answer.unwrap()
-        rows = [
-            Row(row.key, row.version, _decode_json(row))
-            for row in feed.rows
-            if row.content is not None
-        ]
-        return Ok(Snapshot(feed.revision, rows))
+        present = [row for row in feed.rows if row.content is not None]
+        return Ok(Snapshot(feed.revision, decode_values(present)))
 
     async def read_table(
         self, table: str, prefix: str = ''
@@ -190,13 +171,17 @@
             if answer.is_err():
                 return Err(answer.unwrap_err())
             page = answer.unwrap()
-            if revision is not None and get_era(revision) != get_era(page.ver):
+            if revision is not None and get_era(revision) != get_era(
+                page.revision
+            ):
                 # The store returned from a copy between two pages.
                 return Err(TableFailure.NOT_DONE)
-            revision = page.ver
-            rows += [_convert_row(row) for row in page.rows]
-            if not page.has_more or not page.rows:
-                return Ok(FeedAnswer(page.ver, tuple(rows)))
+            revision = page.revision
+            rows += page.rows
+            if not page.has_more:
+                return Ok(FeedAnswer(page.revision, tuple(rows)))
+            if not page.rows:
+                return Err(TableFailure.NOT_DONE)
             start = f'{page.rows[-1].key}\0'
 
     async def follow_table(
@@ -225,12 +210,12 @@
         page = _decode_page(answer)
         if page.is_err():
             return Err(page.unwrap_err())
-        rows = tuple(_convert_row(row) for row in page.unwrap().rows)
-        return Ok(FeedAnswer(page.unwrap().ver, rows))
+        answered = page.unwrap()
+        return Ok(FeedAnswer(answered.revision, tuple(answered.rows)))
 
     async def _read_page(
         self, table: str, query: str
-    ) -> Result[_WirePage, TableFailure]:
+    ) -> Result[StorePage, TableFailure]:
         target = f'/v1/rows-get?table={table}&part=&{query}'
         return _decode_page(
             await self._call(HttpRequest('GET', target), _CALL_TIMEOUT)
@@ -312,50 +297,17 @@
 
 def _decode_page(
     answer: Result[_Answer, TableFailure],
-) -> Result[_WirePage, TableFailure]:
-    """Return the rows of an answer, whose versions bear its era."""
+) -> Result[StorePage, TableFailure]:
     if answer.is_err():
         return Err(answer.unwrap_err())
-    era = answer.unwrap().era
     response = answer.unwrap().response
     if response.status != STATUS_OK:
         return Err(TableFailure.NOT_DONE)
     try:
-        page = msgspec.json.decode(response.body, type=_WirePage)
-    except msgspec.MsgspecError as error:
+        return Ok(decode_page(response.body, answer.unwrap().era))
+    except ProtocolError as error:
         logging.warning('event=store_answer_unreadable error=%s', error)
         return Err(TableFailure.NOT_DONE)
-    page.ver = compile_revision(era, page.ver)
-    for row in page.rows:
-        row.ver = compile_revision(era, row.ver)
-    return Ok(page)
-
-
-def _convert_row(row: _WireRow) -> StoredRow:
-    if row.removed:
-        return StoredRow(row.key, row.ver, None)
-    try:
-        content = base64.b64decode(row.value, validate=True)
-    except binascii.Error:
-        # The row is from another writer. Empty content fails to decode as any
-        # document, so callers treat the row as invalid.
-        logging.warning('event=row_unreadable key=%s', row.key)
-        content = b''
-    return StoredRow(row.key, row.ver, content)
-
-
-def _decode_values(rows: Sequence[_WireRow]) -> list[Row]:
-    return [
-        Row(row.key, row.ver, _decode_json(_convert_row(row))) for row in rows
-    ]
-
-
-def _decode_json(row: StoredRow) -> Any:
-    try:
-        return msgspec.json.decode(row.content or b'')
-    except msgspec.MsgspecError:
-        logging.warning('event=row_unreadable key=%s', row.key)
-        return None
 
 
 def _quote(text: str) -> str:
--- a/src/clementinedyke/quarantine/component.py
+++ b/src/clementinedyke/quarantine/component.py
@@ -8,7 +8,6 @@
 30 s, which is 11 reads/s with 330 daemons.
 """
 
-import msgspec
 import trio
 from absl import logging
 
@@ -32,6 +31,7 @@
     Write,
 )
 from clementinedyke.routing.component import RoutingComponent
+from clementinedyke.rows import convert_row
 
 _REVISION_TOPIC = 'suspects'
 _READ_INTERVAL: Milliseconds = 30_000
@@ -138,11 +138,12 @@
         if answer.is_err():
             return False
         changes = answer.unwrap()
-        rows = [
-            msgspec.convert(row.value, SuspectRow)
+        found = (
+            convert_row(SUSPECTS_TABLE, row, SuspectRow)
             for row in changes.rows
             if row.value is not None
-        ]
+        )
+        rows = [row for row in found if row is not None]
         self._read_revision = changes.revision
         if rows:
             self._routing.receive_evidence(tuple(map(compile_evidence, rows)))
--- a/src/clementinedyke/reference_platform/hosts.py
+++ b/src/clementinedyke/reference_platform/hosts.py
@@ -5,6 +5,8 @@
 
 from clementinedyke.call_failures import TableFailure
 from clementinedyke.clock import Milliseconds
+from clementinedyke.decoding import decode_json
+from clementinedyke.exceptions import ProtocolError
 from clementinedyke.http.client import HttpClient, HttpRequest
 from clementinedyke.peer_calls import (
     DEFAULT_TIMEOUT,
@@ -47,7 +49,7 @@
         if response.status != STATUS_OK:
             return Err(TableFailure.NOT_DONE)
         try:
-            hosts = msgspec.json.decode(response.body, type=list[Host])
-        except msgspec.MsgspecError:
+            hosts = decode_json(response.body, list[Host])
+        except ProtocolError:
             return Err(TableFailure.NOT_DONE)
         return Ok(frozenset(host.host for host in hosts))
--- a/src/clementinedyke/reference_platform/tables.py
+++ b/src/clementinedyke/reference_platform/tables.py
@@ -1,14 +1,18 @@
 """Client of the platform's transactional table service."""
 
 from collections.abc import Sequence
+from typing import TypeVar
 from urllib.parse import quote
 
 import msgspec
+from absl import logging
 from result import Err, Ok, Result
 
 from clementinedyke.call_failures import TableFailure
 from clementinedyke.clock import Milliseconds
-from clementinedyke.http.client import HttpClient, HttpRequest
+from clementinedyke.decoding import decode_json
+from clementinedyke.exceptions import ProtocolError
+from clementinedyke.http.client import HttpClient, HttpRequest, HttpResponse
 from clementinedyke.peer_calls import (
     DEFAULT_TIMEOUT,
     STATUS_NOT_FOUND,
@@ -40,6 +44,7 @@
 )
 
 _STATUS_CONFLICT = 409
+_Decoded = TypeVar('_Decoded')
 
 
 class _Transaction(msgspec.Struct):
@@ -77,9 +82,9 @@
             return Err(answer.unwrap_err())
         response = answer.unwrap()
         if response.status == STATUS_OK:
-            return Ok(msgspec.json.decode(response.body, type=Commit))
+            return _decode(response, Commit, TableFailure.UNKNOWN)
         if response.status == _STATUS_CONFLICT:
-            return Ok(msgspec.json.decode(response.body, type=Conflict))
+            return _decode(response, Conflict, TableFailure.NOT_DONE)
         return Err(TableFailure.NOT_DONE)
 
     async def get_row(
@@ -99,7 +104,7 @@
             return Ok(None)
         if response.status != STATUS_OK:
             return Err(TableFailure.NOT_DONE)
-        return Ok(msgspec.json.decode(response.body, type=Row))
+        return _decode(response, Row, TableFailure.NOT_DONE)
 
     async def list_rows(
         self, table: str, prefix: str = ''
@@ -135,10 +140,21 @@
         response = answer.unwrap()
         if response.status != STATUS_OK:
             return Err(TableFailure.NOT_DONE)
-        return Ok(msgspec.json.decode(response.body, type=Snapshot))
+        return _decode(response, Snapshot, TableFailure.NOT_DONE)
 
     async def _call(
         self, method: str, target: str, body: bytes = b''
     ) -> CallResult:
         request = HttpRequest(method=method, target=target, body=body)
         return await call_pooled(self._client, request, self._timeout)
+
+
+def _decode(
+    response: HttpResponse, expected: type[_Decoded], failure: TableFailure
+) -> Result[_Decoded, TableFailure]:
+    """Return the content of an answer, or the failure if it is malformed."""
+    try:
+        return Ok(decode_json(response.body, expected))
+    except ProtocolError as error:
+        logging.warning('event=table_answer_unreadable error=%s', error)
+        return Err(failure)
--- a/src/clementinedyke/routing/component.py
+++ b/src/clementinedyke/routing/component.py
@@ -12,8 +12,13 @@
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.codes import ResultCode
 from clementinedyke.components import Component
+from clementinedyke.decoding import decode_json
 from clementinedyke.endpoints.registry import Endpoint, EndpointRegistry
-from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
+from clementinedyke.exceptions import (
+    AnswerLostError,
+    PeerUnavailableError,
+    ProtocolError,
+)
 from clementinedyke.http.client import HttpRequest
 from clementinedyke.quarantine import core as quarantine
 from clementinedyke.roles.types import EngineState, PlannedEngine
@@ -331,8 +336,8 @@
         if answer.status != _STATUS_OK:
             return
         try:
-            state = msgspec.json.decode(answer.body, type=_EngineState)
-        except msgspec.MsgspecError:
+            state = decode_json(answer.body, _EngineState)
+        except ProtocolError:
             return
         self._apply_state(watched, state, asked_at)
         capacity = _parse_capacity(answer.body)
@@ -416,8 +421,8 @@
     A count below 1 is invalid.
     """
     try:
-        return msgspec.json.decode(body, type=_EngineCapacity)
-    except msgspec.MsgspecError:
+        return decode_json(body, _EngineCapacity)
+    except ProtocolError:
         return _EngineCapacity()
 
 
--- a/src/clementinedyke/rows.py
+++ b/src/clementinedyke/rows.py
@@ -1,13 +1,17 @@
 """Versioned rows of a table service, and the interface of a row store."""
 
 from collections.abc import Sequence
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 import msgspec
+from absl import logging
 from result import Result
 
 from clementinedyke.call_failures import TableFailure
+from clementinedyke.decoding import convert_document
+from clementinedyke.exceptions import ProtocolError
 
+_Expected = TypeVar('_Expected')
 #: Version of a row that does not exist.
 ABSENT = 0
 
@@ -23,6 +27,29 @@
     value: Any = None
 
 
+def convert_row(
+    table: str, row: Row | None, expected: type[_Expected]
+) -> _Expected | None:
+    """Return the value of a row, None if there is none or it is malformed.
+
+    :param table: table of the row, for the log.
+    :param row: row with its decoded value, None if it does not exist.
+    :param expected: type of the value.
+    """
+    if row is None:
+        return None
+    try:
+        return convert_document(row.value, expected)
+    except ProtocolError as error:
+        logging.warning(
+            'event=row_unreadable table=%s key=%r error=%s',
+            table,
+            row.key,
+            error,
+        )
+        return None
+
+
 class Snapshot(msgspec.Struct, frozen=True):
     """Rows of a table at a revision."""
 
--- a/src/clementinedyke/store_revision.py
+++ b/src/clementinedyke/store_revision.py
@@ -6,12 +6,12 @@
 
 #: Bits of a revision below those of its era. At 1,000 transactions a second
 #: they last 34 years within one era.
-_NUMBER_BITS = 40
-_NUMBER_MASK = (1 << _NUMBER_BITS) - 1
+NUMBER_BITS = 40
+_NUMBER_MASK = (1 << NUMBER_BITS) - 1
 #: Bits of a revision; they are sent as signed integers of 64 bits.
 _REVISION_BITS = 63
 #: Highest era that a revision can bear.
-MAX_ERA = (1 << (_REVISION_BITS - _NUMBER_BITS)) - 1
+MAX_ERA = (1 << (_REVISION_BITS - NUMBER_BITS)) - 1
 #: Bits of a fence below those of its era. At one tenure in 3 s they last 36
 #: days within one era.
 _TENURE_BITS = 20
@@ -24,7 +24,7 @@
     :param era: era of the store, 0 if it tells none.
     :param number: number that the store gave out in this era.
     """
-    return era << _NUMBER_BITS | number
+    return era << NUMBER_BITS | number
 
 
 def get_era(revision: int) -> int:
@@ -32,7 +32,7 @@
 
     :param revision: revision with its era.
     """
-    return revision >> _NUMBER_BITS
+    return revision >> NUMBER_BITS
 
 
 def get_number(revision: int) -> int:
--- a/src/clementinedyke/usage/component.py
+++ b/src/clementinedyke/usage/component.py
@@ -2,7 +2,6 @@
 
 from collections import Counter
 
-import msgspec
 import trio
 
 from clementinedyke.clock import Clock, Milliseconds
@@ -20,6 +19,7 @@
     Write,
 )
 from clementinedyke.reference_platform.usage_reports import UsageReportClient
+from clementinedyke.rows import convert_row
 from clementinedyke.usage.closing import CloserCore
 from clementinedyke.usage.closing_messages import (
     CheckReport,
@@ -151,10 +151,14 @@
         if part.is_err():
             return PartCallFailed()
         row = part.unwrap()
+        stored = convert_row(PARTS_TABLE, row, PartRow)
+        open_window = _get_open_window(open_answer.unwrap())
+        if open_window is None or (row is not None and stored is None):
+            return PartCallFailed()
         return PartRead(
             window=action.window,
-            open_window=_get_open_window(open_answer.unwrap()),
-            row=msgspec.convert(row.value, PartRow) if row else None,
+            open_window=open_window,
+            row=stored,
             version=row.version if row else ABSENT,
         )
 
@@ -252,15 +256,21 @@
         if open_answer.is_err():
             return CloserCallFailed()
         open_row = open_answer.unwrap()
-        window = max(_FIRST_WINDOW, _get_open_window(open_row))
+        open_window = _get_open_window(open_row)
+        if open_window is None:
+            return CloserCallFailed()
+        window = max(_FIRST_WINDOW, open_window)
         answer = await self._tables.get_row(WINDOWS_TABLE, str(window - 1))
         if answer.is_err():
             return CloserCallFailed()
         row = answer.unwrap()
+        closed = convert_row(WINDOWS_TABLE, row, WindowRow)
+        if row is not None and closed is None:
+            return CloserCallFailed()
         return WindowRead(
             open_window=window,
             open_version=open_row.version if open_row else ABSENT,
-            row=msgspec.convert(row.value, WindowRow) if row else None,
+            row=closed,
             version=row.version if row else ABSENT,
         )
 
@@ -289,10 +299,13 @@
         answer = await self._tables.list_rows(PARTS_TABLE, prefix)
         if answer.is_err():
             return CloserCallFailed()
-        parts = [
-            msgspec.convert(row.value, PartRow) for row in answer.unwrap().rows
-        ]
-        return PartsRead(action.window, tuple(parts))
+        parts = (
+            convert_row(PARTS_TABLE, row, PartRow)
+            for row in answer.unwrap().rows
+        )
+        return PartsRead(
+            action.window, tuple(part for part in parts if part is not None)
+        )
 
     async def _check_report(self, action: CheckReport) -> CloserEvent:
         answer = await self._reports.has_report(action.window)
@@ -310,7 +323,9 @@
         return ReportChecked(action.window, is_present=True)
 
 
-def _get_open_window(row: Row | None) -> int:
+def _get_open_window(row: Row | None) -> int | None:
+    """Return the open window, 0 before the first, None if it is unreadable."""
     if row is None:
         return 0
-    return msgspec.convert(row.value, OpenWindowRow).window
+    opened = convert_row(WINDOWS_TABLE, row, OpenWindowRow)
+    return None if opened is None else opened.window
