Believe no refusal that an endpoint sends once more

An endpoint that wrote an earlier refusal again on a kept connection made the daemon believe that the request in progress had not run: it ran at a second endpoint, or its caller was told to send it again. Two ways led there:

- an answer without an id was taken for that of any request
- a stream that was rejected is sent to the same engine again once its KV cache was dropped.
The late copy of the first rejection bears the id of the request.

--- a/src/clementinedyke/entry/endpoint_transport.py
+++ b/src/clementinedyke/entry/endpoint_transport.py
@@ -49,7 +49,11 @@
 
     @asynccontextmanager
     async def open_response(
-        self, endpoint: EntryEndpoint, request: HttpRequest
+        self,
+        endpoint: EntryEndpoint,
+        request: HttpRequest,
+        *,
+        needs_new: bool = False,
     ) -> AsyncIterator[ResponseStream]:
         """Send a request and yield its answer as a stream.
 
@@ -58,12 +62,16 @@
 
         :param endpoint: endpoint to reach.
         :param request: request with its complete body.
+        :param needs_new: whether the request must have a connection that
+            carried none before.
         :raises PeerUnavailableError: if the request was not sent.
         :raises AnswerLostError: if the request may have run.
         :raises ProtocolError: if the endpoint sent no valid answer.
         """
         async with AsyncExitStack() as stack:
-            yield await self._enter(stack, endpoint, request)
+            yield await self._enter(
+                stack, endpoint, request, needs_new=needs_new
+            )
 
     async def check_listening(self, endpoint: EntryEndpoint) -> bool | None:
         """Return whether a process listens at an endpoint.
@@ -112,29 +120,39 @@
         stack: AsyncExitStack,
         endpoint: EntryEndpoint,
         request: HttpRequest,
+        *,
+        needs_new: bool,
     ) -> ResponseStream:
         if not self._path.is_lost:
             try:
-                return await self._enter_direct(stack, endpoint, request)
+                return await self._enter_direct(
+                    stack, endpoint, request, needs_new=needs_new
+                )
             except PeerUnavailableError:
                 if not await self._monitor.check_is_lost():
                     raise
         try:
-            return await self._relays.enter_response(stack, endpoint, request)
+            return await self._relays.enter_response(
+                stack, endpoint, request, needs_new=needs_new
+            )
         except NoRelayError:
-            return await self._enter_direct(stack, endpoint, request)
+            return await self._enter_direct(
+                stack, endpoint, request, needs_new=needs_new
+            )
 
     async def _enter_direct(
         self,
         stack: AsyncExitStack,
         endpoint: EntryEndpoint,
         request: HttpRequest,
+        *,
+        needs_new: bool,
     ) -> ResponseStream:
         client = self._connections.get_client(endpoint)
         self._path.record_send(self._clock.get_now())
         try:
             stream = await stack.enter_async_context(
-                client.open_response(request)
+                client.open_response(request, needs_new=needs_new)
             )
         finally:
             self._path.record_end()
--- a/src/clementinedyke/entry/exchange.py
+++ b/src/clementinedyke/entry/exchange.py
@@ -128,12 +128,14 @@
         work = self._placement.work.get_work(endpoint)
         work.running += 1
         self._notices.limits.record_send(endpoint, self._clock.get_now())
+        # A late copy of its earlier answer would bear the id of the request.
+        is_repeated = endpoint.endpoint_id in job.path
         job.path.append(endpoint.endpoint_id)
         job.versions.append(endpoint.version)
         try:
             with self._observe_attempt(job, endpoint) as attempt:
                 async with self._transport.open_response(
-                    endpoint, request
+                    endpoint, request, needs_new=is_repeated
                 ) as stream:
                     _record_way(job, stream)
                     head = self._read_head(job, stream, endpoint)
@@ -288,7 +290,8 @@
         self, job: Job, stream: ResponseStream, endpoint: EntryEndpoint
     ) -> AnswerHead:
         head = self._protocol.read_head(stream.status, stream.headers)
-        if head.request_id not in {None, job.request.request_id}:
+        is_unnamed = head.request_id is None and stream.is_first
+        if head.request_id != job.request.request_id and not is_unnamed:
             raise AnswerLostError('answer of another request')
         now = self._clock.get_now()
         if head.load is not None:
--- a/src/clementinedyke/entry/relay_client.py
+++ b/src/clementinedyke/entry/relay_client.py
@@ -84,12 +84,16 @@
         stack: AsyncExitStack,
         endpoint: EntryEndpoint,
         request: HttpRequest,
+        *,
+        needs_new: bool,
     ) -> ResponseStream:
         """Send a request and return the stream of its answer.
 
         :param stack: closes the connection at its end.
         :param endpoint: endpoint to reach.
         :param request: request with its complete body.
+        :param needs_new: whether it must have a connection of the forwarding
+            daemon that carried none before.
         :raises NoRelayError: if no daemon forwards the request.
         :raises PeerUnavailableError: if the request was not sent.
         :raises AnswerLostError: if the request may have run.
@@ -101,10 +105,13 @@
             request.target,
             list(request.headers),
             request.body,
+            needs_new,
         )
         stream = await self._enter(stack, relayed)
         fields = dict(stream.headers)
-        stream.framing = Framing(fields[FRAMING_HEADER].decode('latin-1'))
+        stream.framing = _read_framing(fields[FRAMING_HEADER])
+        # Whether the other daemon's connection was new is not known.
+        stream.is_first = False
         stream.headers = [
             pair for pair in stream.headers if pair[0] != FRAMING_HEADER
         ]
@@ -231,3 +238,14 @@
         raise AnswerLostError(
             f'a daemon answered {stream.status} without forwarding'
         ) from error
+
+
+def _read_framing(content: bytes) -> Framing:
+    """Return how the endpoint marked the end of its body.
+
+    :raises AnswerLostError: if the daemon names no such way.
+    """
+    try:
+        return Framing(content.decode('latin-1'))
+    except ValueError as error:
+        raise AnswerLostError(f'answer of a daemon: {error}') from error
--- a/src/clementinedyke/entry/relay_messages.py
+++ b/src/clementinedyke/entry/relay_messages.py
@@ -24,6 +24,7 @@
     """Request for the run of an endpoint.
 
     An empty ``method`` asks only whether a process listens there.
+    ``needs_new`` asks for a connection that carried no request before.
     """
 
     run_id: str
@@ -31,6 +32,7 @@
     target: str = ''
     headers: list[tuple[bytes, bytes]] = []
     body: bytes = b''
+    needs_new: bool = False
 
 
 class RelayFailure(enum.Enum):
--- a/src/clementinedyke/entry/relay_port.py
+++ b/src/clementinedyke/entry/relay_port.py
@@ -202,7 +202,9 @@
         self._running += 1
         sent_at = self._answers.clock.get_now()
         try:
-            async with client.open_response(request) as stream:
+            async with client.open_response(
+                request, needs_new=relayed.needs_new
+            ) as stream:
                 self._answers.read(endpoint, stream, sent_at)
                 await self._forward(stream, response)
         except (PeerUnavailableError, AnswerLostError, ProtocolError) as error:
--- a/src/clementinedyke/http/client.py
+++ b/src/clementinedyke/http/client.py
@@ -218,6 +218,9 @@
         self.framing = _get_framing(self._status, dict(self.headers))
         #: Host that forwarded the response, None if it came directly.
         self.relay: str | None = None
+        #: Whether the connection carried no request before. An answer on one
+        #: that did may be a late copy of an earlier answer.
+        self.is_first = connection.idle_time is None
         #: Number of body chunks received so far, as the peer sent them.
         self.chunk_count = 0
 
@@ -338,7 +341,7 @@
 
     @asynccontextmanager
     async def open_response(
-        self, request: HttpRequest
+        self, request: HttpRequest, *, needs_new: bool = False
     ) -> AsyncIterator[ResponseStream]:
         """Send a request and yield its response as a stream.
 
@@ -346,13 +349,18 @@
         its end and is closed otherwise.
 
         :param request: request with its complete body.
+        :param needs_new: whether the request must have a connection that
+            carried none before.
         :raises PeerUnavailableError: if no connection could be opened and
             nothing was sent.
         :raises AnswerLostError: if the connection broke after sending began.
         :raises ConnectionDroppedError: if the peer probably dropped the
             connection while it was idle.
         """
-        connection = await self._acquire_connection()
+        if needs_new:
+            connection = _Connection(await self._connect())
+        else:
+            connection = await self._acquire_connection()
         try:
             yield await self._exchange_checking_reset(connection, request)
         finally:
