Test streams that are taken up after all daemons were killed at once

Another system joined streams from two software versions when all its front daemons were killed while two versions served or the old one had just left.

--- a/tests/test_entry_versions.py
+++ b/tests/test_entry_versions.py
@@ -1,5 +1,6 @@
 """Tests of streams at endpoints of several software versions."""
 
+import pytest
 import trio
 from tests.entry_environment import (
     CONFIGURATION,
@@ -260,3 +261,80 @@
             assert not list_resumed(env, 'old')
 
         ScenarioRunner().run(scenario)
+
+
+class TestAllDaemonsKilled:
+    """Guards against streams joined from two versions after a power cut.
+
+    All daemons were killed at once and came back. Streams that callers took up
+    again went on at the only version left, which had not begun them.
+    """
+
+    @pytest.mark.parametrize('names_stream', [True, False])
+    @pytest.mark.parametrize('has_left', [True, False])
+    def test_streams_of_before(
+        self, has_left: bool, names_stream: bool
+    ) -> None:
+        """They are refused as not run while another version may have them."""
+
+        async def scenario(env: EntryEnvironment) -> None:
+            await start_daemons(env, 3)
+            await start_engines(env, {'old': 'v1'})
+            await begin_streams(env)
+            await start_engines(env, {'old': 'v1', 'new': 'v2'})
+            if has_left:
+                leave_version(env)
+                await env.wait_until_seen()
+            await env.stop_daemons()
+            await start_daemons(env, 3)
+            headers = {'last_event_id': '2'}
+            if names_stream:
+                headers['resumes'] = 'begun-{}'
+            for daemon in range(3):
+                answers = await send_streams(
+                    env, f'resumed-{daemon}', daemon, **headers
+                )
+                for answer in answers:
+                    assert answer is not None
+                    assert answer.status == 503
+                    assert b'not_run' in answer.body
+            assert not list_resumed(env, 'new')
+            assert not list_resumed(env, 'old')
+
+        ScenarioRunner().run(scenario)
+
+    def test_killed_again(self) -> None:
+        """A stream that was taken up once is not joined after a second cut."""
+
+        async def scenario(env: EntryEnvironment) -> None:
+            await start_daemons(env, 2)
+            await start_engines(env, {'old': 'v1'})
+            await begin_streams(env)
+            await resume_streams(env, daemon=1)
+            await env.stop_daemons()
+            await start_engines_unseen(env, 'new', 'v2')
+            leave_version(env)
+            await start_daemons(env, 2)
+            answers = await send_streams(
+                env, 'again', 1, resumes='resumed-{}', last_event_id='2'
+            )
+            assert {answer and answer.status for answer in answers} == {503}
+            assert not list_resumed(env, 'new')
+
+        ScenarioRunner().run(scenario)
+
+
+def leave_version(env: EntryEnvironment) -> None:
+    """Let all engines of version v1 leave."""
+    env.store.remove('servers', 'old')
+    env.register(env.endpoints['reader'], version='v2')
+
+
+async def start_engines_unseen(
+    env: EntryEnvironment, name: str, version: str
+) -> None:
+    """Register a decode engine while no daemon runs."""
+    endpoint = EndpointStandin(name, 'decode')
+    endpoint.port = await serve(env.nursery, endpoint.respond)
+    env.endpoints[name] = endpoint
+    env.register(endpoint, version=version)
