Process datagrams that have arrived before a request is admitted

test_processes_suspects failed once: a daemon that was frozen ran a request right after SIGCONT which the others knew to end endpoints.

--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -249,6 +249,12 @@
             ),
             self._clock,
         )
+        path.gateway.process_messages = self._process_messages
+
+    async def _process_messages(self) -> None:
+        """Act on the messages of other daemons that have arrived."""
+        if await self._network.process_waiting():
+            self._sync.update()
 
     def _build_metrics(self) -> list[Component]:
         return create_metrics_port(
--- a/src/clementinedyke/entry/gateway.py
+++ b/src/clementinedyke/entry/gateway.py
@@ -1,6 +1,6 @@
 """Entry point for the requests of callers."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import trio
 
@@ -50,6 +50,10 @@
         self.observe: Callable[[ResultCode | None, Job, Milliseconds], None] = (
             _ignore_outcome
         )
+        #: Processes the messages of other daemons that have arrived.
+        self.process_messages: Callable[[], Awaitable[None]] = (
+            trio.lowlevel.checkpoint
+        )
 
     def set_nursery(self, nursery: trio.Nursery) -> None:
         """Set the nursery for tasks that may outlive their request.
@@ -66,6 +70,7 @@
         :param request: request with its complete body.
         :param response: writer to the caller.
         """
+        await self.process_messages()
         now = self._clock.get_now()
         decoded = self._protocol.read_request(request)
         if decoded is None:
--- a/src/clementinedyke/entry/peer_network.py
+++ b/src/clementinedyke/entry/peer_network.py
@@ -13,6 +13,9 @@
 _MAX_DATAGRAM = 65507
 #: Datagrams that are received before other tasks run.
 _DATAGRAMS_IN_A_ROW = 16
+#: Datagrams that a request may have to wait for; the buffer of the socket holds
+#: some hundreds.
+_MAX_WAITING = 1000
 
 #: Processes a datagram of another daemon, and its sender.
 Receiver: TypeAlias = Callable[[bytes, Address], Awaitable[None]]
@@ -44,6 +47,8 @@
         self._received = 0
         #: Receivers of the datagrams that are no state updates, by first byte.
         self._receivers: dict[bytes, Receiver] = {}
+        #: Processes state updates.
+        self.receive_update: Receiver = _ignore_datagram
 
     @property
     def addresses(self) -> Mapping[str, Address]:
@@ -139,6 +144,29 @@
                 return datagram, address
             await receiver(datagram, address)
 
+    async def process_waiting(self) -> int:
+        """Pass the datagrams that have arrived to their receivers.
+
+        A daemon that stood still finds requests and datagrams waiting. The
+        datagrams may tell that a request must not run.
+
+        :return: number of datagrams.
+        """
+        with trio.CancelScope(shield=True):
+            for count in range(_MAX_WAITING):
+                try:
+                    datagram, sender = self._socket.recvfrom(_MAX_DATAGRAM)
+                except BlockingIOError:
+                    return count
+                except OSError as error:
+                    self._journal.write('news_error', error=str(error))
+                    continue
+                receiver = self._receivers.get(
+                    datagram[:1], self.receive_update
+                )
+                await receiver(datagram, Address(sender[0], sender[1]))
+        return _MAX_WAITING
+
     async def _send_datagram(self, payload: bytes, peer: Address) -> None:
         while True:
             try:
@@ -160,6 +188,10 @@
         raise trio.ClosedResourceError
 
 
+async def _ignore_datagram(datagram: bytes, sender: Address) -> None:
+    """Do nothing; default receiver of state updates."""
+
+
 def _open_socket() -> socket.socket:
     # A socket of trio makes two checkpoints and looks the address up again for
     # each datagram, of which there are a hundred a second on large sites.
--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -149,6 +149,7 @@
         self._lending_limit = LendingLimit(identity.link_megabits)
         self._generator = tools[2]
         self._network = connections[0]
+        self._network.receive_update = self._receive
         self._port = identity.address.port
         self._sequence = 0
         self._last_work: dict[str, tuple[int, int]] = {}
@@ -264,9 +265,9 @@
                 datagram, sender = await self._network.receive()
             except trio.ClosedResourceError:
                 return
-            self._receive(datagram, sender)
+            await self._receive(datagram, sender)
 
-    def _receive(self, datagram: bytes, sender: Address) -> None:
+    async def _receive(self, datagram: bytes, sender: Address) -> None:
         try:
             update = decode_msgpack(datagram, PeerUpdate)
         except ProtocolError as malformed:
--- a/src/clementinedyke/entry/sync_component.py
+++ b/src/clementinedyke/entry/sync_component.py
@@ -59,6 +59,10 @@
         self._clock = clock
         self._version = 0
         self._revision = 0
+        #: Runs of the endpoints at the last revision that was passed on.
+        self._runs: set[str] = set()
+        #: Revision at which connections to other runs were closed.
+        self._closed_revision = 0
         self._signal = ChangeSignal()
         configuration.change_observers.append(self._signal.record_change)
         endpoints.change_observers.append(self._signal.record_change)
@@ -74,27 +78,30 @@
         """Close the connections to endpoints."""
         await self._transport.close()
 
+    def update(self) -> None:
+        """Pass on what has changed since the last call."""
+        configuration = self._configuration.configuration
+        if configuration and configuration.version != self._version:
+            self._version = configuration.version
+            self._caller_port.set_bounds(configuration.bounds)
+        now = self._clock.get_now()
+        endpoints = self._endpoints.list_endpoints(now)
+        if self._endpoints.revision == self._revision:
+            return
+        self._revision = self._endpoints.revision
+        self._placement.set_endpoints(endpoints)
+        for observer in self._observers:
+            observer(endpoints, now)
+        self._runs = {endpoint.run_id for endpoint in endpoints}
+
     async def _run(self) -> None:
         while True:
-            await self._step()
+            self.update()
+            if self._closed_revision != self._revision:
+                self._closed_revision = self._revision
+                await self._transport.close_stale(self._runs)
             await trio.sleep(_PAUSE_SECONDS)
             await self._signal.wait(self._get_wait())
 
     def _get_wait(self) -> Milliseconds:
         return _HOLD_WAIT if self._endpoints.has_held else _MAX_WAIT
-
-    async def _step(self) -> None:
-        configuration = self._configuration.configuration
-        if configuration and configuration.version != self._version:
-            self._version = configuration.version
-            self._caller_port.set_bounds(configuration.bounds)
-        now = self._clock.get_now()
-        endpoints = self._endpoints.list_endpoints(now)
-        if self._endpoints.revision != self._revision:
-            self._revision = self._endpoints.revision
-            self._placement.set_endpoints(endpoints)
-            for observer in self._observers:
-                observer(endpoints, now)
-            await self._transport.close_stale(
-                {endpoint.run_id for endpoint in endpoints}
-            )
--- a/src/clementinedyke/entry/watch.py
+++ b/src/clementinedyke/entry/watch.py
@@ -47,8 +47,8 @@
 #: A reader that begins a call just before its turn leaves out that turn.
 _MIN_READER_WAIT: Milliseconds = 100
 #: Time in which a daemon that no longer relies on readers connects to the store
-#: and reads from it.
-_OWN_READ_TIME: Milliseconds = 500
+#: and reads from it: 0.2 s, and more on a host that is short of processor time.
+_OWN_READ_TIME: Milliseconds = 700
 #: Time from an answer of the store to a reader until all daemons have heard of
 #: it, with the interval between two such answers and one heartbeat of a reader.
 _CONFIRMATION_LAG: Milliseconds = 900
