Connect chats that share a message under which engines crash

A chat's messages but the last one are now its parts, as the parts of a prompt are in the entry daemon, with the same core.

--- a/src/clementinedyke/callers/dispatch.py
+++ b/src/clementinedyke/callers/dispatch.py
@@ -114,8 +114,7 @@
         return verdict is Verdict.SUSPECT
 
     def _is_refused(self, context: RequestContext) -> bool:
-        verdict = self._options.get_verdict(context.work.fingerprint)
-        return verdict in _REFUSED_VERDICTS
+        return self._options.get_worst_verdict(context) in _REFUSED_VERDICTS
 
     async def _wait_for_retry(
         self, context: RequestContext, failure: RequestError, deadline: float
--- a/src/clementinedyke/callers/handler.py
+++ b/src/clementinedyke/callers/handler.py
@@ -115,10 +115,13 @@
                 directory, request.connection, route.customer
             )
         context = RequestContext(request, response, route, outcome)
-        self._check_startable(context)
-        with self._token_rates.charge_request(directory, context):
-            async with self._options.admission.admit(context):
-                await self._dispatch(context)
+        try:
+            self._check_startable(context)
+            with self._token_rates.charge_request(directory, context):
+                async with self._options.admission.admit(context):
+                    await self._dispatch(context)
+        finally:
+            self._options.end_request(outcome.request_id)
 
     def _check_startable(self, context: RequestContext) -> None:
         """Refuse a request that may not run before it is queued."""
@@ -130,7 +133,7 @@
                 _RETRY_AFTER,
             )
         check_service_rules(context, self._options.region)
-        check_verdict(self._options.get_verdict(context.work.fingerprint))
+        check_verdict(self._options.get_worst_verdict(context))
 
     async def _dispatch(self, context: RequestContext) -> None:
         key = context.idempotency_key
--- a/src/clementinedyke/callers/steps.py
+++ b/src/clementinedyke/callers/steps.py
@@ -190,6 +190,21 @@
     return Verdict.CLEAR
 
 
+def get_clear_part_verdict(context: RequestContext) -> Verdict:
+    """Return the verdict clear; default without a quarantine.
+
+    :param context: request to dispatch.
+    """
+    return Verdict.CLEAR
+
+
+def ignore_end(request_id: str) -> None:
+    """Do nothing; default without a quarantine.
+
+    :param request_id: id of the request that ended.
+    """
+
+
 def get_zero_hold_time(fingerprint: str) -> Milliseconds:
     """Return a hold time of 0; default without a quarantine.
 
@@ -214,9 +229,24 @@
     retries: RetryPolicy = field(default_factory=UnlimitedRetries)
     claims: ClaimComponent | None = None
     get_verdict: Callable[[str], Verdict] = get_clear_verdict
+    get_part_verdict: Callable[[RequestContext], Verdict] = (
+        get_clear_part_verdict
+    )
+    end_request: Callable[[str], None] = ignore_end
     get_remaining_hold_time: Callable[[str], Milliseconds] = get_zero_hold_time
     connection_limit: ConnectionLimit = field(default_factory=ConnectionLimit)
     count_daemons: Callable[[], int] = count_single_daemon
     region: str = ''
     observe_outcome: OutcomeObserver = ignore_outcome
     observe_usage: UsageObserver = ignore_usage
+
+    def get_worst_verdict(self, context: RequestContext) -> Verdict:
+        """Return the verdict on a request or on the parts of its prompt.
+
+        :param context: request to dispatch.
+        """
+        verdict = self.get_verdict(context.work.fingerprint)
+        if verdict in {Verdict.HELD, Verdict.CONVICTED}:
+            return verdict
+        of_parts = self.get_part_verdict(context)
+        return verdict if of_parts is Verdict.CLEAR else of_parts
--- a/src/clementinedyke/entry/part_suspects.py
+++ b/src/clementinedyke/entry/part_suspects.py
@@ -5,18 +5,17 @@
 from clementinedyke.clock import Milliseconds
 from clementinedyke.entry.journal import Journal
 from clementinedyke.quarantine.core import Evidence
+from clementinedyke.quarantine.part_labels import (
+    compile_label,
+    get_part,
+    is_trial_label,
+)
 from clementinedyke.quarantine.parts import (
     PartCore,
     PartLimits,
     PartVerdict,
 )
 
-#: Prefixes of the fingerprints that stand for a part of a lost prompt, and for
-#: one of a prompt that was a trial of the part. Other fingerprints are
-#: hexadecimal.
-_PART_PREFIX = 'p:'
-_TRIAL_PREFIX = 't:'
-_PREFIX_LENGTH = 2
 #: Parts of a lost prompt that are recorded, those with losses first.
 _MAX_LABELS = 64
 #: Interval at which a request looks whether another one is still on trial.
@@ -100,8 +99,10 @@
         """
         listed = sorted(parts, key=self._core.count_losses, reverse=True)
         is_trial = self._core.is_trial(request_id)
-        prefix = _TRIAL_PREFIX if is_trial else _PART_PREFIX
-        return tuple(f'{prefix}{part}' for part in listed[:_MAX_LABELS])
+        return tuple(
+            compile_label(part, is_trial=is_trial)
+            for part in listed[:_MAX_LABELS]
+        )
 
     def record_completion(
         self, parts: Iterable[str], now: Milliseconds
@@ -117,9 +118,9 @@
             self._unsent_cleared.update(dict.fromkeys(cleared, _SENDS))
             self._notify()
             labels = frozenset(
-                f'{prefix}{part}'
+                compile_label(part, is_trial=is_trial)
                 for part in cleared
-                for prefix in (_PART_PREFIX, _TRIAL_PREFIX)
+                for is_trial in (False, True)
             )
             for observer in self.clearance_observers:
                 observer(labels)
@@ -149,7 +150,7 @@
             item
             for item in evidence
             if self.is_suspected(item.fingerprint)
-            or not self._core.is_proven(_get_part(item.fingerprint), now)
+            or not self._core.is_proven(get_part(item.fingerprint), now)
         )
 
     def is_suspected(self, label: str) -> bool:
@@ -157,7 +158,7 @@
 
         :param label: fingerprint that stands for the part.
         """
-        losses = self._core.count_losses(_get_part(label))
+        losses = self._core.count_losses(get_part(label))
         return losses >= _LIMITS.trial_losses
 
     def must_last(self, label: str) -> bool:
@@ -165,18 +166,18 @@
 
         :param label: fingerprint that stands for the part.
         """
-        return self._core.has_failed_trial(_get_part(label))
+        return self._core.has_failed_trial(get_part(label))
 
     def list_evidence(self, label: str) -> list[Evidence]:
         """Return the evidence against a part since its last answer.
 
         :param label: fingerprint that stands for the part.
         """
-        part = _get_part(label)
+        part = get_part(label)
         return [
             Evidence(
                 *key,
-                f'{_TRIAL_PREFIX if is_trial else _PART_PREFIX}{part}',
+                compile_label(part, is_trial=is_trial),
                 is_crash=False,
             )
             for key, is_trial in self._core.list_losses(part)
@@ -219,13 +220,13 @@
             self._core.receive_trial(owner, parts, now)
 
     def _record_loss(self, item: Evidence, now: Milliseconds) -> bool:
-        part = _get_part(item.fingerprint)
+        part = get_part(item.fingerprint)
         former = self._core.get_verdict((part,), now)
         is_new = self._core.record_loss(
             part,
             (item.endpoint_id, item.boot_id),
             now,
-            is_trial=item.fingerprint.startswith(_TRIAL_PREFIX),
+            is_trial=is_trial_label(item.fingerprint),
         )
         verdict = self._core.get_verdict((part,), now)
         if verdict is not former:
@@ -241,15 +242,3 @@
     def _notify(self) -> None:
         for observer in self.urgent_observers:
             observer()
-
-
-def is_part_label(fingerprint: str) -> bool:
-    """Return whether a fingerprint stands for a part of a prompt.
-
-    :param fingerprint: fingerprint in an item of evidence.
-    """
-    return fingerprint.startswith((_PART_PREFIX, _TRIAL_PREFIX))
-
-
-def _get_part(label: str) -> str:
-    return label[_PREFIX_LENGTH:]
--- a/src/clementinedyke/entry/suspects.py
+++ b/src/clementinedyke/entry/suspects.py
@@ -7,7 +7,7 @@
 from clementinedyke.entry.catalog import EntryEndpoint
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.lost_answers import LostAnswers
-from clementinedyke.entry.part_suspects import PartSuspects, is_part_label
+from clementinedyke.entry.part_suspects import PartSuspects
 from clementinedyke.quarantine.core import (
     EndpointAnswered,
     Evidence,
@@ -19,6 +19,7 @@
     RequestStarted,
     Verdict,
 )
+from clementinedyke.quarantine.part_labels import is_part_label
 
 #: Evidence reaches the other daemons within some milliseconds. A suspect has to
 #: wait that long before it is sent again.
--- a/src/clementinedyke/request_path.py
+++ b/src/clementinedyke/request_path.py
@@ -128,6 +128,8 @@
             retries=RetryPlanner(self._clock, self._generator),
             claims=self.claims,
             get_verdict=self.routing.get_verdict,
+            get_part_verdict=self.routing.get_part_verdict,
+            end_request=self.routing.parts.end_trial,
             get_remaining_hold_time=self.routing.get_remaining_hold_time,
             connection_limit=self.connection_limit,
             count_daemons=self._control.count_living_daemons,
--- a/src/clementinedyke/routing/component.py
+++ b/src/clementinedyke/routing/component.py
@@ -21,6 +21,7 @@
 )
 from clementinedyke.http.client import HttpRequest
 from clementinedyke.quarantine import core as quarantine
+from clementinedyke.quarantine.part_losses import PartLosses
 from clementinedyke.roles.types import EngineState, PlannedEngine
 from clementinedyke.routing import events as route_events
 from clementinedyke.routing.core import RouterCore
@@ -127,6 +128,8 @@
         # access, and each request sends about six events to the cores.
         self._handle_route = self._router.handle
         self._handle_quarantine = self._quarantine.handle
+        #: Prompt parts under which endpoints ended.
+        self.parts = PartLosses()
         self._watched: dict[str, _WatchedEndpoint] = {}
         #: Called with crash evidence to share with the other daemons.
         self.evidence_observers: list[Any] = []
@@ -158,6 +161,17 @@
         """
         return self._quarantine.get_verdict(fingerprint, self._clock.get_now())
 
+    def get_part_verdict(self, context: RequestContext) -> quarantine.Verdict:
+        """Return the verdict on the prompt parts of a request.
+
+        :param context: request to dispatch.
+        """
+        return self.parts.get_verdict(
+            context.outcome.request_id,
+            context.work.parts,
+            self._clock.get_now(),
+        )
+
     def get_remaining_hold_time(self, fingerprint: str) -> Milliseconds:
         """Return the remaining hold time of a request in milliseconds.
 
@@ -177,7 +191,10 @@
         :param evidence: fingerprints of the requests that ran on lost
             endpoints.
         """
-        self._update_quarantine(quarantine.EvidenceReceived(evidence))
+        of_requests = self.parts.receive_evidence(
+            evidence, self._clock.get_now()
+        )
+        self._update_quarantine(quarantine.EvidenceReceived(of_requests))
 
     def select(
         self, context: RequestContext, excluded: frozenset[str]
@@ -208,6 +225,9 @@
                 choice.endpoint_id,
             )
         )
+        self.parts.record_start(
+            request.request_id, choice.endpoint_id, context.work.parts
+        )
         client = self._registry.get_client(watched.endpoint)
         return SelectedEndpoint(choice.endpoint_id, client)
 
@@ -231,11 +251,14 @@
         request_id = context.outcome.request_id
         self._report_end_to_router(request_id, name, code)
         watched = self._watched.get(name)
+        now = self._clock.get_now()
         if code in _LOST_CODES and watched and watched.endpoint.state == 'live':
             self._update_quarantine(
                 quarantine.EndpointLost(name, watched.boot_id)
             )
+            self.parts.record_loss(name, watched.boot_id, now)
         is_whole = code is ResultCode.OK
+        self.parts.record_end(request_id, now, is_complete=is_whole)
         self._update_quarantine(quarantine.RequestEnded(request_id, is_whole))
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -260,8 +283,11 @@
     def _update_quarantine(self, event: quarantine.QuarantineEvent) -> None:
         shared = self._handle_quarantine(event, self._clock.get_now())
         for action in shared:
-            for observer in self.evidence_observers:
-                observer(action.evidence)
+            self._share(action.evidence)
+
+    def _share(self, evidence: tuple[quarantine.Evidence, ...]) -> None:
+        for observer in self.evidence_observers:
+            observer(evidence)
 
     def _replace_endpoints(self, endpoints: tuple[Endpoint, ...]) -> None:
         used = self.subset.select(endpoints)
@@ -362,6 +388,11 @@
         self._update_quarantine(
             quarantine.EndpointAnswered(endpoint_id, state.boot_id, asked_at)
         )
+        found = self.parts.record_answer(
+            endpoint_id, state.boot_id, asked_at, now
+        )
+        if found:
+            self._share(found)
         if role is not watched.role:
             watched.role = role
             self._update_router()
