Announce a daemon as soon as it knows others

Daemons that start together heard of one another after seconds, as the first update without work was sent after five intervals (5.3 s with 64 daemons). The pace of the feeds counts listed daemons until they had the time to send an update.

TestFirstUpdates fails before and passes after.

--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -138,7 +138,7 @@
         platform = self._platform
         self._feeds = Feeds(
             self._settings,
-            self._count_active_daemons,
+            lambda: len(self._peers.list_active()),
             self._clock,
             self._journal,
         )
--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -373,6 +373,7 @@
         )
         is_listed = False
         rounds = 0
+        known = 0
         while True:
             if not is_listed:
                 written = await self._store.commit(
@@ -380,6 +381,11 @@
                 )
                 is_listed = written.is_ok()
             rounds += await self._read_daemon_list()
+            if len(self._network.addresses) > known:
+                # Daemons that start together hear of one another at once, and
+                # need not read the store for themselves until then.
+                known = len(self._network.addresses)
+                self.announce()
             wait = _FIRST_LIST_INTERVAL
             if is_listed and rounds >= _FIRST_LIST_COUNT:
                 wait = (
--- a/tests/test_entry_news.py
+++ b/tests/test_entry_news.py
@@ -4,7 +4,14 @@
 from random import Random
 
 import msgspec
-
+import trio
+from tests.entry_environment import (
+    CONFIGURATION,
+    EntryEnvironment,
+    ScenarioRunner,
+)
+
+from clementinedyke.decoding import decode_msgpack
 from clementinedyke.entry.news import PeerTable, PeerUpdate
 from clementinedyke.quarantine.rows import SuspectRow
 
@@ -181,3 +188,29 @@
         table.apply_update(create_update('host-2'), 0)
         table.apply_update(create_update('host-3'), 8000)
         assert table.list_hosts(5000, 10000) == {'host-1', 'host-3'}
+
+
+class TestFirstUpdates:
+    """Guards against daemons that start together and don't hear of one another.
+
+    Without work the first update came after seconds on a large site. Until then
+    each daemon read the store for itself: 70% of all calls of a day.
+    """
+
+    def test_daemon_announces_itself(self) -> None:
+        """A daemon sends an update as soon as it knows others."""
+
+        async def scenario(env: EntryEnvironment) -> None:
+            with trio.socket.socket(type=trio.socket.SOCK_DGRAM) as receiver:
+                await receiver.bind(('127.0.0.1', 0))
+                ip, port = receiver.getsockname()
+                row = {'ip': ip, 'port': port, 'zone': 'zone-a'}
+                for number in range(200):
+                    env.store.put('daemons', f'listed-{number}', row)
+                env.store.put('op', 'config', CONFIGURATION)
+                await env.start_daemon()
+                with trio.fail_after(2):
+                    datagram, _ = await receiver.recvfrom(65536)
+            assert decode_msgpack(datagram, PeerUpdate).host == 'host-1'
+
+        ScenarioRunner().run(scenario)
