Let large configurations take their time on narrow links

The answer of the store has 1 MB, which takes 2 s on the narrowest link, but a daemon that missed a change had 0.7 s for it, a read of the table 1.5 s and a copy of another daemon 0.5 s. Calls were given up and made again, and each filled the link.

The time limit of a read now ends with the head of the answer; its body goes on while parts arrive, 8 s at the most. What no datagram holds is announced at once instead of with the next heartbeat.

--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -178,6 +178,12 @@
             self._exchanged_state,
             (self._clock, self._journal, self._generator),
         )
+        table = self._platform.configuration_table
+        self._peers.configuration_feed = self._feeds.watches[table]
+        self._peers.configuration_place = (
+            table,
+            self._platform.configuration_key,
+        )
         self._versions.list_active = self._peers.list_active
         self._exchanged_state.notices.limits.list_hosts = (
             self._peers.list_active
--- a/src/clementinedyke/entry/feed_exchange.py
+++ b/src/clementinedyke/entry/feed_exchange.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterator, Mapping
 from typing import Protocol
 
+import msgspec
 import trio
 from prometheus_client.core import CounterMetricFamily
 from prometheus_client.registry import Collector
@@ -342,7 +343,7 @@
         payload = encode_news(message)
         if len(payload) > _MAX_DATAGRAM:
             self._journal.write('feed_news_too_large', size=len(payload))
-            return
+            payload = encode_news(_announce(message))
         known = self._network.addresses
         # Each reader has an order of its own, so that the daemons which one of
         # them does not get to hear from another one.
@@ -368,3 +369,12 @@
         return hashlib.blake2b(
             f'{self._host}\0{host}'.encode(), digest_size=_HASH_BYTES
         ).digest()
+
+
+def _announce(message: FeedNews) -> FeedNews:
+    """Return a message that tells of changes without their rows."""
+    announced = [
+        TableNews(news.table, news.revision, news.revision, news.age)
+        for news in message.tables
+    ]
+    return msgspec.structs.replace(message, tables=announced)
--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -12,19 +12,22 @@
 from clementinedyke.components import Component
 from clementinedyke.decoding import decode_msgpack
 from clementinedyke.entry.exchanged_state import ExchangedState
+from clementinedyke.entry.feed_exchange import FollowedTable
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.lending import LendingCounts, LendingLimit
 from clementinedyke.entry.news import PeerTable, PeerUpdate
 from clementinedyke.entry.peer_network import PeerNetwork
 from clementinedyke.entry.relay_messages import RELAY_PATH
+from clementinedyke.entry.shared_state import (
+    SharedRow,
+    SharedState,
+    decode_state,
+    encode_state,
+    request_state,
+)
 from clementinedyke.entry.watch import StoredRow
 from clementinedyke.exceptions import ClementinedykeError, ProtocolError
-from clementinedyke.http.client import (
-    Address,
-    HttpClient,
-    HttpRequest,
-    HttpResponse,
-)
+from clementinedyke.http.client import Address
 from clementinedyke.http.message import ResponseWriter, ServerRequest
 from clementinedyke.http.server import HttpServer
 from clementinedyke.quarantine.core import Evidence
@@ -32,7 +35,6 @@
 from clementinedyke.rows import RowStore, Write, convert_row
 
 DAEMONS_TABLE = 'daemons'
-_STATE_PATH = '/state'
 _STATUS_OK = 200
 _STATUS_BUSY = 503
 _MILLISECONDS_PER_SECOND = 1000
@@ -58,7 +60,6 @@
 #: Successful reads at the short interval. A daemon that is listed later reads
 #: this one's row, and sends it an update.
 _FIRST_LIST_COUNT = 2
-_STATE_TIMEOUT: Milliseconds = 500
 #: Time in which evidence is collected before it is sent.
 _EVIDENCE_DELAY: Milliseconds = 2
 
@@ -71,26 +72,6 @@
     zone: str = ''
 
 
-class _SharedRow(msgspec.Struct, frozen=True, array_like=True):
-    key: str
-    version: int
-    content: bytes
-
-
-class _SharedState(msgspec.Struct, frozen=True, array_like=True):
-    """Copy of the store's state that a daemon sends to another one.
-
-    ``configuration`` and the rows' content are as stored.
-    ``configuration_age`` is in ms, -1 if it was never confirmed.
-    ``endpoints_revision`` is the revision up to which the endpoints are known.
-    """
-
-    configuration: bytes
-    configuration_age: int
-    endpoints: list[_SharedRow]
-    endpoints_revision: int
-
-
 @dataclass(frozen=True, slots=True)
 class PeerIdentity:
     """Host, run id, address and zone by which other daemons know this one.
@@ -156,6 +137,10 @@
         self._server = HttpServer(self._respond)
         #: Returns whether another daemon reads the store for this one.
         self.is_followed: Callable[[], bool] = bool
+        #: Feed of the configuration's table.
+        self.configuration_feed: FollowedTable | None = None
+        #: Table of the configuration and the key of its row.
+        self.configuration_place = ('', '')
 
     @property
     def interval(self) -> Milliseconds:
@@ -216,7 +201,7 @@
             return False
         asked_at = self._clock.get_now()
         try:
-            answer = await _request_state(address)
+            answer = await request_state(address)
         except ClementinedykeError as error:
             self._record_failed_fetch(host, error)
             return False
@@ -224,7 +209,7 @@
             self.lending_counts.record_fetch('refused')
             return False
         try:
-            state = decode_msgpack(answer.body, _SharedState)
+            state = decode_state(answer)
         except ProtocolError as malformed:
             self._record_failed_fetch(host, malformed)
             return False
@@ -419,13 +404,20 @@
         return True
 
     def _apply_state(
-        self, host: str, state: _SharedState, asked_at: Milliseconds
+        self, host: str, state: SharedState, asked_at: Milliseconds
     ) -> None:
         former = self._configuration.version
+        now = self._clock.get_now()
+        news = state.compile_news(
+            self.configuration_place[0],
+            self.configuration_place[1],
+            now - asked_at,
+        )
+        if news is not None and self.configuration_feed is not None:
+            # The feed need not read what the copy holds.
+            self.configuration_feed.apply_news(news, now)
         if state.configuration:
-            self._configuration.apply_content(
-                state.configuration, self._clock.get_now()
-            )
+            self._configuration.apply_content(state.configuration, now)
         if state.configuration_age >= 0:
             self._configuration.confirm(asked_at - state.configuration_age)
         if state.endpoints_revision > self._endpoints.as_of_revision:
@@ -453,30 +445,23 @@
         if not self._lending_limit.may_lend(now):
             await response.send_response(_STATUS_BUSY, [], b'')
             return
-        payload = msgspec.msgpack.encode(self._copy_state(now))
+        headers, payload = encode_state(self._copy_state(now), request)
         self._lending_limit.record_lent(len(payload), now)
         self.lending_counts.record_lent(len(payload))
-        await response.send_response(_STATUS_OK, [], payload)
+        await response.send_response(_STATUS_OK, headers, payload)
 
-    def _copy_state(self, now: Milliseconds) -> _SharedState:
+    def _copy_state(self, now: Milliseconds) -> SharedState:
         age = self._configuration.get_age(now)
-        return _SharedState(
+        feed = self.configuration_feed
+        known = None if feed is None else feed.compile_news(now)
+        return SharedState(
             self._configuration.content,
             -1 if age is None else age,
             [
-                _SharedRow(row.key, row.version, row.content or b'')
+                SharedRow(row.key, row.version, row.content or b'')
                 for row in self._endpoints.list_rows()
             ],
             self._endpoints.as_of_revision,
-        )
-
-
-async def _request_state(address: Address) -> HttpResponse:
-    """Ask a daemon for its state.
-
-    :raises ClementinedykeError: if there is no answer.
-    """
-    async with HttpClient(address, connect_timeout=_STATE_TIMEOUT) as client:
-        return await client.request(
-            HttpRequest('GET', _STATE_PATH), _STATE_TIMEOUT
+            0 if known is None else known.revision,
+            0 if known is None else known.after,
         )
--- a/src/clementinedyke/entry/watch.py
+++ b/src/clementinedyke/entry/watch.py
@@ -242,6 +242,8 @@
         self._changed_at: Milliseconds = 0
         self._is_unconfirmed = False
         self._behind_since: Milliseconds | None = None
+        #: Scope of a call that reads what this daemon missed.
+        self._gap_scope: trio.CancelScope | None = None
         self._gap = ChangeSignal()
         #: Era of the store at the last read of the table, None before.
         self._era: int | None = None
@@ -317,6 +319,9 @@
                 for row in news.rows
             )
             self._apply_changes(rows, news.after, news.revision, now)
+            if self._gap_scope is not None:
+                self._gap_scope.cancel()
+                self._gap_scope = None
         self._confirm(now - max(0, news.age), news.revision)
         return is_new
 
@@ -383,7 +388,9 @@
             return self._process_answer(answer, sent_at)
         wait = self._select_wait()
         after = self._revision
-        changes = await self._feed.follow_table(self._table, after, wait)
+        changes = await self._follow(after, wait)
+        if changes is None:
+            return True
         outcome = changes.unwrap() if changes.is_ok() else None
         has_changes = isinstance(outcome, FeedAnswer) and bool(outcome.rows)
         now = self._clock.get_now()
@@ -403,6 +410,20 @@
             self._is_pausing = False
         return has_answered
 
+    async def _follow(
+        self, after: int, wait: Milliseconds
+    ) -> Result[FeedAnswer | HistoryLost, TableFailure] | None:
+        """Make a call of the feed; None if its answer is no longer needed.
+
+        Another daemon may bring what this one missed before the store does.
+        """
+        scope = trio.CancelScope()
+        if self._behind_since is not None:
+            self._gap_scope = scope
+        with scope:
+            return await self._feed.follow_table(self._table, after, wait)
+        return None
+
     def _may_follow(self) -> bool:
         """Return whether this daemon need not call the store."""
         if self._revision is None or not self.is_followed():
--- a/src/clementinedyke/http/client.py
+++ b/src/clementinedyke/http/client.py
@@ -4,7 +4,7 @@
 import ipaddress
 import math
 import re
-from collections.abc import AsyncIterator, Mapping, Sequence
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from ssl import SSLContext
@@ -139,6 +139,33 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class BodyLimits:
+    """Limits of the time in which a body arrives, in milliseconds.
+
+    A body may take long on a narrow link: ``idle_timeout`` limits the time
+    between two parts of it, and ``total_timeout`` that of all of it.
+    """
+
+    idle_timeout: Milliseconds
+    total_timeout: Milliseconds
+
+    def start(self, scope: trio.CancelScope) -> Callable[[], None]:
+        """Apply the limits to a scope and return what records progress.
+
+        :param scope: scope in which the body is received.
+        """
+        now = trio.current_time()
+        latest = now + self.total_timeout / _MILLISECONDS_PER_SECOND
+
+        def record_progress() -> None:  # noqa: WPS430
+            idle = self.idle_timeout / _MILLISECONDS_PER_SECOND
+            scope.deadline = min(trio.current_time() + idle, latest)
+
+        record_progress()
+        return record_progress
+
+
 @dataclass(slots=True)
 class _Connection:
     stream: trio.abc.Stream
@@ -255,16 +282,22 @@
                 return
             yield received
 
-    async def receive_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
+    async def receive_body(
+        self,
+        max_bytes: int = MAX_BODY_BYTES,
+        record_progress: Callable[[], object] = bool,
+    ) -> bytes:
         """Return the remaining body.
 
         :param max_bytes: largest size of the body.
+        :param record_progress: called with each part that arrives.
         :raises AnswerLostError: if the connection breaks before the end, or if
             the body is larger.
         """
         parts: list[bytes] = []
         size = 0
         async for chunk in self.receive_chunks():
+            record_progress()
             size += len(chunk)
             if size > max_bytes:
                 raise AnswerLostError(f'body of more than {max_bytes} bytes')
@@ -367,19 +400,29 @@
             await self._release_connection(connection)
 
     async def request(
-        self, request: HttpRequest, timeout: Milliseconds
+        self,
+        request: HttpRequest,
+        timeout: Milliseconds,
+        body_limits: BodyLimits | None = None,
     ) -> HttpResponse:
         """Send a request and return the complete response.
 
         :param request: request with its complete body.
         :param timeout: timeout for the whole exchange, in milliseconds.
+        :param body_limits: if given, the timeout ends with the head of the
+            response, and these limits apply to its body.
         :raises PeerUnavailableError: if no connection could be opened and
             nothing was sent.
         :raises AnswerLostError: if no complete response arrived in time.
         """
-        with trio.move_on_after(timeout / _MILLISECONDS_PER_SECOND):
+        with trio.move_on_after(timeout / _MILLISECONDS_PER_SECOND) as scope:
             async with self.open_response(request) as response:
-                body = await response.receive_body()
+                record_progress: Callable[[], object] = bool
+                if body_limits is not None:
+                    record_progress = body_limits.start(scope)
+                body = await response.receive_body(
+                    record_progress=record_progress
+                )
                 return HttpResponse(response.status, response.headers, body)
         raise AnswerLostError(
             f'{request.method} {request.target} at {self._address}: '
--- a/src/clementinedyke/peer_calls.py
+++ b/src/clementinedyke/peer_calls.py
@@ -11,6 +11,7 @@
 )
 from clementinedyke.http.client import (
     Address,
+    BodyLimits,
     HttpClient,
     HttpRequest,
     HttpResponse,
@@ -25,7 +26,10 @@
 
 
 async def call_pooled(
-    client: HttpClient, request: HttpRequest, timeout: Milliseconds
+    client: HttpClient,
+    request: HttpRequest,
+    timeout: Milliseconds,
+    body_limits: BodyLimits | None = None,
 ) -> CallResult:
     """Send a request over a pooled connection.
 
@@ -34,9 +38,10 @@
     :param client: HTTP client of the platform.
     :param request: request with its complete body.
     :param timeout: longest wait for an answer in milliseconds.
+    :param body_limits: limits for its body; None if the timeout includes it.
     """
     try:
-        return Ok(await client.request(request, timeout))
+        return Ok(await client.request(request, timeout, body_limits))
     except PeerUnavailableError:
         return Err(TableFailure.NOT_DONE)
     except (AnswerLostError, ProtocolError):
--- a/src/clementinedyke/platform/store.py
+++ b/src/clementinedyke/platform/store.py
@@ -15,7 +15,12 @@
 from clementinedyke.entry.store_calls import StoreCall
 from clementinedyke.entry.watch import FeedAnswer, HistoryLost, StoredRow
 from clementinedyke.exceptions import ProtocolError
-from clementinedyke.http.client import HttpClient, HttpRequest, HttpResponse
+from clementinedyke.http.client import (
+    BodyLimits,
+    HttpClient,
+    HttpRequest,
+    HttpResponse,
+)
 from clementinedyke.peer_calls import STATUS_OK, call_pooled
 from clementinedyke.platform.store_answers import (
     StorePage,
@@ -58,6 +63,11 @@
 _CALL_TIMEOUT: Milliseconds = 1500
 #: Time allowed for the answer to a feed call beyond its wait time.
 _FEED_TIMEOUT_MARGIN: Milliseconds = 700
+#: Limits for the rows in an answer. A configuration of thousands of routes has
+#: 1 MB, which takes 2 s on a link of 5 Mbit/s.
+_IDLE_TIMEOUT: Milliseconds = 1000
+_READ_TIMEOUT: Milliseconds = 8000
+_READ_LIMITS = BodyLimits(_IDLE_TIMEOUT, _READ_TIMEOUT)
 #: Page size; the store returns at most this many rows per answer.
 _PAGE_ROWS = 500
 
@@ -200,7 +210,9 @@
         number = get_number(revision)
         target = f'/v1/rows-feed?table={table}&after={number}&wait_ms={wait}'
         answer = await self._call(
-            HttpRequest('GET', target), wait + _FEED_TIMEOUT_MARGIN
+            HttpRequest('GET', target),
+            wait + _FEED_TIMEOUT_MARGIN,
+            _READ_LIMITS,
         )
         if answer.is_ok() and (
             answer.unwrap().response.status == _STATUS_HISTORY_LOST
@@ -218,13 +230,18 @@
     ) -> Result[StorePage, TableFailure]:
         target = f'/v1/rows-get?table={table}&part=&{query}'
         return _decode_page(
-            await self._call(HttpRequest('GET', target), _CALL_TIMEOUT)
+            await self._call(
+                HttpRequest('GET', target), _CALL_TIMEOUT, _READ_LIMITS
+            )
         )
 
     async def _call(
-        self, request: HttpRequest, timeout: Milliseconds
+        self,
+        request: HttpRequest,
+        timeout: Milliseconds,
+        body_limits: BodyLimits | None = None,
     ) -> Result[_Answer, TableFailure]:
-        answer = await call_pooled(self._client, request, timeout)
+        answer = await call_pooled(self._client, request, timeout, body_limits)
         if answer.is_err():
             outcome = answer.unwrap_err().value
         else:
--- a/tests/configuration_world.py
+++ b/tests/configuration_world.py
@@ -89,8 +89,11 @@
 
     async def send(self, payload: bytes, addresses: Iterable[Address]) -> None:
         """Send a datagram, which may be lost."""
-        gate = self._world.daemons[self._host].gate
-        await gate.wait()
+        sender = self._world.daemons.get(self._host)
+        if sender is None:
+            # The daemon was killed in this moment.
+            return
+        await sender.gate.wait()
         for address in addresses:
             self._world.send(self._host, address.host, payload)
 
@@ -277,6 +280,8 @@
         return True
 
     def _list_zones(self, host: str) -> dict[str, list[str]]:
+        if host not in self.daemons:
+            return {}
         table = self.daemons[host].peer_table
         age = max(1500, 3 * self._interval)
         return table.list_zones(age, self.clock.get_now())
