Vouch for a configuration only if it can be read, and read records over narrow links

A copy of the state now tells the feed of the daemon that asks for it up to which revision it is complete; a daemon that could not decode the newest content doesn't tell one. The table client of serve reads with the limits of the entry daemon: the same class of fault, not seen there.

--- a/src/clementinedyke/entry/configuration_view.py
+++ b/src/clementinedyke/entry/configuration_view.py
@@ -42,6 +42,7 @@
         self._journal = journal
         self._index: _Index | None = None
         self._content = b''
+        self._is_readable = True
         self._confirmed_at: Milliseconds | None = None
         #: Called when another version is in force.
         self.change_observers: list[Callable[[], None]] = []
@@ -65,6 +66,11 @@
         """Raw content of the version in force, for other daemons."""
         return self._content
 
+    @property
+    def is_readable(self) -> bool:
+        """Whether the last content that was seen could be decoded."""
+        return self._is_readable
+
     @property
     def confirmed_at(self) -> Milliseconds | None:
         """Latest time at which no newer version existed, None if unknown."""
@@ -131,6 +137,7 @@
         if content == self._content:
             return
         decoded = self._decode(content)
+        self._is_readable = decoded.is_ok()
         if decoded.is_err():
             self._journal.write(
                 'configuration_unreadable',
--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -452,8 +452,11 @@
 
     def _copy_state(self, now: Milliseconds) -> SharedState:
         age = self._configuration.get_age(now)
-        feed = self.configuration_feed
-        known = None if feed is None else feed.compile_news(now)
+        known = None
+        if self.configuration_feed is not None and (
+            self._configuration.is_readable
+        ):
+            known = self.configuration_feed.compile_news(now)
         return SharedState(
             self._configuration.content,
             -1 if age is None else age,
--- a/src/clementinedyke/reference_platform/tables.py
+++ b/src/clementinedyke/reference_platform/tables.py
@@ -12,7 +12,12 @@
 from clementinedyke.clock import Milliseconds
 from clementinedyke.decoding import decode_json
 from clementinedyke.exceptions import ProtocolError
-from clementinedyke.http.client import HttpClient, HttpRequest, HttpResponse
+from clementinedyke.http.client import (
+    BodyLimits,
+    HttpClient,
+    HttpRequest,
+    HttpResponse,
+)
 from clementinedyke.peer_calls import (
     DEFAULT_TIMEOUT,
     STATUS_NOT_FOUND,
@@ -44,6 +49,9 @@
 )
 
 _STATUS_CONFLICT = 409
+#: All records of a region may take seconds on a narrow link.
+_IDLE_TIMEOUT: Milliseconds = 1000
+_BODY_LIMITS = BodyLimits(_IDLE_TIMEOUT, total_timeout=8 * _IDLE_TIMEOUT)
 _Decoded = TypeVar('_Decoded')
 
 
@@ -146,7 +154,9 @@
         self, method: str, target: str, body: bytes = b''
     ) -> CallResult:
         request = HttpRequest(method=method, target=target, body=body)
-        return await call_pooled(self._client, request, self._timeout)
+        return await call_pooled(
+            self._client, request, self._timeout, _BODY_LIMITS
+        )
 
 
 def _decode(
--- a/tests/test_entry_feeds.py
+++ b/tests/test_entry_feeds.py
@@ -327,3 +327,17 @@
             assert len(world.sent) > before + 5
 
         run_feed_world(72, scenario)
+
+    def test_news_larger_than_a_datagram(self) -> None:
+        """Daemons are told at once that they have to read the store."""
+
+        async def scenario(world: FeedWorld) -> None:
+            reader = world.list_readers(_ZONE)[0]
+            rows = [NewsRow('large', 1, Random(1).randbytes(200000))]
+            before = len(world.sent)
+            reader.exchange.publish(TableNews('other', 0, 1, 0, rows))
+            await trio.sleep(0.001)
+            assert len(world.sent) > before + 5
+            assert max(world.sent[before:]) < 2000
+
+        run_feed_world(72, scenario)
--- a/tests/test_large_configuration.py
+++ b/tests/test_large_configuration.py
@@ -168,6 +168,21 @@
         assert states[0].configuration_revision > 0
         assert states[1].configuration == states[0].configuration
 
+    def test_unreadable_configuration(self) -> None:
+        """A daemon that can't read the newest content doesn't vouch for it."""
+
+        async def scenario(env: EntryEnvironment) -> None:
+            await env.open()
+            known = decode_state(await request_state(get_peer_address(env)))
+            assert known.configuration_revision
+            env.store.put('op', 'config', {'version': 'unreadable'})
+            await env.wait_until_seen()
+            state = decode_state(await request_state(get_peer_address(env)))
+            assert state.configuration == known.configuration
+            assert not state.configuration_revision
+
+        ScenarioRunner().run(scenario)
+
     def test_copy_of_the_build_before(self) -> None:
         """Copies without the last fields are not passed to the feed."""
         state = SharedState(b'{}', 5, [], 7)
