Log how old the connections are on which calls to the store fail

A failed call told its name only, so that a silent kept connection, a silent new one and a slow store looked alike. store_connection_lost tells for how long the connection was idle before the call and since when the store had sent nothing on it.

--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -73,6 +73,7 @@
             self._store_contact, self._clock, self._journal
         )
         platform.store.record_call = self._store_calls.record_call
+        platform.store.observe_losses(self._store_calls.record_loss)
         self._wall_time = WallTime(self._clock)
         self._usage = UsageCounter(
             self._wall_time, settings.bounds.usage_window
--- a/src/clementinedyke/entry/platform_parts.py
+++ b/src/clementinedyke/entry/platform_parts.py
@@ -12,6 +12,7 @@
 from clementinedyke.entry.store_calls import StoreCall
 from clementinedyke.entry.usage_duty import UsageReporter
 from clementinedyke.entry.watch import TableFeed
+from clementinedyke.http.client import LostConnection
 from clementinedyke.leases.component import HostList
 from clementinedyke.rows import RowStore
 
@@ -24,6 +25,11 @@
 
     record_call: Callable[[StoreCall], None]
 
+    def observe_losses(
+        self, observer: Callable[[LostConnection], None]
+    ) -> None:
+        """Have connections that a call lost reported to an observer."""
+
 
 class Duties(UsageReporter, OrderSender, Protocol):
     """Calls that only one daemon at a time may make."""
--- a/src/clementinedyke/entry/store_calls.py
+++ b/src/clementinedyke/entry/store_calls.py
@@ -10,6 +10,7 @@
 from clementinedyke.clock import Clock
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.store_contact import StoreContact
+from clementinedyke.http.client import LostConnection
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +52,17 @@
         else:
             self._contact.record_answer(self._clock.get_now())
 
+    def record_loss(self, lost: LostConnection) -> None:
+        """Log a connection that was lost or given up during a call.
+
+        :param lost: what is known of the connection.
+        """
+        self._journal.write(
+            'store_connection_lost',
+            idle_ms=lost.idle_time,
+            silence_ms=lost.silence,
+        )
+
     def collect(self) -> Iterator[CounterMetricFamily]:
         """Return the counts to the metrics registry."""
         family = CounterMetricFamily(
--- a/src/clementinedyke/http/client.py
+++ b/src/clementinedyke/http/client.py
@@ -166,6 +166,19 @@
         return record_progress
 
 
+@dataclass(frozen=True, slots=True)
+class LostConnection:
+    """A connection that was lost or given up before its response ended.
+
+    ``idle_time`` is the time in ms for which it was idle before the request,
+    None if it was new. ``silence`` is the time in ms since the peer last sent
+    anything on it.
+    """
+
+    idle_time: Milliseconds | None
+    silence: Milliseconds
+
+
 @dataclass(slots=True)
 class _Connection:
     stream: trio.abc.Stream
@@ -180,6 +193,8 @@
     idle_since: float = math.inf
     #: Idle time before the current request, None for the first request.
     idle_time: Milliseconds | None = None
+    #: trio time in seconds at which the peer last sent anything.
+    received_at: float = field(default_factory=trio.current_time)
 
     async def receive_event(self) -> h11.Event:
         while True:
@@ -229,6 +244,8 @@
 
     async def _fill_buffer(self) -> None:
         received = await receive_some(self.stream, _READ_SIZE)
+        if received:
+            self.received_at = trio.current_time()
         self.protocol.receive_data(received)
 
 
@@ -343,6 +360,8 @@
         self._ssl_context = ssl_context
         self._connect_timeout = connect_timeout
         self._idle: list[_Connection] = []
+        #: Called when a connection is lost before its response ended.
+        self.record_loss: Callable[[LostConnection], None] = _discard_loss
 
     @property
     def address(self) -> Address:
@@ -396,6 +415,9 @@
             connection = await self._acquire_connection()
         try:
             yield await self._exchange_checking_reset(connection, request)
+        except (AnswerLostError, trio.Cancelled):
+            self.record_loss(_describe_loss(connection))
+            raise
         finally:
             await self._release_connection(connection)
 
@@ -555,6 +577,17 @@
         await trio.aclose_forcefully(connection.stream)
 
 
+def _discard_loss(lost: LostConnection) -> None:
+    """Do nothing; default callback of a client without an observer."""
+
+
+def _describe_loss(connection: _Connection) -> LostConnection:
+    silence = trio.current_time() - connection.received_at
+    return LostConnection(
+        connection.idle_time, int(silence * _MILLISECONDS_PER_SECOND)
+    )
+
+
 def _get_framing(status: int, fields: Mapping[bytes, bytes]) -> Framing:
     if b'transfer-encoding' in fields:
         return Framing.CHUNKED
--- a/src/clementinedyke/platform/store.py
+++ b/src/clementinedyke/platform/store.py
@@ -20,6 +20,7 @@
     HttpClient,
     HttpRequest,
     HttpResponse,
+    LostConnection,
 )
 from clementinedyke.peer_calls import STATUS_OK, call_pooled
 from clementinedyke.platform.store_answers import (
@@ -99,6 +100,15 @@
         #: Called after each call to the store.
         self.record_call: Callable[[StoreCall], None] = _discard_call
 
+    def observe_losses(
+        self, observer: Callable[[LostConnection], None]
+    ) -> None:
+        """Have lost connections to the store reported.
+
+        :param observer: called with each connection that a call lost.
+        """
+        self._client.record_loss = observer
+
     async def commit(
         self, conditions: Sequence[Condition], writes: Sequence[Write]
     ) -> CommitResult:
--- a/tests/test_entry_logs.py
+++ b/tests/test_entry_logs.py
@@ -26,6 +26,7 @@
 from clementinedyke.entry.ports import get_max_connections
 from clementinedyke.entry.store_calls import StoreCall, StoreCallLog
 from clementinedyke.entry.store_contact import StoreContact
+from clementinedyke.http.client import LostConnection
 
 _ENDED = {
     'at_ms': 17,
@@ -200,6 +201,16 @@
         assert lines[0]['call'] == 'rows-tx'
         assert lines[0]['outcome'] == 'status_503'
 
+    def test_lost_connection(self) -> None:
+        """A lost connection must be logged with its age."""
+        journal = Journal(ManualClock(), 'host-1', 100, 100)
+        calls = StoreCallLog(StoreContact(), ManualClock(), journal)
+        calls.record_loss(LostConnection(idle_time=None, silence=1900))
+        line = read_journal(journal)[0]
+        assert line['event'] == 'store_connection_lost'
+        assert line['idle_ms'] is None
+        assert line['silence_ms'] == 1900
+
     def test_contact(self) -> None:
         """Only a call that was answered must count as contact to the store."""
         clock = ManualClock()
