Reproduce versions that come late while connections to the store are silent

Four checks: late, older again, invalid content taken, added route missing.

The client takes the function that opens connections as an attribute, and socket_io dispatches on the type of stream, so that simulated ones fit.

--- a/src/clementinedyke/entry/platform_parts.py
+++ b/src/clementinedyke/entry/platform_parts.py
@@ -12,7 +12,7 @@
 from clementinedyke.entry.store_calls import StoreCall
 from clementinedyke.entry.usage_duty import UsageReporter
 from clementinedyke.entry.watch import TableFeed
-from clementinedyke.http.client import LostConnection
+from clementinedyke.http.lost_connection import LostConnection
 from clementinedyke.leases.component import HostList
 from clementinedyke.rows import RowStore
 
--- a/src/clementinedyke/entry/store_calls.py
+++ b/src/clementinedyke/entry/store_calls.py
@@ -10,7 +10,7 @@
 from clementinedyke.clock import Clock
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.store_contact import StoreContact
-from clementinedyke.http.client import LostConnection
+from clementinedyke.http.lost_connection import LostConnection
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedyke/http/client.py
+++ b/src/clementinedyke/http/client.py
@@ -4,7 +4,13 @@
 import ipaddress
 import math
 import re
-from collections.abc import AsyncIterator, Callable, Mapping, Sequence
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Mapping,
+    Sequence,
+)
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from ssl import SSLContext
@@ -24,13 +30,13 @@
     ProtocolError,
 )
 from clementinedyke.http.idle_time_limit import IdleTimeLimit
+from clementinedyke.http.lost_connection import LostConnection, discard_loss
 from clementinedyke.http.socket_io import (
-    get_transport,
-    read_nowait,
+    is_quiet,
+    open_tcp,
     receive_some,
     send_all,
     set_reset_on_close,
-    set_silence_limit,
 )
 
 #: Pairs of header name and value, as sent on the wire.
@@ -58,11 +64,6 @@
 _KEEP_ALIVE_MARGIN_SECONDS = 0.5
 #: Longest announced timeout in seconds that is looked at.
 _MAX_KEEP_ALIVE = 10**9
-#: A connection breaks if its peer's host sends no packet for this long: open
-#: connections may go silent for good while new ones work. The limit leaves
-#: time to learn a change over a new connection within 3 s, and peers may
-#: pause for a second or so.
-_SILENCE_LIMIT: Milliseconds = 1900
 _KEEP_ALIVE = re.compile(rb'timeout=(\d+)')
 _CONNECTION_ERRORS = (
     trio.BrokenResourceError,
@@ -166,19 +167,6 @@
         return record_progress
 
 
-@dataclass(frozen=True, slots=True)
-class LostConnection:
-    """A connection that was lost or given up before its response ended.
-
-    ``idle_time`` is the time in ms for which it was idle before the request,
-    None if it was new. ``silence`` is the time in ms since the peer last sent
-    anything on it.
-    """
-
-    idle_time: Milliseconds | None
-    silence: Milliseconds
-
-
 @dataclass(slots=True)
 class _Connection:
     stream: trio.abc.Stream
@@ -228,6 +216,12 @@
         payload = b''.join(part or b'' for part in parts)
         await send_all(self.stream, payload)
 
+    def describe_loss(self) -> LostConnection:
+        silence = trio.current_time() - self.received_at
+        return LostConnection(
+            self.idle_time, int(silence * _MILLISECONDS_PER_SECOND)
+        )
+
     def _parse_data(self) -> list[bytes]:
         parts: list[bytes] = []
         while True:
@@ -360,8 +354,12 @@
         self._ssl_context = ssl_context
         self._connect_timeout = connect_timeout
         self._idle: list[_Connection] = []
+        #: Opens the connections, to which TLS is added.
+        self.open_transport: Callable[
+            [str, int], Awaitable[trio.abc.Stream]
+        ] = open_tcp
         #: Called when a connection is lost before its response ended.
-        self.record_loss: Callable[[LostConnection], None] = _discard_loss
+        self.record_loss: Callable[[LostConnection], None] = discard_loss
 
     @property
     def address(self) -> Address:
@@ -416,7 +414,7 @@
         try:
             yield await self._exchange_checking_reset(connection, request)
         except (AnswerLostError, trio.Cancelled):
-            self.record_loss(_describe_loss(connection))
+            self.record_loss(connection.describe_loss())
             raise
         finally:
             await self._release_connection(connection)
@@ -536,10 +534,9 @@
             ) from error
 
     async def _open_stream(self) -> trio.abc.Stream:
-        transport = await trio.open_tcp_stream(
+        transport = await self.open_transport(
             self._address.host, self._address.port
         )
-        set_silence_limit(transport, _SILENCE_LIMIT)
         if self._ssl_context is None:
             return transport
         stream = trio.SSLStream(
@@ -573,21 +570,10 @@
         if protocol.their_state not in _COMPLETE_STATES:
             # A regular close would still deliver a request that waits in the
             # link after it was given up.
-            set_reset_on_close(get_transport(connection.stream))
+            set_reset_on_close(connection.stream)
         await trio.aclose_forcefully(connection.stream)
 
 
-def _discard_loss(lost: LostConnection) -> None:
-    """Do nothing; default callback of a client without an observer."""
-
-
-def _describe_loss(connection: _Connection) -> LostConnection:
-    silence = trio.current_time() - connection.received_at
-    return LostConnection(
-        connection.idle_time, int(silence * _MILLISECONDS_PER_SECOND)
-    )
-
-
 def _get_framing(status: int, fields: Mapping[bytes, bytes]) -> Framing:
     if b'transfer-encoding' in fields:
         return Framing.CHUNKED
@@ -658,7 +644,4 @@
     """
     if trio.current_time() >= connection.usable_until:
         return False
-    try:
-        return read_nowait(get_transport(connection.stream), 1) is None
-    except (trio.BrokenResourceError, trio.ClosedResourceError):
-        return False
+    return is_quiet(connection.stream)
--- a/src/clementinedyke/http/socket_io.py
+++ b/src/clementinedyke/http/socket_io.py
@@ -11,12 +11,30 @@
 import select
 import socket
 import struct
+from functools import singledispatch
 
 import trio
 
 from clementinedyke.clock import Milliseconds
 
 _KEEP_ALIVE_SECONDS = 1
+#: A connection breaks if its peer's host sends no packet for this long: open
+#: connections may go silent for good while new ones work. The limit leaves
+#: time to learn a change over a new connection within 3 s, and peers may
+#: pause for a second or so.
+SILENCE_LIMIT: Milliseconds = 1900
+
+
+async def open_tcp(host: str, port: int) -> trio.abc.Stream:
+    """Open a connection that breaks when its peer's host is silent.
+
+    :param host: IP address of the peer.
+    :param port: TCP port of the peer.
+    :raises OSError: if the peer cannot be reached.
+    """
+    transport = await trio.open_tcp_stream(host, port)
+    set_silence_limit(transport, SILENCE_LIMIT)
+    return transport
 
 
 async def receive_some(stream: trio.abc.Stream, max_bytes: int) -> bytes:
@@ -102,11 +120,34 @@
     raise TypeError(f'{type(stream).__name__} is not a TCP connection')
 
 
-def set_reset_on_close(transport: trio.SocketStream) -> None:
+@singledispatch
+def is_quiet(stream: trio.abc.Stream) -> bool:
+    """Return whether nothing has arrived on an open connection.
+
+    :param stream: stream that nobody reads from.
+    """
+    return is_quiet(get_transport(stream))
+
+
+@is_quiet.register
+def _is_socket_quiet(stream: trio.SocketStream) -> bool:
+    try:
+        return read_nowait(stream, 1) is None
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        return False
+
+
+@singledispatch
+def set_reset_on_close(stream: trio.abc.Stream) -> None:
     """Make the kernel reset the connection and drop unsent bytes on close.
 
-    :param transport: connection that is about to be closed.
+    :param stream: connection that is about to be closed.
     """
+    set_reset_on_close(get_transport(stream))
+
+
+@set_reset_on_close.register
+def _set_socket_reset(transport: trio.SocketStream) -> None:
     try:
         transport.setsockopt(
             socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
--- a/src/clementinedyke/platform/store.py
+++ b/src/clementinedyke/platform/store.py
@@ -20,8 +20,8 @@
     HttpClient,
     HttpRequest,
     HttpResponse,
-    LostConnection,
 )
+from clementinedyke.http.lost_connection import LostConnection
 from clementinedyke.peer_calls import STATUS_OK, call_pooled
 from clementinedyke.platform.store_answers import (
     StorePage,
--- a/tests/configuration_world.py
+++ b/tests/configuration_world.py
@@ -11,12 +11,13 @@
 from types import SimpleNamespace
 
 import trio
-from result import Ok, Result
+from result import Err, Ok, Result
 from tests.entry_samples import (
     BOUNDS,
     TrioClock,
     create_configuration,
     create_journal,
+    create_route,
 )
 from tests.recovery_world import Gate, SimulatedStore, StoreAccess
 from trio.testing import MockClock
@@ -111,7 +112,7 @@
         self.bound = next(
             bound for size, bound in _BOUNDS_BY_SIZE if daemons <= size
         )
-        self.store = SimulatedStore()
+        self.store = self._create_store()
         self.clock = TrioClock()
         self.generator = Random(seed)
         self.daemons: dict[str, ConfiguredDaemon] = {}
@@ -286,10 +287,18 @@
         age = max(1500, 3 * self._interval)
         return table.list_zones(age, self.clock.get_now())
 
+    def _create_store(self) -> SimulatedStore:
+        return SimulatedStore()
+
+    def _create_access(
+        self, generator: Random, contact: StoreContact
+    ) -> StoreAccess:
+        return StoreAccess(self.store, generator, contact)
+
     def _add_daemon(self, host: str, zone: str) -> None:
         generator = Random(f'{self._seed} {host}')
         contact = StoreContact()
-        access = StoreAccess(self.store, generator, contact)
+        access = self._create_access(generator, contact)
         journal = create_journal(ManualClock())
         pace = FeedPace(lambda: len(self.daemons), self._bounds)
         view = ConfigurationView(_KEY, _decode, journal)
@@ -338,11 +347,12 @@
     *,
     zones: int = 4,
     seed: int = 1,
+    kind: type[ConfigurationWorld] = ConfigurationWorld,
 ) -> None:
     """Start daemons, let them settle, and run a scenario in virtual time."""
 
     async def main() -> None:
-        world = ConfigurationWorld(daemons, zones, seed)
+        world = kind(daemons, zones, seed)
         world.write_version()
         async with trio.open_nursery() as nursery:
             await world.start(nursery)
@@ -354,4 +364,13 @@
 
 
 def _decode(content: bytes) -> Result:
-    return Ok(create_configuration(int(content)))
+    if not content.isdigit():
+        return Err('no configuration')
+    version = int(content)
+    route = create_route(prefix=get_added_prefix(version))
+    return Ok(create_configuration(version, routes=(create_route(), route)))
+
+
+def get_added_prefix(version: int) -> str:
+    """Return the prefix of the route that a version adds."""
+    return f'/added-{version}/'
--- a/tests/test_entry_logs.py
+++ b/tests/test_entry_logs.py
@@ -26,7 +26,7 @@
 from clementinedyke.entry.ports import get_max_connections
 from clementinedyke.entry.store_calls import StoreCall, StoreCallLog
 from clementinedyke.entry.store_contact import StoreContact
-from clementinedyke.http.client import LostConnection
+from clementinedyke.http.lost_connection import LostConnection
 
 _ENDED = {
     'at_ms': 17,
