Distrust idle connections to the store after a silent one

What callers saw: with all open connections to the store silent, daemons answered by an old configuration up to 2.8 s longer than allowed.

Cause: a daemon keeps several connections to the store. A call on one that had gone silent failed after 0.7 to 1.9 s, and the next call took another one that had been idle for as long. Daemons that stopped relying on readers began with such a connection too.

Change: after a request without an answer for 0.5 s, connections that were idle meanwhile are closed. A feed asks for a connection without doubts after a failed call and after others have read for it. This holds for every client with a pool: store, endpoints, other daemons.

--- a/src/clementinedyke/entry/watch.py
+++ b/src/clementinedyke/entry/watch.py
@@ -85,9 +85,17 @@
         """Return all rows of a table whose keys start with a prefix."""
 
     async def follow_table(
-        self, table: str, revision: int, wait: Milliseconds
+        self,
+        table: str,
+        revision: int,
+        wait: Milliseconds,
+        *,
+        doubts_idle: bool = False,
     ) -> Result[FeedAnswer | HistoryLost, TableFailure]:
-        """Wait up to ``wait`` ms for changes after a revision."""
+        """Wait up to ``wait`` ms for changes after a revision.
+
+        ``doubts_idle`` is whether idle connections may have gone silent.
+        """
 
 
 class TableView(Protocol):
@@ -231,6 +239,9 @@
         self._generator = generator
         self._revision: int | None = None
         self._is_connected = False
+        #: Whether kept connections may have gone silent: others read for this
+        #: daemon, or its last call failed.
+        self._doubts_idle = False
         self._is_pausing = False
         self._failures = 0
         self._failed_at: Milliseconds | None = None
@@ -370,6 +381,7 @@
 
         A missed change ends the wait after its delay.
         """
+        self._doubts_idle = True
         expires_at = self._confirmed_at + self._pace.get_max_news_age()
         left = expires_at + 1 - self._clock.get_now()
         await self._gap.wait(max(0, min(left, _FOLLOW_INTERVAL)))
@@ -421,7 +433,9 @@
         if self._behind_since is not None:
             self._gap_scope = scope
         with scope:
-            return await self._feed.follow_table(self._table, after, wait)
+            return await self._feed.follow_table(
+                self._table, after, wait, doubts_idle=self._doubts_idle
+            )
         return None
 
     def _may_follow(self) -> bool:
@@ -507,6 +521,7 @@
         | Result[FeedAnswer | HistoryLost, TableFailure],
         sent_at: Milliseconds,
     ) -> bool:
+        self._doubts_idle = answer.is_err()
         if answer.is_err():
             now = self._clock.get_now()
             if self._failures:
--- a/src/clementinedyke/http/client.py
+++ b/src/clementinedyke/http/client.py
@@ -62,6 +62,10 @@
 #: Idle connections are discarded this long before the timeout that the peer
 #: announced, so that no request is sent while the peer closes.
 _KEEP_ALIVE_MARGIN_SECONDS = 0.5
+#: A request that waited this long without an answer, and then failed, casts
+#: doubt on all connections that were idle meanwhile: open ones may go silent
+#: together, and each would cost another such wait.
+_UNANSWERED_TIME: Milliseconds = 500
 #: Longest announced timeout in seconds that is looked at.
 _MAX_KEEP_ALIVE = 10**9
 _KEEP_ALIVE = re.compile(rb'timeout=(\d+)')
@@ -183,6 +187,14 @@
     idle_time: Milliseconds | None = None
     #: trio time in seconds at which the peer last sent anything.
     received_at: float = field(default_factory=trio.current_time)
+    #: trio time in seconds at which the last request was sent.
+    sent_at: float = field(default_factory=trio.current_time)
+
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether a request has waited long for bytes of its response."""
+        waited = trio.current_time() - max(self.received_at, self.sent_at)
+        return waited * _MILLISECONDS_PER_SECOND >= _UNANSWERED_TIME
 
     async def receive_event(self) -> h11.Event:
         while True:
@@ -213,6 +225,7 @@
             parts.append(self.protocol.send(h11.Data(data=request.body)))
         parts.append(self.protocol.send(h11.EndOfMessage()))
         self.is_response_complete = False
+        self.sent_at = trio.current_time()
         payload = b''.join(part or b'' for part in parts)
         await send_all(self.stream, payload)
 
@@ -354,6 +367,9 @@
         self._ssl_context = ssl_context
         self._connect_timeout = connect_timeout
         self._idle: list[_Connection] = []
+        #: Connections that have been idle since before are not used again, in
+        #: trio time.
+        self._trusted_since = -math.inf
         #: Opens the connections, to which TLS is added.
         self.open_transport: Callable[
             [str, int], Awaitable[trio.abc.Stream]
@@ -413,7 +429,12 @@
             connection = await self._acquire_connection()
         try:
             yield await self._exchange_checking_reset(connection, request)
-        except (AnswerLostError, trio.Cancelled):
+        except AnswerLostError:
+            if connection.is_unanswered:
+                self._distrust_idle()
+            self.record_loss(connection.describe_loss())
+            raise
+        except trio.Cancelled:
             self.record_loss(connection.describe_loss())
             raise
         finally:
@@ -424,6 +445,8 @@
         request: HttpRequest,
         timeout: Milliseconds,
         body_limits: BodyLimits | None = None,
+        *,
+        doubts_idle: bool = False,
     ) -> HttpResponse:
         """Send a request and return the complete response.
 
@@ -431,10 +454,14 @@
         :param timeout: timeout for the whole exchange, in milliseconds.
         :param body_limits: if given, the timeout ends with the head of the
             response, and these limits apply to its body.
+        :param doubts_idle: whether connections that have been idle may have
+            gone silent, so that they are not used.
         :raises PeerUnavailableError: if no connection could be opened and
             nothing was sent.
         :raises AnswerLostError: if no complete response arrived in time.
         """
+        if doubts_idle:
+            self._distrust_idle()
         with trio.move_on_after(timeout / _MILLISECONDS_PER_SECOND) as scope:
             async with self.open_response(request) as response:
                 record_progress: Callable[[], object] = bool
@@ -444,6 +471,7 @@
                     record_progress=record_progress
                 )
                 return HttpResponse(response.status, response.headers, body)
+        self._distrust_idle()
         raise AnswerLostError(
             f'{request.method} {request.target} at {self._address}: '
             f'no complete response within {timeout} ms'
@@ -503,10 +531,20 @@
                 raise ProtocolError(f'{self._address} sent no response head')
         raise ProtocolError(f'{self._address} sent only interim responses')
 
+    def _distrust_idle(self) -> None:
+        """Use no connection again that may have gone silent."""
+        moment = _UNANSWERED_TIME / _MILLISECONDS_PER_SECOND
+        self._trusted_since = trio.current_time() - moment
+
     async def _acquire_connection(self) -> _Connection:
         now = trio.current_time()
         while self._idle:
             connection = self._idle.pop()
+            if connection.idle_since < self._trusted_since:
+                # Those below it have been idle for longer.
+                await trio.aclose_forcefully(connection.stream)
+                await self.close()
+                break
             idle_seconds = now - connection.idle_since
             connection.idle_time = int(idle_seconds * _MILLISECONDS_PER_SECOND)
             is_within_limit = (
--- a/src/clementinedyke/peer_calls.py
+++ b/src/clementinedyke/peer_calls.py
@@ -30,6 +30,8 @@
     request: HttpRequest,
     timeout: Milliseconds,
     body_limits: BodyLimits | None = None,
+    *,
+    doubts_idle: bool = False,
 ) -> CallResult:
     """Send a request over a pooled connection.
 
@@ -39,9 +41,14 @@
     :param request: request with its complete body.
     :param timeout: longest wait for an answer in milliseconds.
     :param body_limits: limits for its body; None if the timeout includes it.
+    :param doubts_idle: whether idle connections may have gone silent.
     """
     try:
-        return Ok(await client.request(request, timeout, body_limits))
+        return Ok(
+            await client.request(
+                request, timeout, body_limits, doubts_idle=doubts_idle
+            )
+        )
     except PeerUnavailableError:
         return Err(TableFailure.NOT_DONE)
     except (AnswerLostError, ProtocolError):
--- a/src/clementinedyke/platform/store.py
+++ b/src/clementinedyke/platform/store.py
@@ -205,7 +205,12 @@
             start = f'{page.rows[-1].key}\0'
 
     async def follow_table(
-        self, table: str, revision: int, wait: Milliseconds
+        self,
+        table: str,
+        revision: int,
+        wait: Milliseconds,
+        *,
+        doubts_idle: bool = False,
     ) -> Result[FeedAnswer | HistoryLost, TableFailure]:
         """Long-poll for the changes of a table after a revision.
 
@@ -216,6 +221,7 @@
         :param table: table name.
         :param revision: last revision that the caller has.
         :param wait: maximum wait of the store in milliseconds.
+        :param doubts_idle: whether idle connections may have gone silent.
         """
         number = get_number(revision)
         target = f'/v1/rows-feed?table={table}&after={number}&wait_ms={wait}'
@@ -223,6 +229,7 @@
             HttpRequest('GET', target),
             wait + _FEED_TIMEOUT_MARGIN,
             _READ_LIMITS,
+            doubts_idle=doubts_idle,
         )
         if answer.is_ok() and (
             answer.unwrap().response.status == _STATUS_HISTORY_LOST
@@ -250,8 +257,16 @@
         request: HttpRequest,
         timeout: Milliseconds,
         body_limits: BodyLimits | None = None,
+        *,
+        doubts_idle: bool = False,
     ) -> Result[_Answer, TableFailure]:
-        answer = await call_pooled(self._client, request, timeout, body_limits)
+        answer = await call_pooled(
+            self._client,
+            request,
+            timeout,
+            body_limits,
+            doubts_idle=doubts_idle,
+        )
         if answer.is_err():
             outcome = answer.unwrap_err().value
         else:
--- a/tests/recovery_world.py
+++ b/tests/recovery_world.py
@@ -158,7 +158,12 @@
         return await self.follow_table(table, 0, 0)
 
     async def follow_table(
-        self, table: str, revision: int, wait: int
+        self,
+        table: str,
+        revision: int,
+        wait: int,
+        *,
+        doubts_idle: bool = False,
     ) -> Result[FeedAnswer | HistoryLost, TableFailure]:
         """Return the rows written after a revision, waiting for one."""
         self.calls += 1
--- a/tests/test_entry_watch.py
+++ b/tests/test_entry_watch.py
@@ -37,7 +37,12 @@
         return Ok(FeedAnswer(1, ()))
 
     async def follow_table(
-        self, table: str, revision: int, wait: int
+        self,
+        table: str,
+        revision: int,
+        wait: int,
+        *,
+        doubts_idle: bool = False,
     ) -> Result[FeedAnswer, TableFailure]:
         """Return no changes after the wait."""
         self.waits.append(wait)
@@ -49,7 +54,12 @@
     """Store stub that returns a change 500 ms after the wait."""
 
     async def follow_table(
-        self, table: str, revision: int, wait: int
+        self,
+        table: str,
+        revision: int,
+        wait: int,
+        *,
+        doubts_idle: bool = False,
     ) -> Result[FeedAnswer, TableFailure]:
         """Return a change made at an unknown time since the call."""
         await trio.sleep((wait + 500) / 1000)
--- a/tests/test_large_configuration.py
+++ b/tests/test_large_configuration.py
@@ -233,7 +233,12 @@
         return Ok(FeedAnswer(1, ()))
 
     async def follow_table(
-        self, table: str, revision: int, wait: int
+        self,
+        table: str,
+        revision: int,
+        wait: int,
+        *,
+        doubts_idle: bool = False,
     ) -> Result:
         """Return no changes."""
         self.calls.append(revision)
