Give up feed calls whose connections may be silent

Cause: how long a daemon waits on a silent connection depended on the number of daemons, not on the guaranteed delay. A reader did not doubt its own call when nobody confirmed the table, nor when another daemon told a newer revision.

Change: a feed call is given up when nobody has confirmed the table for as long as daemons rely on readers, or when another daemon knows of a change that the call should have returned. Daemons that read for themselves wait less than the shortest delay. When a call to the store succeeds after one had no answer, feed calls that are older are made again.

--- a/src/clementinedyke/entry/watch.py
+++ b/src/clementinedyke/entry/watch.py
@@ -26,9 +26,9 @@
 #: and a daemon that the store refuses gets the state from other daemons.
 _MAX_DOUBLINGS = 2
 
-_SINGLE_DAEMON_WAIT: Milliseconds = 1500
-_WAIT_PER_DAEMON: Milliseconds = 150
-_MIN_WAIT: Milliseconds = 3000
+_MIN_WAIT: Milliseconds = 500
+#: Waits are between 1/n of the longest one and all of it.
+_WAIT_SPREAD = 4
 _MAX_WAIT: Milliseconds = 10000
 _PAUSE_PER_DAEMON: Milliseconds = 20
 #: Delay before a daemon that missed a change reads it from the store. A reader
@@ -49,6 +49,8 @@
 #: Time in which a daemon that no longer relies on readers connects to the store
 #: and reads from it: 0.2 s, and more on a host that is short of processor time.
 _OWN_READ_TIME: Milliseconds = 700
+#: Time that an answer of the store takes, 60 times as slow as usual.
+_ANSWER_TIME: Milliseconds = 400
 #: Time from an answer of the store to a reader until all daemons have heard of
 #: it, with the interval between two such answers and one heartbeat of a reader.
 _CONFIRMATION_LAG: Milliseconds = 900
@@ -134,13 +136,15 @@
 class FeedPace:
     """Wait time of a feed's calls and the pause between calls.
 
-    A daemon on its own needs short waits to detect a dead connection. With
-    other daemons, their updates reveal missed changes, and longer waits save
-    calls, which cost money. The store reports each change to every daemon, so
-    the wait and the pause grow with the number of daemons. Each is limited to
-    half of the guarantee that it delays: the wait by ``max_key_age``, the pause
-    by ``drain_delay`` and ``configuration_delay``. Daemons that read for others
-    have a turn (``get_turn``) and end their calls one after the other.
+    A call that is not answered by the end of its wait tells that its connection
+    has gone silent, which may happen to all daemons at once. So a daemon that
+    reads for itself waits for less than the shortest guaranteed delay. Longer
+    waits save calls, which cost money: daemons that read for others have a turn
+    (``get_turn``) and end their calls one after the other, so that one of them
+    soon tells the rest. The store reports each change to every daemon, so the
+    pause grows with the number of daemons. It is limited to half of
+    ``drain_delay`` and ``configuration_delay``, the wait to half of
+    ``max_key_age``.
     """
 
     count_daemons: Callable[[], int]
@@ -149,12 +153,8 @@
 
     def get_wait(self) -> Milliseconds:
         """Return the longest wait of a call, in milliseconds."""
-        daemons = self.count_daemons()
-        if daemons == 1:
-            return _SINGLE_DAEMON_WAIT
-        return min(
-            self._get_longest_wait(), max(_MIN_WAIT, daemons * _WAIT_PER_DAEMON)
-        )
+        wait = self._get_shortest_delay() - _OWN_READ_TIME
+        return min(self._get_longest_wait(), max(_MIN_WAIT, wait))
 
     def select_wait(
         self, unchanged_time: Milliseconds, generator: Random
@@ -172,7 +172,7 @@
         turn = self.get_turn()
         if turn is None:
             longest = self.get_wait()
-            return generator.randint(longest // 2, longest)
+            return generator.randint(longest // _WAIT_SPREAD, longest)
         period = turn.readers * _CONFIRMATION_INTERVAL
         offset = (turn.place + 1) * _CONFIRMATION_INTERVAL
         wait = (offset - unchanged_time) % period
@@ -433,11 +433,46 @@
         if self._behind_since is not None:
             self._gap_scope = scope
         with scope:
-            return await self._feed.follow_table(
-                self._table, after, wait, doubts_idle=self._doubts_idle
-            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._give_up_silent, scope)
+                answer = await self._feed.follow_table(
+                    self._table, after, wait, doubts_idle=self._doubts_idle
+                )
+                nursery.cancel_scope.cancel()
+            return answer
         return None
 
+    async def _give_up_silent(self, scope: trio.CancelScope) -> None:
+        """Cancel a call whose connection may have gone silent.
+
+        Neither it nor other daemons confirm the table, or another daemon knows
+        of a change that it should have returned. The next call uses another
+        connection.
+
+        :param scope: scope of the call.
+        """
+        sent_at = self._clock.get_now()
+        left = self._get_silence_left(sent_at)
+        while left > 0:
+            await self._gap.wait(left)
+            left = self._get_silence_left(sent_at)
+        self._journal.write(
+            'feed_call_given_up',
+            table=self._table,
+            waited_ms=self._clock.get_now() - sent_at,
+            behind=self._behind_since is not None,
+        )
+        self._doubts_idle = True
+        scope.cancel()
+
+    def _get_silence_left(self, sent_at: Milliseconds) -> Milliseconds:
+        """Return the time in ms until a call without an answer is given up."""
+        longest = self._pace.get_max_news_age()
+        give_up_at = max(self._confirmed_at, sent_at) + longest
+        if self._behind_since is not None:
+            give_up_at = min(give_up_at, max(self._behind_since, sent_at))
+        return give_up_at + _ANSWER_TIME - self._clock.get_now()
+
     def _may_follow(self) -> bool:
         """Return whether this daemon need not call the store."""
         if self._revision is None or not self.is_followed():
--- a/src/clementinedyke/platform/store.py
+++ b/src/clementinedyke/platform/store.py
@@ -7,6 +7,7 @@
 from urllib.parse import quote
 
 import msgspec
+import trio
 from absl import logging
 from result import Err, Ok, Result
 
@@ -97,6 +98,11 @@
         self._client = client
         #: Newest era that an answer bore, 0 if none did.
         self._era = 0
+        #: Feed calls in progress and when they were made, in trio time.
+        self._following: dict[trio.CancelScope, float] = {}
+        #: End of the last call without an answer, None once another call had
+        #: one, in trio time.
+        self._unanswered_at: float | None = None
         #: Called after each call to the store.
         self.record_call: Callable[[StoreCall], None] = _discard_call
 
@@ -217,6 +223,8 @@
         Returns no rows if nothing changes during the wait, and HistoryLost if
         the store has discarded changes after the revision, or has returned from
         a copy since: rows with numbers given out again may be missing then.
+        The call fails if its connection may have gone silent together with
+        another one.
 
         :param table: table name.
         :param revision: last revision that the caller has.
@@ -225,12 +233,18 @@
         """
         number = get_number(revision)
         target = f'/v1/rows-feed?table={table}&after={number}&wait_ms={wait}'
-        answer = await self._call(
-            HttpRequest('GET', target),
-            wait + _FEED_TIMEOUT_MARGIN,
-            _READ_LIMITS,
-            doubts_idle=doubts_idle,
-        )
+        answer: Result[_Answer, TableFailure] = Err(TableFailure.UNKNOWN)
+        with trio.CancelScope() as scope:
+            self._following[scope] = trio.current_time()
+            try:
+                answer = await self._call(
+                    HttpRequest('GET', target),
+                    wait + _FEED_TIMEOUT_MARGIN,
+                    _READ_LIMITS,
+                    doubts_idle=doubts_idle,
+                )
+            finally:
+                self._following.pop(scope)
         if answer.is_ok() and (
             answer.unwrap().response.status == _STATUS_HISTORY_LOST
             or (revision and answer.unwrap().era != get_era(revision))
@@ -260,6 +274,7 @@
         *,
         doubts_idle: bool = False,
     ) -> Result[_Answer, TableFailure]:
+        sent_at = trio.current_time()
         answer = await call_pooled(
             self._client,
             request,
@@ -280,13 +295,31 @@
             )
         )
         if answer.is_err():
+            if answer.unwrap_err() is TableFailure.UNKNOWN:
+                self._unanswered_at = trio.current_time()
             return Err(answer.unwrap_err())
+        self._cancel_older_feeds(sent_at)
         era = self._read_era(answer.unwrap())
         if era < self._era:
             return Err(TableFailure.UNKNOWN)
         self._era = era
         return Ok(_Answer(answer.unwrap(), era))
 
+    def _cancel_older_feeds(self, sent_at: float) -> None:
+        """Give up feed calls that were made before a call got no answer.
+
+        The store answers again, so their connections may be silent as well.
+
+        :param sent_at: trio time of a call that was answered.
+        """
+        lost_at = self._unanswered_at
+        if lost_at is None or sent_at < lost_at:
+            return
+        self._unanswered_at = None
+        for scope, made_at in tuple(self._following.items()):
+            if made_at < lost_at:
+                scope.cancel()
+
     def _read_era(self, response: HttpResponse) -> int:
         """Return the era of an answer, the last known one if it tells none."""
         for name, text in response.headers:
