Let no daemon guess a stream's version after it was out of step

What callers saw, as reported from another system: streams that began on engines of a new version went on at an engine of another version, at a host that had stood still or been cut off while these engines joined.

Cause: a daemon that no keeper answered took the only version of its history for that of the stream. The history has a gap while the daemon is out of step; it was trusted if the view was up to 12 s old, and again as soon as the view was confirmed. A read of the store does not show engines that are gone again.

Change: the endpoint view records since when nothing can have been missed. Until it covers the life of the stream, the caller is told that nothing ran (3012).

Measured: test_version_that_came_and_went_unseen, four cases, fails with the former limit of 12 s.

--- a/src/clementinedyke/entry/endpoint_view.py
+++ b/src/clementinedyke/entry/endpoint_view.py
@@ -7,6 +7,7 @@
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.entry.catalog import EntryEndpoint, Stage
+from clementinedyke.entry.continuity import Continuity
 from clementinedyke.entry.departures import Departures
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.store_contact import StoreContact
@@ -63,6 +64,8 @@
         self._held_until: dict[str, Milliseconds] = {}
         self._store_failed_at: Milliseconds | None = None
         self._confirmed_at: Milliseconds | None = None
+        #: Time in which no change was missed.
+        self.continuity = Continuity()
         #: Store revision up to which all changes are known.
         self.as_of_revision = 0
         #: Store revision of the last change seen, removals included.
@@ -165,6 +168,7 @@
         :param revision: revision of the store at that instant.
         """
         self.as_of_revision = max(self.as_of_revision, revision)
+        self.continuity.record_confirmation(as_of)
         if self._confirmed_at is None or as_of > self._confirmed_at:
             self._confirmed_at = as_of
 
--- a/src/clementinedyke/entry/version_finder.py
+++ b/src/clementinedyke/entry/version_finder.py
@@ -37,10 +37,6 @@
 #: is sent, since datagrams are lost.
 _ANSWER_TIMEOUT: Milliseconds = 60
 _MAX_QUESTIONS = 2
-#: Age of the view of the endpoints beyond which a version may have come and
-#: gone unseen: the longest wait of a call that follows the table, and its
-#: answer.
-_MAX_VIEW_AGE: Milliseconds = 12000
 
 
 class ResumeCounts(Collector):
@@ -307,10 +303,9 @@
     ) -> frozenset[str]:
         """Return all versions in the lifetime, none if some may be missing."""
         now = self._clock.get_now()
-        age = self._endpoints.get_age(now)
         since = now - lifetime
-        is_recent = age is not None and age <= _MAX_VIEW_AGE
-        if is_recent and self.history.reaches_back(since):
+        is_complete = self._endpoints.continuity.covers(since, now)
+        if is_complete and self.history.reaches_back(since):
             return self.history.list_versions(service, since)
         return frozenset()
 
--- a/src/clementinedyke/entry/watch.py
+++ b/src/clementinedyke/entry/watch.py
@@ -408,9 +408,10 @@
         now = self._clock.get_now()
         if isinstance(outcome, FeedAnswer):
             self._process_changes(outcome, after, now)
-        if not has_changes and now >= sent_at + wait:
-            # Without changes the store checked until the end of the wait.
-            sent_at += wait
+            if not has_changes and now >= sent_at + wait:
+                # The store checked until the end of the wait.
+                self._view.confirm(sent_at, after)
+                sent_at += wait
         has_answered = self._process_answer(changes, sent_at)
         if has_answered and not has_changes:
             self._publish_confirmation()
--- a/tests/test_entry_stream_versions.py
+++ b/tests/test_entry_stream_versions.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -195,6 +196,34 @@
         assert fleet.find(1, request_id) is None
         assert fleet.find(1, None) is None
 
+    @pytest.mark.parametrize('has_followed', [False, True])
+    @pytest.mark.parametrize('absence', [5000, 8000])
+    def test_version_that_came_and_went_unseen(
+        self, absence: int, *, has_followed: bool
+    ) -> None:
+        """A daemon that was out of step does not guess what it missed.
+
+        Engines of a new version joined and broke while it stood still. It took
+        a stream of theirs up at the only version that it had ever seen.
+        """
+        fleet = VersionFleet(_DAEMONS)
+        fleet.advance(2 * LIFETIME)
+        absent = fleet.daemons[0]
+        absent.is_frozen = True
+        absent.has_store = False
+        fleet.store.versions.add('v1')
+        fleet.advance(absence // 2)
+        request_id = fleet.begin(1, 'v1')
+        fleet.store.versions.discard('v1')
+        fleet.advance(absence // 2)
+        absent.has_store = True
+        if has_followed:
+            absent.follow_store()
+        assert fleet.find(0, request_id) is None
+        assert fleet.find(0, None) is None
+        fleet.advance(LIFETIME + 1000)
+        assert fleet.find(0, None) == 'v0'
+
     def test_cut_zone_does_not_guess(self) -> None:
         """A daemon without store and peers knows too little."""
         fleet = VersionFleet(_DAEMONS)
--- a/tests/version_fleet.py
+++ b/tests/version_fleet.py
@@ -9,6 +9,7 @@
 
 from clementinedyke.clock import ManualClock
 from clementinedyke.entry.catalog import EntryEndpoint
+from clementinedyke.entry.continuity import Continuity
 from clementinedyke.entry.peer_network import Receiver
 from clementinedyke.entry.stream_versions import compute_id
 from clementinedyke.entry.version_finder import VersionFinder
@@ -16,6 +17,7 @@
 
 SERVICE = 'chat'
 LIFETIME = 9000
+_CONFIRMATION_INTERVAL = 1000
 _ZONES = ('zone-a', 'zone-b', 'zone-c')
 
 
@@ -50,7 +52,7 @@
         self.is_up = True
         self.is_frozen = False
         self.has_store = True
-        self.confirmed_at: int | None = None
+        self.continuity = Continuity()
         self.receive_message: Receiver = self._ignore
         self.versions = VersionFinder(
             self,
@@ -89,10 +91,6 @@
         for address in addresses:
             await self.fleet.deliver(self, address.port, payload)
 
-    def get_age(self, now: int) -> int | None:
-        """Return the age of the view of the endpoints."""
-        return None if self.confirmed_at is None else now - self.confirmed_at
-
     async def read(self) -> list[EntryEndpoint] | None:
         """Read the endpoints from the store."""
         if self.fleet.store.is_down or not self.has_store:
@@ -104,7 +102,7 @@
         if self.fleet.store.is_down or not (self.has_store and self.is_up):
             return
         now = self.fleet.clock.get_now()
-        self.confirmed_at = now
+        self.continuity.record_confirmation(now)
         self.versions.history.record_endpoints(
             self.fleet.store.list_endpoints(), now
         )
@@ -141,8 +139,11 @@
 
     def advance(self, duration: int) -> None:
         """Let time pass, while views that reach the store are confirmed."""
-        self.clock.advance(duration)
-        self.follow_store()
+        while duration > 0:
+            step = min(duration, _CONFIRMATION_INTERVAL)
+            self.clock.advance(step)
+            self.follow_store()
+            duration -= step
 
     def restart(self, number: int) -> None:
         """Kill a daemon and start it again without memory."""
