Pass on the endpoints when a configuration adds a service

An endpoint of a service that the configuration does not name takes no address away from another one. When a version added its service, the placement kept the former list until any entry changed: requests went to the address of an endpoint that no longer had it, and were refused there with 421.

The sync component compares the services of the configuration as well. test_added_service failed before.

--- a/src/clementinedyke/entry/sync_component.py
+++ b/src/clementinedyke/entry/sync_component.py
@@ -1,6 +1,6 @@
 """Passes changes of configuration and endpoints on to their users."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 
 import trio
 
@@ -59,10 +59,12 @@
         self._clock = clock
         self._version = 0
         self._revision = 0
+        #: Services that the configuration named at that revision.
+        self._services: Collection[str] | None = None
         #: Runs of the endpoints at the last revision that was passed on.
         self._runs: set[str] = set()
-        #: Revision at which connections to other runs were closed.
-        self._closed_revision = 0
+        #: Runs to which connections were kept when the others were closed.
+        self._kept_runs: set[str] = set()
         self._signal = ChangeSignal()
         configuration.change_observers.append(self._signal.record_change)
         endpoints.change_observers.append(self._signal.record_change)
@@ -86,9 +88,13 @@
             self._caller_port.set_bounds(configuration.bounds)
         now = self._clock.get_now()
         endpoints = self._endpoints.list_endpoints(now)
-        if self._endpoints.revision == self._revision:
+        services = self._configuration.get_services()
+        is_known = self._endpoints.revision == self._revision
+        if is_known and services == self._services:
             return
         self._revision = self._endpoints.revision
+        # An endpoint of an added service takes its address from another one.
+        self._services = services
         self._placement.set_endpoints(endpoints)
         for observer in self._observers:
             observer(endpoints, now)
@@ -97,8 +103,8 @@
     async def _run(self) -> None:
         while True:
             self.update()
-            if self._closed_revision != self._revision:
-                self._closed_revision = self._revision
+            if self._kept_runs != self._runs:
+                self._kept_runs = self._runs
                 await self._transport.close_stale(self._runs)
             await trio.sleep(_PAUSE_SECONDS)
             await self._signal.wait(self._get_wait())
--- a/tests/test_entry_sync.py
+++ b/tests/test_entry_sync.py
@@ -2,10 +2,18 @@
 
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 import trio
-from tests.entry_samples import create_journal
+from result import Ok, Result
+from tests.entry_samples import (
+    create_configuration,
+    create_endpoint,
+    create_journal,
+    create_service,
+)
 from tests.test_entry_endpoints import create_view
 from trio.testing import MockClock
 
@@ -31,21 +39,38 @@
         return round(trio.current_time() * 1000)
 
 
+def decode_services(content: bytes) -> Result:
+    """Return a configuration with services; its version is their number."""
+    names = content.decode().split()
+    services = {name: create_service(name) for name in names}
+    return Ok(create_configuration(len(names), services=services))
+
+
+def decode_endpoint(endpoint_id: str, content: bytes) -> Result:
+    """Return an endpoint at an address of all; its content is its service."""
+    endpoint = create_endpoint(
+        endpoint_id, service=content.decode(), started_at=int(endpoint_id[2:])
+    )
+    return Ok(replace(endpoint, address=Address('127.0.0.1', 1)))
+
+
 class SyncWorld:
     """A sync component with views, and what it passes on."""
 
     def __init__(self) -> None:
         """Create the component, whose other parts do nothing."""
-        self.view = create_view()
+        self.view = create_view(decode=decode_endpoint)
+        self.configuration = ConfigurationView(
+            'config', decode_services, create_journal(ManualClock())
+        )
+        self.view.get_services = self.configuration.get_services
         self.passed: list[tuple[int, list[str]]] = []
         self.component = SyncComponent(
-            ConfigurationView(
-                'config', lambda text: None, create_journal(ManualClock())
-            ),
+            self.configuration,
             self.view,
             self,
             self,
-            None,
+            SimpleNamespace(set_bounds=bool),
             (self.record,),
             TrioClock(),
         )
@@ -96,6 +121,29 @@
         world = run_virtual(scenario)
         assert [ids for _, ids in world.passed] == [['i-1'], []]
 
+    def test_added_service(self) -> None:
+        """An endpoint of a service that is added has its address at once.
+
+        The one that had the address before got the requests of the service
+        that it no longer runs, until any entry changed.
+        """
+
+        async def scenario(world: SyncWorld) -> None:
+            for number, service in enumerate(('chat', 'ledger'), 1):
+                world.view.apply_rows(
+                    (StoredRow(f'i-{number}', number, service.encode()),), 0
+                )
+            world.configuration.apply_content(b'chat', 0)
+            await trio.sleep(3)
+            world.configuration.apply_content(b'chat ledger', 3000)
+            await trio.sleep(0.05)
+
+        world = run_virtual(scenario)
+        assert [ids for _, ids in world.passed][-2:] == [
+            ['i-1', 'i-2'],
+            ['i-2'],
+        ]
+
     def test_end_of_hold(self) -> None:
         """An endpoint that is kept in an outage is dropped in time."""
 
