--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -79,7 +79,7 @@
     def test_every_cut(self, framing: str, interim: bytes) -> None:
         """No response is made of a head that breaks off, wherever it does."""
         head = interim + _STATUS + _HEADERS + _FRAMINGS[framing]
-        for size in range(len(head)):
+        for size, _ in enumerate(head):
             for split in (0, size // 2, size - 1):
                 parts = [head[:split], head[split:size]]
                 with pytest.raises((AnswerLostError, ProtocolError)):
