Count feed calls that were given up as failed

A call that was given up, because nobody confirmed its table, left the count of failures at zero. While the store was silent for all, readers did not stop and the views were not told, so that entries that lapsed would have been taken for removed. Found when the change was read again.

Such a call fails now, after as long as a call may take beyond its wait. The confirmation of a call's start, which test_confirmation rejects, is taken back: calls are shorter than the gap that the continuity of the view allows. test_calls_without_answer_are_failures failed before.

--- a/src/clementinedyke/entry/watch.py
+++ b/src/clementinedyke/entry/watch.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 import trio
-from result import Result
+from result import Err, Result
 
 from clementinedyke.call_failures import TableFailure
 from clementinedyke.clock import Clock, Milliseconds
@@ -49,8 +49,8 @@
 #: Time in which a daemon that no longer relies on readers connects to the store
 #: and reads from it: 0.2 s, and more on a host that is short of processor time.
 _OWN_READ_TIME: Milliseconds = 700
-#: Time that an answer of the store takes, 60 times as slow as usual.
-_ANSWER_TIME: Milliseconds = 400
+#: Time that the answer to a call may take beyond its wait.
+_ANSWER_TIME: Milliseconds = 700
 #: Time from an answer of the store to a reader until all daemons have heard of
 #: it, with the interval between two such answers and one heartbeat of a reader.
 _CONFIRMATION_LAG: Milliseconds = 900
@@ -410,7 +410,6 @@
             self._process_changes(outcome, after, now)
             if not has_changes and now >= sent_at + wait:
                 # The store checked until the end of the wait.
-                self._view.confirm(sent_at, after)
                 sent_at += wait
         has_answered = self._process_answer(changes, sent_at)
         if has_answered and not has_changes:
@@ -433,9 +432,12 @@
         scope = trio.CancelScope()
         if self._behind_since is not None:
             self._gap_scope = scope
+        answer: Result[FeedAnswer | HistoryLost, TableFailure] = Err(
+            TableFailure.UNKNOWN
+        )
         with scope:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._give_up_silent, scope)
+                nursery.start_soon(self._give_up_silent, nursery.cancel_scope)
                 answer = await self._feed.follow_table(
                     self._table, after, wait, doubts_idle=self._doubts_idle
                 )
@@ -444,11 +446,10 @@
         return None
 
     async def _give_up_silent(self, scope: trio.CancelScope) -> None:
-        """Cancel a call whose connection may have gone silent.
+        """Cancel a call whose connection may have gone silent; it has failed.
 
         Neither it nor other daemons confirm the table, or another daemon knows
-        of a change that it should have returned. The next call uses another
-        connection.
+        of a change that it should have returned.
 
         :param scope: scope of the call.
         """
@@ -463,7 +464,6 @@
             waited_ms=self._clock.get_now() - sent_at,
             behind=self._behind_since is not None,
         )
-        self._doubts_idle = True
         scope.cancel()
 
     def _get_silence_left(self, sent_at: Milliseconds) -> Milliseconds:
--- a/tests/test_entry_watch.py
+++ b/tests/test_entry_watch.py
@@ -66,12 +66,34 @@
         return Ok(FeedAnswer(revision + 1, (StoredRow('key', 2, b''),)))
 
 
+class SilentStubFeed(StubFeed):
+    """Store stub whose feed calls get no answer."""
+
+    async def follow_table(
+        self,
+        table: str,
+        revision: int,
+        wait: int,
+        *,
+        doubts_idle: bool = False,
+    ) -> Result[FeedAnswer, TableFailure]:
+        """Wait for ever."""
+        self.waits.append(wait)
+        await trio.sleep_forever()
+        return Err(TableFailure.UNKNOWN)
+
+
 class StubView:
     """View stub that records confirmations and ignores the rows."""
 
     def __init__(self) -> None:
         """Create a view without confirmations."""
         self.confirmed: list[int] = []
+        self.failed: list[int] = []
+
+    def record_failure(self, now: int) -> None:
+        """Record a time at which the store did not answer."""
+        self.failed.append(now)
 
     def confirm(self, as_of: int, revision: int) -> None:
         """Record a time at which the rows were complete."""
@@ -136,6 +158,17 @@
 class TestTableWatch:
     """Guards against synchronized daemons and wrong confirmation times."""
 
+    def test_calls_without_answer_are_failures(self) -> None:
+        """The view learns that the store is silent.
+
+        Calls that were given up did not count as failed, so that readers of a
+        silent store went on and entries that lapsed were taken for removed.
+        """
+        feed = SilentStubFeed(is_down=False)
+        view = run_watch(feed, 1, 10)
+        assert len(feed.waits) > 2
+        assert view.failed
+
     def test_waits_differ(self) -> None:
         """Calls of different daemons must not end at the same times.
 
