--- a/src/clementinedyke/entry/watch.py
+++ b/src/clementinedyke/entry/watch.py
@@ -50,7 +50,7 @@
 #: and reads from it: 0.2 s, and more on a host that is short of processor time.
 _OWN_READ_TIME: Milliseconds = 700
 #: Time that the answer to a call may take beyond its wait.
-_ANSWER_TIME: Milliseconds = 700
+ANSWER_TIME: Milliseconds = 700
 #: Time from an answer of the store to a reader until all daemons have heard of
 #: it, with the interval between two such answers and one heartbeat of a reader.
 _CONFIRMATION_LAG: Milliseconds = 900
@@ -472,7 +472,7 @@
         give_up_at = max(self._confirmed_at, sent_at) + longest
         if self._behind_since is not None:
             give_up_at = min(give_up_at, max(self._behind_since, sent_at))
-        return give_up_at + _ANSWER_TIME - self._clock.get_now()
+        return give_up_at + ANSWER_TIME - self._clock.get_now()
 
     def _may_follow(self) -> bool:
         """Return whether this daemon need not call the store."""
--- a/src/clementinedyke/platform/store.py
+++ b/src/clementinedyke/platform/store.py
@@ -14,7 +14,12 @@
 from clementinedyke.call_failures import TableFailure
 from clementinedyke.clock import Milliseconds
 from clementinedyke.entry.store_calls import StoreCall
-from clementinedyke.entry.watch import FeedAnswer, HistoryLost, StoredRow
+from clementinedyke.entry.watch import (
+    ANSWER_TIME,
+    FeedAnswer,
+    HistoryLost,
+    StoredRow,
+)
 from clementinedyke.exceptions import ProtocolError
 from clementinedyke.http.client import (
     BodyLimits,
@@ -63,8 +68,6 @@
 #: The store answers within 6 ms when idle, and within 400 ms when it is slow
 #: (60 times).
 _CALL_TIMEOUT: Milliseconds = 1500
-#: Time allowed for the answer to a feed call beyond its wait time.
-_FEED_TIMEOUT_MARGIN: Milliseconds = 700
 #: Limits for the rows in an answer. A configuration of thousands of routes has
 #: 1 MB, which takes 2 s on a link of 5 Mbit/s.
 _IDLE_TIMEOUT: Milliseconds = 1000
@@ -239,7 +242,7 @@
             try:
                 answer = await self._call(
                     HttpRequest('GET', target),
-                    wait + _FEED_TIMEOUT_MARGIN,
+                    wait + ANSWER_TIME,
                     _READ_LIMITS,
                     doubts_idle=doubts_idle,
                 )
