Reproduce gaps in the view of a daemon that reads for itself

With guaranteed delays above 4.2 s the calls of its feed wait for longer than an entry stays after its endpoint ended. The history of versions then begins anew with each call, and streams that callers take up are refused (3012) although only one version serves. No known site has such delays.

--- a/tests/test_entry_watch.py
+++ b/tests/test_entry_watch.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from random import Random
 
+import pytest
 import trio
 from result import Err, Ok, Result
 from tests.entry_samples import BOUNDS, TrioClock, create_journal
@@ -10,6 +11,8 @@
 
 from clementinedyke.call_failures import TableFailure
 from clementinedyke.clock import ManualClock
+from clementinedyke.entry.continuity import Continuity
+from clementinedyke.entry.host_settings import ServiceBounds
 from clementinedyke.entry.watch import (
     FeedAnswer,
     FeedPace,
@@ -104,12 +107,15 @@
         return lambda *_: None
 
 
-def run_watch(feed: StubFeed, seed: int, seconds: float) -> StubView:
+def run_watch(
+    feed: StubFeed, seed: int, seconds: float, bounds: ServiceBounds = BOUNDS
+) -> StubView:
     """Run the watch of one of 64 daemons and return its view.
 
     :param feed: store that the watch calls.
     :param seed: seed of the jitter.
     :param seconds: simulated time for which the watch runs.
+    :param bounds: guaranteed delays.
     """
     view = StubView()
 
@@ -119,7 +125,7 @@
             'op',
             feed,
             view,
-            FeedPace(lambda: 64, BOUNDS),
+            FeedPace(lambda: 64, bounds),
             clock,
             create_journal(ManualClock()),
             Random(seed),
@@ -199,6 +205,20 @@
             instant - view.confirmed[0] for instant in view.confirmed[1:3]
         ] == ends
 
+    @pytest.mark.parametrize('delay', [2000, 5000, 13000])
+    def test_nothing_is_missed_between_calls(self, delay: int) -> None:
+        """A daemon that reads for itself knows of all that came and went.
+
+        With long guaranteed delays its calls waited longer than an entry
+        stays after its endpoint ended, so that streams were refused.
+        """
+        bounds = replace(BOUNDS, configuration_delay=delay, drain_delay=delay)
+        view = run_watch(StubFeed(is_down=False), 1, 60, bounds)
+        continuity = Continuity()
+        for instant in view.confirmed:
+            continuity.record_confirmation(instant)
+        assert continuity.covers(view.confirmed[0], view.confirmed[-1])
+
     def test_late_change(self) -> None:
         """A change that arrives after the wait must confirm the call's start.
 
