Keep the waits of daemons that read for themselves below the life of entries

Up to 13 s of guaranteed delay may stand in the settings; the feed then waited for up to 10 s, and the continuity of the endpoint view, which allows 3.5 s between confirmations, began anew with each call. Streams that callers take up were refused for want of a complete history.

The wait is at most 1.6 s, so that two of them fit. On the small sites, whose delays are 2 s, waits are 1.3 s as before; on the grown sites a daemon without readers waits up to 1.6 s instead of 2.3 s.

--- a/src/clementinedyke/entry/watch.py
+++ b/src/clementinedyke/entry/watch.py
@@ -27,6 +27,10 @@
 _MAX_DOUBLINGS = 2
 
 _MIN_WAIT: Milliseconds = 500
+#: Longest wait of a daemon that reads for itself. A call that returns a change
+#: confirms its start only, so two waits may pass between confirmations. Entries
+#: that come and go meanwhile are missed; they stay for at least 3.6 s.
+_MAX_OWN_WAIT: Milliseconds = 1600
 #: Waits are between 1/n of the longest one and all of it.
 _WAIT_SPREAD = 4
 _MAX_WAIT: Milliseconds = 10000
@@ -138,13 +142,13 @@
 
     A call that is not answered by the end of its wait tells that its connection
     has gone silent, which may happen to all daemons at once. So a daemon that
-    reads for itself waits for less than the shortest guaranteed delay. Longer
-    waits save calls, which cost money: daemons that read for others have a turn
-    (``get_turn``) and end their calls one after the other, so that one of them
-    soon tells the rest. The store reports each change to every daemon, so the
-    pause grows with the number of daemons. It is limited to half of
-    ``drain_delay`` and ``configuration_delay``, the wait to half of
-    ``max_key_age``.
+    reads for itself waits for less than the shortest guaranteed delay, and for
+    less than entries stay. Longer waits save calls, which cost money: daemons
+    that read for others have a turn (``get_turn``) and end their calls one
+    after the other, so that one of them soon tells the rest. The store reports
+    each change to every daemon, so the pause grows with the number of daemons.
+    It is limited to half of ``drain_delay`` and ``configuration_delay``, the
+    wait to half of ``max_key_age``.
     """
 
     count_daemons: Callable[[], int]
@@ -153,8 +157,8 @@
 
     def get_wait(self) -> Milliseconds:
         """Return the longest wait of a call, in milliseconds."""
-        wait = self._get_shortest_delay() - _OWN_READ_TIME
-        return min(self._get_longest_wait(), max(_MIN_WAIT, wait))
+        wait = max(_MIN_WAIT, self._get_shortest_delay() - _OWN_READ_TIME)
+        return min(self._get_longest_wait(), _MAX_OWN_WAIT, wait)
 
     def select_wait(
         self, unchanged_time: Milliseconds, generator: Random
