--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,7 +4,6 @@
 import contextlib
 import signal
 import sys
-import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -30,16 +29,22 @@
 async def book(daemon, request, record):
     """Send an unsafe request on a connection of its own; return its end."""
     reader, writer = await asyncio.open_connection(daemon.ip, daemon.port)
-    headers = {'X-Request-Id': request, 'X-Deadline-Ms': '2500', 'X-Key': 'key-1'}
+    headers = {
+        'X-Request-Id': request,
+        'X-Deadline-Ms': '2500',
+        'X-Key': 'key-1',
+    }
     record.write(f'client sends {request}')
     try:
         await write_request(writer, 'POST', '/book/1', headers, b'slot')
         status, fields, body = await asyncio.wait_for(read_answer(reader), 2.5)
     except (OSError, asyncio.IncompleteReadError) as error:
-        record.write(f'client of {request}: connection ends without an answer'
-                     f' ({type(error).__name__})')
+        record.write(
+            f'client of {request}: connection ends without an answer'
+            f' ({type(error).__name__})'
+        )
         return 'cut'
-    except asyncio.TimeoutError:
+    except TimeoutError:
         record.write(f'client of {request}: time limit')
         return 'late'
     finally:
@@ -52,9 +57,11 @@
     store, duties = Store(record), Duties(record)
     await store.start()
     await duties.start()
-    store.put('op', 'config', compile_config(
-        1, [{'name': 'tenant-1', 'api_keys': ['key-1']}]
-    ))
+    store.put(
+        'op',
+        'config',
+        compile_config(1, [{'name': 'tenant-1', 'api_keys': ['key-1']}]),
+    )
     servers = [Server(f's-{number}', record, WORK_S) for number in (1, 2)]
     for server in servers:
         await server.start(store, 'ledger')
@@ -82,15 +89,17 @@
     if has_trouble:
         record.write(f'the settings file changes; SIGHUP to {daemon.name}')
         with contextlib.suppress(ProcessLookupError):
-            daemon.write_settings(store.port, duties.port, seeds=['127.0.0.1:1'])
+            daemon.write_settings(
+                store.port, duties.port, seeds=['127.0.0.1:1']
+            )
             daemon.send_signal(signal.SIGHUP)
     ends = {request: await task for request, task in sent.items()}
     with contextlib.suppress(asyncio.TimeoutError):
         await asyncio.wait_for(daemon.process.wait(), 9)
     record.write(f'{daemon.name} ended with status {daemon.process.returncode}')
     return [
-        f'LOST: {request} was read and passed on to a server, a '
-        f'server that runs it; its connection ended without an answer'
+        f'LOST: {request} was read and passed on to a server; its connection '
+        f'ended without an answer'
         for request, end in ends.items()
         if end == 'cut'
     ]
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -75,7 +75,9 @@
     await asyncio.sleep(window * WINDOW_S + COPY_AT_S - time.time())
     copied_at = time.monotonic()
     copy = store.version, dict(store.rows), list(store.history)
-    record.write(f'copy of the store at version {store.version}, in window {window}')
+    record.write(
+        f'copy of the store at version {store.version}, in window {window}'
+    )
     await wait_for_report(duties, window, 8)
     if has_trouble:
         record.write(f'the store is away for {AWAY_S} s')
@@ -90,8 +92,10 @@
         write_again()
         store.override = None
         age = time.monotonic() - copied_at
-        record.write(f'the store is back from a copy {age:.1f} s old, '
-                     f'Store-Era {store.era}, version {store.version}')
+        record.write(
+            f'the store is back from a copy {age:.1f} s old, '
+            f'Store-Era {store.era}, version {store.version}'
+        )
     await asyncio.sleep(WATCH_S)
 
 
@@ -100,10 +104,13 @@
     store.era = 1
     await store.start()
     await duties.start()
-    config = compile_config(1, [
-        {'name': f'tenant-{number}', 'api_keys': [f'key-{number}']}
-        for number in (1, 2)
-    ])
+    config = compile_config(
+        1,
+        [
+            {'name': f'tenant-{number}', 'api_keys': [f'key-{number}']}
+            for number in (1, 2)
+        ],
+    )
     store.put('op', 'config', config)
     servers = [Server(f's-{number}', record, 0.01) for number in (1, 2)]
     for server in servers:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,9 +1,7 @@
 """An entry of another writer in the table of the servers."""
 
 import asyncio
-import contextlib
 import sys
-import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -46,16 +44,22 @@
 async def book(connection, request, record):
     """Send an unsafe request on a kept connection; return how it ends."""
     reader, writer = connection
-    headers = {'X-Request-Id': request, 'X-Deadline-Ms': '2500', 'X-Key': 'key-1'}
+    headers = {
+        'X-Request-Id': request,
+        'X-Deadline-Ms': '2500',
+        'X-Key': 'key-1',
+    }
     record.write(f'client sends {request}')
     try:
         await write_request(writer, 'POST', '/book/1', headers, b'slot')
         status, _, _ = await asyncio.wait_for(read_answer(reader), 2.5)
     except (OSError, asyncio.IncompleteReadError) as error:
-        record.write(f'client of {request}: connection ends without an answer'
-                     f' ({type(error).__name__})')
+        record.write(
+            f'client of {request}: connection ends without an answer'
+            f' ({type(error).__name__})'
+        )
         return 'cut'
-    except asyncio.TimeoutError:
+    except TimeoutError:
         record.write(f'client of {request}: time limit')
         return 'late'
     record.write(f'client of {request} gets {status}')
@@ -66,8 +70,10 @@
     """Do as the platform does; return whether the process had ended."""
     if daemon.process.returncode is None:
         return False
-    record.write(f'{daemon.name} has ended by itself, status '
-                 f'{daemon.process.returncode}; it is started again')
+    record.write(
+        f'{daemon.name} has ended by itself, status '
+        f'{daemon.process.returncode}; it is started again'
+    )
     await asyncio.sleep(RESTART_S)
     await daemon.start()
     return True
@@ -82,16 +88,22 @@
     for server in servers:
         server.work_s = SHORT_S
     for place, connection in enumerate(connections):
-        first = await book(connection, f'{daemon.name}-{number}-{place}-a', record)
+        first = await book(
+            connection, f'{daemon.name}-{number}-{place}-a', record
+        )
         if first != 200:
             raise CaseNotRun(f'a first request ended with {first}')
     for server in servers:
         server.work_s = LONG_S
-    names = [f'{daemon.name}-{number}-{place}-b' for place in range(CONNECTIONS)]
-    ends = await asyncio.gather(*(
-        book(connection, name, record)
-        for connection, name in zip(connections, names)
-    ))
+    names = [
+        f'{daemon.name}-{number}-{place}-b' for place in range(CONNECTIONS)
+    ]
+    ends = await asyncio.gather(
+        *(
+            book(connection, name, record)
+            for connection, name in zip(connections, names)
+        )
+    )
     for _, writer in connections:
         writer.close()
     run = {request for server in servers for _, request, _ in server.runs}
@@ -104,9 +116,11 @@
     store, duties = Store(record), Duties(record)
     await store.start()
     await duties.start()
-    store.put('op', 'config', compile_config(
-        1, [{'name': 'tenant-1', 'api_keys': ['key-1']}]
-    ))
+    store.put(
+        'op',
+        'config',
+        compile_config(1, [{'name': 'tenant-1', 'api_keys': ['key-1']}]),
+    )
     servers = [Server(f's-{number}', record) for number in (1, 2)]
     for server in servers:
         await server.start(store, 'ledger')
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -53,13 +53,18 @@
     for daemon in daemons:
         if await send(daemon, f'{daemon.name}-before', KEY, record) != 200:
             raise CaseNotRun('the key is not accepted before it is taken away')
-        if await send(
-            daemon, f'{daemon.name}-unknown-before', UNKNOWN_KEY, record
-        ) != 401:
+        if (
+            await send(
+                daemon, f'{daemon.name}-unknown-before', UNKNOWN_KEY, record
+            )
+            != 401
+        ):
             raise CaseNotRun('an unknown key is not refused before')
     changed = [] if has_trouble else tenants
     store.put('op', 'config', compile_config(3, changed))
-    record.write(f'the store accepts version 3 of the config, tenants: {changed}')
+    record.write(
+        f'the store accepts version 3 of the config, tenants: {changed}'
+    )
     await asyncio.sleep(SETTLE_S)
     withdrawn, unknown = [], []
     for number in range(REQUESTS):
@@ -70,7 +75,11 @@
             name = f'{daemon.name}-unknown-{number}'
             await send(daemon, name, UNKNOWN_KEY, record)
             unknown.append(name)
-    run = {request: tenant for server in servers for _, request, tenant in server.runs}
+    run = {
+        request: tenant
+        for server in servers
+        for _, request, tenant in server.runs
+    }
     broken = []
     if has_trouble and any(name in run for name in withdrawn):
         count = sum(name in run for name in withdrawn)
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -128,7 +128,9 @@
 
     def read(self, table, key):
         row = self.rows.get((table, key))
-        return None if row is None else json.loads(base64.b64decode(row['value']))
+        return (
+            None if row is None else json.loads(base64.b64decode(row['value']))
+        )
 
     async def respond(self, method, target, headers, body, reader):
         path, _, query = target.partition('?')
@@ -443,7 +445,7 @@
             answer = await asyncio.wait_for(
                 call(self.ip, self.ready_port, 'GET', '/v1/ready', {}), 1
             )
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+        except (TimeoutError, OSError, asyncio.IncompleteReadError):
             return 0
         return answer[0]
 
@@ -546,7 +548,7 @@
                 broken = await asyncio.wait_for(
                     scenario(record, Path(settings), daemons, has_trouble), 115
                 )
-            except (CaseNotRun, asyncio.TimeoutError, OSError) as error:
+            except (TimeoutError, CaseNotRun, OSError) as error:
                 record.write(f'not run: {type(error).__name__} {error}')
                 print(f'the case did not run: {error}')
                 return EXIT_NOT_RUN
