--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,9 @@
-"""An entry of another writer in the table of the servers."""
+"""A drill: the store is away for a moment and is back from an older copy."""
 
 import asyncio
+import contextlib
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -13,147 +15,155 @@
     Duties,
     Server,
     Store,
+    call,
     compile_config,
-    read_answer,
     run_case,
-    write_request,
 )
 
-#: The servers take this long; the route's timeout is 2.5 s.
-SHORT_S = 0.05
-LONG_S = 1.4
-CONNECTIONS = 4
-ROUNDS = 3
-#: The platform starts a process that has ended again after this time.
-RESTART_S = 1
-CONTACT_S = 3
-#: A service that the config doesn't name, and an address that is no IP:PORT.
-FOREIGN_ENTRY = {
-    'service': 'other-desk',
-    'address': '::1%võrk0:8080',
-    'zone': 'zone-b',
-    'version': '7',
-    'slots': 4,
-    'state': 'ready',
-    'cold_remaining_ms': 0,
-    'sequence': 1,
-    'born': 1700000000000,
-}
-
-
-async def book(connection, request, record):
-    """Send an unsafe request on a kept connection; return how it ends."""
-    reader, writer = connection
-    headers = {
-        'X-Request-Id': request,
-        'X-Deadline-Ms': '2500',
-        'X-Key': 'key-1',
-    }
-    record.write(f'client sends {request}')
-    try:
-        await write_request(writer, 'POST', '/book/1', headers, b'slot')
-        status, _, _ = await asyncio.wait_for(read_answer(reader), 2.5)
-    except (OSError, asyncio.IncompleteReadError) as error:
-        record.write(
-            f'client of {request}: connection ends without an answer'
-            f' ({type(error).__name__})'
-        )
-        return 'cut'
-    except TimeoutError:
-        record.write(f'client of {request}: time limit')
-        return 'late'
-    record.write(f'client of {request} gets {status}')
-    return status
-
-
-async def restart_if_ended(daemon, record):
-    """Do as the platform does; return whether the process had ended."""
-    if daemon.process.returncode is None:
-        return False
+WINDOW_S = 5
+#: The copy is taken this long after the start of a window.
+COPY_AT_S = 3.5
+#: The store is away for this long before it is back.
+AWAY_S = 0.5
+#: Reports count until 10 s after the end of their window (usage_late_s).
+WATCH_S = 16
+DRILLS = 1
+PAUSE_S = 0.05
+
+
+async def send_requests(daemon, record, counts):
+    """Send safe requests of two tenants until cancelled."""
+    number = 0
+    while True:
+        number += 1
+        tenant = 1 + number % 2
+        request = f'{daemon.name}-{number}'
+        headers = {
+            'X-Request-Id': request,
+            'X-Deadline-Ms': '2500',
+            'X-Key': f'key-{tenant}',
+        }
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            status, _, _ = await call(
+                daemon.ip, daemon.port, 'GET', '/read/1', headers
+            )
+            counts[status] = counts.get(status, 0) + 1
+        await asyncio.sleep(PAUSE_S)
+
+
+def list_reports(duties, window):
+    """Return the counts that were reported for a window, in order."""
+    return [
+        (at, holder, number, body['counts'])
+        for at, target, holder, number, body in duties.calls
+        if target == '/usage' and body['window'] == window
+    ]
+
+
+async def wait_for_report(duties, window, timeout):
+    deadline = time.monotonic() + timeout
+    while time.monotonic() < deadline:
+        if list_reports(duties, window):
+            return
+        await asyncio.sleep(0.02)
+    raise CaseNotRun(f'window {window} was not reported')
+
+
+async def play_drill(record, store, duties, write_again, has_trouble):
+    """Take a copy within a window, and return from it once it is reported."""
+    window = int(time.time()) // WINDOW_S + 1
+    await asyncio.sleep(window * WINDOW_S + COPY_AT_S - time.time())
+    copied_at = time.monotonic()
+    copy = store.version, dict(store.rows), list(store.history)
     record.write(
-        f'{daemon.name} has ended by itself, status '
-        f'{daemon.process.returncode}; it is started again'
+        f'copy of the store at version {store.version}, in window {window}'
     )
-    await asyncio.sleep(RESTART_S)
-    await daemon.start()
-    return True
+    await wait_for_report(duties, window, 8)
+    if has_trouble:
+        record.write(f'the store is away for {AWAY_S} s')
 
+        async def refuse(path, fields, body):
+            return 503, {'Store-Era': str(store.era)}, b'{}'
 
-async def play_round(number, daemon, servers, record):
-    """Send bookings on kept connections; return those that were cut."""
-    connections = [
-        await asyncio.open_connection(daemon.ip, daemon.port)
-        for _ in range(CONNECTIONS)
-    ]
-    for server in servers:
-        server.work_s = SHORT_S
-    for place, connection in enumerate(connections):
-        first = await book(
-            connection, f'{daemon.name}-{number}-{place}-a', record
-        )
-        if first != 200:
-            raise CaseNotRun(f'a first request ended with {first}')
-    for server in servers:
-        server.work_s = LONG_S
-    names = [
-        f'{daemon.name}-{number}-{place}-b' for place in range(CONNECTIONS)
-    ]
-    ends = await asyncio.gather(
-        *(
-            book(connection, name, record)
-            for connection, name in zip(connections, names)
+        store.override = refuse
+        await asyncio.sleep(AWAY_S)
+        store.version, store.rows, store.history = copy
+        store.era += 1
+        write_again()
+        store.override = None
+        age = time.monotonic() - copied_at
+        record.write(
+            f'the store is back from a copy {age:.1f} s old, '
+            f'Store-Era {store.era}, version {store.version}'
         )
-    )
-    for _, writer in connections:
-        writer.close()
-    run = {request for server in servers for _, request, _ in server.runs}
-    return [
-        name for name, end in zip(names, ends) if end == 'cut' and name in run
-    ]
+    await asyncio.sleep(WATCH_S)
 
 
 async def scenario(record, settings, daemons, has_trouble):
     store, duties = Store(record), Duties(record)
+    store.era = 1
     await store.start()
     await duties.start()
-    store.put(
-        'op',
-        'config',
-        compile_config(1, [{'name': 'tenant-1', 'api_keys': ['key-1']}]),
+    config = compile_config(
+        1,
+        [
+            {'name': f'tenant-{number}', 'api_keys': [f'key-{number}']}
+            for number in (1, 2)
+        ],
     )
-    servers = [Server(f's-{number}', record) for number in (1, 2)]
+    store.put('op', 'config', config)
+    servers = [Server(f's-{number}', record, 0.01) for number in (1, 2)]
     for server in servers:
+        server.is_quiet = True
         await server.start(store, 'ledger')
-    for number in (1, 2):
+    entries = {
+        key: store.read('servers', key)
+        for table, key in store.rows
+        if table == 'servers'
+    }
+
+    def write_again():
+        """The operator and the servers write again what they wrote."""
+        store.put('op', 'config', config)
+        for key, entry in entries.items():
+            store.put('servers', key, entry)
+
+    for number in (1, 2, 3):
         daemons.append(Daemon(number, settings))
         daemons[-1].write_settings(store.port, duties.port)
         await daemons[-1].start()
     for daemon in daemons:
         await daemon.wait_until_ready()
-    await asyncio.sleep(CONTACT_S)
-    if has_trouble:
-        record.write(f'another writer puts servers/gate-7: {FOREIGN_ENTRY}')
-        store.put('servers', 'gate-7', FOREIGN_ENTRY)
-        await asyncio.sleep(CONTACT_S)
-    cut = []
-    ended = dict.fromkeys((daemon.name for daemon in daemons), 0)
-    for number in range(ROUNDS):
-        for daemon in daemons:
-            cut += await play_round(number, daemon, servers, record)
-        await asyncio.sleep(0.3)
-        for daemon in daemons:
-            ended[daemon.name] += await restart_if_ended(daemon, record)
-        for daemon in daemons:
-            await daemon.wait_until_ready()
-        await asyncio.sleep(CONTACT_S)
+    counts = {}
+    tasks = [
+        asyncio.create_task(send_requests(daemon, record, counts))
+        for daemon in daemons
+    ]
+    await asyncio.sleep(6)
+    for _ in range(DRILLS):
+        await play_drill(record, store, duties, write_again, has_trouble)
+    for task in tasks:
+        task.cancel()
+    record.write(f'answers to clients by status: {counts}')
+    if not counts.get(200):
+        raise CaseNotRun('no request was served')
     broken = []
-    if len(cut) > 3:
-        broken.append(
-            f'LOST: {len(cut)} requests from kept connections were passed on to '
-            f'sound servers, and their connections ended without an answer'
-        )
-    if sum(count >= 3 for count in ended.values()) >= 2:
-        broken.append(f'Fault: processes ended by themselves: {ended}')
+    windows = {
+        body['window']
+        for _, target, _, _, body in duties.calls
+        if target == '/usage'
+    }
+    for window in sorted(windows):
+        reports = list_reports(duties, window)
+        different = {str(sorted(counts.items())) for _, _, _, counts in reports}
+        if len(different) > 1:
+            told = '; then '.join(
+                f'{holder} (number {number}) {counts}'
+                for _, holder, number, counts in reports
+            )
+            broken.append(
+                f'ONE: reports for window {window} with different counts: {told}'
+            )
     return broken
 
 
