--- a/review/2/case.py
+++ b/review/2/case.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / 'common'))
+sys.path.insert(0, str(FOLDER.parent))
 
 from harness import (  # noqa: E402
     CaseNotRun,
--- a/review/common/harness.py
+++ b/review/harness.py
@@ -21,7 +21,7 @@
 from pathlib import Path
 from urllib.parse import parse_qs
 
-ROOT = Path(__file__).resolve().parent.parent.parent
+ROOT = Path(__file__).resolve().parent.parent
 EXIT_HELD = 0
 EXIT_BROKEN = 1
 EXIT_NOT_RUN = 2
