Keep signals from ending a daemon before its exit

Cause: the block of open_signal_receiver was left at SIGTERM, which restores the default actions, and was entered only after the imports and the construction of the daemon. Ruled out: the reload itself; a second SIGTERM reads no settings.

Change: the program blocks both signals in its first statement, handles them while it runs and blocks them again until it exits. `serve` and `demo` had the same fault and use the same module.

--- a/bench/daemon_process.py
+++ b/bench/daemon_process.py
@@ -9,8 +9,8 @@
 
 from clementinedyke.clock import MonotonicClock
 from clementinedyke.daemon import Daemon
-from clementinedyke.demo import run_until_signal
 from clementinedyke.settings.core import Settings
+from clementinedyke.signals import compile_stop_handlers, handling_signals
 
 #: File to which the daemon writes its cProfile data when it stops.
 _PROFILE = os.environ.get('BENCH_PROFILE')
@@ -23,13 +23,13 @@
     daemon = Daemon(
         Settings(port=0, operator_port=0, daemon_port=0, platform=platform)
     )
-    async with trio.open_nursery() as nursery:
+    handlers = compile_stop_handlers(daemon.application.request_stop)
+    async with handling_signals(handlers), trio.open_nursery() as nursery:
         await nursery.start(daemon.application.run)
         await _wait_for_capacity(daemon)
         ready = {'port': daemon.caller_port.bound_port}
         sys.stdout.write(f'{json.dumps(ready)}\n')
         sys.stdout.flush()
-        await run_until_signal(daemon.application)
 
 
 async def _wait_for_capacity(daemon: Daemon) -> None:
--- a/bench/sizing_daemon.py
+++ b/bench/sizing_daemon.py
@@ -9,8 +9,8 @@
 
 from clementinedyke.configuration.events import RecordsChanged
 from clementinedyke.daemon import Daemon
-from clementinedyke.demo import run_until_signal
 from clementinedyke.settings.core import Settings
+from clementinedyke.signals import compile_stop_handlers, handling_signals
 
 
 class ChangeTimer:
@@ -47,9 +47,9 @@
         )
     )
     ChangeTimer(daemon)
-    async with trio.open_nursery() as nursery:
-        await nursery.start(daemon.application.run)
-        await run_until_signal(daemon.application)
+    handlers = compile_stop_handlers(daemon.application.request_stop)
+    async with handling_signals(handlers):
+        await daemon.application.run()
 
 
 if __name__ == '__main__':
--- a/src/clementinedyke/cli.py
+++ b/src/clementinedyke/cli.py
@@ -11,7 +11,7 @@
 import trio
 
 from clementinedyke.daemon import Daemon
-from clementinedyke.demo import run_demo, run_until_signal
+from clementinedyke.demo import run_demo
 from clementinedyke.exceptions import ClementinedykeError, SettingError
 from clementinedyke.logs import set_up_logging
 from clementinedyke.operators.commands import add_commands
@@ -21,6 +21,7 @@
 from clementinedyke.settings.core import Settings
 from clementinedyke.settings.flags import add_setting_flags
 from clementinedyke.settings.loader import check_environment, load_settings
+from clementinedyke.signals import compile_stop_handlers, handling_signals
 from clementinedyke.standins import command as standin_command
 
 app = cyclopts.App(
@@ -103,9 +104,9 @@
 
 async def _serve(settings: Settings) -> None:
     daemon = Daemon(settings)
-    async with trio.open_nursery() as nursery:
-        await nursery.start(daemon.application.run)
-        await run_until_signal(daemon.application)
+    handlers = compile_stop_handlers(daemon.application.request_stop)
+    async with handling_signals(handlers):
+        await daemon.application.run()
 
 
 def main() -> None:
--- a/src/clementinedyke/demo.py
+++ b/src/clementinedyke/demo.py
@@ -2,19 +2,18 @@
 
 import json
 import secrets
-import signal
 import sys
 from typing import Any
 
 import trio
 from pydantic import SecretStr
 
-from clementinedyke.application import Application
 from clementinedyke.daemon import Daemon
 from clementinedyke.daemons.platform_reader import RECORDS_TABLE
 from clementinedyke.records.core import get_digest
 from clementinedyke.reference_platform.tables import Write
 from clementinedyke.settings.core import Settings
+from clementinedyke.signals import compile_stop_handlers, handling_signals
 from clementinedyke.standins.engine import EngineStandin
 from clementinedyke.standins.platform import PlatformStandin
 from clementinedyke.standins.service import ServiceStandin
@@ -48,7 +47,12 @@
             for _ in range(_ENGINE_COUNT)
         ]
         self.service = ServiceStandin()
-        self.application: Application | None = None
+        #: Set to stop the daemon, and with it the demo.
+        self.stop_requested = trio.Event()
+
+    def request_stop(self) -> None:
+        """Begin a graceful shutdown; repeated calls have no effect."""
+        self.stop_requested.set()
 
     async def run(
         self,
@@ -73,11 +77,12 @@
                 platform=f'{_HOST}:{platform_port}',
             )
             daemon = Daemon(settings)
-            self.application = daemon.application
             async with trio.open_nursery() as daemon_nursery:
                 await daemon_nursery.start(daemon.application.run)
                 await daemon.wait_until_ready()
                 task_status.started(self._compile_ready_line(daemon))
+                await self.stop_requested.wait()
+                daemon.application.request_stop()
             nursery.cancel_scope.cancel()
 
     async def _start_standins(self, nursery: trio.Nursery) -> int:
@@ -142,17 +147,6 @@
         }
 
 
-async def run_until_signal(application: Application) -> None:
-    """Wait for SIGTERM or SIGINT, then request a stop.
-
-    :param application: application to stop.
-    """
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            application.request_stop()
-            return
-
-
 async def run_demo(port: int, operator_token: str = '') -> None:
     """Run the demo until SIGTERM or SIGINT; print its ready line at start.
 
@@ -161,9 +155,10 @@
         and health can be read.
     """
     demo = Demo(port, operator_token)
-    async with trio.open_nursery() as nursery:
+    async with (
+        handling_signals(compile_stop_handlers(demo.request_stop)),
+        trio.open_nursery() as nursery,
+    ):
         ready = await nursery.start(demo.run)
         sys.stdout.write(f'{json.dumps(ready)}\n')
         sys.stdout.flush()
-        if demo.application is not None:
-            await run_until_signal(demo.application)
--- a/src/clementinedyke/platform/command.py
+++ b/src/clementinedyke/platform/command.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import sys
+from functools import partial
 from pathlib import Path
 
 import trio
@@ -17,36 +18,43 @@
     PATH_VARIABLE,
     load_host_settings,
 )
+from clementinedyke.signals import (
+    SignalHandlers,
+    block_signals,
+    handling_signals,
+    is_stop_pending,
+)
 
 _EXIT_USAGE = 2
+_SIGNALS = (signal.SIGTERM, signal.SIGHUP)
 
 
 def main() -> None:
     """Run the daemon until SIGTERM; exit with status 2 on invalid settings.
 
-    SIGHUP reads the settings file again.
+    SIGHUP reads the settings file again. Further signals have no effect while
+    the daemon drains. A daemon that is stopped before it has read its settings
+    opens no port.
     """
+    block_signals(_SIGNALS)
     set_up_logging('warning')
     try:
         settings = _load_settings()
     except SettingError as error:
         sys.stderr.write(f'clementinedyke: {error}\n')
         sys.exit(_EXIT_USAGE)
-    trio.run(_serve, settings)
+    if not is_stop_pending():
+        trio.run(_serve, settings)
 
 
 async def _serve(settings: HostSettings) -> None:
     daemon = EntryApplication(settings, create_parts(settings))
-    async with trio.open_nursery() as nursery:
-        with trio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGHUP
-        ) as signals:
-            nursery.start_soon(daemon.application.run)
-            async for received in signals:
-                if received == signal.SIGTERM:
-                    break
-                _reload_settings(daemon)
-            daemon.application.request_stop()
+    handlers: SignalHandlers = {
+        signal.SIGTERM: daemon.application.request_stop,
+        signal.SIGHUP: partial(_reload_settings, daemon),
+    }
+    async with handling_signals(handlers):
+        await daemon.application.run()
 
 
 def _load_settings() -> HostSettings:
--- a/tests/entry_processes.py
+++ b/tests/entry_processes.py
@@ -35,7 +35,7 @@
         high, low = divmod(os.getpid() % 62500, 250)
         self.ip = f'127.{high + 1}.{low + 1}.{number + 1}'
         self._number = number
-        self._path = folder / f'host-{number}.toml'
+        self.path = folder / f'host-{number}.toml'
         self._process: subprocess.Popen[bytes] | None = None
         #: Folder of the build that is started.
         self.root = _ROOT
@@ -59,18 +59,26 @@
             'platform': {'address': f'127.0.0.1:{port}'},
             'cloud': {'address': f'127.0.0.1:{env.duties_port}'},
         }
-        self._path.write_text(compile_toml(document), encoding='utf-8')
-        with self._path.with_suffix('.log').open('ab') as log:
+        self.write_settings(compile_toml(document))
+        with self.path.with_suffix('.log').open('ab') as log:
             self._process = subprocess.Popen(
                 [sys.executable, str(self.root / 'deploy' / 'daemon.py')],
                 env={
                     **os.environ,
-                    'CLEMENTINEDYKE_SETTINGS': str(self._path),
+                    'CLEMENTINEDYKE_SETTINGS': str(self.path),
                     'PYTHONPATH': str(self.root / 'src'),
                 },
                 stdout=log,
             )
 
+    def write_settings(self, text: str) -> None:
+        """Write the settings file that the daemon is about to read."""
+        self.path.write_text(text, encoding='utf-8')
+
+    def get_exit_status(self) -> int | None:
+        """Return the exit status, None while the daemon runs."""
+        return None if self._process is None else self._process.poll()
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the daemon."""
         if self._process is not None:
--- a/tests/test_processes_stops.py
+++ b/tests/test_processes_stops.py
@@ -107,6 +107,24 @@
         repeat = deployment.daemons[1].book('last')
         assert (repeat.code, repeat.body) == (1001, done.body)
 
+    def test_signals_during_stop(self, deployment: Deployment) -> None:
+        """Signals after the first leave a graceful stop as it is.
+
+        Guards against the default action of SIGHUP and of a second SIGTERM,
+        which ended ``serve`` with its requests open.
+        """
+        daemon = deployment.daemons[1]
+        runs = deployment.ledger.get_report()['runs']
+        with ThreadPoolExecutor() as pool:
+            booking = pool.submit(daemon.book, 'repeated signals')
+            wait_for(lambda: deployment.ledger.get_report()['runs'] == runs + 1)
+            daemon.signal(signal.SIGTERM)
+            wait_for(lambda: _get_readiness(daemon) == 503)
+            daemon.signal(signal.SIGHUP)
+            daemon.signal(signal.SIGTERM)
+            assert booking.result().status == 201
+        assert daemon.popen.wait() == 0
+
 
 def _get_readiness(daemon: DaemonProcess) -> int:
     return call(daemon.operator_port, 'GET', '/readyz').status
