Keep an address that can't be resolved from ending the daemons

Cause: the resolver raises UnicodeError, which no caller of it expected, and an error in a task of the application ends the daemon. Ruled out: the unknown service of the entry, and the decoder as the only way in.

Change: entries with a zone id are refused; one function opens connections and reports all errors of the resolver as OSError; requests that can't be put on the wire count as not sent; customer names that no header can hold make a version invalid; the loops of the daemon survive an unexpected error and log it with its traceback, which the log format left out before.

--- a/src/clementinedyke/entry/event_loop.py
+++ b/src/clementinedyke/entry/event_loop.py
@@ -4,6 +4,7 @@
 from prometheus_client import CollectorRegistry, Histogram
 
 from clementinedyke.components import Component
+from clementinedyke.tasks import run_restarting
 
 _INTERVAL_SECONDS = 0.1
 #: In seconds; the drain delay, the shortest bound, is 2 to 3 s.
@@ -30,7 +31,7 @@
 
         :param nursery: nursery that runs the task.
         """
-        nursery.start_soon(self._run)
+        nursery.start_soon(run_restarting, self._run, 'event_loop')
 
     async def _run(self) -> None:
         while True:
--- a/src/clementinedyke/entry/feed_exchange.py
+++ b/src/clementinedyke/entry/feed_exchange.py
@@ -32,6 +32,7 @@
 from clementinedyke.entry.watch import ReaderTurn
 from clementinedyke.exceptions import ProtocolError
 from clementinedyke.http.client import Address
+from clementinedyke.tasks import run_restarting
 
 _MILLISECONDS_PER_SECOND = 1000
 _HASH_BYTES = 8
@@ -149,8 +150,12 @@
         :param nursery: nursery that runs the tasks.
         """
         self._nursery = nursery
-        nursery.start_soon(self._run_heartbeats)
-        nursery.start_soon(self._run_sender)
+        nursery.start_soon(
+            run_restarting, self._run_heartbeats, 'feed_exchange.heartbeats'
+        )
+        nursery.start_soon(
+            run_restarting, self._run_sender, 'feed_exchange.sender'
+        )
 
     def is_followed(self) -> bool:
         """Return whether another daemon reads the store for this one."""
--- a/src/clementinedyke/entry/order_component.py
+++ b/src/clementinedyke/entry/order_component.py
@@ -24,6 +24,7 @@
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.stage_plan import StagePlan
 from clementinedyke.store_revision import is_first_fence
+from clementinedyke.tasks import run_restarting
 
 _INTERVAL_SECONDS = 0.25
 #: Time after the start in which no orders are sent. Endpoints register within
@@ -95,7 +96,7 @@
 
         :param nursery: nursery that runs the task.
         """
-        nursery.start_soon(self._run)
+        nursery.start_soon(run_restarting, self._run, 'order_component')
 
     async def _run(self) -> None:
         while True:
--- a/src/clementinedyke/entry/path_monitor.py
+++ b/src/clementinedyke/entry/path_monitor.py
@@ -1,6 +1,7 @@
 """Checks the links between this host and the endpoints."""
 
 from collections.abc import Callable, Iterable
+from functools import partial
 
 import trio
 
@@ -9,6 +10,7 @@
 from clementinedyke.entry.catalog import EntryEndpoint
 from clementinedyke.entry.direct_path import DirectPath
 from clementinedyke.entry.endpoint_connections import check_listening
+from clementinedyke.tasks import run_guarded, run_restarting
 
 _INTERVAL_SECONDS = 0.25
 
@@ -42,7 +44,7 @@
         :param nursery: nursery that runs the task.
         """
         self._nursery = nursery
-        nursery.start_soon(self._run)
+        nursery.start_soon(run_restarting, self._run, 'path_monitor')
 
     async def check_is_lost(self) -> bool:
         """Check the links and return whether they are lost.
@@ -54,7 +56,8 @@
             return self._path.is_lost
         if self._check_done is None:
             self._check_done = trio.Event()
-            self._nursery.start_soon(self._check, self._check_done)
+            check = partial(self._check, self._check_done)
+            self._nursery.start_soon(run_guarded, check, 'path_check')
         await self._check_done.wait()
         return self._path.is_lost
 
@@ -66,19 +69,22 @@
 
     async def _check(self, done: trio.Event) -> None:
         results: list[bool | None] = []
-        selected = self._path.select_endpoints(self._list_endpoints())
         was_lost = self._path.is_lost
         try:
-            async with trio.open_nursery() as nursery:
-                for endpoint in selected:
-                    nursery.start_soon(_try_endpoint, endpoint, results)
-            self._path.record_check(results, self._clock.get_now())
+            await self._try_endpoints(results)
         finally:
             self._check_done = None
             done.set()
         if was_lost != self._path.is_lost:
             self.announce()
 
+    async def _try_endpoints(self, results: list[bool | None]) -> None:
+        selected = self._path.select_endpoints(self._list_endpoints())
+        async with trio.open_nursery() as nursery:
+            for endpoint in selected:
+                nursery.start_soon(_try_endpoint, endpoint, results)
+        self._path.record_check(results, self._clock.get_now())
+
 
 async def _try_endpoint(
     endpoint: EntryEndpoint, results: list[bool | None]
--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -6,7 +6,6 @@
 
 import msgspec
 import trio
-from absl import logging
 
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.components import Component
@@ -33,6 +32,7 @@
 from clementinedyke.quarantine.core import Evidence
 from clementinedyke.quarantine.rows import compile_evidence, compile_row
 from clementinedyke.rows import RowStore, Write, convert_row
+from clementinedyke.tasks import run_restarting
 
 DAEMONS_TABLE = 'daemons'
 _STATUS_OK = 200
@@ -185,10 +185,14 @@
         """
         while not await self._bind(nursery):
             self._network.reopen()
-        nursery.start_soon(self._run_receiver)
-        nursery.start_soon(self._run_sender)
-        nursery.start_soon(self._run_evidence_sender)
-        nursery.start_soon(self._run_discovery)
+        nursery.start_soon(run_restarting, self._run_receiver, 'peers.receiver')
+        nursery.start_soon(run_restarting, self._run_sender, 'peers.sender')
+        nursery.start_soon(
+            run_restarting, self._run_evidence_sender, 'peers.evidence_sender'
+        )
+        nursery.start_soon(
+            run_restarting, self._run_discovery, 'peers.discovery'
+        )
 
     async def fetch_state(self, host: str) -> bool:
         """Fetch the state of another daemon and apply it where it is newer.
@@ -236,7 +240,7 @@
         except OSError as error:
             if self._identity.address.port:
                 raise
-            logging.info('event=port_taken error=%s', error)
+            self._journal.write('port_taken', error=str(error))
             return False
         return True
 
@@ -396,10 +400,8 @@
             if address.is_reachable:
                 self._network.record_listed(row.key, address, peer.zone)
             else:
-                logging.warning(
-                    'event=daemon_row_unreadable key=%r address=%r',
-                    row.key,
-                    str(address),
+                self._journal.write(
+                    'daemon_row_unreadable', key=row.key, address=str(address)
                 )
         return True
 
--- a/src/clementinedyke/entry/recovery.py
+++ b/src/clementinedyke/entry/recovery.py
@@ -11,6 +11,7 @@
 from clementinedyke.entry.configuration_view import ConfigurationView
 from clementinedyke.entry.endpoint_view import EndpointView
 from clementinedyke.entry.news import PeerTable
+from clementinedyke.tasks import run_restarting
 
 _MILLISECONDS_PER_SECOND = 1000
 #: Time for which a daemon lags behind another one before it fetches its state.
@@ -71,7 +72,7 @@
 
         :param nursery: nursery that runs the task.
         """
-        nursery.start_soon(self._run)
+        nursery.start_soon(run_restarting, self._run, 'recovery')
 
     async def _run(self) -> None:
         while True:
--- a/src/clementinedyke/entry/stream_runner.py
+++ b/src/clementinedyke/entry/stream_runner.py
@@ -2,6 +2,7 @@
 
 import math
 from dataclasses import dataclass, field
+from functools import partial
 
 import trio
 
@@ -24,6 +25,7 @@
 )
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
 from clementinedyke.http.message import RequestError, ResponseWriter
+from clementinedyke.tasks import run_guarded
 
 _STATUS_OK = 200
 _MILLISECONDS_PER_SECOND = 1000
@@ -447,9 +449,10 @@
 
     def _release(self, generation: _Generation) -> None:
         if generation.kv_cache is not None:
-            self._nursery.start_soon(
+            release = partial(
                 self._context.exchange.release, generation.kv_cache
             )
+            self._nursery.start_soon(run_guarded, release, 'release')
 
 
 def _get_resume_lifetime(job: Job) -> Milliseconds:
--- a/src/clementinedyke/entry/suspect_component.py
+++ b/src/clementinedyke/entry/suspect_component.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterator, Sequence
+from functools import partial
 
 import trio
 from prometheus_client.core import CounterMetricFamily
@@ -22,6 +23,7 @@
     compile_write,
 )
 from clementinedyke.rows import Commit, RowStore, Write, convert_row
+from clementinedyke.tasks import run_guarded, run_restarting
 
 #: Delay before a failed call of the store is repeated, which doubles up to the
 #: maximum.
@@ -116,8 +118,12 @@
         :param nursery: nursery that runs the tasks.
         """
         self._nursery = nursery
-        nursery.start_soon(self._run_reader)
-        nursery.start_soon(self._run_writer)
+        nursery.start_soon(
+            run_restarting, self._run_reader, 'suspect_component.reader'
+        )
+        nursery.start_soon(
+            run_restarting, self._run_writer, 'suspect_component.writer'
+        )
 
     def examine(self, endpoint: EntryEndpoint) -> Examination:
         """Find out whether a process listens at an endpoint's address.
@@ -131,9 +137,8 @@
                 examination.finish(is_listening=None)
                 return examination
             self._examinations[endpoint.run_id] = examination
-            self._nursery.start_soon(
-                self._check_listening, endpoint, examination
-            )
+            check = partial(self._check_listening, endpoint, examination)
+            self._nursery.start_soon(run_guarded, check, 'examination')
         return examination
 
     def _store_evidence(self, evidence: Sequence[Evidence]) -> None:
@@ -181,7 +186,12 @@
     async def _check_listening(
         self, endpoint: EntryEndpoint, examination: Examination
     ) -> None:
-        is_listening = await self.check_listening(endpoint)
+        is_listening: bool | None = None
+        try:
+            is_listening = await self.check_listening(endpoint)
+        finally:
+            self._examinations.pop(endpoint.run_id)
+            examination.finish(is_listening=is_listening)
         self.counts.record_examination(is_listening=is_listening)
         self._journal.write(
             'endpoint_examined',
@@ -192,8 +202,6 @@
             self.suspects.record_refused_connection(
                 endpoint, self._clock.get_now()
             )
-        self._examinations.pop(endpoint.run_id)
-        examination.finish(is_listening=is_listening)
 
     async def _run_writer(self) -> None:
         delay = _MIN_RETRY
--- a/src/clementinedyke/entry/sync_component.py
+++ b/src/clementinedyke/entry/sync_component.py
@@ -13,6 +13,7 @@
 from clementinedyke.entry.endpoint_view import EndpointView
 from clementinedyke.entry.placement import PlacementCore
 from clementinedyke.entry.ports import CallerPort
+from clementinedyke.tasks import run_restarting
 
 #: Pause after a change, in which further ones are collected. A request that is
 #: still placed with an outdated list is covered by the drain delay of some
@@ -74,7 +75,7 @@
 
         :param nursery: nursery that runs the task.
         """
-        nursery.start_soon(self._run)
+        nursery.start_soon(run_restarting, self._run, 'sync_component')
 
     async def stop(self) -> None:
         """Close the connections to endpoints."""
--- a/src/clementinedyke/entry/usage_component.py
+++ b/src/clementinedyke/entry/usage_component.py
@@ -20,6 +20,7 @@
 )
 from clementinedyke.entry.usage_sharing import SHARED_SETTLE_TIME, UsageSharing
 from clementinedyke.entry.wall_time import WallTime
+from clementinedyke.tasks import run_restarting
 
 _MIN_PART_INTERVAL_SECONDS: float = 1
 _PART_INTERVAL_SECONDS_PER_DAEMON = 0.06
@@ -98,8 +99,12 @@
 
         :param nursery: nursery that runs them.
         """
-        nursery.start_soon(self._write_parts)
-        nursery.start_soon(self._close_windows)
+        nursery.start_soon(
+            run_restarting, self._write_parts, 'usage_component.write_parts'
+        )
+        nursery.start_soon(
+            run_restarting, self._close_windows, 'usage_component.close_windows'
+        )
 
     async def stop(self) -> None:
         """Write the counts that have not been written yet."""
--- a/src/clementinedyke/entry/watch.py
+++ b/src/clementinedyke/entry/watch.py
@@ -16,6 +16,7 @@
 from clementinedyke.entry.host_settings import ServiceBounds
 from clementinedyke.entry.journal import Journal
 from clementinedyke.store_revision import get_era
+from clementinedyke.tasks import run_restarting
 
 _MILLISECONDS_PER_SECOND = 1000
 #: Bounds of the random delay before a failed call is repeated. All daemons lose
@@ -289,7 +290,7 @@
 
         :param nursery: nursery that runs the task.
         """
-        nursery.start_soon(self._run)
+        nursery.start_soon(run_restarting, self._run, 'watch')
 
     def compile_news(self, now: Milliseconds) -> TableNews | None:
         """Return the known revision and when it was confirmed.
--- a/src/clementinedyke/http/client.py
+++ b/src/clementinedyke/http/client.py
@@ -89,11 +89,16 @@
 
     @property
     def is_reachable(self) -> bool:
-        """Whether a host can have this address: an IP address and a port."""
+        """Whether a host can have this address: an IP address and a port.
+
+        An address with a zone id has a meaning on the host of its writer only.
+        """
         try:
             parsed = ipaddress.ip_address(self.host)
         except ValueError:
             return False
+        if getattr(parsed, 'scope_id', None) is not None:
+            return False
         is_of_host = not (parsed.is_unspecified or parsed.is_multicast)
         return is_of_host and 0 < self.port <= MAX_PORT
 
@@ -518,6 +523,12 @@
     ) -> ResponseStream:
         try:
             await connection.send(request, str(self._address))
+        except h11.LocalProtocolError as error:
+            # A text from another source, such as a name in a configuration,
+            # can't be sent in a header.
+            raise PeerUnavailableError(
+                f'request to {self._address} cannot be sent: {error}'
+            ) from error
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise AnswerLostError(
                 f'sending to {self._address} failed: {error}'
--- a/src/clementinedyke/http/socket_io.py
+++ b/src/clementinedyke/http/socket_io.py
@@ -32,11 +32,28 @@
     :param port: TCP port of the peer.
     :raises OSError: if the peer cannot be reached.
     """
-    transport = await trio.open_tcp_stream(host, port)
+    transport = await connect_tcp(host, port)
     set_silence_limit(transport, SILENCE_LIMIT)
     return transport
 
 
+async def connect_tcp(host: str, port: int) -> trio.SocketStream:
+    """Open a connection.
+
+    The resolver raises more than OSError for text that another writer left as
+    an address: UnicodeError for a name that it can't encode, and ValueError or
+    OverflowError for other malformed hosts and ports.
+
+    :param host: IP address of the peer.
+    :param port: TCP port of the peer.
+    :raises OSError: if the peer cannot be reached.
+    """
+    try:
+        return await trio.open_tcp_stream(host, port)
+    except (ValueError, OverflowError) as error:
+        raise OSError(f'{host!r} is no address: {error}') from error
+
+
 async def receive_some(stream: trio.abc.Stream, max_bytes: int) -> bytes:
     """Return at least one byte, waiting if necessary; empty at the end.
 
--- a/src/clementinedyke/leases/component.py
+++ b/src/clementinedyke/leases/component.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from functools import partial
 from typing import Protocol
 
 import trio
@@ -42,6 +43,7 @@
     convert_row,
 )
 from clementinedyke.store_revision import get_era
+from clementinedyke.tasks import run_restarting
 
 LEASES_TABLE = 'leases'
 FENCES_TABLE = 'fences'
@@ -154,7 +156,7 @@
                 for incarnation in sorted(self._deaths)
             ]
             if self._nursery is not None:
-                self._nursery.start_soon(self._run_scope, scope)
+                self._start_scope(self._nursery, scope)
         return self._cores[scope]
 
     async def remove_scope(self, scope: str) -> None:
@@ -199,7 +201,7 @@
         """
         self._nursery = nursery
         for scope in self._cores:
-            nursery.start_soon(self._run_scope, scope)
+            self._start_scope(nursery, scope)
 
     async def drain(self) -> None:
         """Do nothing: stop() releases the leases after their users drained."""
@@ -221,6 +223,10 @@
                 'event=leases_not_released scopes=%s', ','.join(left)
             )
 
+    def _start_scope(self, nursery: trio.Nursery, scope: str) -> None:
+        task = partial(self._run_scope, scope)
+        nursery.start_soon(run_restarting, task, f'lease.{scope}')
+
     def _request_stop(self, scope: str) -> None:
         self._pending[scope].append(StopRequested())
         self._wakes[scope].set()
--- a/src/clementinedyke/logs.py
+++ b/src/clementinedyke/logs.py
@@ -10,6 +10,10 @@
 _QUOTED_CHARACTERS = frozenset((' ', '"', '=', '\\', '\n', '\r', '\t'))
 
 
+#: Characters of a traceback that are logged; its end names the error.
+_MAX_TRACEBACK = 2000
+
+
 class KeyValueFormatter(standard_logging.Formatter):
     """Formats records as key=value pairs, starting with time and level."""
 
@@ -20,7 +24,11 @@
         """
         time = self.formatTime(record, '%Y-%m-%dT%H:%M:%S%z')
         message = record.getMessage().replace('\n', ' ')
-        return f'time={time} level={record.levelname.lower()} {message}'
+        line = f'time={time} level={record.levelname.lower()} {message}'
+        if record.exc_info is None:
+            return line
+        text = self.formatException(record.exc_info)
+        return f'{line} traceback={json.dumps(text[-_MAX_TRACEBACK:])}'
 
 
 def set_up_logging(level: str) -> None:
--- a/src/clementinedyke/orders/connection.py
+++ b/src/clementinedyke/orders/connection.py
@@ -12,6 +12,7 @@
 from clementinedyke.clock import Milliseconds
 from clementinedyke.exceptions import AnswerLostError, PeerUnavailableError
 from clementinedyke.http.client import Address, HttpRequest, HttpResponse
+from clementinedyke.http.socket_io import connect_tcp
 
 #: The kernel drops data that stays unacknowledged for longer.
 USER_TIMEOUT: Milliseconds = 5000
@@ -51,7 +52,7 @@
 async def _connect(address: Address) -> trio.SocketStream:
     try:
         with trio.fail_after(_CONNECT_TIMEOUT / _MILLISECONDS_PER_SECOND):
-            stream = await trio.open_tcp_stream(address.host, address.port)
+            stream = await connect_tcp(address.host, address.port)
     except (OSError, trio.TooSlowError) as error:
         raise PeerUnavailableError(
             f'{address} cannot be reached: {error}'
--- a/src/clementinedyke/platform/configuration_document.py
+++ b/src/clementinedyke/platform/configuration_document.py
@@ -35,6 +35,13 @@
 _MAX_DURATION = 10**9
 _MAX_VERSION = 1 << sys.float_info.mant_dig
 
+#: Text that a header can hold: no control characters, no space at the ends.
+_HeaderText = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r'\A([^\x00-\x20\x7f]([^\x00-\x1f\x7f]*[^\x00-\x20\x7f])?)?\Z'
+    ),
+]
 _Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_DURATION)]
 _Duration = Annotated[float, msgspec.Meta(ge=0, le=_MAX_DURATION)]
 
@@ -89,7 +96,8 @@
 
 
 class _Tenant(msgspec.Struct):
-    name: str
+    #: Sent to endpoints in a header.
+    name: _HeaderText
     api_keys: list[str]
     priority: int | None = None
 
--- a/tests/entry_environment.py
+++ b/tests/entry_environment.py
@@ -135,6 +135,8 @@
         self.duties = DutiesStandin()
         self.endpoints: dict[str, EndpointStandin] = {}
         self.daemons: list[EntryApplication] = []
+        #: Clients and decoders of the daemons, in the same order.
+        self.parts: list[PlatformParts] = []
         self._daemon_scopes: list[trio.CancelScope] = []
         self.store_port = 0
         self.duties_port = 0
@@ -194,6 +196,7 @@
         parts = create_parts(settings)
         if links is not None:
             parts = links.replace_addresses(parts)
+        self.parts.append(parts)
         daemon = EntryApplication(settings, parts)
         await self.nursery.start(self._run_daemon, daemon)
         self.daemons.append(daemon)
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -2,9 +2,12 @@
 
 import base64
 import json
+import logging
 import re
 from contextlib import suppress
+from dataclasses import replace
 from pathlib import Path
+from random import Random
 
 import pytest
 import trio
@@ -15,9 +18,12 @@
     EntryEnvironment,
     ScenarioRunner,
 )
+from tests.entry_samples import create_endpoint, create_journal
 from tests.platform_standin import EndpointStandin, encode, serve
+from trio.testing import MockClock
 
 import clementinedyke
+from clementinedyke.clock import ManualClock
 from clementinedyke.daemons.codec import ControlCodec
 from clementinedyke.decoding import (
     convert_document,
@@ -25,20 +31,27 @@
     decode_msgpack,
 )
 from clementinedyke.endpoints.registry import EndpointRegistry
+from clementinedyke.entry.catalog import EntryEndpoint
+from clementinedyke.entry.direct_path import DirectPath
+from clementinedyke.entry.endpoint_connections import check_listening
 from clementinedyke.entry.event_stream import EventSplitter
 from clementinedyke.entry.feed_messages import FEED_PREFIX, decode_news
 from clementinedyke.entry.news import PeerUpdate
+from clementinedyke.entry.path_monitor import PathMonitor
 from clementinedyke.entry.stream_messages import MESSAGE_PREFIX, decode_message
 from clementinedyke.entry.usage_messages import USAGE_PREFIX, decode_usage
-from clementinedyke.exceptions import ProtocolError
-from clementinedyke.http.client import Address, HttpClient
+from clementinedyke.exceptions import PeerUnavailableError, ProtocolError
+from clementinedyke.http.client import Address, HttpClient, HttpRequest
 from clementinedyke.http.server import ResponseWriter, ServerRequest
+from clementinedyke.logs import KeyValueFormatter
+from clementinedyke.orders.connection import exchange_once
 from clementinedyke.platform.configuration_document import decode_configuration
 from clementinedyke.platform.endpoint_document import decode_endpoint
 from clementinedyke.platform.requests import RequestTranslator
 from clementinedyke.platform.store_answers import decode_page
 from clementinedyke.reference_platform.tables import TableClient
 from clementinedyke.rows import Row, convert_row
+from clementinedyke.tasks import run_restarting
 
 _DEPTH = 100_000
 _NESTED_LIST = b'%b%b' % (b'[' * _DEPTH, b']' * _DEPTH)
@@ -86,6 +99,10 @@
     'no address': compile_entry('address', b'":9"'),
     'long host': compile_entry('address', b'"%b:9"' % (b'a' * 300)),
     'any host': compile_entry('address', b'"0.0.0.0:9"'),
+    'zone id': compile_entry('address', '"::1%võrk0:8080"'.encode()),
+    'empty label': compile_entry('address', b'"::1%a..b:8080"'),
+    'long label': compile_entry('address', b'"::1%%%b:8080"' % (b'a' * 64)),
+    'other host': compile_entry('address', b'"fe80::1%eth0:8080"'),
     'state': compile_entry('state', b'"asleep"'),
     'stage': compile_entry('stage', b'"both"'),
     'empty service': compile_entry('service', b'""'),
@@ -157,6 +174,163 @@
         ScenarioRunner().run(scenario)
 
 
+#: Hosts for which the resolver raises something else than OSError.
+_ODD_HOSTS = ('::1%võrk0', '::1%a..b', f'::1%{"a" * 64}', '127.0.0.1\0', '')
+
+
+class TestOddAddresses:
+    """Guards against an address whose connection attempt ends the daemon.
+
+    Name resolution raised UnicodeError, which nothing expected. An address may
+    reach the network by ways that the decoder of entries does not check.
+    """
+
+    @pytest.mark.parametrize('host', _ODD_HOSTS)
+    def test_client(self, host: str) -> None:
+        """A client reports an unreachable peer."""
+
+        async def main() -> None:
+            async with HttpClient(Address(host, 8080)) as client:
+                await client.request(HttpRequest('GET', '/'), 1000)
+
+        with pytest.raises(PeerUnavailableError):
+            trio.run(main)
+
+    @pytest.mark.parametrize('host', _ODD_HOSTS)
+    def test_order(self, host: str) -> None:
+        """An order reports an unreachable peer."""
+        address = Address(host, 8080)
+        with pytest.raises(PeerUnavailableError):
+            trio.run(exchange_once, address, HttpRequest('GET', '/'), 1000)
+
+    @pytest.mark.parametrize('host', _ODD_HOSTS)
+    def test_examination(self, host: str) -> None:
+        """An examination finds no process."""
+        endpoint = replace(create_endpoint('i-1'), address=Address(host, 8080))
+        assert not trio.run(check_listening, endpoint)
+
+    def test_large_port(self) -> None:
+        """A port that does not exist is an unreachable peer."""
+        address = Address('127.0.0.1', 1 << 70)
+        with pytest.raises(PeerUnavailableError):
+            trio.run(exchange_once, address, HttpRequest('GET', '/'), 1000)
+
+    def test_path_check_goes_on(self) -> None:
+        """A check of links that meets an unexpected error ends alone."""
+
+        async def main() -> None:
+            path = DirectPath(
+                'zone-a', Random(1), create_journal(ManualClock())
+            )
+            failures = [KeyError('endpoints')]
+
+            def list_endpoints() -> list[EntryEndpoint]:
+                if failures:
+                    raise failures.pop()
+                return []
+
+            monitor = PathMonitor(path, list_endpoints, ManualClock())
+            async with trio.open_nursery() as nursery:
+                await monitor.start(nursery)
+                with trio.fail_after(5):
+                    assert await monitor.check_is_lost() is False
+                assert not failures
+                assert await monitor.check_is_lost() is False
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+
+class TestFailingTasks:
+    """Guards against an error in one task that ends the whole daemon."""
+
+    def test_task_is_restarted(self) -> None:
+        """A loop that fails runs again and keeps its state."""
+        rounds: list[int] = []
+
+        async def loop() -> None:
+            rounds.append(len(rounds))
+            if len(rounds) < 3:
+                raise UnicodeError('label too long')
+
+        trio.run(
+            run_restarting, loop, 'loop', clock=MockClock(autojump_threshold=0)
+        )
+        assert rounds == [0, 1, 2]
+
+    def test_failure_is_logged(self) -> None:
+        """The log line names the task and has the traceback."""
+        error = UnicodeError('label too long')
+        record = logging.LogRecord(
+            'absl',
+            logging.ERROR,
+            '',
+            0,
+            'event=task_failed',
+            None,
+            (UnicodeError, error, None),
+        )
+        line = KeyValueFormatter().format(record)
+        assert 'event=task_failed traceback=' in line
+        assert 'UnicodeError: label too long' in line
+        assert '\n' not in line
+
+    def test_store_loops_go_on(self) -> None:
+        """A daemon serves on while each loop meets an unexpected error."""
+
+        async def scenario(env: EntryEnvironment) -> None:
+            await env.open()
+            store = env.parts[0].store
+
+            async def fail(*given: object) -> None:
+                raise OverflowError('a value that no one expected')
+
+            with pytest.MonkeyPatch.context() as patch:
+                for name in ('list_rows', 'commit', 'get_row'):
+                    patch.setattr(store, name, fail)
+                await trio.sleep(1.5)
+            assert (await env.send_request('/read/1')).status == 200
+            await trio.sleep(1)
+            assert (await env.send_request('/ask/1', 'r-2')).status == 200
+
+        ScenarioRunner().run(scenario)
+
+
+class TestOddNames:
+    """Guards against a name in a configuration that no header can hold.
+
+    The connections of the customer's callers were closed without an answer.
+    """
+
+    @pytest.mark.parametrize(
+        'name', ['a\nb', 'a\0', 'a\r', 'a\n', ' a', 'a ', '\t', '\x7f']
+    )
+    def test_name_is_refused(self, name: str) -> None:
+        """A version with the name is invalid; one with another is not."""
+        for tenant, is_valid in ((name, False), ('võrk nord', True)):
+            document = {
+                **CONFIGURATION,
+                'tenants': [{'name': tenant, 'api_keys': ['key-2']}],
+            }
+            decoded = decode_configuration(json.dumps(document).encode())
+            assert decoded.is_ok() is is_valid
+
+    def test_request_is_not_sent(self) -> None:
+        """A request that can't be put on the wire was not sent."""
+
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                port = await serve(nursery, EndpointStandin('i-1').respond)
+                headers = [(b'X-Tenant', b'a\nb')]
+                request = HttpRequest('GET', '/', headers)
+                client = HttpClient(Address('127.0.0.1', port))
+                with pytest.raises(PeerUnavailableError):
+                    await client.request(request, 1000)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+
 def put_odd_entries(env: EntryEnvironment) -> None:
     """Write all odd entries, and ids that cannot be sent."""
     for number, content in enumerate(_ODD_ENTRIES.values()):
