--- a/src/clementinedyke/entry/intake.py
+++ b/src/clementinedyke/entry/intake.py
@@ -126,7 +126,10 @@
         if route is None:
             return self._deny(ResultCode.ROUTE_UNKNOWN, 'no such route', now)
         customer = self._view.find_customer(request.key)
-        if not route.is_public and self._view.configuration.customers:
+        # An operator may withdraw the last key with its customer, which leaves
+        # an empty list. Only a configuration without one needs no keys.
+        needs_key = self._view.configuration.customers is not None
+        if needs_key and not route.is_public:
             refusal = self._check_key(customer, now)
             if refusal is not None:
                 return refusal
--- a/tests/test_entry_configuration.py
+++ b/tests/test_entry_configuration.py
@@ -3,7 +3,9 @@
 import json
 import random
 
+import pytest
 from result import Err, Ok
+from tests.entry_environment import CONFIGURATION
 from tests.entry_samples import (
     create_configuration,
     create_journal,
@@ -202,6 +204,35 @@
         assert fresh.code is ResultCode.KEY_UNKNOWN
         assert stale.code is ResultCode.KEY_STATE_STALE
 
+    @pytest.mark.parametrize('key', ['key-1', 'other', '', None])
+    @pytest.mark.parametrize(
+        ('tenants', 'is_admitted'),
+        [
+            ([], False),
+            ([{'name': 'loft', 'api_keys': []}], False),
+            (None, True),
+        ],
+    )
+    def test_no_customers(
+        self, tenants: list | None, is_admitted: bool, key: str | None
+    ) -> None:
+        """An empty list of customers must admit no key.
+
+        Guards against reading it like a configuration without customers,
+        which admits all requests: a withdrawn last key opened the system.
+        """
+        document = {**CONFIGURATION, 'tenants': tenants}
+        view = ConfigurationView(
+            'config', decode_configuration, create_journal(ManualClock())
+        )
+        view.apply_content(json.dumps(document).encode(), 0)
+        view.confirm(0)
+        admitted = self.admit(
+            view, 100, key=key, host='desk.example', path='/read/1'
+        )
+        assert isinstance(admitted, Job) is is_admitted
+        assert is_admitted or admitted.code is ResultCode.KEY_UNKNOWN
+
     def test_unknown_route(self) -> None:
         """A route that may just have been added must not be answered 404."""
         view = create_view(ManualClock())
