Sum a usage window in one era of the store only

Cause: whether a window was reported was told by an era in its parts, which only final parts bear; a copy from within the window has none. Parts were not written again, and sums were known to their holder only. Ruled out: two holders at once (fences rise, reports are seconds apart) and two sums in one era (conditional write).

Change: usage_windows/era names the windows that an era may sum. Windows that had ended before it are among them only if the holder of the former era, whose lease lasted until its end, tells that they have no sum. Known sums and the parts of the last windows are written again. The store client reports a return with the first answer of the new era.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: test run lint format check binary bench-relay bench-policy bench-sizing lock clean
+.PHONY: test run soak lint format check binary bench-relay bench-policy bench-sizing lock clean
 
 $(STAMP): requirements-dev.txt pyproject.toml
 	@$(PYTHON) -m venv $(VENV) 1>&2
@@ -43,5 +43,8 @@
 	$(BIN)/pip-compile -q --strip-extras --no-emit-index-url --no-emit-find-links --no-emit-trusted-host --generate-hashes --allow-unsafe --extra dev -o requirements-dev.txt pyproject.toml
 	$(BIN)/pip-compile -q --strip-extras --no-emit-index-url --no-emit-find-links --no-emit-trusted-host --generate-hashes --allow-unsafe -o requirements.txt pyproject.toml
 
+soak: $(STAMP)
+	$(BIN)/python -m tests.drill_soak --seeds $(or $(SEED),1) --seconds $(or $(SECONDS),60)
+
 clean:
 	rm -rf $(VENV) build dist
--- a/src/clementinedyke/entry/duties.py
+++ b/src/clementinedyke/entry/duties.py
@@ -18,14 +18,14 @@
 from clementinedyke.entry.peer_network import PeerNetwork
 from clementinedyke.entry.platform_parts import Duties, PlatformParts
 from clementinedyke.entry.stage_plan import StagePlan
+from clementinedyke.entry.usage_closer import WindowCloser
 from clementinedyke.entry.usage_component import UsageComponent, UsageTiming
 from clementinedyke.entry.usage_counter import UsageCounter
-from clementinedyke.entry.usage_duty import PartWriter, WindowCloser
-from clementinedyke.entry.usage_sharing import UsageSharing
+from clementinedyke.entry.usage_sharing import UsageSharing, create_sharing
 from clementinedyke.entry.wall_time import WallTime
+from clementinedyke.leases import Identity, LeaseTiming
 from clementinedyke.leases.component import LeaseComponent, LeasePolicy
 from clementinedyke.leases.handover import ExpiryHandover
-from clementinedyke.leases.types import Identity, LeaseTiming
 
 _RENEWALS_PER_LEASE = 3
 #: Longer than the timeout of the store client.
@@ -110,6 +110,7 @@
             dependencies.count_daemons,
         ),
     )
+    platform.store.return_observers.append(usage.record_return)
     return [
         leases,
         usage,
@@ -123,19 +124,12 @@
     run_id: str,
     dependencies: DutyDependencies,
 ) -> UsageSharing:
-    sharing = UsageSharing(
+    sharing = create_sharing(
         settings.host,
         run_id,
-        PartWriter(
-            platform.store,
-            dependencies.usage,
-            dependencies.journal,
-            settings.host,
-            run_id,
-        ),
-        dependencies.network,
-        dependencies.clock,
-        dependencies.journal,
+        platform.store,
+        dependencies.usage,
+        (dependencies.network, dependencies.clock, dependencies.journal),
     )
     sharing.select_collector = dependencies.select_collector
     dependencies.network.add_receiver(sharing.prefix, sharing.receive)
--- a/src/clementinedyke/entry/duty_lease.py
+++ b/src/clementinedyke/entry/duty_lease.py
@@ -71,6 +71,12 @@
         """Condition for writes that only the current holder may make."""
         return compile_fence_condition(DUTIES_SCOPE, self._core.fence_version)
 
+    @property
+    def is_held(self) -> bool:
+        """Whether no other daemon can hold the lease now."""
+        now = self._clock.get_now()
+        return bool(self._core.fence_version) and self._core.is_held(now)
+
     def get_authority(self) -> Authority | None:
         """Return the authority for a call made now, None if not permitted."""
         now = self._clock.get_now()
--- a/src/clementinedyke/entry/platform_parts.py
+++ b/src/clementinedyke/entry/platform_parts.py
@@ -20,10 +20,13 @@
 class Store(RowStore, TableFeed, Protocol):
     """Store with conditional writes and change feeds.
 
-    ``record_call`` is called after each call to the store.
+    ``record_call`` is called after each call to the store, and
+    ``return_observers`` when it has returned from an older copy, with the first
+    answer that tells so.
     """
 
     record_call: Callable[[StoreCall], None]
+    return_observers: list[Callable[[], None]]
 
     def observe_losses(
         self, observer: Callable[[LostConnection], None]
--- a/src/clementinedyke/entry/usage_component.py
+++ b/src/clementinedyke/entry/usage_component.py
@@ -13,11 +13,8 @@
 from clementinedyke.clock import Milliseconds
 from clementinedyke.components import Component
 from clementinedyke.entry.duty_lease import DutyLease
-from clementinedyke.entry.usage_duty import (
-    SETTLE_TIME,
-    WindowCloser,
-    WindowTime,
-)
+from clementinedyke.entry.usage_closer import WindowCloser
+from clementinedyke.entry.usage_duty import SETTLE_TIME, WindowTime
 from clementinedyke.entry.usage_sharing import SHARED_SETTLE_TIME, UsageSharing
 from clementinedyke.entry.wall_time import WallTime
 from clementinedyke.tasks import run_restarting
@@ -26,6 +23,8 @@
 _PART_INTERVAL_SECONDS_PER_DAEMON = 0.06
 _MAX_PART_INTERVAL_SECONDS: float = 4
 _CLOSE_INTERVAL_SECONDS = 0.5
+#: Delay before what a store lost is written again after a failed call.
+_RESTORE_RETRY_SECONDS = 0.25
 #: Longest time that a stop waits for the last counts to be written.
 _FLUSH_TIMEOUT_SECONDS = 0.7
 #: A report is sent this long before it is due even if parts are missing, since
@@ -93,9 +92,23 @@
         self._closer = closer
         self._wall_time = wall_time
         self._timing = timing
+        self._has_returned = trio.Event()
+
+    def record_return(self) -> None:
+        """Record that the store has returned from a copy.
+
+        Called with the first answer of the new era, before this daemon has
+        given up a lease of the former one.
+        """
+        self._closer.record_return(
+            is_holder=self._lease.is_held,
+            window_time=self._compile_window_time(),
+        )
+        self._sharing.record_return()
+        self._has_returned.set()
 
     async def start(self, nursery: trio.Nursery) -> None:
-        """Start both tasks.
+        """Start the tasks.
 
         :param nursery: nursery that runs them.
         """
@@ -105,6 +118,9 @@
         nursery.start_soon(
             run_restarting, self._close_windows, 'usage_component.close_windows'
         )
+        nursery.start_soon(
+            run_restarting, self._restore_windows, 'usage_component.restore'
+        )
 
     async def stop(self) -> None:
         """Write the counts that have not been written yet."""
@@ -123,18 +139,29 @@
     async def _close_windows(self) -> None:
         while True:
             await trio.sleep(_CLOSE_INTERVAL_SECONDS)
-            if self._lease.get_authority() is None:
+            if not self._lease.is_held:
                 continue
-            window_time = WindowTime(
-                self._wall_time.get_unix(),
-                self._timing.window,
-                self._timing.part_deadline,
-                SHARED_SETTLE_TIME if self._sharing.is_shared else SETTLE_TIME,
-            )
             # A write with this condition fails once another daemon has acquired
             # the lease.
             await self._closer.close_windows(
-                window_time,
+                self._compile_window_time(),
                 self._lease.get_authority,
                 self._lease.fence_condition,
             )
+
+    async def _restore_windows(self) -> None:
+        while True:
+            await self._has_returned.wait()
+            self._has_returned = trio.Event()
+            while not await self._closer.restore_windows(
+                self._compile_window_time()
+            ):
+                await trio.sleep(_RESTORE_RETRY_SECONDS)
+
+    def _compile_window_time(self) -> WindowTime:
+        return WindowTime(
+            self._wall_time.get_unix(),
+            self._timing.window,
+            self._timing.part_deadline,
+            SHARED_SETTLE_TIME if self._sharing.is_shared else SETTLE_TIME,
+        )
--- a/src/clementinedyke/entry/usage_duty.py
+++ b/src/clementinedyke/entry/usage_duty.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Protocol, TypeVar
 
@@ -25,34 +25,22 @@
     Condition,
     Row,
     RowStore,
-    Snapshot,
     Write,
     convert_row,
 )
 from clementinedyke.store_revision import get_era
 
 PARTS_TABLE = 'usage_parts'
-WINDOWS_TABLE = 'usage_windows'
 #: Time after the end of a window from which its parts may be complete; parts
 #: are written every second.
 SETTLE_TIME: Milliseconds = 1200
-#: Parts that are deleted in one commit. The users' store takes 100 entries, and
-#: the commit that stores a sum has three others.
-_MAX_DELETIONS = 97
 #: Number of past windows that a new holder checks. In both workload
 #: sheets a report counts until 2 windows after its own; the third window
 #: covers a sum that was written but not yet reported.
-_LOOK_BACK_WINDOWS = 3
+LOOK_BACK_WINDOWS = 3
 _Known = TypeVar('_Known')
 
 
-class WindowSum(msgspec.Struct, frozen=True):
-    """Total counts of a window, stored before they are first reported."""
-
-    counts: dict[str, int]
-    is_reported: bool = False
-
-
 class UsagePart(msgspec.Struct, frozen=True, omit_defaults=True):
     """Counts of one run of a daemon in a window.
 
@@ -90,6 +78,13 @@
         """Number of the newest window that no longer waits for parts."""
         return (self.unix - self.part_deadline) // self.length - 1
 
+    def get_window(self, offset: Milliseconds = 0) -> int:
+        """Return the number of the window at a moment.
+
+        :param offset: time from now to the moment in ms.
+        """
+        return (self.unix + offset) // self.length
+
     def get_age(self, window: int) -> Milliseconds:
         """Return the time since the start of a window.
 
@@ -237,10 +232,24 @@
         rows = {}
         for row in answer.unwrap().rows:
             run_id = row.key.partition('/')[2]
-            for part in _decode_parts((row,)):
+            for part in decode_parts((row,)):
                 rows[row.key] = PartRow(window, run_id, part, row.version)
         return rows
 
+    def record_return(self) -> None:
+        """Write the parts of recent windows again.
+
+        For a store that returned from a copy that may lack them. Windows of
+        which a sum is stored lose these parts again.
+        """
+        oldest = self._counter.window - LOOK_BACK_WINDOWS - 1
+        self._versions.clear()
+        self._written = {
+            window: part
+            for window, part in self._written.items()
+            if window < oldest
+        }
+
     def record_commit(self, rows: Iterable[PartRow], version: int) -> None:
         """Record that parts of this daemon were written.
 
@@ -303,196 +312,6 @@
             )
 
 
-class WindowCloser:
-    """Sums and reports usage windows on the daemon that holds the duties.
-
-    The sum of a window is stored before it is reported, so that a repeated
-    report has the same counts.
-    """
-
-    def __init__(
-        self,
-        store: RowStore,
-        reporter: UsageReporter,
-        journal: Journal,
-        list_hosts: Callable[[Milliseconds], frozenset[str]],
-    ) -> None:
-        """Create the closer.
-
-        :param store: rows of the platform.
-        :param reporter: client of the interface for usage reports.
-        :param journal: log of the reports sent.
-        :param list_hosts: returns the hosts whose daemons were heard from
-            within the given number of milliseconds.
-        """
-        self._store = store
-        self._reporter = reporter
-        self._journal = journal
-        self._list_hosts = list_hosts
-        self._reported: set[int] = set()
-        #: Windows with a sum whose parts this daemon has deleted.
-        self._cleared: set[int] = set()
-
-    async def close_windows(
-        self,
-        window_time: WindowTime,
-        get_authority: Callable[[], Authority | None],
-        fence: Condition,
-    ) -> None:
-        """Report the windows whose parts are complete or past their deadline.
-
-        :param window_time: current time, which decides what may be summed.
-        :param get_authority: returns the holder and the fence to send with a
-            report made now, None if this daemon may not report. It is asked
-            before each report, as the lease may end during calls of the store.
-        :param fence: condition that fails once another daemon holds the
-            duties.
-        """
-        oldest = window_time.newest_settled - _LOOK_BACK_WINDOWS
-        for window in range(oldest, window_time.newest_settled + 1):
-            if window in self._reported:
-                continue
-            row = await self._get_or_write_sum(window, fence, window_time)
-            if row is not None:
-                await self._report(window, row, get_authority)
-        self._reported = {known for known in self._reported if known >= oldest}
-        self._cleared = {known for known in self._cleared if known >= oldest}
-
-    async def _report(
-        self,
-        window: int,
-        row: Row,
-        get_authority: Callable[[], Authority | None],
-    ) -> None:
-        summed = convert_row(WINDOWS_TABLE, row, WindowSum)
-        if summed is None or summed.is_reported or not summed.counts:
-            self._reported.add(window)
-            return
-        authority = get_authority()
-        if authority is None:
-            return
-        answer = await self._reporter.report_usage(
-            window, summed.counts, authority
-        )
-        self._journal.write(
-            'usage_reported',
-            window=window,
-            counts=summed.counts,
-            outcome='ok' if answer.is_ok() else answer.unwrap_err().value,
-        )
-        if answer.is_ok():
-            self._reported.add(window)
-            await self._mark_reported(window, row, summed)
-
-    async def _get_or_write_sum(
-        self, window: int, fence: Condition, window_time: WindowTime
-    ) -> Row | None:
-        """Return the row with the sum of a window, writing it if it is absent.
-
-        Returns None if the store failed or parts are still awaited. A sum
-        without counts is returned but not stored.
-        """
-        known = await self._store.get_row(WINDOWS_TABLE, str(window))
-        if known.is_err():
-            return None
-        row = known.unwrap()
-        if row is not None and window in self._cleared:
-            return row
-        parts = await self._store.list_rows(PARTS_TABLE, f'{window}/')
-        if parts.is_err():
-            return None
-        if row is not None:
-            # Its writer may have ended before it had deleted all parts.
-            self._cleared.add(window)
-            await self._delete_parts(parts.unwrap().rows)
-            return row
-        return await self._sum_window(
-            window, fence, window_time, parts.unwrap()
-        )
-
-    async def _sum_window(
-        self,
-        window: int,
-        fence: Condition,
-        window_time: WindowTime,
-        parts: Snapshot,
-    ) -> Row | None:
-        """Return the row with the sum of a window's parts, None if not now."""
-        listed = _decode_parts(parts.rows)
-        era = get_era(parts.revision)
-        if any(part.era is not None and part.era < era for part in listed):
-            # The store may have lost the sum of the window, with which it was
-            # reported. A missed report does less harm than a second figure.
-            self._journal.write('usage_window_left_out', window=window)
-            self._reported.add(window)
-            return None
-        written = {part.host for part in listed if part.is_final}
-        # A daemon last heard from before the window started has no part in it.
-        awaited = self._list_hosts(window_time.get_age(window))
-        if window > window_time.newest_due and not awaited <= written:
-            return None
-        summed = WindowSum(_sum_parts(listed))
-        if not summed.counts:
-            return Row(str(window), ABSENT, msgspec.to_builtins(summed))
-        return await self._write_sum(window, fence, summed, parts.rows)
-
-    async def _write_sum(
-        self, window: int, fence: Condition, summed: WindowSum, parts: list[Row]
-    ) -> Row | None:
-        """Store the sum of a window and delete the parts that it covers."""
-        first = parts[:_MAX_DELETIONS]
-        answer = await self._store.commit(
-            [Condition(WINDOWS_TABLE, str(window), ABSENT), fence],
-            [
-                Write(WINDOWS_TABLE, str(window), summed),
-                *(Write(PARTS_TABLE, part.key) for part in first),
-            ],
-        )
-        outcome = None if answer.is_err() else answer.unwrap()
-        if not isinstance(outcome, Commit):
-            # The next pass reads whether the write took effect.
-            return None
-        self._cleared.add(window)
-        await self._delete_parts(parts[_MAX_DELETIONS:])
-        return Row(str(window), outcome.revision, msgspec.to_builtins(summed))
-
-    async def _delete_parts(self, parts: list[Row]) -> None:
-        """Delete the parts of a window whose sum is stored.
-
-        Parts that are left are no longer counted; the next holder of the
-        duties deletes them.
-        """
-        for start in range(0, len(parts), _MAX_DELETIONS):
-            batch = parts[start : start + _MAX_DELETIONS]
-            answer = await self._store.commit(
-                [], [Write(PARTS_TABLE, part.key) for part in batch]
-            )
-            if answer.is_err():
-                self._journal.write(
-                    'usage_parts_not_deleted',
-                    parts=len(batch),
-                    reason=answer.unwrap_err().value,
-                )
-
-    async def _mark_reported(
-        self, window: int, row: Row, summed: WindowSum
-    ) -> None:
-        """Store that a window has been reported.
-
-        If this write is lost, a new holder repeats the same report.
-        """
-        await self._store.commit(
-            [Condition(WINDOWS_TABLE, str(window), row.version)],
-            [
-                Write(
-                    WINDOWS_TABLE,
-                    str(window),
-                    msgspec.structs.replace(summed, is_reported=True),
-                )
-            ],
-        )
-
-
 def compile_fence_condition(scope: str, version: int) -> Condition:
     """Return a condition that is met while a daemon holds a lease.
 
@@ -520,12 +339,20 @@
     )
 
 
-def _decode_parts(rows: Iterable[Row]) -> list[UsagePart]:
+def decode_parts(rows: Iterable[Row]) -> list[UsagePart]:
+    """Return the readable parts in rows.
+
+    :param rows: rows of the parts of a window.
+    """
     found = (convert_row(PARTS_TABLE, row, UsagePart) for row in rows)
     return [part for part in found if part is not None]
 
 
-def _sum_parts(parts: list[UsagePart]) -> dict[str, int]:
+def sum_parts(parts: Iterable[UsagePart]) -> dict[str, int]:
+    """Return the total counts by customer.
+
+    :param parts: parts of one window.
+    """
     total: Counter[str] = Counter()
     for part in parts:
         total.update(part.counts)
--- a/src/clementinedyke/entry/usage_sharing.py
+++ b/src/clementinedyke/entry/usage_sharing.py
@@ -7,6 +7,7 @@
 from clementinedyke.clock import Clock, Milliseconds
 from clementinedyke.entry.journal import Journal
 from clementinedyke.entry.peer_network import DatagramNetwork
+from clementinedyke.entry.usage_counter import UsageCounter
 from clementinedyke.entry.usage_duty import PartRow, PartWriter, UsagePart
 from clementinedyke.entry.usage_messages import (
     USAGE_PREFIX,
@@ -20,7 +21,7 @@
 )
 from clementinedyke.exceptions import ProtocolError
 from clementinedyke.http.client import Address
-from clementinedyke.rows import ABSENT
+from clementinedyke.rows import ABSENT, RowStore
 
 #: Time for which a part that has ended waits to be written by another daemon.
 #: Reports wait for parts of all daemons for 6 s on the users' sites.
@@ -158,6 +159,12 @@
         await self._write_own()
         await self._commit(self._list_uncommitted())
 
+    def record_return(self) -> None:
+        """Write parts again, for a store that returned from a copy."""
+        self._writer.record_return()
+        self._shared.sent.clear()
+        self._shared.collected.clear()
+
     async def receive(self, datagram: bytes, sender: Address) -> None:
         """Process a message of another daemon.
 
@@ -336,3 +343,23 @@
         for place in tuple(self._shared.collected):
             if place[0] < oldest:
                 self._shared.collected.pop(place)
+
+
+def create_sharing(
+    host: str,
+    run_id: str,
+    store: RowStore,
+    counter: UsageCounter,
+    tools: tuple[DatagramNetwork, Clock, Journal],
+) -> UsageSharing:
+    """Return the sharing of a daemon with a writer of its own parts.
+
+    :param host: name of this host.
+    :param run_id: identity of this run of the daemon.
+    :param store: rows of the platform.
+    :param counter: counter of this daemon.
+    :param tools: network of the daemons, clock and log.
+    """
+    network, clock, journal = tools
+    writer = PartWriter(store, counter, journal, host, run_id)
+    return UsageSharing(host, run_id, writer, network, clock, journal)
--- a/src/clementinedyke/platform/store.py
+++ b/src/clementinedyke/platform/store.py
@@ -101,6 +101,9 @@
         self._client = client
         #: Newest era that an answer bore, 0 if none did.
         self._era = 0
+        self._was_answered = False
+        #: Called with the first answer of a later era, before it is returned.
+        self.return_observers: list[Callable[[], None]] = []
         #: Feed calls in progress and when they were made, in trio time.
         self._following: dict[trio.CancelScope, float] = {}
         #: End of the last call without an answer, None once another call had
@@ -305,7 +308,12 @@
         era = self._read_era(answer.unwrap())
         if era < self._era:
             return Err(TableFailure.UNKNOWN)
+        has_returned = self._was_answered and era > self._era
+        self._was_answered = True
         self._era = era
+        if has_returned:
+            for observer in self.return_observers:
+                observer()
         return Ok(_Answer(answer.unwrap(), era))
 
     def _cancel_older_feeds(self, sent_at: float) -> None:
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -326,12 +326,17 @@
     def __init__(self) -> None:
         """Create a stand-in without recorded calls."""
         self.calls: list[tuple[str, dict]] = []
+        #: Holder and fence of each call, in the same order.
+        self.authorities: list[tuple[str, int]] = []
 
     async def respond(
         self, request: ServerRequest, response: ResponseWriter
     ) -> None:
         """Record a call and answer 200."""
         self.calls.append((request.path, json.loads(request.body)))
+        holder = request.get_header(b'x-duty-holder') or ''
+        fence = request.get_header(b'x-fencing-token') or '0'
+        self.authorities.append((holder, int(fence)))
         await send_document(response, 200, {})
 
 
--- a/tests/test_entry_usage.py
+++ b/tests/test_entry_usage.py
@@ -11,12 +11,12 @@
 from clementinedyke.clock import ManualClock
 from clementinedyke.entry.duty_types import Authority
 from clementinedyke.entry.peer_network import PeerNetwork
+from clementinedyke.entry.usage_closer import WindowCloser
 from clementinedyke.entry.usage_component import UsageComponent, UsageTiming
 from clementinedyke.entry.usage_counter import UsageCounter
 from clementinedyke.entry.usage_duty import (
     PARTS_TABLE,
     PartWriter,
-    WindowCloser,
     WindowTime,
     compile_fence_condition,
 )
@@ -87,6 +87,8 @@
         }
         self.raise_fence()
         self.closer = self.create_closer()
+        # The first pass of a holder notes which windows this era may sum.
+        self.close()
 
     def raise_fence(self) -> None:
         """Give the duties to a new holder."""
@@ -154,9 +156,14 @@
         self.fence_condition = fence
         self._lost_at = trio.current_time() + 1
 
+    @property
+    def is_held(self) -> bool:
+        """Whether the lease is held."""
+        return trio.current_time() < self._lost_at
+
     def get_authority(self) -> Authority | None:
         """Return the authority while the lease is held."""
-        return _AUTHORITY if trio.current_time() < self._lost_at else None
+        return _AUTHORITY if self.is_held else None
 
 
 class TestLostLease:
@@ -263,6 +270,26 @@
         }
         assert figures == {(('loft', 5),)}
 
+    def test_copy_of_open_window(self) -> None:
+        """A window must not be reported again with the counts of a copy.
+
+        The copy was taken within the window, so its parts are not final.
+        """
+        scenario = UsageScenario('host-1')
+        scenario.count('host-1', 'loft', 2)
+        scenario.write('host-1')
+        copy = scenario.store.copy()
+        scenario.count('host-1', 'loft', 3)
+        scenario.time.unix += _LENGTH + 1500
+        scenario.write('host-1')
+        scenario.close()
+        scenario.store.return_from(copy)
+        scenario.raise_fence()
+        scenario.time.unix += _PART_DEADLINE
+        for _ in range(2):
+            scenario.close(scenario.create_closer())
+        assert scenario.reporter.reports == [(10, {'loft': 5})]
+
     def test_windows_after_the_return(self) -> None:
         """Windows that begin after the store returned are reported."""
         scenario = UsageScenario('host-1', 'host-2')
