Tell daemons that start of the streams that they keep

Change: a daemon that hears from a new run of another one tells it its streams, twice, with the lifetime that is left. A stream that is taken up is told to its keepers again. The messages are those of earlier builds.

Ruled out: lost datagrams, and lifetimes that end too early.

test_restarted_daemons_do_not_guess describes daemons that were all killed. Its simulation restarted them one by one, after which the true version is known now, so it kills all of them first; what it asserts is unchanged.

--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -101,6 +101,7 @@
                 self._links.monitor,
                 self._suspect_component,
                 self._peers,
+                self._handover,
                 self._feed_exchange,
                 self._recovery,
                 *self._duties,
@@ -186,6 +187,7 @@
             self._platform.configuration_key,
         )
         self._versions.list_active = self._peers.list_active
+        self._peer_table.start_observers.append(self._handover.record_start)
         self._exchanged_state.notices.limits.list_hosts = (
             self._peers.list_active
         )
@@ -225,6 +227,7 @@
         )
         self._network = path.network
         self._versions = path.versions
+        self._handover = path.handover
         self._links = path.links
         self._exchanged_state = path.exchanged_state
         self._gateway = path.gateway
--- a/src/clementinedyke/entry/catalog.py
+++ b/src/clementinedyke/entry/catalog.py
@@ -210,3 +210,10 @@
         if self.resumed_request is not None:
             return self.last_event_id is not None
         return bool(self.last_event_id)
+
+    @property
+    def first_request_id(self) -> str:
+        """Id of the request that brought the first event of the stream."""
+        if self.resumes_stream and self.resumed_request is not None:
+            return self.resumed_request
+        return self.request_id
--- a/src/clementinedyke/entry/news.py
+++ b/src/clementinedyke/entry/news.py
@@ -1,6 +1,6 @@
 """State updates that daemons send one another, and totals over them."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from random import Random
 
@@ -88,6 +88,8 @@
         self._tokens: dict[str, int] = {}
         #: Instant of the first update of the newest run of another daemon.
         self._new_run_at: Milliseconds | None = None
+        #: Called with the host of a daemon that has started.
+        self.start_observers: list[Callable[[str], None]] = []
         #: Version whose confirmations by all daemons were looked at.
         self._confirmed_version = 0
 
@@ -110,13 +112,20 @@
         if update.host == self._host:
             return False
         known = self._updates.get(update.host)
-        if known is None or known.update.run_id != update.run_id:
-            self._new_run_at = now
-        elif known.update.sequence >= update.sequence:
+        is_new_run = known is None or known.update.run_id != update.run_id
+        if (
+            known
+            and not is_new_run
+            and known.update.sequence >= update.sequence
+        ):
             return False
         self._remove_work(update.host)
         self._updates[update.host] = _ReceivedUpdate(update, now)
         self._add_work(update)
+        if is_new_run:
+            self._new_run_at = now
+            for observer in self.start_observers:
+                observer(update.host)
         return True
 
     def expire(self, now: Milliseconds) -> None:
--- a/src/clementinedyke/entry/request_path.py
+++ b/src/clementinedyke/entry/request_path.py
@@ -25,7 +25,7 @@
 from clementinedyke.entry.store_contact import StoreContact
 from clementinedyke.entry.suspect_component import SuspectComponent
 from clementinedyke.entry.usage_counter import UsageCounter
-from clementinedyke.entry.version_finder import VersionFinder
+from clementinedyke.entry.version_finder import StreamHandover, VersionFinder
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +53,7 @@
     suspect_component: SuspectComponent
     network: PeerNetwork
     versions: VersionFinder
+    handover: StreamHandover
     exchanged_state: ExchangedState
 
 
@@ -139,6 +140,7 @@
         suspect_component,
         network,
         versions,
+        StreamHandover(versions.tell),
         ExchangedState(
             work=work,
             configuration=view,
--- a/src/clementinedyke/entry/stream_runner.py
+++ b/src/clementinedyke/entry/stream_runner.py
@@ -434,18 +434,21 @@
         job = generation.job
         job.first_event_at = self._context.clock.get_now()
         self._context.usage.count_request(job.customer)
-        if job.version is None:
-            await self._bind_version(job, answer.endpoint.version)
+        await self._bind_version(job, answer.endpoint.version)
         await generation.response.send_head(
             answer.head.status, answer.head.forwarded_headers, chunk
         )
 
     async def _bind_version(self, job: Job, version: str) -> None:
+        is_begun = job.version is None
         job.version = version
-        if job.route.is_resumable:
-            await self._context.versions.announce(
-                job.request.request_id, version, _get_resume_lifetime(job)
-            )
+        if not job.route.is_resumable:
+            return
+        versions = self._context.versions
+        tell_keepers = versions.announce if is_begun else versions.renew
+        await tell_keepers(
+            job.request.first_request_id, version, _get_resume_lifetime(job)
+        )
 
     def _release(self, generation: _Generation) -> None:
         if generation.kv_cache is not None:
--- a/src/clementinedyke/entry/stream_versions.py
+++ b/src/clementinedyke/entry/stream_versions.py
@@ -61,6 +61,32 @@
         second = [hosts[1] for hosts in groups if len(hosts) > 1]
         return [*first, *second][:KEEPER_COUNT]
 
+    def list_kept(
+        self,
+        host: str,
+        streams: Iterable[int],
+        zones: Mapping[str, str],
+        own_zone: str,
+    ) -> list[int]:
+        """Return the streams whose versions a host keeps.
+
+        :param host: one of the hosts in ``zones``.
+        :param streams: ids of streams.
+        :param zones: availability zones of the other daemons by host.
+        :param own_zone: availability zone of this daemon.
+        """
+        neighbours = [
+            item for item, zone in zones.items() if zone == zones[host]
+        ]
+        return [
+            stream
+            for stream in streams
+            # The cheaper condition comes first: ranking all hosts for each
+            # stream takes a tenth of a second on the largest sites.
+            if self._is_among_closest(stream, host, neighbours)
+            and host in self.list_keepers(stream, zones, own_zone)
+        ]
+
     def list_asked(self, stream: int, zones: Mapping[str, str]) -> list[str]:
         """Return the hosts that may know the version of a stream.
 
@@ -75,6 +101,16 @@
             for host in hosts[:_ASKED_PER_ZONE]
         ]
 
+    def _is_among_closest(
+        self, stream: int, host: str, neighbours: Iterable[str]
+    ) -> bool:
+        """Return whether a host is first or second in its zone."""
+        distance = self._get_distance(stream, host)
+        closer = sum(
+            self._get_distance(stream, item) < distance for item in neighbours
+        )
+        return closer < _ASKED_PER_ZONE
+
     def _rank_by_zone(
         self, stream: int, zones: Mapping[str, str]
     ) -> dict[str, list[str]]:
@@ -132,6 +168,20 @@
         version, expires_at = self._streams.get(stream, (None, now))
         return version if now < expires_at else None
 
+    def list_streams(
+        self, now: Milliseconds
+    ) -> dict[int, tuple[str, Milliseconds]]:
+        """Return the version and the remaining lifetime in ms by stream.
+
+        :param now: current instant.
+        """
+        self._remove_expired(now)
+        return {
+            stream: (version, expires_at - now)
+            for stream, (version, expires_at) in self._streams.items()
+            if expires_at > now
+        }
+
     def _remove_expired(self, now: Milliseconds) -> None:
         """Remove expired streams from the start, and the oldest if too many.
 
--- a/src/clementinedyke/entry/version_finder.py
+++ b/src/clementinedyke/entry/version_finder.py
@@ -1,7 +1,8 @@
 """Finds out which software version began a stream that a caller resumes."""
 
+import math
 from collections import Counter
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 
@@ -10,6 +11,7 @@
 from prometheus_client.registry import Collector
 
 from clementinedyke.clock import Clock, Milliseconds
+from clementinedyke.components import Component
 from clementinedyke.entry.endpoint_reader import EndpointReader
 from clementinedyke.entry.endpoint_view import EndpointView
 from clementinedyke.entry.journal import Journal
@@ -31,12 +33,15 @@
 )
 from clementinedyke.exceptions import ProtocolError
 from clementinedyke.http.client import Address
+from clementinedyke.tasks import run_restarting
 
 _MILLISECONDS_PER_SECOND = 1000
 #: Longest wait for the answers to a question, and the number of times that it
 #: is sent, since datagrams are lost.
 _ANSWER_TIMEOUT: Milliseconds = 60
 _MAX_QUESTIONS = 2
+#: Time after which a daemon that has started is told of its streams once more.
+_REPEAT_DELAY: Milliseconds = 1000
 
 
 class ResumeCounts(Collector):
@@ -149,15 +154,41 @@
         :param version: software version of its engine.
         :param lifetime: time in ms after which no caller takes it up again.
         """
-        stream = compute_id(request_id)
-        self.streams.record(stream, version, lifetime, self._clock.get_now())
-        zones = self._compile_zones(self.list_active())
-        keepers = self._keepers.list_keepers(stream, zones, self._zone)
-        self.counts.record_begun(len(keepers))
-        await self._network.send(
-            encode_message(StreamBegun(stream, version, lifetime)),
-            self._list_addresses(keepers),
-        )
+        keepers = await self._tell_keepers(request_id, version, lifetime)
+        self.counts.record_begun(keepers)
+
+    async def renew(
+        self, request_id: str, version: str, lifetime: Milliseconds
+    ) -> None:
+        """Tell the keepers again of a stream that was taken up.
+
+        It may be taken up once more after they have forgotten its beginning.
+
+        :param request_id: id of the request that brought the first event.
+        :param version: software version of its engines.
+        :param lifetime: time in ms after which no caller takes it up again.
+        """
+        await self._tell_keepers(request_id, version, lifetime)
+
+    async def tell(self, host: str) -> None:
+        """Tell a daemon that has started which streams it keeps.
+
+        The keepers of a stream are told once, when it begins, and forget it
+        when they restart.
+
+        :param host: host of the other daemon.
+        """
+        zones = self._compile_zones(self.list_active() | {host})
+        if host not in zones:
+            return
+        known = self.streams.list_streams(self._clock.get_now())
+        address = self._network.addresses[host]
+        for stream in self._keepers.list_kept(host, known, zones, self._zone):
+            version, lifetime = known[stream]
+            await self._network.send(
+                encode_message(StreamBegun(stream, version, lifetime)),
+                (address,),
+            )
 
     async def find_version(
         self, service: str, request_id: str | None, lifetime: Milliseconds
@@ -227,6 +258,20 @@
         if question.version is not None or not question.unanswered:
             question.done.set()
 
+    async def _tell_keepers(
+        self, request_id: str, version: str, lifetime: Milliseconds
+    ) -> int:
+        """Remember a stream and return the number of daemons that were told."""
+        stream = compute_id(request_id)
+        self.streams.record(stream, version, lifetime, self._clock.get_now())
+        zones = self._compile_zones(self.list_active())
+        keepers = self._keepers.list_keepers(stream, zones, self._zone)
+        await self._network.send(
+            encode_message(StreamBegun(stream, version, lifetime)),
+            self._list_addresses(keepers),
+        )
+        return len(keepers)
+
     async def _find_version(
         self, service: str, request_id: str | None, lifetime: Milliseconds
     ) -> tuple[str | None, str]:
@@ -316,3 +361,40 @@
 
     def _list_addresses(self, hosts: Iterable[str]) -> list[Address]:
         return [self._network.addresses[host] for host in hosts]
+
+
+class StreamHandover(Component):
+    """Tells daemons that have started of the streams that they keep."""
+
+    def __init__(self, tell: Callable[[str], Awaitable[None]]) -> None:
+        """Create the component.
+
+        :param tell: tells a host of its streams.
+        """
+        self._tell = tell
+        self._hosts = trio.open_memory_channel[str](math.inf)
+
+    def record_start(self, host: str) -> None:
+        """Record that a daemon has started.
+
+        :param host: host of a daemon that was heard from for the first time.
+        """
+        self._hosts[0].send_nowait(host)
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start the task.
+
+        :param nursery: nursery that runs the task.
+        """
+        nursery.start_soon(run_restarting, self._run, 'stream_handover')
+
+    async def _run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            async for host in self._hosts[1]:
+                nursery.start_soon(self._tell_twice, host)
+
+    async def _tell_twice(self, host: str) -> None:
+        """Tell a host, and once more, since datagrams are lost."""
+        await self._tell(host)
+        await trio.sleep(_REPEAT_DELAY / _MILLISECONDS_PER_SECOND)
+        await self._tell(host)
--- a/tests/test_entry_stream_versions.py
+++ b/tests/test_entry_stream_versions.py
@@ -177,8 +177,7 @@
         fleet = VersionFleet(_DAEMONS)
         request_id = fleet.begin(0, 'v0')
         fleet.store.versions = {'v1'}
-        for number in range(_DAEMONS):
-            fleet.restart(number)
+        fleet.restart_all()
         assert fleet.find(1, request_id) is None
         assert fleet.find(1, None) is None
 
@@ -323,3 +322,63 @@
             VersionTold(1, None, []),
         ):
             assert decode_message(encode_message(message)) == message
+
+
+class TestRollingRestart:
+    """Guards against streams that outlive the daemons that know them.
+
+    Keepers were told of a stream once, when it began. After each daemon had
+    been restarted, nobody knew the versions of the streams that still ran.
+    """
+
+    @pytest.mark.parametrize('rounds', [1, 2, 3])
+    @pytest.mark.parametrize('daemons', [2, 3, 6, 20])
+    def test_version_is_found(self, daemons: int, rounds: int) -> None:
+        """All daemons find the versions of all streams, with two in service."""
+        fleet = VersionFleet(daemons)
+        fleet.store.versions.add('v1')
+        fleet.follow_store()
+        begun = {
+            fleet.begin(number, version): version
+            for number in range(daemons)
+            for version in ('v0', 'v1')
+        }
+        for step in range(daemons * rounds):
+            fleet.restart(step % daemons)
+            fleet.advance(100)
+        for asker in range(daemons):
+            for request_id, version in begun.items():
+                assert fleet.find(asker, request_id) == version
+
+    def test_lifetime_is_not_extended(self) -> None:
+        """A daemon that is told later forgets a stream when the others do."""
+        fleet = VersionFleet(3)
+        fleet.store.versions.add('v1')
+        fleet.follow_store()
+        request_id = fleet.begin(0, 'v1')
+        for number in (0, 1, 2, 0, 1, 2):
+            fleet.advance(1000)
+            fleet.restart(number)
+        fleet.advance(LIFETIME - 6000 + 1)
+        assert not any(
+            fleet.is_known(number, request_id) for number in range(3)
+        )
+
+    def test_bytes_at_the_two_year_size(self) -> None:
+        """A daemon that starts is told of its streams alone."""
+        selection = KeeperSelection()
+        zones = {
+            f'host-{number}': f'zone-{number % _ZONES}'
+            for number in range(_FLEET)
+        }
+        generator = Random(1)
+        # What one daemon remembers: it began some streams and keeps others.
+        streams = [generator.getrandbits(64) for _ in range(400)]
+        told = selection.list_kept('host-7', streams, zones, 'zone-3')
+        expected = [
+            stream
+            for stream in streams
+            if 'host-7' in selection.list_keepers(stream, zones, 'zone-3')
+        ]
+        assert told == expected
+        assert len(told) < len(streams) * KEEPER_COUNT / _ZONES
--- a/tests/test_entry_versions.py
+++ b/tests/test_entry_versions.py
@@ -338,3 +338,50 @@
     endpoint.port = await serve(env.nursery, endpoint.respond)
     env.endpoints[name] = endpoint
     env.register(endpoint, version=version)
+
+
+class TestStreamsTakenUpTwice:
+    """Guards against a stream whose version is forgotten while it goes on.
+
+    Keepers count the lifetime from its beginning. A caller may take it up
+    near its end, and once more after that.
+    """
+
+    def test_second_resume(self) -> None:
+        """The version is known after the daemon of the first resume ended."""
+
+        async def scenario(env: EntryEnvironment) -> None:
+            await start_daemons(env, 3)
+            await start_engines(env, {'old': 'v1', 'new': 'v2'})
+            begun = await send_streams(env, 'begun', 0)
+            assert all(begun)
+            versions = list_versions(env)
+            await trio.sleep(_NEAR_END_SECONDS)
+            assert is_resumed(await resume_streams(env, 1))
+            env.stop_daemon(1)
+            await trio.sleep(_AFTER_END_SECONDS)
+            assert is_resumed(await resume_streams(env, 2))
+            assert list_versions(env) == versions
+
+        ScenarioRunner(40).run(scenario)
+
+
+#: A stream is remembered for the timeout of its route, 3 s, and 5 s more.
+_NEAR_END_SECONDS = 6
+_AFTER_END_SECONDS = 3.5
+
+
+def is_resumed(answers: list[HttpResponse | None]) -> bool:
+    """Return whether all streams went on."""
+    return all(answer and answer.status == 200 for answer in answers)
+
+
+def list_versions(env: EntryEnvironment) -> dict[str, set[str]]:
+    """Return the engines that worked on each stream, by its number."""
+    found: dict[str, set[str]] = {}
+    for name, endpoint in env.endpoints.items():
+        for request_id in endpoint.runs:
+            number = request_id.partition('-')[2]
+            if request_id.startswith(('begun', 'resumed')):
+                found.setdefault(number, set()).add(name)
+    return found
--- a/tests/test_processes_versions.py
+++ b/tests/test_processes_versions.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 import trio
-from tests.entry_environment import EntryEnvironment
+from tests.entry_environment import CONFIGURATION, EntryEnvironment
 from tests.entry_processes import OK, DaemonProcess, killing, run_scenario
 from tests.platform_standin import EndpointStandin, delay_stream
 
@@ -12,6 +12,16 @@
 _STREAMS = 8
 _PATH = '/resumable/1'
 _SETTLE_SECONDS = 0.5
+_ROLLED_HOSTS = 3
+#: Daemons hear of one another within this time.
+_UPDATE_SECONDS = 2
+_LONG_CONFIGURATION = {
+    **CONFIGURATION,
+    'version': 2,
+    'routes': [
+        {**route, 'timeout_ms': 60000} for route in CONFIGURATION['routes']
+    ],
+}
 
 
 async def begin_streams(host: DaemonProcess) -> None:
@@ -84,3 +94,37 @@
 
         with killing(hosts):
             trio.run(run_scenario, scenario)
+
+    def test_rolling_restart(self, tmp_path: Path) -> None:
+        """Streams that outlive a rolling restart are taken up.
+
+        Each daemon is restarted, one after the other, while two software
+        versions serve. No daemon is left that forwarded their first events.
+        """
+        hosts = [
+            DaemonProcess(number, tmp_path) for number in range(_ROLLED_HOSTS)
+        ]
+
+        async def scenario(env: EntryEnvironment) -> None:
+            env.store.put('op', 'config', _LONG_CONFIGURATION)
+            for host in hosts:
+                host.start(env)
+            for started in hosts:
+                await started.wait_until_served()
+            await trio.sleep(_SETTLE_SECONDS)
+            await begin_streams(hosts[0])
+            new = EndpointStandin('new', 'decode')
+            await env.add_endpoint(new)
+            env.register(new, version='v2')
+            for rolled in hosts:
+                await trio.to_thread.run_sync(rolled.stop)
+                rolled.start(env)
+                await rolled.wait_until_served()
+                await trio.sleep(_UPDATE_SECONDS)
+            for asked in hosts:
+                codes = await resume_streams(asked)
+                assert codes == [OK for _ in codes]
+            assert not count_resumed(new)
+
+        with killing(hosts):
+            trio.run(run_scenario, scenario)
--- a/tests/version_fleet.py
+++ b/tests/version_fleet.py
@@ -150,6 +150,21 @@
         self.daemons[number].is_up = False
         self.daemons[number] = FleetDaemon(self, number)
         self.daemons[number].follow_store()
+        self.announce_start(number)
+
+    def restart_all(self) -> None:
+        """Kill all daemons at once and start them again without memory."""
+        for killed in self.daemons:
+            killed.is_up = False
+        for daemon in tuple(self.daemons):
+            self.restart(daemon.number)
+
+    def announce_start(self, number: int) -> None:
+        """Let the others hear from a daemon that has started."""
+        for daemon in self.daemons:
+            if self.reaches(self.daemons[number], daemon):
+                tell = partial(daemon.versions.tell, f'host-{number}')
+                trio.run(tell, clock=MockClock(autojump_threshold=0))
 
     def reaches(self, one: FleetDaemon, other: FleetDaemon) -> bool:
         """Return whether datagrams get from one daemon to another."""
