Give a daemon one budget for buffered answers

An endpoint that sends bytes without end cost memory for each open request, and an engine could answer an order or a report with any number of bytes within 1.2 s. A process that runs out of memory loses all its requests.

Change: buffered parts of answers and events beyond 100 KB share one budget, which the limit on connections leaves out. Orders and reports are limited to 64 KB and 16 interim answers.

Evidence: test_peak_is_flat[body] and the three cases of TestOrders fail with the bounds taken away and pass with them.

--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -23,6 +23,7 @@
 from clementinedyke.entry.ports import (
     CallerPort,
     Readiness,
+    get_answer_memory,
     get_max_connections,
 )
 from clementinedyke.entry.recovery import RecoveryComponent
@@ -223,11 +224,13 @@
                 self._platform,
                 self._endpoints,
                 self._store_contact,
+                get_answer_memory(settings),
             ),
         )
         self._network = path.network
         self._versions = path.versions
         self._handover = path.handover
+        self._answer_memory = path.exchange.memory
         self._links = path.links
         self._exchanged_state = path.exchanged_state
         self._gateway = path.gateway
@@ -284,6 +287,7 @@
                     self._links.relay_port.counts,
                     self._feed_exchange.counts,
                     self._versions.counts,
+                    self._answer_memory,
                 ),
             ),
         )
--- a/src/clementinedyke/entry/exchange.py
+++ b/src/clementinedyke/entry/exchange.py
@@ -3,11 +3,13 @@
 from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass
+from functools import partial
 
 import trio
 from absl import logging
 
 from clementinedyke.clock import Clock, Milliseconds
+from clementinedyke.entry.answer_memory import AnswerMemory
 from clementinedyke.entry.catalog import EntryEndpoint
 from clementinedyke.entry.endpoint_notices import AnswerReader, EndpointNotices
 from clementinedyke.entry.endpoint_protocol import (
@@ -38,6 +40,8 @@
 #: them, each twice while it is joined.
 _MAX_ANSWER_BYTES = 4194304
 _MAX_RELEASE_BYTES = 65536
+#: Memory for buffered answers of a daemon whose host has 320 MB.
+DEFAULT_MEMORY_LIMIT = 33554432
 #: Timeout of a request that frees a KV cache.
 _RELEASE_TIMEOUT: Milliseconds = 500
 
@@ -58,6 +62,8 @@
         self.endpoint = endpoint
         self.is_complete = False
         self.is_end_certain = False
+        #: Bytes that its buffered part holds of the memory for answers.
+        self.held_bytes = 0
 
     @property
     def is_success(self) -> bool:
@@ -89,6 +95,7 @@
         transport: EndpointTransport,
         suspects: Suspects,
         notices: EndpointNotices,
+        memory_limit: int = DEFAULT_MEMORY_LIMIT,
     ) -> None:
         """Create the exchange.
 
@@ -98,7 +105,10 @@
         :param transport: connections to the endpoints.
         :param suspects: told of each send and of lost answers.
         :param notices: told of each send and of the heads of answers.
+        :param memory_limit: bytes of all buffered answers together, beyond the
+            free ones of each.
         """
+        self.memory = AnswerMemory(memory_limit)
         self._notices = notices
         self._protocol = protocol
         self._placement = placement
@@ -132,6 +142,7 @@
         is_repeated = endpoint.endpoint_id in job.path
         job.path.append(endpoint.endpoint_id)
         job.versions.append(endpoint.version)
+        answer: EndpointAnswer | None = None
         try:
             with self._observe_attempt(job, endpoint) as attempt:
                 async with self._transport.open_response(
@@ -142,9 +153,10 @@
                     self._notices.record_answer(
                         endpoint, head, attempt.sent_at, self._clock.get_now()
                     )
-                    attempt.answer = EndpointAnswer(head, stream, endpoint)
+                    answer = EndpointAnswer(head, stream, endpoint)
+                    attempt.answer = answer
                     self._record_answer(endpoint, attempt.sent_at)
-                    yield attempt.answer
+                    yield answer
         except PeerUnavailableError as unreachable:
             job.failures.append(str(unreachable))
             self._record_unreachable(endpoint, unreachable)
@@ -157,6 +169,8 @@
             raise
         finally:
             work.running -= 1
+            if answer is not None:
+                self.memory.release(answer.held_bytes)
 
     @contextmanager
     def _observe_attempt(
@@ -220,10 +234,21 @@
         :param answer: answer whose body was not read yet.
         :raises AnswerLostError: if the body breaks off or is too large.
         """
-        body = await answer.stream.receive_body(_MAX_ANSWER_BYTES)
+        body = await answer.stream.receive_body(
+            _MAX_ANSWER_BYTES, record_size=partial(self.buffer, answer)
+        )
         await self.check_end(answer)
         return body
 
+    def buffer(self, answer: EndpointAnswer, size: int) -> None:
+        """Count the bytes of an answer that are buffered.
+
+        :param answer: answer that is being received.
+        :param size: bytes of it that are in memory now.
+        :raises AnswerLostError: if all buffered answers need too much memory.
+        """
+        answer.held_bytes = self.memory.change(answer.held_bytes, size)
+
     async def check_end(self, answer: EndpointAnswer) -> None:
         """Check whether an answer whose body has ended is complete.
 
--- a/src/clementinedyke/entry/ports.py
+++ b/src/clementinedyke/entry/ports.py
@@ -33,6 +33,10 @@
 #: in the workload sheets.
 _CONNECTION_MEMORY_KB = 160
 _KB_PER_MB = 1024
+_BYTES_PER_KB = 1024
+#: Share of the memory that is not reserved for the parts of buffered answers
+#: that exceed the memory of their requests.
+_ANSWER_SHARE = 0.125
 
 
 class CallerPort(Component):
@@ -177,11 +181,23 @@
 
     :param settings: limits on file descriptors and memory.
     """
-    memory_kb = (settings.memory_mb - _RESERVED_MEMORY_MB) * _KB_PER_MB
+    memory_kb = _get_free_kb(settings) * (1 - _ANSWER_SHARE)
     return max(
         1,
         min(
             settings.max_descriptors - _RESERVED_DESCRIPTORS,
-            memory_kb // _CONNECTION_MEMORY_KB,
+            int(memory_kb) // _CONNECTION_MEMORY_KB,
         ),
     )
+
+
+def get_answer_memory(settings: HostSettings) -> int:
+    """Return the bytes of memory for buffered answers of endpoints.
+
+    :param settings: limit on memory.
+    """
+    return int(_get_free_kb(settings) * _ANSWER_SHARE) * _BYTES_PER_KB
+
+
+def _get_free_kb(settings: HostSettings) -> int:
+    return max(0, settings.memory_mb - _RESERVED_MEMORY_MB) * _KB_PER_MB
--- a/src/clementinedyke/entry/request_path.py
+++ b/src/clementinedyke/entry/request_path.py
@@ -41,6 +41,7 @@
     platform: PlatformParts
     endpoints: EndpointView
     store_contact: StoreContact
+    answer_memory_limit: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +55,7 @@
     network: PeerNetwork
     versions: VersionFinder
     handover: StreamHandover
+    exchange: Exchange
     exchanged_state: ExchangedState
 
 
@@ -103,6 +105,7 @@
         links.transport,
         suspect_component.suspects,
         notices,
+        context.answer_memory_limit,
     )
     exchange.examine = suspect_component.examine
     placement.has_connection = links.transport.has_connection
@@ -141,6 +144,7 @@
         network,
         versions,
         StreamHandover(versions.tell),
+        exchange,
         ExchangedState(
             work=work,
             configuration=view,
--- a/src/clementinedyke/http/client.py
+++ b/src/clementinedyke/http/client.py
@@ -315,11 +315,14 @@
         self,
         max_bytes: int = MAX_BODY_BYTES,
         record_progress: Callable[[], object] = bool,
+        record_size: Callable[[int], object] = bool,
     ) -> bytes:
         """Return the remaining body.
 
         :param max_bytes: largest size of the body.
         :param record_progress: called with each part that arrives.
+        :param record_size: called with the number of bytes received so far; may
+            raise the error below.
         :raises AnswerLostError: if the connection breaks before the end, or if
             the body is larger.
         """
@@ -330,6 +333,7 @@
             size += len(chunk)
             if size > max_bytes:
                 raise AnswerLostError(f'body of more than {max_bytes} bytes')
+            record_size(size)
             parts.append(chunk)
         return b''.join(parts)
 
--- a/src/clementinedyke/orders/connection.py
+++ b/src/clementinedyke/orders/connection.py
@@ -20,6 +20,10 @@
 _CONNECT_TIMEOUT: Milliseconds = 1000
 _MILLISECONDS_PER_SECOND = 1000
 _READ_SIZE = 65536
+#: Largest body of a response and number of responses before it. Answers to
+#: orders and reports have less than 1 KB; a faulty peer may send without end.
+_MAX_BODY_BYTES = 65536
+_MAX_INTERIM_RESPONSES = 16
 #: ``struct linger``, enabled with time 0: closing drops the send buffer and
 #: resets the connection.
 _LINGER_ABORT = b'\1\0\0\0\0\0\0\0'
@@ -87,16 +91,28 @@
 async def _receive(
     stream: trio.SocketStream, protocol: h11.Connection
 ) -> HttpResponse:
-    status = 0
+    head = await _receive_head(stream, protocol)
     parts: list[bytes] = []
+    size = 0
     while True:
         event = await _receive_event(stream, protocol)
         if isinstance(event, h11.EndOfMessage):
-            return HttpResponse(status, (), b''.join(parts))
-        if isinstance(event, h11.Response):
-            status = int(event.status_code)
-        elif isinstance(event, h11.Data):
+            return HttpResponse(int(head.status_code), (), b''.join(parts))
+        if isinstance(event, h11.Data):
+            size += len(event.data)
             parts.append(bytes(event.data))
+        if size > _MAX_BODY_BYTES:
+            raise AnswerLostError(f'body of more than {_MAX_BODY_BYTES} bytes')
+
+
+async def _receive_head(
+    stream: trio.SocketStream, protocol: h11.Connection
+) -> h11.Response:
+    for _ in range(_MAX_INTERIM_RESPONSES):
+        event = await _receive_event(stream, protocol)
+        if isinstance(event, h11.Response):
+            return event
+    raise AnswerLostError('only interim responses')
 
 
 async def _receive_event(
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -63,12 +63,15 @@
         """Serve, registered in place of the stand-ins of the same stage."""
         env.remove_stage(stage)
         listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
-        env.nursery.start_soon(trio.serve_listeners, self._serve, listeners)
+        env.nursery.start_soon(
+            trio.serve_listeners, self.serve_stream, listeners
+        )
         port = listeners[0].socket.getsockname()[1]
         env.register(EndpointStandin('endless', stage, port=port))
         await env.wait_until_seen()
 
-    async def _serve(self, stream: trio.SocketStream) -> None:
+    async def serve_stream(self, stream: trio.SocketStream) -> None:
+        """Send without end on a connection."""
         self.open_connections += 1
         with suppress(trio.BrokenResourceError):
             await stream.receive_some(65536)
