Answer the requests that are open at the end of the grace

Requests that outlasted the drain of a planned stop lost their connections without an answer, also those that had not been sent to an endpoint (LOST for these).

Cause: the application cancels all tasks at the end of the drain. Change: the gateway ends open requests 0.1 s before: 3004 if they have not run, 4001 if they may have.

Evidence: the four cases of TestRequestsAtTheEndOfGrace fail before and pass now.

--- a/src/clementinedyke/entry/gateway.py
+++ b/src/clementinedyke/entry/gateway.py
@@ -24,6 +24,8 @@
 #: Extra wait after the deadline for the answer of an endpoint that stops at
 #: the deadline and reports it.
 _DEADLINE_GRACE: Milliseconds = 120
+#: Delay for callers that another daemon can serve at once.
+_RETRY_AFTER_STOP: Milliseconds = 100
 #: Ids of shared prompt parts in a log line.
 _MAX_LOGGED_PARTS = 8
 
@@ -45,6 +47,9 @@
         self._journal = journal
         self._plain_runner = PlainRunner(context)
         self._stream_runner: StreamRunner | None = None
+        #: Scopes of the requests that are open.
+        self._scopes: set[trio.CancelScope] = set()
+        self._is_ending = False
         #: Called at the end of each admitted request with the result code
         #: (None if the caller disconnected), the job and the duration in ms.
         self.observe: Callable[[ResultCode | None, Job, Milliseconds], None] = (
@@ -62,6 +67,16 @@
         """
         self._stream_runner = StreamRunner(self._context, nursery)
 
+    def end_requests(self) -> None:
+        """Answer all open requests now, as the daemon is about to end.
+
+        Their connections would be closed without an answer. Streams that have
+        begun are broken off.
+        """
+        self._is_ending = True
+        for scope in self._scopes:
+            scope.cancel()
+
     async def respond(
         self, request: ServerRequest, response: ResponseWriter
     ) -> None:
@@ -118,18 +133,37 @@
 
     async def _run_in_time(self, job: Job, response: ResponseWriter) -> None:
         left = job.get_time_left(self._clock.get_now()) + _DEADLINE_GRACE
-        with trio.move_on_after(left / _MILLISECONDS_PER_SECOND):
-            if job.route.kind is RequestKind.STREAM and self._stream_runner:
-                await self._stream_runner.run(job, response)
-            else:
-                await self._plain_runner.run(job, response)
+        with trio.move_on_after(left / _MILLISECONDS_PER_SECOND) as scope:
+            self._scopes.add(scope)
+            try:
+                await self._run_with(job, response)
+            finally:
+                self._scopes.discard(scope)
             return
+        raise self._create_interruption(job, response)
+
+    async def _run_with(self, job: Job, response: ResponseWriter) -> None:
+        if job.route.kind is RequestKind.STREAM and self._stream_runner:
+            await self._stream_runner.run(job, response)
+        else:
+            await self._plain_runner.run(job, response)
+
+    def _create_interruption(
+        self, job: Job, response: ResponseWriter
+    ) -> RequestError | StreamBroken:
+        """Return the error of a job that its deadline or a stop interrupted."""
+        reason = 'the deadline has passed'
+        if self._is_ending:
+            reason = 'the daemon is shutting down'
         if response.is_started:
-            raise StreamBroken('the deadline has passed')
-        code = ResultCode.DEADLINE_UNREACHABLE
+            return StreamBroken(reason)
         if job.has_started or job.sends:
-            code = ResultCode.ENDPOINT_TIMEOUT
-        raise RequestError(code, 'the deadline has passed')
+            return RequestError(ResultCode.ENDPOINT_TIMEOUT, reason)
+        if self._is_ending:
+            return RequestError(
+                ResultCode.SHUTTING_DOWN, reason, _RETRY_AFTER_STOP
+            )
+        return RequestError(ResultCode.DEADLINE_UNREACHABLE, reason)
 
     async def _refuse(self, refusal: Refusal, response: ResponseWriter) -> None:
         headers = self._protocol.compile_refusal_headers(refusal.retry_after)
--- a/src/clementinedyke/entry/ports.py
+++ b/src/clementinedyke/entry/ports.py
@@ -23,6 +23,9 @@
 _BALANCER_REMOVAL_TIME: Milliseconds = 2600
 #: Part of the stop grace reserved for releasing leases and writing usage.
 _SHUTDOWN_RESERVE: Milliseconds = 1200
+#: Time in which the requests that are open at the end of a drain get an answer.
+#: The drain still reaches into the last sixth of the users' grace of 8 s.
+_ANSWER_TIME: Milliseconds = 100
 #: File descriptors reserved for files, the store, peers and endpoints: at most
 #: 120, callers included, were open in runs with 64 and 72 hosts.
 _RESERVED_DESCRIPTORS = 600
@@ -97,14 +100,22 @@
         """Serve until the load balancer has removed the host, then drain.
 
         Open requests have the stop grace less the time for the removal and
-        for the shutdown to finish.
+        for the shutdown to finish. Those that are left then are told whether
+        they have run.
         """
         self._readiness.start_draining()
         await trio.sleep(_BALANCER_REMOVAL_TIME / _MILLISECONDS_PER_SECOND)
-        left = self._stop_grace - _BALANCER_REMOVAL_TIME - _SHUTDOWN_RESERVE
-        with trio.move_on_after(max(0, left) / _MILLISECONDS_PER_SECOND):
+        reserved = _BALANCER_REMOVAL_TIME + _SHUTDOWN_RESERVE + _ANSWER_TIME
+        left = max(0, self._stop_grace - reserved)
+        is_drained = False
+        with trio.move_on_after(left / _MILLISECONDS_PER_SECOND):
             await self._server.drain()
             await self.drain_relays(left)
+            is_drained = True
+        if not is_drained:
+            self._gateway.end_requests()
+            with trio.move_on_after(_ANSWER_TIME / _MILLISECONDS_PER_SECOND):
+                await self._server.drain()
 
     async def _respond(
         self, request: ServerRequest, response: ResponseWriter
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -13,9 +13,13 @@
 )
 from tests.entry_samples import BOUNDS
 from tests.link import Link
+from tests.platform_standin import never_answer
 
 from clementinedyke.entry.application import EntryApplication
-from clementinedyke.http.client import Address
+from clementinedyke.entry.intake import Job
+from clementinedyke.entry.runners import RunnerContext
+from clementinedyke.exceptions import ClementinedykeError
+from clementinedyke.http.client import Address, HttpResponse
 from clementinedyke.leases.core import LeaseCore
 from clementinedyke.leases.messages import (
     LeaseRead,
@@ -30,6 +34,14 @@
 from clementinedyke.rows import ABSENT
 
 _POLL_SECONDS = 0.05
+_RESULT = b'clementinedyke-result'
+#: Requests may last longer than the grace time.
+_SLOW_CONFIGURATION = {
+    **CONFIGURATION,
+    'routes': [
+        {**route, 'timeout_ms': 20000} for route in CONFIGURATION['routes']
+    ],
+}
 
 
 async def wait_until_printed(
@@ -110,6 +122,80 @@
         ScenarioRunner().run(scenario)
 
 
+class TestRequestsAtTheEndOfGrace:
+    """Guards against requests that the end of the grace cuts off.
+
+    Those that were still open then lost their connections, also the ones that
+    had not been sent to an endpoint and those that may not be repeated.
+    """
+
+    def stop_with_requests(
+        self, path: str, **changes: object
+    ) -> list[HttpResponse | Exception]:
+        """Return the answers to requests that are open during a stop.
+
+        :param changes: attributes of the endpoints that differ.
+        """
+        answers: list[HttpResponse | Exception] = []
+
+        async def scenario(env: EntryEnvironment) -> None:
+            env.store.put('op', 'config', _SLOW_CONFIGURATION)
+            daemon = await env.start_daemon()
+            await env.wait_until_served()
+            for endpoint in env.endpoints.values():
+                for name, changed in changes.items():
+                    setattr(endpoint, name, changed)
+
+            async def send(number: int, delay: float) -> None:
+                await trio.sleep(delay)
+                try:
+                    answer = await env.send_request(
+                        path, f'r-{number}', x_deadline_ms='30000'
+                    )
+                except ClementinedykeError as error:
+                    answers.append(error)
+                else:
+                    answers.append(answer)
+
+            async with trio.open_nursery() as nursery:
+                for number, delay in enumerate((0, 1, 2)):
+                    nursery.start_soon(send, number, delay)
+                await trio.sleep(0.2)
+                daemon.application.request_stop()
+
+        ScenarioRunner().run(scenario)
+        return answers
+
+    @pytest.mark.parametrize(
+        ('path', 'expected'),
+        [
+            ('/book/1', {b'4001'}),
+            ('/read/1', {b'4001'}),
+            # An engine may still read the prompt of a request.
+            ('/ask/1', {b'4001', b'3004'}),
+        ],
+    )
+    def test_sent_requests(self, path: str, expected: set[bytes]) -> None:
+        """A request at an endpoint is answered: its outcome is unknown."""
+        answers = self.stop_with_requests(path, override=never_answer)
+        assert len(answers) == 3
+        assert {dict(answer.headers)[_RESULT] for answer in answers} <= expected
+
+    def test_waiting_requests(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """A request that waits to be sent is answered: it has not run."""
+
+        async def wait(context: RunnerContext, job: Job) -> None:
+            await trio.sleep(0 if job.request.request_id == 'probe' else 60)
+
+        monkeypatch.setattr(RunnerContext, 'wait_for_clearance', wait)
+        answers = self.stop_with_requests('/book/1')
+        assert {answer.status for answer in answers} == {503}
+        assert len(answers) == 3
+        for answer in answers:
+            assert b'not_run' in answer.body
+            assert dict(answer.headers)[b'retry-after']
+
+
 class TestStopOfLease:
     """Guards against stops that wait for calls which release nothing."""
 
