Open usage windows only in the era for which they are known

A holder that was slow to tell which windows had no sum could write them into the row of a second era, in which another daemon may have summed them: the first answer of that era came while it read the row.

TestReturnWhileWindowsAreOpened.test_second_return fails before and passes now.

--- a/src/clementinedyke/entry/usage_closer.py
+++ b/src/clementinedyke/entry/usage_closer.py
@@ -167,10 +167,14 @@
 
     async def _open_windows(self, window_time: WindowTime) -> bool:
         """Add windows without a sum to the row of the era."""
-        opened = tuple(self._opened)
         answer = await self._store.list_rows(WINDOWS_TABLE, ERA_KEY)
         if answer.is_err():
             return False
+        # The answer may be the first one of another era, in which these windows
+        # are no longer known to be open.
+        opened = tuple(self._opened)
+        if not opened:
+            return True
         era_row, version = _find_era_row(answer.unwrap())
         if era_row is None:
             era_row = _create_era_row(answer.unwrap(), window_time)
--- a/tests/test_entry_usage.py
+++ b/tests/test_entry_usage.py
@@ -21,11 +21,13 @@
     compile_fence_condition,
 )
 from clementinedyke.entry.usage_sharing import UsageSharing
+from clementinedyke.entry.usage_windows import ERA_KEY, WINDOWS_TABLE
 from clementinedyke.rows import Condition, Row, Snapshot, Write
 
 _LENGTH = 5000
 _PART_DEADLINE = 8500
 _AUTHORITY = Authority('host-1', 1)
+_TIME = WindowTime(13 * _LENGTH, _LENGTH, _PART_DEADLINE)
 
 
 class FixedTime:
@@ -148,6 +150,46 @@
         return await super().get_row(table, key)
 
 
+class ReturningInRead(InMemoryRowStore):
+    """Row store that returns from a copy as the next list is read."""
+
+    def __init__(self) -> None:
+        """Create an empty store."""
+        super().__init__()
+        self.closer: WindowCloser | None = None
+
+    async def list_rows(
+        self, table: str, prefix: str = ''
+    ) -> Result[Snapshot, TableFailure]:
+        """Return from a copy, and tell the closer before the answer."""
+        closer = self.closer
+        self.closer = None
+        if closer is not None:
+            self.return_from(self.copy())
+            closer.record_return(is_holder=False, window_time=_TIME)
+        return await super().list_rows(table, prefix)
+
+
+class TestReturnWhileWindowsAreOpened:
+    """Guards against windows that are opened in an era too late."""
+
+    def test_second_return(self) -> None:
+        """What a holder knew of one era opens no window in the next.
+
+        Its write was delayed, and another daemon may have summed them since.
+        """
+        scenario = UsageScenario('host-1')
+        store = ReturningInRead()
+        scenario.store = store
+        scenario.raise_fence()
+        closer = scenario.create_closer()
+        scenario.close(closer)
+        closer.record_return(is_holder=True, window_time=_TIME)
+        store.closer = closer
+        trio.run(closer.restore_windows, _TIME)
+        assert not store.rows[WINDOWS_TABLE, ERA_KEY].value['open_windows']
+
+
 class CountingReads(InMemoryRowStore):
     """Row store that counts its reads."""
 
