--- a/tests/test_message_formats.py
+++ b/tests/test_message_formats.py
@@ -22,7 +22,7 @@
     decode_message,
     encode_message,
 )
-from clementinedyke.entry.usage_duty import UsagePart, WindowSum
+from clementinedyke.entry.usage_duty import UsagePart
 from clementinedyke.entry.usage_messages import (
     SharedPart,
     UsageShares,
@@ -31,6 +31,7 @@
     decode_usage,
     encode_usage,
 )
+from clementinedyke.entry.usage_windows import WindowSum
 from clementinedyke.leases.types import FormerHolder, Identity, LeaseRow
 from clementinedyke.quarantine.rows import SuspectRow
 
