Report windows of the first start of a deployment

Requests that ran before the first daemon held the duties were left out of the usage: the row of the first era began with the window of that moment.

A store without any such row has had no holder of this build, so its first holder takes all windows for open, unless it has seen the store return. A holder that meets parts of another era reads the row at once, not in its next pass.

Found by test_usage_is_reported_for_customer and test_each_request_counts_once, which failed on in a run of the tests in parts, and pass now; TestFirstTenure.test_first_start guards it.

--- a/src/clementinedyke/entry/usage_closer.py
+++ b/src/clementinedyke/entry/usage_closer.py
@@ -78,6 +78,8 @@
         #: Row of the era of the store, None if it has to be read.
         self._era_row: EraRow | None = None
         self._is_era_row_old = False
+        #: Whether this daemon has seen the store return from a copy.
+        self._has_returned = False
         self._reported: set[int] = set()
         #: Windows with a sum whose parts this daemon has deleted.
         self._cleared: set[int] = set()
@@ -131,6 +133,7 @@
         :param window_time: time of the first answer of the new era.
         """
         former = self._era_row
+        self._has_returned = True
         self._opened = []
         if is_holder and former is not None:
             self._ledger.keep_attempts()
@@ -201,6 +204,10 @@
             self._era_row = era_row
             return
         era_row = _create_era_row(answer.unwrap(), window_time)
+        if version == ABSENT and not self._has_returned:
+            # No daemon has held the duties before, or only ones of builds
+            # without this row.
+            era_row = EraRow(era_row.era, 0)
         written = await self._store.commit(
             [Condition(WINDOWS_TABLE, ERA_KEY, version), fence],
             [Write(WINDOWS_TABLE, ERA_KEY, era_row)],
@@ -272,6 +279,8 @@
         if answer.is_err():
             return
         parts = answer.unwrap().rows
+        if not self._has_era_row(answer.unwrap()):
+            await self._read_era_row(window_time, fence)
         if not self._may_sum(window, answer.unwrap()):
             await self._leave_out(window, window_time, parts)
             return
@@ -291,11 +300,15 @@
         if row is not None:
             await self._report(window, row, get_authority)
 
+    def _has_era_row(self, parts: Snapshot) -> bool:
+        """Return whether the known row is of the era of an answer."""
+        era_row = self._era_row
+        return era_row is not None and _is_of_era(parts.revision, era_row)
+
     def _may_sum(self, window: int, parts: Snapshot) -> bool:
         """Return whether no earlier era can have a sum of a window."""
         era_row = self._era_row
-        if era_row is None or not _is_of_era(parts.revision, era_row):
-            self._era_row = None
+        if era_row is None or not self._has_era_row(parts):
             return False
         if era_row.may_sum(window):
             return True
