--- a/src/clementinedyke/demo.py
+++ b/src/clementinedyke/demo.py
@@ -148,7 +148,7 @@
 
 
 async def run_demo(port: int, operator_token: str = '') -> None:
-    """Run the demo until SIGTERM or SIGINT; print its ready line at start.
+    """Run the demo until a stop signal; print its ready line at start.
 
     :param port: caller port, 0 for a free one.
     :param operator_token: token of the operator port; if empty, only metrics
