Bound the memory of all requests and answers of a process together

Callers outside the limits ended a process: many bodies of legal size that stop short of their end filled its memory, and chunks of two bytes kept it from answering anybody.

Cause: each body had a bound and all of them together had none, on the ports for other daemons and for probes too. The parser spends 20 us on each chunk, and all chunks of a read were parsed before another task ran.

Change: one account for a process (http.memory) that bodies are charged to as they arrive, and answers while they are buffered. When it is short, unfinished requests give way, those of the caller that holds most first; one that was passed on never does, and one that was evicted can't be passed on, so that a refusal as not run (new code 3014) is true. Bodies are kept in blocks of 64 KiB and large ones are no longer copied to be sent. Small chunks are joined before the parser sees them, by turns (http.chunks). At the limit of connections, one that waits for its caller gives way to a caller of another address. The other ports have limits of their own. serve uses the same, with setting memory_mb.

A property test shows that joined bodies are valid exactly if the original ones are.

TestBudget of test_answer_memory.py now asks the account instead of AnswerMemory, which is gone: same steps, same bound of the sum, same free bytes.

--- a/src/clementinedyke/callers/claiming.py
+++ b/src/clementinedyke/callers/claiming.py
@@ -15,6 +15,7 @@
     DispatchFailure,
 )
 from clementinedyke.codes import ExecutionState, ResultCode, get_details
+from clementinedyke.http.body import AnswerHolding
 from clementinedyke.http.message import RequestError, compile_result_headers
 
 #: In milliseconds.
@@ -62,7 +63,8 @@
     async def _collect(
         self, context: RequestContext
     ) -> claim_messages.StoredAnswer | DispatchFailure:
-        collector = ResponseCollector()
+        holding = AnswerHolding(context.request.connection.memory)
+        collector = ResponseCollector(holding.record_size)
         try:
             await self._run(replace(context, response=collector))
         except RequestError as error:
--- a/src/clementinedyke/callers/collector.py
+++ b/src/clementinedyke/callers/collector.py
@@ -1,5 +1,7 @@
 """Collects the response of an endpoint in memory."""
 
+from collections.abc import Callable
+
 from clementinedyke.claims.messages import StoredAnswer
 from clementinedyke.exceptions import AnswerLostError
 from clementinedyke.http.client import MAX_BODY_BYTES, Headers
@@ -12,8 +14,13 @@
 class ResponseCollector(ResponseWriter):
     """Response writer that stores the response instead of sending it."""
 
-    def __init__(self) -> None:
-        """Create an empty collector."""
+    def __init__(self, record_size: Callable[[int], object] = bool) -> None:
+        """Create an empty collector.
+
+        :param record_size: called with the number of bytes stored so far; may
+            raise :class:`AnswerLostError`.
+        """
+        self._record_size = record_size
         self._status = 0
         self._headers: Headers = ()
         self._parts: list[bytes] = []
@@ -47,11 +54,13 @@
         """Store the next part of the body.
 
         :param body: bytes to append.
-        :raises AnswerLostError: if the body is too large to be kept.
+        :raises AnswerLostError: if the body is too large to be kept, or if
+            there is no memory for it.
         """
         self._size += len(body)
         if self._size > MAX_BODY_BYTES:
             raise AnswerLostError(f'body of more than {MAX_BODY_BYTES} bytes')
+        self._record_size(self._size)
         self._parts.append(body)
 
     async def end(self) -> None:
--- a/src/clementinedyke/callers/handler.py
+++ b/src/clementinedyke/callers/handler.py
@@ -119,6 +119,7 @@
             self._check_startable(context)
             with self._token_rates.charge_request(directory, context):
                 async with self._options.admission.admit(context):
+                    request.connection.pass_on()
                     await self._dispatch(context)
         finally:
             self._options.end_request(outcome.request_id)
--- a/src/clementinedyke/callers/port.py
+++ b/src/clementinedyke/callers/port.py
@@ -1,5 +1,6 @@
 """Listener for connections of callers."""
 
+from dataclasses import asdict
 from functools import partial
 
 import trio
@@ -8,12 +9,17 @@
 from clementinedyke.callers.handler import CallerHandler
 from clementinedyke.callers.steps import DispatchLimits
 from clementinedyke.components import Component
+from clementinedyke.http.memory import MemoryAccount, ShortageReport
 from clementinedyke.http.server import ConnectionLimits, HttpServer
 from clementinedyke.http.tls import load_tls
+from clementinedyke.logs import log_event
 from clementinedyke.ports import explain_bind_failure
 from clementinedyke.settings.core import Settings
 
 _MILLISECONDS_PER_SECOND = 1000
+_BYTES_PER_MB = 1048576
+#: Memory of a daemon without callers.
+_RESERVED_MEMORY_MB = 64
 
 
 class CallerPort(Component):
@@ -24,6 +30,7 @@
         settings: Settings,
         handler: CallerHandler,
         connection_limit: ConnectionLimit,
+        memory: MemoryAccount,
     ) -> None:
         """Create the port.
 
@@ -31,12 +38,14 @@
         :param handler: handler of requests.
         :param connection_limit: connection limit of the handler; counts the
             connections of this port.
+        :param memory: account of the process.
         """
         self._settings = settings
         self._server = HttpServer(
             handler.respond,
-            limits=get_connection_limits(settings),
+            limits=get_connection_limits(settings, memory),
             ssl_context=load_tls(settings.tls_certificate, settings.tls_key),
+            memory=memory,
         )
         connection_limit.count_open_connections = self._server.count_connections
         self._bound_port = 0
@@ -63,20 +72,38 @@
             await self._server.drain()
 
 
-def get_connection_limits(settings: Settings) -> ConnectionLimits:
+def get_connection_limits(
+    settings: Settings, memory: MemoryAccount
+) -> ConnectionLimits:
     """Return the connection limits of the caller port.
 
     :param settings: settings of the daemon.
+    :param memory: account of the process.
     """
     return ConnectionLimits(
         max_header_bytes=settings.max_header_bytes,
         max_body_bytes=settings.max_body_bytes,
-        max_connections=settings.max_connections,
+        max_connections=min(settings.max_connections, memory.max_connections),
         idle_timeout=settings.idle_timeout,
         receive_timeout=settings.receive_timeout,
     )
 
 
+def create_memory_account(settings: Settings) -> MemoryAccount:
+    """Return the account of the process, which logs shortages.
+
+    :param settings: settings of the daemon.
+    """
+    reserved = settings.memory_mb - _RESERVED_MEMORY_MB
+    memory = MemoryAccount(reserved * _BYTES_PER_MB)
+    memory.observers.append(_log_shortage)
+    return memory
+
+
+def _log_shortage(report: ShortageReport) -> None:
+    log_event('memory_short', **asdict(report))
+
+
 def get_dispatch_limits(settings: Settings) -> DispatchLimits:
     """Return the limits that apply to the dispatch of a request.
 
--- a/src/clementinedyke/callers/relay.py
+++ b/src/clementinedyke/callers/relay.py
@@ -7,6 +7,7 @@
 from clementinedyke.callers.validation import strip_headers
 from clementinedyke.codes import ResultCode
 from clementinedyke.exceptions import AnswerLostError
+from clementinedyke.http.body import AnswerHolding
 from clementinedyke.http.client import Framing, Headers, ResponseStream
 from clementinedyke.http.server import compile_result_headers
 
@@ -33,6 +34,7 @@
             are received completely before they are relayed.
         """
         self._downstream = context.response
+        self._holding = AnswerHolding(context.request.connection.memory)
         self._outcome = context.outcome
         self._upstream = upstream
         self._record_first_byte = record_first_byte
@@ -89,7 +91,9 @@
         return length is not None and int(length) <= self._max_buffered_bytes
 
     async def _send_buffered(self, first: bytes) -> None:
-        body = first + await self._upstream.receive_body()
+        body = first + await self._upstream.receive_body(
+            record_size=self._holding.record_size
+        )
         self._counter.add(body)
         self._check_end()
         headers = self._compile_headers()
--- a/src/clementinedyke/codes.py
+++ b/src/clementinedyke/codes.py
@@ -56,6 +56,7 @@
     REQUEST_HELD = 3011
     VERSION_UNKNOWN = 3012
     ENDPOINTS_PAUSED = 3013
+    MEMORY_SHORT = 3014
     ANSWER_LOST = 4000
     ENDPOINT_TIMEOUT = 4001
     CLAIM_PENDING = 4002
@@ -230,6 +231,11 @@
             _NOT_RUN,
             'All endpoints of the service asked for a pause.',
         ),
+        ResultCode.MEMORY_SHORT: CodeDetails(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _NOT_RUN,
+            'The daemon has no memory left for the request.',
+        ),
         ResultCode.ANSWER_LOST: CodeDetails(
             HTTPStatus.BAD_GATEWAY,
             _UNKNOWN,
--- a/src/clementinedyke/daemon.py
+++ b/src/clementinedyke/daemon.py
@@ -12,7 +12,7 @@
     AuthorityDependencies,
     AuthorityTiming,
 )
-from clementinedyke.callers.port import CallerPort
+from clementinedyke.callers.port import CallerPort, create_memory_account
 from clementinedyke.clock import MonotonicClock
 from clementinedyke.configuration.component import ConfigurationComponent
 from clementinedyke.control.daemon_reports import DaemonReports
@@ -120,9 +120,11 @@
         handler = self.requests.create_handler(
             self.reports.observe_outcome, self.authority.observe_usage
         )
+        memory = create_memory_account(self._settings)
+        self.reports.metrics.registry.register(memory)
         self.caller_port = CallerPort(
-            self._settings, handler, self.requests.connection_limit
+            self._settings, handler, self.requests.connection_limit, memory
         )
         self.operator_port = OperatorPort(
-            self._settings, self._tables, self.reports
+            self._settings, self._tables, self.reports, memory
         )
--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -23,8 +23,9 @@
 from clementinedyke.entry.ports import (
     CallerPort,
     Readiness,
-    get_answer_memory,
+    create_memory_account,
     get_max_connections,
+    get_peer_server,
 )
 from clementinedyke.entry.recovery import RecoveryComponent
 from clementinedyke.entry.request_path import (
@@ -79,6 +80,7 @@
         self._usage = UsageCounter(
             self._wall_time, settings.bounds.usage_window
         )
+        self._memory = create_memory_account(settings, self._journal)
         self._work = WorkTable()
         self._peer_table = PeerTable(settings.host)
         self._build_views()
@@ -180,6 +182,7 @@
             self._peer_table,
             self._exchanged_state,
             (self._clock, self._journal, self._generator),
+            get_peer_server(self._memory),
         )
         table = self._platform.configuration_table
         self._peers.configuration_feed = self._feeds.watches[table]
@@ -224,13 +227,11 @@
                 self._platform,
                 self._endpoints,
                 self._store_contact,
-                get_answer_memory(settings),
             ),
         )
         self._network = path.network
         self._versions = path.versions
         self._handover = path.handover
-        self._answer_memory = path.exchange.memory
         self._links = path.links
         self._exchanged_state = path.exchanged_state
         self._gateway = path.gateway
@@ -239,7 +240,10 @@
         watch = self._feeds.watches[self._platform.endpoints_table]
         watch.return_observers.append(self._suspect_component.record_return)
         self._readiness = Readiness(
-            settings.ready_address, self._configuration, self._journal
+            settings.ready_address,
+            self._configuration,
+            self._journal,
+            self._memory,
         )
         self._caller_port = CallerPort(
             settings.caller_address,
@@ -247,6 +251,7 @@
             self._readiness,
             settings.bounds.stop_grace,
             get_max_connections(settings),
+            self._memory,
         )
         path.links.relay_port.is_draining = self._readiness.get_draining
         self._caller_port.drain_relays = path.links.relay_port.drain
@@ -273,6 +278,7 @@
         return create_metrics_port(
             self._settings.metrics_address,
             self._gateway,
+            self._memory,
             ObservedParts(
                 self._clock,
                 self._configuration,
@@ -287,7 +293,6 @@
                     self._links.relay_port.counts,
                     self._feed_exchange.counts,
                     self._versions.counts,
-                    self._answer_memory,
                 ),
             ),
         )
--- a/src/clementinedyke/entry/exchange.py
+++ b/src/clementinedyke/entry/exchange.py
@@ -2,14 +2,12 @@
 
 from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
-from dataclasses import dataclass
-from functools import partial
+from dataclasses import dataclass, replace
 
 import trio
 from absl import logging
 
 from clementinedyke.clock import Clock, Milliseconds
-from clementinedyke.entry.answer_memory import AnswerMemory
 from clementinedyke.entry.catalog import EntryEndpoint
 from clementinedyke.entry.endpoint_notices import AnswerReader, EndpointNotices
 from clementinedyke.entry.endpoint_protocol import (
@@ -30,6 +28,7 @@
     PeerUnavailableError,
     ProtocolError,
 )
+from clementinedyke.http.body import AnswerHolding
 from clementinedyke.http.client import Framing, HttpRequest, ResponseStream
 
 #: Longest wait for the result of an examination; a connection takes about 1 ms.
@@ -40,8 +39,6 @@
 #: them, each twice while it is joined.
 _MAX_ANSWER_BYTES = 4194304
 _MAX_RELEASE_BYTES = 65536
-#: Memory for buffered answers of a daemon whose host has 320 MB.
-DEFAULT_MEMORY_LIMIT = 33554432
 #: Timeout of a request that frees a KV cache.
 _RELEASE_TIMEOUT: Milliseconds = 500
 
@@ -54,7 +51,11 @@
     """
 
     def __init__(
-        self, head: AnswerHead, stream: ResponseStream, endpoint: EntryEndpoint
+        self,
+        head: AnswerHead,
+        stream: ResponseStream,
+        endpoint: EntryEndpoint,
+        holding: AnswerHolding,
     ) -> None:
         """Create the answer; only :class:`Exchange` does so."""
         self.head = head
@@ -62,8 +63,8 @@
         self.endpoint = endpoint
         self.is_complete = False
         self.is_end_certain = False
-        #: Bytes that its buffered part holds of the memory for answers.
-        self.held_bytes = 0
+        #: Memory for the part of it that is buffered.
+        self.holding = holding
 
     @property
     def is_success(self) -> bool:
@@ -95,7 +96,6 @@
         transport: EndpointTransport,
         suspects: Suspects,
         notices: EndpointNotices,
-        memory_limit: int = DEFAULT_MEMORY_LIMIT,
     ) -> None:
         """Create the exchange.
 
@@ -105,10 +105,7 @@
         :param transport: connections to the endpoints.
         :param suspects: told of each send and of lost answers.
         :param notices: told of each send and of the heads of answers.
-        :param memory_limit: bytes of all buffered answers together, beyond the
-            free ones of each.
         """
-        self.memory = AnswerMemory(memory_limit)
         self._notices = notices
         self._protocol = protocol
         self._placement = placement
@@ -132,9 +129,14 @@
         :raises PeerUnavailableError: if the request was not sent.
         :raises AnswerLostError: if the request may have run and has no
             valid answer.
+        :raises RequestError: if the request was evicted from memory.
         """
+        job.connection.pass_on()
         endpoint = options.endpoint
-        request = self._protocol.compile_request(job.request, options)
+        request = replace(
+            self._protocol.compile_request(job.request, options),
+            memory=job.connection.memory,
+        )
         work = self._placement.work.get_work(endpoint)
         work.running += 1
         self._notices.limits.record_send(endpoint, self._clock.get_now())
@@ -153,7 +155,8 @@
                     self._notices.record_answer(
                         endpoint, head, attempt.sent_at, self._clock.get_now()
                     )
-                    answer = EndpointAnswer(head, stream, endpoint)
+                    holding = AnswerHolding(job.connection.memory)
+                    answer = EndpointAnswer(head, stream, endpoint, holding)
                     attempt.answer = answer
                     self._record_answer(endpoint, attempt.sent_at)
                     yield answer
@@ -169,8 +172,10 @@
             raise
         finally:
             work.running -= 1
-            if answer is not None:
-                self.memory.release(answer.held_bytes)
+            # A whole answer may still be forwarded; the memory is given back
+            # when the request ends.
+            if answer is not None and not answer.is_complete:
+                answer.holding.close()
 
     @contextmanager
     def _observe_attempt(
@@ -235,20 +240,11 @@
         :raises AnswerLostError: if the body breaks off or is too large.
         """
         body = await answer.stream.receive_body(
-            _MAX_ANSWER_BYTES, record_size=partial(self.buffer, answer)
+            _MAX_ANSWER_BYTES, record_size=answer.holding.record_size
         )
         await self.check_end(answer)
         return body
 
-    def buffer(self, answer: EndpointAnswer, size: int) -> None:
-        """Count the bytes of an answer that are buffered.
-
-        :param answer: answer that is being received.
-        :param size: bytes of it that are in memory now.
-        :raises AnswerLostError: if all buffered answers need too much memory.
-        """
-        answer.held_bytes = self.memory.change(answer.held_bytes, size)
-
     async def check_end(self, answer: EndpointAnswer) -> None:
         """Check whether an answer whose body has ended is complete.
 
--- a/src/clementinedyke/entry/gateway.py
+++ b/src/clementinedyke/entry/gateway.py
@@ -102,6 +102,8 @@
             )
             await self._refuse(admitted, response)
             return
+        admitted.connection = request.connection
+        request.connection.customer = admitted.customer
         self._context.budgets.get_budget(admitted.service.name).record_request(
             now
         )
--- a/src/clementinedyke/entry/intake.py
+++ b/src/clementinedyke/entry/intake.py
@@ -14,6 +14,7 @@
 from clementinedyke.entry.configuration_view import ConfigurationView
 from clementinedyke.entry.examination import Examination
 from clementinedyke.http.client import Framing
+from clementinedyke.http.message import ConnectionInfo
 from clementinedyke.quarantine.fingerprint import compute_fingerprint
 from clementinedyke.quarantine.parts import compute_part_digest
 
@@ -47,7 +48,8 @@
     ``framing`` is that of the last answer, and ``cut_bytes`` the size of the
     incomplete event with which the last stream ended. ``version`` is the
     software version of the engine that brought the first event of the stream;
-    only engines of this version may go on with it.
+    only engines of this version may go on with it. ``connection`` is that of
+    the caller.
     """
 
     request: EntryRequest
@@ -74,6 +76,7 @@
     framing: Framing | None = None
     cut_bytes: int = 0
     version: str | None = None
+    connection: ConnectionInfo = field(default_factory=ConnectionInfo)
 
     def get_time_left(self, now: Milliseconds) -> Milliseconds:
         """Return the milliseconds until the deadline, at least 0.
--- a/src/clementinedyke/entry/metrics.py
+++ b/src/clementinedyke/entry/metrics.py
@@ -19,7 +19,9 @@
 from clementinedyke.components import Component
 from clementinedyke.entry.intake import Job
 from clementinedyke.http.client import Address
+from clementinedyke.http.memory import MemoryAccount
 from clementinedyke.http.message import ResponseWriter, ServerRequest
+from clementinedyke.http.port_limits import ProbeLimits
 from clementinedyke.http.server import HttpServer
 
 _MILLISECONDS_PER_SECOND = 1000
@@ -151,15 +153,18 @@
 class MetricsPort(Component):
     """HTTP server that answers every path with the metrics."""
 
-    def __init__(self, address: Address, metrics: EntryMetrics) -> None:
+    def __init__(
+        self, address: Address, metrics: EntryMetrics, memory: MemoryAccount
+    ) -> None:
         """Create the port.
 
         :param address: address to bind.
         :param metrics: metrics to serve.
+        :param memory: account of the process.
         """
         self._address = address
         self._metrics = metrics
-        self._server = HttpServer(self._respond)
+        self._server = HttpServer(self._respond, ProbeLimits(), memory=memory)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Bind the port.
--- a/src/clementinedyke/entry/observation.py
+++ b/src/clementinedyke/entry/observation.py
@@ -19,6 +19,7 @@
 )
 from clementinedyke.entry.news import PeerTable
 from clementinedyke.http.client import Address
+from clementinedyke.http.memory import MemoryAccount
 from clementinedyke.leases.component import LeaseComponent
 
 
@@ -79,7 +80,10 @@
 
 
 def create_metrics_port(
-    address: Address | None, gateway: Gateway, parts: ObservedParts
+    address: Address | None,
+    gateway: Gateway,
+    memory: MemoryAccount,
+    parts: ObservedParts,
 ) -> list[Component]:
     """Return the components that measure and serve the metrics.
 
@@ -87,6 +91,7 @@
 
     :param address: address to bind.
     :param gateway: gateway that reports each finished request.
+    :param memory: account of the process.
     :param parts: components whose values the gauges report.
     """
     if address is None:
@@ -102,7 +107,10 @@
             holds_duties=parts.holds_duties,
         )
     )
-    for collector in parts.collectors:
+    for collector in (*parts.collectors, memory):
         metrics.registry.register(collector)
     gateway.observe = metrics.observe
-    return [EventLoopMonitor(metrics.registry), MetricsPort(address, metrics)]
+    return [
+        EventLoopMonitor(metrics.registry),
+        MetricsPort(address, metrics, memory),
+    ]
--- a/src/clementinedyke/entry/peers.py
+++ b/src/clementinedyke/entry/peers.py
@@ -27,7 +27,11 @@
 from clementinedyke.entry.watch import StoredRow
 from clementinedyke.exceptions import ClementinedykeError, ProtocolError
 from clementinedyke.http.client import Address
-from clementinedyke.http.message import ResponseWriter, ServerRequest
+from clementinedyke.http.message import (
+    RequestHandler,
+    ResponseWriter,
+    ServerRequest,
+)
 from clementinedyke.http.server import HttpServer
 from clementinedyke.quarantine.core import Evidence
 from clementinedyke.quarantine.rows import compile_evidence, compile_row
@@ -96,6 +100,7 @@
         peer_table: PeerTable,
         state: ExchangedState,
         tools: tuple[Clock, Journal, Random],
+        create_server: Callable[[RequestHandler], HttpServer],
     ) -> None:
         """Create the component.
 
@@ -105,6 +110,7 @@
         :param peer_table: stores the updates of other daemons.
         :param state: state that is sent to the others and received from them.
         :param tools: clock, log and random generator for jitter.
+        :param create_server: creates the server for the other daemons.
         """
         self._identity = identity
         self._store = connections[1]
@@ -134,7 +140,7 @@
         self._port = identity.address.port
         self._sequence = 0
         self._last_work: dict[str, tuple[int, int]] = {}
-        self._server = HttpServer(self._respond)
+        self._server = create_server(self._respond)
         #: Returns whether another daemon reads the store for this one.
         self.is_followed: Callable[[], bool] = bool
         #: Feed of the configuration's table.
--- a/src/clementinedyke/entry/ports.py
+++ b/src/clementinedyke/entry/ports.py
@@ -1,6 +1,7 @@
 """Caller port and readiness port of the daemon."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import asdict
 from functools import partial
 from http import HTTPStatus
 
@@ -14,7 +15,13 @@
 from clementinedyke.entry.host_settings import HostSettings
 from clementinedyke.entry.journal import Journal
 from clementinedyke.http.client import Address
-from clementinedyke.http.message import ResponseWriter, ServerRequest
+from clementinedyke.http.memory import MemoryAccount, compute_max_connections
+from clementinedyke.http.message import (
+    RequestHandler,
+    ResponseWriter,
+    ServerRequest,
+)
+from clementinedyke.http.port_limits import PeerLimits, ProbeLimits
 from clementinedyke.http.server import ConnectionLimits, HttpServer
 
 _MILLISECONDS_PER_SECOND = 1000
@@ -32,14 +39,7 @@
 #: Memory of a daemon without callers: at most 35 MB were resident in runs of
 #: 64 hosts under normal load, 67 MB in a burst with all its requests.
 _RESERVED_MEMORY_MB = 64
-#: Memory per open request: tasks, buffers and a body of 100 KB, the largest
-#: in the workload sheets.
-_CONNECTION_MEMORY_KB = 160
-_KB_PER_MB = 1024
-_BYTES_PER_KB = 1024
-#: Share of the memory that is not reserved for the parts of buffered answers
-#: that exceed the memory of their requests.
-_ANSWER_SHARE = 0.125
+_BYTES_PER_MB = 1048576
 
 
 class CallerPort(Component):
@@ -52,6 +52,7 @@
         readiness: 'Readiness',
         stop_grace: Milliseconds,
         max_connections: int,
+        memory: MemoryAccount,
     ) -> None:
         """Create the port.
 
@@ -60,13 +61,14 @@
         :param readiness: readiness port; reports not ready during a drain.
         :param stop_grace: milliseconds from the stop signal to the forced end.
         :param max_connections: maximum number of open connections.
+        :param memory: account of the process.
         """
         self._address = address
         self._gateway = gateway
         self._readiness = readiness
         self._stop_grace = stop_grace
         limits = ConnectionLimits(max_connections=max_connections)
-        self._server = HttpServer(self._respond, limits)
+        self._server = HttpServer(self._respond, limits, memory=memory)
         self._limits = limits
         #: Waits up to a number of ms for the requests of other daemons.
         self.drain_relays: Callable[[Milliseconds], Awaitable[None]] = (
@@ -133,7 +135,11 @@
     """Answers the readiness probes of the load balancer."""
 
     def __init__(
-        self, address: Address, view: ConfigurationView, journal: Journal
+        self,
+        address: Address,
+        view: ConfigurationView,
+        journal: Journal,
+        memory: MemoryAccount,
     ) -> None:
         """Create the port.
 
@@ -141,11 +147,12 @@
         :param view: configuration view; the daemon is not ready while it is
             empty.
         :param journal: structured log.
+        :param memory: account of the process.
         """
         self._address = address
         self._view = view
         self._journal = journal
-        self._server = HttpServer(self._respond)
+        self._server = HttpServer(self._respond, ProbeLimits(), memory=memory)
         self.is_draining = False
         #: Tells the other daemons that this one is draining.
         self.announce: Callable[[], None] = _ignore_drain
@@ -192,23 +199,39 @@
 
     :param settings: limits on file descriptors and memory.
     """
-    memory_kb = _get_free_kb(settings) * (1 - _ANSWER_SHARE)
     return max(
         1,
         min(
             settings.max_descriptors - _RESERVED_DESCRIPTORS,
-            int(memory_kb) // _CONNECTION_MEMORY_KB,
+            compute_max_connections(_get_memory_limit(settings)),
         ),
     )
 
 
-def get_answer_memory(settings: HostSettings) -> int:
-    """Return the bytes of memory for buffered answers of endpoints.
+def create_memory_account(
+    settings: HostSettings, journal: Journal
+) -> MemoryAccount:
+    """Return the account of the process, which logs shortages.
 
     :param settings: limit on memory.
+    :param journal: structured log.
+    """
+    memory = MemoryAccount(_get_memory_limit(settings))
+    memory.observers.append(
+        lambda report: journal.write('memory_short', **asdict(report))
+    )
+    return memory
+
+
+def get_peer_server(
+    memory: MemoryAccount,
+) -> Callable[[RequestHandler], HttpServer]:
+    """Return what creates the server for other daemons from its handler.
+
+    :param memory: account of the process.
     """
-    return int(_get_free_kb(settings) * _ANSWER_SHARE) * _BYTES_PER_KB
+    return partial(HttpServer, limits=PeerLimits(), memory=memory)
 
 
-def _get_free_kb(settings: HostSettings) -> int:
-    return max(0, settings.memory_mb - _RESERVED_MEMORY_MB) * _KB_PER_MB
+def _get_memory_limit(settings: HostSettings) -> int:
+    return (settings.memory_mb - _RESERVED_MEMORY_MB) * _BYTES_PER_MB
--- a/src/clementinedyke/entry/relay_client.py
+++ b/src/clementinedyke/entry/relay_client.py
@@ -23,6 +23,7 @@
 )
 from clementinedyke.exceptions import (
     AnswerLostError,
+    MemoryShortError,
     PeerUnavailableError,
     ProtocolError,
 )
@@ -33,6 +34,7 @@
     HttpRequest,
     ResponseStream,
 )
+from clementinedyke.http.memory import ConnectionMemory, Kind
 
 #: Daemons that are asked in turn until one forwards a request.
 _MAX_DAEMONS = 3
@@ -50,6 +52,7 @@
 _CHECK_TIMEOUT: Milliseconds = 500
 _MAX_FAILURE_BYTES = 4096
 _HASH_BYTES = 8
+_MILLISECONDS_PER_SECOND = 1000
 
 
 class NoRelayError(PeerUnavailableError):
@@ -107,6 +110,8 @@
             request.body,
             needs_new,
         )
+        if request.memory is not None:
+            _charge_copy(stack, request.memory, len(request.body))
         stream = await self._enter(stack, relayed)
         fields = dict(stream.headers)
         stream.framing = _read_framing(fields[FRAMING_HEADER])
@@ -222,6 +227,23 @@
         ).digest()
 
 
+def _charge_copy(
+    stack: AsyncExitStack, memory: ConnectionMemory, size: int
+) -> None:
+    """Charge the caller's connection with the message to another daemon.
+
+    :raises NoRelayError: if there is no memory for it.
+    """
+    holding = memory.open_holding(Kind.BODY)
+    stack.callback(holding.close)
+    try:
+        holding.resize(
+            size, int(trio.current_time() * _MILLISECONDS_PER_SECOND)
+        )
+    except MemoryShortError as error:
+        raise NoRelayError(str(error)) from error
+
+
 async def _read_failure(stream: ResponseStream) -> RelayFailure | None:
     """Return the failure that a daemon reports, None for an answer.
 
--- a/src/clementinedyke/entry/relay_port.py
+++ b/src/clementinedyke/entry/relay_port.py
@@ -27,6 +27,7 @@
 )
 from clementinedyke.exceptions import (
     AnswerLostError,
+    MemoryShortError,
     PeerUnavailableError,
     ProtocolError,
 )
@@ -36,7 +37,12 @@
     HttpRequest,
     ResponseStream,
 )
-from clementinedyke.http.message import ResponseWriter, ServerRequest
+from clementinedyke.http.memory import Kind
+from clementinedyke.http.message import (
+    ConnectionInfo,
+    ResponseWriter,
+    ServerRequest,
+)
 
 _MILLISECONDS_PER_SECOND = 1000
 _STATUS_OK = 200
@@ -151,7 +157,9 @@
             await self._fail(response, RelayFailure.UNWILLING, str(error))
             return
         endpoint = self._find_endpoint(relayed.run_id)
-        refusal = self._get_refusal(relayed, endpoint)
+        refusal = self._get_refusal(relayed, endpoint) or _charge_copy(
+            request.connection, len(relayed.body)
+        )
         if refusal or endpoint is None:
             await self._fail(response, RelayFailure.UNWILLING, refusal)
         elif relayed.method:
@@ -263,6 +271,17 @@
         )
 
 
+def _charge_copy(connection: ConnectionInfo, size: int) -> str:
+    """Charge a decoded request; return why it can't be, or an empty text."""
+    now = int(trio.current_time() * _MILLISECONDS_PER_SECOND)
+    try:
+        connection.memory.open_holding(Kind.BODY).resize(size, now)
+        connection.memory.pass_on()
+    except MemoryShortError as error:
+        return str(error)
+    return ''
+
+
 def _compile_headers(headers: Headers, framing: Framing) -> Headers:
     return [
         *(pair for pair in headers if pair[0] not in _DROPPED_HEADERS),
--- a/src/clementinedyke/entry/request_path.py
+++ b/src/clementinedyke/entry/request_path.py
@@ -41,7 +41,6 @@
     platform: PlatformParts
     endpoints: EndpointView
     store_contact: StoreContact
-    answer_memory_limit: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,7 +104,6 @@
         links.transport,
         suspect_component.suspects,
         notices,
-        context.answer_memory_limit,
     )
     exchange.examine = suspect_component.examine
     placement.has_connection = links.transport.has_connection
--- a/src/clementinedyke/entry/stream_runner.py
+++ b/src/clementinedyke/entry/stream_runner.py
@@ -405,7 +405,7 @@
             if not received:
                 break
             events = splitter.split_events(received)
-            self._context.exchange.buffer(answer, splitter.pending_bytes)
+            answer.holding.record_size(splitter.pending_bytes)
             if events:
                 generation.scope.deadline = math.inf
                 await self._forward_bytes(generation, answer, events)
--- a/src/clementinedyke/exceptions.py
+++ b/src/clementinedyke/exceptions.py
@@ -38,3 +38,7 @@
     The peer probably closed it while it was idle. As with any lost answer, it
     is unknown whether the peer processed the request.
     """
+
+
+class MemoryShortError(ClementinedykeError):
+    """A process has no memory left for a request or an answer."""
--- a/src/clementinedyke/http/client.py
+++ b/src/clementinedyke/http/client.py
@@ -31,6 +31,7 @@
 )
 from clementinedyke.http.idle_time_limit import IdleTimeLimit
 from clementinedyke.http.lost_connection import LostConnection, discard_loss
+from clementinedyke.http.memory import ConnectionMemory
 from clementinedyke.http.socket_io import (
     is_quiet,
     open_tcp,
@@ -50,6 +51,9 @@
 #: Largest response body that is kept in memory, unless the caller sets another
 #: limit. A faulty peer may send bytes without end.
 MAX_BODY_BYTES = 8388608
+#: Bodies of requests up to this size are sent with the head in one write;
+#: joining larger ones would copy them.
+_MAX_JOINED_BYTES = 65536
 #: Responses with a status below 200 before the final one; few peers send any.
 _MAX_INTERIM_RESPONSES = 16
 #: Bytes and time up to which an unused body is read so that its connection can
@@ -138,6 +142,10 @@
     target: str
     headers: Headers = ()
     body: bytes = b''
+    #: Charged with copies of the body, None if they are not accounted for.
+    memory: ConnectionMemory | None = field(
+        default=None, compare=False, repr=False
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -225,14 +233,17 @@
             target=request.target,
             headers=_compile_headers(request, authority),
         )
-        parts = [self.protocol.send(head)]
+        parts = [self.protocol.send(head) or b'']
         if request.body:
-            parts.append(self.protocol.send(h11.Data(data=request.body)))
-        parts.append(self.protocol.send(h11.EndOfMessage()))
+            parts.append(self.protocol.send(h11.Data(data=request.body)) or b'')
+        parts.append(self.protocol.send(h11.EndOfMessage()) or b'')
         self.is_response_complete = False
         self.sent_at = trio.current_time()
-        payload = b''.join(part or b'' for part in parts)
-        await send_all(self.stream, payload)
+        if len(request.body) <= _MAX_JOINED_BYTES:
+            parts = [b''.join(parts)]
+        for part in parts:
+            if part:
+                await send_all(self.stream, part)
 
     def describe_loss(self) -> LostConnection:
         silence = trio.current_time() - self.received_at
--- a/src/clementinedyke/http/connection.py
+++ b/src/clementinedyke/http/connection.py
@@ -9,12 +9,15 @@
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.codes import ResultCode
+from clementinedyke.http.memory import ConnectionMemory
 from clementinedyke.http.message import (
+    ConnectionInfo,
     ConnectionLimits,
     RequestError,
     RequestHandler,
     ResponseWriter,
     ServerRequest,
+    create_shortage_error,
     write_error,
 )
 from clementinedyke.http.reader import RequestReader
@@ -45,12 +48,17 @@
         stream: trio.abc.Stream,
         limits: ConnectionLimits,
         is_draining: Callable[[], bool],
+        memory: ConnectionMemory,
+        turns: trio.Lock,
     ) -> None:
         """Create the connection.
 
         :param stream: accepted connection, wrapped in TLS if enabled.
         :param limits: size limits and timeouts of the server.
         :param is_draining: returns whether the server is draining.
+        :param memory: memory of the connection.
+        :param turns: held by the connection of the server that parses many
+            chunks.
         """
         self._stream = stream
         self._limits = limits
@@ -58,16 +66,54 @@
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
         )
-        self._reader = RequestReader(self._protocol, stream, limits, self._send)
+        self._memory = memory
+        memory.evict = self._drop_request
+        self._connection_info = ConnectionInfo(memory)
+        self._reader = RequestReader(
+            self._protocol,
+            stream,
+            limits,
+            self._send,
+            self._connection_info,
+            turns,
+        )
         self._scope = trio.CancelScope()
+        #: Scope of the handler while a request is handled.
+        self._handler_scope: trio.CancelScope | None = None
         self._sending_since: float | None = None
         self._is_refused = False
         self._is_disconnected = False
+        self._is_aborted = False
 
     @property
     def customer(self) -> str | None:
         """Customer that a handler set last, None if none was set."""
-        return self._reader.customer
+        return self._connection_info.customer
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether the connection waits for the next request."""
+        return self._handler_scope is None and self._reader.is_idle
+
+    @property
+    def waiting_since(self) -> float | None:
+        """Time since when the rest of a request is awaited, in trio time."""
+        return self._reader.waiting_since
+
+    def give_way(self, error: RequestError) -> None:
+        """Close the connection, which waits for bytes of its caller.
+
+        :param error: sent if a request has begun to arrive.
+        """
+        if self._reader.is_idle:
+            self._reader.stop_waiting()
+        else:
+            self._reader.reject(error)
+
+    def abort(self) -> None:
+        """Close the connection without a response."""
+        self._is_aborted = True
+        self._scope.cancel()
 
     async def run(self, handler: RequestHandler) -> None:
         """Serve requests until the connection ends.
@@ -129,15 +175,22 @@
     async def _respond(
         self, handler: RequestHandler, request: ServerRequest
     ) -> None:
+        response = self._create_writer()
         async with trio.open_nursery() as nursery:
+            self._handler_scope = nursery.cancel_scope
             nursery.start_soon(self._watch_for_disconnect, nursery.cancel_scope)
-            await self._run_handler(handler, request)
+            await self._run_handler(handler, request, response)
             nursery.cancel_scope.cancel()
+        self._handler_scope = None
+        if self._memory.is_evicted and not response.is_started:
+            await self._refuse(_create_eviction_error())
 
     async def _run_handler(
-        self, handler: RequestHandler, request: ServerRequest
+        self,
+        handler: RequestHandler,
+        request: ServerRequest,
+        response: ResponseWriter,
     ) -> None:
-        response = self._create_writer()
         try:
             await handler(request, response)
         except _CONNECTION_ERRORS:
@@ -160,23 +213,31 @@
         Once ``max_pipelined_bytes`` are buffered, reading stops and the state
         of the socket is polled instead.
         """
-        buffered = len(self._protocol.trailing_data[0])
-        while buffered < self._limits.max_pipelined_bytes:
+        while self._reader.buffered < self._limits.max_pipelined_bytes:
             received = await _receive_or_close(self._stream)
             if not received:
                 self._is_disconnected = True
                 scope.cancel()
                 return
-            self._protocol.receive_data(received)
-            buffered += len(received)
+            self._reader.add(received)
         while not _is_closed_by_peer(self._stream):
             await trio.sleep(_CLOSE_POLL_SECONDS)
         self._is_disconnected = True
         scope.cancel()
 
+    def _drop_request(self) -> None:
+        """Give up a request that was evicted from memory."""
+        if self._handler_scope is None:
+            self._reader.reject(_create_eviction_error())
+        else:
+            self._handler_scope.cancel()
+
     def _start_next_cycle(self) -> bool:
+        self._memory.end_request()
         if self._is_disconnected or self._is_refused or self._is_draining():
             return False
+        if self._memory.is_evicted:
+            return False
         if self._protocol.our_state is not h11.DONE:
             return False
         if self._protocol.their_state is not h11.DONE:
@@ -197,7 +258,7 @@
         )
 
     def _is_last_response(self) -> bool:
-        if self._is_refused or self._reader.must_close:
+        if self._is_refused or self._connection_info.must_close:
             return True
         return self._is_draining()
 
@@ -217,12 +278,17 @@
         try:
             if is_broken or self._sending_since is not None:
                 set_reset_on_close(transport)
-            elif not self._is_disconnected:
+            elif not (self._is_disconnected or self._is_aborted):
                 await _linger(transport, self._limits.max_body_bytes)
         finally:
+            self._memory.close()
             await trio.aclose_forcefully(self._stream)
 
 
+def _create_eviction_error() -> RequestError:
+    return create_shortage_error('other requests need the memory')
+
+
 async def _linger(transport: trio.SocketStream, max_bytes: int) -> None:
     """Read remaining bytes from the caller before the socket is closed.
 
--- a/src/clementinedyke/http/message.py
+++ b/src/clementinedyke/http/message.py
@@ -12,7 +12,9 @@
 
 from clementinedyke.clock import Milliseconds
 from clementinedyke.codes import ResultCode, get_details
+from clementinedyke.exceptions import MemoryShortError
 from clementinedyke.http.client import Headers
+from clementinedyke.http.memory import ConnectionMemory, MemoryAccount
 
 _JSON_CONTENT_TYPE = (b'Content-Type', b'application/json')
 _MILLISECONDS_PER_SECOND = 1000
@@ -22,6 +24,11 @@
 )
 _DEFAULT_RETRY_AFTER: Milliseconds = 1000
 _CLOSE_HEADER = (b'Connection', b'close')
+#: Bodies that stop short of their end are given up within some seconds.
+_SHORTAGE_RETRY_AFTER: Milliseconds = 1000
+#: Bodies of responses up to this size are sent with the head in one write;
+#: joining larger ones would copy them.
+_MAX_JOINED_BYTES = 65536
 
 
 @dataclass(slots=True)
@@ -71,12 +78,39 @@
 class ConnectionInfo:
     """State of a connection that its request handlers read and set."""
 
-    def __init__(self) -> None:
-        """Create the state of a new connection."""
-        self.customer: str | None = None
+    def __init__(self, memory: ConnectionMemory | None = None) -> None:
+        """Create the state of a new connection.
+
+        :param memory: memory of the connection; None for one that shares its
+            account with no other.
+        """
+        self._customer: str | None = None
+        self.memory = memory or MemoryAccount().open_connection('')
         #: Set by a handler to close the connection after its response.
         self.must_close = False
 
+    @property
+    def customer(self) -> str | None:
+        """Customer of the last request, None if unknown."""
+        return self._customer
+
+    @customer.setter
+    def customer(self, name: str | None) -> None:
+        self._customer = name
+        if name is not None:
+            self.memory.owner = name
+
+    def pass_on(self) -> None:
+        """Record that the current request is about to be sent.
+
+        :raises RequestError: if it has been evicted from memory, so that it
+            must not be sent.
+        """
+        try:
+            self.memory.pass_on()
+        except MemoryShortError as error:
+            raise create_shortage_error(str(error)) from error
+
 
 @dataclass(frozen=True, slots=True)
 class ServerRequest:
@@ -141,10 +175,14 @@
         :param is_complete: whether the response ends with this write.
         """
         payload = self._encode_head(status, headers)
-        if body:
+        if len(body) > _MAX_JOINED_BYTES:
+            await self._send(payload)
+            payload = self._encode(h11.Data(data=body))
+        elif body:
             payload += self._encode(h11.Data(data=body))
         if is_complete:
-            payload += self._encode(h11.EndOfMessage())
+            end = self._encode(h11.EndOfMessage())
+            payload = payload + end if end else payload
         await self._send(payload)
 
     async def send_chunk(self, body: bytes) -> None:
@@ -199,6 +237,14 @@
 RequestHandler = Callable[[ServerRequest, ResponseWriter], Awaitable[None]]
 
 
+def create_shortage_error(message: str) -> RequestError:
+    """Return the error for a request that was refused for lack of memory.
+
+    :param message: text for the caller.
+    """
+    return RequestError(ResultCode.MEMORY_SHORT, message, _SHORTAGE_RETRY_AFTER)
+
+
 def create_request_id() -> str:
     """Return a random request id of 32 hexadecimal digits."""
     return uuid.uuid4().hex
--- a/src/clementinedyke/operators/component.py
+++ b/src/clementinedyke/operators/component.py
@@ -5,6 +5,8 @@
 import trio
 
 from clementinedyke.components import Component
+from clementinedyke.http.memory import MemoryAccount
+from clementinedyke.http.port_limits import OperatorLimits
 from clementinedyke.http.server import HttpServer
 from clementinedyke.http.tls import load_tls
 from clementinedyke.logs import log_event
@@ -25,13 +27,18 @@
     """
 
     def __init__(
-        self, settings: Settings, tables: TableClient, reports: OperatorReports
+        self,
+        settings: Settings,
+        tables: TableClient,
+        reports: OperatorReports,
+        memory: MemoryAccount | None = None,
     ) -> None:
         """Create the port.
 
         :param settings: settings of the daemon.
         :param tables: client of the table service.
         :param reports: status, metrics and readiness of the other components.
+        :param memory: account of the process; None for one of its own.
         """
         self._settings = settings
         self._reports = reports
@@ -43,7 +50,9 @@
         tls = load_tls(
             settings.operator_tls_certificate, settings.operator_tls_key
         )
-        self._server = HttpServer(handler.respond, ssl_context=tls)
+        self._server = HttpServer(
+            handler.respond, OperatorLimits(), tls, memory
+        )
         self._bound = 0
 
     @property
--- a/src/clementinedyke/settings/core.py
+++ b/src/clementinedyke/settings/core.py
@@ -95,6 +95,13 @@
     max_connections: int = create_setting(
         4096, 'open caller connections', unit='connections', ge=1, le=100000
     )
+    memory_mb: int = create_setting(
+        1024,
+        'memory of the process; bodies and answers that need more are refused',
+        unit='MB',
+        ge=96,
+        le=1048576,
+    )
     max_customer_connections: int = create_setting(
         1024,
         'open connections of one customer',
--- a/tests/test_answer_memory.py
+++ b/tests/test_answer_memory.py
@@ -9,9 +9,14 @@
 from tests.entry_environment import EntryEnvironment, ScenarioRunner
 from tests.test_endless_answers import EndlessEndpoint
 
-from clementinedyke.entry.answer_memory import FREE_BYTES, AnswerMemory
-from clementinedyke.exceptions import AnswerLostError
+from clementinedyke.exceptions import AnswerLostError, MemoryShortError
 from clementinedyke.http.client import Address, HttpRequest
+from clementinedyke.http.memory import (
+    FREE_BYTES,
+    MIN_LIMIT,
+    Kind,
+    MemoryAccount,
+)
 from clementinedyke.orders.connection import exchange_once
 
 _HEAD = b'HTTP/1.1 200 OK\r\nX-Server-Signature: signed\r\n'
@@ -20,7 +25,9 @@
 #: A daemon of 300 MB may hold 29.5 MB of buffered answers beyond the free
 #: bytes of each. Joining an answer holds it twice for a moment.
 _BUDGET = 2 * 30 * 1024 * 1024
-_LIMIT = 1000
+#: An eighth of the smallest account is for answers.
+_LIMIT = MIN_LIMIT // 8
+_MAX_ANSWER = _LIMIT * 3 // 4
 _MAX_ORDER_BYTES = 4 * 1024 * 1024
 
 
@@ -33,32 +40,39 @@
 
     @given(
         st.lists(
-            st.tuples(st.integers(0, 5), st.integers(0, FREE_BYTES + 900)),
+            st.tuples(
+                st.integers(0, 5), st.integers(0, FREE_BYTES + _MAX_ANSWER)
+            ),
             max_size=60,
         )
     )
     def test_sum_is_bounded(self, steps: list[tuple[int, int]]) -> None:
         """What is held never exceeds the limit, and all of it comes back."""
-        memory = AnswerMemory(_LIMIT)
-        held = dict.fromkeys(range(6), 0)
+        account = MemoryAccount(MIN_LIMIT)
+        connections = [account.open_connection('') for _ in range(6)]
+        holdings = [each.open_holding(Kind.ANSWER) for each in connections]
         for number, size in steps:
             try:
-                held[number] = memory.change(held[number], size)
-            except AnswerLostError:
-                memory.release(held.pop(number))
-                held[number] = 0
-            assert memory.used == sum(held.values())
-            assert memory.used <= _LIMIT
-        for left in held.values():
-            memory.release(left)
-        assert not memory.used
+                holdings[number].resize(size, 0)
+            except MemoryShortError:
+                holdings[number].close()
+            held = sum(max(0, it.size - FREE_BYTES) for it in holdings)
+            assert account.used.answers == held
+            assert account.used.answers <= _LIMIT
+        for connection in connections:
+            connection.close()
+        assert not account.used.total
 
     def test_small_answers_are_free(self) -> None:
         """Answers of an ordinary size are never given up."""
-        memory = AnswerMemory(0)
-        assert memory.change(0, FREE_BYTES) == 0
-        with pytest.raises(AnswerLostError):
-            memory.change(0, FREE_BYTES + 1)
+        account = MemoryAccount(MIN_LIMIT)
+        account.open_connection('').open_holding(Kind.ANSWER).resize(
+            FREE_BYTES + _LIMIT, 0
+        )
+        holding = account.open_connection('').open_holding(Kind.ANSWER)
+        holding.resize(FREE_BYTES, 0)
+        with pytest.raises(MemoryShortError):
+            holding.resize(FREE_BYTES + 1, 0)
 
     @pytest.mark.parametrize(
         ('path', 'stage', 'start'),
--- a/tests/test_processes_hostile_callers.py
+++ b/tests/test_processes_hostile_callers.py
@@ -277,6 +277,7 @@
     """Run a crowd against ``serve`` and check that it lives and serves."""
     daemon = fleet.start_daemon(
         f'host-{len(fleet.processes)}',
+        memory_mb=_MEMORY_MB,
         max_body_bytes=_MAX_BODY_BYTES,
         max_header_bytes=16384,
     )
