Use the loads of engines that state a fourth figure

Engines on hosts that are shared with others state a fourth figure in X-Instance-Load, how long work takes there now. The parser took headers with three figures only, so that all their loads were dropped, without a line in the log. The first three are used now whatever follows, and a load that can't be read is logged like other headers of answers.

--- a/src/clementinedyke/platform/requests.py
+++ b/src/clementinedyke/platform/requests.py
@@ -45,6 +45,8 @@
 _RESUMED_REQUEST = b'resumes'
 _SIGNATURE = b'x-server-signature'
 _LOAD = b'x-instance-load'
+#: Running requests, waiting requests and slots.
+_LOAD_FIGURES = 3
 _NOT_EXECUTED = b'x-not-executed'
 _RATE_LIMIT = b'server-limit'
 _LEAVING = b'server-leaving'
@@ -275,12 +277,7 @@
     ]
     known = [number for number in numbers if number is not None]
     if len(known) != 2 or not (whole or fraction):
-        logging.log_every_n_seconds(
-            logging.WARNING,
-            'event=answer_header_unreadable text=%r',
-            _WARNING_INTERVAL_SECONDS,
-            text[:_MAX_LOGGED_TEXT],
-        )
+        _warn_unreadable(text)
         return None
     return known[0] + known[1] / math.pow(10, len(kept))
 
@@ -321,11 +318,26 @@
 
 
 def _parse_load(fields: dict[bytes, bytes]) -> EndpointLoad | None:
-    numbers = [
-        parse_decimal(text, _MAX_NUMBER)
-        for text in (_get_text(fields, _LOAD) or '').split(',')
-    ]
+    """Return the load of an endpoint, None if it is missing or invalid.
+
+    Further figures may follow the known ones.
+    """
+    text = _get_text(fields, _LOAD)
+    if text is None:
+        return None
+    figures = text.split(',')[:_LOAD_FIGURES]
+    numbers = [parse_decimal(figure, _MAX_NUMBER) for figure in figures]
     known = [number for number in numbers if number is not None]
-    if len(numbers) != 3 or len(known) != 3:
+    if len(known) != _LOAD_FIGURES:
+        _warn_unreadable(text)
         return None
     return EndpointLoad(*known)
+
+
+def _warn_unreadable(text: str) -> None:
+    logging.log_every_n_seconds(
+        logging.WARNING,
+        'event=answer_header_unreadable text=%r',
+        _WARNING_INTERVAL_SECONDS,
+        text[:_MAX_LOGGED_TEXT],
+    )
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import Any
 
 import pytest
 import trio
+from absl import logging
 from hypothesis import given
 from hypothesis import strategies as st
 from tests.entry_samples import create_endpoint
@@ -184,6 +186,36 @@
         malformed = translator.read_head(200, [(b'x-instance-load', b'3,x')])
         assert malformed.load is None
 
+    @pytest.mark.parametrize('text', ['3,1,8,100', '3,1,8,x', '3,1,8,'])
+    def test_load_with_further_figures(self, text: str) -> None:
+        """The known figures of a load are used when others follow them.
+
+        Engines on shared hosts add a fourth one, and all their loads were
+        dropped without a line in the log.
+        """
+        fields = [(b'x-instance-load', text.encode())]
+        head = RequestTranslator().read_head(200, fields)
+        assert head.load is not None
+        assert (head.load.running, head.load.waiting, head.load.slots) == (
+            3,
+            1,
+            8,
+        )
+
+    def test_unreadable_load_is_logged(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """A load that can't be read is not dropped silently."""
+        lines: list[tuple[Any, ...]] = []
+        monkeypatch.setattr(
+            logging, 'log_every_n_seconds', lambda *line: lines.append(line)
+        )
+        fields = [(b'x-instance-load', b'3,x')]
+        assert RequestTranslator().read_head(200, fields).load is None
+        assert [line[-1] for line in lines] == ['3,x']
+        assert RequestTranslator().read_head(200, []).load is None
+        assert len(lines) == 1
+
     def test_retry_after_keeps_milliseconds(self) -> None:
         """The delay isn't rounded to whole seconds.
 
