Ask the next daemon if one has no memory for a forwarded request

A daemon whose port for other daemons refuses a request for lack of memory or connections has not forwarded it, and its result code says so. The asking daemon took it for an answer that was lost: its caller got 502 with an unknown outcome for a request that had not run. Such results now count as unwilling, so that another daemon is asked, or the caller is told that nothing ran. The new test failed before with 502 instead of a refusal.

--- a/src/clementinedyke/entry/application.py
+++ b/src/clementinedyke/entry/application.py
@@ -80,7 +80,8 @@
         self._usage = UsageCounter(
             self._wall_time, settings.bounds.usage_window
         )
-        self._memory = create_memory_account(settings, self._journal)
+        #: Account of what callers and other daemons make the process hold.
+        self.memory = create_memory_account(settings, self._journal)
         self._work = WorkTable()
         self._peer_table = PeerTable(settings.host)
         self._build_views()
@@ -182,7 +183,7 @@
             self._peer_table,
             self._exchanged_state,
             (self._clock, self._journal, self._generator),
-            get_peer_server(self._memory),
+            get_peer_server(self.memory),
         )
         table = self._platform.configuration_table
         self._peers.configuration_feed = self._feeds.watches[table]
@@ -243,7 +244,7 @@
             settings.ready_address,
             self._configuration,
             self._journal,
-            self._memory,
+            self.memory,
         )
         self._caller_port = CallerPort(
             settings.caller_address,
@@ -251,7 +252,7 @@
             self._readiness,
             settings.bounds.stop_grace,
             get_max_connections(settings),
-            self._memory,
+            self.memory,
         )
         path.links.relay_port.is_draining = self._readiness.get_draining
         self._caller_port.drain_relays = path.links.relay_port.drain
@@ -278,7 +279,7 @@
         return create_metrics_port(
             self._settings.metrics_address,
             self._gateway,
-            self._memory,
+            self.memory,
             ObservedParts(
                 self._clock,
                 self._configuration,
--- a/src/clementinedyke/entry/relay_client.py
+++ b/src/clementinedyke/entry/relay_client.py
@@ -10,6 +10,7 @@
 import trio
 
 from clementinedyke.clock import Clock, Milliseconds
+from clementinedyke.codes import ResultCode
 from clementinedyke.decoding import decode_msgpack
 from clementinedyke.entry.catalog import EntryEndpoint
 from clementinedyke.entry.peer_network import PeerNetwork
@@ -52,6 +53,12 @@
 _CHECK_TIMEOUT: Milliseconds = 500
 _MAX_FAILURE_BYTES = 4096
 _HASH_BYTES = 8
+#: Results of requests that the port of a daemon refuses before it reads them.
+_RESULT_HEADER = b'clementinedyke-result'
+_REFUSED_RESULTS = frozenset(
+    str(int(code)).encode()
+    for code in (ResultCode.CONNECTION_LIMIT, ResultCode.MEMORY_SHORT)
+)
 _MILLISECONDS_PER_SECOND = 1000
 
 
@@ -254,6 +261,8 @@
     if name is None and FRAMING_HEADER in fields:
         return None
     await stream.discard_body()
+    if fields.get(_RESULT_HEADER) in _REFUSED_RESULTS:
+        return RelayFailure.UNWILLING
     try:
         return RelayFailure((name or b'').decode('latin-1'))
     except ValueError as error:
--- a/tests/test_memory_shortage.py
+++ b/tests/test_memory_shortage.py
@@ -8,12 +8,23 @@
 
 import pytest
 import trio
+from tests.entry_environment import (
+    CONFIGURATION,
+    EntryEnvironment,
+    ScenarioRunner,
+)
 from trio.abc import Instrument
 
 from clementinedyke.exceptions import MemoryShortError
 from clementinedyke.http import reader
 from clementinedyke.http.chunks import ChunkJoiner
-from clementinedyke.http.memory import MIN_LIMIT, Kind, MemoryAccount
+from clementinedyke.http.client import HttpResponse
+from clementinedyke.http.memory import (
+    FREE_BYTES,
+    MIN_LIMIT,
+    Kind,
+    MemoryAccount,
+)
 from clementinedyke.http.server import (
     ConnectionLimits,
     HttpServer,
@@ -28,6 +39,7 @@
 _SHORT = b'"code": 3014'
 _CONNECTIONS_TAKEN = b'"code": 3008'
 _CONNECTIONS = 3
+_FORWARDED = b'x' * 4 * FREE_BYTES
 _TIMEOUT_SECONDS = 20
 #: Two of these fill the part of the smallest account that is for bodies.
 _LARGEST = 5767168
@@ -238,6 +250,61 @@
         assert _CONNECTIONS_TAKEN in trio.run(self._take_all_running)
 
 
+class TestForwardedRequests:
+    """Guards against daemons that hold requests of others beyond their memory.
+
+    A forwarded body is in memory twice at the daemon that forwards it: in the
+    message and decoded.
+    """
+
+    def test_daemon_without_memory(self) -> None:
+        """The request is refused as not run, and is served later."""
+        answers: list[HttpResponse] = []
+
+        async def scenario(env: EntryEnvironment) -> None:
+            env.store.put('op', 'config', CONFIGURATION)
+            all_links = [await env.open_links() for _ in range(2)]
+            for host, links in zip(
+                ('host-0', 'host-1'), all_links, strict=True
+            ):
+                await env.start_daemon(host, links=links)
+            for daemon in range(2):
+                await send_until_served(env, daemon)
+            all_links[0].cut('reset')
+            await send_until_served(env, 0)
+            other = env.daemons[1].memory.open_connection('')
+            holding = other.begin_request()
+            other.pass_on()
+            size = env.daemons[1].memory.shared_limit
+            while size > FREE_BYTES:
+                with suppress(MemoryShortError):
+                    holding.resize(holding.size + size, 0)
+                size //= 2
+            answers.append(
+                await env.send_request('/book/1', 'short', body=_FORWARDED)
+            )
+            other.close()
+            answers.append(
+                await env.send_request('/book/1', 'later', body=_FORWARDED)
+            )
+            runs = [it for each in env.endpoints.values() for it in each.runs]
+            assert 'short' not in runs
+            assert 'later' in runs
+
+        ScenarioRunner().run(scenario)
+        assert answers[0].status in {429, 503}
+        assert b'not_run' in answers[0].body
+        assert answers[1].status == 200
+
+
+async def send_until_served(env: EntryEnvironment, daemon: int) -> None:
+    """Send a request to a daemon until it is answered with success."""
+    status = 0
+    while status != 200:
+        answer = await env.send_request('/read/1', 'probe', daemon=daemon)
+        status = answer.status
+
+
 class Turns(Instrument):
     """Counts the iterations of the event loop."""
 
