Give the memory of a rejected body back before its refusal is written

The blocks of a body that was rejected were dropped at once, but stayed charged until the connection had closed, up to a second later, so that other requests gave way for nothing.

--- a/src/clementinedyke/http/connection.py
+++ b/src/clementinedyke/http/connection.py
@@ -165,6 +165,7 @@
             try:
                 request = await self._reader.receive_request()
             except RequestError as error:
+                self._memory.end_request()
                 await self._refuse(error)
                 return
             if request is None:
