--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -224,6 +224,18 @@
         holding = account.open_connection('').open_holding(Kind.ANSWER)
         holding.resize(MIN_LIMIT // 16, 0)
 
+    def test_too_large_answer_evicts_nothing(self) -> None:
+        """Bodies stay if an answer exceeds the part that is for answers.
+
+        No eviction makes room for it, and all bodies were evicted in vain.
+        """
+        account = MemoryAccount(MIN_LIMIT)
+        bodies = [receive(account, _OWNERS[0], _MEGABYTE) for _ in range(4)]
+        holding = account.open_connection('').open_holding(Kind.ANSWER)
+        with pytest.raises(MemoryShortError):
+            holding.resize(MIN_LIMIT // 8 + FREE_BYTES + 1, 0)
+        assert not any(memory.is_evicted for memory in bodies)
+
     def test_evicted_request_is_told(self) -> None:
         """The connection of an evicted request is told, once."""
         account = MemoryAccount(MIN_LIMIT)
