Refuse an answer beyond its part of the memory without evicting bodies

An endpoint that sends without end made other callers lose their unfinished and waiting requests (503, not run): the account evicted all of them before it gave the answer up. Cause: make_room evicts while there is no room, and the part for answers was a condition of that. It is checked first now, since bodies use another part; the bounds are unchanged.

--- a/src/clementinedyke/http/memory.py
+++ b/src/clementinedyke/http/memory.py
@@ -288,6 +288,9 @@
         :param now: current instant.
         :raises MemoryShortError: if no other request gives way.
         """
+        if self._exceeds_answers(memory, needed):
+            # The bodies that could be evicted use another part.
+            self._refuse(memory, needed, now)
         if self._has_room(memory, needed, 0):
             return
         headroom = int(self._limit * _HEADROOM)
@@ -343,21 +346,27 @@
             shortages.add_metric((outcome,), count)
         yield shortages
 
+    def _exceeds_answers(
+        self, memory: ConnectionMemory, needed: Charges
+    ) -> bool:
+        """Return whether answers would need more than their part."""
+        held = memory.charges.answers
+        answers = self._used.answers - held + needed.answers
+        left = self.shared_limit - int(self._limit * _FLOOR)
+        most = min(left, int(self._limit * _MAX_ANSWERS))
+        return needed.answers > held and answers > most
+
     def _has_room(
         self, memory: ConnectionMemory, needed: Charges, headroom: int
     ) -> bool:
         held = memory.charges
         bodies = self._used.bodies - held.bodies + needed.bodies
         answers = self._used.answers - held.answers + needed.answers
-        limit = self.shared_limit
+        limit = self.shared_limit - headroom
         left = limit - int(self._limit * _FLOOR)
-        if needed.answers > held.answers and answers > min(
-            left, int(self._limit * _MAX_ANSWERS)
-        ):
-            return False
-        if needed.bodies > held.bodies and bodies > left - headroom:
+        if needed.bodies > held.bodies and bodies > left:
             return False
-        return bodies + answers <= limit - headroom
+        return bodies + answers <= limit
 
     def _select_victim(
         self, memory: ConnectionMemory, needed: Charges, now: Milliseconds
