--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,8 @@
+#!/bin/sh
+# Builds the stand-ins of the scripts in review/6 to review/9. They are Python
+# of the standard library, so it is enough that they compile.
+cd "$(dirname "$0")/.." || exit 2
+cache=$(mktemp -d) || exit 2
+trap 'rm -rf "$cache"' EXIT
+PYTHONPYCACHEPREFIX="$cache" python3 -m py_compile \
+    review/stand_ins_2/*.py review/[6-9]/case.py
