--- a/review/stand_ins_2/engine.py
+++ b/review/stand_ins_2/engine.py
@@ -65,6 +65,8 @@
         }
         if self._options.get('spot'):
             entry['spot'] = True
+            if self._is_leaving:
+                entry['leaves_ms'] = self._options.get('notice_ms', 2000)
         if self._stage is not None:
             entry['stage'] = self._stage
             entry['models'] = [{'name': 'm', 'version': 1, 'adapters': []}]
