--- a/review/stand_ins_2/engine.py
+++ b/review/stand_ins_2/engine.py
@@ -178,6 +178,8 @@
         self, request_id: str, connection: http1.Connection
     ) -> http1.Answer | None:
         self._write('run', request_id)
+        if self._options.get('endless'):
+            return await self._send_without_end(request_id, connection)
         body = compile_body(request_id, self._options.get('body_bytes', 800))
         headers = self._compile_headers(request_id)
         if self._options.get('framing') != 'none':
@@ -193,6 +195,20 @@
         self._write('done', request_id)
         return None
 
+    async def _send_without_end(
+        self, request_id: str, connection: http1.Connection
+    ) -> None:
+        """Send bytes that are no answer until the daemon closes."""
+        headers = self._compile_headers(request_id)
+        headers.append(('Transfer-Encoding', 'chunked'))
+        await connection.send_head(200, headers)
+        piece = bytes.fromhex(self._options['endless']) * 10000
+        try:
+            while True:
+                await connection.send_raw(piece)
+        except ConnectionError:
+            self._write('closed', request_id)
+
     async def _generate(
         self,
         request: http1.Request,
--- a/review/stand_ins_2/platform_2.py
+++ b/review/stand_ins_2/platform_2.py
@@ -29,6 +29,9 @@
     def __init__(self) -> None:
         """Create an empty store."""
         self.ver = 0
+        self.era = 1
+        #: Whether calls get no answer: their connections are closed.
+        self.is_away = False
         self.rows: dict[tuple[str, str, str], dict] = {}
         self.history: list[dict] = []
         self._changed = asyncio.Event()
@@ -44,11 +47,40 @@
         """Remove a row."""
         self._change([], [{'table': table, 'part': '', 'key': key}])
 
+    def copy(self) -> tuple:
+        """Return a copy of the content, for :meth:`return_from`."""
+        return (
+            self.ver,
+            dict(self.rows),
+            list(self.history),
+            dict(self._entries),
+        )
+
+    def return_from(self, copy: tuple) -> None:
+        """Come back from a copy; what was written since is gone.
+
+        The engines write their entries again with their next status reports.
+        """
+        self.era += 1
+        self.ver, self.rows, self.history, self._entries = (
+            copy[0],
+            dict(copy[1]),
+            list(copy[2]),
+            dict(copy[3]),
+        )
+        now = time.monotonic()
+        for key in self._entries:
+            self._beats.setdefault(key, now)
+        self.is_away = False
+        self._wake()
+
     async def expire_entries(self) -> None:
         """Remove the entries of engines that fell silent."""
         while True:
             await asyncio.sleep(0.1)
             for key, heard in tuple(self._beats.items()):
+                if self.is_away:
+                    continue
                 if time.monotonic() - heard > _LAPSE_SECONDS:
                     self._beats.pop(key)
                     self._entries.pop(key)
@@ -64,6 +96,8 @@
                 request.target.partition('?')[2], keep_blank_values=True
             ).items()
         }
+        if self.is_away:
+            raise ConnectionError('the store is away')
         if request.path.startswith('/beat/'):
             return self._accept_beat(request)
         if request.path == '/v1/rows-tx':
@@ -92,7 +126,7 @@
     def _answer(self, status: int, document: dict) -> Answer:
         now = int(time.monotonic() * 1000)
         return compile_json(
-            status, {**document, 'now_ms': now}, ('Store-Era', '1')
+            status, {**document, 'now_ms': now}, ('Store-Era', str(self.era))
         )
 
     def _transact(self, body: dict) -> Answer:
@@ -127,8 +161,13 @@
 
     async def _feed(self, query: dict) -> Answer:
         after = int(query['after'])
+        era = self.era
         until = time.monotonic() + int(query['wait_ms']) / 1000
         while True:
+            if era != self.era or self.is_away:
+                raise ConnectionError('the store went away')
+            if after > self.ver:
+                return self._answer(410, {})
             rows = [
                 row
                 for row in self.history
@@ -162,6 +201,9 @@
                         'removed': True,
                     }
                 )
+        self._wake()
+
+    def _wake(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
