--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -111,6 +111,11 @@
             self._process.kill()
             self._process.wait()
 
+    @property
+    def pid(self) -> int:
+        """Id of the process, 0 before the start."""
+        return self._process.pid if self._process is not None else 0
+
     @property
     def is_running(self) -> bool:
         """Whether the process runs."""
