--- a/review/9/case.py
+++ b/review/9/case.py
@@ -33,7 +33,7 @@
         _DEADLINE,
         X_Model='m',
         X_Token_Count='1460,25',
-        X_Prefix_Hash=f'5c1e07a2:800,{0x91bd3f00 + number:08x}:660',
+        X_Prefix_Hash=f'5c1e07a2:800,{0x91BD3F00 + number:08x}:660',
     )
     request = http1.compile_request('POST', '/lohu930/2f', headers, b'prompt')
     daemon = deployment.daemons[number % len(deployment.daemons)]
--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -69,7 +69,9 @@
 class Daemon:
     """A daemon, started with the command of the deploy file."""
 
-    def __init__(self, number: int, zone: str, deployment: 'Deployment') -> None:
+    def __init__(
+        self, number: int, zone: str, deployment: 'Deployment'
+    ) -> None:
         """Create a daemon that is not running yet."""
         high, low = divmod(os.getpid() % 62500, 250)
         self.ip = f'127.{high + 1}.{low + 1}.{number + 1}'
@@ -123,9 +125,7 @@
 
     async def is_ready(self) -> bool:
         """Ask the daemon as the platform does."""
-        request = http1.compile_request(
-            'GET', '/v1/ready', {'Host': self.ip}
-        )
+        request = http1.compile_request('GET', '/v1/ready', {'Host': self.ip})
         got = await http1.call(self.ip, self._ready_port, request, 1)
         return got.status == 200
 
@@ -390,6 +390,11 @@
     record.write(f'trouble {"on" if has_trouble else "off"}')
 
     async def run() -> bool:
+        task = asyncio.current_task()
+        if task is not None:
+            # The processes are ended also if the script is stopped.
+            loop = asyncio.get_running_loop()
+            loop.add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(limit), Deployment() as deployment:
                 return await scenario(deployment, record, has_trouble)
@@ -400,7 +405,7 @@
 
     try:
         is_broken = asyncio.run(run())
-    except Exception as error:  # noqa: BLE001
+    except (Exception, asyncio.CancelledError) as error:
         record.write(f'the case could not run: {error!r}')
         sys.stderr.write(f'the case could not run: {error!r}\n')
         sys.exit(2)
--- a/review/stand_ins_2/http1.py
+++ b/review/stand_ins_2/http1.py
@@ -145,9 +145,7 @@
     method, target, _ = lines[0].split(' ', 2)
     headers = parse_headers(lines[1:])
     body = await read_body(connection.reader, headers)
-    answer = await handler(
-        Request(method, target, headers, body), connection
-    )
+    answer = await handler(Request(method, target, headers, body), connection)
     if answer is None:
         return False
     await connection.send(answer)
@@ -179,9 +177,7 @@
     is_whole: bool = False
 
 
-async def read_answer(
-    reader: asyncio.StreamReader, received: Received
-) -> None:
+async def read_answer(reader: asyncio.StreamReader, received: Received) -> None:
     """Read an answer into ``received``; what came stays there if it ends."""
     lines = await read_head(reader)
     if lines is None:
@@ -241,9 +237,10 @@
 def find_free_port(host: str) -> int:
     """Return a port that is free for TCP and UDP at a loopback address."""
     while True:
-        with socket.socket() as tcp, socket.socket(
-            socket.AF_INET, socket.SOCK_DGRAM
-        ) as udp:
+        with (
+            socket.socket() as tcp,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+        ):
             tcp.bind((host, 0))
             port = tcp.getsockname()[1]
             try:
--- a/review/stand_ins_2/platform_2.py
+++ b/review/stand_ins_2/platform_2.py
@@ -40,8 +40,17 @@
 
     def put(self, table: str, key: str, document: object) -> None:
         """Write a row as the operator or an engine does."""
-        self._change([{'table': table, 'part': '', 'key': key,
-                       'value': encode(document)}], [])
+        self._change(
+            [
+                {
+                    'table': table,
+                    'part': '',
+                    'key': key,
+                    'value': encode(document),
+                }
+            ],
+            [],
+        )
 
     def remove(self, table: str, key: str) -> None:
         """Remove a row."""
@@ -86,9 +95,7 @@
                     self._entries.pop(key)
                     self.remove('servers', key)
 
-    async def respond(
-        self, request: Request, connection: Connection
-    ) -> Answer:
+    async def respond(self, request: Request, connection: Connection) -> Answer:
         """Answer a call."""
         query = {
             key: found[0]
@@ -215,9 +222,7 @@
         """Create an interface that got no call yet."""
         self.calls: list[dict] = []
 
-    async def respond(
-        self, request: Request, connection: Connection
-    ) -> Answer:
+    async def respond(self, request: Request, connection: Connection) -> Answer:
         """Record a call."""
         self.calls.append(
             {
