--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,5 +5,5 @@
 cache=$(mktemp -d) || exit 2
 trap 'rm -rf "$cache"' EXIT
 PYTHONPYCACHEPREFIX="$cache" python3 -m py_compile \
-    review/stand_ins_2/*.py review/6/case.py review/7/case.py \
+    review/stand_in_*.py review/6/case.py review/7/case.py \
     review/8/case.py review/9/case.py review/10/case.py
--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_in_deployment.py
@@ -12,10 +12,10 @@
 import tomllib
 from pathlib import Path
 
-import http1
-from platform_2 import Duties, Store
+import stand_in_http as http1
+from stand_in_platform import Duties, Store
 
-ROOT = Path(__file__).resolve().parent.parent.parent
+ROOT = Path(__file__).resolve().parent.parent
 _HERE = Path(__file__).resolve().parent
 HOST = 'ficu95.example'
 KEY = '3fexd9dnn2ctnfzs989a'
@@ -194,7 +194,7 @@
 
 
 class EngineProcess:
-    """An engine or plain server, a process of its own (``engine.py``)."""
+    """An engine or plain server, a process of its own (``stand_in_engine.py``)."""
 
     def __init__(
         self, name: str, options: dict, deployment: 'Deployment'
@@ -222,7 +222,11 @@
         env = {**os.environ, 'PYTHONDONTWRITEBYTECODE': '1'}
         with (self._deployment.folder / f'{self.name}.err').open('ab') as log:
             self._process = subprocess.Popen(
-                [sys.executable, str(_HERE / 'engine.py'), json.dumps(options)],
+                [
+                    sys.executable,
+                    str(_HERE / 'stand_in_engine.py'),
+                    json.dumps(options),
+                ],
                 env=env,
                 stdout=log,
                 stderr=log,
--- a/review/stand_ins_2/engine.py
+++ b/review/stand_in_engine.py
@@ -11,7 +11,7 @@
 import sys
 import time
 
-import http1
+import stand_in_http as http1
 
 #: Interval of its status reports to the store, ``heartbeat_ms``.
 _BEAT_SECONDS = 1.2
--- a/review/stand_ins_2/platform_2.py
+++ b/review/stand_in_platform.py
@@ -11,7 +11,7 @@
 import time
 from urllib.parse import parse_qs
 
-from http1 import Answer, Connection, Request, compile_json
+from stand_in_http import Answer, Connection, Request, compile_json
 
 #: Silence after which an entry is removed: three status report intervals.
 _LAPSE_SECONDS = 3.6
