Examine leaving endpoints when an answer ends with its connection

Cause: an answer with neither a length nor chunks ends with its connection, and the kernel closes the connections of a killed process as well. Exchange.check_end therefore connects to the endpoint, but it left out endpoints that are leaving, on the assumption that they end only once they are idle. An endpoint that is reclaimed ends with its work. It also took an unknown result, such as that of an endpoint that was cut off right after, for a complete answer.

The end of such an answer now counts only if a process is seen to listen at the endpoint afterwards, whether the endpoint is registered, leaving or removed. Otherwise the answer is lost: a repeatable request or a resumable stream goes on at another endpoint, others are broken off or have an unknown outcome. The wait for the result is 1 s, since a daemon without links has to notice that and to ask another daemon; that daemon now also examines endpoints that are leaving. is_staying and is_end_certain have no user any more.

One test was wrong and is replaced: test_leaving_endpoint let an endpoint stop listening together with its answer and expected a complete answer because the endpoint had said that it leaves. Nothing that a daemon sees tells this from an endpoint that was killed in the middle of the answer. test_running_endpoint, test_reclaimed_engine, test_reclaimed_endpoint and test_delimited_answer check the answers of leaving endpoints that outlast their answer, that do not, and whose answer has a marked end.

--- a/src/clementinedyke/entry/exchange.py
+++ b/src/clementinedyke/entry/exchange.py
@@ -1,6 +1,11 @@
 """Sends requests to endpoints and reads the heads of their answers."""
 
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import (
+    AsyncIterator,
+    Callable,
+    Iterator,
+    Mapping,
+)
 from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass, replace
 
@@ -29,10 +34,17 @@
     ProtocolError,
 )
 from clementinedyke.http.body import AnswerHolding
-from clementinedyke.http.client import Framing, HttpRequest, ResponseStream
+from clementinedyke.http.client import (
+    Framing,
+    HttpRequest,
+    ResponseStream,
+)
 
 #: Longest wait for the result of an examination; a connection takes about 1 ms.
 EXAMINATION_TIMEOUT: Milliseconds = 50
+#: Longest wait for the result if the end of an answer depends on it. A daemon
+#: whose links are lost has to find that out and to ask another one.
+_END_TIMEOUT: Milliseconds = 1000
 _MILLISECONDS_PER_SECOND = 1000
 _STATUS_REDIRECTION = 300
 #: Largest answer that is forwarded whole. A host of 200 MB holds several of
@@ -41,13 +53,18 @@
 _MAX_RELEASE_BYTES = 65536
 #: Timeout of a request that frees a KV cache.
 _RELEASE_TIMEOUT: Milliseconds = 500
+#: Why an answer that ended with its connection is not complete, by whether the
+#: endpoint is running.
+_DOUBTS: Mapping[bool | None, str] = {
+    False: 'the endpoint ended with its answer',
+    None: 'it is unknown whether the endpoint ended with its answer',
+}
 
 
 class EndpointAnswer:
     """An answer whose head matches its request; the body is still unread.
 
     ``is_complete`` is set once the endpoint has run the request to its end.
-    ``is_end_certain`` is false if the endpoint may have ended with the answer.
     """
 
     def __init__(
@@ -62,15 +79,13 @@
         self.stream = stream
         self.endpoint = endpoint
         self.is_complete = False
-        self.is_end_certain = False
         #: Memory for the part of it that is buffered.
         self.holding = holding
 
     @property
     def is_success(self) -> bool:
         """Whether the endpoint wrote a whole answer and lives on."""
-        is_whole = self.is_complete and self.is_end_certain
-        return is_whole and self.head.status < _STATUS_REDIRECTION
+        return self.is_complete and self.head.status < _STATUS_REDIRECTION
 
 
 @dataclass(slots=True)
@@ -249,23 +264,19 @@
         """Check whether an answer whose body has ended is complete.
 
         The end of a connection may be the end of its endpoint: the kernel
-        closes the connections of a killed process. Endpoints that are leaving
-        end as planned.
+        closes the connections of a killed process. This also holds for an
+        endpoint that is leaving, which may be reclaimed before it is idle.
 
         :param answer: answer whose body was received.
-        :raises AnswerLostError: if the endpoint ended.
+        :raises AnswerLostError: if the endpoint ended, or if this is unknown.
         """
         if answer.stream.framing is not Framing.CONNECTION:
-            answer.is_end_certain = True
-            return
-        if not self._placement.is_staying(answer.endpoint):
             return
         examination = self.examine(answer.endpoint)
-        with trio.move_on_after(EXAMINATION_TIMEOUT / _MILLISECONDS_PER_SECOND):
+        with trio.move_on_after(_END_TIMEOUT / _MILLISECONDS_PER_SECOND):
             await examination.wait()
-        if examination.is_listening is False:
-            raise AnswerLostError('the endpoint ended with its answer')
-        answer.is_end_certain = examination.is_listening is True
+        if not examination.is_listening:
+            raise AnswerLostError(_DOUBTS[examination.is_listening])
 
     async def release(self, kv_cache: KvCacheReference) -> None:
         """Free a KV cache that no engine will fetch.
--- a/src/clementinedyke/entry/placement.py
+++ b/src/clementinedyke/entry/placement.py
@@ -188,16 +188,6 @@
             if endpoint.version != version
         )
 
-    def is_staying(self, endpoint: EntryEndpoint) -> bool:
-        """Return whether a run of an endpoint is registered and not leaving.
-
-        :param endpoint: endpoint as it was when a request was sent to it.
-        """
-        return any(
-            item.run_id == endpoint.run_id
-            for item in self.list_endpoints(endpoint.service)
-        )
-
     def record_success(
         self, endpoint: EntryEndpoint, request_id: str, now: Milliseconds
     ) -> None:
--- a/src/clementinedyke/entry/relay_port.py
+++ b/src/clementinedyke/entry/relay_port.py
@@ -156,7 +156,7 @@
         except ProtocolError as error:
             await self._fail(response, RelayFailure.UNWILLING, str(error))
             return
-        endpoint = self._find_endpoint(relayed.run_id)
+        endpoint = self._find_endpoint(relayed)
         refusal = self._get_refusal(relayed, endpoint) or _charge_copy(
             request.connection, len(relayed.body)
         )
@@ -191,10 +191,12 @@
             return 'the endpoint asked for a pause'
         return ''
 
-    def _find_endpoint(self, run_id: str) -> EntryEndpoint | None:
+    def _find_endpoint(self, relayed: RelayedRequest) -> EntryEndpoint | None:
+        """Return the endpoint of a request; a leaving one only for a check."""
         for endpoint in self._list_endpoints():
-            if endpoint.run_id == run_id and not endpoint.is_leaving:
-                return endpoint
+            if endpoint.run_id == relayed.run_id:
+                is_refused = endpoint.is_leaving and relayed.method
+                return None if is_refused else endpoint
         return None
 
     async def _run(
--- a/tests/test_entry_answers.py
+++ b/tests/test_entry_answers.py
@@ -7,10 +7,11 @@
     EntryEnvironment,
     ScenarioRunner,
 )
+from tests.link import Link
 from tests.platform_standin import EndpointStandin
 
 from clementinedyke.exceptions import AnswerLostError
-from clementinedyke.http.client import HttpResponse
+from clementinedyke.http.client import Address, HttpResponse
 
 _SIGNATURE = b'X-Server-Signature: signed\r\n'
 _EVENT_TYPE = b'Content-Type: text/event-stream\r\n'
@@ -65,6 +66,74 @@
     return answers[0]
 
 
+def send_while_leaving(
+    endpoint: RawEndpoint, stage: str | None, departure: str
+) -> HttpResponse | None:
+    """Send a request to an endpoint that leaves before it has answered.
+
+    Return None if the answer is lost.
+
+    :param departure: the endpoint reports ``draining``, or its entry is
+        ``removed``.
+    """
+    answers: list[HttpResponse | None] = []
+
+    async def scenario(env: EntryEnvironment) -> None:
+        await env.open()
+        port = await start_raw(env, endpoint, stage)
+
+        async def leave() -> None:
+            await trio.sleep(0.1)
+            if departure == 'removed':
+                env.store.remove('servers', 'raw')
+                return
+            standin = EndpointStandin('raw', stage, port=port)
+            env.register(standin, state='draining')
+
+        env.nursery.start_soon(leave)
+        try:
+            answers.append(
+                await env.send_request('/ask/1' if stage else '/book/1')
+            )
+        except AnswerLostError:
+            answers.append(None)
+
+    ScenarioRunner().run(scenario)
+    return answers[0]
+
+
+def send_while_cut(
+    answer: bytes, stage: str | None, path: str
+) -> HttpResponse | None:
+    """Send a request to an endpoint that can't be reached once it answers.
+
+    Return None if the answer is lost.
+    """
+    answers: list[HttpResponse | None] = []
+
+    async def scenario(env: EntryEnvironment) -> None:
+        await env.open()
+        endpoint = RawEndpoint(answer, delay_seconds=0.4)
+        port = await start_raw(env, endpoint, stage)
+        link = Link(Address('127.0.0.1', port))
+        await link.start(env.nursery)
+        env.register(EndpointStandin('raw', stage, port=link.port))
+        await env.wait_until_seen()
+
+        async def cut() -> None:
+            await trio.sleep(0.2)
+            link.hang_new()
+
+        env.nursery.start_soon(cut)
+        try:
+            answers.append(await env.send_request(path))
+        except AnswerLostError:
+            answers.append(None)
+
+    ScenarioRunner().run(scenario)
+    return answers[0]
+
+
 class TestCutStreams:
     """Guards against streams that are cut off and look complete.
 
@@ -133,7 +202,10 @@
     )
     @pytest.mark.parametrize('status', [200, 500])
     def test_answer_of_killed_endpoint(
-        self, status: int, path: str, stage: str | None
+        self,
+        status: int,
+        path: str,
+        stage: str | None,
     ) -> None:
         """An answer that ends with its endpoint has an unknown outcome."""
         answer = compile_answer('connection', b'part', status)
@@ -151,26 +223,92 @@
         assert received is not None
         assert (received.status, received.body) == (200, b'booked')
 
-    def test_leaving_endpoint(self) -> None:
-        """An endpoint that was leaving has answered in full before its end."""
-        answer = compile_answer('connection', b'booked')
-        received: list[HttpResponse] = []
+
+class TestLeavingEndpoints:
+    """Guards against short answers of endpoints that were leaving.
+
+    Engines were reclaimed 2 s after they had said so. The streams that they
+    were writing, without a length or chunks, looked complete to their callers.
+    """
+
+    @pytest.mark.parametrize('departure', ['draining', 'removed'])
+    @pytest.mark.parametrize(
+        ('stage', 'body', 'headers'),
+        [('decode', _EVENTS, _EVENT_TYPE), (None, b'booked', b'')],
+    )
+    def test_running_endpoint(
+        self, departure: str, stage: str | None, body: bytes, headers: bytes
+    ) -> None:
+        """An answer is complete if its endpoint outlasts it."""
+        answer = compile_answer('connection', body, headers=headers)
+        endpoint = RawEndpoint(answer, delay_seconds=0.4)
+        received = send_while_leaving(endpoint, stage, departure)
+        assert received is not None
+        assert (received.status, received.body) == (200, body)
+
+    @pytest.mark.parametrize('departure', ['draining', 'removed'])
+    def test_reclaimed_engine(self, departure: str) -> None:
+        """A stream that ends with a leaving engine is broken off."""
+        answer = compile_answer('connection', _EVENTS, headers=_EVENT_TYPE)
+        endpoint = RawEndpoint(answer, ends=True, delay_seconds=0.4)
+        assert send_while_leaving(endpoint, 'decode', departure) is None
+
+    @pytest.mark.parametrize('departure', ['draining', 'removed'])
+    def test_reclaimed_endpoint(self, departure: str) -> None:
+        """An answer that ends with a leaving endpoint may be a part of it."""
+        answer = compile_answer('connection', b'part')
+        endpoint = RawEndpoint(answer, ends=True, delay_seconds=0.4)
+        received = send_while_leaving(endpoint, None, departure)
+        assert received is not None
+        assert received.status == 502
+
+    @pytest.mark.parametrize('framing', ['length', 'chunked'])
+    def test_delimited_answer(self, framing: str) -> None:
+        """An answer with a marked end is complete when its endpoint ends."""
+        answer = compile_answer(framing, _EVENTS, headers=_EVENT_TYPE)
+        endpoint = RawEndpoint(answer, ends=True, delay_seconds=0.4)
+        received = send_while_leaving(endpoint, 'decode', 'draining')
+        assert received is not None
+        assert (received.status, received.body) == (200, _EVENTS)
+
+    def test_resumable_stream(self) -> None:
+        """Another engine goes on with a stream whose engine was reclaimed."""
+        begun = _EVENTS[: 2 * len(_EVENTS) // 3]
+        answer = compile_answer('connection', begun, headers=_EVENT_TYPE)
+        bodies: list[bytes] = []
 
         async def scenario(env: EntryEnvironment) -> None:
             await env.open()
             endpoint = RawEndpoint(answer, ends=True, delay_seconds=0.4)
-            port = await start_raw(env, endpoint, None)
-            standin = EndpointStandin('raw', port=port)
+            port = await start_raw(env, endpoint, 'decode')
 
-            async def leave() -> None:
+            async def replace_engine() -> None:
                 await trio.sleep(0.1)
-                env.register(standin, state='draining')
+                env.register(env.endpoints['writer'])
+                leaving = EndpointStandin('raw', 'decode', port=port)
+                env.register(leaving, state='draining')
 
-            env.nursery.start_soon(leave)
-            received.append(await env.send_request('/book/1'))
+            env.nursery.start_soon(replace_engine)
+            bodies.append((await env.send_request('/resumable/1')).body)
 
         ScenarioRunner().run(scenario)
-        assert (received[0].status, received[0].body) == (200, b'booked')
+        assert bodies == [_EVENTS]
+
+
+class TestCutEndpoints:
+    """Guards against short answers of endpoints that can't be examined."""
+
+    def test_stream(self) -> None:
+        """A stream of an engine that was cut off is not known as whole."""
+        answer = compile_answer('connection', _EVENTS, headers=_EVENT_TYPE)
+        assert send_while_cut(answer, 'decode', '/ask/1') is None
+
+    def test_plain_answer(self) -> None:
+        """An answer of an endpoint that was cut off is not known as whole."""
+        answer = compile_answer('connection', b'part')
+        received = send_while_cut(answer, None, '/book/1')
+        assert received is not None
+        assert received.status == 502
 
 
 class TestCutAnswers:
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -5,6 +5,7 @@
 
 import pytest
 import trio
+from tests.caller_tools import RawEndpoint
 from tests.entry_environment import (
     CONFIGURATION,
     EndpointLinks,
@@ -17,8 +18,10 @@
     delay_stream,
     never_answer,
 )
+from tests.test_entry_answers import compile_answer
 
 from clementinedyke.exceptions import AnswerLostError
+from clementinedyke.http.client import HttpResponse
 
 _MODES = ('hang', 'reset', 'refuse')
 _ROUTES = ('read', 'book', 'ask', 'resumable')
@@ -378,6 +381,69 @@
         assert bodies == _WHOLE_BODIES[route]
 
 
+class TestAnswersWithoutLength:
+    """Guards against short answers that look complete without own links.
+
+    The end of the connection ends such an answer, also if it is due to the end
+    of the endpoint, and a daemon without links cannot look by itself.
+    """
+
+    @pytest.mark.parametrize('is_forwarded', [True, False])
+    @pytest.mark.parametrize('is_leaving', [True, False])
+    @pytest.mark.parametrize('is_ended', [True, False])
+    def test_end(
+        self, is_forwarded: bool, is_leaving: bool, is_ended: bool
+    ) -> None:
+        """An answer is complete only if its endpoint outlasts it."""
+        endpoint = RawEndpoint(
+            compile_answer(
+                'connection', b'booked', headers=b'X-Request-Id: unframed\r\n'
+            ),
+            ends=is_ended,
+            delay_seconds=0.4,
+        )
+        answers: list[HttpResponse] = []
+
+        async def scenario(env: EntryEnvironment) -> None:
+            raw, links = await open_with_links(env, endpoint)
+            if is_forwarded:
+                links.cut('refuse')
+            env.nursery.start_soon(disrupt, env, raw, links)
+            answers.append(await env.send_request('/book/1', 'unframed'))
+
+        async def disrupt(
+            env: EntryEnvironment, raw: EndpointStandin, links: EndpointLinks
+        ) -> None:
+            await trio.sleep(0.1)
+            if is_leaving:
+                env.register(raw, state='draining')
+            links.cut('refuse')
+
+        ScenarioRunner(_LIMIT_SECONDS).run(scenario)
+        expected = 502 if is_ended else 200
+        assert [answer.status for answer in answers] == [expected]
+
+
+async def open_with_links(
+    env: EntryEnvironment, endpoint: RawEndpoint
+) -> tuple[EndpointStandin, EndpointLinks]:
+    """Start a daemon with links and one without, and a plain service.
+
+    A link would accept connections for an endpoint that has ended.
+    """
+    env.store.put('op', 'config', CONFIGURATION)
+    raw = EndpointStandin('raw', port=await endpoint.start(env.nursery))
+    env.endpoints['raw'] = raw
+    links = await env.open_links()
+    await env.start_daemon('host-0', links=links)
+    await env.start_daemon('host-1')
+    await env.wait_until_served()
+    env.remove_stage(None)
+    env.register(raw)
+    await env.wait_until_seen()
+    return raw, links
+
+
 async def request_stop_later(env: EntryEnvironment, daemon: int) -> None:
     """Stop a daemon as planned after a while."""
     await trio.sleep(_STOP_SECONDS)
