Examine an endpoint once its port must be closed

An answer with neither a length nor chunks looked complete although its endpoint had been killed, in two ways that remained:

The kernel closes the sockets of a killed process one after the other, the port last, so that an examination right after the end of a connection is accepted.

An examination that was in progress already was used for answers that ended after its connection had been opened.

The daemon now waits 50 ms before it examines the endpoint, and joins only examinations that began after that. The wait does not delay events; a plain answer without a length comes 50 ms later.

--- a/src/clementinedyke/entry/examination.py
+++ b/src/clementinedyke/entry/examination.py
@@ -2,16 +2,23 @@
 
 import trio
 
+from clementinedyke.clock import Milliseconds
+
 
 class Examination:
     """Examination of an endpoint, which may be in progress.
 
     ``is_listening`` is whether a process listens at the endpoint's address,
-    None while this is unknown.
+    None while this is unknown. ``started_at`` is the instant at which the
+    examination began.
     """
 
-    def __init__(self) -> None:
-        """Create an examination in progress."""
+    def __init__(self, started_at: Milliseconds) -> None:
+        """Create an examination in progress.
+
+        :param started_at: current instant.
+        """
+        self.started_at = started_at
         self.is_listening: bool | None = None
         self._done = trio.Event()
 
--- a/src/clementinedyke/entry/exchange.py
+++ b/src/clementinedyke/entry/exchange.py
@@ -2,6 +2,7 @@
 
 from collections.abc import (
     AsyncIterator,
+    Awaitable,
     Callable,
     Iterator,
     Mapping,
@@ -35,6 +36,7 @@
 )
 from clementinedyke.http.body import AnswerHolding
 from clementinedyke.http.client import (
+    PORT_CLOSING_TIME,
     Framing,
     HttpRequest,
     ResponseStream,
@@ -129,6 +131,10 @@
         self._suspects = suspects
         #: Finds out why an endpoint lost an answer.
         self.examine: Callable[[EntryEndpoint], Examination] = _skip_examination
+        #: Returns whether an endpoint runs now, None if unknown.
+        self.check_running: Callable[
+            [EntryEndpoint], Awaitable[bool | None]
+        ] = _skip_check
 
     @asynccontextmanager
     async def open_answer(
@@ -272,11 +278,12 @@
         """
         if answer.stream.framing is not Framing.CONNECTION:
             return
-        examination = self.examine(answer.endpoint)
+        await trio.sleep(PORT_CLOSING_TIME / _MILLISECONDS_PER_SECOND)
+        is_running: bool | None = None
         with trio.move_on_after(_END_TIMEOUT / _MILLISECONDS_PER_SECOND):
-            await examination.wait()
-        if not examination.is_listening:
-            raise AnswerLostError(_DOUBTS[examination.is_listening])
+            is_running = await self.check_running(answer.endpoint)
+        if not is_running:
+            raise AnswerLostError(_DOUBTS[is_running])
 
     async def release(self, kv_cache: KvCacheReference) -> None:
         """Free a KV cache that no engine will fetch.
@@ -355,6 +362,11 @@
 
 def _skip_examination(endpoint: EntryEndpoint) -> Examination:
     """Return a result that is unknown, for an exchange without a prober."""
-    examination = Examination()
+    examination = Examination(started_at=0)
     examination.finish(is_listening=None)
     return examination
+
+
+async def _skip_check(endpoint: EntryEndpoint) -> bool | None:
+    """Return a result that is unknown, for an exchange without a prober."""
+    return _skip_examination(endpoint).is_listening
--- a/src/clementinedyke/entry/request_path.py
+++ b/src/clementinedyke/entry/request_path.py
@@ -106,6 +106,7 @@
         notices,
     )
     exchange.examine = suspect_component.examine
+    exchange.check_running = suspect_component.check_running
     placement.has_connection = links.transport.has_connection
     intake = Intake(
         view,
--- a/src/clementinedyke/entry/suspect_component.py
+++ b/src/clementinedyke/entry/suspect_component.py
@@ -132,7 +132,7 @@
         """
         examination = self._examinations.get(endpoint.run_id)
         if examination is None:
-            examination = Examination()
+            examination = Examination(self._clock.get_now())
             if self._nursery is None:
                 examination.finish(is_listening=None)
                 return examination
@@ -141,6 +141,22 @@
             self._nursery.start_soon(run_guarded, check, 'examination')
         return examination
 
+    async def check_running(self, endpoint: EntryEndpoint) -> bool | None:
+        """Return whether a process listens at an endpoint's address now.
+
+        None if it is not known.
+
+        :param endpoint: endpoint that may have ended.
+        """
+        asked_at = self._clock.get_now()
+        while True:
+            examination = self.examine(endpoint)
+            await examination.wait()
+            # A connection that was opened earlier shows only an earlier state.
+            is_current = examination.started_at >= asked_at
+            if is_current or examination.is_listening is False:
+                return examination.is_listening
+
     def _store_evidence(self, evidence: Sequence[Evidence]) -> None:
         for item in evidence:
             write = compile_write(item, self.get_unix())
--- a/src/clementinedyke/http/client.py
+++ b/src/clementinedyke/http/client.py
@@ -48,6 +48,10 @@
 MAX_IDLE_CONNECTIONS = 64
 _MILLISECONDS_PER_SECOND = 1000
 DEFAULT_CONNECT_TIMEOUT: Milliseconds = 1000
+#: Time for which the port of a process that has ended may accept connections
+#: after one of its connections was closed: the kernel closes the sockets of a
+#: process one after the other, the port last.
+PORT_CLOSING_TIME: Milliseconds = 50
 #: Largest response body that is kept in memory, unless the caller sets another
 #: limit. A faulty peer may send bytes without end.
 MAX_BODY_BYTES = 8388608
--- a/tests/caller_tools.py
+++ b/tests/caller_tools.py
@@ -167,18 +167,21 @@
         resets: bool = False,
         ends: bool = False,
         delay_seconds: float = 0,
+        closing_seconds: float = 0,
     ) -> None:
         """Create the endpoint.
 
         With ``keeps_open`` it waits until the peer closes the connection, and
         with ``resets`` the connection is reset instead of closed. With
-        ``ends`` it accepts no further connection. It answers after a delay.
+        ``ends`` it accepts no further connection, from ``closing_seconds``
+        after the end of its first one. It answers after a delay.
         """
         self._answer = answer
         self._keeps_open = keeps_open
         self._resets = resets
         self._ends = ends
         self._delay_seconds = delay_seconds
+        self._closing_seconds = closing_seconds
         self._accept_scope = trio.CancelScope()
         self.received: list[bytes] = []
         self.closed = trio.Event()
@@ -204,8 +207,7 @@
         with suppress(trio.BrokenResourceError):
             await stream.send_all(self._answer)
         if self._ends:
-            self._accept_scope.cancel()
-            await trio.sleep(0)
+            await self._end(stream)
         if self._resets:
             # Lets the peer read the answer, which a reset would discard.
             await trio.sleep(_RESET_DELAY_SECONDS)
@@ -215,3 +217,11 @@
             with suppress(trio.BrokenResourceError):
                 await stream.receive_some(1)
             self.closed.set()
+
+    async def _end(self, stream: trio.SocketStream) -> None:
+        """Close the port, or the connection first if the port closes later."""
+        if self._closing_seconds:
+            await stream.aclose()
+            await trio.sleep(self._closing_seconds)
+        self._accept_scope.cancel()
+        await trio.sleep(0)
--- a/tests/test_entry_answers.py
+++ b/tests/test_entry_answers.py
@@ -18,6 +18,9 @@
 _EVENTS = b''.join(b'id: %d\ndata: x\n\n' % number for number in (1, 2, 3))
 #: Ends inside the third event.
 _CUT_EVENTS = _EVENTS[:-4]
+#: Time for which the port of a killed process accepts connections while the
+#: kernel closes its other sockets.
+_CLOSING_SECONDS = 0.01
 _FRAMINGS = ('length', 'chunked', 'connection')
 
 
@@ -191,12 +194,20 @@
     complete event. Callers got a short answer that looked complete.
     """
 
-    def test_stream_of_killed_engine(self) -> None:
-        """A stream that ends with its engine must not look complete."""
+    @pytest.mark.parametrize('closing_seconds', [0, _CLOSING_SECONDS])
+    def test_stream_of_killed_engine(self, closing_seconds: float) -> None:
+        """A stream that ends with its engine must not look complete.
+
+        The port of a killed process may accept connections until the kernel
+        has closed its other sockets.
+        """
         answer = compile_answer('connection', _EVENTS, headers=_EVENT_TYPE)
-        endpoint = RawEndpoint(answer, ends=True)
+        endpoint = RawEndpoint(
+            answer, ends=True, closing_seconds=closing_seconds
+        )
         assert send_through(endpoint, 'decode', '/ask/1') is None
 
+    @pytest.mark.parametrize('closing_seconds', [0, _CLOSING_SECONDS])
     @pytest.mark.parametrize(
         ('path', 'stage'), [('/book/1', None), ('/ask/1', 'decode')]
     )
@@ -206,10 +217,13 @@
         status: int,
         path: str,
         stage: str | None,
+        closing_seconds: float,
     ) -> None:
         """An answer that ends with its endpoint has an unknown outcome."""
         answer = compile_answer('connection', b'part', status)
-        endpoint = RawEndpoint(answer, ends=True)
+        endpoint = RawEndpoint(
+            answer, ends=True, closing_seconds=closing_seconds
+        )
         received = send_through(endpoint, stage, path)
         assert received is not None
         assert received.status == 502
--- a/tests/test_entry_suspects.py
+++ b/tests/test_entry_suspects.py
@@ -16,6 +16,7 @@
 from tests.suspect_fleet import FATAL, SuspectFleet
 from trio.testing import MockClock
 
+from clementinedyke.entry.catalog import EntryEndpoint
 from clementinedyke.entry.lost_answers import LostAnswers
 from clementinedyke.entry.suspect_component import SuspectComponent
 from clementinedyke.entry.suspects import Suspects
@@ -341,6 +342,56 @@
         assert not answers.record_refused_connection(endpoint, 20)
 
 
+class TestExaminations:
+    """Guards against results that are older than the question."""
+
+    def test_earlier_examination(self) -> None:
+        """An examination that began before an answer ended shows nothing.
+
+        Its connection may have been accepted while the endpoint still ran, and
+        a short answer looked complete.
+        """
+        results = [True, False]
+
+        async def check_listening(endpoint: EntryEndpoint) -> bool:
+            await trio.sleep(0.1)
+            return results.pop(0)
+
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                component = await start_component(InMemoryRowStore(), nursery)
+                component.check_listening = check_listening
+                endpoint = create_endpoint('i-1')
+                component.examine(endpoint)
+                await trio.sleep(0.05)
+                assert await component.check_running(endpoint) is False
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+
+    def test_shared_examination(self) -> None:
+        """Answers that end together need one connection."""
+        calls: list[str] = []
+
+        async def check_listening(endpoint: EntryEndpoint) -> bool:
+            calls.append(endpoint.endpoint_id)
+            await trio.sleep(0.1)
+            return True
+
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                component = await start_component(InMemoryRowStore(), nursery)
+                component.check_listening = check_listening
+                endpoint = create_endpoint('i-1')
+                for _ in range(5):
+                    nursery.start_soon(component.check_running, endpoint)
+                await trio.sleep(1)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+        assert calls == ['i-1']
+
+
 class CountingReads(InMemoryRowStore):
     """Row store that counts the reads of tables."""
 
