serve: examine an endpoint whose answer ends with its connection

Callers of serve got a part of an answer of a plain service as a complete one if the service was killed while it wrote.

Cause: with neither a length nor chunks, only the final event or a JSON object shows where a body ends. Plain services have neither, and an engine's answer without a content type is not checked for one.

ResponseRelay now examines the endpoint after the end of such a body, as the entry daemon does, and breaks the answer off unless a process listens. Bodies that show their own end are not examined.

--- a/src/clementinedyke/callers/dispatch.py
+++ b/src/clementinedyke/callers/dispatch.py
@@ -218,6 +218,7 @@
                 upstream,
                 record_first_byte,
                 self._options.limits.max_buffered_bytes,
+                endpoint.client.check_listening,
             )
             await relay.run()
 
--- a/src/clementinedyke/callers/relay.py
+++ b/src/clementinedyke/callers/relay.py
@@ -1,6 +1,8 @@
 """Relays the response of an endpoint to the caller."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+
+import trio
 
 from clementinedyke.callers.context import RequestContext
 from clementinedyke.callers.tokens import create_token_counter
@@ -8,10 +10,16 @@
 from clementinedyke.codes import ResultCode
 from clementinedyke.exceptions import AnswerLostError
 from clementinedyke.http.body import AnswerHolding
-from clementinedyke.http.client import Framing, Headers, ResponseStream
+from clementinedyke.http.client import (
+    PORT_CLOSING_TIME,
+    Framing,
+    Headers,
+    ResponseStream,
+)
 from clementinedyke.http.server import compile_result_headers
 
 _CONTENT_LENGTH = b'content-length'
+_MILLISECONDS_PER_SECOND = 1000
 
 
 class ResponseRelay:
@@ -23,6 +31,7 @@
         upstream: ResponseStream,
         record_first_byte: Callable[[], None],
         max_buffered_bytes: int,
+        check_listening: Callable[[], Awaitable[bool | None]],
     ) -> None:
         """Create the relay.
 
@@ -32,7 +41,10 @@
         :param record_first_byte: called when the first body byte has arrived.
         :param max_buffered_bytes: responses with a Content-Length up to this
             are received completely before they are relayed.
+        :param check_listening: returns whether the endpoint listens, None if
+            unknown.
         """
+        self._check_listening = check_listening
         self._downstream = context.response
         self._holding = AnswerHolding(context.request.connection.memory)
         self._outcome = context.outcome
@@ -66,7 +78,7 @@
         )
         self._count_sent(first)
         await self._relay_rest()
-        self._check_end()
+        await self._check_end()
         await self._downstream.end()
 
     async def _relay_rest(self) -> None:
@@ -77,14 +89,22 @@
             await self._downstream.send_chunk(chunk)
             self._count_sent(chunk)
 
-    def _check_end(self) -> None:
+    async def _check_end(self) -> None:
         """Check that the body has ended where a whole one does.
 
-        :raises AnswerLostError: if it was cut off.
+        A body whose end nothing marks ends with its connection, and so does
+        one whose endpoint was killed.
+
+        :raises AnswerLostError: if it was cut off, or if this is unknown.
         """
         is_delimited = self._upstream.framing is not Framing.CONNECTION
         if not self._counter.is_complete(is_delimited=is_delimited):
             raise AnswerLostError('the answer was cut off')
+        if is_delimited or self._counter.has_final_mark:
+            return
+        await trio.sleep(PORT_CLOSING_TIME / _MILLISECONDS_PER_SECOND)
+        if not await self._check_listening():
+            raise AnswerLostError('the endpoint may have ended with its answer')
 
     def _is_buffered(self) -> bool:
         length = dict(self._upstream.headers).get(_CONTENT_LENGTH)
@@ -95,7 +115,7 @@
             record_size=self._holding.record_size
         )
         self._counter.add(body)
-        self._check_end()
+        await self._check_end()
         headers = self._compile_headers()
         await self._downstream.send_head(
             self._upstream.status, headers, body, is_complete=True
--- a/src/clementinedyke/callers/tokens.py
+++ b/src/clementinedyke/callers/tokens.py
@@ -49,6 +49,10 @@
         ``is_delimited`` is whether the framing of the body marked its end.
         """
 
+    @property
+    def has_final_mark(self) -> bool:
+        """Whether the content of a whole body shows where it ends."""
+
 
 class NullTokenCounter:
     """Counter of responses without tokens, those of plain services."""
@@ -70,6 +74,11 @@
         """
         return True
 
+    @property
+    def has_final_mark(self) -> bool:
+        """False, since nothing is known of the body."""
+        return False
+
 
 class JsonTokenCounter:
     """Counter of a response that is one JSON object."""
@@ -101,8 +110,7 @@
 
         :param is_delimited: whether the framing of the body marked its end.
         """
-        is_too_long = self._size > _MAX_JSON_BYTES
-        if is_delimited or is_too_long or not self._is_declared:
+        if is_delimited or not self.has_final_mark:
             return True
         try:
             decode_json(b''.join(self._parts), object)
@@ -110,6 +118,11 @@
             return False
         return True
 
+    @property
+    def has_final_mark(self) -> bool:
+        """Whether the body is JSON that is short enough to be decoded."""
+        return self._is_declared and self._size <= _MAX_JSON_BYTES
+
 
 class EventTokenCounter:
     """Counter of a stream of server-sent events.
@@ -163,6 +176,11 @@
             return not self._tail or self._tail.endswith(_EVENT_ENDS)
         return self._tail.endswith(_FINAL_EVENTS)
 
+    @property
+    def has_final_mark(self) -> bool:
+        """Whether a whole stream ends with a known event."""
+        return self._has_final_event
+
 
 def create_token_counter(headers: Headers, *, is_model: bool) -> TokenCounter:
     """Return the counter for the content type of a response.
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -18,15 +18,23 @@
 from clementinedyke.callers.collector import ResponseCollector
 from clementinedyke.callers.tokens import EventTokenCounter
 from clementinedyke.exceptions import AnswerLostError
-from clementinedyke.http.client import Address, HttpClient
+from clementinedyke.http.client import Address, HttpClient, HttpResponse
 from clementinedyke.standins.engine import EngineStandin
 from clementinedyke.standins.service import ServiceStandin
 from http_tools import HOST
+from link import Link
 
 _HEAD = b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
 _CHUNKED_HEAD = b'%bTransfer-Encoding: chunked\r\n\r\n' % _HEAD
 _EVENT = b'data: {"choices":[{"delta":{"content":"w"}}]}\n\n'
 _TRUNCATED = b'%b%x\r\n%b\r\n' % (_CHUNKED_HEAD, len(_EVENT), _EVENT)
+#: Answers whose end neither their framing nor their content shows, and what
+#: they answer.
+_UNFRAMED = (
+    (b'HTTP/1.1 200 OK\r\n\r\npart', '/services/desk/prices'),
+    (b'%b\r\n%b' % (_HEAD, _EVENT), '/services/desk/prices'),
+    (b'HTTP/1.1 200 OK\r\n\r\n{"choices":[{', 'chat'),
+)
 
 
 class TestRetry:
@@ -188,6 +196,61 @@
         """A whole answer of an engine that was cut off must not look whole."""
         trio.run(self._check_cut_json)
 
+    async def _check_unframed(
+        self, endpoint: RawEndpoint, path: str
+    ) -> HttpResponse | None:
+        received: HttpResponse | None = None
+        async with trio.open_nursery() as nursery:
+            port = await endpoint.start(nursery)
+            async with serve_callers([port]) as caller_port:
+                with suppress(AnswerLostError):
+                    received = await _send_to(caller_port, path)
+            nursery.cancel_scope.cancel()
+        return received
+
+    @pytest.mark.parametrize('closing_seconds', [0, 0.01])
+    @pytest.mark.parametrize(
+        ('answer', 'path'), _UNFRAMED, ids=['plain', 'events', 'chat']
+    )
+    def test_answer_of_killed_endpoint(
+        self, answer: bytes, path: str, closing_seconds: float
+    ) -> None:
+        """An answer without a marked end is lost if its endpoint has ended.
+
+        The kernel closes the connections of a killed process, and its port
+        a moment later.
+        """
+        endpoint = RawEndpoint(
+            answer, ends=True, closing_seconds=closing_seconds
+        )
+        assert trio.run(self._check_unframed, endpoint, path) is None
+
+    @pytest.mark.parametrize(
+        ('answer', 'path'), _UNFRAMED, ids=['plain', 'events', 'chat']
+    )
+    def test_answer_of_running_endpoint(self, answer: bytes, path: str) -> None:
+        """An answer without a marked end is complete if its endpoint runs."""
+        received = trio.run(self._check_unframed, RawEndpoint(answer), path)
+        assert received is not None
+        assert answer.endswith(b'\r\n\r\n%b' % received.body)
+
+    async def _check_cut_endpoint(self) -> None:
+        endpoint = RawEndpoint(
+            b'HTTP/1.1 200 OK\r\n\r\npart', delay_seconds=0.2
+        )
+        async with trio.open_nursery() as nursery:
+            link = Link(Address(HOST, await endpoint.start(nursery)))
+            await link.start(nursery)
+            async with serve_callers([link.port]) as caller_port:
+                nursery.start_soon(_cut_later, link)
+                with pytest.raises(AnswerLostError):
+                    await _send_to(caller_port, '/services/desk/prices')
+            nursery.cancel_scope.cancel()
+
+    def test_answer_of_cut_endpoint(self) -> None:
+        """An answer without a marked end is lost if its endpoint is cut off."""
+        trio.run(self._check_cut_endpoint)
+
     async def _check_endless_head(self, answer: bytes) -> None:
         endpoint = RawEndpoint(answer, keeps_open=True)
         async with trio.open_nursery() as nursery:
@@ -294,6 +357,18 @@
         assert counter.get_tokens().completion_tokens == 1
 
 
+async def _send_to(caller_port: ServedCallerPort, path: str) -> HttpResponse:
+    """Send a chat, or a request to a path."""
+    if path == 'chat':
+        return await caller_port.chat()
+    return await caller_port.post(path)
+
+
+async def _cut_later(link: Link) -> None:
+    await trio.sleep(0.1)
+    link.hang_new()
+
+
 async def _wait_for_outcome(caller_port: ServedCallerPort) -> None:
     with trio.fail_after(10):
         while not caller_port.outcomes:
