Take an answer with a status above 599 for no answer

Cause: HttpClient accepted each status that h11 accepts, up to 999.

The client now raises ProtocolError, and the outcome of the request is unknown on each path. A repeatable request is sent to another endpoint.

--- a/src/clementinedyke/http/client.py
+++ b/src/clementinedyke/http/client.py
@@ -82,6 +82,8 @@
     trio.ClosedResourceError,
     h11.RemoteProtocolError,
 )
+#: Largest status of HTTP (RFC 9110, section 15); h11 accepts up to 999.
+_MAX_STATUS = 599
 #: Statuses of responses that never have a body.
 _BODILESS_STATUSES = frozenset((204, 304))
 #: States of the peer in which its response is complete.
@@ -555,12 +557,21 @@
         for _ in range(_MAX_INTERIM_RESPONSES):
             event = await _receive_event(connection)
             if isinstance(event, h11.Response):
-                connection.usable_until = _get_usable_until(event)
-                return ResponseStream(event, connection)
+                return self._create_response(event, connection)
             if not isinstance(event, h11.InformationalResponse):
                 raise ProtocolError(f'{self._address} sent no response head')
         raise ProtocolError(f'{self._address} sent only interim responses')
 
+    def _create_response(
+        self, head: h11.Response, connection: _Connection
+    ) -> ResponseStream:
+        if head.status_code > _MAX_STATUS:
+            raise ProtocolError(
+                f'{self._address} sent status {head.status_code}'
+            )
+        connection.usable_until = _get_usable_until(head)
+        return ResponseStream(head, connection)
+
     def _distrust_idle(self) -> None:
         """Use no connection again that may have gone silent."""
         moment = _UNANSWERED_TIME / _MILLISECONDS_PER_SECOND
--- a/tests/test_lost_links.py
+++ b/tests/test_lost_links.py
@@ -405,7 +405,8 @@
         answers: list[HttpResponse] = []
 
         async def scenario(env: EntryEnvironment) -> None:
-            raw, links = await open_with_links(env, endpoint)
+            port = await endpoint.start(env.nursery)
+            raw, links = await open_with_links(env, port)
             if is_forwarded:
                 links.cut('refuse')
             env.nursery.start_soon(disrupt, env, raw, links)
@@ -425,20 +426,21 @@
 
 
 async def open_with_links(
-    env: EntryEnvironment, endpoint: RawEndpoint
+    env: EntryEnvironment, port: int, stage: str | None = None
 ) -> tuple[EndpointStandin, EndpointLinks]:
-    """Start a daemon with links and one without, and a plain service.
+    """Start a daemon with links and one without, which reaches endpoints.
 
-    A link would accept connections for an endpoint that has ended.
+    A link would accept connections for an endpoint that has ended. The
+    endpoint at a port is the only one of its stage.
     """
     env.store.put('op', 'config', CONFIGURATION)
-    raw = EndpointStandin('raw', port=await endpoint.start(env.nursery))
+    raw = EndpointStandin('raw', stage, port=port)
     env.endpoints['raw'] = raw
     links = await env.open_links()
     await env.start_daemon('host-0', links=links)
     await env.start_daemon('host-1')
     await env.wait_until_served()
-    env.remove_stage(None)
+    env.remove_stage(stage)
     env.register(raw)
     await env.wait_until_seen()
     return raw, links
