--- a/tests/test_invalid_statuses.py
+++ b/tests/test_invalid_statuses.py
@@ -26,8 +26,8 @@
 class TestInvalidStatuses:
     """Guards against callers who get bytes that are no answer.
 
-    An endpoint in trouble sent an answer with the status 000, and others sent
-    600 and 999. Callers got them as answers.
+    Endpoints in trouble sent the statuses 000, 600 and 999, and callers got the
+    last two as answers.
     """
 
     @pytest.mark.parametrize(('path', 'stage'), _ROUTES)
