--- a/tests/caller_tools.py
+++ b/tests/caller_tools.py
@@ -183,21 +183,20 @@
         self._delay_seconds = delay_seconds
         self._closing_seconds = closing_seconds
         self._accept_scope = trio.CancelScope()
+        self._listeners: list[trio.SocketListener] = []
         self.received: list[bytes] = []
         self.closed = trio.Event()
 
     async def start(self, nursery: trio.Nursery) -> int:
         """Start the endpoint in a nursery and return its port."""
-        listeners = await trio.open_tcp_listeners(0, host=HOST)
-        nursery.start_soon(self._accept, listeners, nursery)
-        return int(listeners[0].socket.getsockname()[1])
+        self._listeners = await trio.open_tcp_listeners(0, host=HOST)
+        nursery.start_soon(self._accept, nursery)
+        return int(self._listeners[0].socket.getsockname()[1])
 
-    async def _accept(
-        self, listeners: list[trio.SocketListener], nursery: trio.Nursery
-    ) -> None:
+    async def _accept(self, nursery: trio.Nursery) -> None:
         with self._accept_scope:
             await trio.serve_listeners(
-                self._serve, listeners, handler_nursery=nursery
+                self._serve, self._listeners, handler_nursery=nursery
             )
 
     async def _serve(self, stream: trio.SocketStream) -> None:
@@ -224,4 +223,7 @@
             await stream.aclose()
             await trio.sleep(self._closing_seconds)
         self._accept_scope.cancel()
-        await trio.sleep(0)
+        # At once: when the process was held up, waits of a daemon that began
+        # later may end in the same turn of the event loop.
+        for listener in self._listeners:
+            listener.socket.close()
