--- a/review/common3/engines.py
+++ b/review/common3/engines.py
@@ -27,6 +27,8 @@
         self.events = 0
         self.gap = 0.1
         self.slots = 6
+        #: Requests that wait for a slot before others are turned away.
+        self.queue = 0
         self.born = int(time.time() * 1000)
         self.running = 0
         self.runs = []
@@ -36,7 +38,8 @@
         self._beats = None
         self._store = None
         self._port = 0
-        self.draining_since = None
+        self._waiting = 0
+        self._has_slot = asyncio.Condition()
 
     @property
     def address(self):
@@ -100,12 +103,17 @@
             writer.write(compile_answer(421, headers, b''))
             return
         headers.append(
-            ('X-Instance-Load', f'{self.running},0,{self.slots}')
+            (
+                'X-Instance-Load',
+                f'{self.running},{self._waiting},{self.slots}',
+            )
         )
         if self.running >= self.slots:
-            headers.append(('X-Not-Executed', '1'))
-            writer.write(compile_answer(503, headers, b''))
-            return
+            if self._waiting >= self.queue:
+                headers.append(('X-Not-Executed', '1'))
+                writer.write(compile_answer(503, headers, b''))
+                return
+            await self._wait_for_slot()
         self.running += 1
         self.runs.append((time.monotonic(), request_id))
         self._record(
@@ -121,6 +129,17 @@
             writer.write(compile_answer(200, headers, b'done'))
         finally:
             self.running -= 1
+            async with self._has_slot:
+                self._has_slot.notify()
+
+    async def _wait_for_slot(self):
+        self._waiting += 1
+        try:
+            async with self._has_slot:
+                while self.running >= self.slots:
+                    await self._has_slot.wait()
+        finally:
+            self._waiting -= 1
 
     async def _stream(self, request, writer, headers):
         after = int(request.get('last-event-id') or 0)
