Show the memory of case 11 before any request has ended

The crowd is a process of its own, and the check looks at no memory after the first answer, so that bodies kept by idle connections (review/7) take no part.

--- a/review/common3/deployment.py
+++ b/review/common3/deployment.py
@@ -50,13 +50,18 @@
 }
 
 
-def compile_configuration():
-    """Return a configuration as the pages show one."""
+def compile_configuration(timeouts):
+    """Return a configuration as the pages show one.
+
+    ``timeouts`` has the timeouts in ms of routes that differ.
+    """
     routes = [
         _compile_route('status', 'safe', 'quote-desk', 2500, 2),
         _compile_route('order', 'unsafe', 'quote-desk', 2500, 1),
         _compile_route('check', 'streaming', 'design-assist', 4000, 2),
     ]
+    for route in routes:
+        route['timeout_ms'] = timeouts.get(route['name'], route['timeout_ms'])
     return {
         'version': 7,
         'routes': routes,
@@ -240,8 +245,9 @@
 class Deployment:
     """Store, duties and daemons; ends all that it started."""
 
-    def __init__(self, record, daemons):
+    def __init__(self, record, daemons, timeouts=None):
         self.record = record
+        self._configuration = compile_configuration(timeouts or {})
         self._folder = tempfile.TemporaryDirectory()
         self.store = Store(record)
         self.cloud = Cloud(record)
@@ -261,7 +267,7 @@
         """Start all and wait until the daemons are ready."""
         store_port = await self.store.start('127.0.0.1')
         cloud_port = await self.cloud.start('127.0.0.1')
-        self.store.put('op', 'config', compile_configuration())
+        self.store.put('op', 'config', self._configuration)
         for engine in engines:
             await engine.start(self.store)
         seeds = [f'{daemon.ip}:8367' for daemon in self.daemons[:3]]
--- a/review/common3/engines.py
+++ b/review/common3/engines.py
@@ -32,6 +32,8 @@
         self.born = int(time.time() * 1000)
         self.running = 0
         self.runs = []
+        #: Requests that have ended.
+        self.ended = 0
         self.sequence = 0
         self.is_registered = True
         self._server = Server(self._respond)
@@ -129,6 +131,7 @@
             writer.write(compile_answer(200, headers, b'done'))
         finally:
             self.running -= 1
+            self.ended += 1
             async with self._has_slot:
                 self._has_slot.notify()
 
