--- a/review/common3/deployment.py
+++ b/review/common3/deployment.py
@@ -301,12 +301,22 @@
     record(f'trouble={has_trouble}')
 
     async def run():
+        # A run that is stopped ends its processes too.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
         async with asyncio.timeout(110):
             return await scenario(record, has_trouble)
 
     try:
         is_broken = asyncio.run(run())
-    except (CannotRunError, OSError, TimeoutError) as error:
+    except (
+        CannotRunError,
+        OSError,
+        TimeoutError,
+        asyncio.CancelledError,
+    ) as error:
         record(f'cannot run: {error!r}')
         sys.exit(2)
     record('rule broken' if is_broken else 'rule held')
