--- a/review/14/case.py
+++ b/review/14/case.py
@@ -7,9 +7,9 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / 'common3'))
+sys.path.insert(0, str(FOLDER.parent))
 
-from deployment import (  # noqa: E402
+from stand_in_3_deployment import (  # noqa: E402
     BOUNDS,
     FRONT_PORT,
     HOST,
@@ -17,8 +17,8 @@
     Deployment,
     run_case,
 )
-from engines import Engine  # noqa: E402
-from httpio import call  # noqa: E402
+from stand_in_3_engine import Engine  # noqa: E402
+from stand_in_3_http import call  # noqa: E402
 
 ENGINES = 6
 COMMON_PARTS = 70
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 # the standard library only.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 -m compileall -q common3 1[1-5]
+python3 -m compileall -q stand_in_3_*.py 1[1-5]
--- a/review/common3/deployment.py
+++ b/review/stand_in_3_deployment.py
@@ -11,10 +11,10 @@
 import time
 from pathlib import Path
 
-from httpio import call
-from platform_standin3 import Cloud, Store
+from stand_in_3_http import call
+from stand_in_3_platform import Cloud, Store
 
-ROOT = Path(__file__).resolve().parent.parent.parent
+ROOT = Path(__file__).resolve().parent.parent
 FRONT_PORT = 8368
 READY_PORT = 8369
 KEY = '3fexd9dnn2ctnfzs989a'
--- a/review/common3/engines.py
+++ b/review/stand_in_3_engine.py
@@ -5,7 +5,7 @@
 import secrets
 import time
 
-from httpio import Server, compile_answer
+from stand_in_3_http import Server, compile_answer
 
 HEARTBEAT = 1.2
 
--- a/review/common3/platform_standin3.py
+++ b/review/stand_in_3_platform.py
@@ -6,7 +6,7 @@
 import time
 from urllib.parse import parse_qs, urlsplit
 
-from httpio import Server, compile_answer
+from stand_in_3_http import Server, compile_answer
 
 
 class Store:
